Workspace, shared packages and design page

The repository was empty. This adds the design page, the Go workspace with the linter pinned in its own module, and the packages that every duty needs: duty (actors with bounded mailboxes), wire (messages and CBOR), link (WebSocket with heartbeats), and the types of configuration, settings and observation.

A link that the network has forgotten is closed after 2 s and dialed again; the test drops all bytes of an open connection without an error.

--- /dev/null
+++ b/cmd/merlinhall/main.go
@@ -0,0 +1,4 @@
+// Command merlinhall is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/merlinhalld/main.go
@@ -0,0 +1,4 @@
+// Command merlinhalld is the merlinhall daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,157 @@
+// Package config holds the configuration: the one text in which operators list
+// their services and what each depends on.
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+)
+
+// Config is a checked configuration.
+type Config struct {
+	Zones    []Zone
+	Services []Service
+	Pools    []Pool
+	Trainers []Trainer
+	Limits   Limits
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name   string
+	Region string
+}
+
+// Limits bound what all services share.
+type Limits struct {
+	// RetryShare is the largest share of requests that may be retries.
+	RetryShare float64
+	// MaxEjectedShare is the largest share of a service's targets that may be
+	// ejected for failures.
+	MaxEjectedShare float64
+}
+
+// Service is a plain service.
+type Service struct {
+	Name        string
+	DependsOn   []string // services and pools that this service calls
+	Deadline    time.Duration
+	IdleTimeout time.Duration
+	Priority    int8
+	Share       float64 // weight of its calls to pools against other callers
+	MaxInFlight int     // requests at once on one target
+	Queue       int     // requests waiting at one entry
+	Calls       []Call
+	Targets     []Target
+}
+
+// Call says whether calls that match may be repeated.
+type Call struct {
+	Method     string
+	PathPrefix string
+	Idempotent bool
+}
+
+// Pool is a set of model engines that serve the same weights.
+type Pool struct {
+	Name        string
+	Deadline    time.Duration
+	IdleTimeout time.Duration
+	Priority    int8
+	MaxInFlight int
+	Queue       int
+	Adapters    []string
+	Targets     []Target
+	// WeightStore is the address of the store that holds the pool's weights.
+	WeightStore string
+}
+
+// Target is one back end and the agent beside it.
+type Target struct {
+	Name    string
+	Zone    string
+	Agent   string // link address of the agent
+	Address string // address of the target itself
+	// ChecksFence is set when the target refuses orders with an old fence.
+	ChecksFence bool
+	// Role of an engine: "prefill", "decode" or "both".
+	Role string
+}
+
+// Trainer draws samples from pools.
+type Trainer struct {
+	Name           string
+	Pools          []string
+	StalenessBound uint64 // versions
+	GroupSize      int
+	Share          float64
+	Scorer         string // service that scores samples
+	Deadline       time.Duration
+}
+
+// Digest returns the SHA-256 of a configuration text in hexadecimal.
+func Digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
+// Service returns the plain service of that name, or nil.
+func (c *Config) Service(name string) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// Pool returns the pool of that name, or nil.
+func (c *Config) Pool(name string) *Pool {
+	for i := range c.Pools {
+		if c.Pools[i].Name == name {
+			return &c.Pools[i]
+		}
+	}
+	return nil
+}
+
+// Trainer returns the trainer of that name, or nil.
+func (c *Config) Trainer(name string) *Trainer {
+	for i := range c.Trainers {
+		if c.Trainers[i].Name == name {
+			return &c.Trainers[i]
+		}
+	}
+	return nil
+}
+
+// Idempotent reports whether a call may be repeated. The longest matching path
+// prefix decides; without a match the HTTP method does.
+func (s *Service) Idempotent(method, path string) bool {
+	best := -1
+	idempotent := idempotentMethod(method)
+	for _, c := range s.Calls {
+		if c.matches(method, path) && len(c.PathPrefix) > best {
+			best = len(c.PathPrefix)
+			idempotent = c.Idempotent
+		}
+	}
+	return idempotent
+}
+
+func (c Call) matches(method, path string) bool {
+	if c.Method != "" && c.Method != method {
+		return false
+	}
+	return len(path) >= len(c.PathPrefix) && path[:len(c.PathPrefix)] == c.PathPrefix
+}
+
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,188 @@
+package config
+
+import (
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+)
+
+// document is the TOML form of the configuration.
+type document struct {
+	Zone    []zoneDoc    `toml:"zone"`
+	Service []serviceDoc `toml:"service"`
+	Pool    []poolDoc    `toml:"pool"`
+	Trainer []trainerDoc `toml:"trainer"`
+	Limits  limitsDoc    `toml:"limits"`
+}
+
+type limitsDoc struct {
+	RetryShare      *float64 `toml:"retry_share"`
+	MaxEjectedShare *float64 `toml:"max_ejected_share"`
+}
+
+type zoneDoc struct {
+	Name   string `toml:"name"`
+	Region string `toml:"region"`
+}
+
+type targetDoc struct {
+	Name        string `toml:"name"`
+	Zone        string `toml:"zone"`
+	Agent       string `toml:"agent"`
+	Address     string `toml:"address"`
+	ChecksFence bool   `toml:"checks_fence"`
+	Role        string `toml:"role"`
+}
+
+type callDoc struct {
+	Method     string `toml:"method"`
+	PathPrefix string `toml:"path_prefix"`
+	Idempotent bool   `toml:"idempotent"`
+}
+
+type serviceDoc struct {
+	Name        string      `toml:"name"`
+	DependsOn   []string    `toml:"depends_on"`
+	Deadline    string      `toml:"deadline"`
+	IdleTimeout string      `toml:"idle_timeout"`
+	Priority    int8        `toml:"priority"`
+	Share       *float64    `toml:"share"`
+	MaxInFlight *int        `toml:"max_in_flight"`
+	Queue       *int        `toml:"queue"`
+	Call        []callDoc   `toml:"call"`
+	Target      []targetDoc `toml:"target"`
+}
+
+type poolDoc struct {
+	Name        string      `toml:"name"`
+	Deadline    string      `toml:"deadline"`
+	IdleTimeout string      `toml:"idle_timeout"`
+	Priority    int8        `toml:"priority"`
+	MaxInFlight *int        `toml:"max_in_flight"`
+	Queue       *int        `toml:"queue"`
+	Adapters    []string    `toml:"adapters"`
+	WeightStore string      `toml:"weight_store"`
+	Target      []targetDoc `toml:"target"`
+}
+
+type trainerDoc struct {
+	Name           string   `toml:"name"`
+	Pools          []string `toml:"pools"`
+	StalenessBound uint64   `toml:"staleness_bound"`
+	GroupSize      int      `toml:"group_size"`
+	Share          *float64 `toml:"share"`
+	Scorer         string   `toml:"scorer"`
+	Deadline       string   `toml:"deadline"`
+}
+
+// Defaults of the configuration.
+const (
+	defaultDeadline        = 10 * time.Second
+	defaultIdleTimeout     = 5 * time.Second
+	defaultSampleDeadline  = 10 * time.Minute
+	defaultMaxInFlight     = 64
+	defaultQueue           = 256
+	defaultShare           = 1.0
+	defaultRetryShare      = 0.1
+	defaultMaxEjectedShare = 0.3
+)
+
+// Parse reads and checks a configuration text. file names the text in errors.
+func Parse(file string, text []byte) (*Config, error) {
+	var doc document
+	if err := toml.Unmarshal(text, &doc); err != nil {
+		return nil, eris.Wrapf(err, "%s", file)
+	}
+	return doc.build()
+}
+
+func (d *document) build() (*Config, error) {
+	c := &Config{
+		Limits: Limits{
+			RetryShare:      or(d.Limits.RetryShare, defaultRetryShare),
+			MaxEjectedShare: or(d.Limits.MaxEjectedShare, defaultMaxEjectedShare),
+		},
+	}
+	for _, z := range d.Zone {
+		c.Zones = append(c.Zones, Zone(z))
+	}
+	for _, s := range d.Service {
+		c.Services = append(c.Services, s.build())
+	}
+	for _, p := range d.Pool {
+		c.Pools = append(c.Pools, p.build())
+	}
+	for _, t := range d.Trainer {
+		c.Trainers = append(c.Trainers, t.build())
+	}
+	return c, nil
+}
+
+func (s serviceDoc) build() Service {
+	calls := make([]Call, 0, len(s.Call))
+	for _, c := range s.Call {
+		calls = append(calls, Call(c))
+	}
+	return Service{
+		Name:        s.Name,
+		DependsOn:   s.DependsOn,
+		Deadline:    duration(s.Deadline, defaultDeadline),
+		IdleTimeout: duration(s.IdleTimeout, defaultIdleTimeout),
+		Priority:    s.Priority,
+		Share:       or(s.Share, defaultShare),
+		MaxInFlight: or(s.MaxInFlight, defaultMaxInFlight),
+		Queue:       or(s.Queue, defaultQueue),
+		Calls:       calls,
+		Targets:     targets(s.Target),
+	}
+}
+
+func (p poolDoc) build() Pool {
+	return Pool{
+		Name:        p.Name,
+		Deadline:    duration(p.Deadline, defaultDeadline),
+		IdleTimeout: duration(p.IdleTimeout, defaultIdleTimeout),
+		Priority:    p.Priority,
+		MaxInFlight: or(p.MaxInFlight, defaultMaxInFlight),
+		Queue:       or(p.Queue, defaultQueue),
+		Adapters:    p.Adapters,
+		WeightStore: p.WeightStore,
+		Targets:     targets(p.Target),
+	}
+}
+
+func (t trainerDoc) build() Trainer {
+	return Trainer{
+		Name:           t.Name,
+		Pools:          t.Pools,
+		StalenessBound: t.StalenessBound,
+		GroupSize:      t.GroupSize,
+		Share:          or(t.Share, defaultShare),
+		Scorer:         t.Scorer,
+		Deadline:       duration(t.Deadline, defaultSampleDeadline),
+	}
+}
+
+func targets(docs []targetDoc) []Target {
+	out := make([]Target, 0, len(docs))
+	for _, t := range docs {
+		out = append(out, Target(t))
+	}
+	return out
+}
+
+func or[T any](v *T, fallback T) T {
+	if v == nil {
+		return fallback
+	}
+	return *v
+}
+
+func duration(text string, fallback time.Duration) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return fallback
+	}
+	return d
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,145 @@
+package link
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/matryer/is"
+
+	"merlinhall/wire"
+)
+
+type recorder struct {
+	up   chan *Conn
+	msg  chan wire.Message
+	down chan error
+}
+
+func newRecorder() *recorder {
+	return &recorder{up: make(chan *Conn, 16), msg: make(chan wire.Message, 64), down: make(chan error, 16)}
+}
+
+func (r *recorder) Up(c *Conn)                      { r.up <- c }
+func (r *recorder) Message(_ *Conn, m wire.Message) { r.msg <- m }
+func (r *recorder) Down(_ *Conn, reason error)      { r.down <- reason }
+
+func receive[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// Guards against a link that loses the identity of its peer or its messages.
+func TestMessagesBothWays(t *testing.T) {
+	is := is.New(t)
+	server, client := newRecorder(), newRecorder()
+	srv := httptest.NewServer(Accept(wire.Hello{Process: "s"}, server))
+	defer srv.Close()
+	c, err := Dial(t.Context(), NewHTTPClient(nil), "ws", strings.TrimPrefix(srv.URL, "http://"), wire.Hello{Process: "c"}, client)
+	is.NoErr(err)
+	s := receive(t, server.up, "connection")
+	is.Equal(s.Peer().Process, "c")
+	is.Equal(c.Peer().Process, "s")
+	is.NoErr(c.Send(&wire.Cancel{ID: "1"}))
+	is.NoErr(s.Send(&wire.Cancel{ID: "2"}))
+	is.Equal(receive(t, server.msg, "message").(*wire.Cancel).ID, "1")
+	is.Equal(receive(t, client.msg, "message").(*wire.Cancel).ID, "2")
+	c.Close(ErrClosed)
+	receive(t, server.down, "end")
+	receive(t, client.down, "end")
+	is.Equal(c.Send(&wire.Ping{}), ErrClosed)
+}
+
+// Guards against a connection that the network has forgotten: bytes vanish, no
+// error is reported. The link must end for silence and the dialer replace it.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	server, client := newRecorder(), newRecorder()
+	srv := httptest.NewServer(Accept(wire.Hello{Process: "s"}, server))
+	defer srv.Close()
+	var silent atomic.Bool
+	relay := newRelay(t, strings.TrimPrefix(srv.URL, "http://"), &silent)
+	d := Keep(NewHTTPClient(nil), "ws", relay, wire.Hello{Process: "c"}, client)
+	defer d.Stop()
+	receive(t, client.up, "first connection")
+	silent.Store(true)
+	reason := receive(t, client.down, "end of the silent connection")
+	is.Equal(reason, ErrSilent)
+	silent.Store(false)
+	receive(t, client.up, "second connection")
+}
+
+// Guards against a peer that sends frames which are not messages.
+func TestMalformedFrameClosesLink(t *testing.T) {
+	is := is.New(t)
+	server := newRecorder()
+	srv := httptest.NewServer(Accept(wire.Hello{Process: "s"}, server))
+	defer srv.Close()
+	ws, _, err := websocket.Dial(t.Context(), srv.URL+Path, nil)
+	is.NoErr(err)
+	hello, err := wire.Encode(&wire.Hello{Process: "bad"})
+	is.NoErr(err)
+	is.NoErr(ws.Write(t.Context(), websocket.MessageBinary, hello))
+	receive(t, server.up, "connection")
+	is.NoErr(ws.Write(t.Context(), websocket.MessageBinary, []byte{255, 0, 1}))
+	reason := receive(t, server.down, "end")
+	is.True(strings.Contains(reason.Error(), "malformed"))
+}
+
+// newRelay forwards bytes to address and drops them while silent is set.
+// Connections opened before silent was set stay silent.
+func newRelay(t *testing.T, address string, silent *atomic.Bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			var dead atomic.Bool
+			go pump(in, out, silent, &dead)
+			go pump(out, in, silent, &dead)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func pump(dst io.WriteCloser, src io.Reader, silent, dead *atomic.Bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			_ = dst.Close()
+			return
+		}
+		if silent.Load() {
+			dead.Store(true)
+		}
+		if !dead.Load() {
+			_, _ = dst.Write(buf[:n])
+		}
+	}
+}
+
+var _ http.Handler = Accept(wire.Hello{}, nil)
--- /dev/null
+++ b/observe/observe.go
@@ -0,0 +1,116 @@
+// Package observe holds what lets operators see into a process: metrics, logs,
+// health endpoints and the state dump.
+package observe
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+)
+
+// Observer is what one process shows of itself.
+type Observer struct {
+	Registry *prometheus.Registry
+	Log      *logrus.Logger
+
+	ready atomic.Bool
+	mu    sync.Mutex
+	dumps map[string]func() any
+	gates map[string]func() error
+}
+
+// New returns an observer that logs at level ("debug", "info", "warn", "error").
+// An unknown level means "info".
+func New(level string) *Observer {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return &Observer{
+		Registry: registry,
+		Log:      log,
+		dumps:    make(map[string]func() any),
+		gates:    make(map[string]func() error),
+	}
+}
+
+// Logger returns a logger that puts "part: " before each message.
+func (o *Observer) Logger(part string) *logrus.Entry {
+	return o.Log.WithField("part", part)
+}
+
+// Dump adds a part to the state dump. f returns a value that encodes as JSON; it
+// is called from HTTP goroutines.
+func (o *Observer) Dump(part string, f func() any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.dumps[part] = f
+}
+
+// Gate adds a condition of readiness. f returns nil when the part is ready.
+func (o *Observer) Gate(part string, f func() error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.gates[part] = f
+}
+
+// SetReady switches readiness. A process that drains is not ready.
+func (o *Observer) SetReady(ready bool) { o.ready.Store(ready) }
+
+// Attach adds /metrics, /healthz, /readyz and /dump to mux.
+func (o *Observer) Attach(mux *http.ServeMux) {
+	mux.Handle("GET /metrics", promhttp.HandlerFor(o.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", o.serveReady)
+	mux.HandleFunc("GET /dump", o.serveDump)
+}
+
+func (o *Observer) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !o.ready.Load() {
+		http.Error(w, "draining or starting", http.StatusServiceUnavailable)
+		return
+	}
+	for part, gate := range o.gateCopy() {
+		if err := gate(); err != nil {
+			http.Error(w, part+": "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (o *Observer) gateCopy() map[string]func() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	gates := make(map[string]func() error, len(o.gates))
+	for part, gate := range o.gates {
+		gates[part] = gate
+	}
+	return gates
+}
+
+func (o *Observer) serveDump(w http.ResponseWriter, _ *http.Request) {
+	o.mu.Lock()
+	parts := make(map[string]func() any, len(o.dumps))
+	for part, f := range o.dumps {
+		parts[part] = f
+	}
+	o.mu.Unlock()
+	state := make(map[string]any, len(parts))
+	for part, f := range parts {
+		state[part] = f()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(state)
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,162 @@
+// Package wire defines the typed messages that processes of the system exchange
+// and their CBOR codec. A frame is one kind byte followed by one CBOR map with
+// integer keys, so that fields may be added without breaking older processes.
+package wire
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// MaxFrameBytes bounds one encoded frame. Sample bodies are the largest frames.
+const MaxFrameBytes = 8 << 20
+
+// ErrMalformed is wrapped by every decoding error.
+var ErrMalformed = eris.New("malformed frame")
+
+// Kind identifies the type of a message on the wire. Kinds are never reused.
+type Kind uint8
+
+// Ranges of kinds by package: 1-15 link, 16-47 requests, 48-63 propagation,
+// 64-79 control calls, 80-95 consensus, 96-111 rollout, 112-127 weights.
+const (
+	KindHello Kind = 1
+	KindPing  Kind = 2
+	KindBye   Kind = 3
+)
+
+// Message is a message between processes.
+type Message interface {
+	Kind() Kind
+}
+
+var (
+	kinds   [256]reflect.Type
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 20,
+		MaxMapPairs:      1 << 16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Register makes the type of m decodable. It is called from init functions and
+// panics when the kind is taken.
+func Register(m Message) {
+	k := m.Kind()
+	if kinds[k] != nil {
+		panic(fmt.Sprintf("wire: kind %d is registered twice", k))
+	}
+	kinds[k] = reflect.TypeOf(m).Elem()
+}
+
+// Encode returns the frame of m.
+func Encode(m Message) ([]byte, error) {
+	body, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, eris.Wrapf(err, "encode %T", m)
+	}
+	if len(body)+1 > MaxFrameBytes {
+		return nil, eris.Errorf("message %T is %d bytes, the limit is %d", m, len(body)+1, MaxFrameBytes)
+	}
+	frame := make([]byte, 1, 1+len(body))
+	frame[0] = byte(m.Kind())
+	return append(frame, body...), nil
+}
+
+// Decode returns the message of a frame, always as a pointer to its type.
+// Errors wrap ErrMalformed.
+func Decode(frame []byte) (Message, error) {
+	if len(frame) < 2 {
+		return nil, eris.Wrapf(ErrMalformed, "frame of %d bytes", len(frame))
+	}
+	t := kinds[frame[0]]
+	if t == nil {
+		return nil, eris.Wrapf(ErrMalformed, "unknown kind %d", frame[0])
+	}
+	m := reflect.New(t).Interface()
+	if err := decMode.Unmarshal(frame[1:], m); err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "kind %d: %v", frame[0], err)
+	}
+	return m.(Message), nil
+}
+
+// Marshal encodes v as CBOR with the codec of the wire.
+func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
+
+// Unmarshal decodes CBOR into v. Errors wrap ErrMalformed.
+func Unmarshal(b []byte, v any) error {
+	if err := decMode.Unmarshal(b, v); err != nil {
+		return eris.Wrapf(ErrMalformed, "%T: %v", v, err)
+	}
+	return nil
+}
+
+// Role is what a process does.
+type Role string
+
+// Roles of a process.
+const (
+	RoleControl Role = "control"
+	RoleEntry   Role = "entry"
+	RoleAgent   Role = "agent"
+)
+
+// Hello is the first message in each direction of a link.
+type Hello struct {
+	Process string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+	Roles   []Role `cbor:"3,keyasint"`
+	// Boot differs between two runs of the same process.
+	Boot string `cbor:"4,keyasint"`
+	// Target is the target beside which an agent runs.
+	Target string `cbor:"5,keyasint,omitempty"`
+	// Address is the link address on which the sender accepts links, empty when
+	// it accepts none.
+	Address string `cbor:"6,keyasint,omitempty"`
+}
+
+// Ping keeps a link from being taken for silent.
+type Ping struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+}
+
+// Bye announces that the sender shuts down and accepts no new work.
+type Bye struct {
+	Reason string `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*Hello) Kind() Kind { return KindHello }
+
+// Kind implements Message.
+func (*Ping) Kind() Kind { return KindPing }
+
+// Kind implements Message.
+func (*Bye) Kind() Kind { return KindBye }
+
+func init() {
+	Register(&Hello{})
+	Register(&Ping{})
+	Register(&Bye{})
+}
--- /dev/null
+++ b/wire/world.go
@@ -0,0 +1,213 @@
+package wire
+
+// Kinds of propagation, control calls and rollout jobs.
+const (
+	KindSubscribe  Kind = 48
+	KindWorld      Kind = 49
+	KindDigest     Kind = 50
+	KindHolding    Kind = 51
+	KindCall       Kind = 64
+	KindReply      Kind = 65
+	KindConsensus  Kind = 80
+	KindGenerate   Kind = 96
+	KindSampleDone Kind = 97
+	KindAbandon    Kind = 98
+)
+
+// Fence orders the orders to a target: a higher term supersedes a lower one, and
+// within a term a higher sequence (the log index) supersedes a lower one.
+type Fence struct {
+	Term     uint64 `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// Less reports whether f is superseded by g.
+func (f Fence) Less(g Fence) bool {
+	if f.Term != g.Term {
+		return f.Term < g.Term
+	}
+	return f.Sequence < g.Sequence
+}
+
+// WeightTarget is the weight version that the engines of a pool must serve.
+type WeightTarget struct {
+	Pool    string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Fence   Fence  `cbor:"3,keyasint"`
+	Trainer string `cbor:"4,keyasint,omitempty"`
+}
+
+// Departure is a target that is leaving.
+type Departure struct {
+	Target string `cbor:"1,keyasint"`
+	Fence  Fence  `cbor:"2,keyasint"`
+}
+
+// World is all that control tells the other processes: a level-triggered state
+// from which they derive what to do. Index is the log index that produced it; a
+// process never replaces a world by one of a lower index.
+type World struct {
+	Index         uint64         `cbor:"1,keyasint"`
+	Term          uint64         `cbor:"2,keyasint"`
+	ConfigVersion uint64         `cbor:"3,keyasint"`
+	ConfigDigest  string         `cbor:"4,keyasint"` // SHA-256 of ConfigText in hexadecimal
+	ConfigText    []byte         `cbor:"5,keyasint"`
+	ConfigFence   Fence          `cbor:"6,keyasint"`
+	Weights       []WeightTarget `cbor:"7,keyasint,omitempty"`
+	Departures    []Departure    `cbor:"8,keyasint,omitempty"`
+	// LeavingHosts lists IP addresses that the platform's host list reports as
+	// leaving.
+	LeavingHosts []string `cbor:"9,keyasint,omitempty"`
+	// BaseIndex is set in a delta: the index of the world the delta applies to.
+	// In a delta ConfigText is empty when the configuration did not change.
+	BaseIndex uint64 `cbor:"10,keyasint,omitempty"`
+}
+
+// Subscribe asks a parent for the world. Index is the world the child holds, 0
+// when it holds none.
+type Subscribe struct {
+	Index uint64 `cbor:"1,keyasint"`
+}
+
+// Digest is the parent's periodic statement of its world.
+type Digest struct {
+	Index         uint64 `cbor:"1,keyasint"`
+	Term          uint64 `cbor:"2,keyasint"`
+	ConfigVersion uint64 `cbor:"3,keyasint"`
+}
+
+// VersionCount is how many processes hold a configuration version.
+type VersionCount struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Count   int    `cbor:"2,keyasint"`
+}
+
+// Holding is a child's report of the configuration versions that it and the
+// processes below it hold.
+type Holding struct {
+	Index  uint64         `cbor:"1,keyasint"`
+	Counts []VersionCount `cbor:"2,keyasint"`
+}
+
+// Call is a request to the control leader. Any process on the way passes it on
+// and returns the reply.
+type Call struct {
+	ID     string `cbor:"1,keyasint"`
+	Method string `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint,omitempty"` // CBOR of the method's request
+	// TimeoutMs bounds the wait for the reply.
+	TimeoutMs uint32 `cbor:"4,keyasint"`
+}
+
+// CallOutcome is the result class of a Call.
+type CallOutcome string
+
+// Outcomes of a Call.
+const (
+	CallOK       CallOutcome = "ok"
+	CallRejected CallOutcome = "rejected" // certainly not carried out
+	CallUnknown  CallOutcome = "unknown"  // may or may not have been carried out
+	CallNoLeader CallOutcome = "no_leader"
+)
+
+// Reply answers a Call.
+type Reply struct {
+	ID      string      `cbor:"1,keyasint"`
+	Outcome CallOutcome `cbor:"2,keyasint"`
+	Body    []byte      `cbor:"3,keyasint,omitempty"` // CBOR of the method's response
+	Error   string      `cbor:"4,keyasint,omitempty"`
+}
+
+// Consensus carries a message of the replicated log between control replicas.
+type Consensus struct {
+	Body []byte `cbor:"1,keyasint"`
+}
+
+// SampleID identifies a sample for ever.
+type SampleID struct {
+	Trainer string `cbor:"1,keyasint"`
+	Step    uint64 `cbor:"2,keyasint"`
+	Group   int    `cbor:"3,keyasint"`
+	Index   int    `cbor:"4,keyasint"`
+}
+
+// VersionRange attributes tokens [From, To) to a weight version.
+type VersionRange struct {
+	From    int    `cbor:"1,keyasint" json:"from"`
+	To      int    `cbor:"2,keyasint" json:"to"`
+	Version uint64 `cbor:"3,keyasint" json:"version"`
+}
+
+// Generate asks an entry for one sample. The same Job sent twice runs once.
+type Generate struct {
+	Job        string     `cbor:"1,keyasint"`
+	Sample     SampleID   `cbor:"2,keyasint"`
+	Pool       string     `cbor:"3,keyasint"`
+	Generation Generation `cbor:"4,keyasint"`
+	// MinVersion is the oldest weight version that is still useful.
+	MinVersion uint64 `cbor:"5,keyasint"`
+	Scorer     string `cbor:"6,keyasint,omitempty"` // service that scores the sample
+	Priority   int8   `cbor:"7,keyasint"`
+	Deadline   int64  `cbor:"8,keyasint"` // Unix time in milliseconds
+}
+
+// SampleDone is an entry's result of a Generate.
+type SampleDone struct {
+	Job      string         `cbor:"1,keyasint"`
+	Sample   SampleID       `cbor:"2,keyasint"`
+	Tokens   []string       `cbor:"3,keyasint,omitempty"`
+	Versions []VersionRange `cbor:"4,keyasint,omitempty"`
+	Score    float64        `cbor:"5,keyasint"`
+	// Error is set when the sample could not be produced; the job may be given
+	// to another entry.
+	Error  string `cbor:"6,keyasint,omitempty"`
+	Wasted int    `cbor:"7,keyasint,omitempty"` // tokens generated and discarded
+}
+
+// Abandon tells an entry that a job is no longer wanted.
+type Abandon struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*Subscribe) Kind() Kind { return KindSubscribe }
+
+// Kind implements Message.
+func (*World) Kind() Kind { return KindWorld }
+
+// Kind implements Message.
+func (*Digest) Kind() Kind { return KindDigest }
+
+// Kind implements Message.
+func (*Holding) Kind() Kind { return KindHolding }
+
+// Kind implements Message.
+func (*Call) Kind() Kind { return KindCall }
+
+// Kind implements Message.
+func (*Reply) Kind() Kind { return KindReply }
+
+// Kind implements Message.
+func (*Consensus) Kind() Kind { return KindConsensus }
+
+// Kind implements Message.
+func (*Generate) Kind() Kind { return KindGenerate }
+
+// Kind implements Message.
+func (*SampleDone) Kind() Kind { return KindSampleDone }
+
+// Kind implements Message.
+func (*Abandon) Kind() Kind { return KindAbandon }
+
+func init() {
+	Register(&Subscribe{})
+	Register(&World{})
+	Register(&Digest{})
+	Register(&Holding{})
+	Register(&Call{})
+	Register(&Reply{})
+	Register(&Consensus{})
+	Register(&Generate{})
+	Register(&SampleDone{})
+	Register(&Abandon{})
+}
