Control state machine, administration API and propagation tree

Processes need one ordered source of configuration, weight versions and departures, and a way to receive it that costs a node little.

Texts of old versions are kept as line patches that lead back from the current text.

--- /dev/null
+++ b/control/admin.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+const (
+	// maxSmallBody bounds the bodies of requests that carry no configuration.
+	maxSmallBody = 64 << 10
+	// retryAfterSeconds is sent with 503: an election takes about 2 s.
+	retryAfterSeconds = "2"
+	// maxIDBytes bounds request ids, authors and names.
+	maxIDBytes = 256
+)
+
+// adminRequest is a request of the administration API on its way to the leader.
+type adminRequest struct {
+	Method string `cbor:"1,keyasint"`
+	URI    string `cbor:"2,keyasint"`
+	Author string `cbor:"3,keyasint,omitempty"`
+	Body   []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// adminAnswer is the answer to an adminRequest; Body is JSON.
+type adminAnswer struct {
+	Status int    `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint"`
+}
+
+// answer is what a handler returns: a status code and a value for JSON.
+type answer struct {
+	status int
+	value  any
+}
+
+// failure is the JSON of answers that are not a success.
+type failure struct {
+	Outcome   string   `json:"outcome"`
+	Error     string   `json:"error,omitempty"`
+	Errors    []string `json:"errors,omitempty"`
+	RequestID string   `json:"request_id,omitempty"`
+	Ask       string   `json:"ask,omitempty"`
+}
+
+// admin is the administration API.
+type admin struct {
+	c      *Control
+	leader *http.ServeMux // routes that run on the leader
+	parsed parsedConfig
+}
+
+type resultKey struct{}
+
+// routeResult receives what a route's handler returned.
+type routeResult struct {
+	answer answer
+	err    error
+}
+
+func newAdmin(c *Control) *admin {
+	a := &admin{c: c, leader: http.NewServeMux()}
+	a.route("POST /v1/config", a.postConfig)
+	a.route("POST /v1/config/rollback", a.postRollback)
+	a.route("GET /v1/config", a.getConfig)
+	a.route("GET /v1/config/history", a.getHistory)
+	a.route("GET /v1/requests/{id}", a.getRequest)
+	a.route("GET /v1/inforce", a.getInForce)
+	a.route("POST /v1/weights/{pool}", a.postWeights)
+	a.route("POST /v1/targets/{name}/drain", a.postDrain)
+	a.route("POST /v1/targets/{name}/undrain", a.postUndrain)
+	a.route("POST /v1/members", a.postMembers)
+	return a
+}
+
+func (a *admin) route(pattern string, h func(r *http.Request) (answer, error)) {
+	a.leader.HandleFunc(pattern, func(_ http.ResponseWriter, r *http.Request) {
+		out := r.Context().Value(resultKey{}).(*routeResult)
+		out.answer, out.err = h(r)
+	})
+}
+
+// AdminHandler serves the administration API under /v1/. A replica that does not
+// lead forwards all but GET /v1/status to the leader.
+func (c *Control) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", c.admin.getStatus)
+	mux.HandleFunc("/v1/", c.admin.forward)
+	return c.admin.authorize(mux)
+}
+
+// authorize requires the operator's bearer token when there is one.
+func (a *admin) authorize(next http.Handler) http.Handler {
+	want := []byte("Bearer " + a.c.o.OperatorToken)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if a.c.o.OperatorToken != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeJSON(w, http.StatusUnauthorized, failure{Outcome: "unauthorized", Error: "the operator's bearer token is needed"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// forward passes a request to the leader, which may be this process.
+func (a *admin) forward(w http.ResponseWriter, r *http.Request) {
+	body, err := readBody(w, r)
+	if err != nil {
+		writeJSON(w, http.StatusRequestEntityTooLarge, failure{Outcome: "invalid", Error: err.Error()})
+		return
+	}
+	id := withRequestID(r)
+	request := adminRequest{Method: r.Method, URI: r.URL.RequestURI(), Author: r.Header.Get("Merlinhall-Author"), Body: body}
+	raw, err := wire.Marshal(&request)
+	if err != nil {
+		writeJSON(w, http.StatusInternalServerError, failure{Outcome: "not_run", Error: err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), a.c.o.CallTimeout)
+	defer cancel()
+	writeReply(w, a.c.Call(ctx, &wire.Call{Method: "admin", Body: raw}), id)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limit := int64(maxSmallBody)
+	if r.URL.Path == "/v1/config" {
+		limit = MaxConfigBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, eris.Errorf("read body of at most %d bytes: %v", limit, err)
+	}
+	return body, nil
+}
+
+// withRequestID gives a changing request without a request id a new one, before
+// it is forwarded, so that the id is known when the outcome is not.
+func withRequestID(r *http.Request) string {
+	if r.Method == http.MethodGet {
+		return ""
+	}
+	query := r.URL.Query()
+	if query.Get("request_id") == "" {
+		query.Set("request_id", rand.Text())
+		r.URL.RawQuery = query.Encode()
+	}
+	return query.Get("request_id")
+}
+
+// writeReply writes the answer of the leader, or why there is none.
+func writeReply(w http.ResponseWriter, reply *wire.Reply, id string) {
+	var out adminAnswer
+	switch reply.Outcome {
+	case wire.CallOK:
+		if err := wire.Unmarshal(reply.Body, &out); err == nil {
+			writeBody(w, out.Status, out.Body)
+			return
+		}
+		writeUnknown(w, id, "the leader's answer is malformed")
+	case wire.CallUnknown:
+		writeUnknown(w, id, reply.Error)
+	case wire.CallNoLeader:
+		w.Header().Set("Retry-After", retryAfterSeconds)
+		writeJSON(w, http.StatusServiceUnavailable, failure{Outcome: "no_leader", Error: reply.Error, RequestID: id})
+	default:
+		w.Header().Set("Retry-After", retryAfterSeconds)
+		writeJSON(w, http.StatusServiceUnavailable, failure{Outcome: "not_run", Error: reply.Error, RequestID: id})
+	}
+}
+
+// writeUnknown says that a request may or may not have been carried out, and how
+// to find out. A read has no request id; it may simply be repeated.
+func writeUnknown(w http.ResponseWriter, id, reason string) {
+	f := failure{Outcome: "unknown", Error: reason, RequestID: id}
+	if id != "" {
+		f.Ask = "/v1/requests/" + url.PathEscape(id)
+	}
+	writeJSON(w, http.StatusGatewayTimeout, f)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		status, body = http.StatusInternalServerError, []byte(`{"outcome":"failed"}`)
+	}
+	writeBody(w, status, body)
+}
+
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// serveCall is the call "admin": it runs a request on the leader.
+func (a *admin) serveCall(ctx context.Context, body []byte) ([]byte, error) {
+	var request adminRequest
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, eris.Wrapf(ErrRejected, "%v", err)
+	}
+	out := routeResult{answer: answer{http.StatusNotFound, failure{Outcome: "not_found", Error: "no such path or method"}}}
+	ctx = context.WithValue(ctx, resultKey{}, &out)
+	r, err := http.NewRequestWithContext(ctx, request.Method, request.URI, strings.NewReader(string(request.Body)))
+	if err != nil {
+		return nil, eris.Wrapf(ErrRejected, "%v", err)
+	}
+	r.Header.Set("Merlinhall-Author", request.Author)
+	a.leader.ServeHTTP(discard{}, r)
+	if out.err != nil {
+		return nil, out.err
+	}
+	encoded, err := json.MarshalIndent(out.answer.value, "", "  ")
+	if err != nil {
+		return nil, eris.Wrap(err, "encode answer")
+	}
+	return wire.Marshal(&adminAnswer{Status: out.answer.status, Body: encoded})
+}
+
+// discard is a response writer for routes, which answer through routeResult.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+// badRequest answers 400.
+func badRequest(format string, args ...any) (answer, error) {
+	return answer{http.StatusBadRequest, failure{Outcome: "invalid", Error: fmt.Sprintf(format, args...)}}, nil
+}
+
+func notFound(format string, args ...any) (answer, error) {
+	return answer{http.StatusNotFound, failure{Outcome: "not_found", Error: fmt.Sprintf(format, args...)}}, nil
+}
+
+// numberParam returns a query parameter as a number; ok is false when it is
+// missing or not a number.
+func numberParam(r *http.Request, name string) (n uint64, ok bool) {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	return n, err == nil
+}
+
+// author names who asks for a change.
+func author(r *http.Request) string {
+	if name := r.URL.Query().Get("author"); name != "" {
+		return name
+	}
+	if name := r.Header.Get("Merlinhall-Author"); name != "" {
+		return name
+	}
+	return "operator"
+}
--- /dev/null
+++ b/control/admin_test.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// ask sends a request to a replica's administration API.
+func ask(t *testing.T, c *Control, method, uri, body string) (int, map[string]any) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(method, uri, strings.NewReader(body))
+	c.AdminHandler().ServeHTTP(w, r)
+	var out map[string]any
+	if err := json.Unmarshal(w.Body.Bytes(), &out); err != nil {
+		t.Fatalf("%s %s: status %d, body %q: %v", method, uri, w.Code, w.Body.String(), err)
+	}
+	return w.Code, out
+}
+
+// Guards against a follower that answers from its own state or does not forward.
+func TestConfigThroughAFollower(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2", "c3")
+	code, out := ask(t, c.nodes["c2"].control, "POST", "/v1/config?base=0&request_id=r1&author=abay", string(smallConfig(2, "one")))
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
+	code, out = ask(t, c.nodes["c3"].control, "GET", "/v1/config", "")
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["text"], string(smallConfig(2, "one")))
+	is.Equal(out["author"], "abay")
+}
--- /dev/null
+++ b/control/configslice.go
@@ -0,0 +1,265 @@
+package control
+
+import (
+	"slices"
+	"unicode/utf8"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/config"
+	"merlinhall/propagate"
+	"merlinhall/wire"
+)
+
+const (
+	// MaxConfigBytes bounds a configuration text. The text of 2,600 targets is
+	// about 0.4 MB.
+	MaxConfigBytes = 4 << 20
+	// maxRevisions bounds the history by number, maxHistoryBytes by the size of
+	// the patches that lead back to old texts. Snapshots carry both.
+	maxRevisions    = 1024
+	maxHistoryBytes = 2 << 20
+)
+
+// applyConfig is the command of the slice "config".
+type applyConfig struct {
+	Text   []byte `cbor:"1,keyasint"`
+	Base   uint64 `cbor:"2,keyasint"`
+	Author string `cbor:"3,keyasint"`
+}
+
+// Revision describes an accepted version of the configuration.
+type Revision struct {
+	Version   uint64     `cbor:"1,keyasint" json:"version"`
+	Author    string     `cbor:"2,keyasint" json:"author"`
+	RequestID string     `cbor:"3,keyasint" json:"request_id"`
+	TimeMs    int64      `cbor:"4,keyasint" json:"time_ms"` // Unix time in milliseconds
+	Digest    string     `cbor:"5,keyasint" json:"digest"`
+	Fence     wire.Fence `cbor:"6,keyasint" json:"-"`
+}
+
+// ConfigOutcome is the result of a configuration request at apply.
+type ConfigOutcome struct {
+	Accepted bool   `cbor:"1,keyasint"`
+	Version  uint64 `cbor:"2,keyasint"` // accepted version
+	Base     uint64 `cbor:"3,keyasint"`
+	// Winner is the revision that took the place of the base, and Current the
+	// newest revision; both are set in a conflict.
+	Winner  Revision `cbor:"4,keyasint,omitzero"`
+	Current Revision `cbor:"5,keyasint,omitzero"`
+	// Invalid says why the text was refused although it passed the checks before
+	// the log.
+	Invalid string `cbor:"6,keyasint,omitempty"`
+}
+
+// record is a revision with the patch from the next text back to its own.
+type record struct {
+	Revision Revision       `cbor:"1,keyasint"`
+	Back     []wire.PatchOp `cbor:"2,keyasint,omitempty"`
+}
+
+// configState is the whole state of the slice.
+type configState struct {
+	Text    []byte   `cbor:"1,keyasint"`
+	Records []record `cbor:"2,keyasint"` // oldest first, the last one is current
+	// Dropped is the highest version that is no longer in Records.
+	Dropped uint64 `cbor:"3,keyasint"`
+}
+
+type configSlice struct {
+	state   configState
+	changed bool
+	// ignoreBase is a test switch: it accepts requests on an old base.
+	ignoreBase bool
+}
+
+func newConfigSlice() *configSlice { return &configSlice{} }
+
+// Name implements Slice.
+func (s *configSlice) Name() string { return "config" }
+
+// Apply implements Slice.
+func (s *configSlice) Apply(index, term uint64, body []byte) any {
+	return s.applyRequest(index, term, &command{Body: body})
+}
+
+// applyRequest implements recorder. The result is a *ConfigOutcome.
+func (s *configSlice) applyRequest(index, term uint64, request *command) any {
+	var c applyConfig
+	if err := wire.Unmarshal(request.Body, &c); err != nil {
+		return eris.Wrapf(ErrBadCommand, "%v", err)
+	}
+	if why := structureError(c.Text); why != "" {
+		return &ConfigOutcome{Base: c.Base, Invalid: why}
+	}
+	digest := config.Digest(c.Text)
+	if version, ok := s.acceptedBefore(request.RequestID, digest); ok {
+		return &ConfigOutcome{Accepted: true, Version: version, Base: c.Base}
+	}
+	if c.Base != s.current().Version && !s.ignoreBase {
+		return &ConfigOutcome{Base: c.Base, Winner: s.winner(c.Base), Current: s.current()}
+	}
+	revision := Revision{
+		Version:   s.current().Version + 1,
+		Author:    c.Author,
+		RequestID: request.RequestID,
+		TimeMs:    request.TimeMs,
+		Digest:    digest,
+		Fence:     wire.Fence{Term: term, Sequence: index},
+	}
+	s.accept(revision, c.Text)
+	return &ConfigOutcome{Accepted: true, Version: revision.Version, Base: c.Base}
+}
+
+// repeated implements recorder: a request that was accepted and is sent again on
+// another base is the same request.
+func (s *configSlice) repeated(request *command) (any, bool) {
+	var c applyConfig
+	if wire.Unmarshal(request.Body, &c) != nil {
+		return nil, false
+	}
+	version, ok := s.acceptedBefore(request.RequestID, config.Digest(c.Text))
+	return &ConfigOutcome{Accepted: ok, Version: version, Base: c.Base}, ok
+}
+
+func structureError(text []byte) string {
+	switch {
+	case len(text) == 0:
+		return "the text is empty"
+	case len(text) > MaxConfigBytes:
+		return "the text is too large"
+	case !utf8.Valid(text):
+		return "the text is not UTF-8"
+	}
+	return ""
+}
+
+// acceptedBefore finds the version that a repeated request was accepted as: one
+// with the same request id, or the current one when the text is the same.
+func (s *configSlice) acceptedBefore(requestID, digest string) (uint64, bool) {
+	if now := s.current(); now.Version > 0 && now.Digest == digest {
+		return now.Version, true
+	}
+	if requestID == "" {
+		return 0, false
+	}
+	for _, r := range s.state.Records {
+		if r.Revision.RequestID == requestID && r.Revision.Digest == digest {
+			return r.Revision.Version, true
+		}
+	}
+	return 0, false
+}
+
+func (s *configSlice) current() Revision {
+	if n := len(s.state.Records); n > 0 {
+		return s.state.Records[n-1].Revision
+	}
+	return Revision{}
+}
+
+// winner returns the revision that followed base, or the current one when the
+// history no longer has it.
+func (s *configSlice) winner(base uint64) Revision {
+	for _, r := range s.state.Records {
+		if r.Revision.Version == base+1 {
+			return r.Revision
+		}
+	}
+	return s.current()
+}
+
+func (s *configSlice) accept(r Revision, text []byte) {
+	if n := len(s.state.Records); n > 0 {
+		s.state.Records[n-1].Back = propagate.MakePatch(text, s.state.Text)
+	}
+	s.state.Records = append(s.state.Records, record{Revision: r})
+	s.state.Text = text
+	s.changed = true
+	s.trim()
+}
+
+// trim drops the oldest records until the bounds of the history hold. The current
+// record stays.
+func (s *configSlice) trim() {
+	records := s.state.Records
+	size, keep := 0, len(records)-1
+	for keep > 0 && len(records)-keep < maxRevisions {
+		size += patchBytes(records[keep-1].Back)
+		if size > maxHistoryBytes {
+			break
+		}
+		keep--
+	}
+	if keep > 0 {
+		s.state.Dropped = records[keep-1].Revision.Version
+		s.state.Records = slices.Clone(records[keep:])
+	}
+}
+
+func patchBytes(ops []wire.PatchOp) int {
+	n := 0
+	for _, op := range ops {
+		n += len(op.Text) + 8
+	}
+	return n
+}
+
+// text returns the text of a version, or false when it is not in the history.
+func (s *configState) text(version uint64) ([]byte, bool) {
+	text := s.Text
+	for i := len(s.Records) - 1; i >= 0; i-- {
+		if i < len(s.Records)-1 {
+			older, err := propagate.ApplyPatch(text, s.Records[i].Back, MaxConfigBytes)
+			if err != nil {
+				return nil, false
+			}
+			text = older
+		}
+		if s.Records[i].Revision.Version == version {
+			return text, true
+		}
+	}
+	return nil, false
+}
+
+// copyState returns the state for use outside the lock. Records and texts are
+// never changed in place except for Back of the current record.
+func (s *configSlice) copyState() configState {
+	c := s.state
+	c.Records = slices.Clone(c.Records)
+	return c
+}
+
+func (s *configSlice) takeChange() bool {
+	changed := s.changed
+	s.changed = false
+	return changed
+}
+
+func (s *configSlice) addTo(w *wire.World) {
+	now := s.current()
+	w.ConfigVersion = now.Version
+	w.ConfigDigest = now.Digest
+	w.ConfigText = s.state.Text
+	w.ConfigFence = now.Fence
+}
+
+// Snapshot implements Slice.
+func (s *configSlice) Snapshot() ([]byte, error) { return wire.Marshal(&s.state) }
+
+// Restore implements Slice.
+func (s *configSlice) Restore(b []byte) error {
+	var state configState
+	if err := wire.Unmarshal(b, &state); err != nil {
+		return err
+	}
+	s.state = state
+	return nil
+}
+
+// DecodeResult implements ResultDecoder.
+func (s *configSlice) DecodeResult(b []byte) (any, error) {
+	o := new(ConfigOutcome)
+	return o, wire.Unmarshal(b, o)
+}
--- /dev/null
+++ b/control/departures.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+// maxDepartures bounds the draining targets and the leaving hosts, each.
+const maxDepartures = 1 << 14
+
+// changeDepartures is the command of the slice "departures". Every part is
+// idempotent: what is so already keeps its fence and makes no new world.
+type changeDepartures struct {
+	Drain   []string      `cbor:"1,keyasint,omitempty"`
+	Undrain []string      `cbor:"2,keyasint,omitempty"`
+	Leaving []leavingHost `cbor:"3,keyasint,omitempty"`
+	Back    []string      `cbor:"4,keyasint,omitempty"` // hosts that no longer leave
+	// IfConfig makes the command void unless the configuration has this version.
+	// It is 0 for commands that do not depend on it.
+	IfConfig uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// leavingHost is a host that leaves and the targets on it.
+type leavingHost struct {
+	Host    string     `cbor:"1,keyasint"`
+	Targets []string   `cbor:"2,keyasint,omitempty"`
+	Fence   wire.Fence `cbor:"3,keyasint"`
+}
+
+// DepartureOutcome is the result of a change of departures.
+type DepartureOutcome struct {
+	Changed bool   `cbor:"1,keyasint" json:"changed"`
+	Refused string `cbor:"2,keyasint,omitempty" json:"refused,omitempty"`
+}
+
+// departuresSlice holds the targets that operators drain and the hosts that the
+// platform's list reports as leaving.
+type departuresSlice struct {
+	drained map[string]wire.Fence
+	hosts   map[string]leavingHost
+	version func() uint64 // of the configuration
+	changed bool
+}
+
+func newDeparturesSlice(version func() uint64) *departuresSlice {
+	return &departuresSlice{
+		drained: make(map[string]wire.Fence),
+		hosts:   make(map[string]leavingHost),
+		version: version,
+	}
+}
+
+// Name implements Slice.
+func (s *departuresSlice) Name() string { return "departures" }
+
+// Apply implements Slice. The result is a *DepartureOutcome.
+func (s *departuresSlice) Apply(index, term uint64, body []byte) any {
+	var c changeDepartures
+	if err := wire.Unmarshal(body, &c); err != nil {
+		return eris.Wrapf(ErrBadCommand, "%v", err)
+	}
+	if why := s.refusal(&c); why != "" {
+		return &DepartureOutcome{Refused: why}
+	}
+	fence := wire.Fence{Term: term, Sequence: index}
+	changed := false
+	for _, target := range c.Drain {
+		if _, ok := s.drained[target]; !ok {
+			s.drained[target] = fence
+			changed = true
+		}
+	}
+	for _, target := range c.Undrain {
+		if _, ok := s.drained[target]; ok {
+			delete(s.drained, target)
+			changed = true
+		}
+	}
+	for _, h := range c.Leaving {
+		changed = s.leave(h, fence) || changed
+	}
+	for _, host := range c.Back {
+		if _, ok := s.hosts[host]; ok {
+			delete(s.hosts, host)
+			changed = true
+		}
+	}
+	s.changed = s.changed || changed
+	return &DepartureOutcome{Changed: changed}
+}
+
+func (s *departuresSlice) refusal(c *changeDepartures) string {
+	switch {
+	case c.IfConfig > 0 && c.IfConfig != s.version():
+		return fmt.Sprintf("the configuration is no longer version %d", c.IfConfig)
+	case len(s.drained)+len(c.Drain) > maxDepartures:
+		return fmt.Sprintf("over %d targets would be draining", maxDepartures)
+	case len(s.hosts)+len(c.Leaving) > maxDepartures:
+		return fmt.Sprintf("over %d hosts would be leaving", maxDepartures)
+	}
+	return ""
+}
+
+// leave notes a leaving host. A host with the same targets keeps its fence.
+func (s *departuresSlice) leave(h leavingHost, fence wire.Fence) bool {
+	old, ok := s.hosts[h.Host]
+	if ok && slices.Equal(old.Targets, h.Targets) {
+		return false
+	}
+	h.Fence = fence
+	s.hosts[h.Host] = h
+	return true
+}
+
+func (s *departuresSlice) takeChange() bool {
+	changed := s.changed
+	s.changed = false
+	return changed
+}
+
+// addTo lists each departing target once, with the lower fence when an operator
+// drains it and its host leaves too, so that the second reason changes nothing.
+func (s *departuresSlice) addTo(w *wire.World) {
+	fences := maps.Clone(s.drained)
+	for _, h := range s.hosts {
+		for _, target := range h.Targets {
+			if old, ok := fences[target]; !ok || h.Fence.Less(old) {
+				fences[target] = h.Fence
+			}
+		}
+	}
+	w.Departures = make([]wire.Departure, 0, len(fences))
+	for target, fence := range fences {
+		w.Departures = append(w.Departures, wire.Departure{Target: target, Fence: fence})
+	}
+	slices.SortFunc(w.Departures, func(a, b wire.Departure) int { return cmp.Compare(a.Target, b.Target) })
+	w.LeavingHosts = slices.Sorted(maps.Keys(s.hosts))
+}
+
+// departureState is the encoded state of the slice.
+type departureState struct {
+	Drained map[string]wire.Fence `cbor:"1,keyasint"`
+	Hosts   []leavingHost         `cbor:"2,keyasint"`
+}
+
+func (s *departuresSlice) copyState() departureState {
+	state := departureState{Drained: maps.Clone(s.drained)}
+	for _, host := range slices.Sorted(maps.Keys(s.hosts)) {
+		state.Hosts = append(state.Hosts, s.hosts[host])
+	}
+	return state
+}
+
+// Snapshot implements Slice.
+func (s *departuresSlice) Snapshot() ([]byte, error) {
+	state := s.copyState()
+	return wire.Marshal(&state)
+}
+
+// Restore implements Slice.
+func (s *departuresSlice) Restore(b []byte) error {
+	var state departureState
+	if err := wire.Unmarshal(b, &state); err != nil {
+		return err
+	}
+	s.drained = make(map[string]wire.Fence, len(state.Drained))
+	maps.Copy(s.drained, state.Drained)
+	s.hosts = make(map[string]leavingHost, len(state.Hosts))
+	for _, h := range state.Hosts {
+		s.hosts[h.Host] = h
+	}
+	return nil
+}
+
+// DecodeResult implements ResultDecoder.
+func (s *departuresSlice) DecodeResult(b []byte) (any, error) {
+	o := new(DepartureOutcome)
+	return o, wire.Unmarshal(b, o)
+}
--- /dev/null
+++ b/control/weightsslice.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/duty"
+	"merlinhall/wire"
+)
+
+// maxPools bounds the pools of the weights slice.
+const maxPools = 4096
+
+// weightsSlice holds the weight version of each pool. A version never goes back.
+type weightsSlice struct {
+	pools   map[string]wire.WeightTarget
+	gates   func() []WeightsGate
+	changed bool
+}
+
+func newWeightsSlice(gates func() []WeightsGate) *weightsSlice {
+	return &weightsSlice{pools: make(map[string]wire.WeightTarget), gates: gates}
+}
+
+// Name implements Slice.
+func (s *weightsSlice) Name() string { return "weights" }
+
+// Apply implements Slice. The result is a *wire.PublishedWeights.
+func (s *weightsSlice) Apply(index, term uint64, body []byte) any {
+	var p wire.PublishWeights
+	if err := wire.Unmarshal(body, &p); err != nil {
+		return eris.Wrapf(ErrBadCommand, "%v", err)
+	}
+	held := s.pools[p.Pool]
+	if why := s.refusal(&p, held); why != "" {
+		return &wire.PublishedWeights{Pool: p.Pool, Version: held.Version, Fence: held.Fence, Refused: why}
+	}
+	if p.Version > held.Version {
+		duty.Invariant(p.Version > held.Version, "weights of %s go back from %d to %d", p.Pool, held.Version, p.Version)
+		held = wire.WeightTarget{
+			Pool:    p.Pool,
+			Version: p.Version,
+			Fence:   wire.Fence{Term: term, Sequence: index},
+			Trainer: p.Trainer,
+		}
+		s.pools[p.Pool] = held
+		s.changed = true
+		for _, g := range s.gates() {
+			g.WeightsPublished(index, term, p)
+		}
+	}
+	return &wire.PublishedWeights{Pool: p.Pool, Version: held.Version, Fence: held.Fence}
+}
+
+// refusal returns why a publication is refused, or "". The version that the pool
+// has already is accepted again.
+func (s *weightsSlice) refusal(p *wire.PublishWeights, held wire.WeightTarget) string {
+	switch {
+	case p.Pool == "" || p.Version == 0:
+		return "a pool and a version above 0 are needed"
+	case p.Version < held.Version:
+		return fmt.Sprintf("version %d is older than version %d of pool %q", p.Version, held.Version, p.Pool)
+	case p.Version == held.Version:
+		return ""
+	case held.Pool == "" && len(s.pools) >= maxPools:
+		return fmt.Sprintf("%d pools have weights already", maxPools)
+	}
+	for _, g := range s.gates() {
+		if why := g.RefuseWeights(*p); why != "" {
+			return why
+		}
+	}
+	return ""
+}
+
+func (s *weightsSlice) takeChange() bool {
+	changed := s.changed
+	s.changed = false
+	return changed
+}
+
+func (s *weightsSlice) addTo(w *wire.World) { w.Weights = s.list() }
+
+func (s *weightsSlice) list() []wire.WeightTarget {
+	list := make([]wire.WeightTarget, 0, len(s.pools))
+	for _, t := range s.pools {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b wire.WeightTarget) int { return cmp.Compare(a.Pool, b.Pool) })
+	return list
+}
+
+// Snapshot implements Slice.
+func (s *weightsSlice) Snapshot() ([]byte, error) { return wire.Marshal(s.list()) }
+
+// Restore implements Slice.
+func (s *weightsSlice) Restore(b []byte) error {
+	var list []wire.WeightTarget
+	if err := wire.Unmarshal(b, &list); err != nil {
+		return err
+	}
+	s.pools = make(map[string]wire.WeightTarget, len(list))
+	for _, t := range list {
+		s.pools[t.Pool] = t
+	}
+	return nil
+}
+
+// DecodeResult implements ResultDecoder.
+func (s *weightsSlice) DecodeResult(b []byte) (any, error) {
+	p := new(wire.PublishedWeights)
+	return p, wire.Unmarshal(b, p)
+}
--- /dev/null
+++ b/propagate/delta.go
@@ -0,0 +1,186 @@
+package propagate
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"hash/fnv"
+	"io"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/config"
+	"merlinhall/duty"
+	"merlinhall/wire"
+)
+
+// maxTextBytes bounds a configuration text that a delta may produce.
+const maxTextBytes = wire.MaxFrameBytes
+
+// packFloor is the frame size from which compression is tried.
+const packFloor = 512
+
+var (
+	// ErrBadDelta is wrapped by the errors of ApplyDelta.
+	ErrBadDelta = eris.New("delta does not fit the world")
+	// ErrBadWorld is wrapped by the errors of a world that must not be used.
+	ErrBadWorld = eris.New("world is not valid")
+)
+
+// MakeDelta returns the delta that turns base into w.
+func MakeDelta(base, w *wire.World) *wire.WorldDelta {
+	d := &wire.WorldDelta{Base: base.Index, Index: w.Index, Term: w.Term, Sum: sum(w)}
+	if base.ConfigVersion != w.ConfigVersion || base.ConfigDigest != w.ConfigDigest {
+		d.ConfigChanged = true
+		d.ConfigVersion = w.ConfigVersion
+		d.ConfigDigest = w.ConfigDigest
+		d.ConfigFence = w.ConfigFence
+		d.Patch = MakePatch(base.ConfigText, w.ConfigText)
+	}
+	d.WeightsSet, d.WeightsGone = changes(base.Weights, w.Weights, poolOf)
+	d.DeparturesSet, d.DeparturesGone = changes(base.Departures, w.Departures, targetOf)
+	d.HostsSet, d.HostsGone = changes(base.LeavingHosts, w.LeavingHosts, itself)
+	return d
+}
+
+// ApplyDelta returns the world that d makes of base, which is not changed.
+// Errors wrap ErrBadDelta or ErrBadPatch.
+func ApplyDelta(base *wire.World, d *wire.WorldDelta) (*wire.World, error) {
+	if d.Base != base.Index || d.Index <= d.Base {
+		return nil, eris.Wrapf(ErrBadDelta, "base %d, index %d, held %d", d.Base, d.Index, base.Index)
+	}
+	w := *base
+	w.Index, w.Term = d.Index, d.Term
+	if d.ConfigChanged {
+		text, err := ApplyPatch(base.ConfigText, d.Patch, maxTextBytes)
+		if err != nil {
+			return nil, err
+		}
+		w.ConfigText = text
+		w.ConfigVersion, w.ConfigDigest, w.ConfigFence = d.ConfigVersion, d.ConfigDigest, d.ConfigFence
+	}
+	w.Weights = merged(base.Weights, d.WeightsSet, d.WeightsGone, poolOf)
+	w.Departures = merged(base.Departures, d.DeparturesSet, d.DeparturesGone, targetOf)
+	w.LeavingHosts = merged(base.LeavingHosts, d.HostsSet, d.HostsGone, itself)
+	if sum(&w) != d.Sum {
+		return nil, eris.Wrapf(ErrBadDelta, "checksum at index %d", d.Index)
+	}
+	if d.ConfigChanged && config.Digest(w.ConfigText) != w.ConfigDigest {
+		return nil, eris.Wrapf(ErrBadDelta, "text digest at index %d", d.Index)
+	}
+	return &w, nil
+}
+
+// checkWorld refuses a complete world whose text does not match its digest.
+func checkWorld(w *wire.World) error {
+	if w.BaseIndex != 0 {
+		return eris.Wrap(ErrBadWorld, "it is a delta")
+	}
+	if w.ConfigVersion > 0 && config.Digest(w.ConfigText) != w.ConfigDigest {
+		return eris.Wrapf(ErrBadWorld, "text digest at index %d", w.Index)
+	}
+	return nil
+}
+
+func poolOf(w wire.WeightTarget) string { return w.Pool }
+func targetOf(d wire.Departure) string  { return d.Target }
+func itself(s string) string            { return s }
+
+// changes compares two lists that are sorted by key.
+func changes[T comparable](from, to []T, key func(T) string) (set []T, gone []string) {
+	old := make(map[string]T, len(from))
+	for _, v := range from {
+		old[key(v)] = v
+	}
+	for _, v := range to {
+		if was, ok := old[key(v)]; !ok || was != v {
+			set = append(set, v)
+		}
+		delete(old, key(v))
+	}
+	for k := range old {
+		gone = append(gone, k)
+	}
+	slices.Sort(gone)
+	return set, gone
+}
+
+// merged applies changes to a list and returns a new one, sorted by key.
+func merged[T any](list, set []T, gone []string, key func(T) string) []T {
+	if len(set) == 0 && len(gone) == 0 {
+		return list
+	}
+	byKey := make(map[string]T, len(list)+len(set))
+	for _, v := range list {
+		byKey[key(v)] = v
+	}
+	for _, v := range set {
+		byKey[key(v)] = v
+	}
+	for _, k := range gone {
+		delete(byKey, k)
+	}
+	out := make([]T, 0, len(byKey))
+	for _, v := range byKey {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+	return out
+}
+
+// sum returns the checksum of a world without its text.
+func sum(w *wire.World) uint64 {
+	bare := *w
+	bare.ConfigText = nil
+	bare.BaseIndex = 0
+	h := fnv.New64a()
+	if b, err := wire.Marshal(&bare); err == nil {
+		_, _ = h.Write(b)
+	}
+	return h.Sum64()
+}
+
+// compressors are kept for reuse, because one takes about 0.6 MB.
+var compressors = sync.Pool{New: func() any {
+	z, err := flate.NewWriter(nil, flate.BestSpeed)
+	duty.Invariant(err == nil, "compressor: %v", err)
+	return z
+}}
+
+// pack compresses a frame and returns the smaller of the two frames. Frames below
+// packFloor are left as they are.
+func pack(frame []byte) []byte {
+	if len(frame) < packFloor {
+		return frame
+	}
+	var b bytes.Buffer
+	z := compressors.Get().(*flate.Writer)
+	defer compressors.Put(z)
+	z.Reset(&b)
+	_, _ = z.Write(frame)
+	_ = z.Close()
+	packed, err := wire.Encode(&wire.Packed{Data: b.Bytes()})
+	if err != nil || len(packed) >= len(frame) {
+		return frame
+	}
+	return packed
+}
+
+// unpack returns the message inside p. Errors wrap wire.ErrMalformed.
+func unpack(p *wire.Packed) (wire.Message, error) {
+	z := flate.NewReader(bytes.NewReader(p.Data))
+	frame, err := io.ReadAll(io.LimitReader(z, wire.MaxFrameBytes+1))
+	if err != nil || len(frame) > wire.MaxFrameBytes {
+		return nil, eris.Wrapf(wire.ErrMalformed, "packed frame of %d bytes: %v", len(frame), err)
+	}
+	m, err := wire.Decode(frame)
+	if err != nil {
+		return nil, err
+	}
+	if _, nested := m.(*wire.Packed); nested {
+		return nil, eris.Wrap(wire.ErrMalformed, "packed frame inside a packed frame")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/propagate/follower.go
@@ -0,0 +1,328 @@
+package propagate
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"merlinhall/duty"
+	"merlinhall/link"
+	"merlinhall/wire"
+)
+
+const (
+	// followTick is the period of the follower's checks. Reports of the subtree
+	// are sent at this period at most.
+	followTick = 250 * time.Millisecond
+	// dialLimit bounds an attempt to connect to a parent. A second one follows
+	// within the bound of 5 s on a change.
+	dialLimit = 1 * time.Second
+	// dialJitter spreads the attempts of processes that lost the same parent.
+	dialJitter = 50 * time.Millisecond
+	// followerMailbox holds the messages of one parent and the local callers.
+	followerMailbox = 1024
+)
+
+// FollowOptions configures a Follower.
+type FollowOptions struct {
+	System     *duty.System // optional
+	Local      wire.Hello
+	Candidates []Candidate
+	// Dial makes the follower connect to one candidate at a time. Without it
+	// the owner connects to all candidates and passes the link events on.
+	Dial   bool
+	Client *http.Client // of link.Dial
+	Scheme string       // "ws" or "wss"
+	// Events receives the events of dialled connections, and must pass them on
+	// to the follower; nil means that the follower alone receives them.
+	Events link.Events
+	// Feeds is the parent that sends the worlds on to this process's children.
+	Feeds *Parent
+	// OnWorld is called serially with increasing Index. When it is slow, worlds
+	// in between are left out.
+	OnWorld func(*wire.World)
+}
+
+// FollowerKinds are the kinds of messages that a Follower handles.
+var FollowerKinds = []wire.Kind{wire.KindWorld, wire.KindWorldDelta, wire.KindPacked, wire.KindDigest, wire.KindReply}
+
+// Follower holds the newest world that any parent sent. It implements
+// link.Events for FollowerKinds.
+type Follower struct {
+	o      FollowOptions
+	duty   *duty.Duty
+	seeker *seeker
+	peers  map[string]Peer
+	calls  *Calls
+	parent parentCell
+	events link.Events
+
+	dial    context.CancelFunc
+	wanted  string // candidate that is being dialled or is connected
+	world   atomic.Pointer[wire.World]
+	fresh   atomic.Int64 // Unix nanoseconds of the last fresh digest
+	deliver chan struct{}
+	stop    context.CancelFunc
+	done    context.Context
+}
+
+type (
+	followStart   struct{}
+	followTicked  struct{}
+	followChanged struct{}
+	peerUp        struct{ peer Peer }
+	dialFailed    struct{ name string }
+)
+
+// Follow starts a follower.
+func Follow(o FollowOptions) *Follower {
+	if o.System == nil {
+		o.System = duty.NewSystem()
+	}
+	done, stop := context.WithCancel(context.Background())
+	f := &Follower{
+		o:       o,
+		peers:   make(map[string]Peer),
+		calls:   NewCalls(),
+		deliver: make(chan struct{}, 1),
+		done:    done,
+		stop:    stop,
+	}
+	f.events = o.Events
+	if f.events == nil {
+		f.events = f
+	}
+	ranked := Rank(o.Local.Process, o.Local.Zone, o.Candidates)
+	f.seeker = newSeeker(ranked, !o.Dial, f.below, homeJitter(o.Local.Process))
+	f.duty = o.System.Start("propagate-follower", followerMailbox, duty.HandlerFunc(f.receive))
+	if o.Feeds != nil {
+		o.Feeds.follow(f)
+	}
+	go f.deliverLoop()
+	_ = f.duty.Offer(followStart{})
+	f.duty.Every(followTick, followTicked{})
+	return f
+}
+
+// homeJitter spreads the returns of children to their first choice over 30 s.
+func homeJitter(process string) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(process))
+	return time.Duration(h.Sum32()%30000) * time.Millisecond
+}
+
+// World returns the newest world, or nil before the first one.
+func (f *Follower) World() *wire.World { return f.world.Load() }
+
+// Fresh reports whether a parent with contact to the control leader has been
+// heard within freshLimit.
+func (f *Follower) Fresh() bool {
+	return time.Since(time.Unix(0, f.fresh.Load())) <= freshLimit
+}
+
+// Stop ends the follower and the connection it dialled.
+func (f *Follower) Stop() {
+	f.stop()
+	f.duty.Stop()
+	if f.dial != nil {
+		f.dial()
+	}
+	for _, p := range f.peers {
+		if f.o.Dial {
+			p.Close(link.ErrClosed)
+		}
+	}
+	f.calls.Stop()
+}
+
+// Up implements link.Events.
+func (f *Follower) Up(c *link.Conn) { f.Joined(c) }
+
+// Message implements link.Events.
+func (f *Follower) Message(c *link.Conn, m wire.Message) { f.Receive(c, m) }
+
+// Down implements link.Events.
+func (f *Follower) Down(c *link.Conn, _ error) { f.Lost(c) }
+
+// Joined notes a connection to a candidate. Connections to other processes are
+// ignored.
+func (f *Follower) Joined(peer Peer) {
+	if f.seeker.position(peer.Peer().Process) >= 0 {
+		f.offer(peerUp{peer: peer})
+	}
+}
+
+// Receive handles a message of a candidate.
+func (f *Follower) Receive(peer Peer, m wire.Message) {
+	if reply, ok := m.(*wire.Reply); ok {
+		f.calls.Answer(reply)
+		return
+	}
+	if f.duty.Offer(peerMessage{peer: peer, message: m}) == duty.ErrFull {
+		peer.Close(errMailbox)
+	}
+}
+
+// Lost notes the end of a connection.
+func (f *Follower) Lost(peer Peer) {
+	f.calls.Lost(peer)
+	if f.seeker.position(peer.Peer().Process) >= 0 {
+		f.offer(peerDown{peer: peer})
+	}
+}
+
+// offer waits for room: a lost change of a connection would leave the follower
+// with a wrong view of it.
+func (f *Follower) offer(msg any) {
+	for f.duty.Offer(msg) == duty.ErrFull {
+		time.Sleep(followTick / 10)
+	}
+}
+
+func (f *Follower) receive(msg any) {
+	now := time.Now()
+	switch m := msg.(type) {
+	case followStart:
+		f.do(f.seeker.start(now))
+	case followTicked:
+		f.do(f.seeker.tick(now))
+	case followChanged:
+		f.seeker.dirty = true
+	case peerUp:
+		f.joined(now, m.peer)
+	case peerDown:
+		f.lost(now, m.peer)
+	case dialFailed:
+		if f.wanted == m.name && f.peers[m.name] == nil {
+			f.do(f.seeker.disconnected(now, m.name))
+		}
+	case peerMessage:
+		name := m.peer.Peer().Process
+		if f.peers[name] == m.peer {
+			f.do(f.seeker.message(now, name, m.message))
+		}
+	}
+}
+
+func (f *Follower) joined(now time.Time, peer Peer) {
+	name := peer.Peer().Process
+	if f.o.Dial && f.wanted != name {
+		peer.Close(link.ErrClosed)
+		return
+	}
+	if old := f.peers[name]; old != nil && f.o.Dial {
+		old.Close(link.ErrClosed)
+	}
+	f.peers[name] = peer
+	f.do(f.seeker.connected(now, name))
+}
+
+func (f *Follower) lost(now time.Time, peer Peer) {
+	name := peer.Peer().Process
+	if f.peers[name] != peer {
+		return
+	}
+	delete(f.peers, name)
+	f.do(f.seeker.disconnected(now, name))
+}
+
+// do carries out a step of the seeker.
+func (f *Follower) do(s step) {
+	if s.world != nil {
+		f.publish(s.world)
+	}
+	if s.use != nil {
+		f.connect(*s.use, s.delay)
+	}
+	for _, a := range s.send {
+		f.sendTo(a)
+	}
+	f.fresh.Store(f.seeker.fresh.UnixNano())
+	f.parent.set(f.peers[f.seeker.name()])
+}
+
+func (f *Follower) publish(w *wire.World) {
+	f.world.Store(w)
+	if f.o.Feeds != nil {
+		f.o.Feeds.Publish(w)
+	}
+	select {
+	case f.deliver <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) sendTo(a addressed) {
+	peer := f.peers[a.to]
+	if peer == nil {
+		return
+	}
+	if err := peer.Send(a.message); err != nil {
+		peer.Close(err)
+	}
+}
+
+// connect dials c in place of the present parent.
+func (f *Follower) connect(c Candidate, delay time.Duration) {
+	if f.dial != nil {
+		f.dial()
+	}
+	for name, peer := range f.peers {
+		delete(f.peers, name)
+		peer.Close(link.ErrClosed)
+	}
+	f.wanted = c.Name
+	ctx, cancel := context.WithCancel(f.done)
+	f.dial = cancel
+	go f.dialOnce(ctx, c, delay+rand.N(dialJitter))
+}
+
+func (f *Follower) dialOnce(ctx context.Context, c Candidate, delay time.Duration) {
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	conn, err := link.Dial(ctx, f.o.Client, f.o.Scheme, c.Address, f.o.Local, f.events)
+	if err == nil && conn.Peer().Process == c.Name {
+		return
+	}
+	if err == nil {
+		conn.Close(link.ErrClosed)
+	}
+	f.offer(dialFailed{name: c.Name})
+}
+
+// deliverLoop calls OnWorld with the newest world.
+func (f *Follower) deliverLoop() {
+	var last uint64
+	for {
+		select {
+		case <-f.deliver:
+		case <-f.done.Done():
+			return
+		}
+		w := f.world.Load()
+		if f.o.OnWorld == nil || w.Index <= last {
+			continue
+		}
+		last = w.Index
+		f.o.OnWorld(w)
+	}
+}
+
+// below returns what the children of this process hold.
+func (f *Follower) below() []wire.VersionCount {
+	if f.o.Feeds == nil {
+		return nil
+	}
+	return f.o.Feeds.Counts()
+}
+
+// subtreeChanged makes the next tick report what the subtree holds.
+func (f *Follower) subtreeChanged() { _ = f.duty.Offer(followChanged{}) }
--- /dev/null
+++ b/wire/propagate.go
@@ -0,0 +1,89 @@
+package wire
+
+// Kinds of propagation beside those in world.go.
+const (
+	KindWorldDelta Kind = 52
+	KindPacked     Kind = 53
+	KindSubtree    Kind = 54
+)
+
+// PatchOp is one step of a line patch: it copies Count lines of the base text
+// from line From on, or, when Count is 0, inserts Text.
+type PatchOp struct {
+	From  uint32 `cbor:"1,keyasint,omitempty"`
+	Count uint32 `cbor:"2,keyasint,omitempty"`
+	Text  []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// WorldDelta turns the world of index Base into that of Index. Sets replace or
+// add by key; the Gone lists remove by key.
+type WorldDelta struct {
+	Base  uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+	Term  uint64 `cbor:"3,keyasint"`
+	// ConfigChanged is set when the configuration fields and Patch apply.
+	ConfigChanged  bool           `cbor:"4,keyasint,omitempty"`
+	ConfigVersion  uint64         `cbor:"5,keyasint,omitempty"`
+	ConfigDigest   string         `cbor:"6,keyasint,omitempty"`
+	ConfigFence    Fence          `cbor:"7,keyasint,omitzero"`
+	Patch          []PatchOp      `cbor:"8,keyasint,omitempty"`
+	WeightsSet     []WeightTarget `cbor:"9,keyasint,omitempty"`
+	WeightsGone    []string       `cbor:"10,keyasint,omitempty"`
+	DeparturesSet  []Departure    `cbor:"11,keyasint,omitempty"`
+	DeparturesGone []string       `cbor:"12,keyasint,omitempty"`
+	HostsSet       []string       `cbor:"13,keyasint,omitempty"`
+	HostsGone      []string       `cbor:"14,keyasint,omitempty"`
+	// Sum is the checksum of the resulting world without its text, which the
+	// configuration digest covers.
+	Sum uint64 `cbor:"15,keyasint"`
+}
+
+// Packed holds a compressed frame of another kind.
+type Packed struct {
+	Data []byte `cbor:"1,keyasint"` // DEFLATE
+}
+
+// Subtree is a control replica's report to the leader of the configuration
+// versions held below it.
+type Subtree struct {
+	Counts []VersionCount `cbor:"1,keyasint"`
+}
+
+// BarrierReply is the response of the call "barrier": the term of the leader
+// that confirmed the read, and the index of the newest world at that point.
+type BarrierReply struct {
+	Term  uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+}
+
+// PublishWeights is the request of the call "weights.publish".
+type PublishWeights struct {
+	RequestID string `cbor:"1,keyasint"`
+	Pool      string `cbor:"2,keyasint"`
+	Version   uint64 `cbor:"3,keyasint"`
+	Trainer   string `cbor:"4,keyasint,omitempty"`
+}
+
+// PublishedWeights is the response of the call "weights.publish". Refused is
+// empty when the version is in the world.
+type PublishedWeights struct {
+	Pool    string `cbor:"1,keyasint" json:"pool"`
+	Version uint64 `cbor:"2,keyasint" json:"version"` // the pool's version after the call
+	Fence   Fence  `cbor:"3,keyasint" json:"-"`
+	Refused string `cbor:"4,keyasint,omitempty" json:"refused,omitempty"`
+}
+
+// Kind implements Message.
+func (*WorldDelta) Kind() Kind { return KindWorldDelta }
+
+// Kind implements Message.
+func (*Packed) Kind() Kind { return KindPacked }
+
+// Kind implements Message.
+func (*Subtree) Kind() Kind { return KindSubtree }
+
+func init() {
+	Register(&Subtree{})
+	Register(&WorldDelta{})
+	Register(&Packed{})
+}
--- a/wire/world.go
+++ b/wire/world.go
@@ -67,6 +67,8 @@
 // when it holds none.
 type Subscribe struct {
 	Index uint64 `cbor:"1,keyasint"`
+	// Stop ends the subscription; the child has moved to another parent.
+	Stop bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Digest is the parent's periodic statement of its world.
@@ -74,6 +76,9 @@
 	Index         uint64 `cbor:"1,keyasint"`
 	Term          uint64 `cbor:"2,keyasint"`
 	ConfigVersion uint64 `cbor:"3,keyasint"`
+	// Stale is set when the parent itself has lost contact with the control
+	// leader, so that its children look for a better parent.
+	Stale bool `cbor:"4,keyasint,omitempty"`
 }
 
 // VersionCount is how many processes hold a configuration version.
@@ -97,6 +102,10 @@
 	Body   []byte `cbor:"3,keyasint,omitempty"` // CBOR of the method's request
 	// TimeoutMs bounds the wait for the reply.
 	TimeoutMs uint32 `cbor:"4,keyasint"`
+	// Hops counts the control replicas that forwarded the call. A replica
+	// forwards once at most, so that two replicas with old views of the leader
+	// do not pass a call back and forth.
+	Hops uint8 `cbor:"5,keyasint,omitempty"`
 }
 
 // CallOutcome is the result class of a Call.
