Tests of control: races, resends, lost answers, leader changes, host list

The history is walked back one patch for each revision; reading each text on its own would have cost up to 200 x 1,024 patches for one answer.

--- a/control/adminconfig.go
+++ b/control/adminconfig.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"merlinhall/config"
+	"merlinhall/propagate"
 	"merlinhall/wire"
 )
 
@@ -210,28 +211,32 @@
 	}{state.entries(before, int(limit)), state.Dropped}}, nil
 }
 
+// entries walks back from the current text, one patch for each revision.
 func (s *configState) entries(before uint64, limit int) []historyEntry {
 	out := []historyEntry{}
+	text := s.Text
 	for i := len(s.Records) - 1; i >= 0 && len(out) < limit; i-- {
-		r := s.Records[i].Revision
-		if r.Version >= before {
-			continue
+		var older []byte
+		if i > 0 {
+			var err error
+			if older, err = propagate.ApplyPatch(text, s.Records[i-1].Back, MaxConfigBytes); err != nil {
+				return out
+			}
 		}
-		out = append(out, historyEntry{Revision: r, Diff: s.diffOf(i)})
+		if s.Records[i].Revision.Version < before {
+			out = append(out, s.entry(i, older, text))
+		}
+		text = older
 	}
 	return out
 }
 
-// diffOf returns what record i changed. The first version is not shown as new
-// lines only, and neither is one whose predecessor was dropped.
-func (s *configState) diffOf(i int) []string {
-	if i == 0 {
-		return nil
-	}
-	old, okOld := s.text(s.Records[i-1].Revision.Version)
-	text, ok := s.text(s.Records[i].Revision.Version)
-	if !okOld || !ok {
-		return nil
+// entry describes record i. The oldest record has no difference, because there is
+// no text to compare it with.
+func (s *configState) entry(i int, older, text []byte) historyEntry {
+	e := historyEntry{Revision: s.Records[i].Revision}
+	if i > 0 {
+		e.Diff = lineDiff(older, text)
 	}
-	return lineDiff(old, text)
+	return e
 }
--- /dev/null
+++ b/control/apply_test.go
@@ -0,0 +1,379 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+func configURI(base int, id, author string) string {
+	return fmt.Sprintf("/v1/config?base=%d&request_id=%s&author=%s", base, id, author)
+}
+
+// Guards against two operators who edit the same version and both win, or a loser
+// who is not told who won and what changed.
+func TestTwoOperatorsRace(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2", "c3")
+	ask(t, c.nodes["c1"].control, "POST", configURI(0, "r0", "abay"), string(smallConfig(2, "base")))
+	codes := make([]int, 2)
+	answers := make([]map[string]any, 2)
+	var wg sync.WaitGroup
+	for i, node := range []string{"c2", "c3"} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			text := string(smallConfig(2, fmt.Sprintf("edit %d", i)))
+			codes[i], answers[i] = ask(t, c.nodes[node].control, "POST", configURI(1, fmt.Sprintf("race%d", i), fmt.Sprintf("op%d", i)), text)
+		}()
+	}
+	wg.Wait()
+	won, lost := 0, 1
+	if codes[0] != http.StatusOK {
+		won, lost = 1, 0
+	}
+	is.Equal(codes[won], http.StatusOK)
+	is.Equal(answers[won]["version"], 2.0)
+	is.Equal(codes[lost], http.StatusConflict)
+	winner := answers[lost]["winner"].(map[string]any)
+	is.Equal(winner["version"], 2.0)
+	is.Equal(winner["author"], fmt.Sprintf("op%d", won))
+	is.Equal(winner["request_id"], fmt.Sprintf("race%d", won))
+	is.Equal(fmt.Sprint(answers[lost]["diff"]), fmt.Sprintf("[-1 # edit %d +1 # edit %d]", won, lost))
+	is.Equal(fmt.Sprint(answers[lost]["winner_diff"]), fmt.Sprintf("[-1 # base +1 # edit %d]", won))
+}
+
+// Guards against a lost answer after which the resent request makes a second
+// change or is told of a conflict with itself.
+func TestResendAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	follower := c.nodes["c2"].control
+	c.loseAnswer = true
+	text := string(smallConfig(1, "one"))
+	code, out := ask(t, follower, "POST", configURI(0, "r1", "abay"), text)
+	is.Equal(code, http.StatusGatewayTimeout)
+	is.Equal(out["outcome"], "unknown")
+	code, out = ask(t, follower, "GET", out["ask"].(string), "")
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
+	ask(t, follower, "POST", configURI(1, "r2", "abay"), string(smallConfig(1, "two")))
+	code, out = ask(t, follower, "POST", configURI(0, "r1", "abay"), text)
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
+	is.Equal(c.nodes["c1"].machine.World().ConfigVersion, uint64(2))
+}
+
+// Guards against a request whose entry was lost and that is reported as carried
+// out, and against its resending being refused.
+func TestLostEntryIsReportedAsNotCarriedOut(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	c.loseEntry = true
+	code, _ := ask(t, c.nodes["c2"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	is.Equal(code, http.StatusGatewayTimeout)
+	code, _ = ask(t, c.nodes["c2"].control, "GET", "/v1/requests/r1", "")
+	is.Equal(code, http.StatusNotFound)
+	code, out := ask(t, c.nodes["c2"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
+}
+
+// Guards against a leader that changes between proposal and answer: the caller
+// must get an unknown outcome, and the new leader must know the first outcome.
+func TestLeaderChangeBetweenProposalAndAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2", "c3")
+	c.loseAnswer = true
+	c.onCommit = func() { c.term, c.leader = 2, "c3" }
+	code, out := ask(t, c.nodes["c2"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	is.Equal(code, http.StatusGatewayTimeout)
+	code, out = ask(t, c.nodes["c1"].control, "GET", out["ask"].(string), "")
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
+	code, _ = ask(t, c.nodes["c1"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	is.Equal(code, http.StatusOK)
+	is.Equal(len(c.nodes["c2"].machine.configState().Records), 1)
+}
+
+// Guards against a request that waits for ever, or is said to be carried out,
+// while there is no leader; and against one that fails although a leader is
+// elected in time.
+func TestNoLeader(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	c.elect("")
+	code, out := ask(t, c.nodes["c2"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.Equal(out["outcome"], "no_leader")
+	code, _ = ask(t, c.nodes["c2"].control, "GET", "/v1/status", "")
+	is.Equal(code, http.StatusOK)
+	time.AfterFunc(100*time.Millisecond, func() { c.elect("c1") })
+	code, _ = ask(t, c.nodes["c2"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	is.Equal(code, http.StatusOK)
+}
+
+// Guards against the rules of apply: the same text makes no second version, an id
+// is not used for two texts, and a rollback is a new version.
+func TestSameTextReusedIDAndRollback(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1")
+	one, two := string(smallConfig(1, "one")), string(smallConfig(2, "two"))
+	node := c.nodes["c1"].control
+	ask(t, node, "POST", configURI(0, "r1", "abay"), one)
+	code, out := ask(t, node, "POST", configURI(0, "r2", "chikushi"), one)
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
+	code, out = ask(t, node, "POST", configURI(1, "r1", "abay"), two)
+	is.Equal(code, http.StatusConflict)
+	is.Equal(out["outcome"], "reused")
+	code, _ = ask(t, node, "POST", configURI(1, "r3", "abay"), two)
+	is.Equal(code, http.StatusOK)
+	code, out = ask(t, node, "POST", "/v1/config/rollback?version=1&base=2&request_id=r4", "")
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 3.0)
+	_, out = ask(t, node, "GET", "/v1/config", "")
+	is.Equal(out["text"], one)
+	_, out = ask(t, node, "GET", "/v1/config?version=2", "")
+	is.Equal(out["text"], two)
+	_, out = ask(t, node, "GET", "/v1/config/history", "")
+	revisions := out["revisions"].([]any)
+	is.Equal(len(revisions), 3)
+	newest := revisions[0].(map[string]any)
+	is.Equal(newest["author"], "operator")
+	is.True(strings.HasPrefix(newest["diff"].([]any)[0].(string), "-1 # two"))
+}
+
+// Guards against the request checks of the API.
+func TestRequestChecks(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1")
+	node := c.nodes["c1"].control
+	for uri, want := range map[string]int{
+		"/v1/config":                              http.StatusBadRequest,
+		"/v1/config?base=x":                       http.StatusBadRequest,
+		configURI(0, "bad", "abay"):               http.StatusUnprocessableEntity,
+		"/v1/weights/none?version=1&request_id=w": http.StatusNotFound,
+		"/v1/targets/none/drain":                  http.StatusNotFound,
+		"/v1/members":                             http.StatusBadRequest,
+		"/v1/nothing":                             http.StatusNotFound,
+	} {
+		code, _ := ask(t, node, "POST", uri, "not toml = = =")
+		is.Equal(code, want)
+	}
+	code, _ := ask(t, node, "POST", configURI(0, "big", "abay"), strings.Repeat("#", MaxConfigBytes+1))
+	is.Equal(code, http.StatusRequestEntityTooLarge)
+	code, _ = ask(t, node, "POST", configURI(0, url.QueryEscape(strings.Repeat("i", maxIDBytes+1)), "abay"), "a")
+	is.Equal(code, http.StatusBadRequest)
+	node.o.OperatorToken = "secret"
+	code, _ = ask(t, node, "GET", "/v1/status", "")
+	is.Equal(code, http.StatusUnauthorized)
+}
+
+// Guards against a weight version that goes back and a published version that is
+// not in the world with its fence.
+func TestWeightsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	node := c.nodes["c2"].control
+	ask(t, node, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	code, _ := ask(t, node, "POST", "/v1/weights/policy-lm?version=5&request_id=w5", "")
+	is.Equal(code, http.StatusOK)
+	code, out := ask(t, node, "POST", "/v1/weights/policy-lm?version=4&request_id=w4", "")
+	is.Equal(code, http.StatusConflict)
+	is.Equal(out["version"], 5.0)
+	index := c.nodes["c2"].machine.World().Index
+	code, _ = ask(t, node, "POST", "/v1/weights/policy-lm?version=5&request_id=w5again", "")
+	is.Equal(code, http.StatusOK)
+	w := c.nodes["c2"].machine.World()
+	is.Equal(w.Index, index)
+	is.Equal(w.Weights, []wire.WeightTarget{{Pool: "policy-lm", Version: 5, Fence: wire.Fence{Term: 1, Sequence: 2}}})
+}
+
+// Guards against a drain that is lost or repeated with another fence.
+func TestDrainAndUndrain(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1")
+	node, machine := c.nodes["c1"].control, c.nodes["c1"].machine
+	ask(t, node, "POST", configURI(0, "r1", "abay"), string(smallConfig(2, "one")))
+	code, _ := ask(t, node, "POST", "/v1/targets/t1/drain", "")
+	is.Equal(code, http.StatusOK)
+	departures := machine.World().Departures
+	is.Equal(departures[0].Target, "t1")
+	code, out := ask(t, node, "POST", "/v1/targets/t1/drain", "")
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["changed"], false)
+	is.Equal(machine.World().Departures, departures)
+	ask(t, node, "POST", "/v1/targets/t1/undrain", "")
+	is.Equal(len(machine.World().Departures), 0)
+}
+
+// machineRun applies seeded commands, with repeated ids, to a machine; after each
+// one it may replace the machine by one restored from its snapshot.
+func machineRun(t *testing.T, seed uint64, restore bool) *Machine {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 2))
+	m := NewMachine()
+	var version uint64
+	weights := make(map[string]uint64)
+	var index uint64
+	for range 300 {
+		index += 1 + rng.Uint64N(3)
+		raw := randomCommand(rng)
+		m.Apply(index, 1+index/50, raw)
+		if rng.IntN(10) == 0 && restore {
+			snapshot, err := m.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			m = NewMachine()
+			if err := m.Restore(snapshot); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w := m.World()
+		if w == nil {
+			continue
+		}
+		if w.ConfigVersion < version || w.ConfigVersion > version+1 {
+			t.Fatalf("seed %d: configuration version went from %d to %d", seed, version, w.ConfigVersion)
+		}
+		version = w.ConfigVersion
+		for _, p := range w.Weights {
+			if p.Version < weights[p.Pool] {
+				t.Fatalf("seed %d: weights of %s went from %d to %d", seed, p.Pool, weights[p.Pool], p.Version)
+			}
+			weights[p.Pool] = p.Version
+		}
+	}
+	return m
+}
+
+func randomCommand(rng *rand.Rand) []byte {
+	var body []byte
+	slice := []string{"config", "weights", "departures", "none"}[rng.IntN(4)]
+	n := rng.IntN(40)
+	switch slice {
+	case "config":
+		body, _ = wire.Marshal(&applyConfig{Text: smallConfig(n%5, fmt.Sprint(n)), Base: uint64(rng.IntN(12))})
+	case "weights":
+		body, _ = wire.Marshal(&wire.PublishWeights{Pool: fmt.Sprint("p", n%3), Version: uint64(rng.IntN(30))})
+	case "departures":
+		body, _ = wire.Marshal(&changeDepartures{Drain: []string{fmt.Sprint("t", n%4)}, Back: []string{fmt.Sprint("h", n%3)},
+			Undrain: []string{fmt.Sprint("t", n%5)}, Leaving: []leavingHost{{Host: fmt.Sprint("h", n%2), Targets: []string{fmt.Sprint("t", n)}}}})
+	}
+	raw, _ := wire.Marshal(&command{Slice: slice, RequestID: fmt.Sprint("r", rng.IntN(200)), Body: body, TimeMs: int64(n)})
+	return raw
+}
+
+// Guards against a version that goes back, and against a replica restored from a
+// snapshot that differs from one that applied the whole log.
+func TestSeededCommandsAndSnapshots(t *testing.T) {
+	for seed := range uint64(8) {
+		plain, err := machineRun(t, seed, false).Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored, err := machineRun(t, seed, true).Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(plain) != string(restored) {
+			t.Fatalf("seed %d: the restored state differs", seed)
+		}
+	}
+}
+
+// Guards against an unbounded memory of outcomes, and one that forgets too early.
+func TestOutcomesAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine()
+	publish := func(i int) any {
+		body, _ := wire.Marshal(&wire.PublishWeights{Pool: "p", Version: uint64(i + 1)})
+		raw, _ := wire.Marshal(&command{Slice: "weights", RequestID: fmt.Sprint("r", i), Body: body})
+		return m.Apply(m.applied+1, 1, raw)
+	}
+	first := publish(0)
+	for i := 1; i < maxOutcomes; i++ {
+		publish(i)
+	}
+	is.Equal(publish(0), first)
+	publish(maxOutcomes)
+	is.Equal(len(m.outcomes.byID), maxOutcomes)
+	again := publish(0).(*wire.PublishedWeights)
+	is.True(again.Refused != "")
+}
+
+// Guards against a history without bound: old versions must go, the newest stay.
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := newConfigSlice()
+	for i := range 150 {
+		text := strings.Repeat(fmt.Sprintf("# %d\n", i), 4000)
+		body, _ := wire.Marshal(&applyConfig{Text: []byte(text), Base: uint64(i)})
+		outcome := s.Apply(uint64(i+1), 1, body).(*ConfigOutcome)
+		is.True(outcome.Accepted)
+	}
+	size := 0
+	for _, r := range s.state.Records {
+		size += patchBytes(r.Back)
+	}
+	is.True(size <= maxHistoryBytes)
+	is.Equal(s.state.Dropped+uint64(len(s.state.Records)), uint64(150))
+	text, ok := s.state.text(s.state.Dropped + 1)
+	is.True(ok)
+	is.True(strings.HasPrefix(string(text), fmt.Sprintf("# %d\n", s.state.Dropped)))
+	_, ok = s.state.text(s.state.Dropped)
+	is.True(!ok)
+}
+
+// Guards against the test of the race passing without the rule: with the check of
+// the base switched off both operators win.
+func TestRaceNeedsTheBaseCheck(t *testing.T) {
+	is := is.New(t)
+	s := newConfigSlice()
+	s.ignoreBase = true
+	for i, want := range []uint64{1, 2} {
+		body, _ := wire.Marshal(&applyConfig{Text: smallConfig(i, "edit")})
+		is.Equal(s.Apply(uint64(i+1), 1, body).(*ConfigOutcome).Version, want)
+	}
+}
+
+// gate refuses publications while closed.
+type gate struct{ closed bool }
+
+func (*gate) Name() string                                         { return "gate" }
+func (*gate) Apply(uint64, uint64, []byte) any                     { return nil }
+func (*gate) Snapshot() ([]byte, error)                            { return nil, nil }
+func (*gate) Restore([]byte) error                                 { return nil }
+func (*gate) WeightsPublished(uint64, uint64, wire.PublishWeights) {}
+func (g *gate) RefuseWeights(wire.PublishWeights) string {
+	if g.closed {
+		return "a draw is not acknowledged"
+	}
+	return ""
+}
+
+// Guards against weights that are published although another slice refuses them,
+// and commands of unknown slices or reused ids that change the state.
+func TestGatesAndBadCommands(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(&gate{closed: true})
+	body, _ := wire.Marshal(&wire.PublishWeights{Pool: "p", Version: 1})
+	raw, _ := wire.Marshal(&command{Slice: "weights", RequestID: "r", Body: body})
+	is.True(m.Apply(1, 1, raw).(*wire.PublishedWeights).Refused != "")
+	is.Equal(m.World(), nil)
+	is.True(eris.Is(m.Apply(2, 1, nil).(error), ErrBadCommand))
+	raw, _ = wire.Marshal(&command{Slice: "departures", RequestID: "r", Body: body})
+	is.True(eris.Is(m.Apply(3, 1, raw).(error), ErrReused))
+}
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -62,10 +62,11 @@
 
 func (n *fakeNode) start(t *testing.T, names []string) {
 	n.control = New(Options{
-		Name:    n.name,
-		Log:     n,
-		Machine: n.machine,
-		Peers:   names,
+		Name:     n.name,
+		Log:      n,
+		Machine:  n.machine,
+		HostsURL: hostsURL,
+		Peers:    names,
 		Peer: func(name string) (propagate.Peer, bool) {
 			n.cluster.mu.Lock()
 			defer n.cluster.mu.Unlock()
@@ -222,3 +223,6 @@
 	}
 	return []byte(text)
 }
+
+// hostsURL is the host list of clusters that are made while it is set.
+var hostsURL string
--- /dev/null
+++ b/control/hosts_test.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/config"
+	"merlinhall/propagate"
+	"merlinhall/wire"
+)
+
+// eventually waits for a condition; its limit only ends a test that would hang.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func mustParse(t *testing.T, text []byte) *config.Config {
+	t.Helper()
+	c, err := config.Parse("config", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against a host list that lags or is wrong: a host is added once, comes
+// back only after several readings, and keeps its state while it is missing.
+func TestHostPlan(t *testing.T) {
+	is := is.New(t)
+	c := mustParse(t, smallConfig(2, "one"))
+	watch := &hostWatch{live: make(map[string]int)}
+	leaving := []HostState{{Host: "127.0.1.1", State: "leaving"}, {Host: "127.0.1.2", State: "live"}, {Host: "no address", State: "leaving"}}
+	first := watch.plan(leaving, departureState{}, c)
+	is.Equal(first.Leaving, []leavingHost{{Host: "127.0.1.1", Targets: []string{"t0"}}})
+	state := departureState{Hosts: first.Leaving}
+	again := watch.plan(leaving, state, c)
+	is.True(again.empty())
+	for _, list := range [][]HostState{nil, {}, leaving[1:2], {{Host: "127.0.1.1", State: "dead"}}} {
+		change := watch.plan(list, state, c)
+		is.True(change.empty())
+	}
+	live := []HostState{{Host: "127.0.1.1", State: "live"}}
+	for range liveReadings - 1 {
+		change := watch.plan(live, state, c)
+		is.True(change.empty())
+	}
+	is.Equal(watch.plan(live, state, c).Back, []string{"127.0.1.1"})
+}
+
+// Guards against departures that outlive their targets: a host without targets
+// that has left the list, and a drain of a target that is not configured.
+func TestHostPlanForgets(t *testing.T) {
+	is := is.New(t)
+	watch := &hostWatch{live: make(map[string]int)}
+	state := departureState{
+		Drained: map[string]wire.Fence{"t1": {}, "gone": {}},
+		Hosts:   []leavingHost{{Host: "127.0.1.1", Targets: []string{"t0"}}, {Host: "127.0.9.9"}},
+	}
+	live := []HostState{{Host: "127.0.1.2", State: "live"}}
+	change := watch.plan(live, state, mustParse(t, smallConfig(2, "one")))
+	is.Equal(change, changeDepartures{Undrain: []string{"gone"}, Back: []string{"127.0.9.9"}})
+	moved := watch.plan(nil, state, mustParse(t, smallConfig(0, "none")))
+	is.Equal(moved.Leaving, []leavingHost{{Host: "127.0.1.1"}})
+}
+
+// Guards against a leaving host that does not reach the world, and a host listed
+// as dead whose targets are removed twice.
+func TestHostListReachesTheWorld(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	list := []HostState{{Host: "127.0.1.1", State: "live"}}
+	reads := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		reads++
+		_ = json.NewEncoder(w).Encode(list)
+	}))
+	defer server.Close()
+	set := func(state string) {
+		mu.Lock()
+		defer mu.Unlock()
+		list[0].State, reads = state, 0
+	}
+	hostsURL = server.URL
+	defer func() { hostsURL = "" }()
+	c := newFakeCluster(t, "c1", "c2")
+	machine := c.nodes["c2"].machine
+	ask(t, c.nodes["c2"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(2, "one")))
+	set("leaving")
+	eventually(t, "the target departs", func() bool { return len(machine.World().Departures) == 1 })
+	is.Equal(machine.World().Departures[0].Target, "t0")
+	is.Equal(machine.World().LeavingHosts, []string{"127.0.1.1"})
+	index := machine.World().Index
+	set("dead")
+	eventually(t, "the list is read again", func() bool { mu.Lock(); defer mu.Unlock(); return reads > 2 })
+	is.Equal(machine.World().Index, index)
+	set("live")
+	eventually(t, "the target is back", func() bool { return len(machine.World().Departures) == 0 })
+}
+
+// child is a subscriber in memory.
+type child struct {
+	mu     sync.Mutex
+	worlds []*wire.World
+}
+
+func (c *child) Receive(peer propagate.Peer, m wire.Message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := m.(*wire.World); ok {
+		c.worlds = append(c.worlds, w)
+		_ = peer.Send(&wire.Holding{Index: w.Index, Counts: []wire.VersionCount{{Version: w.ConfigVersion, Count: 3}}})
+	}
+}
+
+func (c *child) Lost(propagate.Peer) {}
+
+// Guards against subscribers of a follower that the leader does not count, and
+// against a count that stays after a subscriber has gone.
+func TestInForceCountsSubscribersOfAllReplicas(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2", "c3")
+	ask(t, c.nodes["c1"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	var links []*memoryPeer
+	for i, name := range []string{"c1", "c2", "c3"} {
+		link := connect(t, &child{}, fmt.Sprint("e", i), c.nodes[name].control, name)
+		is.NoErr(link.Send(&wire.Subscribe{}))
+		links = append(links, link)
+	}
+	holding := func(want float64) func() bool {
+		return func() bool {
+			_, out := ask(t, c.nodes["c3"].control, "GET", "/v1/inforce?version=1", "")
+			return out["holding"] == want && out["subscribers"] == want
+		}
+	}
+	eventually(t, "nine processes hold version 1", holding(9))
+	links[1].Close(nil)
+	c.nodes["c2"].control.Lost(links[1].other)
+	eventually(t, "six processes hold version 1", holding(6))
+	code, out := ask(t, c.nodes["c1"].control, "GET", "/v1/inforce?version=2", "")
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["holding"], 0.0)
+}
+
+// Guards against calls that run on a replica that does not lead, are passed round
+// between replicas, or lose the outcome of their handler.
+func TestCalls(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	for name, node := range c.nodes {
+		node.control.HandleCall("who", func(_ context.Context, body []byte) ([]byte, error) {
+			return append([]byte(name), body...), nil
+		})
+	}
+	follower := c.nodes["c2"].control
+	reply := follower.Call(t.Context(), &wire.Call{ID: "7", Method: "who", Body: []byte("!")})
+	is.Equal(reply, &wire.Reply{ID: "7", Outcome: wire.CallOK, Body: []byte("c1!")})
+	is.Equal(follower.Call(t.Context(), &wire.Call{Method: "none"}).Outcome, wire.CallRejected)
+	is.Equal(follower.Call(t.Context(), &wire.Call{Method: "who", Hops: 1}).Outcome, wire.CallNoLeader)
+	ask(t, follower, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	reply = follower.Call(t.Context(), &wire.Call{Method: "barrier"})
+	var barrier wire.BarrierReply
+	is.NoErr(wire.Unmarshal(reply.Body, &barrier))
+	is.Equal(barrier, wire.BarrierReply{Term: 1, Index: 1})
+	body, err := wire.Marshal(&wire.PublishWeights{RequestID: "w", Pool: "policy-lm", Version: 3})
+	is.NoErr(err)
+	is.Equal(follower.Call(t.Context(), &wire.Call{Method: "weights.publish", Body: body}).Outcome, wire.CallOK)
+	is.Equal(c.nodes["c2"].machine.World().Weights[0].Version, uint64(3))
+}
+
+// Guards against a change of the leader that is not announced.
+func TestOnLeader(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	type change struct {
+		leading bool
+		term    uint64
+	}
+	changes := make(chan change, 8)
+	c.nodes["c2"].control.OnLeader(func(leading bool, term uint64) { changes <- change{leading, term} })
+	c.elect("c2")
+	is.Equal(<-changes, change{true, 2})
+	c.elect("c2")
+	is.Equal(<-changes, change{true, 3})
+	c.elect("c1")
+	is.Equal((<-changes).leading, false)
+}
--- a/propagate/patch.go
+++ b/propagate/patch.go
@@ -16,45 +16,91 @@
 // ErrBadPatch is wrapped by the errors of ApplyPatch.
 var ErrBadPatch = eris.New("patch does not fit the text")
 
+// compareBlock is the size of the pieces in which equal heads and tails of texts
+// are found.
+const compareBlock = 4 << 10
+
 // MakePatch returns the operations that turn base into text. Runs of lines that
 // both have are copied, also when they moved; all else is inserted.
 func MakePatch(base, text []byte) []wire.PatchOp {
-	from, to := splitLines(base), splitLines(text)
-	head := commonHead(from, to)
-	tail := commonTail(from[head:], to[head:])
-	p := patcher{base: from}
+	head := commonHead(base, text)
+	tail := commonTail(base[head:], text[head:])
+	p := patcher{offset: head}
 	p.copyRun(0, head)
-	p.middle(to[head:len(to)-tail], head)
-	p.copyRun(len(from)-tail, tail)
+	p.middle(base[head:len(base)-tail], text[head:len(text)-tail])
+	p.copyRun(len(base)-tail, tail)
 	return p.ops
 }
 
 // ApplyPatch returns the text that ops make of base. Errors wrap ErrBadPatch.
 // limit bounds the bytes of the result.
 func ApplyPatch(base []byte, ops []wire.PatchOp, limit int) ([]byte, error) {
-	lines := splitLines(base)
-	starts := lineStarts(lines)
-	var out []byte
+	size := 0
 	for _, op := range ops {
-		piece := op.Text
-		if op.Count > 0 {
-			end := uint64(op.From) + uint64(op.Count)
-			if end > uint64(len(lines)) {
-				return nil, eris.Wrapf(ErrBadPatch, "lines %d to %d of %d", op.From, end, len(lines))
-			}
-			piece = base[starts[op.From]:starts[end]]
+		end := uint64(op.From) + uint64(op.Count)
+		if end > uint64(len(base)) {
+			return nil, eris.Wrapf(ErrBadPatch, "bytes %d to %d of %d", op.From, end, len(base))
 		}
-		if len(out)+len(piece) > limit {
+		size += int(op.Count) + len(op.Text)
+		if size > limit {
 			return nil, eris.Wrapf(ErrBadPatch, "result is over %d bytes", limit)
 		}
-		if out == nil {
-			out = make([]byte, 0, min(limit, len(base)+len(piece)))
+	}
+	out := make([]byte, 0, size)
+	for _, op := range ops {
+		if op.Count > 0 {
+			out = append(out, base[op.From:op.From+op.Count]...)
+		} else {
+			out = append(out, op.Text...)
 		}
-		out = append(out, piece...)
 	}
 	return out, nil
 }
 
+// commonHead returns the length of the equal whole lines at the start.
+func commonHead(a, b []byte) int {
+	limit := min(len(a), len(b))
+	n := 0
+	for n+compareBlock <= limit && bytes.Equal(a[n:n+compareBlock], b[n:n+compareBlock]) {
+		n += compareBlock
+	}
+	for n < limit && a[n] == b[n] {
+		n++
+	}
+	if n == len(a) && n == len(b) {
+		return n
+	}
+	return bytes.LastIndexByte(a[:n], '\n') + 1
+}
+
+// commonTail returns the length of the equal whole lines at the end. Both texts
+// start at the start of a line.
+func commonTail(a, b []byte) int {
+	limit := min(len(a), len(b))
+	n := 0
+	for n+compareBlock <= limit && bytes.Equal(a[len(a)-n-compareBlock:len(a)-n], b[len(b)-n-compareBlock:len(b)-n]) {
+		n += compareBlock
+	}
+	for n < limit && a[len(a)-1-n] == b[len(b)-1-n] {
+		n++
+	}
+	if n == len(a) || n == len(b) {
+		if startsLine(a, n) && startsLine(b, n) {
+			return n
+		}
+	}
+	first := bytes.IndexByte(a[len(a)-n:], '\n')
+	if first < 0 {
+		return 0
+	}
+	return n - first - 1
+}
+
+// startsLine reports whether the last n bytes of text start a line.
+func startsLine(text []byte, n int) bool {
+	return n == len(text) || text[len(text)-n-1] == '\n'
+}
+
 // splitLines returns the lines with their line ends.
 func splitLines(text []byte) [][]byte {
 	lines := make([][]byte, 0, bytes.Count(text, []byte("\n"))+1)
@@ -69,15 +115,8 @@
 	return lines
 }
 
-func lineStarts(lines [][]byte) []int {
-	starts := make([]int, len(lines)+1)
-	for i, line := range lines {
-		starts[i+1] = starts[i] + len(line)
-	}
-	return starts
-}
-
-func commonHead(a, b [][]byte) int {
+// equalLines returns how many lines at the start are equal.
+func equalLines(a, b [][]byte) int {
 	n := 0
 	for n < len(a) && n < len(b) && bytes.Equal(a[n], b[n]) {
 		n++
@@ -85,18 +124,12 @@
 	return n
 }
 
-func commonTail(a, b [][]byte) int {
-	n := 0
-	for n < len(a) && n < len(b) && bytes.Equal(a[len(a)-1-n], b[len(b)-1-n]) {
-		n++
-	}
-	return n
-}
-
 type patcher struct {
-	base  [][]byte
-	where map[string][]int
-	ops   []wire.PatchOp
+	offset int // of the middle in the base
+	base   [][]byte
+	starts []int // byte offset of each line of base in the middle
+	where  map[string][]int
+	ops    []wire.PatchOp
 }
 
 func (p *patcher) copyRun(from, count int) {
@@ -121,12 +154,14 @@
 	p.ops = append(p.ops, wire.PatchOp{Text: bytes.Clone(line)})
 }
 
-// middle covers lines, whose first one stands where line next of the base stood.
-func (p *patcher) middle(lines [][]byte, next int) {
-	if len(lines) == 0 {
-		return
+// middle covers what is left between the equal heads and tails. A line that moved
+// lies there in both texts.
+func (p *patcher) middle(base, text []byte) {
+	lines := splitLines(text)
+	if len(lines) > 0 {
+		p.indexBase(base)
 	}
-	p.indexBase()
+	next := 0
 	for len(lines) > 0 {
 		from, run := p.bestRun(lines, next)
 		if run == 0 {
@@ -134,15 +169,18 @@
 			lines = lines[1:]
 			continue
 		}
-		p.copyRun(from, run)
+		p.copyRun(p.offset+p.starts[from], p.starts[from+run]-p.starts[from])
 		next = from + run
 		lines = lines[run:]
 	}
 }
 
-func (p *patcher) indexBase() {
+func (p *patcher) indexBase(base []byte) {
+	p.base = splitLines(base)
+	p.starts = make([]int, len(p.base)+1)
 	p.where = make(map[string][]int, len(p.base))
 	for i, line := range p.base {
+		p.starts[i+1] = p.starts[i] + len(line)
 		p.where[string(line)] = append(p.where[string(line)], i)
 	}
 }
@@ -154,7 +192,7 @@
 	first := sort.SearchInts(candidates, next)
 	for i := range min(maxCandidates, len(candidates)) {
 		at := candidates[(first+i)%len(candidates)]
-		if n := commonHead(p.base[at:], lines); n > run {
+		if n := equalLines(p.base[at:], lines); n > run {
 			from, run = at, n
 		}
 	}
--- a/propagate/tree.go
+++ b/propagate/tree.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// historyWorlds is how many past worlds a parent keeps as bases of deltas.
-	// The texts of worlds with equal configurations are shared.
-	historyWorlds = 32
+	// historyWorlds is how many worlds a parent keeps as bases of deltas. Each may
+	// hold a text of 0.4 MB. At the peak rate they span some minutes; a child that
+	// is further behind gets a snapshot.
+	historyWorlds = 8
 	// smallDelta is the size below which a delta is sent without computing the
 	// snapshot for comparison.
 	smallDelta = 4 << 10
--- a/wire/propagate.go
+++ b/wire/propagate.go
@@ -7,8 +7,9 @@
 	KindSubtree    Kind = 54
 )
 
-// PatchOp is one step of a line patch: it copies Count lines of the base text
-// from line From on, or, when Count is 0, inserts Text.
+// PatchOp is one step of a patch: it copies Count bytes of the base text from
+// byte From on, or, when Count is 0, inserts Text. Patches are made by lines but
+// refer to bytes, so that they are applied without splitting the base.
 type PatchOp struct {
 	From  uint32 `cbor:"1,keyasint,omitempty"`
 	Count uint32 `cbor:"2,keyasint,omitempty"`
