--- a/control/admin.go
+++ b/control/admin.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
@@ -11,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -131,7 +133,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), a.c.o.CallTimeout)
 	defer cancel()
-	writeReply(w, a.c.Call(ctx, &wire.Call{Method: "admin", Body: raw}), id)
+	reply := a.c.Call(ctx, &wire.Call{Method: "admin", Body: raw})
+	for reply.Outcome == wire.CallUnknown && r.Method == http.MethodGet && ctx.Err() == nil {
+		time.Sleep(retryPeriod)
+		reply = a.c.Call(ctx, &wire.Call{Method: "admin", Body: raw})
+	}
+	writeReply(w, reply, id)
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
@@ -192,17 +199,28 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
-	body, err := json.MarshalIndent(value, "", "  ")
+	body, err := encodeJSON(value)
 	if err != nil {
 		status, body = http.StatusInternalServerError, []byte(`{"outcome":"failed"}`)
 	}
 	writeBody(w, status, body)
 }
 
+// encodeJSON leaves the characters of HTML as they are; escaped they would take
+// six bytes each.
+func encodeJSON(value any) ([]byte, error) {
+	var b bytes.Buffer
+	encoder := json.NewEncoder(&b)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	err := encoder.Encode(value)
+	return b.Bytes(), err
+}
+
 func writeBody(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(append(body, '\n'))
+	_, _ = w.Write(body)
 }
 
 // serveCall is the call "admin": it runs a request on the leader.
@@ -222,7 +240,7 @@
 	if out.err != nil {
 		return nil, out.err
 	}
-	encoded, err := json.MarshalIndent(out.answer.value, "", "  ")
+	encoded, err := encodeJSON(out.answer.value)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode answer")
 	}
--- a/control/adminother.go
+++ b/control/adminother.go
@@ -257,23 +257,30 @@
 	return answer{}, err
 }
 
+// replicaStatus is the JSON of GET /v1/status.
+type replicaStatus struct {
+	Name string `json:"name"`
+	Status
+	World *worldStatus `json:"world,omitempty"`
+	// Subscribers holds the versions reported to this replica; on the leader, to
+	// all replicas.
+	Subscribers []held `json:"subscribers"`
+}
+
 // getStatus answers the view of this replica, also when there is no leader.
 func (a *admin) getStatus(w http.ResponseWriter, _ *http.Request) {
-	out := struct {
-		Name string `json:"name"`
-		Status
-		World *worldStatus `json:"world,omitempty"`
-		// Subscribers holds the versions reported to this replica; on the leader,
-		// to all replicas.
-		Subscribers []held `json:"subscribers"`
-	}{Name: a.c.o.Name, Status: a.c.o.Log.Status(), Subscribers: []held{}}
+	writeJSON(w, http.StatusOK, a.status())
+}
+
+func (a *admin) status() replicaStatus {
+	out := replicaStatus{Name: a.c.o.Name, Status: a.c.o.Log.Status(), Subscribers: []held{}}
 	for _, v := range a.c.Holdings() {
 		out.Subscribers = append(out.Subscribers, held(v))
 	}
 	if world := a.c.o.Machine.World(); world != nil {
 		out.World = describeWorld(world)
 	}
-	writeJSON(w, http.StatusOK, out)
+	return out
 }
 
 // worldStatus is the JSON of a world without its text.
--- a/control/calls.go
+++ b/control/calls.go
@@ -22,7 +22,9 @@
 		defer func() { <-c.slots }()
 		ctx, cancel := context.WithTimeout(c.done, propagate.CallTimeout(call))
 		defer cancel()
-		_ = peer.Send(c.Call(ctx, call))
+		if err := peer.Send(c.Call(ctx, call)); err != nil {
+			_ = peer.Send(&wire.Reply{ID: call.ID, Outcome: wire.CallUnknown, Error: err.Error()})
+		}
 	}()
 }
 
@@ -151,3 +153,25 @@
 	}
 	return typed, nil
 }
+
+// Local makes calls from the process of a control replica, as a
+// propagate.Follower makes them from other processes.
+type Local struct{ c *Control }
+
+// Local returns the caller of this process.
+func (c *Control) Local() Local { return Local{c: c} }
+
+// Call sends a request to the control leader. It has no error: a call that was
+// not sent is answered with CallNoLeader.
+func (l Local) Call(ctx context.Context, method string, body []byte) (*wire.Reply, error) {
+	return l.c.Call(ctx, &wire.Call{Method: method, Body: body}), nil
+}
+
+// Barrier returns the term of the leader and the index of the newest world, both
+// confirmed after the call began.
+func (l Local) Barrier(ctx context.Context) (term, index uint64, err error) {
+	return propagate.BarrierResult(l.c.Call(ctx, &wire.Call{Method: "barrier"}))
+}
+
+// World returns the world of the applied state, or nil.
+func (l Local) World() *wire.World { return l.c.o.Machine.World() }
--- a/control/configslice.go
+++ b/control/configslice.go
@@ -13,8 +13,8 @@
 
 const (
 	// MaxConfigBytes bounds a configuration text. The text of 2,600 targets is
-	// about 0.4 MB.
-	MaxConfigBytes = 4 << 20
+	// about 0.4 MB. As JSON it may take twice the space and must fit a frame.
+	MaxConfigBytes = 2 << 20
 	// maxRevisions bounds the history by number, maxHistoryBytes by the size of
 	// the patches that lead back to old texts. Snapshots carry both.
 	maxRevisions    = 1024
--- a/control/control.go
+++ b/control/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,8 +79,10 @@
 	ChangeMembers func(ctx context.Context, change MemberChange) error
 	// HostsURL is the platform's host list, empty when there is none.
 	HostsURL string
-	System   *duty.System      // optional
-	Observer *observe.Observer // optional
+	// HostsPeriod is the time between two readings of it; 0 means 500 ms.
+	HostsPeriod time.Duration
+	System      *duty.System      // optional
+	Observer    *observe.Observer // optional
 	// CallTimeout bounds a request of the administration API; 0 means 5 s.
 	CallTimeout time.Duration
 }
@@ -122,6 +125,9 @@
 	if o.CallTimeout == 0 {
 		o.CallTimeout = callTimeout
 	}
+	if o.HostsPeriod == 0 {
+		o.HostsPeriod = hostsPeriod
+	}
 	done, stop := context.WithCancel(context.Background())
 	c := &Control{
 		o:        o,
@@ -141,6 +147,7 @@
 	c.run(leaderPoll, c.pollLeader)
 	c.run(subtreePeriod, c.reportSubtree)
 	c.startHosts()
+	c.observe()
 	return c
 }
 
@@ -273,12 +280,19 @@
 	case *wire.Call:
 		c.receiveCall(peer, m)
 	case *wire.Subtree:
-		c.mu.Lock()
-		c.subtrees[peer.Peer().Process] = subtree{counts: m.Counts, at: time.Now()}
-		c.mu.Unlock()
+		c.receiveSubtree(peer.Peer().Process, m)
 	}
 }
 
+func (c *Control) receiveSubtree(from string, m *wire.Subtree) {
+	if !slices.Contains(c.o.Peers, from) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.subtrees[from] = subtree{counts: m.Counts, at: time.Now()}
+}
+
 // Lost handles the end of a connection.
 func (c *Control) Lost(peer propagate.Peer) {
 	c.calls.Lost(peer)
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -62,11 +62,12 @@
 
 func (n *fakeNode) start(t *testing.T, names []string) {
 	n.control = New(Options{
-		Name:     n.name,
-		Log:      n,
-		Machine:  n.machine,
-		HostsURL: hostsURL,
-		Peers:    names,
+		Name:        n.name,
+		Log:         n,
+		Machine:     n.machine,
+		HostsURL:    hostsURL,
+		HostsPeriod: 30 * time.Millisecond,
+		Peers:       names,
 		Peer: func(name string) (propagate.Peer, bool) {
 			n.cluster.mu.Lock()
 			defer n.cluster.mu.Unlock()
--- a/control/hosts.go
+++ b/control/hosts.go
@@ -144,7 +144,7 @@
 func (c *Control) startHosts() {
 	watch := &hostWatch{live: make(map[string]int)}
 	client := &http.Client{Timeout: hostsLimit}
-	c.run(hostsPeriod, func() { c.followHosts(watch, client) })
+	c.run(c.o.HostsPeriod, func() { c.followHosts(watch, client) })
 }
 
 // followHosts is one reading. It acts on the leader only; a change that fails is
@@ -210,9 +210,3 @@
 	defer m.mu.Unlock()
 	return m.departures.copyState()
 }
-
-func (c *Control) logf(format string, args ...any) {
-	if c.o.Observer != nil {
-		c.o.Observer.Logger("control").Warnf(format, args...)
-	}
-}
--- a/control/linediff.go
+++ b/control/linediff.go
@@ -9,8 +9,10 @@
 	// maxDiffEdits bounds the search for the shortest difference. Its memory
 	// grows with the square; beyond it the changed block is shown as replaced.
 	maxDiffEdits = 500
-	// maxDiffLines bounds the lines of a difference that are shown.
+	// maxDiffLines and maxDiffWidth bound the lines of a difference that are shown
+	// and the bytes of each.
 	maxDiffLines = 400
+	maxDiffWidth = 400
 )
 
 // lineDiff returns the difference between two texts: "-N line" for a line N of
@@ -26,6 +28,11 @@
 		tail++
 	}
 	lines := shortestEdit(a[head:len(a)-tail], b[head:len(b)-tail], head)
+	for i, line := range lines {
+		if len(line) > maxDiffWidth {
+			lines[i] = strings.ToValidUTF8(line[:maxDiffWidth], "") + "…"
+		}
+	}
 	if len(lines) > maxDiffLines {
 		more := fmt.Sprintf("… %d more changed lines", len(lines)-maxDiffLines)
 		lines = append(lines[:maxDiffLines:maxDiffLines], more)
--- a/propagate/bench_test.go
+++ b/propagate/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -81,7 +82,7 @@
 // fleet is control replicas, and nodes with an entry and its agents each.
 type fleet struct {
 	// system is shared, because one system takes some MB and each process has one.
-	system *duty.System
+	system        *duty.System
 	bytes, writes atomic.Int64 // of both ends of all links of nodes
 	controls      []*Parent
 	followers     []*Follower
@@ -124,7 +125,7 @@
 
 // follow starts a follower. An entry keeps links to all control replicas.
 func (f *fleet) follow(name string, candidates []Candidate, feeds *Parent, dial bool) {
-	client := &http.Client{Transport: &http.Transport{Dial: func(network, address string) (net.Conn, error) {
+	client := &http.Client{Transport: &http.Transport{DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
 		c, err := net.Dial(network, address)
 		if err != nil {
 			return nil, err
--- a/propagate/calls.go
+++ b/propagate/calls.go
@@ -160,6 +160,11 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	return BarrierResult(reply)
+}
+
+// BarrierResult reads the reply to the call "barrier".
+func BarrierResult(reply *wire.Reply) (term, index uint64, err error) {
 	if reply.Outcome != wire.CallOK {
 		return 0, 0, eris.Errorf("barrier: %s: %s", reply.Outcome, reply.Error)
 	}
--- a/propagate/follower.go
+++ b/propagate/follower.go
@@ -10,6 +10,7 @@
 
 	"merlinhall/duty"
 	"merlinhall/link"
+	"merlinhall/observe"
 	"merlinhall/wire"
 )
 
@@ -41,6 +42,8 @@
 	Events link.Events
 	// Feeds is the parent that sends the worlds on to this process's children.
 	Feeds *Parent
+	// Observer receives logs and the state dump; optional.
+	Observer *observe.Observer
 	// OnWorld is called serially with increasing Index. When it is slow, worlds
 	// in between are left out.
 	OnWorld func(*wire.World)
@@ -67,6 +70,17 @@
 	deliver chan struct{}
 	stop    context.CancelFunc
 	done    context.Context
+	state   atomic.Pointer[FollowerState]
+}
+
+// FollowerState is what a follower shows of itself.
+type FollowerState struct {
+	Parent        string `json:"parent"` // empty while none is connected
+	Index         uint64 `json:"index"`
+	ConfigVersion uint64 `json:"config_version"`
+	// Refused counts messages that could not be applied or went back.
+	Refused int  `json:"refused"`
+	Fresh   bool `json:"fresh"`
 }
 
 type (
@@ -101,6 +115,10 @@
 	if o.Feeds != nil {
 		o.Feeds.follow(f)
 	}
+	f.state.Store(&FollowerState{})
+	if o.Observer != nil {
+		o.Observer.Dump("propagate", func() any { return f.State() })
+	}
 	go f.deliverLoop()
 	_ = f.duty.Offer(followStart{})
 	f.duty.Every(followTick, followTicked{})
@@ -242,6 +260,40 @@
 	}
 	f.fresh.Store(f.seeker.fresh.UnixNano())
 	f.parent.set(f.peers[f.seeker.name()])
+	f.note()
+}
+
+// note keeps the state for other goroutines and logs its changes.
+func (f *Follower) note() {
+	old := f.state.Load()
+	now := FollowerState{Index: f.seeker.held(), Refused: f.seeker.refused}
+	if f.seeker.world != nil {
+		now.ConfigVersion = f.seeker.world.ConfigVersion
+	}
+	if name := f.seeker.name(); f.peers[name] != nil {
+		now.Parent = name
+	}
+	if now == *old {
+		return
+	}
+	f.state.Store(&now)
+	if f.o.Observer == nil {
+		return
+	}
+	log := f.o.Observer.Logger("propagate")
+	if now.Parent != old.Parent {
+		log.Infof("parent is %q, was %q", now.Parent, old.Parent)
+	}
+	if now.Refused != old.Refused {
+		log.Warnf("message of parent %q cannot be used", now.Parent)
+	}
+}
+
+// State returns what the follower shows of itself.
+func (f *Follower) State() FollowerState {
+	s := *f.state.Load()
+	s.Fresh = f.Fresh()
+	return s
 }
 
 func (f *Follower) publish(w *wire.World) {
--- a/propagate/link_test.go
+++ b/propagate/link_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 
 	"merlinhall/config"
 	"merlinhall/link"
+	"merlinhall/observe"
 	"merlinhall/wire"
 )
 
@@ -105,3 +109,84 @@
 	is.NoErr(err)
 	is.Equal(reply.Outcome, wire.CallRejected)
 }
+
+// relay passes bytes to address; while silent is set it drops those from the
+// address to the child, on connections that exist already.
+func relay(t *testing.T, address string, silent *atomic.Bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			go func() { _, _ = io.Copy(out, in); _ = out.Close() }()
+			go func() { drop(in, out, silent); _ = in.Close() }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func drop(dst io.Writer, src io.Reader, silent *atomic.Bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		if !silent.Load() {
+			_, _ = dst.Write(buf[:n])
+		}
+	}
+}
+
+// Guards against a child that stays with a parent whose messages no longer arrive,
+// loses its world on the way to the next parent, or leaves a call unanswered.
+func TestOneWaySilenceOverLinks(t *testing.T) {
+	is := is.New(t)
+	entry := newProcess(t, "e1", ParentOptions{Upstream: stuck{}})
+	control := newProcess(t, "c1", ParentOptions{})
+	var silent atomic.Bool
+	first := entry.candidate(false)
+	first.Address = relay(t, first.Address, &silent)
+	agent := Follow(FollowOptions{
+		Local:      wire.Hello{Process: "a1"},
+		Candidates: []Candidate{first, control.candidate(true)},
+		Dial:       true, Client: link.NewHTTPClient(nil), Scheme: "ws",
+		Observer: observe.New("error"),
+	})
+	t.Cleanup(agent.Stop)
+	entry.parent.Publish(testWorld(5, 2, "a = 2\n"))
+	control.parent.Publish(testWorld(3, 1, "a = 1\n"))
+	eventually(t, "the first parent delivers", func() bool { return agent.State().Index == 5 })
+	replies := make(chan *wire.Reply, 1)
+	go func() {
+		reply, _ := agent.Call(t.Context(), "any", nil)
+		replies <- reply
+	}()
+	silent.Store(true)
+	eventually(t, "the child moves", func() bool { return agent.State().Parent == "c1" })
+	is.Equal((<-replies).Outcome, wire.CallUnknown)
+	is.Equal(agent.World().Index, uint64(5))
+	control.parent.Publish(testWorld(6, 3, "a = 3\n"))
+	eventually(t, "the second parent delivers", func() bool { return agent.World().Index == 6 })
+	eventually(t, "the first parent forgets the child", func() bool { return entry.parent.Children() == 0 })
+}
+
+// stuck never answers a call in time.
+type stuck struct{}
+
+func (stuck) Forward(ctx context.Context, _ *wire.Call) *wire.Reply {
+	<-ctx.Done()
+	return &wire.Reply{Outcome: wire.CallUnknown}
+}
--- /dev/null
+++ b/propagate/seeker_test.go
@@ -0,0 +1,217 @@
+package propagate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/wire"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func noneBelow() []wire.VersionCount { return nil }
+
+// newTestSeeker follows parents a, b and c in that order.
+func newTestSeeker(passive bool) *seeker {
+	ranked := []Candidate{{Name: "a"}, {Name: "b"}, {Name: "c", Control: true}}
+	s := newSeeker(ranked, passive, noneBelow, 0)
+	s.start(epoch)
+	return s
+}
+
+func subscriptions(st step) (list []string) {
+	for _, a := range st.send {
+		if m, ok := a.message.(*wire.Subscribe); ok {
+			list = append(list, fmt.Sprintf("%s %d %v", a.to, m.Index, m.Stop))
+		}
+	}
+	return list
+}
+
+// Guards against a follower that hears an old parent after a new one and goes
+// back to its world, by a snapshot, a delta or a digest.
+func TestOldParentAfterNewOne(t *testing.T) {
+	is := is.New(t)
+	s := newTestSeeker(false)
+	s.connected(epoch, "a")
+	s.message(epoch, "a", testWorld(9, 3, "x = 3\n"))
+	is.Equal(s.disconnected(epoch, "a").use.Name, "b")
+	is.Equal(subscriptions(s.connected(epoch, "b")), []string{"b 9 false"})
+	old := testWorld(5, 2, "x = 2\n")
+	is.Equal(s.message(epoch, "b", old).world, nil)
+	is.Equal(s.message(epoch, "b", MakeDelta(testWorld(4, 1, "x = 1\n"), old)).world, nil)
+	is.Equal(subscriptions(s.message(epoch, "b", &wire.Digest{Index: 5})), nil)
+	is.Equal(s.held(), uint64(9))
+	s.takeBack = true
+	is.Equal(broken(func() { s.message(epoch, "b", old) }), true) // the check above can fail
+}
+
+func broken(f func()) (panicked bool) {
+	defer func() { panicked = recover() != nil }()
+	f()
+	return false
+}
+
+// Guards against a parent that sends a newer world with an older version: it must
+// be refused, not stop the process.
+func TestNewerWorldWithOlderVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newTestSeeker(false)
+	s.connected(epoch, "a")
+	first := testWorld(5, 2, "x = 2\n")
+	first.Weights = []wire.WeightTarget{{Pool: "p", Version: 7}}
+	s.message(epoch, "a", first)
+	is.Equal(s.message(epoch, "a", testWorld(6, 1, "x = 1\n")).world, nil)
+	back := testWorld(7, 3, "x = 3\n")
+	back.Weights = []wire.WeightTarget{{Pool: "p", Version: 6}}
+	is.Equal(s.message(epoch, "a", back).world, nil)
+	is.Equal(s.refused, 2)
+	is.Equal(s.held(), uint64(5))
+}
+
+// Guards against a damaged delta or snapshot that is used, or after which the
+// child never recovers.
+func TestDamagedMessageLeadsToASnapshot(t *testing.T) {
+	is := is.New(t)
+	s := newTestSeeker(false)
+	s.connected(epoch, "a")
+	base, next := testWorld(5, 2, "x = 2\n"), testWorld(6, 3, "x = 3\n")
+	s.message(epoch, "a", base)
+	damaged := MakeDelta(base, next)
+	damaged.Patch[0].Text = []byte("x = 4\n")
+	now := epoch.Add(2 * askPeriod)
+	is.Equal(subscriptions(s.message(now, "a", damaged)), []string{"a 0 false"})
+	wrong := *next
+	wrong.ConfigText = []byte("x = 5\n")
+	is.Equal(s.message(now, "a", &wrong).world, nil)
+	is.Equal(s.message(now, "a", &wire.Packed{Data: []byte("no")}).world, nil)
+	is.Equal(s.message(now, "a", next).world, next)
+}
+
+// Guards against a parent whose link is alive and that sends nothing, or that has
+// lost the leader itself: the child must move on within the limit, and must not
+// reconnect all the time when no parent is better.
+func TestSilentAndStaleParents(t *testing.T) {
+	for _, stale := range []bool{false, true} {
+		is := is.New(t)
+		s := newTestSeeker(false)
+		s.connected(epoch, "a")
+		s.message(epoch, "a", &wire.Digest{})
+		moves := 0
+		var firstMove time.Duration
+		for at := time.Duration(0); at < 2*time.Minute; at += followTick {
+			now := epoch.Add(at)
+			if stale {
+				s.message(now, s.name(), &wire.Digest{Stale: true})
+			}
+			if st := s.tick(now); st.use != nil {
+				if moves++; moves == 1 {
+					firstMove = at
+					is.Equal(st.use.Name, "b")
+				}
+				s.connected(now, st.use.Name)
+			}
+		}
+		is.True(firstMove <= freshLimit+followTick)
+		is.True(moves >= 5)
+		is.True(moves <= 15)
+		now := epoch.Add(2 * time.Minute)
+		s.message(now, s.name(), &wire.Digest{})
+		is.Equal(s.limit, freshLimit)
+	}
+}
+
+// Guards against children that stay with a control replica after the entries are
+// back, which would leave control to feed the whole fleet.
+func TestChildReturnsToItsFirstChoice(t *testing.T) {
+	is := is.New(t)
+	s := newTestSeeker(false)
+	s.disconnected(epoch, "a")
+	is.Equal(s.disconnected(epoch, "b").use.Name, "c")
+	s.connected(epoch, "c")
+	var st step
+	at := epoch
+	for ; st.use == nil; at = at.Add(followTick) {
+		s.message(at, "c", &wire.Digest{})
+		st = s.tick(at)
+	}
+	is.Equal(st.use.Name, "a")
+	is.True(at.Sub(epoch) > controlStay)
+}
+
+// Guards against an entry that is subscribed to two control replicas at once.
+func TestEntrySubscribesToOneParent(t *testing.T) {
+	is := is.New(t)
+	s := newTestSeeker(true)
+	is.Equal(subscriptions(s.connected(epoch, "b")), []string{"b 0 false"})
+	is.Equal(subscriptions(s.connected(epoch, "a")), nil)
+	is.Equal(subscriptions(s.tick(epoch.Add(freshLimit+1))), []string{"b 0 true", "a 0 false"})
+	is.Equal(subscriptions(s.message(epoch, "b", &wire.Digest{})), []string{"b 0 true"})
+	is.Equal(subscriptions(s.disconnected(epoch, "a")), []string{"b 0 false"})
+	s.disconnected(epoch, "b")
+	is.Equal(s.name(), "")
+}
+
+// Guards against a process that returns after hundreds of changes and is sent all
+// of them, and a small change that is sent as a whole text.
+func TestReturnAfterHundredsOfChanges(t *testing.T) {
+	is := is.New(t)
+	text := fullText(2600)
+	tree := newTree[int]()
+	tree.subscribe(1, &wire.Subscribe{})
+	follower := newTestSeeker(false)
+	follower.connected(epoch, "a")
+	sent := 0
+	for i := range 300 {
+		next := testWorld(uint64(i+1), uint64(i+1), string(editedText(text, i)))
+		for _, out := range tree.publish(next) {
+			if i > 0 {
+				sent += len(out.frame)
+			}
+			m, err := wire.Decode(out.frame)
+			is.NoErr(err)
+			follower.message(epoch, "a", m)
+		}
+	}
+	is.Equal(follower.held(), uint64(300))
+	is.True(sent < 300*512)
+	late := tree.subscribe(2, &wire.Subscribe{Index: 3})
+	is.Equal(len(late), 2) // a snapshot and a digest
+	is.True(len(late[0].frame) < len(text)/4)
+	back := newTestSeeker(false)
+	back.connected(epoch, "a")
+	m, err := wire.Decode(late[0].frame)
+	is.NoErr(err)
+	is.Equal(back.message(epoch, "a", m).world.Index, uint64(300))
+	t.Logf("text %d bytes, snapshot %d bytes, %d bytes for each change", len(text), len(late[0].frame), sent/299)
+}
+
+// Guards against ranks that load one parent more than others, ignore zones, or
+// move all children when one parent is lost.
+func TestRank(t *testing.T) {
+	is := is.New(t)
+	var candidates []Candidate
+	for i := range 8 {
+		candidates = append(candidates, Candidate{Name: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprintf("z%d", i%2)})
+	}
+	candidates = append(candidates, Candidate{Name: "control", Zone: "z0", Control: true})
+	load := make(map[string]int)
+	second := make(map[string]int)
+	for i := range 4000 {
+		ranked := Rank(fmt.Sprintf("agent-%d", i), "z0", candidates)
+		is.Equal(ranked[0].Zone, "z0")
+		is.Equal(ranked[len(ranked)-1].Name, "control")
+		load[ranked[0].Name]++
+		if ranked[0].Name == "entry-0" {
+			second[ranked[1].Name]++
+		}
+	}
+	is.Equal(len(load), 4)
+	is.Equal(len(second), 3)
+	for _, n := range load {
+		is.True(n > 800 && n < 1200)
+	}
+}
