config: strict check of the configuration text

Operators need every fault of a text at once, with file, line, key and what to do. go-toml reports only the first type fault and no line for semantic ones, so package strict walks the document against the struct types and indexes the line of each key.

--- a/config/parse.go
+++ b/config/parse.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/rotisserie/eris"
+	"merlinhall/strict"
 )
 
 // document is the TOML form of the configuration.
@@ -38,42 +37,42 @@
 type callDoc struct {
 	Method     string `toml:"method"`
 	PathPrefix string `toml:"path_prefix"`
-	Idempotent bool   `toml:"idempotent"`
+	Idempotent *bool  `toml:"idempotent"`
 }
 
 type serviceDoc struct {
-	Name        string      `toml:"name"`
-	DependsOn   []string    `toml:"depends_on"`
-	Deadline    string      `toml:"deadline"`
-	IdleTimeout string      `toml:"idle_timeout"`
-	Priority    int8        `toml:"priority"`
-	Share       *float64    `toml:"share"`
-	MaxInFlight *int        `toml:"max_in_flight"`
-	Queue       *int        `toml:"queue"`
-	Call        []callDoc   `toml:"call"`
-	Target      []targetDoc `toml:"target"`
+	Name        string           `toml:"name"`
+	DependsOn   []string         `toml:"depends_on"`
+	Deadline    *strict.Duration `toml:"deadline"`
+	IdleTimeout *strict.Duration `toml:"idle_timeout"`
+	Priority    int8             `toml:"priority"`
+	Share       *float64         `toml:"share"`
+	MaxInFlight *int             `toml:"max_in_flight"`
+	Queue       *int             `toml:"queue"`
+	Call        []callDoc        `toml:"call"`
+	Target      []targetDoc      `toml:"target"`
 }
 
 type poolDoc struct {
-	Name        string      `toml:"name"`
-	Deadline    string      `toml:"deadline"`
-	IdleTimeout string      `toml:"idle_timeout"`
-	Priority    int8        `toml:"priority"`
-	MaxInFlight *int        `toml:"max_in_flight"`
-	Queue       *int        `toml:"queue"`
-	Adapters    []string    `toml:"adapters"`
-	WeightStore string      `toml:"weight_store"`
-	Target      []targetDoc `toml:"target"`
+	Name        string           `toml:"name"`
+	Deadline    *strict.Duration `toml:"deadline"`
+	IdleTimeout *strict.Duration `toml:"idle_timeout"`
+	Priority    int8             `toml:"priority"`
+	MaxInFlight *int             `toml:"max_in_flight"`
+	Queue       *int             `toml:"queue"`
+	Adapters    []string         `toml:"adapters"`
+	WeightStore string           `toml:"weight_store"`
+	Target      []targetDoc      `toml:"target"`
 }
 
 type trainerDoc struct {
-	Name           string   `toml:"name"`
-	Pools          []string `toml:"pools"`
-	StalenessBound uint64   `toml:"staleness_bound"`
-	GroupSize      int      `toml:"group_size"`
-	Share          *float64 `toml:"share"`
-	Scorer         string   `toml:"scorer"`
-	Deadline       string   `toml:"deadline"`
+	Name           string           `toml:"name"`
+	Pools          []string         `toml:"pools"`
+	StalenessBound *uint64          `toml:"staleness_bound"`
+	GroupSize      int              `toml:"group_size"`
+	Share          *float64         `toml:"share"`
+	Scorer         string           `toml:"scorer"`
+	Deadline       *strict.Duration `toml:"deadline"`
 }
 
 // Defaults of the configuration.
@@ -89,15 +88,22 @@
 )
 
 // Parse reads and checks a configuration text. file names the text in errors.
+// The error is strict.Faults with every fault of the text.
 func Parse(file string, text []byte) (*Config, error) {
 	var doc document
-	if err := toml.Unmarshal(text, &doc); err != nil {
-		return nil, eris.Wrapf(err, "%s", file)
+	decoded := strict.Decode(file, text, &doc)
+	if !decoded.Valid() {
+		return nil, decoded.Err()
 	}
-	return doc.build()
+	c := doc.build()
+	newChecker(decoded, &doc, c).check()
+	if !decoded.Valid() {
+		return nil, decoded.Err()
+	}
+	return c, nil
 }
 
-func (d *document) build() (*Config, error) {
+func (d *document) build() *Config {
 	c := &Config{
 		Limits: Limits{
 			RetryShare:      or(d.Limits.RetryShare, defaultRetryShare),
@@ -116,19 +122,19 @@
 	for _, t := range d.Trainer {
 		c.Trainers = append(c.Trainers, t.build())
 	}
-	return c, nil
+	return c
 }
 
 func (s serviceDoc) build() Service {
 	calls := make([]Call, 0, len(s.Call))
 	for _, c := range s.Call {
-		calls = append(calls, Call(c))
+		calls = append(calls, Call{Method: c.Method, PathPrefix: c.PathPrefix, Idempotent: or(c.Idempotent, false)})
 	}
 	return Service{
 		Name:        s.Name,
 		DependsOn:   s.DependsOn,
 		Deadline:    duration(s.Deadline, defaultDeadline),
-		IdleTimeout: duration(s.IdleTimeout, defaultIdleTimeout),
+		IdleTimeout: duration(s.IdleTimeout, min(defaultIdleTimeout, duration(s.Deadline, defaultDeadline))),
 		Priority:    s.Priority,
 		Share:       or(s.Share, defaultShare),
 		MaxInFlight: or(s.MaxInFlight, defaultMaxInFlight),
@@ -142,7 +148,7 @@
 	return Pool{
 		Name:        p.Name,
 		Deadline:    duration(p.Deadline, defaultDeadline),
-		IdleTimeout: duration(p.IdleTimeout, defaultIdleTimeout),
+		IdleTimeout: duration(p.IdleTimeout, min(defaultIdleTimeout, duration(p.Deadline, defaultDeadline))),
 		Priority:    p.Priority,
 		MaxInFlight: or(p.MaxInFlight, defaultMaxInFlight),
 		Queue:       or(p.Queue, defaultQueue),
@@ -156,7 +162,7 @@
 	return Trainer{
 		Name:           t.Name,
 		Pools:          t.Pools,
-		StalenessBound: t.StalenessBound,
+		StalenessBound: or(t.StalenessBound, 0),
 		GroupSize:      t.GroupSize,
 		Share:          or(t.Share, defaultShare),
 		Scorer:         t.Scorer,
@@ -179,10 +185,9 @@
 	return *v
 }
 
-func duration(text string, fallback time.Duration) time.Duration {
-	d, err := time.ParseDuration(text)
-	if err != nil {
+func duration(d *strict.Duration, fallback time.Duration) time.Duration {
+	if d == nil {
 		return fallback
 	}
-	return d
+	return time.Duration(*d)
 }
--- /dev/null
+++ b/strict/strict.go
@@ -0,0 +1,194 @@
+// Package strict decodes TOML files and reports every fault of a file at once,
+// each with file, line, key and what to do about it.
+package strict
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+	"github.com/rotisserie/eris"
+)
+
+// Fault is one fault of a file.
+type Fault struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Key     string `json:"key"`
+	Problem string `json:"problem"`
+	Fix     string `json:"fix"`
+}
+
+// String returns the fault on one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s; %s", f.File, f.Line, f.Key, f.Problem, f.Fix)
+}
+
+// Faults is the error of a file with at least one fault.
+type Faults []Fault
+
+// Error implements error with one line a fault.
+func (fs Faults) Error() string {
+	lines := make([]string, 0, len(fs))
+	for _, f := range fs {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Duration is a time in a TOML file, a string with a unit such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Document is a decoded file to which further faults can be added.
+type Document struct {
+	file   string
+	lines  map[string]int
+	faults Faults
+}
+
+// Decode decodes text into the struct that into points to. The faults of the
+// document are those of syntax, of unknown keys and of types; when there are
+// any, into is not changed.
+func Decode(file string, text []byte, into any) *Document {
+	d := &Document{file: file, lines: make(map[string]int)}
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		d.syntax(err)
+		return d
+	}
+	d.index(text)
+	d.checkStruct("", tree, structType(into))
+	if len(d.faults) > 0 {
+		return d
+	}
+	if err := toml.Unmarshal(text, into); err != nil {
+		d.syntax(err)
+	}
+	return d
+}
+
+// Report adds a fault. key is a path such as "service[0].target[2].zone".
+func (d *Document) Report(key, problem, fix string) {
+	d.faults = append(d.faults, Fault{File: d.file, Line: d.line(key), Key: key, Problem: problem, Fix: fix})
+}
+
+// Valid reports whether no fault has been found so far.
+func (d *Document) Valid() bool { return len(d.faults) == 0 }
+
+// Err returns all faults in the order of the file, or nil.
+func (d *Document) Err() error {
+	if d.Valid() {
+		return nil
+	}
+	sort.SliceStable(d.faults, func(i, j int) bool { return d.faults[i].Line < d.faults[j].Line })
+	return d.faults
+}
+
+func (d *Document) syntax(err error) {
+	var syntax *toml.DecodeError
+	if !eris.As(err, &syntax) {
+		d.Report("(file)", err.Error(), "write valid TOML")
+		return
+	}
+	line, _ := syntax.Position()
+	key := strings.Join(syntax.Key(), ".")
+	if key == "" {
+		key = "(file)"
+	}
+	d.faults = append(d.faults, Fault{
+		File:    d.file,
+		Line:    line,
+		Key:     key,
+		Problem: strings.TrimPrefix(syntax.Error(), "toml: "),
+		Fix:     "write valid TOML",
+	})
+}
+
+// line returns the line of key, or of the nearest table that holds it.
+func (d *Document) line(key string) int {
+	for key != "" {
+		if line, ok := d.lines[key]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		if cut < 0 {
+			break
+		}
+		key = key[:cut]
+	}
+	return 1
+}
+
+// index records the line of each key and table.
+func (d *Document) index(text []byte) {
+	var p unstable.Parser
+	p.Reset(text)
+	counts := make(map[string]int)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		parts, line := keyOf(&p, e)
+		switch e.Kind {
+		case unstable.Table:
+			table = resolve(parts, counts)
+			d.lines[table] = line
+		case unstable.ArrayTable:
+			table = resolveArray(parts, counts)
+			d.lines[table] = line
+		case unstable.KeyValue:
+			d.lines[join(table, strings.Join(parts, "."))] = line
+		}
+	}
+}
+
+func keyOf(p *unstable.Parser, e *unstable.Node) ([]string, int) {
+	var parts []string
+	line := 0
+	for it := e.Key(); it.Next(); {
+		node := it.Node()
+		if line == 0 {
+			line = p.Shape(p.Range(node.Data)).Start.Line
+		}
+		parts = append(parts, string(node.Data))
+	}
+	return parts, line
+}
+
+// resolve names a table by the latest element of each array on its path.
+func resolve(parts []string, counts map[string]int) string {
+	path := ""
+	for _, part := range parts {
+		path = join(path, part)
+		if n := counts[path]; n > 0 {
+			path = fmt.Sprintf("%s[%d]", path, n-1)
+		}
+	}
+	return path
+}
+
+func resolveArray(parts []string, counts map[string]int) string {
+	last := len(parts) - 1
+	path := join(resolve(parts[:last], counts), parts[last])
+	counts[path]++
+	return fmt.Sprintf("%s[%d]", path, counts[path]-1)
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
