--- a/observe/observe.go
+++ b/observe/observe.go
@@ -29,7 +29,7 @@
 // An unknown level means "info".
 func New(level string) *Observer {
 	log := logrus.New()
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	log.SetFormatter(&prefixFormatter{inner: logrus.TextFormatter{DisableColors: true, FullTimestamp: true}})
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		log.SetLevel(parsed)
 	}
@@ -45,7 +45,29 @@
 
 // Logger returns a logger that puts "part: " before each message.
 func (o *Observer) Logger(part string) *logrus.Entry {
-	return o.Log.WithField("part", part)
+	return o.Log.WithField(partField, part)
+}
+
+const partField = "part"
+
+// prefixFormatter writes the part before the message instead of as a field.
+type prefixFormatter struct{ inner logrus.TextFormatter }
+
+// Format implements logrus.Formatter.
+func (f *prefixFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	part, ok := e.Data[partField].(string)
+	if !ok {
+		return f.inner.Format(e)
+	}
+	changed := *e
+	changed.Message = part + ": " + e.Message
+	changed.Data = make(logrus.Fields, len(e.Data))
+	for key, value := range e.Data {
+		if key != partField {
+			changed.Data[key] = value
+		}
+	}
+	return f.inner.Format(&changed)
 }
 
 // Dump adds a part to the state dump. f returns a value that encodes as JSON; it
