Add agent and stand-ins for engine and plain service

The entry needs a process beside each target that runs a request at most once and relays its answer over links. The agent runs requests over links, streams chunks back under credit, and passes weight loads through an order gate.

The request table is a pure state machine. A refusal is answered only after the id is on the list of revoked ids, since a copy of the Run may still be on the way. Each target call uses a connection of its own: net/http repeats requests by itself only on reused connections.

The stand-ins record what they saw, for checks from outside the product.

--- /dev/null
+++ b/agent/harness_test.go
@@ -0,0 +1,264 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"merlinhall/duty"
+	"merlinhall/link"
+	"merlinhall/standin"
+	"merlinhall/wire"
+)
+
+const testWait = 20 * time.Second
+
+// client is the entry side of a link in tests.
+type client struct {
+	t    testing.TB
+	conn *link.Conn
+
+	mu      sync.Mutex
+	chunks  map[string][]*wire.Chunk
+	refused map[string]*wire.Refused
+	revoked map[string]*wire.Revoked
+	loads   []*wire.Load
+	changed chan struct{}
+	// credit is how far beyond the received chunks each stream may go; 0 gives
+	// none.
+	credit uint64
+}
+
+func (c *client) Up(*link.Conn)          {}
+func (c *client) Down(*link.Conn, error) {}
+func (c *client) Message(l *link.Conn, m wire.Message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch m := m.(type) {
+	case *wire.Chunk:
+		c.chunks[m.ID] = append(c.chunks[m.ID], m)
+		if c.credit > 0 {
+			_ = l.Send(&wire.Credit{ID: m.ID, Confirmed: m.Sequence + 1, Limit: m.Sequence + 1 + c.credit})
+		}
+	case *wire.Refused:
+		c.refused[m.ID] = m
+	case *wire.Revoked:
+		c.revoked[m.ID] = m
+	case *wire.Load:
+		c.loads = append(c.loads, m)
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// until waits for a condition on what was received.
+func (c *client) until(what string, cond func() bool) {
+	c.t.Helper()
+	limit := time.After(testWait)
+	for {
+		c.mu.Lock()
+		ok, changed := cond(), c.changed
+		c.mu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			c.t.Fatalf("no %s", what)
+		}
+	}
+}
+
+// answer waits for the end of a request and returns its chunks.
+func (c *client) answer(id string) []*wire.Chunk {
+	c.t.Helper()
+	var out []*wire.Chunk
+	c.until("answer of "+id, func() bool {
+		out = c.chunks[id]
+		return len(out) > 0 && out[len(out)-1].End != ""
+	})
+	return out
+}
+
+func (c *client) send(m wire.Message) {
+	c.t.Helper()
+	if err := c.conn.Send(m); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// site is one agent with its target and link listener.
+type site struct {
+	t       testing.TB
+	agent   *Agent
+	target  *httptest.Server
+	links   *httptest.Server
+	system  *duty.System
+	index   uint64
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// startSite starts an agent beside the handler.
+func startSite(t testing.TB, kind string, handler http.Handler, change func(*Options)) *site {
+	s := &site{t: t, system: duty.NewSystem(), target: httptest.NewServer(handler)}
+	local := wire.Hello{Process: "agent-1", Zone: "bole", Roles: []wire.Role{wire.RoleAgent}, Boot: "boot-1", Target: "target-1"}
+	o := Options{
+		Local:   local,
+		Kind:    kind,
+		Address: address(s.target),
+		System:  s.system,
+		Barrier: func(context.Context) (uint64, uint64, error) { return 1, 1, nil },
+	}
+	if change != nil {
+		change(&o)
+	}
+	agent, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.agent = agent
+	mux := &link.Mux{}
+	mux.Handle(agent, wire.KindRun, wire.KindAttach, wire.KindCredit, wire.KindCancel, wire.KindRevoke)
+	s.links = httptest.NewServer(link.Accept(local, mux))
+	t.Cleanup(func() {
+		agent.Stop()
+		s.links.CloseClientConnections()
+		s.target.CloseClientConnections()
+		s.links.Close()
+		s.target.Close()
+	})
+	return s
+}
+
+// dial opens an entry link to the agent.
+func (s *site) dial() *client {
+	s.t.Helper()
+	c := &client{
+		t:       s.t,
+		chunks:  make(map[string][]*wire.Chunk),
+		refused: make(map[string]*wire.Refused),
+		revoked: make(map[string]*wire.Revoked),
+		changed: make(chan struct{}),
+		credit:  Window,
+	}
+	hello := wire.Hello{Process: "entry-1", Zone: "bole", Roles: []wire.Role{wire.RoleEntry}, Boot: "e"}
+	conn, err := link.Dial(s.t.Context(), link.NewHTTPClient(nil), "ws", address(s.links), hello, c)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	c.conn = conn
+	s.t.Cleanup(func() { conn.Close(link.ErrClosed) })
+	return c
+}
+
+// configText is a configuration with the target in a pool and in a service.
+func (s *site) configText(idle string) string {
+	return fmt.Sprintf(`
+[[zone]]
+name = "bole"
+region = "addis"
+
+[[service]]
+name = "approve-app"
+deadline = "20s"
+idle_timeout = "%[1]s"
+  [[service.target]]
+  name = "%[2]s"
+  zone = "bole"
+  agent = "127.0.0.1:1"
+  address = "%[4]s"
+
+[[pool]]
+name = "policy-lm"
+deadline = "20s"
+idle_timeout = "%[1]s"
+weight_store = "127.0.0.1:2"
+  [[pool.target]]
+  name = "%[3]s"
+  zone = "bole"
+  agent = "127.0.0.1:3"
+  address = "%[4]s"
+`, idle, s.name(KindService), s.name(KindEngine), address(s.target))
+}
+
+func (s *site) name(kind string) string {
+	if s.agent.o.Kind == kind {
+		return "target-1"
+	}
+	return "other"
+}
+
+// world gives the agent a world that orders the weight version (0: none).
+func (s *site) world(idle string, weights uint64, departures ...wire.Departure) *wire.World {
+	s.index++
+	text := []byte(s.configText(idle))
+	w := &wire.World{Index: s.index, Term: 1, ConfigVersion: 1, ConfigText: text, Departures: departures}
+	if weights > 0 {
+		w.Weights = []wire.WeightTarget{{Pool: "policy-lm", Version: weights, Fence: wire.Fence{Term: 1, Sequence: s.index}}}
+	}
+	s.agent.OnWorld(w)
+	return w
+}
+
+func generation(id, prompt string, tokens int) *wire.Run {
+	return &wire.Run{
+		ID:            id,
+		Service:       "policy-lm",
+		Deadline:      time.Now().Add(testWait).UnixMilli(),
+		Idempotent:    true,
+		ConfigVersion: 1,
+		Generation:    &wire.Generation{Prompt: prompt, MaxTokens: tokens},
+		Credit:        Window,
+	}
+}
+
+func call(id, method, path, body string) *wire.Run {
+	return &wire.Run{
+		ID:            id,
+		Service:       "approve-app",
+		Method:        method,
+		Path:          path,
+		Headers:       []wire.Header{{Name: standin.HeaderCallID, Value: "call-" + id}},
+		Body:          []byte(body),
+		Deadline:      time.Now().Add(testWait).UnixMilli(),
+		ConfigVersion: 1,
+		Credit:        Window,
+	}
+}
+
+func tokens(chunks []*wire.Chunk) []string {
+	var out []string
+	for _, c := range chunks {
+		for _, t := range c.Tokens {
+			out = append(out, t.Text)
+		}
+	}
+	return out
+}
+
+func data(chunks []*wire.Chunk) string {
+	var b strings.Builder
+	for _, c := range chunks {
+		b.Write(c.Data)
+	}
+	return b.String()
+}
+
+// eventually polls a condition on a stand-in.
+func eventually(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	limit := time.Now().Add(testWait)
+	for !cond() {
+		if time.Now().After(limit) {
+			t.Fatalf("no %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/agent/orders.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"context"
+
+	"merlinhall/config"
+	"merlinhall/duty"
+	"merlinhall/wire"
+)
+
+// Answers to actions of the gate.
+type (
+	barrierDone struct {
+		action gateAction
+		index  uint64
+		err    error
+	}
+	orderEnded struct {
+		action gateAction
+		result orderResult
+	}
+)
+
+// takeWorld takes up a world. One whose configuration does not parse, or that is
+// older than the one held, changes nothing.
+func (a *Agent) takeWorld(w *wire.World) {
+	if a.world != nil && w.Index < a.world.Index {
+		return
+	}
+	conf, err := a.parse(w)
+	if err != nil {
+		a.log.WithError(err).WithField("version", w.ConfigVersion).Error("configuration does not parse")
+		return
+	}
+	a.world = w
+	a.conf = conf
+	a.hop.world(w, conf)
+	a.idle.set(idleBound(a.hop.place))
+	if a.engine != nil {
+		want, wanted := weightsFor(w, a.hop.place)
+		a.gate.takeWorld(w.Index, want, wanted)
+		a.noteHealthOfGate()
+	}
+	a.reportChange()
+	a.advanceGate()
+}
+
+// parse returns the parsed configuration of w; an unchanged text is not parsed
+// again.
+func (a *Agent) parse(w *wire.World) (*config.Config, error) {
+	if a.world != nil && a.world.ConfigDigest != "" && a.world.ConfigDigest == w.ConfigDigest {
+		return a.conf, nil
+	}
+	return config.Parse("configuration", w.ConfigText)
+}
+
+// weightsFor returns what the pool of the place must serve.
+func weightsFor(w *wire.World, p *place) (wire.WeightTarget, bool) {
+	if p == nil || p.pool == nil {
+		return wire.WeightTarget{}, false
+	}
+	for _, t := range w.Weights {
+		if t.Pool == p.owner {
+			return t, true
+		}
+	}
+	return wire.WeightTarget{}, false
+}
+
+// advanceGate carries out the actions that are due at the order gate.
+func (a *Agent) advanceGate() {
+	if a.engine == nil {
+		return
+	}
+	action, ok := a.gate.next(now())
+	if !ok {
+		return
+	}
+	switch action.op {
+	case gateBarrier:
+		a.askBarrier(action)
+	case gateState:
+		a.pollState(action)
+	case gateFetch:
+		a.fetch(action)
+	case gateTurn:
+		a.askTurn(action)
+	case gateOrder:
+		a.passOrder(action)
+	}
+}
+
+func (a *Agent) askBarrier(action gateAction) {
+	go func() {
+		ctx, cancel := context.WithTimeout(a.ctx, barrierLimit)
+		defer cancel()
+		_, index, err := a.o.Barrier(ctx)
+		a.post(barrierDone{action, index, err})
+	}()
+}
+
+func (a *Agent) fetch(action gateAction) {
+	a.gate.fetched(now(), action, true)
+	a.advanceGate()
+}
+
+func (a *Agent) askTurn(action gateAction) {
+	a.gate.turned(now(), action, true)
+	a.advanceGate()
+}
+
+// passOrder sends the order to the engine.
+func (a *Agent) passOrder(action gateAction) {
+	a.orders++
+	a.witness.swapStarted()
+	a.log.WithField("version", action.version).Info("engine is ordered to load weights")
+	a.reportChange()
+	go func() {
+		ctx, cancel := context.WithTimeout(a.ctx, a.o.OrderLimit)
+		defer cancel()
+		a.post(orderEnded{action, a.engine.load(ctx, action.version, action.fence)})
+	}()
+}
+
+func (a *Agent) orderEnded(m orderEnded) {
+	a.orders++
+	switch m.result {
+	case orderDone:
+		a.witness.settled(m.action.version)
+		a.load.state.Version = m.action.version
+	case orderNotSent:
+		a.witness.swapAborted()
+	case orderUnknown:
+		a.witness.swapUnknown()
+	}
+	a.gate.ordered(now(), m.action, m.result)
+	if m.result != orderDone {
+		a.log.WithField("version", m.action.version).WithField("result", m.result.String()).Warn("weights were not loaded")
+	}
+	a.noteHealthOfGate()
+	a.reportChange()
+	a.advanceGate()
+}
+
+// receiveAnswer handles the answers to what the agent asked for.
+func (a *Agent) receiveAnswer(msg any) {
+	switch m := msg.(type) {
+	case stateRead:
+		a.stateRead(m)
+	case barrierDone:
+		if m.err != nil {
+			a.log.WithError(m.err).Debug("barrier failed")
+		}
+		a.gate.barrierDone(now(), m.action, m.index, m.err == nil)
+		a.advanceGate()
+	case orderEnded:
+		a.orderEnded(m)
+	case duty.Call[viewAsked, view]:
+		m.Reply(a.view())
+	}
+}
+
+// String returns the name of the result in logs.
+func (r orderResult) String() string {
+	return [...]string{"none", "done", "failed", "stale", "not sent", "unknown"}[r]
+}
--- a/wire/request.go
+++ b/wire/request.go
@@ -177,6 +177,9 @@
 	// CacheReset is set when cache events were lost and the view must be cleared.
 	CacheReset bool `cbor:"11,keyasint,omitempty"`
 	FreeKV     int  `cbor:"12,keyasint,omitempty"` // tokens of free KV cache
+	// Suspect is set while a connection to the target has gone silent or the
+	// target was slow to answer a probe.
+	Suspect bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Kind implements Message.
