entry: request lifecycle, links to agents and HTTP for callers

An entry follows each request over links to agents until its answer is complete or its outcome is certain.

A Run that an agent does not know after a reconnect is sent again with the same id instead of being taken for not run: frames of the old connection may still reach the agent, and its table makes the second Run harmless.

--- /dev/null
+++ b/entry/fake_test.go
@@ -0,0 +1,457 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"merlinhall/link"
+	"merlinhall/wire"
+)
+
+// fakeRun is a request at a fakeAgent.
+type fakeRun struct {
+	run      *wire.Run
+	chunks   []*wire.Chunk
+	sent     uint64
+	limit    uint64
+	started  bool
+	revoked  bool
+	finished bool
+	cancel   context.CancelFunc
+	conn     *link.Conn
+}
+
+// fakeAgent implements the agent's side of the request path in memory, behind a
+// relay that can be silenced or cut.
+type fakeAgent struct {
+	t       *testing.T
+	target  string
+	version uint64
+	relay   *relay
+	server  *httptest.Server
+	// answer produces the chunks of a request; it returns early when ctx ends.
+	answer func(ctx context.Context, r *wire.Run, emit func(wire.Chunk))
+	// before decides on a Run that the table does not know; it may refuse it.
+	before func(r *wire.Run) *wire.Refused
+	// emitted changes the frames of one chunk on the way to the entry.
+	emitted func(c *wire.Chunk) []*wire.Chunk
+	hold    atomic.Bool // Run is accepted but not started
+
+	mu      sync.Mutex
+	boot    string
+	boots   int
+	table   map[string]*fakeRun
+	conns   map[*link.Conn]bool
+	started map[string]int // runs started, by request id without the attempt
+	cancels []string
+}
+
+func newFakeAgent(t *testing.T, target string) *fakeAgent {
+	a := &fakeAgent{t: t, target: target, version: 1, answer: echoAnswer, started: make(map[string]int)}
+	a.reset()
+	a.serve()
+	a.relay = newRelay(t, func() string { a.mu.Lock(); defer a.mu.Unlock(); return a.server.Listener.Addr().String() })
+	t.Cleanup(func() { a.relay.cut(); a.closeConns(); a.server.Close() })
+	return a
+}
+
+func (a *fakeAgent) reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.boots++
+	a.boot = fmt.Sprintf("%s-boot-%d", a.target, a.boots)
+	for _, r := range a.table {
+		if r.cancel != nil {
+			r.cancel()
+		}
+	}
+	a.table = make(map[string]*fakeRun)
+	a.conns = make(map[*link.Conn]bool)
+}
+
+func (a *fakeAgent) serve() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	hello := wire.Hello{Process: "agent-" + a.target, Roles: []wire.Role{wire.RoleAgent}, Boot: a.boot, Target: a.target}
+	mux := http.NewServeMux()
+	mux.Handle(link.Path, link.Accept(hello, &fakeSession{a, a.boot}))
+	a.server = httptest.NewServer(mux)
+}
+
+// crash loses the table and all connections. The agent comes back with a new
+// boot id when it restarts.
+func (a *fakeAgent) crash() {
+	a.relay.refuse.Store(true)
+	a.relay.cut()
+	a.closeConns()
+	a.reset()
+}
+
+func (a *fakeAgent) restart() {
+	a.server.Close()
+	a.serve()
+	a.relay.refuse.Store(false)
+}
+
+func (a *fakeAgent) closeConns() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		go c.Close(link.ErrClosed)
+	}
+}
+
+// fakeSession handles the links of one life of the agent.
+type fakeSession struct {
+	a    *fakeAgent
+	boot string
+}
+
+func (s *fakeSession) Up(c *link.Conn) {
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	s.a.conns[c] = true
+}
+
+func (s *fakeSession) Down(c *link.Conn, _ error) {
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	delete(s.a.conns, c)
+}
+
+func (s *fakeSession) Message(c *link.Conn, m wire.Message) {
+	a := s.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s.boot != a.boot {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Run:
+		a.onRun(c, m)
+	case *wire.Attach:
+		a.onAttach(c, m)
+	case *wire.Credit:
+		if r := a.table[m.ID]; r != nil {
+			r.limit = max(r.limit, m.Limit)
+			a.flush(r)
+		}
+	case *wire.Cancel:
+		a.cancels = append(a.cancels, m.ID)
+		if r := a.table[m.ID]; r != nil && r.cancel != nil {
+			r.cancel()
+		}
+	case *wire.Revoke:
+		a.onRevoke(c, m)
+	}
+}
+
+func (a *fakeAgent) refuse(c *link.Conn, id string, reason wire.RefusedReason) {
+	_ = c.Send(&wire.Refused{ID: id, Reason: reason, Boot: a.boot})
+}
+
+func (a *fakeAgent) onRun(c *link.Conn, m *wire.Run) {
+	r := a.table[m.ID]
+	if r == nil && time.Now().UnixMilli() > m.Deadline {
+		a.refuse(c, m.ID, wire.RefusedDeadline)
+		return
+	}
+	if r == nil && a.before != nil {
+		if refused := a.before(m); refused != nil {
+			refused.ID, refused.Boot = m.ID, a.boot
+			_ = c.Send(refused)
+			return
+		}
+	}
+	if r == nil {
+		r = &fakeRun{run: m}
+		a.table[m.ID] = r
+	}
+	if r.revoked {
+		a.refuse(c, m.ID, wire.RefusedRevoked)
+		return
+	}
+	r.conn, r.sent, r.limit = c, 0, max(r.limit, uint64(m.Credit))
+	a.start(r)
+	a.flush(r)
+}
+
+func (a *fakeAgent) start(r *fakeRun) {
+	if r.started || r.revoked || a.hold.Load() {
+		return
+	}
+	r.started = true
+	a.started[baseID(r.run.ID)]++
+	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.run.Deadline))
+	r.cancel = cancel
+	boot := a.boot
+	go func() {
+		a.answer(ctx, r.run, func(c wire.Chunk) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if a.boot != boot {
+				return
+			}
+			c.ID, c.Sequence, c.Boot = r.run.ID, uint64(len(r.chunks)), boot
+			r.chunks = append(r.chunks, &c)
+			a.flush(r)
+		})
+		cancel()
+	}()
+}
+
+func baseID(id string) string {
+	base, _, _ := strings.Cut(id, ".")
+	return base
+}
+
+func (a *fakeAgent) flush(r *fakeRun) {
+	for r.conn != nil && r.sent < min(uint64(len(r.chunks)), r.limit) {
+		frames := []*wire.Chunk{r.chunks[r.sent]}
+		r.sent++
+		if a.emitted != nil {
+			frames = a.emitted(frames[0])
+		}
+		for _, f := range frames {
+			_ = r.conn.Send(f)
+		}
+	}
+}
+
+func (a *fakeAgent) onAttach(c *link.Conn, m *wire.Attach) {
+	r := a.table[m.ID]
+	if r == nil {
+		a.refuse(c, m.ID, wire.RefusedUnknownID)
+		return
+	}
+	r.conn, r.sent, r.limit = c, m.From, max(r.limit, m.From+uint64(m.Credit))
+	a.flush(r)
+}
+
+func (a *fakeAgent) onRevoke(c *link.Conn, m *wire.Revoke) {
+	r := a.table[m.ID]
+	outcome := wire.RevokeRunning
+	if r == nil || !r.started {
+		outcome = wire.RevokeNotStarted
+		a.table[m.ID] = &fakeRun{run: &wire.Run{ID: m.ID}, revoked: true}
+	} else if n := len(r.chunks); n > 0 && r.chunks[n-1].End != "" {
+		outcome = wire.RevokeFinished
+	}
+	_ = c.Send(&wire.Revoked{ID: m.ID, Outcome: outcome, Boot: a.boot})
+}
+
+// release starts the requests that were held.
+func (a *fakeAgent) release() {
+	a.hold.Store(false)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.table {
+		a.start(r)
+	}
+}
+
+// report sends a load report on all links.
+func (a *fakeAgent) report(l wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l.Target, l.Boot = a.target, a.boot
+	for c := range a.conns {
+		_ = c.Send(&l)
+	}
+}
+
+func (a *fakeAgent) runs(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.started[id]
+}
+
+func (a *fakeAgent) total() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, c := range a.started {
+		n += c
+	}
+	return n
+}
+
+// echoAnswer answers a call with its body and a generation with tokens that
+// depend on the prompt and the index alone.
+func echoAnswer(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
+	if g := r.Generation; g != nil {
+		for i := len(g.Prefix); i < g.MaxTokens; i++ {
+			emit(wire.Chunk{Tokens: []wire.Token{{Text: fakeToken(g.Prompt, i), Version: 1}}})
+		}
+		emit(wire.Chunk{End: wire.EndComplete})
+		return
+	}
+	emit(wire.Chunk{Status: http.StatusOK, Headers: []wire.Header{{Name: "Content-Type", Value: "text/plain"}}})
+	emit(wire.Chunk{Data: r.Body})
+	emit(wire.Chunk{End: wire.EndComplete})
+}
+
+func fakeToken(prompt string, index int) string { return fmt.Sprintf("%s/%d ", prompt, index) }
+
+// relay forwards connections to an address. silence makes the open connections
+// swallow bytes; cut closes them; refuse turns new ones away.
+type relay struct {
+	listener net.Listener
+	target   func() string
+	refuse   atomic.Bool
+
+	mu    sync.Mutex
+	pairs map[*pair]bool
+}
+
+type pair struct {
+	in, out net.Conn
+	silent  atomic.Bool
+}
+
+func newRelay(t *testing.T, target func() string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, target: target, pairs: make(map[*pair]bool)}
+	t.Cleanup(func() { _ = l.Close() })
+	go r.loop()
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+func (r *relay) loop() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		if r.refuse.Load() {
+			_ = in.Close()
+			continue
+		}
+		out, err := net.Dial("tcp", r.target())
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		p := &pair{in: in, out: out}
+		r.mu.Lock()
+		r.pairs[p] = true
+		r.mu.Unlock()
+		go p.pump(in, out)
+		go p.pump(out, in)
+	}
+}
+
+func (p *pair) pump(dst, src net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			_ = dst.Close()
+			return
+		}
+		if !p.silent.Load() {
+			_, _ = dst.Write(buf[:n])
+		}
+	}
+}
+
+func (r *relay) each(f func(*pair)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		f(p)
+	}
+}
+
+func (r *relay) silence() { r.each(func(p *pair) { p.silent.Store(true) }) }
+
+func (r *relay) cut() {
+	r.each(func(p *pair) { _ = p.in.Close(); _ = p.out.Close(); delete(r.pairs, p) })
+}
+
+// site is an entry in front of fake agents.
+type site struct {
+	t      *testing.T
+	entry  *Entry
+	http   *httptest.Server
+	agents []*fakeAgent
+	index  uint64
+}
+
+// newSite starts an entry that serves the service "svc" and the pool "lm" on n
+// fake agents.
+func newSite(t *testing.T, n int, change func(*Options)) *site {
+	t.Helper()
+	s := &site{t: t}
+	for i := range n {
+		s.agents = append(s.agents, newFakeAgent(t, fmt.Sprintf("t%d", i)))
+	}
+	o := Options{Name: "entry-1", Zone: "z0", Boot: "e1", Seed: 1}
+	if change != nil {
+		change(&o)
+	}
+	e, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.entry = e
+	s.http = httptest.NewServer(e.Handler())
+	t.Cleanup(func() { s.http.CloseClientConnections(); s.entry.Stop(); s.http.Close() })
+	s.world(s.agents...)
+	s.waitLinks(n)
+	return s
+}
+
+// world publishes a configuration with the agents.
+func (s *site) world(agents ...*fakeAgent) {
+	s.publish(&wire.World{ConfigText: []byte(configText(agents, ""))})
+}
+
+func (s *site) publish(w *wire.World) {
+	s.index++
+	w.Index, w.ConfigVersion = s.index, s.index
+	s.entry.OnWorld(w)
+}
+
+func configText(agents []*fakeAgent, extra string) string {
+	var b strings.Builder
+	list := func(kind, name string) {
+		fmt.Fprintf(&b, "[[%s]]\nname = %q\ndeadline = \"20s\"\nidle_timeout = \"2s\"\n%s\n", kind, name, extra)
+		for i, a := range agents {
+			fmt.Fprintf(&b, "[[%s.target]]\nname = %q\nzone = \"z%d\"\nagent = %q\n", kind, a.target, i%2, a.relay.address())
+		}
+	}
+	list("service", "svc")
+	list("pool", "lm")
+	return b.String()
+}
+
+func (s *site) waitLinks(n int) {
+	s.t.Helper()
+	eventually(s.t, "links", func() bool { return s.entry.linksUp() >= n })
+}
+
+// eventually waits for a condition; only a run that never meets it fails.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 4000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never seen: %s", what)
+}
--- /dev/null
+++ b/entry/flight.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"merlinhall/wire"
+)
+
+// flight is a request between its caller and the dispatcher.
+type flight struct {
+	request  *request
+	service  string // name of the service or pool
+	caller   string
+	priority int8
+	accepted time.Time
+
+	target    *target // of the current attempt, nil while waiting
+	notBefore time.Time
+	avoid     string
+
+	// chunks never blocks the dispatcher: the credit window bounds the chunks
+	// that were delivered and not taken.
+	chunks chan *wire.Chunk
+	result Result // valid after chunks is closed
+}
+
+func newFlight(service string, r *request) *flight {
+	return &flight{
+		service:  service,
+		request:  r,
+		caller:   r.run.Caller,
+		priority: r.run.Priority,
+		chunks:   make(chan *wire.Chunk, creditWindow),
+	}
+}
+
+// setPriority replaces the configured priority by p when p is set.
+func (f *flight) setPriority(p *int8) {
+	if p == nil {
+		return
+	}
+	f.priority = *p
+	f.request.run.Priority = *p
+}
+
+// follow passes the chunks of f to take until the end and returns the result.
+// When ctx ends or take fails, the request is cancelled.
+func (e *Entry) follow(ctx context.Context, f *flight, take func(*wire.Chunk) error) Result {
+	var taken uint64
+	for {
+		select {
+		case c, ok := <-f.chunks:
+			if !ok {
+				return f.result
+			}
+			if err := take(c); err != nil {
+				return e.leave(f)
+			}
+			taken++
+			if taken >= creditStep {
+				e.offer(ctx, consumedMessage{f, taken})
+				taken = 0
+			}
+		case <-ctx.Done():
+			return e.leave(f)
+		}
+	}
+}
+
+// leave cancels f and returns its result.
+func (e *Entry) leave(f *flight) Result {
+	e.offer(context.Background(), leaveMessage{f})
+	for range f.chunks {
+	}
+	return f.result
+}
+
+// submit gives f to the dispatcher. It returns false when f was not accepted; then
+// f.result is set.
+func (e *Entry) submit(f *flight) bool {
+	// Counted before the check, so that Drain cannot miss a request.
+	e.running.Add(1)
+	if e.draining.Load() {
+		return e.refuse(f, "this entry is draining")
+	}
+	if err := e.duty.Offer(submitMessage{f}); err != nil {
+		return e.refuse(f, "this entry is overloaded")
+	}
+	return true
+}
+
+func (e *Entry) refuse(f *flight, why string) bool {
+	f.result = notRun(why, time.Second)
+	e.ended()
+	return false
+}
+
+// ended counts the end of a submitted request.
+func (e *Entry) ended() {
+	if e.running.Add(-1) > 0 {
+		return
+	}
+	select {
+	case e.idle <- struct{}{}:
+	default:
+	}
+}
+
+func notRun(detail string, retryAfter time.Duration) Result {
+	return Result{Outcome: OutcomeNotRun, Status: statusUnavailable, RetryAfter: retryAfter, Detail: detail}
+}
--- /dev/null
+++ b/entry/respond.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"merlinhall/wire"
+)
+
+const (
+	// holdBytes and holdTime bound how much of an answer waits for its end. An
+	// answer that ends within them carries its outcome in the header; a longer
+	// one carries it in the trailer.
+	holdBytes = 64 << 10
+	holdTime  = 50 * time.Millisecond
+	// writeGrace is added to the deadline for writes to a slow caller.
+	writeGrace = 2 * time.Second
+)
+
+// answerService submits f and writes the answer of its plain service.
+func (e *Entry) answerService(w http.ResponseWriter, r *http.Request, f *flight, id string) {
+	if !e.submit(f) {
+		writeResult(w, id, f.result)
+		return
+	}
+	a := newAnswer(w, f, id)
+	defer a.stop()
+	result := e.followHeld(r.Context(), f, a)
+	a.finish(result)
+}
+
+// answer writes the answer of a plain service.
+type answer struct {
+	w      http.ResponseWriter
+	id     string
+	hold   *time.Timer
+	held   [][]byte
+	bytes  int
+	begun  bool // chunk 0 was seen
+	sent   bool // the header was written
+	status int
+}
+
+func newAnswer(w http.ResponseWriter, f *flight, id string) *answer {
+	limitWrites(w, f)
+	hold := time.NewTimer(holdTime)
+	hold.Stop()
+	return &answer{w: w, id: id, hold: hold, status: http.StatusOK}
+}
+
+// limitWrites keeps a caller that does not read from holding its goroutine for
+// ever. Test recorders do not support it.
+func limitWrites(w http.ResponseWriter, f *flight) {
+	_ = http.NewResponseController(w).SetWriteDeadline(f.request.deadline.Add(writeGrace))
+}
+
+func (a *answer) stop() { a.hold.Stop() }
+
+// followHeld is follow with a limit on the time for which an answer is held.
+func (e *Entry) followHeld(ctx context.Context, f *flight, a *answer) Result {
+	out := make(chan *wire.Chunk)
+	ended := make(chan Result, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		ended <- e.follow(ctx, f, func(c *wire.Chunk) error {
+			select {
+			case out <- c:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+	}()
+	for {
+		select {
+		case c := <-out:
+			if a.take(c) != nil {
+				cancel()
+				return <-ended
+			}
+		case <-a.hold.C:
+			if a.release() != nil {
+				cancel()
+				return <-ended
+			}
+		case result := <-ended:
+			return result
+		}
+	}
+}
+
+func (a *answer) take(c *wire.Chunk) error {
+	if !a.begun {
+		a.begin(c)
+	}
+	if len(c.Data) > 0 {
+		a.held = append(a.held, c.Data)
+		a.bytes += len(c.Data)
+	}
+	if c.End == "" && (a.sent || a.bytes >= holdBytes) {
+		return a.release()
+	}
+	return nil
+}
+
+func (a *answer) begin(c *wire.Chunk) {
+	a.begun = true
+	if c.Status != 0 {
+		a.status = c.Status
+	}
+	h := a.w.Header()
+	for _, f := range c.Headers {
+		if !hopHeaders[http.CanonicalHeaderKey(f.Name)] {
+			h.Add(f.Name, f.Value)
+		}
+	}
+	h.Set(HeaderRequestID, a.id)
+	a.hold.Reset(holdTime)
+}
+
+// release writes what is held, with the outcome announced as a trailer.
+func (a *answer) release() error {
+	if !a.sent {
+		a.w.Header().Del(HeaderOutcome)
+		a.w.Header().Add("Trailer", HeaderOutcome)
+		a.writeHeader()
+	}
+	return a.flush()
+}
+
+func (a *answer) writeHeader() {
+	a.sent = true
+	a.hold.Stop()
+	a.w.WriteHeader(a.status)
+}
+
+func (a *answer) flush() error {
+	for _, data := range a.held {
+		if _, err := a.w.Write(data); err != nil {
+			return err
+		}
+	}
+	a.held = nil
+	a.bytes = 0
+	return http.NewResponseController(a.w).Flush()
+}
+
+// finish writes the end of the answer. An answer of which a part was written and
+// that is not complete is aborted, so that its caller sees the failure.
+func (a *answer) finish(result Result) {
+	if result.Outcome != OutcomeDone {
+		a.fail(result)
+		return
+	}
+	a.w.Header().Set(HeaderOutcome, string(OutcomeDone))
+	if !a.sent {
+		a.writeHeader()
+	}
+	_ = a.flush()
+}
+
+func (a *answer) fail(result Result) {
+	if a.sent {
+		abort()
+	}
+	h := a.w.Header()
+	clear(h)
+	writeResult(a.w, a.id, result)
+}
+
+// abort ends an HTTP answer without its regular end. net/http offers no other
+// way that works for both HTTP/1.1 and HTTP/2.
+func abort() {
+	panic(http.ErrAbortHandler)
+}
