--- /dev/null
+++ b/rollout/assign.go
@@ -0,0 +1,236 @@
+package rollout
+
+import (
+	"cmp"
+	"time"
+
+	"merlinhall/wire"
+)
+
+func (id groupID) compare(other groupID) int {
+	return cmp.Or(cmp.Compare(id.trainer, other.trainer), cmp.Compare(id.step, other.step), cmp.Compare(id.group, other.group))
+}
+
+// candidate is a sample that may be started.
+type candidate struct {
+	group groupID
+	index int
+	avoid string
+}
+
+// assign gives samples to entries until the bounds are reached.
+func (p *Planner) assign(now time.Time) {
+	if now.Before(p.adoptAt) || p.inFlight >= p.o.MaxInFlight || !p.anyEntryFree() {
+		return
+	}
+	queues := p.queues(now)
+	p.assignQueues(now, queues)
+	if p.o.Policies.SecondCopy {
+		p.assignCopies(now)
+	}
+}
+
+func (p *Planner) assignQueues(now time.Time, queues map[string][]candidate) {
+	active := make(map[string]bool, len(queues))
+	for name := range queues {
+		active[name] = true
+	}
+	p.shares.SetActive(active)
+	for p.inFlight < p.o.MaxInFlight && len(queues) > 0 {
+		name := p.shares.Order(sortedKeys(queues))[0]
+		c := queues[name][0]
+		entry := p.chooseEntry(c.avoid)
+		if entry == "" {
+			return
+		}
+		p.start(now, c, entry)
+		queues[name] = queues[name][1:]
+		if len(queues[name]) == 0 {
+			delete(queues, name)
+		}
+	}
+}
+
+// queues returns the samples to start of each trainer, most urgent first.
+func (p *Planner) queues(now time.Time) map[string][]candidate {
+	ranked := p.rankedGroups()
+	queues := map[string][]candidate{}
+	for _, id := range ranked {
+		g := p.groups[id]
+		if g.sealed || now.Before(g.retryAt) {
+			continue
+		}
+		if _, ok := p.o.Trainer(id.trainer); !ok {
+			continue
+		}
+		if q := g.startable(now, id, p.o.Policies.Spares); len(q) > 0 {
+			queues[id.trainer] = append(queues[id.trainer], q...)
+		}
+	}
+	return queues
+}
+
+// startable returns the samples of a group that have neither a result nor a
+// running job. Spares are added while the group is not complete.
+func (g *groupPlan) startable(now time.Time, id groupID, spares int) []candidate {
+	var found []candidate
+	for index := range g.size + spares {
+		s := g.samples[index]
+		if s == nil {
+			found = append(found, candidate{group: id, index: index})
+			continue
+		}
+		if s.result == nil && s.running == 0 && !now.Before(s.notBefore) {
+			found = append(found, candidate{group: id, index: index, avoid: s.avoid})
+		}
+	}
+	return found
+}
+
+func (p *Planner) rankedGroups() []groupID {
+	ids := p.sortedGroups()
+	ranks := make(map[groupID]GroupRank, len(ids))
+	for _, id := range ids {
+		g := p.groups[id]
+		ranks[id] = GroupRank{Step: id.step, Missing: g.size - g.done(), Length: g.meanTokens(p.mean(id.trainer)), Group: id.group}
+	}
+	sortBy(ids, func(a, b groupID) bool { return ranks[a].Less(ranks[b], p.o.Policies) })
+	return ids
+}
+
+func (p *Planner) mean(trainer string) float64 {
+	if t := p.trainers[trainer]; t != nil {
+		return t.mean
+	}
+	return 0
+}
+
+func (p *Planner) anyEntryFree() bool {
+	for _, e := range p.entries {
+		if e.connected && e.jobs < p.o.MaxPerEntry {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseEntry returns the connected entry with the fewest jobs, or "". The entry
+// to avoid is chosen only when no other is free.
+func (p *Planner) chooseEntry(avoid string) string {
+	best := ""
+	for _, name := range sortedKeys(p.entries) {
+		e := p.entries[name]
+		if !e.connected || e.jobs >= p.o.MaxPerEntry || name == avoid {
+			continue
+		}
+		if best == "" || e.jobs < p.entries[best].jobs {
+			best = name
+		}
+	}
+	if e := p.entries[avoid]; best == "" && e != nil && e.connected && e.jobs < p.o.MaxPerEntry {
+		return avoid
+	}
+	return best
+}
+
+func (p *Planner) start(now time.Time, c candidate, entry string) {
+	g, t := p.groups[c.group], p.trainers[c.group.trainer]
+	s := g.sample(c.index)
+	s.tries++
+	j := &job{
+		id:      jobID(c.group.sample(c.index), g.round, s.tries),
+		group:   c.group,
+		index:   c.index,
+		entry:   entry,
+		start:   now,
+		charge:  p.expectedTokens(c.group),
+		version: t.aging.Version,
+	}
+	p.track(j)
+	p.shares.Charge(c.group.trainer, j.charge, p.share(c.group.trainer))
+	p.act(Send{Entry: entry, Message: p.generate(now, j), Job: j.id})
+}
+
+// track counts a running job.
+func (p *Planner) track(j *job) {
+	p.jobs[j.id] = j
+	p.inFlight++
+	p.entries[j.entry].jobs++
+	p.groups[j.group].sample(j.index).running++
+}
+
+func (id groupID) sample(index int) wire.SampleID {
+	return wire.SampleID{Trainer: id.trainer, Step: id.step, Group: id.group, Index: index}
+}
+
+func (p *Planner) share(trainer string) float64 {
+	plan, _ := p.o.Trainer(trainer)
+	return plan.Share
+}
+
+func (p *Planner) expectedTokens(id groupID) int {
+	t := p.trainers[id.trainer]
+	if t.mean > 0 {
+		return int(t.mean)
+	}
+	return t.sampling(id.step).MaxTokens
+}
+
+func (t *trainerPlan) sampling(step uint64) Sampling {
+	for _, s := range t.view.Steps {
+		if s.Step == step {
+			return s.Sampling
+		}
+	}
+	return Sampling{}
+}
+
+func (p *Planner) generate(now time.Time, j *job) *wire.Generate {
+	g, t := p.groups[j.group], p.trainers[j.group.trainer]
+	plan, _ := p.o.Trainer(j.group.trainer)
+	sampling := t.sampling(j.group.step)
+	sample := j.group.sample(j.index)
+	pool := ""
+	if n := len(t.view.Pools); n > 0 {
+		pool = t.view.Pools[j.group.group%n]
+	}
+	priority := plan.Priority
+	if p.o.Policies.NearestGroup && g.size-g.done() <= max(1, g.size/4) {
+		priority++
+	}
+	return &wire.Generate{
+		Job:    j.id,
+		Sample: sample,
+		Pool:   pool,
+		Generation: wire.Generation{
+			Prompt:      g.prompt,
+			MaxTokens:   sampling.MaxTokens,
+			Seed:        sampleSeed(sampling.Seed, sample, g.round),
+			Adapter:     sampling.Adapter,
+			Temperature: sampling.Temperature,
+		},
+		MinVersion: p.minVersion(j.group.trainer),
+		Scorer:     plan.Scorer,
+		Priority:   priority,
+		Deadline:   now.Add(plan.Deadline).UnixMilli(),
+	}
+}
+
+// assignCopies starts late samples a second time where an entry is free.
+func (p *Planner) assignCopies(now time.Time) {
+	for _, id := range sortedKeys(p.jobs) {
+		j := p.jobs[id]
+		g, t := p.groups[j.group], p.trainers[j.group.trainer]
+		if j.idle || g == nil || t == nil || g.sealed || g.sample(j.index).running != 1 {
+			continue
+		}
+		if !IsLate(now, j.start, &t.history) {
+			continue
+		}
+		entry := p.chooseEntry(j.entry)
+		if entry == "" || entry == j.entry || p.inFlight >= p.o.MaxInFlight {
+			return
+		}
+		p.start(now, candidate{group: j.group, index: j.index}, entry)
+	}
+}
--- /dev/null
+++ b/rollout/bodies.go
@@ -0,0 +1,383 @@
+package rollout
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+const (
+	// bodyPart is the size of one piece of a body on a link.
+	bodyPart = 1 << 20
+	// maxBodyBytes bounds the body of one group.
+	maxBodyBytes = 256 << 20
+	// maxAssemblies bounds the bodies that are being received at once.
+	maxAssemblies = 64
+	// resendAfter is the time after which a body is sent again to a replica that
+	// has not confirmed it.
+	resendAfter = 2 * time.Second
+	// fetchLimit bounds the wait for a peer to send a body.
+	fetchLimit = 3 * time.Second
+	// maxFetches bounds the bodies fetched at once.
+	maxFetches = 8
+	// lossAfter is how long a body must be missing from every connected replica
+	// before its group is given up.
+	lossAfter = 5 * time.Second
+	// repairPeriod is the period of the search for missing and unused bodies.
+	repairPeriod = 1 * time.Second
+)
+
+func uintText(v uint64) string { return strconv.FormatUint(v, 10) }
+
+// bodies is the state of body replication. The coordinator's goroutine owns it.
+type bodies struct {
+	seals      map[wire.BodyKey]*sealing
+	assemblies map[wire.BodyKey]*assembly
+	fetches    map[wire.BodyKey]*fetch
+	waiting    map[wire.BodyKey][]sender // replicas to tell when a put is durable
+	repairAt   time.Time
+}
+
+// sealing is a body on its way to a majority.
+type sealing struct {
+	commit   CommitGroup
+	data     []byte
+	synced   map[string]bool
+	sentAt   time.Time
+	proposed bool
+}
+
+// assembly is a body that arrives in pieces.
+type assembly struct {
+	data  []byte
+	since time.Time
+}
+
+// fetch is the search for a body that this replica lacks.
+type fetch struct {
+	since   time.Time
+	peer    string
+	askedAt time.Time
+	missing map[string]bool // replicas without an intact copy
+	lost    bool            // proposed as lost
+}
+
+func (b *bodies) init() {
+	b.seals = map[wire.BodyKey]*sealing{}
+	b.assemblies = map[wire.BodyKey]*assembly{}
+	b.fetches = map[wire.BodyKey]*fetch{}
+	b.waiting = map[wire.BodyKey][]sender{}
+}
+
+// seal stores a complete group on this replica and its peers.
+func (c *Coordinator) seal(now time.Time, s Seal) {
+	data, digest := encodeBody(s.Body)
+	s.Commit.Key.Digest = digest
+	s.Commit.Size = len(data)
+	key := s.Commit.Key
+	c.bodies.seals[key] = &sealing{commit: s.Commit, data: data, synced: map[string]bool{}, sentAt: now}
+	c.put(key, data)
+	for _, peer := range c.peers() {
+		c.sendBody(peer, key, data)
+	}
+}
+
+func (c *Coordinator) peers() []string {
+	var peers []string
+	for _, name := range c.o.Replicas() {
+		if name != c.o.Name {
+			peers = append(peers, name)
+		}
+	}
+	return peers
+}
+
+func (c *Coordinator) sendBody(peer string, key wire.BodyKey, data []byte) {
+	for offset := 0; offset < len(data); offset += bodyPart {
+		end := min(offset+bodyPart, len(data))
+		if c.links.send(peer, &wire.PutBody{Key: key, Offset: offset, Size: len(data), Data: data[offset:end]}) != nil {
+			return
+		}
+	}
+}
+
+// put stores a body on a goroutine of its own, because a sync may take long.
+func (c *Coordinator) put(key wire.BodyKey, data []byte) {
+	go func() {
+		err := c.store.Put(key, data)
+		c.offer(putDone{key, err})
+	}()
+}
+
+func (c *Coordinator) putDone(m putDone) {
+	if m.err != nil {
+		c.o.Log.Errorf("body of group %d of step %d was not stored: %v", m.key.Group, m.key.Step, m.err)
+	}
+	stored := &wire.BodyStored{Key: m.key}
+	if m.err != nil {
+		stored.Error = m.err.Error()
+	}
+	for _, conn := range c.bodies.waiting[m.key] {
+		_ = conn.Send(stored)
+	}
+	delete(c.bodies.waiting, m.key)
+	if m.err == nil {
+		delete(c.bodies.fetches, m.key)
+		c.changes.notify()
+		c.synced(c.o.Name, m.key)
+	}
+}
+
+// synced counts a replica's copy and commits the group once a majority has one.
+func (c *Coordinator) synced(replica string, key wire.BodyKey) {
+	s := c.bodies.seals[key]
+	if s == nil || s.proposed {
+		return
+	}
+	s.synced[replica] = true
+	replicas := c.o.Replicas()
+	count := 0
+	for _, name := range replicas {
+		if s.synced[name] {
+			count++
+		}
+	}
+	if count <= len(replicas)/2 {
+		return
+	}
+	s.proposed = true
+	commit := s.commit
+	c.propose(Command{CommitGroup: &commit}, func(o Outcome, err error) { c.offer(commitDone{key, o, err}) })
+}
+
+func (c *Coordinator) bodyMessage(now time.Time, m linkMessage) {
+	switch msg := m.m.(type) {
+	case *wire.PutBody:
+		c.receiveBody(now, m.conn, msg)
+	case *wire.BodyStored:
+		if msg.Error == "" {
+			c.synced(m.peer.Process, msg.Key)
+		}
+	case *wire.FetchBody:
+		c.serveFetch(m.conn, msg.Key)
+	case *wire.BodyPart:
+		c.receivePart(now, m.peer.Process, msg)
+	}
+}
+
+func (c *Coordinator) receiveBody(now time.Time, conn sender, m *wire.PutBody) {
+	if c.store.Has(m.Key) {
+		if m.Offset == 0 {
+			c.confirm(conn, m.Key)
+		}
+		return
+	}
+	if data, complete := c.bodies.assemble(now, m.Key, m.Offset, m.Size, m.Data); complete {
+		c.bodies.waiting[m.Key] = append(c.bodies.waiting[m.Key], conn)
+		c.put(m.Key, data)
+	}
+}
+
+// confirm reads a listed body before it is confirmed again, because the copy may
+// be corrupted.
+func (c *Coordinator) confirm(conn sender, key wire.BodyKey) {
+	go func() {
+		if _, err := c.store.Get(key); err == nil {
+			_ = conn.Send(&wire.BodyStored{Key: key})
+		}
+	}()
+}
+
+// assemble adds a piece. Pieces come in order; any other order starts again.
+func (b *bodies) assemble(now time.Time, key wire.BodyKey, offset, size int, piece []byte) ([]byte, bool) {
+	if size <= 0 || size > maxBodyBytes {
+		return nil, false
+	}
+	a := b.assemblies[key]
+	if offset == 0 {
+		if a == nil && len(b.assemblies) >= maxAssemblies {
+			return nil, false
+		}
+		a = &assembly{}
+		b.assemblies[key] = a
+	}
+	if a == nil || offset != len(a.data) || offset+len(piece) > size {
+		delete(b.assemblies, key)
+		return nil, false
+	}
+	a.since = now
+	a.data = append(a.data, piece...)
+	if len(a.data) < size {
+		return nil, false
+	}
+	delete(b.assemblies, key)
+	return a.data, digestOf(a.data) == key.Digest
+}
+
+// serveFetch sends a body, or says that there is no intact copy.
+func (c *Coordinator) serveFetch(conn sender, key wire.BodyKey) {
+	go func() {
+		data, err := c.store.Get(key)
+		if err != nil {
+			_ = conn.Send(&wire.BodyPart{Key: key, Missing: true})
+			return
+		}
+		for offset := 0; offset < len(data); offset += bodyPart {
+			end := min(offset+bodyPart, len(data))
+			if conn.Send(&wire.BodyPart{Key: key, Offset: offset, Size: len(data), Data: data[offset:end]}) != nil {
+				return
+			}
+		}
+	}()
+}
+
+func (c *Coordinator) receivePart(now time.Time, peer string, m *wire.BodyPart) {
+	f := c.bodies.fetches[m.Key]
+	if f == nil {
+		return
+	}
+	if m.Missing {
+		f.missing[peer] = true
+		f.peer = ""
+		c.askNext(now, m.Key, f)
+		return
+	}
+	f.askedAt = now
+	if data, complete := c.bodies.assemble(now, m.Key, m.Offset, m.Size, m.Data); complete {
+		c.put(m.Key, data)
+	}
+}
+
+// askNext asks a connected replica that has not said that it lacks the body.
+func (c *Coordinator) askNext(now time.Time, key wire.BodyKey, f *fetch) {
+	for _, peer := range c.peers() {
+		if f.missing[peer] || peer == f.peer || !c.links.connected(peer) {
+			continue
+		}
+		if c.links.send(peer, &wire.FetchBody{Key: key}) == nil {
+			f.peer, f.askedAt = peer, now
+			return
+		}
+	}
+	f.peer = ""
+}
+
+// tickBodies resends what has not been confirmed, and repairs.
+func (c *Coordinator) tickBodies(now time.Time) {
+	for key, s := range c.bodies.seals {
+		if !s.proposed && now.Sub(s.sentAt) >= resendAfter {
+			s.sentAt = now
+			c.resend(key, s)
+		}
+	}
+	if now.Before(c.bodies.repairAt) {
+		return
+	}
+	c.bodies.repairAt = now.Add(repairPeriod)
+	for key, a := range c.bodies.assemblies {
+		if now.Sub(a.since) > fetchLimit {
+			delete(c.bodies.assemblies, key)
+		}
+	}
+	c.repair(now, c.o.Ledger.View())
+	c.sweep()
+}
+
+func (c *Coordinator) resend(key wire.BodyKey, s *sealing) {
+	if !s.synced[c.o.Name] && c.store.Err() == nil {
+		c.put(key, s.data)
+	}
+	for _, peer := range c.peers() {
+		if !s.synced[peer] {
+			c.sendBody(peer, key, s.data)
+		}
+	}
+}
+
+// repair fetches bodies that the ledger needs and this replica lacks. Every
+// replica does so, so that a second failure after a repair loses nothing.
+func (c *Coordinator) repair(now time.Time, v View) {
+	needed := map[wire.BodyKey]GroupState{}
+	for _, t := range v.Trainers {
+		for _, s := range t.Steps {
+			for _, g := range s.Groups {
+				if g.State == GroupWhole || g.State == GroupDrawn {
+					needed[g.Key] = g.State
+				}
+			}
+		}
+	}
+	for key := range c.bodies.fetches {
+		if _, ok := needed[key]; !ok {
+			delete(c.bodies.fetches, key)
+		}
+	}
+	for key, state := range needed {
+		if !c.store.Has(key) {
+			c.repairOne(now, key, state)
+		}
+	}
+}
+
+func (c *Coordinator) repairOne(now time.Time, key wire.BodyKey, state GroupState) {
+	f := c.bodies.fetches[key]
+	if f == nil {
+		if len(c.bodies.fetches) >= maxFetches || c.store.Err() != nil {
+			return
+		}
+		f = &fetch{since: now, missing: map[string]bool{}}
+		c.bodies.fetches[key] = f
+	}
+	if f.peer == "" || now.Sub(f.askedAt) >= fetchLimit {
+		c.askNext(now, key, f)
+	}
+	if c.leading && state == GroupWhole && !f.lost && now.Sub(f.since) >= lossAfter && c.allMissing(f) {
+		f.lost = true
+		c.loseGroup(key)
+		return
+	}
+	if f.peer == "" && now.Sub(f.since) >= 2*lossAfter {
+		delete(c.bodies.fetches, key)
+	}
+}
+
+// allMissing reports whether every connected replica lacks the body and, with
+// this one, they are a majority.
+func (c *Coordinator) allMissing(f *fetch) bool {
+	count := 1
+	for _, peer := range c.peers() {
+		if !c.links.connected(peer) {
+			continue
+		}
+		if !f.missing[peer] {
+			return false
+		}
+		count++
+	}
+	return count > len(c.o.Replicas())/2
+}
+
+func (c *Coordinator) loseGroup(key wire.BodyKey) {
+	c.o.Log.Warnf("no replica has the body of group %d of step %d of trainer %s; it is generated again", key.Group, key.Step, key.Trainer)
+	c.propose(Command{LoseGroup: &LoseGroup{Key: key}}, func(Outcome, error) {})
+}
+
+// sweep deletes bodies that the ledger has no use for.
+func (c *Coordinator) sweep() {
+	for _, key := range c.store.Keys() {
+		if c.o.Ledger.Use(key) == BodyUnused && c.bodies.seals[key] == nil {
+			c.store.Delete(key)
+		}
+	}
+}
+
+// readBody returns a body, or starts to fetch it and returns ErrNoBody.
+func (c *Coordinator) readBody(key wire.BodyKey) ([]byte, error) {
+	if !c.store.Has(key) {
+		return nil, eris.Wrapf(ErrNoBody, "group %d of step %d", key.Group, key.Step)
+	}
+	return c.store.Get(key)
+}
--- /dev/null
+++ b/rollout/calls.go
@@ -0,0 +1,189 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+// Methods of control calls of the trainer API.
+const (
+	MethodOpenStep = "rollout.open_step"
+	MethodDraw     = "rollout.draw"
+	MethodBody     = "rollout.body"
+	MethodAck      = "rollout.ack"
+	MethodPublish  = "rollout.publish"
+)
+
+const (
+	// maxLeaderWait bounds how long the leader holds one draw call. The entry
+	// calls again until the trainer's wait is over, so a change of leader costs
+	// at most this time.
+	maxLeaderWait = 2 * time.Second
+	// bodyWait bounds the wait for a body that the leader has to fetch.
+	bodyWait = 3 * time.Second
+	// callPart is the size of one piece of a body in a reply.
+	callPart = 4 << 20
+)
+
+// DrawCall is the request of MethodDraw.
+type DrawCall struct {
+	Draw   Draw   `cbor:"1,keyasint"`
+	WaitMs uint32 `cbor:"2,keyasint"`
+}
+
+// BodyCall is the request of MethodBody: a piece of the body of one group of an
+// unacknowledged draw.
+type BodyCall struct {
+	Trainer string `cbor:"1,keyasint"`
+	Draw    string `cbor:"2,keyasint"`
+	Index   int    `cbor:"3,keyasint"`
+	Offset  int    `cbor:"4,keyasint"`
+}
+
+// BodyReply is the response of MethodBody.
+type BodyReply struct {
+	Outcome Outcome `cbor:"1,keyasint"`
+	Data    []byte  `cbor:"2,keyasint,omitempty"`
+	Size    int     `cbor:"3,keyasint"`
+}
+
+// Calls registers handlers of control calls. *control.Control implements it.
+type Calls interface {
+	HandleCall(method string, h func(ctx context.Context, body []byte) ([]byte, error))
+}
+
+// Register adds the methods of the trainer API.
+func (c *Coordinator) Register(calls Calls) {
+	calls.HandleCall(MethodOpenStep, commandCall(c, func(s *OpenStep) Command { return Command{OpenStep: s} }))
+	calls.HandleCall(MethodAck, commandCall(c, func(a *Ack) Command { return Command{Ack: a} }))
+	calls.HandleCall(MethodPublish, commandCall(c, func(p *Publish) Command { return Command{Publish: p} }))
+	calls.HandleCall(MethodDraw, c.drawCall)
+	calls.HandleCall(MethodBody, c.bodyCall)
+}
+
+// commandCall returns the handler of a call that is one command.
+func commandCall[T any](c *Coordinator, wrap func(*T) Command) func(context.Context, []byte) ([]byte, error) {
+	return func(ctx context.Context, body []byte) ([]byte, error) {
+		var request T
+		if err := wire.Unmarshal(body, &request); err != nil {
+			return wire.Marshal(Outcome{Code: CodeInvalid, Detail: err.Error()})
+		}
+		outcome, err := c.proposeWait(ctx, wrap(&request))
+		if err != nil {
+			return nil, err
+		}
+		return wire.Marshal(outcome)
+	}
+}
+
+func (c *Coordinator) drawCall(ctx context.Context, body []byte) ([]byte, error) {
+	var call DrawCall
+	if err := wire.Unmarshal(body, &call); err != nil {
+		return wire.Marshal(Outcome{Code: CodeInvalid, Detail: err.Error()})
+	}
+	outcome, err := c.draw(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return wire.Marshal(outcome)
+}
+
+// draw waits for a whole group whose body this replica can read, and then
+// proposes the draw. A known draw id is proposed at once: its answer is the
+// former one.
+func (c *Coordinator) draw(ctx context.Context, call DrawCall) (Outcome, error) {
+	wait := min(time.Duration(call.WaitMs)*time.Millisecond, maxLeaderWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := c.changes.wait()
+		if !c.isLeading() {
+			return Outcome{Code: CodeUnavailable, Detail: "this replica no longer leads"}, nil
+		}
+		ready, avoid := c.readable(&call.Draw)
+		if ready || c.o.Ledger.Knows(call.Draw.Trainer, call.Draw.ID) {
+			draw := call.Draw
+			draw.Avoid = avoid
+			outcome, err := c.proposeWait(ctx, Command{Draw: &draw})
+			if err != nil || outcome.Code != CodeEmpty {
+				return outcome, err
+			}
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return c.emptyDraw(ctx, call)
+		case <-ctx.Done():
+			return Outcome{}, eris.Wrap(ctx.Err(), "rollout: draw")
+		}
+	}
+}
+
+// emptyDraw proposes the draw a last time without a whole group, so that a
+// request that can never succeed is told so and not that nothing is ready.
+func (c *Coordinator) emptyDraw(ctx context.Context, call DrawCall) (Outcome, error) {
+	_, avoid := c.readable(&call.Draw)
+	draw := call.Draw
+	draw.Avoid = avoid
+	return c.proposeWait(ctx, Command{Draw: &draw})
+}
+
+// readable reports whether a whole group can be read, and which cannot.
+func (c *Coordinator) readable(d *Draw) (ready bool, avoid []wire.BodyKey) {
+	found := 0
+	for _, key := range c.o.Ledger.Whole(d.Trainer, d.UpToStep) {
+		if found >= d.MaxGroups {
+			break
+		}
+		if _, err := c.readBody(key); err != nil {
+			avoid = append(avoid, key)
+			continue
+		}
+		found++
+	}
+	return found > 0, avoid
+}
+
+func (c *Coordinator) bodyCall(ctx context.Context, body []byte) ([]byte, error) {
+	var call BodyCall
+	if err := wire.Unmarshal(body, &call); err != nil {
+		return wire.Marshal(BodyReply{Outcome: Outcome{Code: CodeInvalid, Detail: err.Error()}})
+	}
+	groups, ok := c.o.Ledger.Drawn(call.Trainer, call.Draw)
+	if !ok || call.Index < 0 || call.Index >= len(groups) {
+		return wire.Marshal(BodyReply{Outcome: refuse(CodeNotFound, "trainer %q has no draw %q with group %d", call.Trainer, call.Draw, call.Index)})
+	}
+	data, err := c.awaitBody(ctx, groups[call.Index].Key)
+	if err != nil {
+		return wire.Marshal(BodyReply{Outcome: refuse(CodeUnavailable, "the body of group %d is not available yet: %v", call.Index, err)})
+	}
+	if call.Offset < 0 || call.Offset > len(data) {
+		return wire.Marshal(BodyReply{Outcome: refuse(CodeInvalid, "offset %d is outside of a body of %d bytes", call.Offset, len(data))})
+	}
+	end := min(call.Offset+callPart, len(data))
+	return wire.Marshal(BodyReply{Outcome: Outcome{Code: CodeOK}, Data: data[call.Offset:end], Size: len(data)})
+}
+
+// awaitBody returns a body, waiting for the repair when this replica lacks it.
+func (c *Coordinator) awaitBody(ctx context.Context, key wire.BodyKey) ([]byte, error) {
+	timer := time.NewTimer(bodyWait)
+	defer timer.Stop()
+	for {
+		changed := c.changes.wait()
+		data, err := c.readBody(key)
+		if err == nil {
+			return data, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/rollout/coordinator.go
@@ -0,0 +1,358 @@
+package rollout
+
+import (
+	"context"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/duty"
+	"merlinhall/link"
+	"merlinhall/wire"
+)
+
+const (
+	// coordinatorMailbox is the capacity of the coordinator's mailbox.
+	coordinatorMailbox = 16384
+	// coordinatorTick is the period of the planner's clock.
+	coordinatorTick = 100 * time.Millisecond
+	// proposeLimit bounds the wait for one proposal.
+	proposeLimit = 5 * time.Second
+	// bodyDir is the directory of bodies below the data folder.
+	bodyDir = "bodies"
+)
+
+// Control is what the coordinator uses of the control replica.
+type Control interface {
+	// Propose commits a command of a slice and returns its result.
+	Propose(ctx context.Context, slice, requestID string, body []byte) (result any, err error)
+}
+
+// CoordinatorOptions configure a Coordinator.
+type CoordinatorOptions struct {
+	Name    string // of this control replica
+	Boot    string // differs between two runs of the process
+	DataDir string
+	System  *duty.System
+	Ledger  *Ledger
+	Control Control
+	// Replicas returns the names of the voting control replicas, this one
+	// included. A body is stored when a majority of them has synced it.
+	Replicas func() []string
+	Planner  PlannerOptions
+	Log      *logrus.Entry
+}
+
+// Coordinator is the duty of a control replica that feeds trainers. On every
+// replica it stores bodies and repairs missing ones; on the leader it also plans
+// jobs, commits whole groups and answers trainers. It implements link.Events for
+// KindSampleDone, KindJobsHeld and the body messages.
+type Coordinator struct {
+	o       CoordinatorOptions
+	store   *Store
+	duty    *duty.Duty
+	planner *Planner
+	changes *broadcast
+	links   links
+	bodies  bodies
+
+	leading bool
+	term    uint64
+	stop    context.CancelFunc // ends proposals of the current leadership
+	ctx     context.Context
+	serial  uint64 // of proposals, for request ids
+	mu      sync.Mutex
+}
+
+// Messages of the coordinator's mailbox.
+type (
+	linkUp struct {
+		peer wire.Hello
+		conn sender
+	}
+	linkDown struct {
+		peer   wire.Hello
+		conn   sender
+		silent bool
+	}
+	linkMessage struct {
+		peer wire.Hello
+		conn sender
+		m    wire.Message
+	}
+	leadership struct {
+		leading bool
+		term    uint64
+	}
+	ledgerChanged struct{}
+	clockTick     struct{}
+	putDone       struct {
+		key wire.BodyKey
+		err error
+	}
+	commitDone struct {
+		key     wire.BodyKey
+		outcome Outcome
+		err     error
+	}
+	inspect struct{ f func() }
+)
+
+// NewCoordinator opens the body store and starts the coordinator.
+func NewCoordinator(o CoordinatorOptions) (*Coordinator, error) {
+	store, err := OpenStore(filepath.Join(o.DataDir, bodyDir))
+	if err != nil {
+		return nil, err
+	}
+	c := &Coordinator{o: o, store: store, planner: NewPlanner(o.Planner), changes: newBroadcast()}
+	c.links.init()
+	c.bodies.init()
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.duty = o.System.Start("rollout coordinator", coordinatorMailbox, duty.HandlerFunc(c.receive))
+	o.Ledger.OnChange(func() {
+		c.changes.notify()
+		_ = c.duty.Offer(ledgerChanged{})
+	})
+	c.duty.Every(coordinatorTick, clockTick{})
+	return c, nil
+}
+
+// Up implements link.Events.
+func (c *Coordinator) Up(conn *link.Conn) { c.offer(linkUp{conn.Peer(), conn}) }
+
+// Message implements link.Events.
+func (c *Coordinator) Message(conn *link.Conn, m wire.Message) {
+	c.offer(linkMessage{conn.Peer(), conn, m})
+}
+
+// Down implements link.Events.
+func (c *Coordinator) Down(conn *link.Conn, reason error) {
+	c.offer(linkDown{conn.Peer(), conn, eris.Is(reason, link.ErrSilent)})
+}
+
+// Lead tells the coordinator whether its replica leads, as Control.OnLeader
+// reports it.
+func (c *Coordinator) Lead(leading bool, term uint64) { c.offer(leadership{leading, term}) }
+
+// Stop ends the coordinator.
+func (c *Coordinator) Stop() {
+	c.mu.Lock()
+	c.stop()
+	c.mu.Unlock()
+	c.duty.Stop()
+}
+
+// offer queues a message that must not be lost; it waits while the mailbox is
+// full, which delays only the link it came from.
+func (c *Coordinator) offer(msg any) {
+	for c.duty.Offer(msg) == duty.ErrFull {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *Coordinator) receive(msg any) {
+	now := time.Now()
+	switch m := msg.(type) {
+	case linkUp:
+		c.linkUp(now, m)
+	case linkDown:
+		c.linkDown(now, m)
+	case linkMessage:
+		c.message(now, m)
+	case leadership:
+		c.lead(now, m)
+	case ledgerChanged:
+		c.ledgerChanged(now)
+	case clockTick:
+		c.step(now, Tick{})
+		c.tickBodies(now)
+	case putDone:
+		c.putDone(m)
+	case commitDone:
+		c.commitDone(now, m)
+	case inspect:
+		m.f()
+	}
+}
+
+func (c *Coordinator) linkUp(now time.Time, m linkUp) {
+	c.links.add(m.peer.Process, m.conn)
+	if hasRole(m.peer, wire.RoleEntry) {
+		c.step(now, EntryUp{Entry: m.peer.Process})
+	}
+}
+
+func (c *Coordinator) linkDown(now time.Time, m linkDown) {
+	last := c.links.remove(m.peer.Process, m.conn)
+	if last && hasRole(m.peer, wire.RoleEntry) {
+		c.step(now, EntryDown{Entry: m.peer.Process, Silent: m.silent})
+	}
+}
+
+func hasRole(h wire.Hello, role wire.Role) bool {
+	for _, r := range h.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) message(now time.Time, m linkMessage) {
+	switch msg := m.m.(type) {
+	case *wire.SampleDone:
+		c.step(now, JobDone{Entry: m.peer.Process, Result: msg})
+	case *wire.JobsHeld:
+		c.step(now, EntryJobs{Entry: m.peer.Process, Jobs: msg.Jobs})
+	default:
+		c.bodyMessage(now, m)
+	}
+}
+
+func (c *Coordinator) lead(now time.Time, m leadership) {
+	c.mu.Lock()
+	c.stop()
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.leading, c.term = m.leading, m.term
+	c.mu.Unlock()
+	c.bodies.seals = map[wire.BodyKey]*sealing{}
+	c.changes.notify()
+	c.step(now, LeadChanged{Leading: m.leading})
+	if m.leading {
+		c.ledgerChanged(now)
+	}
+}
+
+func (c *Coordinator) isLeading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leading
+}
+
+// ledgerChanged passes the newest state of the ledger on.
+func (c *Coordinator) ledgerChanged(now time.Time) {
+	c.step(now, ViewChanged{View: c.o.Ledger.View()})
+	c.sweep()
+}
+
+// step lets the planner handle an event and carries out its actions.
+func (c *Coordinator) step(now time.Time, event any) {
+	queue := c.planner.Step(now, event)
+	for len(queue) > 0 {
+		action := queue[0]
+		queue = queue[1:]
+		switch a := action.(type) {
+		case Send:
+			if err := c.links.send(a.Entry, a.Message); err != nil && a.Job != "" {
+				queue = append(queue, c.planner.Step(now, SendFailed{Entry: a.Entry, Job: a.Job})...)
+			}
+		case Seal:
+			c.seal(now, a)
+		}
+	}
+}
+
+// propose commits a command and reports the outcome to then, which runs on a
+// goroutine of its own. Proposals end with the leadership that made them.
+func (c *Coordinator) propose(command Command, then func(Outcome, error)) {
+	c.mu.Lock()
+	ctx := c.ctx
+	c.mu.Unlock()
+	go func() {
+		outcome, err := c.proposeWait(ctx, command)
+		then(outcome, err)
+	}()
+}
+
+func (c *Coordinator) proposeWait(ctx context.Context, command Command) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
+	defer cancel()
+	result, err := c.o.Control.Propose(ctx, SliceName, c.requestID(), command.Encode())
+	if err != nil {
+		return Outcome{}, err
+	}
+	return decodeOutcome(result)
+}
+
+// requestID returns a new request id. The ledger recognizes resends by the ids
+// inside its commands, so each proposal is a request of its own.
+func (c *Coordinator) requestID() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serial++
+	return SliceName + "/" + c.o.Name + "/" + c.o.Boot + "/" + uintText(c.serial)
+}
+
+func (c *Coordinator) commitDone(now time.Time, m commitDone) {
+	delete(c.bodies.seals, m.key)
+	if m.err == nil && m.outcome.Code == CodeOK {
+		return
+	}
+	if m.err != nil {
+		c.o.Log.Warnf("commit of group %d of step %d of trainer %s failed: %v", m.key.Group, m.key.Step, m.key.Trainer, m.err)
+	}
+	c.step(now, SealFailed{Trainer: m.key.Trainer, Step: m.key.Step, Group: m.key.Group, Round: m.key.Round})
+}
+
+// links holds the connections to each process, the newest last.
+type links struct {
+	conns map[string][]sender
+}
+
+func (l *links) init() { l.conns = map[string][]sender{} }
+
+func (l *links) add(process string, conn sender) {
+	l.conns[process] = append(l.conns[process], conn)
+}
+
+// remove forgets a connection and reports whether it was the last one.
+func (l *links) remove(process string, conn sender) bool {
+	kept := l.conns[process][:0]
+	for _, c := range l.conns[process] {
+		if c != conn {
+			kept = append(kept, c)
+		}
+	}
+	l.conns[process] = kept
+	if len(kept) == 0 {
+		delete(l.conns, process)
+		return true
+	}
+	return false
+}
+
+// send uses the newest connection of the process.
+func (l *links) send(process string, m wire.Message) error {
+	conns := l.conns[process]
+	if len(conns) == 0 {
+		return link.ErrClosed
+	}
+	return conns[len(conns)-1].Send(m)
+}
+
+func (l *links) connected(process string) bool { return len(l.conns[process]) > 0 }
+
+// broadcast wakes all waiters at once.
+type broadcast struct {
+	mu sync.Mutex
+	c  chan struct{}
+}
+
+func newBroadcast() *broadcast { return &broadcast{c: make(chan struct{})} }
+
+// wait returns a channel that the next notify closes.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.c
+}
+
+func (b *broadcast) notify() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.c)
+	b.c = make(chan struct{})
+}
--- /dev/null
+++ b/rollout/job.go
@@ -0,0 +1,118 @@
+package rollout
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"merlinhall/wire"
+)
+
+// jobID names one try at one sample. Two leaders that plan the same try use the
+// same id, so an entry that holds the job runs it once.
+func jobID(s wire.SampleID, round uint32, try int) string {
+	return fmt.Sprintf("%d.%d.%d.%d.%d.%s", round, try, s.Step, s.Group, s.Index, s.Trainer)
+}
+
+func parseJobID(id string) (s wire.SampleID, round uint32, try int, ok bool) {
+	parts := strings.SplitN(id, ".", 6)
+	if len(parts) != 6 {
+		return s, 0, 0, false
+	}
+	var n [5]uint64
+	for i := range n {
+		v, err := strconv.ParseUint(parts[i], 10, 62)
+		if err != nil {
+			return s, 0, 0, false
+		}
+		n[i] = v
+	}
+	s = wire.SampleID{Trainer: parts[5], Step: n[2], Group: int(n[3]), Index: int(n[4])}
+	return s, uint32(n[0]), int(n[1]), true
+}
+
+// sampleSeed derives the seed of a sample from that of its step, so that the
+// samples of a group differ and a second copy of one does not.
+func sampleSeed(seed int64, s wire.SampleID, round uint32) int64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%d/%d/%d/%d/%d/%s", seed, round, s.Step, s.Group, s.Index, s.Trainer)
+	return int64(h.Sum64() >> 1)
+}
+
+// job is one try at one sample, given to one entry.
+type job struct {
+	id      string
+	group   groupID
+	index   int
+	entry   string
+	start   time.Time
+	charge  int    // tokens charged to the trainer
+	version uint64 // oldest version the sample can hold, as of its start
+	idle    bool   // not counted as running: finished, or given up on its entry
+	done    bool   // its result has arrived
+}
+
+// groupID identifies a group within the planner.
+type groupID struct {
+	trainer string
+	step    uint64
+	group   int
+}
+
+// groupPlan is the progress of one pending group.
+type groupPlan struct {
+	round   uint32
+	prompt  string
+	size    int
+	samples map[int]*samplePlan
+	wasted  int  // tokens discarded so far
+	sealed  bool // handed to the body store
+	retryAt time.Time
+}
+
+type samplePlan struct {
+	result    *wire.SampleDone
+	oldest    uint64
+	newest    uint64
+	tries     int
+	running   int // jobs that are not idle
+	failures  int
+	notBefore time.Time
+	avoid     string // entry that failed last
+}
+
+func (g *groupPlan) sample(index int) *samplePlan {
+	s := g.samples[index]
+	if s == nil {
+		s = &samplePlan{}
+		g.samples[index] = s
+	}
+	return s
+}
+
+func (g *groupPlan) done() int {
+	n := 0
+	for _, s := range g.samples {
+		if s.result != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// meanTokens returns the mean length of the finished samples, or fallback.
+func (g *groupPlan) meanTokens(fallback float64) float64 {
+	sum, n := 0, 0
+	for _, s := range g.samples {
+		if s.result != nil {
+			sum += len(s.result.Tokens)
+			n++
+		}
+	}
+	if n == 0 {
+		return fallback
+	}
+	return float64(sum) / float64(n)
+}
--- /dev/null
+++ b/rollout/ledger.go
@@ -0,0 +1,257 @@
+package rollout
+
+import (
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/duty"
+	"merlinhall/wire"
+)
+
+// Bounds of the ledger. They keep the control snapshot small.
+const (
+	maxOpenSteps   = 8
+	maxGroups      = 4096 // groups in one step
+	maxGroupSize   = 1024
+	maxStepBytes   = 2 << 20 // prompts of one step; a log entry must fit a link frame
+	maxUnacked     = 16      // draws of one trainer without acknowledgement
+	maxDrawGroups  = 1024
+	keptAckedDraws = 1024 // acknowledged draw ids remembered for resends
+	keptSteps      = 64   // completed steps remembered for resends
+	maxIDBytes     = 128
+)
+
+// Rules are what the configuration says of a trainer.
+type Rules struct {
+	Bound uint64 // largest accepted staleness in versions
+	Pools []string
+}
+
+// Ledger is the record of steps, groups and draws of all trainers. It is a slice
+// of the control state machine: only Apply changes it, and the same commands in
+// the same order produce the same state.
+type Ledger struct {
+	mu       sync.RWMutex
+	state    ledgerState
+	rules    func(trainer string) (Rules, bool)
+	onChange []func()
+
+	// Each switch removes one rule. Tests set them to show that the rule is what
+	// keeps the promise.
+	skipStaleness, skipExactlyOnce, skipUnacked, skipDrawnLoss bool
+}
+
+type ledgerState struct {
+	Revision uint64                  `cbor:"1,keyasint"`
+	Trainers map[string]*trainerBook `cbor:"2,keyasint,omitempty"`
+	Pools    map[string]*poolBook    `cbor:"3,keyasint,omitempty"`
+}
+
+type poolBook struct {
+	Version uint64     `cbor:"1,keyasint"`
+	Trainer string     `cbor:"2,keyasint"`
+	Fence   wire.Fence `cbor:"3,keyasint"`
+}
+
+type trainerBook struct {
+	Version  uint64               `cbor:"1,keyasint"`
+	LastStep uint64               `cbor:"2,keyasint"`
+	Opened   bool                 `cbor:"3,keyasint"`
+	Steps    map[uint64]*stepBook `cbor:"4,keyasint,omitempty"`
+	Done     []doneStep           `cbor:"5,keyasint,omitempty"`
+	Draws    map[string]*drawBook `cbor:"6,keyasint,omitempty"`
+	Acked    []ackedDraw          `cbor:"7,keyasint,omitempty"`
+	Publish  Publish              `cbor:"8,keyasint"`
+	Counts   Counts               `cbor:"9,keyasint"`
+}
+
+// Counts are totals of one trainer.
+type Counts struct {
+	Drawn     uint64 `cbor:"1,keyasint" json:"drawn"`     // groups
+	Acked     uint64 `cbor:"2,keyasint" json:"acked"`     // groups
+	Repeated  uint64 `cbor:"3,keyasint" json:"repeated"`  // second results discarded
+	TooOld    uint64 `cbor:"4,keyasint" json:"too_old"`   // groups generated again for age
+	Lost      uint64 `cbor:"5,keyasint" json:"lost"`      // groups generated again for a lost body
+	Wasted    uint64 `cbor:"6,keyasint" json:"wasted"`    // tokens
+	Delivered uint64 `cbor:"7,keyasint" json:"delivered"` // tokens
+}
+
+type doneStep struct {
+	Step        uint64 `cbor:"1,keyasint"`
+	Fingerprint string `cbor:"2,keyasint"`
+}
+
+type stepBook struct {
+	Fingerprint string       `cbor:"1,keyasint"`
+	GroupSize   int          `cbor:"2,keyasint"`
+	Sampling    Sampling     `cbor:"3,keyasint"`
+	Groups      []*groupBook `cbor:"4,keyasint"`
+	Acked       int          `cbor:"5,keyasint"` // groups acknowledged
+}
+
+// GroupState is the state of a group.
+type GroupState uint8
+
+// States of a group, in order.
+const (
+	GroupPending GroupState = iota // its samples are being generated
+	GroupWhole                     // its body is stored; it may be drawn
+	GroupDrawn                     // it belongs to a draw
+	GroupAcked                     // the trainer has it
+)
+
+type groupBook struct {
+	Prompt string       `cbor:"1,keyasint,omitempty"`
+	State  GroupState   `cbor:"2,keyasint"`
+	Round  uint32       `cbor:"3,keyasint"` // counts generations of the group
+	Commit *CommitGroup `cbor:"4,keyasint,omitempty"`
+	Order  uint64       `cbor:"5,keyasint,omitempty"` // log index of the commit
+}
+
+type drawBook struct {
+	Fingerprint string       `cbor:"1,keyasint"`
+	Groups      []DrawnGroup `cbor:"2,keyasint"`
+	Version     uint64       `cbor:"3,keyasint"`
+}
+
+type ackedDraw struct {
+	ID          string `cbor:"1,keyasint"`
+	Fingerprint string `cbor:"2,keyasint"`
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{state: newLedgerState(), rules: func(string) (Rules, bool) { return Rules{}, false }}
+}
+
+func newLedgerState() ledgerState {
+	return ledgerState{Trainers: map[string]*trainerBook{}, Pools: map[string]*poolBook{}}
+}
+
+// UseRules sets where the ledger reads a trainer's staleness bound and pools.
+// rules must be a function of the control state machine alone, such as its
+// configuration slice, so that all replicas decide alike.
+func (l *Ledger) UseRules(rules func(trainer string) (Rules, bool)) { l.rules = rules }
+
+// OnChange adds a function that is called after each applied command. It must
+// not block. Functions are added before the first command.
+func (l *Ledger) OnChange(f func()) { l.onChange = append(l.onChange, f) }
+
+func (l *Ledger) changed() {
+	for _, f := range l.onChange {
+		f()
+	}
+}
+
+// Name implements control.Slice.
+func (l *Ledger) Name() string { return SliceName }
+
+// Apply implements control.Slice. The result is an Outcome.
+func (l *Ledger) Apply(index, term uint64, body []byte) any {
+	var c Command
+	if err := wire.Unmarshal(body, &c); err != nil {
+		return Outcome{Code: CodeInvalid, Detail: err.Error()}
+	}
+	l.mu.Lock()
+	outcome := l.apply(index, term, c)
+	l.state.Revision = index
+	l.check()
+	l.mu.Unlock()
+	l.changed()
+	return outcome
+}
+
+func (l *Ledger) apply(index, term uint64, c Command) Outcome {
+	switch {
+	case c.OpenStep != nil:
+		return l.openStep(c.OpenStep)
+	case c.CommitGroup != nil:
+		return l.commitGroup(index, c.CommitGroup)
+	case c.Draw != nil:
+		return l.draw(c.Draw)
+	case c.Ack != nil:
+		return l.ack(c.Ack)
+	case c.Publish != nil:
+		return l.publish(wire.Fence{Term: term, Sequence: index}, c.Publish)
+	case c.LoseGroup != nil:
+		return l.loseGroup(c.LoseGroup)
+	}
+	return Outcome{Code: CodeInvalid, Detail: "the command is empty"}
+}
+
+// Snapshot implements control.Slice.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return wire.Marshal(l.state)
+}
+
+// Restore implements control.Slice.
+func (l *Ledger) Restore(snapshot []byte) error {
+	state := newLedgerState()
+	if err := wire.Unmarshal(snapshot, &state); err != nil {
+		return eris.Wrap(err, "restore trainer ledger")
+	}
+	for _, t := range state.Trainers {
+		if t.Steps == nil {
+			t.Steps = map[uint64]*stepBook{}
+		}
+		if t.Draws == nil {
+			t.Draws = map[string]*drawBook{}
+		}
+	}
+	l.mu.Lock()
+	l.state = state
+	l.check()
+	l.mu.Unlock()
+	l.changed()
+	return nil
+}
+
+// check asserts what must hold after every command: each drawn group is in
+// exactly one unacknowledged draw, and each draw holds only drawn groups.
+func (l *Ledger) check() {
+	if l.skipExactlyOnce || l.skipDrawnLoss {
+		return
+	}
+	for name, t := range l.state.Trainers {
+		drawn := 0
+		for _, s := range t.Steps {
+			for _, g := range s.Groups {
+				if g.State == GroupDrawn {
+					drawn++
+				}
+			}
+		}
+		for id, d := range t.Draws {
+			drawn -= len(d.Groups)
+			for _, g := range d.Groups {
+				book := t.group(g.Key)
+				duty.Invariant(book != nil && book.State == GroupDrawn, "draw %s of trainer %s holds group %v that is not drawn", id, name, g.Key)
+			}
+		}
+		duty.Invariant(drawn == 0, "trainer %s has %d drawn groups outside of draws", name, drawn)
+		duty.Invariant(len(t.Draws) <= maxUnacked && len(t.Steps) <= maxOpenSteps, "trainer %s exceeds the bounds of the ledger", name)
+	}
+}
+
+func (t *trainerBook) group(key wire.BodyKey) *groupBook {
+	s := t.Steps[key.Step]
+	if s == nil || key.Group < 0 || key.Group >= len(s.Groups) {
+		return nil
+	}
+	return s.Groups[key.Group]
+}
+
+// Weights returns the weight version that each pool must serve, sorted by pool.
+func (l *Ledger) Weights() []wire.WeightTarget {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	targets := make([]wire.WeightTarget, 0, len(l.state.Pools))
+	for _, name := range sortedKeys(l.state.Pools) {
+		p := l.state.Pools[name]
+		targets = append(targets, wire.WeightTarget{Pool: name, Version: p.Version, Fence: p.Fence, Trainer: p.Trainer})
+	}
+	return targets
+}
--- /dev/null
+++ b/rollout/path_test.go
@@ -0,0 +1,66 @@
+package rollout
+
+import (
+	"net/http/httptest"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/standin"
+)
+
+func (c *cluster) poolVersion() uint64 {
+	for _, w := range c.coords[c.names[0]].o.Ledger.Weights() {
+		if w.Pool == "lm" {
+			return w.Version
+		}
+	}
+	return 1
+}
+
+func (c *cluster) trainer(t *testing.T, url string) *standin.Trainer {
+	tr, err := standin.NewTrainer(standin.TrainerOptions{
+		Name:       "abay",
+		Entries:    []string{url},
+		Token:      "secret",
+		Pools:      []string{"lm"},
+		Prompts:    6,
+		GroupSize:  4,
+		MaxTokens:  16,
+		Bound:      2,
+		Ahead:      1,
+		MaxGroups:  4,
+		Wait:       5 * time.Second,
+		LoseAnswer: 0.5,
+		Seed:       7,
+		StateFile:  filepath.Join(t.TempDir(), "trainer.json"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tr
+}
+
+// Guards against a break anywhere between a trainer's step and its samples:
+// step, jobs, bodies on three replicas, draw, resent draw, acknowledgement and
+// weights.
+func TestTrainerRunsSteps(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "c1", "c2", "c3")
+	for _, entry := range []string{"e1", "e2"} {
+		c.addEntry(entry, &fakeRunner{version: c.poolVersion})
+	}
+	c.lead("c1")
+	server := httptest.NewServer(TrainerHandler(c, func(token, _ string) bool { return token == "secret" }))
+	defer server.Close()
+	tr := c.trainer(t, server.URL)
+	is.NoErr(tr.Run(t.Context(), 4))
+	report := tr.Report()
+	is.Equal(report.Violations, []string{})
+	is.Equal(report.Samples, 4*6*4)
+	is.Equal(report.Version, uint64(5))
+	is.True(report.Resent > 0)
+	is.True(report.StalenessMax <= 2)
+}
--- /dev/null
+++ b/rollout/planner.go
@@ -0,0 +1,325 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"merlinhall/wire"
+)
+
+// Times of the planner.
+const (
+	// ReassignAfter is the silence of an entry after which its jobs go to another.
+	ReassignAfter = 2 * time.Second
+	// adoptWait is how long a new leader waits for the entries to list the jobs
+	// that they hold.
+	adoptWait = 500 * time.Millisecond
+	// retryMin and retryMax bound the delay before a failed sample is tried again.
+	retryMin = 100 * time.Millisecond
+	retryMax = 5 * time.Second
+	// deadlineGrace is the time after its deadline at which a job without any
+	// result is given up.
+	deadlineGrace = 5 * time.Second
+	// ageWeight is the weight of the newest interval in the mean time between a
+	// trainer's versions.
+	ageWeight = 0.3
+)
+
+// TrainerPlan is what the configuration says about a trainer's jobs.
+type TrainerPlan struct {
+	Share    float64
+	Scorer   string
+	Deadline time.Duration
+	Priority int8
+}
+
+// PlannerOptions are the fixed inputs of a Planner.
+type PlannerOptions struct {
+	MaxInFlight int // jobs over all entries
+	MaxPerEntry int // jobs at one entry
+	Policies    Policies
+	Trainer     func(name string) (TrainerPlan, bool)
+}
+
+// Events of the planner.
+type (
+	// LeadChanged starts or stops planning.
+	LeadChanged struct{ Leading bool }
+	// ViewChanged brings the state of the ledger.
+	ViewChanged struct{ View View }
+	// EntryUp is a new connection to an entry.
+	EntryUp struct{ Entry string }
+	// EntryDown is the loss of the last connection to an entry. Silent is set when
+	// the entry had already been silent for the limit of the link.
+	EntryDown struct {
+		Entry  string
+		Silent bool
+	}
+	// EntryJobs lists the jobs that an entry holds.
+	EntryJobs struct {
+		Entry string
+		Jobs  []wire.HeldJob
+	}
+	// JobDone is the result of a job.
+	JobDone struct {
+		Entry  string
+		Result *wire.SampleDone
+	}
+	// SendFailed reports that a Send could not be queued.
+	SendFailed struct{ Entry, Job string }
+	// SealFailed reports that a Seal did not lead to a whole group.
+	SealFailed struct {
+		Trainer string
+		Step    uint64
+		Group   int
+		Round   uint32
+	}
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// Actions of the planner.
+type (
+	// Send passes a message to an entry.
+	Send struct {
+		Entry   string
+		Message wire.Message
+		Job     string // set for Generate
+	}
+	// Seal stores a body on a majority and commits its group.
+	Seal struct {
+		Commit CommitGroup // Key.Digest and Size are set by the store
+		Body   Body
+	}
+)
+
+// Planner decides which samples are generated where. It is a pure state machine:
+// Step takes the time and an event and returns actions.
+type Planner struct {
+	o        PlannerOptions
+	leading  bool
+	adoptAt  time.Time // no job is assigned before
+	entries  map[string]*entryPlan
+	jobs     map[string]*job
+	groups   map[groupID]*groupPlan
+	trainers map[string]*trainerPlan
+	shares   *Shares
+	inFlight int
+	actions  []any
+
+	// Wasted counts tokens of discarded results.
+	Wasted int
+	// Repeated counts second results of a sample.
+	Repeated int
+}
+
+type entryPlan struct {
+	connected bool
+	reassign  time.Time // when a disconnected entry loses its jobs
+	jobs      int       // that are not idle
+}
+
+type trainerPlan struct {
+	view    TrainerView
+	aging   Aging
+	history History
+	mean    float64 // mean tokens of a sample
+	samples int
+}
+
+// NewPlanner returns a planner that does not lead.
+func NewPlanner(o PlannerOptions) *Planner {
+	return &Planner{
+		o:        o,
+		entries:  map[string]*entryPlan{},
+		jobs:     map[string]*job{},
+		groups:   map[groupID]*groupPlan{},
+		trainers: map[string]*trainerPlan{},
+		shares:   NewShares(),
+	}
+}
+
+// Step handles one event and returns the actions to carry out, in order.
+func (p *Planner) Step(now time.Time, event any) []any {
+	p.actions = nil
+	switch e := event.(type) {
+	case LeadChanged:
+		p.lead(now, e.Leading)
+	case ViewChanged:
+		p.takeView(now, e.View)
+	case EntryUp:
+		p.entryUp(e.Entry)
+	case EntryDown:
+		p.entryDown(now, e)
+	case EntryJobs:
+		p.adopt(now, e)
+	case JobDone:
+		p.jobDone(now, e)
+	case SendFailed:
+		p.sendFailed(now, e)
+	case SealFailed:
+		p.sealFailed(now, e)
+	}
+	if p.leading {
+		p.expire(now)
+		p.cancelTooOld(now)
+		p.assign(now)
+	}
+	return p.actions
+}
+
+func (p *Planner) act(a any) { p.actions = append(p.actions, a) }
+
+// lead starts with nothing planned. A former leader sends no abandon: its jobs
+// belong to its successor.
+func (p *Planner) lead(now time.Time, leading bool) {
+	p.leading = leading
+	p.jobs = map[string]*job{}
+	p.groups = map[groupID]*groupPlan{}
+	p.trainers = map[string]*trainerPlan{}
+	p.inFlight = 0
+	p.adoptAt = now.Add(adoptWait)
+	for _, name := range sortedKeys(p.entries) {
+		p.entries[name].jobs = 0
+		if leading && p.entries[name].connected {
+			p.act(Send{Entry: name, Message: &wire.JobsQuery{}})
+		}
+	}
+}
+
+func (p *Planner) takeView(now time.Time, v View) {
+	if !p.leading {
+		return
+	}
+	pending := map[groupID]bool{}
+	trainers := map[string]bool{}
+	for _, t := range v.Trainers {
+		trainers[t.Name] = true
+		p.takeTrainer(now, t)
+		for _, s := range t.Steps {
+			for _, g := range s.Groups {
+				if g.State == GroupPending {
+					id := groupID{t.Name, s.Step, g.Group}
+					pending[id] = true
+					p.takeGroup(id, s, g)
+				}
+			}
+		}
+	}
+	for id := range p.groups {
+		if !pending[id] {
+			p.dropGroup(id)
+		}
+	}
+	for name := range p.trainers {
+		if !trainers[name] {
+			delete(p.trainers, name)
+		}
+	}
+	p.dropOldResults()
+}
+
+func (p *Planner) takeTrainer(now time.Time, v TrainerView) {
+	t := p.trainers[v.Name]
+	if t == nil {
+		t = &trainerPlan{aging: Aging{Version: v.Version, Advanced: now}}
+		p.trainers[v.Name] = t
+	}
+	if v.Version > t.aging.Version {
+		interval := now.Sub(t.aging.Advanced) / time.Duration(v.Version-t.aging.Version)
+		if t.aging.Interval > 0 {
+			interval = time.Duration(ageWeight*float64(interval) + (1-ageWeight)*float64(t.aging.Interval))
+		}
+		t.aging.Version, t.aging.Advanced, t.aging.Interval = v.Version, now, interval
+	}
+	t.aging.Bound = v.Bound
+	t.view = v
+}
+
+func (p *Planner) takeGroup(id groupID, s StepView, g GroupView) {
+	plan := p.groups[id]
+	if plan != nil && plan.round == g.Round {
+		return
+	}
+	if plan != nil {
+		p.dropGroup(id)
+	}
+	p.groups[id] = &groupPlan{round: g.Round, prompt: g.Prompt, size: s.GroupSize, samples: map[int]*samplePlan{}}
+}
+
+// dropGroup forgets a group that needs no more samples, and releases its jobs.
+func (p *Planner) dropGroup(id groupID) {
+	delete(p.groups, id)
+	for _, jid := range sortedKeys(p.jobs) {
+		if p.jobs[jid].group == id {
+			p.abandon(p.jobs[jid])
+		}
+	}
+}
+
+// abandon forgets a job and tells its entry. It also releases the result that
+// the entry keeps for a resend.
+func (p *Planner) abandon(j *job) {
+	p.unassign(j)
+	delete(p.jobs, j.id)
+	if e := p.entries[j.entry]; e != nil && e.connected {
+		p.act(Send{Entry: j.entry, Message: &wire.Abandon{Job: j.id}})
+	}
+}
+
+// unassign takes a job out of the counts of running jobs.
+func (p *Planner) unassign(j *job) {
+	if j.idle {
+		return
+	}
+	j.idle = true
+	p.inFlight--
+	if e := p.entries[j.entry]; e != nil {
+		e.jobs--
+	}
+	if g := p.groups[j.group]; g != nil {
+		g.sample(j.index).running--
+	}
+}
+
+// dropOldResults discards results that fell below the staleness bound before
+// their group became whole.
+func (p *Planner) dropOldResults() {
+	for _, g := range p.sortedGroups() {
+		plan := p.groups[g]
+		if plan.sealed {
+			continue
+		}
+		limit := p.minVersion(g.trainer)
+		for _, s := range plan.samples {
+			if s.result != nil && s.oldest < limit {
+				p.waste(plan, len(s.result.Tokens))
+				s.result = nil
+			}
+		}
+	}
+}
+
+func (p *Planner) waste(g *groupPlan, tokens int) {
+	p.Wasted += tokens
+	if g != nil {
+		g.wasted += tokens
+	}
+}
+
+func (p *Planner) minVersion(trainer string) uint64 {
+	t := p.trainers[trainer]
+	if t == nil {
+		return 0
+	}
+	return oldestAllowed(t.aging.Version, t.aging.Bound)
+}
+
+func (p *Planner) sortedGroups() []groupID {
+	ids := make([]groupID, 0, len(p.groups))
+	for id := range p.groups {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, groupID.compare)
+	return ids
+}
--- /dev/null
+++ b/rollout/policy.go
@@ -0,0 +1,164 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+)
+
+// Policies switches the straggler policies.
+type Policies struct {
+	// NearestGroup prefers samples of the group that lacks the fewest.
+	NearestGroup bool
+	// PredictLength starts groups whose finished samples ran long first, so that
+	// long samples do not begin last.
+	PredictLength bool
+	// CancelTooOld stops samples that will be below the staleness bound when they
+	// end, and starts them again on the current weights.
+	CancelTooOld bool
+	// Spares is the number of samples generated beyond the group size. The first
+	// to finish make the group, which favours short samples.
+	Spares int
+	// SecondCopy starts a sample that runs late a second time on another entry.
+	SecondCopy bool
+}
+
+// AllPolicies returns every policy switched on. Spares stay off because they
+// bias a group towards short samples.
+func AllPolicies() Policies {
+	return Policies{NearestGroup: true, PredictLength: true, CancelTooOld: true, SecondCopy: true}
+}
+
+const (
+	// historyLength is the number of finished samples that predictions look at.
+	historyLength = 256
+	// minHistory is the number of finished samples below which there is no
+	// prediction.
+	minHistory = 16
+	// lateQuantile is the share of samples that finish before one is called late.
+	lateQuantile = 0.95
+	// lateFactor times the late quantile is the run time at which a sample gets a
+	// second copy.
+	lateFactor = 1.25
+)
+
+// History holds the run times of the last samples of one trainer.
+type History struct {
+	runs []time.Duration
+	next int
+}
+
+// Add records a run time.
+func (h *History) Add(d time.Duration) {
+	if len(h.runs) < historyLength {
+		h.runs = append(h.runs, d)
+		return
+	}
+	h.runs[h.next] = d
+	h.next = (h.next + 1) % historyLength
+}
+
+// Remaining predicts how much longer a sample runs that has run for elapsed: the
+// mean over the recorded samples that ran longer. When none did, it returns
+// elapsed, which suits heavy-tailed lengths. ok is false without enough samples.
+func (h *History) Remaining(elapsed time.Duration) (remaining time.Duration, ok bool) {
+	if len(h.runs) < minHistory {
+		return 0, false
+	}
+	var sum time.Duration
+	longer := 0
+	for _, d := range h.runs {
+		if d > elapsed {
+			sum += d - elapsed
+			longer++
+		}
+	}
+	if longer == 0 {
+		return elapsed, true
+	}
+	return sum / time.Duration(longer), true
+}
+
+// Late returns the run time from which a sample counts as late.
+func (h *History) Late() (time.Duration, bool) {
+	if len(h.runs) < minHistory {
+		return 0, false
+	}
+	sorted := slices.Clone(h.runs)
+	slices.Sort(sorted)
+	quantile := sorted[int(lateQuantile*float64(len(sorted)-1))]
+	return time.Duration(lateFactor * float64(quantile)), true
+}
+
+// Aging is what CancelTooOld knows of a trainer's progress.
+type Aging struct {
+	Version  uint64        // trainer version now
+	Bound    uint64        // staleness bound
+	Advanced time.Time     // when Version was reached
+	Interval time.Duration // mean time between versions, 0 when unknown
+}
+
+// TooOldAt predicts when a sample whose oldest token is from version oldest
+// falls below the bound. ok is false when that cannot be predicted.
+func (a Aging) TooOldAt(oldest uint64) (at time.Time, ok bool) {
+	if oldest < oldestAllowed(a.Version, a.Bound) {
+		return a.Advanced, true
+	}
+	if a.Interval == 0 {
+		return time.Time{}, false
+	}
+	left := oldest + a.Bound + 1 - a.Version
+	return a.Advanced.Add(time.Duration(left) * a.Interval), true
+}
+
+// ShouldCancel decides whether a sample that began at start on version oldest
+// is cancelled and started again at version current. A sample is cancelled when
+// it is already too old, or when it is predicted to end too late and starting
+// again is predicted to end in time.
+func ShouldCancel(now, start time.Time, oldest, current uint64, a Aging, h *History) bool {
+	if oldest < oldestAllowed(a.Version, a.Bound) {
+		return true
+	}
+	if current <= oldest {
+		return false
+	}
+	limit, ok := a.TooOldAt(oldest)
+	if !ok {
+		return false
+	}
+	remaining, ok := h.Remaining(now.Sub(start))
+	if !ok || !now.Add(remaining).After(limit) {
+		return false
+	}
+	again, _ := h.Remaining(0)
+	fresh, ok := a.TooOldAt(current)
+	return ok && !now.Add(max(again, now.Sub(start)+remaining)).After(fresh)
+}
+
+// IsLate decides whether a sample that has run since start gets a second copy.
+func IsLate(now, start time.Time, h *History) bool {
+	late, ok := h.Late()
+	return ok && now.Sub(start) > late
+}
+
+// GroupRank orders groups for the next sample; the lowest rank goes first.
+type GroupRank struct {
+	Step    uint64
+	Missing int     // samples without a result
+	Length  float64 // mean tokens of the finished samples, 0 when none
+	Group   int
+}
+
+// Less reports whether a goes before b under the policies. A lower step always
+// goes first, so that no step waits for ever.
+func (a GroupRank) Less(b GroupRank, p Policies) bool {
+	if a.Step != b.Step {
+		return a.Step < b.Step
+	}
+	if p.PredictLength && a.Length != b.Length {
+		return a.Length > b.Length
+	}
+	if p.NearestGroup && a.Missing != b.Missing {
+		return a.Missing < b.Missing
+	}
+	return a.Group < b.Group
+}
--- /dev/null
+++ b/rollout/store.go
@@ -0,0 +1,191 @@
+package rollout
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+const bodySuffix = ".body"
+
+// ErrNoBody is returned for a body of which the store has no intact copy.
+var ErrNoBody = eris.New("rollout: no intact copy of the body")
+
+// Store keeps bodies as files of one directory. A body is named by the SHA-256
+// of its bytes, so a torn or changed file is noticed when it is read.
+type Store struct {
+	dir string
+
+	writing sync.Mutex // held during a write and its sync
+
+	mu    sync.Mutex
+	known map[wire.BodyKey]bool
+	// failed is set by the first failed sync. After it the page cache may have
+	// dropped the data, so a repeated sync would report success wrongly.
+	failed error
+}
+
+// OpenStore opens the store at dir, creates it when needed and removes files
+// that a crash left incomplete.
+func OpenStore(dir string) (*Store, error) {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, eris.Wrap(err, "rollout: create body store")
+	}
+	s := &Store{dir: dir, known: map[wire.BodyKey]bool{}}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, eris.Wrap(err, "rollout: read body store")
+	}
+	for _, e := range entries {
+		key, ok := parseBodyName(e.Name())
+		if !ok {
+			if strings.HasSuffix(e.Name(), ".tmp") {
+				_ = os.Remove(filepath.Join(dir, e.Name()))
+			}
+			continue
+		}
+		s.known[key] = true
+	}
+	return s, nil
+}
+
+func bodyName(k wire.BodyKey) string {
+	return fmt.Sprintf("%s-%d-%d-%d-%s%s", hex.EncodeToString([]byte(k.Trainer)), k.Step, k.Group, k.Round, k.Digest, bodySuffix)
+}
+
+func parseBodyName(name string) (wire.BodyKey, bool) {
+	parts := strings.Split(strings.TrimSuffix(name, bodySuffix), "-")
+	if !strings.HasSuffix(name, bodySuffix) || len(parts) != 5 || len(parts[4]) != 2*sha256.Size {
+		return wire.BodyKey{}, false
+	}
+	trainer, err1 := hex.DecodeString(parts[0])
+	step, err2 := strconv.ParseUint(parts[1], 10, 64)
+	group, err3 := strconv.Atoi(parts[2])
+	round, err4 := strconv.ParseUint(parts[3], 10, 32)
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
+		return wire.BodyKey{}, false
+	}
+	return wire.BodyKey{Trainer: string(trainer), Step: step, Group: group, Round: uint32(round), Digest: parts[4]}, true
+}
+
+// Put writes and syncs a body. It returns nil only when the body is durable.
+func (s *Store) Put(key wire.BodyKey, data []byte) error {
+	if digestOf(data) != key.Digest {
+		return eris.Errorf("rollout: body %s has another digest", bodyName(key))
+	}
+	if s.Has(key) {
+		if _, err := s.Get(key); err == nil {
+			return nil
+		}
+	}
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if err := s.Err(); err != nil {
+		return err
+	}
+	err := s.write(key, data)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.failed = eris.Wrap(err, "rollout: write body")
+		return s.failed
+	}
+	s.known[key] = true
+	return nil
+}
+
+func (s *Store) write(key wire.BodyKey, data []byte) error {
+	name := filepath.Join(s.dir, bodyName(key))
+	if err := writeSynced(name+".tmp", data); err != nil {
+		return err
+	}
+	if err := os.Rename(name+".tmp", name); err != nil {
+		return err
+	}
+	return syncDir(s.dir)
+}
+
+func writeSynced(name string, data []byte) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	if _, err := f.Write(data); err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.Close() }()
+	return d.Sync()
+}
+
+// Get returns the bytes of a body. A file whose digest does not match is
+// removed. The error is ErrNoBody when there is no intact copy.
+func (s *Store) Get(key wire.BodyKey) ([]byte, error) {
+	name := filepath.Join(s.dir, bodyName(key))
+	data, err := os.ReadFile(name)
+	if err == nil && digestOf(data) == key.Digest {
+		return data, nil
+	}
+	s.mu.Lock()
+	delete(s.known, key)
+	s.mu.Unlock()
+	if err == nil {
+		_ = os.Remove(name)
+	}
+	return nil, ErrNoBody
+}
+
+// Has reports whether the store lists a body. The copy may still turn out to be
+// corrupted when it is read.
+func (s *Store) Has(key wire.BodyKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[key]
+}
+
+// Delete removes a body. A file that a crash brings back is removed by the next
+// sweep, so the directory is not synced.
+func (s *Store) Delete(key wire.BodyKey) {
+	s.mu.Lock()
+	delete(s.known, key)
+	s.mu.Unlock()
+	_ = os.Remove(filepath.Join(s.dir, bodyName(key)))
+}
+
+// Keys returns all listed bodies.
+func (s *Store) Keys() []wire.BodyKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys := make([]wire.BodyKey, 0, len(s.known))
+	for k := range s.known {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// Err returns the error that stopped the store, or nil.
+func (s *Store) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
--- /dev/null
+++ b/rollout/view.go
@@ -0,0 +1,170 @@
+package rollout
+
+import "merlinhall/wire"
+
+// View is what the planner reads from the ledger.
+type View struct {
+	Revision uint64
+	Trainers []TrainerView
+}
+
+// TrainerView is one trainer of a View.
+type TrainerView struct {
+	Name    string
+	Version uint64
+	Bound   uint64
+	Pools   []string
+	Steps   []StepView // ascending
+}
+
+// StepView is one open step.
+type StepView struct {
+	Step      uint64
+	GroupSize int
+	Sampling  Sampling
+	Groups    []GroupView
+}
+
+// GroupView is one group of an open step. Key is set once the group is whole.
+type GroupView struct {
+	Group  int
+	Prompt string
+	State  GroupState
+	Round  uint32
+	Key    wire.BodyKey
+	Size   int
+}
+
+// View returns a copy of what the planner needs. Trainers that the configuration
+// no longer holds are left out.
+func (l *Ledger) View() View {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	v := View{Revision: l.state.Revision}
+	for _, name := range sortedKeys(l.state.Trainers) {
+		rules, ok := l.rules(name)
+		if !ok {
+			continue
+		}
+		t := l.state.Trainers[name]
+		tv := TrainerView{Name: name, Version: t.Version, Bound: rules.Bound, Pools: rules.Pools}
+		for _, step := range sortedKeys(t.Steps) {
+			tv.Steps = append(tv.Steps, t.Steps[step].view(step))
+		}
+		v.Trainers = append(v.Trainers, tv)
+	}
+	return v
+}
+
+func (s *stepBook) view(step uint64) StepView {
+	v := StepView{Step: step, GroupSize: s.GroupSize, Sampling: s.Sampling, Groups: make([]GroupView, len(s.Groups))}
+	for i, g := range s.Groups {
+		v.Groups[i] = GroupView{Group: i, Prompt: g.Prompt, State: g.State, Round: g.Round}
+		if g.Commit != nil {
+			v.Groups[i].Key = g.Commit.Key
+			v.Groups[i].Size = g.Commit.Size
+		}
+	}
+	return v
+}
+
+// Whole returns the bodies of the trainer's groups that a draw up to a step could
+// hand over now.
+func (l *Ledger) Whole(trainer string, upTo uint64) []wire.BodyKey {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	t := l.state.Trainers[trainer]
+	if t == nil {
+		return nil
+	}
+	return t.drawable(nil, upTo)
+}
+
+// Drawn returns the groups of an unacknowledged draw.
+func (l *Ledger) Drawn(trainer, draw string) ([]DrawnGroup, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	t := l.state.Trainers[trainer]
+	if t == nil || t.Draws[draw] == nil {
+		return nil, false
+	}
+	return t.Draws[draw].Groups, true
+}
+
+// Knows reports whether a draw id is in use or was acknowledged.
+func (l *Ledger) Knows(trainer, draw string) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	t := l.state.Trainers[trainer]
+	if t == nil {
+		return false
+	}
+	if t.Draws[draw] != nil {
+		return true
+	}
+	for _, a := range t.Acked {
+		if a.ID == draw {
+			return true
+		}
+	}
+	return false
+}
+
+// BodyUse says what the ledger needs a body for.
+type BodyUse uint8
+
+// Uses of a body.
+const (
+	BodyUnused  BodyUse = iota // may be deleted
+	BodyPending                // its group awaits a commit, possibly of this body
+	BodyNeeded                 // its group is whole or drawn
+)
+
+// Use returns what the ledger needs the body for.
+func (l *Ledger) Use(key wire.BodyKey) BodyUse {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	t := l.state.Trainers[key.Trainer]
+	if t == nil {
+		return BodyPending
+	}
+	g := t.group(key)
+	switch {
+	case g == nil && key.Step > t.LastStep:
+		return BodyPending
+	case g == nil:
+		return BodyUnused
+	case g.Commit != nil && g.Commit.Key == key:
+		return BodyNeeded
+	case g.State == GroupPending && key.Round >= g.Round, key.Round > g.Round:
+		return BodyPending
+	}
+	return BodyUnused
+}
+
+// TrainerStatus is the state of one trainer for the state dump and metrics.
+type TrainerStatus struct {
+	Version uint64         `json:"version"`
+	Steps   int            `json:"steps"`
+	Groups  map[string]int `json:"groups"`
+	Draws   []string       `json:"unacknowledged_draws"`
+	Counts  Counts         `json:"counts"`
+}
+
+// Status returns the state of all trainers by name.
+func (l *Ledger) Status() map[string]TrainerStatus {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	names := [...]string{"pending", "whole", "drawn", "acknowledged"}
+	status := make(map[string]TrainerStatus, len(l.state.Trainers))
+	for name, t := range l.state.Trainers {
+		s := TrainerStatus{Version: t.Version, Steps: len(t.Steps), Groups: map[string]int{}, Draws: sortedKeys(t.Draws), Counts: t.Counts}
+		for _, step := range t.Steps {
+			for _, g := range step.Groups {
+				s.Groups[names[g.State]]++
+			}
+		}
+		status[name] = s
+	}
+	return status
+}
--- /dev/null
+++ b/rollout/worker.go
@@ -0,0 +1,309 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/duty"
+	"merlinhall/link"
+	"merlinhall/wire"
+)
+
+const (
+	// workerMailbox is the capacity of a worker's mailbox.
+	workerMailbox = 8192
+	// maxWorkerJobs bounds running jobs and kept results of one entry.
+	maxWorkerJobs = 4096
+	// resultKept is how long a finished result waits for its release. A leader
+	// change takes seconds; the rest covers an entry cut off from control.
+	resultKept = 10 * time.Minute
+	// workerTick is the period of the check for expired results.
+	workerTick = 10 * time.Second
+	// scorePause is the pause before the second scoring call; it doubles up to
+	// maxScorePause. Calls repeat until the job's deadline, because generating the
+	// sample again costs more. Repeating is harmless: the call names the sample.
+	scorePause    = 200 * time.Millisecond
+	maxScorePause = 5 * time.Second
+)
+
+// Runner does the work of a job. The entry implements it.
+type Runner interface {
+	// Generate runs one model call to its end. Tokens with version 0 are tokens
+	// that cannot be attributed to a weight version. Wasted counts tokens that
+	// were generated and discarded on the way; it is valid with an error too.
+	Generate(ctx context.Context, g *wire.Generate) (tokens []wire.Token, wasted int, err error)
+	// CallService sends a POST request with a JSON body to a plain service and
+	// returns the body of the response.
+	CallService(ctx context.Context, service, path, requestID string, body []byte) ([]byte, error)
+}
+
+// WorkerOptions configure a Worker.
+type WorkerOptions struct {
+	System *duty.System
+	Runner Runner
+	Log    *logrus.Entry
+}
+
+// sender is the part of a link that workers and coordinators use.
+type sender interface {
+	Send(m wire.Message) error
+}
+
+// Worker runs the rollout jobs of one entry. It implements link.Events for
+// KindGenerate, KindAbandon and KindJobsQuery.
+type Worker struct {
+	o    WorkerOptions
+	duty *duty.Duty
+	jobs map[string]*workerJob
+}
+
+type workerJob struct {
+	sample   wire.SampleID
+	cancel   context.CancelFunc
+	askers   map[sender]bool // links that want the result
+	result   *wire.SampleDone
+	finished time.Time
+}
+
+type workerMessage struct {
+	from sender
+	m    wire.Message
+}
+
+type workerDown struct{ from sender }
+
+type workerDone struct{ result *wire.SampleDone }
+
+type workerTimer struct{}
+
+// NewWorker starts a worker.
+func NewWorker(o WorkerOptions) *Worker {
+	w := &Worker{o: o, jobs: map[string]*workerJob{}}
+	w.duty = o.System.Start("rollout worker", workerMailbox, duty.HandlerFunc(w.receive))
+	w.duty.Every(workerTick, workerTimer{})
+	return w
+}
+
+// Up implements link.Events.
+func (w *Worker) Up(*link.Conn) {}
+
+// Message implements link.Events.
+func (w *Worker) Message(c *link.Conn, m wire.Message) { w.message(c, m) }
+
+// Down implements link.Events.
+func (w *Worker) Down(c *link.Conn, _ error) { _ = w.duty.Offer(workerDown{c}) }
+
+func (w *Worker) message(from sender, m wire.Message) {
+	err := w.duty.Offer(workerMessage{from, m})
+	if g, ok := m.(*wire.Generate); ok && err != nil {
+		_ = from.Send(&wire.SampleDone{Job: g.Job, Sample: g.Sample, Error: "the entry is overloaded"})
+	}
+}
+
+// Stop cancels all jobs and ends the worker.
+func (w *Worker) Stop() {
+	w.duty.Stop()
+	for _, j := range w.jobs {
+		j.cancel()
+	}
+}
+
+func (w *Worker) receive(msg any) {
+	switch m := msg.(type) {
+	case workerMessage:
+		w.handle(m.from, m.m)
+	case workerDown:
+		for _, j := range w.jobs {
+			delete(j.askers, m.from)
+		}
+	case workerDone:
+		w.finish(m.result)
+	case workerTimer:
+		w.expire(time.Now())
+	}
+}
+
+func (w *Worker) handle(from sender, msg wire.Message) {
+	switch m := msg.(type) {
+	case *wire.Generate:
+		w.generate(from, m)
+	case *wire.Abandon:
+		if j := w.jobs[m.Job]; j != nil {
+			j.cancel()
+			delete(w.jobs, m.Job)
+		}
+	case *wire.JobsQuery:
+		w.list(from)
+	}
+}
+
+func (w *Worker) list(from sender) {
+	held := &wire.JobsHeld{}
+	for _, id := range sortedKeys(w.jobs) {
+		held.Jobs = append(held.Jobs, wire.HeldJob{Job: id, Sample: w.jobs[id].sample})
+	}
+	_ = from.Send(held)
+}
+
+// generate runs a job that it does not know, and answers one that has finished.
+func (w *Worker) generate(from sender, g *wire.Generate) {
+	if j := w.jobs[g.Job]; j != nil {
+		j.askers[from] = true
+		if j.result != nil {
+			_ = from.Send(j.result)
+		}
+		return
+	}
+	if len(w.jobs) >= maxWorkerJobs {
+		_ = from.Send(&wire.SampleDone{Job: g.Job, Sample: g.Sample, Error: "the entry holds too many jobs"})
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(g.Deadline))
+	w.jobs[g.Job] = &workerJob{sample: g.Sample, cancel: cancel, askers: map[sender]bool{from: true}}
+	go func() {
+		defer cancel()
+		result := runJob(ctx, w.o.Runner, g)
+		w.deliver(result)
+	}()
+}
+
+// deliver queues a result. The mailbox may be full for a moment; the result must
+// not be lost, so it is offered until it is taken.
+func (w *Worker) deliver(result *wire.SampleDone) {
+	for w.duty.Offer(workerDone{result}) == duty.ErrFull {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (w *Worker) finish(result *wire.SampleDone) {
+	j := w.jobs[result.Job]
+	if j == nil {
+		return
+	}
+	j.result = result
+	j.finished = time.Now()
+	for asker := range j.askers {
+		_ = asker.Send(result)
+	}
+	if result.Error != "" {
+		delete(w.jobs, result.Job)
+	}
+}
+
+func (w *Worker) expire(now time.Time) {
+	for id, j := range w.jobs {
+		if j.result != nil && now.Sub(j.finished) > resultKept {
+			delete(w.jobs, id)
+		}
+	}
+}
+
+// runJob generates and scores one sample.
+func runJob(ctx context.Context, r Runner, g *wire.Generate) *wire.SampleDone {
+	done := &wire.SampleDone{Job: g.Job, Sample: g.Sample}
+	tokens, wasted, err := r.Generate(ctx, g)
+	done.Wasted = wasted
+	if err == nil {
+		err = checkTokens(tokens, g.MinVersion)
+	}
+	if err != nil {
+		return failJob(done, len(tokens), err)
+	}
+	score, err := scoreSample(ctx, r, g, tokens)
+	if err != nil {
+		return failJob(done, len(tokens), err)
+	}
+	done.Score = score
+	done.Versions = rangesOf(tokens)
+	done.Tokens = make([]string, len(tokens))
+	for i, t := range tokens {
+		done.Tokens[i] = t.Text
+	}
+	return done
+}
+
+func failJob(done *wire.SampleDone, tokens int, err error) *wire.SampleDone {
+	done.Wasted += tokens
+	done.Error = err.Error()
+	return done
+}
+
+// checkTokens refuses a sample whose versions are unknown or too old.
+func checkTokens(tokens []wire.Token, minVersion uint64) error {
+	if len(tokens) == 0 {
+		return fmt.Errorf("the generation has no tokens")
+	}
+	for i, t := range tokens {
+		if t.Version == 0 {
+			return fmt.Errorf("token %d cannot be attributed to a weight version", i)
+		}
+		if t.Version < minVersion {
+			return fmt.Errorf("token %d is from version %d, the oldest accepted is %d", i, t.Version, minVersion)
+		}
+	}
+	return nil
+}
+
+// scoreRequest is the body of a call to the scoring service.
+type scoreRequest struct {
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+}
+
+type scoreResponse struct {
+	Score *float64 `json:"score"`
+}
+
+// ScorePath is the path of the scoring call.
+const ScorePath = "/score"
+
+func scoreSample(ctx context.Context, r Runner, g *wire.Generate, tokens []wire.Token) (float64, error) {
+	if g.Scorer == "" {
+		return 0, nil
+	}
+	var text strings.Builder
+	for _, t := range tokens {
+		text.WriteString(t.Text)
+	}
+	body, err := json.Marshal(scoreRequest{ID: sampleName(g.Sample), Prompt: g.Generation.Prompt, Text: text.String(), Tokens: len(tokens)})
+	if err != nil {
+		return 0, err
+	}
+	pause := scorePause
+	for {
+		score, err := callScorer(ctx, r, g, body)
+		if err == nil {
+			return score, nil
+		}
+		select {
+		case <-time.After(pause):
+			pause = min(2*pause, maxScorePause)
+		case <-ctx.Done():
+			return 0, err
+		}
+	}
+}
+
+// sampleName is the sample id as text.
+func sampleName(s wire.SampleID) string {
+	return fmt.Sprintf("%s/%d/%d/%d", s.Trainer, s.Step, s.Group, s.Index)
+}
+
+func callScorer(ctx context.Context, r Runner, g *wire.Generate, body []byte) (float64, error) {
+	answer, err := r.CallService(ctx, g.Scorer, ScorePath, g.Job, body)
+	if err != nil {
+		return 0, fmt.Errorf("score by %q: %w", g.Scorer, err)
+	}
+	var response scoreResponse
+	if err := json.Unmarshal(answer, &response); err != nil || response.Score == nil {
+		return 0, fmt.Errorf("score by %q: the response has no score", g.Scorer)
+	}
+	return *response.Score, nil
+}
--- /dev/null
+++ b/standin/trainer.go
@@ -0,0 +1,534 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	trainerRequestLimit = 30 * time.Second
+	trainerRetryPause   = 100 * time.Millisecond
+)
+
+// TrainerOptions configure a stand-in trainer.
+type TrainerOptions struct {
+	Name      string
+	Entries   []string // base URLs of entries; used in turn after a failure
+	Token     string
+	Pools     []string
+	Client    *http.Client
+	Prompts   int // groups in a step
+	GroupSize int
+	MaxTokens int
+	Seed      uint64
+	Bound     uint64        // staleness bound to check received samples against
+	TrainTime time.Duration // time a step's training takes
+	Ahead     int           // steps opened beyond the one that is being drawn
+	MaxGroups int           // groups in one draw
+	Wait      time.Duration // wait_ms of a draw
+	// LoseAnswer is the share of draws whose answer the trainer pretends to have
+	// lost and asks for again.
+	LoseAnswer float64
+	// StateFile holds the trainer's progress; a restarted trainer goes on from it.
+	// Empty means none.
+	StateFile string
+	Logf      func(format string, args ...any)
+}
+
+// TrainerSample is one received sample.
+type TrainerSample struct {
+	Step    uint64 `json:"step"`
+	Group   int    `json:"group"`
+	Index   int    `json:"index"`
+	Draw    string `json:"draw"`
+	Oldest  uint64 `json:"oldest"`
+	Newest  uint64 `json:"newest"`
+	Trainer uint64 `json:"trainer_version"` // at receipt
+	Tokens  int    `json:"tokens"`
+}
+
+// TrainerReport is what a trainer observed.
+type TrainerReport struct {
+	Name           string          `json:"name"`
+	Version        uint64          `json:"version"`
+	Steps          int             `json:"steps"` // finished
+	Draws          int             `json:"draws"`
+	Resent         int             `json:"resent_draws"`
+	Samples        int             `json:"samples"`
+	IdleSeconds    float64         `json:"idle_seconds"`
+	TotalSeconds   float64         `json:"total_seconds"`
+	IdleRatio      float64         `json:"idle_ratio"`
+	StalenessMean  float64         `json:"staleness_mean"`
+	StalenessP99   uint64          `json:"staleness_p99"`
+	StalenessMax   uint64          `json:"staleness_max"`
+	Violations     []string        `json:"violations"`
+	ReceivedSample []TrainerSample `json:"received"`
+}
+
+// trainerState is what survives a restart.
+type trainerState struct {
+	Version    uint64          `json:"version"`
+	Opened     uint64          `json:"opened"` // last step opened
+	Step       uint64          `json:"step"`   // step being drawn
+	DrawID     string          `json:"draw_id"`
+	DrawSerial uint64          `json:"draw_serial"`
+	Publishing uint64          `json:"publishing"` // version being published, 0 when none
+	Received   []TrainerSample `json:"received"`
+	Resent     int             `json:"resent"`
+	Draws      int             `json:"draws"`
+	Steps      int             `json:"steps"`
+	Idle       time.Duration   `json:"idle"`
+	Total      time.Duration   `json:"total"`
+	Violations []string        `json:"violations"`
+}
+
+// Trainer is a stand-in trainer. It opens steps, draws and checks samples,
+// acknowledges them, pretends to train and publishes the next weight version.
+type Trainer struct {
+	o      TrainerOptions
+	random *rand.Rand
+	entry  int
+
+	mu    sync.Mutex
+	state trainerState
+	seen  map[[3]uint64]string // sample identity to its draw
+}
+
+type trainerDraw struct {
+	DrawID  string `json:"draw_id"`
+	Version uint64 `json:"version"`
+	Groups  []struct {
+		Step    uint64 `json:"step"`
+		Group   int    `json:"group"`
+		Samples []struct {
+			Trainer  string   `json:"trainer"`
+			Step     uint64   `json:"step"`
+			Group    int      `json:"group"`
+			Index    int      `json:"index"`
+			Tokens   []string `json:"tokens"`
+			Versions []struct {
+				From    int    `json:"from"`
+				To      int    `json:"to"`
+				Version uint64 `json:"version"`
+			} `json:"versions"`
+			Score float64 `json:"score"`
+		} `json:"samples"`
+	} `json:"groups"`
+}
+
+// TrainerStatusError is an HTTP response other than 200.
+type TrainerStatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *TrainerStatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// NewTrainer returns a trainer that has read its state file.
+func NewTrainer(o TrainerOptions) (*Trainer, error) {
+	if o.Client == nil {
+		o.Client = &http.Client{Timeout: trainerRequestLimit}
+	}
+	if o.Logf == nil {
+		o.Logf = func(string, ...any) {}
+	}
+	t := &Trainer{
+		o:      o,
+		random: rand.New(rand.NewPCG(o.Seed, 1)),
+		state:  trainerState{Version: 1, Step: 1, Violations: []string{}},
+		seen:   map[[3]uint64]string{},
+	}
+	if err := t.load(); err != nil {
+		return nil, err
+	}
+	for _, s := range t.state.Received {
+		t.seen[[3]uint64{s.Step, uint64(s.Group), uint64(s.Index)}] = s.Draw
+	}
+	return t, nil
+}
+
+func (t *Trainer) load() error {
+	if t.o.StateFile == "" {
+		return nil
+	}
+	text, err := os.ReadFile(t.o.StateFile)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read trainer state: %w", err)
+	}
+	if err := json.Unmarshal(text, &t.state); err != nil {
+		return fmt.Errorf("read trainer state %s: %w", t.o.StateFile, err)
+	}
+	return nil
+}
+
+// save writes the state to a new file and renames it, so that a crash leaves
+// the former or the new state.
+func (t *Trainer) save() error {
+	if t.o.StateFile == "" {
+		return nil
+	}
+	t.mu.Lock()
+	text, err := json.Marshal(t.state)
+	t.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(t.o.StateFile + ".tmp")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err != nil {
+		return err
+	}
+	return os.Rename(t.o.StateFile+".tmp", t.o.StateFile)
+}
+
+// Run trains steps until ctx ends or steps more are finished; 0 means without
+// limit. It returns nil at the end of ctx.
+func (t *Trainer) Run(ctx context.Context, steps int) error {
+	for done := 0; steps == 0 || done < steps; done++ {
+		if err := t.step(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Trainer) step(ctx context.Context) error {
+	start := time.Now()
+	if err := t.finishPublish(ctx); err != nil {
+		return err
+	}
+	if err := t.openSteps(ctx); err != nil {
+		return err
+	}
+	if err := t.drawStep(ctx); err != nil {
+		return err
+	}
+	if err := sleep(ctx, t.o.TrainTime); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.state.Publishing = t.state.Version + 1
+	t.state.Steps++
+	t.state.Step++
+	t.state.Total += time.Since(start)
+	t.mu.Unlock()
+	if err := t.save(); err != nil {
+		return err
+	}
+	return t.finishPublish(ctx)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// finishPublish publishes a version that is not yet known to be published.
+func (t *Trainer) finishPublish(ctx context.Context) error {
+	version := t.state.Publishing
+	if version == 0 {
+		return nil
+	}
+	for _, pool := range t.o.Pools {
+		request := map[string]any{"pool": pool, "version": version, "request_id": fmt.Sprintf("%s-%s-%d", t.o.Name, pool, version)}
+		if err := t.post(ctx, "weights", request, nil); err != nil {
+			return fmt.Errorf("publish version %d to pool %s: %w", version, pool, err)
+		}
+	}
+	t.mu.Lock()
+	t.state.Version, t.state.Publishing = version, 0
+	t.mu.Unlock()
+	return t.save()
+}
+
+func (t *Trainer) openSteps(ctx context.Context) error {
+	for t.state.Opened < t.state.Step+uint64(t.o.Ahead) {
+		step := t.state.Opened + 1
+		prompts := make([]string, t.o.Prompts)
+		for i := range prompts {
+			prompts[i] = fmt.Sprintf("%s step %d prompt %d", t.o.Name, step, i)
+		}
+		request := map[string]any{
+			"step":       step,
+			"prompts":    prompts,
+			"group_size": t.o.GroupSize,
+			"sampling":   map[string]any{"max_tokens": t.o.MaxTokens, "seed": t.o.Seed % (1 << 31)},
+			"version":    t.state.Version,
+		}
+		if err := t.post(ctx, "steps", request, nil); err != nil {
+			return fmt.Errorf("open step %d: %w", step, err)
+		}
+		t.mu.Lock()
+		t.state.Opened = step
+		t.mu.Unlock()
+		if err := t.save(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drawStep draws until every group of the current step has been received. Time
+// spent here is idle time of the trainer.
+func (t *Trainer) drawStep(ctx context.Context) error {
+	start := time.Now()
+	for t.received(t.state.Step) < t.o.Prompts*t.o.GroupSize {
+		if err := t.draw(ctx); err != nil {
+			return err
+		}
+	}
+	t.mu.Lock()
+	t.state.Idle += time.Since(start)
+	t.mu.Unlock()
+	return nil
+}
+
+func (t *Trainer) received(step uint64) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.state.Received {
+		if s.Step == step {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Trainer) draw(ctx context.Context) error {
+	if t.state.DrawID == "" {
+		t.mu.Lock()
+		t.state.DrawSerial++
+		t.state.DrawID = fmt.Sprintf("%s-%d", t.o.Name, t.state.DrawSerial)
+		t.mu.Unlock()
+		if err := t.save(); err != nil {
+			return err
+		}
+	}
+	answer, err := t.askDraw(ctx)
+	if err != nil {
+		return err
+	}
+	if len(answer.Groups) == 0 {
+		return nil
+	}
+	if t.random.Float64() < t.o.LoseAnswer {
+		again, err := t.askDraw(ctx)
+		if err != nil {
+			return err
+		}
+		t.compare(answer, again)
+		answer = again
+	}
+	t.accept(answer)
+	if err := t.save(); err != nil {
+		return err
+	}
+	if err := t.post(ctx, "acks", map[string]any{"draw_id": t.state.DrawID}, nil); err != nil {
+		return fmt.Errorf("acknowledge draw %s: %w", t.state.DrawID, err)
+	}
+	t.mu.Lock()
+	t.state.DrawID = ""
+	t.mu.Unlock()
+	return t.save()
+}
+
+func (t *Trainer) askDraw(ctx context.Context) (*trainerDraw, error) {
+	request := map[string]any{
+		"draw_id":    t.state.DrawID,
+		"max_groups": t.o.MaxGroups,
+		"wait_ms":    t.o.Wait.Milliseconds(),
+		"up_to_step": t.state.Step,
+	}
+	var answer trainerDraw
+	if err := t.post(ctx, "draws", request, &answer); err != nil {
+		return nil, fmt.Errorf("draw %s: %w", t.state.DrawID, err)
+	}
+	return &answer, nil
+}
+
+// compare records a resent draw that returned other samples.
+func (t *Trainer) compare(first, second *trainerDraw) {
+	a, _ := json.Marshal(first.Groups)
+	b, _ := json.Marshal(second.Groups)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Resent++
+	if !bytes.Equal(a, b) {
+		t.violate("draw %s returned other samples when it was sent again", t.state.DrawID)
+	}
+}
+
+func (t *Trainer) violate(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	t.o.Logf("violation: %s", text)
+	t.state.Violations = append(t.state.Violations, text)
+}
+
+// accept checks and records the samples of a draw.
+func (t *Trainer) accept(d *trainerDraw) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Draws++
+	for _, g := range d.Groups {
+		if len(g.Samples) != t.o.GroupSize {
+			t.violate("group %d of step %d has %d samples, not %d", g.Group, g.Step, len(g.Samples), t.o.GroupSize)
+		}
+		for _, s := range g.Samples {
+			record := TrainerSample{Step: s.Step, Group: s.Group, Index: s.Index, Draw: d.DrawID, Trainer: t.state.Version, Tokens: len(s.Tokens)}
+			next := 0
+			for i, r := range s.Versions {
+				if r.From != next || r.To <= r.From {
+					t.violate("sample %d/%d/%d has version ranges with a gap", s.Step, s.Group, s.Index)
+				}
+				next = r.To
+				if i == 0 || r.Version < record.Oldest {
+					record.Oldest = r.Version
+				}
+				record.Newest = max(record.Newest, r.Version)
+			}
+			if next != len(s.Tokens) {
+				t.violate("sample %d/%d/%d has versions for %d of %d tokens", s.Step, s.Group, s.Index, next, len(s.Tokens))
+			}
+			t.record(s.Trainer, record)
+		}
+	}
+}
+
+func (t *Trainer) record(trainer string, s TrainerSample) {
+	id := [3]uint64{s.Step, uint64(s.Group), uint64(s.Index)}
+	if trainer != t.o.Name {
+		t.violate("sample %v belongs to trainer %s", id, trainer)
+	}
+	if draw, ok := t.seen[id]; ok {
+		// A trainer that stopped between recording and acknowledging a draw gets
+		// the same draw again; any other repetition breaks the promise.
+		if draw != s.Draw {
+			t.violate("sample %v came in draw %s and again in draw %s", id, draw, s.Draw)
+		}
+		return
+	}
+	if s.Oldest+t.o.Bound < s.Trainer {
+		t.violate("sample %v is from version %d, the trainer is at %d", id, s.Oldest, s.Trainer)
+	}
+	t.seen[id] = s.Draw
+	t.state.Received = append(t.state.Received, s)
+}
+
+// post sends a request until it succeeds or can never succeed.
+func (t *Trainer) post(ctx context.Context, what string, request, response any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	for {
+		err := t.postOnce(ctx, what, body, response)
+		var status *TrainerStatusError
+		if err == nil || errors.As(err, &status) && status.Status < 500 && status.Status != http.StatusTooManyRequests {
+			return err
+		}
+		t.o.Logf("%s: %v", what, err)
+		t.entry++
+		if err := sleep(ctx, trainerRetryPause); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *Trainer) postOnce(ctx context.Context, what string, body []byte, response any) error {
+	base := t.o.Entries[t.entry%len(t.o.Entries)]
+	url := base + "/v1/trainers/" + t.o.Name + "/" + what
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+t.o.Token)
+	answer, err := t.o.Client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return &TrainerStatusError{Status: answer.StatusCode, Body: string(bytes.TrimSpace(text))}
+	}
+	if response == nil {
+		return nil
+	}
+	return json.Unmarshal(text, response)
+}
+
+// Report returns what the trainer has observed.
+func (t *Trainer) Report() TrainerReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state
+	r := TrainerReport{
+		Name:           t.o.Name,
+		Version:        s.Version,
+		Steps:          s.Steps,
+		Draws:          s.Draws,
+		Resent:         s.Resent,
+		Samples:        len(s.Received),
+		IdleSeconds:    s.Idle.Seconds(),
+		TotalSeconds:   s.Total.Seconds(),
+		Violations:     slices.Clone(s.Violations),
+		ReceivedSample: slices.Clone(s.Received),
+	}
+	if s.Total > 0 {
+		r.IdleRatio = s.Idle.Seconds() / s.Total.Seconds()
+	}
+	r.StalenessMean, r.StalenessP99, r.StalenessMax = staleness(s.Received)
+	return r
+}
+
+func staleness(samples []TrainerSample) (mean float64, p99, worst uint64) {
+	if len(samples) == 0 {
+		return 0, 0, 0
+	}
+	ages := make([]uint64, len(samples))
+	sum := uint64(0)
+	for i, s := range samples {
+		if s.Trainer > s.Oldest {
+			ages[i] = s.Trainer - s.Oldest
+		}
+		sum += ages[i]
+	}
+	slices.Sort(ages)
+	return float64(sum) / float64(len(ages)), ages[(len(ages)-1)*99/100], ages[len(ages)-1]
+}
+
+// ServeHTTP returns the report as JSON.
+func (t *Trainer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(t.Report())
+}
