rollout: trainer status, metrics and publication to shared pools

Trainers that share a pool share its version line: a publication must be above the pool's version. A refused trainer reads the pool's version from GET /v1/trainers/{t} and publishes above it.

A resent publication is recognized for each pool, so a trainer that stops between two pools can repeat both.

--- a/rollout/apply.go
+++ b/rollout/apply.go
@@ -35,7 +35,7 @@
 	}
 	t := l.state.Trainers[c.Trainer]
 	if t == nil {
-		t = &trainerBook{Steps: map[uint64]*stepBook{}, Draws: map[string]*drawBook{}}
+		t = newTrainerBook()
 		l.state.Trainers[c.Trainer] = t
 	}
 	mark := fingerprint(c)
@@ -108,7 +108,6 @@
 	if t == nil {
 		return refuse(CodeNotFound, "trainer %q has no steps", c.Key.Trainer)
 	}
-	t.Counts.Wasted += uint64(c.Wasted)
 	g := t.group(c.Key)
 	stale := g == nil || g.State != GroupPending || g.Round != c.Key.Round
 	if stale && (g == nil || !l.skipExactlyOnce) {
@@ -116,12 +115,13 @@
 			return Outcome{Code: CodeOK, Version: t.Version}
 		}
 		t.Counts.Repeated++
-		t.Counts.Wasted += uint64(c.Tokens)
+		t.Counts.Wasted += uint64(c.Tokens + c.Wasted)
 		return refuse(CodeRepeated, "group %d of step %d already has a result", c.Key.Group, c.Key.Step)
 	}
 	if c.Samples != t.Steps[c.Key.Step].GroupSize {
 		return refuse(CodeInvalid, "group %d has %d samples, its step needs %d", c.Key.Group, c.Samples, t.Steps[c.Key.Step].GroupSize)
 	}
+	t.Counts.Wasted += uint64(c.Wasted)
 	g.State = GroupWhole
 	g.Commit = c
 	g.Order = index
@@ -317,14 +317,17 @@
 	}
 	t := l.state.Trainers[c.Trainer]
 	if t == nil {
-		t = &trainerBook{Steps: map[uint64]*stepBook{}, Draws: map[string]*drawBook{}}
+		t = newTrainerBook()
 		l.state.Trainers[c.Trainer] = t
 	}
-	if t.Publish == *c {
-		return Outcome{Code: CodeOK, Version: t.Version}
-	}
-	if t.Publish.RequestID == c.RequestID {
-		return refuse(CodeConflict, "request %q published version %d to pool %q", c.RequestID, t.Publish.Version, t.Publish.Pool)
+	for _, name := range sortedKeys(t.Published) {
+		last := t.Published[name]
+		if last == *c {
+			return Outcome{Code: CodeOK, Version: t.Version}
+		}
+		if last.RequestID == c.RequestID {
+			return refuse(CodeConflict, "request %q published version %d to pool %q", c.RequestID, last.Version, last.Pool)
+		}
 	}
 	if c.Version < t.Version {
 		return refuse(CodeConflict, "version %d is below version %d of trainer %q", c.Version, t.Version, c.Trainer)
@@ -338,7 +341,7 @@
 	}
 	t.Opened = true
 	t.Version = c.Version
-	t.Publish = *c
+	t.Published[c.Pool] = *c
 	l.state.Pools[c.Pool] = &poolBook{Version: c.Version, Trainer: c.Trainer, Fence: fence}
 	l.dropTooOld(c.Trainer, t)
 	return Outcome{Code: CodeOK, Version: t.Version}
--- a/rollout/calls.go
+++ b/rollout/calls.go
@@ -16,6 +16,7 @@
 	MethodBody     = "rollout.body"
 	MethodAck      = "rollout.ack"
 	MethodPublish  = "rollout.publish"
+	MethodStatus   = "rollout.status"
 )
 
 const (
@@ -63,6 +64,26 @@
 	calls.HandleCall(MethodPublish, commandCall(c, func(p *Publish) Command { return Command{Publish: p} }))
 	calls.HandleCall(MethodDraw, c.drawCall)
 	calls.HandleCall(MethodBody, c.bodyCall)
+	calls.HandleCall(MethodStatus, c.statusCall)
+}
+
+// StatusReply is the response of MethodStatus, whose request is the name of the
+// trainer.
+type StatusReply struct {
+	Outcome Outcome       `cbor:"1,keyasint"`
+	Status  TrainerStatus `cbor:"2,keyasint"`
+}
+
+func (c *Coordinator) statusCall(_ context.Context, body []byte) ([]byte, error) {
+	var trainer string
+	if err := wire.Unmarshal(body, &trainer); err != nil {
+		return wire.Marshal(StatusReply{Outcome: Outcome{Code: CodeInvalid, Detail: err.Error()}})
+	}
+	status, ok := c.o.Ledger.Status()[trainer]
+	if !ok {
+		return wire.Marshal(StatusReply{Outcome: refuse(CodeNotFound, "trainer %q has no steps", trainer)})
+	}
+	return wire.Marshal(StatusReply{Outcome: Outcome{Code: CodeOK}, Status: status})
 }
 
 // commandCall returns the handler of a call that is one command.
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -11,6 +11,7 @@
 
 	"merlinhall/duty"
 	"merlinhall/link"
+	"merlinhall/observe"
 	"merlinhall/wire"
 )
 
@@ -44,6 +45,8 @@
 	Replicas func() []string
 	Planner  PlannerOptions
 	Log      *logrus.Entry
+	// Observer shows the ledger and the planner's counts; nil shows nothing.
+	Observer *observe.Observer
 }
 
 // Coordinator is the duty of a control replica that feeds trainers. On every
@@ -59,6 +62,7 @@
 	links   links
 	bodies  bodies
 
+	seen    uint64 // revision of the last view
 	leading bool
 	term    uint64
 	stop    context.CancelFunc // ends proposals of the current leadership
@@ -117,6 +121,7 @@
 		_ = c.duty.Offer(ledgerChanged{})
 	})
 	c.duty.Every(coordinatorTick, clockTick{})
+	c.observe(o.Observer)
 	return c, nil
 }
 
@@ -167,8 +172,7 @@
 	case ledgerChanged:
 		c.ledgerChanged(now)
 	case clockTick:
-		c.step(now, Tick{})
-		c.tickBodies(now)
+		c.tick(now)
 	case putDone:
 		c.putDone(m)
 	case commitDone:
@@ -178,6 +182,15 @@
 	}
 }
 
+func (c *Coordinator) tick(now time.Time) {
+	// A change of the ledger that met a full mailbox is noticed here.
+	if c.o.Ledger.Revision() != c.seen {
+		c.ledgerChanged(now)
+	}
+	c.step(now, Tick{})
+	c.tickBodies(now)
+}
+
 func (c *Coordinator) linkUp(now time.Time, m linkUp) {
 	c.links.add(m.peer.Process, m.conn)
 	if hasRole(m.peer, wire.RoleEntry) {
@@ -234,7 +247,9 @@
 
 // ledgerChanged passes the newest state of the ledger on.
 func (c *Coordinator) ledgerChanged(now time.Time) {
-	c.step(now, ViewChanged{View: c.o.Ledger.View()})
+	view := c.o.Ledger.View()
+	c.seen = view.Revision
+	c.step(now, ViewChanged{View: view})
 	c.sweep()
 }
 
--- a/rollout/handler.go
+++ b/rollout/handler.go
@@ -38,6 +38,7 @@
 	mux.HandleFunc("POST /v1/trainers/{trainer}/draws", h.guard(h.draw))
 	mux.HandleFunc("POST /v1/trainers/{trainer}/acks", h.guard(h.ack))
 	mux.HandleFunc("POST /v1/trainers/{trainer}/weights", h.guard(h.publish))
+	mux.HandleFunc("GET /v1/trainers/{trainer}", h.guard(h.status))
 	return mux
 }
 
@@ -165,6 +166,23 @@
 	}
 }
 
+// status shows a trainer's versions, steps and draws. A trainer that shares a
+// pool publishes above the pool's version.
+func (h *trainerHandler) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callLimit)
+	defer cancel()
+	var reply StatusReply
+	if failure := h.roundTrip(ctx, MethodStatus, r.PathValue("trainer"), &reply); failure != nil {
+		writeOutcome(w, *failure)
+		return
+	}
+	if reply.Outcome.Code != CodeOK {
+		writeOutcome(w, reply.Outcome)
+		return
+	}
+	writeJSON(w, http.StatusOK, reply.Status)
+}
+
 func (h *trainerHandler) command(w http.ResponseWriter, r *http.Request, method string, request any) {
 	ctx, cancel := context.WithTimeout(r.Context(), callLimit)
 	defer cancel()
--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -62,8 +62,29 @@
 	Done     []doneStep           `cbor:"5,keyasint,omitempty"`
 	Draws    map[string]*drawBook `cbor:"6,keyasint,omitempty"`
 	Acked    []ackedDraw          `cbor:"7,keyasint,omitempty"`
-	Publish  Publish              `cbor:"8,keyasint"`
-	Counts   Counts               `cbor:"9,keyasint"`
+	Counts   Counts               `cbor:"8,keyasint"`
+	// Published holds the last publication to each pool.
+	Published map[string]Publish `cbor:"9,keyasint,omitempty"`
+}
+
+func newTrainerBook() *trainerBook {
+	t := &trainerBook{}
+	t.makeMaps()
+	return t
+}
+
+// makeMaps replaces maps that were left out of a snapshot because they were
+// empty.
+func (t *trainerBook) makeMaps() {
+	if t.Steps == nil {
+		t.Steps = map[uint64]*stepBook{}
+	}
+	if t.Draws == nil {
+		t.Draws = map[string]*drawBook{}
+	}
+	if t.Published == nil {
+		t.Published = map[string]Publish{}
+	}
 }
 
 // Counts are totals of one trainer.
@@ -194,12 +215,7 @@
 		return eris.Wrap(err, "restore trainer ledger")
 	}
 	for _, t := range state.Trainers {
-		if t.Steps == nil {
-			t.Steps = map[uint64]*stepBook{}
-		}
-		if t.Draws == nil {
-			t.Draws = map[string]*drawBook{}
-		}
+		t.makeMaps()
 	}
 	l.mu.Lock()
 	l.state = state
--- /dev/null
+++ b/rollout/status.go
@@ -0,0 +1,83 @@
+package rollout
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"merlinhall/observe"
+)
+
+// plannerCounts are what the planner shows of itself.
+type plannerCounts struct {
+	Leading  bool `json:"leading"`
+	InFlight int  `json:"jobs_in_flight"`
+	Wasted   int  `json:"wasted_tokens"`
+	Repeated int  `json:"repeated_results"`
+	Seals    int  `json:"groups_being_stored"`
+	Fetches  int  `json:"bodies_being_fetched"`
+}
+
+// observe registers the state dump and the metrics.
+func (c *Coordinator) observe(o *observe.Observer) {
+	if o == nil {
+		return
+	}
+	o.Dump("rollout", func() any {
+		return map[string]any{"trainers": c.o.Ledger.Status(), "planner": c.counts()}
+	})
+	o.Gate("rollout", c.store.Err)
+	o.Registry.MustRegister(&collector{c})
+}
+
+// counts asks the coordinator's goroutine. It returns zeros after a stop.
+func (c *Coordinator) counts() plannerCounts {
+	answer := make(chan plannerCounts, 1)
+	err := c.duty.Offer(inspect{func() {
+		answer <- plannerCounts{
+			Leading:  c.leading,
+			InFlight: c.planner.inFlight,
+			Wasted:   c.planner.Wasted,
+			Repeated: c.planner.Repeated,
+			Seals:    len(c.bodies.seals),
+			Fetches:  len(c.bodies.fetches),
+		}
+	}})
+	if err != nil {
+		return plannerCounts{}
+	}
+	select {
+	case counts := <-answer:
+		return counts
+	case <-c.duty.Done():
+		return plannerCounts{}
+	}
+}
+
+var (
+	jobsDesc      = prometheus.NewDesc("merlinhall_rollout_jobs_in_flight", "Generation jobs in flight.", nil, nil)
+	wastedDesc    = prometheus.NewDesc("merlinhall_rollout_wasted_tokens_total", "Tokens generated and discarded.", []string{"trainer"}, nil)
+	deliveredDesc = prometheus.NewDesc("merlinhall_rollout_delivered_tokens_total", "Tokens handed to trainers.", []string{"trainer"}, nil)
+	tooOldDesc    = prometheus.NewDesc("merlinhall_rollout_groups_too_old_total", "Groups generated again because they were below the staleness bound.", []string{"trainer"}, nil)
+	repeatedDesc  = prometheus.NewDesc("merlinhall_rollout_groups_repeated_total", "Second results of a group that were discarded.", []string{"trainer"}, nil)
+	versionDesc   = prometheus.NewDesc("merlinhall_rollout_trainer_version", "Weight version of a trainer.", []string{"trainer"}, nil)
+)
+
+// collector shows the ledger and the planner as metrics.
+type collector struct{ c *Coordinator }
+
+// Describe implements prometheus.Collector.
+func (m *collector) Describe(out chan<- *prometheus.Desc) { prometheus.DescribeByCollect(m, out) }
+
+// Collect implements prometheus.Collector.
+func (m *collector) Collect(out chan<- prometheus.Metric) {
+	out <- prometheus.MustNewConstMetric(jobsDesc, prometheus.GaugeValue, float64(m.c.counts().InFlight))
+	for name, s := range m.c.o.Ledger.Status() {
+		counter := func(d *prometheus.Desc, v uint64) {
+			out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), name)
+		}
+		counter(wastedDesc, s.Counts.Wasted)
+		counter(deliveredDesc, s.Counts.Delivered)
+		counter(tooOldDesc, s.Counts.TooOld)
+		counter(repeatedDesc, s.Counts.Repeated)
+		out <- prometheus.MustNewConstMetric(versionDesc, prometheus.GaugeValue, float64(s.Version), name)
+	}
+}
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -142,13 +142,33 @@
 	return BodyUnused
 }
 
-// TrainerStatus is the state of one trainer for the state dump and metrics.
+// Revision returns the log index of the last command.
+func (l *Ledger) Revision() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.state.Revision
+}
+
+// TrainerStatus is the state of one trainer.
 type TrainerStatus struct {
-	Version uint64         `json:"version"`
-	Steps   int            `json:"steps"`
-	Groups  map[string]int `json:"groups"`
-	Draws   []string       `json:"unacknowledged_draws"`
-	Counts  Counts         `json:"counts"`
+	Version uint64            `cbor:"1,keyasint" json:"version"`
+	Steps   []uint64          `cbor:"2,keyasint" json:"open_steps"`
+	Groups  map[string]int    `cbor:"3,keyasint" json:"groups"`
+	Draws   []string          `cbor:"4,keyasint" json:"unacknowledged_draws"`
+	Counts  Counts            `cbor:"5,keyasint" json:"counts"`
+	Pools   map[string]uint64 `cbor:"6,keyasint" json:"pool_versions"`
+}
+
+// poolVersions returns the versions published to the pools of a trainer.
+func (l *Ledger) poolVersions(trainer string) map[string]uint64 {
+	versions := map[string]uint64{}
+	rules, _ := l.rules(trainer)
+	for _, pool := range rules.Pools {
+		if p := l.state.Pools[pool]; p != nil {
+			versions[pool] = p.Version
+		}
+	}
+	return versions
 }
 
 // Status returns the state of all trainers by name.
@@ -158,7 +178,7 @@
 	names := [...]string{"pending", "whole", "drawn", "acknowledged"}
 	status := make(map[string]TrainerStatus, len(l.state.Trainers))
 	for name, t := range l.state.Trainers {
-		s := TrainerStatus{Version: t.Version, Steps: len(t.Steps), Groups: map[string]int{}, Draws: sortedKeys(t.Draws), Counts: t.Counts}
+		s := TrainerStatus{Version: t.Version, Steps: sortedKeys(t.Steps), Groups: map[string]int{}, Draws: sortedKeys(t.Draws), Counts: t.Counts, Pools: l.poolVersions(name)}
 		for _, step := range t.Steps {
 			for _, g := range step.Groups {
 				s.Groups[names[g.State]]++
--- a/rollout/worker.go
+++ b/rollout/worker.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/duty"
@@ -68,6 +69,8 @@
 	askers   map[sender]bool // links that want the result
 	result   *wire.SampleDone
 	finished time.Time
+	// abandoned is set while an unwanted job ends. Its wasted tokens are reported.
+	abandoned bool
 }
 
 type workerMessage struct {
@@ -81,6 +84,8 @@
 
 type workerTimer struct{}
 
+var errAbandoned = eris.New("the job was abandoned")
+
 // NewWorker starts a worker.
 func NewWorker(o WorkerOptions) *Worker {
 	w := &Worker{o: o, jobs: map[string]*workerJob{}}
@@ -133,18 +138,30 @@
 	case *wire.Generate:
 		w.generate(from, m)
 	case *wire.Abandon:
-		if j := w.jobs[m.Job]; j != nil {
-			j.cancel()
-			delete(w.jobs, m.Job)
-		}
+		w.abandon(m.Job)
 	case *wire.JobsQuery:
 		w.list(from)
 	}
 }
 
+func (w *Worker) abandon(id string) {
+	j := w.jobs[id]
+	if j == nil {
+		return
+	}
+	j.cancel()
+	j.abandoned = true
+	if j.result != nil {
+		delete(w.jobs, id)
+	}
+}
+
 func (w *Worker) list(from sender) {
 	held := &wire.JobsHeld{}
 	for _, id := range sortedKeys(w.jobs) {
+		if w.jobs[id].abandoned {
+			continue
+		}
 		held.Jobs = append(held.Jobs, wire.HeldJob{Job: id, Sample: w.jobs[id].sample})
 	}
 	_ = from.Send(held)
@@ -185,6 +202,9 @@
 	if j == nil {
 		return
 	}
+	if j.abandoned && result.Error == "" {
+		result = failJob(&wire.SampleDone{Job: result.Job, Sample: result.Sample, Wasted: result.Wasted}, len(result.Tokens), errAbandoned)
+	}
 	j.result = result
 	j.finished = time.Now()
 	for asker := range j.askers {
--- a/standin/trainer.go
+++ b/standin/trainer.go
@@ -250,13 +250,16 @@
 
 // finishPublish publishes a version that is not yet known to be published.
 func (t *Trainer) finishPublish(ctx context.Context) error {
-	version := t.state.Publishing
-	if version == 0 {
+	if t.state.Publishing == 0 {
 		return nil
 	}
+	version := t.state.Publishing
 	for _, pool := range t.o.Pools {
 		request := map[string]any{"pool": pool, "version": version, "request_id": fmt.Sprintf("%s-%s-%d", t.o.Name, pool, version)}
 		if err := t.post(ctx, "weights", request, nil); err != nil {
+			if t.publishAbove(ctx, err, version) {
+				return t.finishPublish(ctx)
+			}
 			return fmt.Errorf("publish version %d to pool %s: %w", version, pool, err)
 		}
 	}
@@ -266,6 +269,32 @@
 	return t.save()
 }
 
+// publishAbove chooses the version above those of the trainer's pools after a
+// conflict: another trainer that shares a pool has published in the meantime.
+func (t *Trainer) publishAbove(ctx context.Context, cause error, version uint64) bool {
+	var status *TrainerStatusError
+	if !errors.As(cause, &status) || status.Status != http.StatusConflict {
+		return false
+	}
+	var answer struct {
+		Pools map[string]uint64 `json:"pool_versions"`
+	}
+	if err := t.request(ctx, http.MethodGet, "", nil, &answer); err != nil {
+		return false
+	}
+	above := version
+	for _, v := range answer.Pools {
+		above = max(above, v+1)
+	}
+	if above == version {
+		return false
+	}
+	t.mu.Lock()
+	t.state.Publishing = above
+	t.mu.Unlock()
+	return t.save() == nil
+}
+
 func (t *Trainer) openSteps(ctx context.Context) error {
 	for t.state.Opened < t.state.Step+uint64(t.o.Ahead) {
 		step := t.state.Opened + 1
@@ -447,7 +476,7 @@
 		return err
 	}
 	for {
-		err := t.postOnce(ctx, what, body, response)
+		err := t.request(ctx, http.MethodPost, "/"+what, body, response)
 		var status *TrainerStatusError
 		if err == nil || errors.As(err, &status) && status.Status < 500 && status.Status != http.StatusTooManyRequests {
 			return err
@@ -460,10 +489,10 @@
 	}
 }
 
-func (t *Trainer) postOnce(ctx context.Context, what string, body []byte, response any) error {
+func (t *Trainer) request(ctx context.Context, method, path string, body []byte, response any) error {
 	base := t.o.Entries[t.entry%len(t.o.Entries)]
-	url := base + "/v1/trainers/" + t.o.Name + "/" + what
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	url := base + "/v1/trainers/" + t.o.Name + path
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
