Replicated log: consensus, storage and replica, first working version

Replicas find each other by name: folders get a random id, and the first replica by name creates the group once all configured peers have answered that they belong to none. An id derived from the name was ruled out, because a replica that lost its disk would then vote under its former identity.

Opening a folder writes the log again as a new file instead of truncating in place: after a failed sync the old file may be readable from memory only.

Tests run three replicas in one process: commit and restart, an isolated leader, a lost disk, a locked folder. Simulation with faults is still to come.

--- /dev/null
+++ b/consensus/bootstrap.go
@@ -0,0 +1,117 @@
+package consensus
+
+import (
+	"sort"
+	"time"
+
+	"merlinhall/duty"
+)
+
+// freshState is the part of a node that exists only until it joins a group.
+type freshState struct {
+	peers map[string]uint64 // name to id of the other replicas without a group
+}
+
+// learnerSilence is the time after which a learner that hears no leader asks to
+// be added again: more than an election takes.
+const learnerSilence = 3 * time.Second
+
+func newFreshState() freshState { return freshState{peers: make(map[string]uint64)} }
+
+// tickFresh asks the configured peers who they are. A leader answers by adding
+// the replica as a learner; other replicas without a group answer MsgFresh.
+func (n *Node) tickFresh() {
+	if n.founder() && len(n.fresh.peers) == len(n.cfg.Peers) {
+		n.found()
+		return
+	}
+	n.askPeers()
+}
+
+func (n *Node) askPeers() {
+	if n.now < n.askAt {
+		return
+	}
+	n.askAt = n.now + n.cfg.DiscoveryPeriod
+	for _, name := range n.cfg.Peers {
+		n.send(Member{Name: name}, Message{Kind: MsgWho})
+	}
+}
+
+// announceSelf lets a learner that hears no leader ask to be added again: it was
+// removed when another folder of the same process asked to take its place. A
+// voter does not ask, because an operator may have removed it on purpose.
+func (n *Node) announceSelf() {
+	if m, ok := n.member(n.cfg.ID); ok && !m.Learner || n.now-n.heard < learnerSilence {
+		return
+	}
+	if len(n.members) > 0 && !n.isMember(n.cfg.ID) {
+		return
+	}
+	n.askPeers()
+}
+
+// founder reports whether this replica creates the group: the first by name.
+func (n *Node) founder() bool {
+	for _, name := range n.cfg.Peers {
+		if name < n.cfg.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// found creates the group. All configured replicas have answered the random id
+// of this folder that they belong to no group, so no group can have committed
+// anything that any of them would lose.
+func (n *Node) found() {
+	members := []Member{{ID: n.cfg.ID, Name: n.cfg.Name}}
+	for name, id := range n.fresh.peers {
+		members = append(members, Member{ID: id, Name: name})
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	n.join(n.cfg.Rand.Uint64() | 1)
+	n.term = 1
+	n.vote = n.cfg.ID
+	n.members, n.memberIndex = members, 1
+	n.becomeLeader(EntryMembers, encodeMembers(members))
+}
+
+// join makes the replica part of a group.
+func (n *Node) join(group uint64) {
+	duty.Invariant(n.group == 0, "replica of group %x joins group %x", n.group, group)
+	n.group = group
+	n.out.Group = group
+	n.role = RoleFollower
+	n.fresh = freshState{}
+	n.resetElection()
+}
+
+func (n *Node) handleWho(m *Message) {
+	if m.From == n.cfg.ID || (m.Group != 0 && m.Group != n.group) {
+		return
+	}
+	switch n.role {
+	case RoleFresh:
+		n.send(Member{ID: m.From, Name: m.Name}, Message{Kind: MsgFresh})
+	case RoleLeader:
+		if n.configured(m.Name) && !n.isMember(m.From) {
+			n.lead.newcomer[m.From] = m.Name
+		}
+	}
+}
+
+func (n *Node) handleFresh(m *Message) {
+	if n.role == RoleFresh && m.To == n.cfg.ID && n.configured(m.Name) {
+		n.fresh.peers[m.Name] = m.From
+	}
+}
+
+func sortedIDs(m map[uint64]string) []uint64 {
+	ids := make([]uint64, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,145 @@
+package consensus
+
+import (
+	"time"
+)
+
+func (n *Node) resetElection() {
+	spread := n.cfg.ElectionMax - n.cfg.ElectionMin
+	n.electionAt = n.now + n.cfg.ElectionMin + time.Duration(n.cfg.Rand.Int64N(int64(spread)+1))
+}
+
+func (n *Node) tickFollower() {
+	n.announceSelf()
+	if n.now < n.electionAt || !n.isVoter(n.cfg.ID) {
+		return
+	}
+	n.leader = 0
+	if n.cfg.faults.dropPreVote {
+		n.campaign()
+		return
+	}
+	n.preCampaign()
+}
+
+// preCampaign asks whether an election could be won, without a new term. A
+// replica that was cut off thus returns without disturbing the leader.
+func (n *Node) preCampaign() {
+	n.resetElection()
+	n.role = RoleCandidate
+	n.preVoting = true
+	n.votes = map[uint64]bool{n.cfg.ID: true}
+	n.askVotes(MsgPreVote, n.term+1)
+	n.countVotes()
+}
+
+// campaign starts an election in a new term.
+func (n *Node) campaign() {
+	n.resetElection()
+	n.role = RoleCandidate
+	n.preVoting = false
+	n.term++
+	n.vote = n.cfg.ID
+	n.leader = 0
+	n.ledBy = 0
+	n.votes = map[uint64]bool{n.cfg.ID: true}
+	n.askVotes(MsgVote, n.term)
+	n.countVotes()
+}
+
+func (n *Node) askVotes(kind MessageKind, term uint64) {
+	for _, v := range n.voters() {
+		if v.ID == n.cfg.ID {
+			continue
+		}
+		n.send(v, Message{Kind: kind, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
+	}
+}
+
+// countVotes goes on when a majority of the voters has agreed.
+func (n *Node) countVotes() {
+	granted := 0
+	voters := n.voters()
+	for _, v := range voters {
+		if n.votes[v.ID] {
+			granted++
+		}
+	}
+	if granted <= len(voters)/2 {
+		return
+	}
+	if n.preVoting {
+		n.campaign()
+		return
+	}
+	n.becomeLeader(EntryNoOp, nil)
+}
+
+// bound reports whether n must not help to elect another leader: it leads, or it
+// heard a leader within the shortest election timeout. The leader's lease relies
+// on this.
+func (n *Node) bound() bool {
+	if n.cfg.faults.voteInLease {
+		return false
+	}
+	return n.role == RoleLeader || n.now-n.heard < n.cfg.ElectionMin
+}
+
+// upToDate reports whether the sender's log is at least as complete as ours.
+func (n *Node) upToDate(m *Message) bool {
+	own := n.log.lastTerm()
+	return m.LogTerm > own || (m.LogTerm == own && m.Index >= n.log.last())
+}
+
+func (n *Node) handlePreVote(m *Message) {
+	if n.bound() {
+		return
+	}
+	answer := Message{Kind: MsgPreVoteReply, Reject: m.Term <= n.term || !n.upToDate(m)}
+	n.reply(m, answer)
+	if !answer.Reject {
+		// The reply names the term that the sender would campaign in.
+		n.out.Messages[len(n.out.Messages)-1].Term = m.Term
+	}
+}
+
+func (n *Node) handlePreVoteReply(m *Message) {
+	if m.Reject {
+		if m.Term > n.term {
+			n.becomeFollower(m.Term, 0)
+		}
+		return
+	}
+	if n.role != RoleCandidate || !n.preVoting || m.Term != n.term+1 {
+		return
+	}
+	n.votes[m.From] = true
+	n.countVotes()
+}
+
+func (n *Node) handleVote(m *Message) {
+	if n.bound() {
+		return
+	}
+	if m.Term > n.term {
+		n.becomeFollower(m.Term, 0)
+	}
+	grant := m.Term == n.term && (n.vote == 0 || n.vote == m.From) && n.upToDate(m)
+	if grant {
+		n.vote = m.From
+		n.resetElection()
+	}
+	n.reply(m, Message{Kind: MsgVoteReply, Reject: !grant})
+}
+
+func (n *Node) handleVoteReply(m *Message) {
+	if m.Term > n.term {
+		n.becomeFollower(m.Term, 0)
+		return
+	}
+	if n.role != RoleCandidate || n.preVoting || m.Term != n.term || m.Reject {
+		return
+	}
+	n.votes[m.From] = true
+	n.countVotes()
+}
--- /dev/null
+++ b/consensus/membership.go
@@ -0,0 +1,217 @@
+package consensus
+
+import (
+	"github.com/rotisserie/eris"
+)
+
+// ChangeKind is a membership operation.
+type ChangeKind string
+
+// Membership operations. Each changes one replica.
+const (
+	AddLearner ChangeKind = "add_learner"
+	Promote    ChangeKind = "promote"
+	Remove     ChangeKind = "remove"
+)
+
+// Refusals of a membership change.
+var (
+	ErrChangePending = eris.New("consensus: another membership change is not committed yet")
+	ErrNotCaughtUp   = eris.New("consensus: the learner has not caught up and synced")
+	ErrMemberExists  = eris.New("consensus: the replica is already a member")
+	ErrNoSuchMember  = eris.New("consensus: the replica is not a member")
+	ErrNotLearner    = eris.New("consensus: the replica is not a learner")
+	ErrQuorumAtRisk  = eris.New("consensus: the remaining replicas that answer would be no quorum")
+	ErrNotReady      = eris.New("consensus: the leader has not committed an entry of its term yet")
+)
+
+func (in Change) step(n *Node) {
+	next, err := n.plan(in)
+	if err != nil {
+		n.out.Refused = append(n.out.Refused, Refused{in.Key, err})
+		return
+	}
+	index := n.setMembers(next)
+	n.out.Accepted = append(n.out.Accepted, Accepted{in.Key, index, n.term})
+}
+
+// plan returns the membership after the change.
+func (n *Node) plan(in Change) ([]Member, error) {
+	if err := n.checkChange(); err != nil {
+		return nil, err
+	}
+	current, exists := n.member(in.Member.ID)
+	switch in.Kind {
+	case AddLearner:
+		if exists {
+			return nil, ErrMemberExists
+		}
+		added := Member{ID: in.Member.ID, Name: in.Member.Name, Learner: true}
+		return append(append([]Member(nil), n.members...), added), nil
+	case Promote:
+		return n.planPromote(current, exists)
+	case Remove:
+		if !exists {
+			return nil, ErrNoSuchMember
+		}
+		return n.checkQuorum(without(n.members, current.ID))
+	}
+	return nil, eris.Errorf("consensus: unknown membership change %q", in.Kind)
+}
+
+// checkChange refuses a change while another one is uncommitted, and before the
+// leader has committed an entry of its own term: only then is it sure to know
+// the newest committed membership.
+func (n *Node) checkChange() error {
+	if err := n.checkProposal(); err != nil {
+		return err
+	}
+	if n.commit < n.lead.start {
+		return ErrNotReady
+	}
+	if n.memberIndex > n.commit {
+		return ErrChangePending
+	}
+	return nil
+}
+
+func (n *Node) planPromote(m Member, exists bool) ([]Member, error) {
+	if !exists {
+		return nil, ErrNoSuchMember
+	}
+	if !m.Learner {
+		return nil, ErrNotLearner
+	}
+	if !n.caughtUp(m.ID) {
+		return nil, ErrNotCaughtUp
+	}
+	next := append([]Member(nil), n.members...)
+	for i := range next {
+		if next[i].ID == m.ID {
+			next[i].Learner = false
+		}
+	}
+	return n.checkQuorum(next)
+}
+
+// caughtUp reports whether a learner has synced everything that is committed and
+// answered within the lease.
+func (n *Node) caughtUp(id uint64) bool {
+	p := n.lead.peers[id]
+	return p != nil && p.match >= n.commit && n.answers(id)
+}
+
+func (n *Node) answers(id uint64) bool {
+	if id == n.cfg.ID {
+		return true
+	}
+	p := n.lead.peers[id]
+	return p != nil && p.heard && n.now < p.echo+n.cfg.Lease
+}
+
+// checkQuorum refuses a membership that could not commit at present.
+func (n *Node) checkQuorum(next []Member) ([]Member, error) {
+	voters, answering := 0, 0
+	for _, m := range next {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if n.answers(m.ID) {
+			answering++
+		}
+	}
+	if answering <= voters/2 {
+		return nil, ErrQuorumAtRisk
+	}
+	return next, nil
+}
+
+func without(members []Member, id uint64) []Member {
+	var rest []Member
+	for _, m := range members {
+		if m.ID != id {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
+
+// repair takes the next step to replace a configured replica that came back
+// with an empty disk and so with a new id: it is added as a learner, then its
+// former id is removed, then it is promoted. The former id goes before the
+// promotion, so that the quorum never grows by a replica that cannot answer.
+func (n *Node) repair() {
+	if n.cfg.DisableRepair || n.checkChange() != nil {
+		return
+	}
+	for _, m := range n.members {
+		if m.Learner && n.configured(m.Name) && n.caughtUp(m.ID) {
+			n.repairLearner(m)
+			return
+		}
+	}
+	ids := sortedIDs(n.lead.newcomer)
+	if len(ids) > 0 {
+		n.addNewcomer(ids[0])
+	}
+}
+
+// addNewcomer adds a replica that asked for it as a learner. It asks again when
+// this step fails.
+func (n *Node) addNewcomer(id uint64) {
+	name := n.lead.newcomer[id]
+	delete(n.lead.newcomer, id)
+	if n.isMember(id) {
+		return
+	}
+	n.dropOldLearner(name)
+	Change{Kind: AddLearner, Member: Member{ID: id, Name: name}}.internal(n)
+}
+
+// repairLearner removes the former id of a caught-up learner, or promotes the
+// learner when there is none.
+func (n *Node) repairLearner(learner Member) {
+	for _, m := range n.members {
+		if m.Name == learner.Name && m.ID != learner.ID {
+			Change{Kind: Remove, Member: m}.internal(n)
+			return
+		}
+	}
+	Change{Kind: Promote, Member: learner}.internal(n)
+}
+
+// dropOldLearner removes a learner whose process came back under another id, so
+// that repeated repairs do not gather dead learners.
+func (n *Node) dropOldLearner(name string) {
+	for _, m := range n.members {
+		if m.Name == name && m.Learner && !n.answers(m.ID) {
+			Change{Kind: Remove, Member: m}.internal(n)
+			return
+		}
+	}
+}
+
+// internal carries out a change that no client waits for.
+func (in Change) internal(n *Node) {
+	if next, err := n.plan(in); err == nil {
+		n.setMembers(next)
+	}
+}
+
+// setMembers appends a membership, which is in force from then on.
+func (n *Node) setMembers(next []Member) uint64 {
+	index := n.appendOwn(EntryMembers, encodeMembers(next))
+	n.members, n.memberIndex = next, index
+	n.syncPeers()
+	return index
+}
+
+func (n *Node) configured(name string) bool {
+	for _, p := range n.cfg.Peers {
+		if p == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/consensus/snapshot.go
@@ -0,0 +1,108 @@
+package consensus
+
+import (
+	"time"
+
+	"merlinhall/duty"
+)
+
+// transfer is a snapshot on the way to one follower, one chunk at a time.
+type transfer struct {
+	snapshot Snapshot
+	offset   uint64
+	sent     bool // the chunk at offset is on the way
+	sentAt   time.Duration
+}
+
+// chunkTimeout is the time after which a chunk that was not answered is sent
+// again. Until then heartbeats carry no data.
+const chunkTimeout = 500 * time.Millisecond
+
+func newTransfer(s Snapshot) *transfer { return &transfer{snapshot: s} }
+
+// incomingSnapshot is a snapshot that arrives from the leader.
+type incomingSnapshot struct {
+	term, index uint64
+	data        []byte
+}
+
+func (n *Node) sendChunk(to Member, p *progress, force bool) {
+	t := p.transfer
+	if t.sent && !force {
+		return
+	}
+	total := uint64(len(t.snapshot.Data))
+	end := t.offset
+	if !t.sent || n.now >= t.sentAt+chunkTimeout {
+		t.sent = true
+		t.sentAt = n.now
+		end = min(total, t.offset+uint64(n.cfg.SnapshotChunk))
+	}
+	n.send(to, Message{
+		Kind:    MsgSnapshot,
+		Term:    n.term,
+		Index:   t.snapshot.Index,
+		LogTerm: t.snapshot.Term,
+		Members: t.snapshot.Members,
+		Offset:  t.offset,
+		Total:   total,
+		Data:    t.snapshot.Data[t.offset:end],
+		Sent:    n.now,
+		Round:   n.lead.round,
+	})
+}
+
+// handleChunkReply goes on with the chunk that the follower expects.
+func (n *Node) handleChunkReply(m *Message, p *progress) {
+	t := p.transfer
+	if t == nil || m.Index != t.snapshot.Index || m.Offset > uint64(len(t.snapshot.Data)) {
+		return
+	}
+	if m.Offset != t.offset {
+		t.offset = m.Offset
+		t.sent = false
+	}
+}
+
+func (n *Node) handleSnapshot(m *Message) {
+	if !n.followLeader(m, MsgSnapshotReply) {
+		return
+	}
+	if m.Index <= n.commit {
+		n.incoming = nil
+		n.reply(m, Message{Kind: MsgAppendReply, Index: n.commit})
+		return
+	}
+	in := n.incomingFor(m)
+	if m.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, m.Data...)
+	}
+	if uint64(len(in.data)) < m.Total {
+		n.reply(m, Message{Kind: MsgSnapshotReply, Index: m.Index, Offset: uint64(len(in.data))})
+		return
+	}
+	n.incoming = nil
+	n.install(Snapshot{Index: m.Index, Term: m.LogTerm, Members: m.Members, Data: in.data})
+	n.reply(m, Message{Kind: MsgAppendReply, Index: m.Index})
+}
+
+// incomingFor returns the transfer that m belongs to. Snapshots of different
+// leaders at the same index may differ in bytes, so a new term starts again.
+func (n *Node) incomingFor(m *Message) *incomingSnapshot {
+	if n.incoming == nil || n.incoming.index != m.Index || n.incoming.term != m.Term {
+		n.incoming = &incomingSnapshot{term: m.Term, index: m.Index}
+	}
+	return n.incoming
+}
+
+func (n *Node) install(s Snapshot) {
+	duty.Invariant(s.Index > n.commit, "snapshot %d is older than commit %d", s.Index, n.commit)
+	n.log.install(s)
+	n.setCommit(s.Index)
+	n.handed = s.Index
+	n.savedIndex = s.Index
+	n.synced = min(n.synced, s.Index)
+	n.members, n.memberIndex = s.Members, s.Index
+	n.out.Install = &n.log.snapshot
+	n.out.Compacted = nil
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,357 @@
+package replica
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/consensus"
+	"merlinhall/duty"
+	"merlinhall/link"
+	"merlinhall/observe"
+	"merlinhall/storage"
+	"merlinhall/wire"
+)
+
+const (
+	// tickPeriod is a fifth of a heartbeat.
+	tickPeriod = 20 * time.Millisecond
+	// mailboxCapacity bounds waiting messages; the wire protocol survives the loss
+	// of those beyond it.
+	mailboxCapacity = 8192
+)
+
+// ErrBusy refuses a request because the replica's mailbox is full. The request
+// certainly had no effect.
+var ErrBusy = eris.New("replica: mailbox is full")
+
+// Options configure a Replica.
+type Options struct {
+	Name    string
+	Peers   []string // names of the other control replicas
+	DataDir string
+	Machine StateMachine
+	// Send sends to the process of that name. When nil, the replica sends on the
+	// newest connection that it was told of by Up.
+	Send     func(peer string, m wire.Message) error
+	Observer *observe.Observer
+	System   *duty.System
+
+	// Config overrides timing and limits; its ID, Name, Peers and Rand are set by
+	// Start.
+	Config        consensus.Config
+	FS            storage.FS // nil: the folder DataDir
+	SnapshotEvery uint64     // entries; 0 means the default
+	SnapshotKeep  uint64
+}
+
+// Replica is a running replica.
+type Replica struct {
+	options Options
+	log     *logrus.Entry
+	start   time.Time
+	core    *Core
+	duty    *duty.Duty
+	peers   *peers
+	metrics *metrics
+	status  atomic.Pointer[Status]
+
+	// flushing is set while a flush message is in the mailbox. It is used by the
+	// duty's goroutine alone.
+	flushing bool
+	reported bool // the disk error has been logged
+}
+
+type (
+	tickMessage  struct{}
+	flushMessage struct{}
+)
+
+type proposeCall struct {
+	command []byte
+	done    ProposeDone
+}
+
+type readCall struct {
+	byLease bool
+	done    ReadDone
+}
+
+type changeCall struct {
+	kind   consensus.ChangeKind
+	member consensus.Member
+	done   ProposeDone
+}
+
+// Start opens the data folder and runs the replica as a duty. Errors wrap
+// storage.ErrLocked or storage.ErrCorrupt.
+func Start(o Options) (*Replica, error) {
+	r := &Replica{options: o, log: o.Observer.Logger("replica"), start: time.Now(), peers: newPeers()}
+	fs := o.FS
+	if fs == nil {
+		fs = storage.Dir(o.DataDir)
+	}
+	config := o.Config
+	config.Name = o.Name
+	config.Peers = o.Peers
+	config.Rand = rand.New(rand.NewPCG(randomID(), randomID()))
+	core, err := OpenCore(CoreOptions{
+		Consensus:     config,
+		FS:            fs,
+		NewID:         randomID,
+		Machine:       o.Machine,
+		Send:          r.send,
+		SnapshotEvery: o.SnapshotEvery,
+		SnapshotKeep:  o.SnapshotKeep,
+	}, r.now())
+	if err != nil {
+		return nil, err
+	}
+	r.core = core
+	r.metrics = newMetrics(o.Observer.Registry)
+	r.publish()
+	o.Observer.Dump("replica", func() any { return r.Status() })
+	o.Observer.Gate("replica", r.ready)
+	r.log.Infof("replica: started as id %x with group %x", core.Status().ID, core.Status().Group)
+	r.duty = o.System.Start("replica", mailboxCapacity, r)
+	r.duty.Every(tickPeriod, tickMessage{})
+	return r, nil
+}
+
+func randomID() uint64 {
+	var b [8]byte
+	// Read of crypto/rand never fails; it stops the program instead.
+	_, _ = cryptorand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
+
+func (r *Replica) now() time.Duration { return time.Since(r.start) }
+
+// ready is the readiness condition: the replica follows or leads, and its disk
+// works.
+func (r *Replica) ready() error {
+	s := r.Status()
+	switch {
+	case s.Failed != "":
+		return eris.New(s.Failed)
+	case s.LeaderID == 0:
+		return eris.New("no leader is known")
+	}
+	return nil
+}
+
+// Receive implements duty.Handler. Messages that arrive together are stepped
+// together and share one sync: the flush message queues behind them.
+func (r *Replica) Receive(msg any) {
+	now := r.now()
+	switch m := msg.(type) {
+	case tickMessage:
+		r.core.Tick(now)
+	case *consensus.Message:
+		r.core.Receive(now, m)
+	case proposeCall:
+		r.core.Propose(now, m.command, m.done)
+	case readCall:
+		r.core.Read(now, m.byLease, m.done)
+	case changeCall:
+		r.core.Change(now, m.kind, m.member, m.done)
+	case flushMessage:
+		r.flushing = false
+		r.flush()
+		return
+	}
+	if r.flushing {
+		return
+	}
+	r.flushing = r.duty.Offer(flushMessage{}) == nil
+	if !r.flushing {
+		r.flush()
+	}
+}
+
+func (r *Replica) flush() {
+	r.core.Flush(r.now())
+	r.publish()
+	if err := r.core.Err(); err != nil && !r.reported {
+		r.reported = true
+		r.log.Errorf("replica: stopped until restart: %v", err)
+	}
+}
+
+func (r *Replica) publish() {
+	next := r.core.Status()
+	old := r.status.Swap(&next)
+	r.metrics.observe(&next, r.core.store.Syncs())
+	if old == nil {
+		return
+	}
+	if old.Role != next.Role || old.Term != next.Term || old.LeaderID != next.LeaderID {
+		r.log.Infof("replica: %s in term %d, leader %q", next.Role, next.Term, next.Leader)
+	}
+	if len(old.Members) != len(next.Members) {
+		r.log.Infof("replica: the group has %d members: %+v", len(next.Members), next.Members)
+	}
+}
+
+// Status returns the view after the last flush.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+type proposeAnswer struct {
+	result any
+	index  uint64
+	err    error
+}
+
+// Propose commits a command and returns the result of its application. Errors:
+// *NotLeaderError, ErrBusy, ErrStopped, consensus.ErrOverloaded and
+// consensus.ErrTooLarge mean that the command has no effect; ErrUnknownOutcome
+// means that it may have one, now or later.
+func (r *Replica) Propose(ctx context.Context, command []byte) (result any, index uint64, err error) {
+	return r.await(ctx, func(done ProposeDone) any { return proposeCall{command, done} })
+}
+
+func (r *Replica) await(ctx context.Context, message func(ProposeDone) any) (any, uint64, error) {
+	answer := make(chan proposeAnswer, 1)
+	done := func(result any, index uint64, err error) { answer <- proposeAnswer{result, index, err} }
+	if err := r.offer(message(done)); err != nil {
+		return nil, 0, err
+	}
+	select {
+	case a := <-answer:
+		return a.result, a.index, a.err
+	case <-ctx.Done():
+		return nil, 0, ErrUnknownOutcome
+	case <-r.duty.Done():
+	}
+	select {
+	case a := <-answer:
+		return a.result, a.index, a.err
+	default:
+		return nil, 0, ErrUnknownOutcome
+	}
+}
+
+func (r *Replica) offer(msg any) error {
+	switch err := r.duty.Offer(msg); err {
+	case nil:
+		return nil
+	case duty.ErrFull:
+		return ErrBusy
+	default:
+		return ErrStopped
+	}
+}
+
+type readAnswer struct {
+	term, index uint64
+	err         error
+}
+
+// Confirm returns the term of this leader and an index such that everything
+// committed before the call is at or below it, confirmed by a quorum after the
+// call. The local state machine has applied it.
+func (r *Replica) Confirm(ctx context.Context) (term, index uint64, err error) {
+	return r.read(ctx, false)
+}
+
+// ConfirmByLease is Confirm without a quorum round: it trusts the lease when it
+// is held.
+func (r *Replica) ConfirmByLease(ctx context.Context) (term, index uint64, err error) {
+	return r.read(ctx, true)
+}
+
+func (r *Replica) read(ctx context.Context, byLease bool) (term, index uint64, err error) {
+	answer := make(chan readAnswer, 1)
+	done := func(term, index uint64, err error) { answer <- readAnswer{term, index, err} }
+	if err := r.offer(readCall{byLease, done}); err != nil {
+		return 0, 0, err
+	}
+	select {
+	case a := <-answer:
+		return a.term, a.index, a.err
+	case <-ctx.Done():
+		return 0, 0, ctx.Err()
+	case <-r.duty.Done():
+		return 0, 0, ErrStopped
+	}
+}
+
+// AddLearner adds a replica that receives the log without a vote. Errors are
+// those of Propose and consensus.ErrChangePending, ErrMemberExists, ErrNotReady.
+func (r *Replica) AddLearner(ctx context.Context, id uint64, name string) error {
+	return r.change(ctx, consensus.AddLearner, consensus.Member{ID: id, Name: name})
+}
+
+// Promote makes a learner a voter. It is refused until the learner has caught up
+// and synced.
+func (r *Replica) Promote(ctx context.Context, id uint64) error {
+	return r.change(ctx, consensus.Promote, consensus.Member{ID: id})
+}
+
+// Remove removes a replica from the group.
+func (r *Replica) Remove(ctx context.Context, id uint64) error {
+	return r.change(ctx, consensus.Remove, consensus.Member{ID: id})
+}
+
+func (r *Replica) change(ctx context.Context, kind consensus.ChangeKind, m consensus.Member) error {
+	_, _, err := r.await(ctx, func(done ProposeDone) any { return changeCall{kind, m, done} })
+	return err
+}
+
+// Stop ends the duty. Proposals without an outcome end as unknown.
+func (r *Replica) Stop() {
+	r.duty.Stop()
+	r.core.Close()
+}
+
+// send is called by the duty for each message. A message that cannot be sent is
+// lost, which the protocol survives.
+func (r *Replica) send(m *consensus.Message) {
+	body, err := m.Encode()
+	if err != nil {
+		r.log.Errorf("replica: message to %s cannot be encoded: %v", m.ToName, err)
+		return
+	}
+	frame := &wire.Consensus{Body: body}
+	if r.options.Send != nil {
+		err = r.options.Send(m.ToName, frame)
+	} else {
+		err = r.peers.send(m.ToName, frame)
+	}
+	if err != nil {
+		r.metrics.lost.Inc()
+	}
+}
+
+// Up implements link.Events.
+func (r *Replica) Up(c *link.Conn) { r.peers.add(c) }
+
+// Down implements link.Events.
+func (r *Replica) Down(c *link.Conn, _ error) { r.peers.remove(c) }
+
+// Message implements link.Events for wire.KindConsensus.
+func (r *Replica) Message(_ *link.Conn, m wire.Message) {
+	frame, ok := m.(*wire.Consensus)
+	if !ok {
+		return
+	}
+	r.Deliver(frame)
+}
+
+// Deliver takes a message of another replica.
+func (r *Replica) Deliver(frame *wire.Consensus) {
+	m, err := consensus.DecodeMessage(frame.Body)
+	if err != nil {
+		r.log.Warnf("replica: message is dropped: %v", err)
+		return
+	}
+	if err := r.duty.Offer(m); err != nil {
+		r.metrics.lost.Inc()
+	}
+}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,254 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/duty"
+	"merlinhall/observe"
+	"merlinhall/wire"
+)
+
+// journal is a state machine that records the commands in order.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(index, _ uint64, command []byte) any {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	return len(j.commands)
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return wire.Marshal(j.commands)
+}
+
+func (j *journal) Restore(b []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = nil
+	return wire.Unmarshal(b, &j.commands)
+}
+
+func (j *journal) list() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.commands...)
+}
+
+// cluster runs replicas in one process that reach each other by function calls.
+type cluster struct {
+	t        testing.TB
+	mu       sync.Mutex
+	names    []string
+	dirs     map[string]string
+	replicas map[string]*Replica
+	journals map[string]*journal
+	cut      map[string]bool
+	every    uint64
+}
+
+func newCluster(t testing.TB, names ...string) *cluster {
+	c := &cluster{
+		t: t, names: names, dirs: map[string]string{}, replicas: map[string]*Replica{},
+		journals: map[string]*journal{}, cut: map[string]bool{}, every: 64,
+	}
+	for _, name := range names {
+		c.dirs[name] = t.TempDir()
+		c.start(name)
+	}
+	t.Cleanup(func() {
+		for _, name := range names {
+			c.stop(name)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(name string) {
+	var others []string
+	for _, n := range c.names {
+		if n != name {
+			others = append(others, n)
+		}
+	}
+	j := &journal{}
+	r, err := Start(Options{
+		Name: name, Peers: others, DataDir: c.dirs[name], Machine: j,
+		Send:     func(peer string, m wire.Message) error { return c.deliver(name, peer, m) },
+		Observer: observe.New("error"), System: duty.NewSystem(),
+		SnapshotEvery: c.every, SnapshotKeep: c.every / 4,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicas[name], c.journals[name] = r, j
+}
+
+func (c *cluster) stop(name string) {
+	c.mu.Lock()
+	r := c.replicas[name]
+	delete(c.replicas, name)
+	c.mu.Unlock()
+	if r != nil {
+		r.Stop()
+	}
+}
+
+func (c *cluster) deliver(from, to string, m wire.Message) error {
+	c.mu.Lock()
+	r := c.replicas[to]
+	cut := c.cut[from] || c.cut[to]
+	c.mu.Unlock()
+	if r == nil || cut {
+		return errNoConnection
+	}
+	r.Deliver(m.(*wire.Consensus))
+	return nil
+}
+
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *cluster) leader() *Replica {
+	var found *Replica
+	c.eventually("a leader", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		found = nil
+		for name, r := range c.replicas {
+			if r.Status().Ready && !c.cut[name] {
+				found = r
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// propose resends until the command is committed, so a command may commit twice.
+func (c *cluster) propose(command string) {
+	c.eventually("commit of "+command, func() bool {
+		ctx, cancel := context.WithTimeout(c.t.Context(), 5*time.Second)
+		defer cancel()
+		_, _, err := c.leader().Propose(ctx, []byte(command))
+		return err == nil
+	})
+}
+
+// Guards against commands that are lost, reordered or applied differently on a
+// follower, and against a replica that does not recover its log and snapshot.
+func TestCommitAndRestart(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	for i := range 200 {
+		c.propose(fmt.Sprint(i))
+	}
+	for _, name := range c.names {
+		c.stop(name)
+	}
+	for _, name := range c.names {
+		c.start(name)
+	}
+	c.propose("last")
+	want := c.journals[c.leader().Status().Name].list()
+	for _, name := range c.names {
+		c.eventually("same journal on "+name, func() bool {
+			return fmt.Sprint(c.journals[name].list()) == fmt.Sprint(want)
+		})
+	}
+	seen := map[string]bool{}
+	for _, command := range want {
+		seen[command] = true
+	}
+	is.Equal(len(seen), 201)
+}
+
+// Guards against a leader that answers a read, or reports a proposal as refused
+// or done, while it cannot reach a quorum.
+func TestIsolatedLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.propose("first")
+	old := c.leader()
+	term, index, err := old.Confirm(t.Context())
+	is.NoErr(err)
+	is.True(term > 0 && index > 0)
+	c.mu.Lock()
+	c.cut[old.Status().Name] = true
+	c.mu.Unlock()
+	_, _, err = old.Propose(t.Context(), []byte("isolated"))
+	var notLeader *NotLeaderError
+	is.True(errors.Is(err, ErrUnknownOutcome) || errors.As(err, &notLeader))
+	_, _, err = old.Confirm(t.Context())
+	is.True(err != nil)
+	c.propose("second")
+	is.True(c.leader() != old)
+}
+
+// Guards against a replica that lost its disk and votes under its former id, or
+// never becomes a voter again.
+func TestLostDiskIsRepaired(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	for i := range 300 {
+		c.propose(fmt.Sprint(i))
+	}
+	victim := "a"
+	if c.leader().Status().Name == victim {
+		victim = "b"
+	}
+	old := c.replicas[victim].Status().ID
+	c.stop(victim)
+	c.dirs[victim] = t.TempDir()
+	c.start(victim)
+	c.eventually("the repaired replica votes", func() bool {
+		for _, m := range c.leader().Status().Members {
+			if m.Name == victim && m.ID != old && !m.Learner {
+				return true
+			}
+		}
+		return false
+	})
+	s := c.leader().Status()
+	is.Equal(len(s.Members), 3)
+	is.True(c.replicas[victim].Status().ID != old)
+	c.propose("after")
+	c.eventually("the repaired replica has the journal", func() bool {
+		list := c.journals[victim].list()
+		return len(list) > 0 && list[len(list)-1] == "after"
+	})
+}
+
+// Guards against a second replica on the same data folder.
+func TestDataFolderIsLocked(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a")
+	c.propose("x")
+	_, err := Start(Options{
+		Name: "a", DataDir: c.dirs["a"], Machine: &journal{},
+		Observer: observe.New("error"), System: duty.NewSystem(),
+	})
+	is.True(err != nil)
+}
--- /dev/null
+++ b/storage/fs.go
@@ -0,0 +1,106 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrLocked is returned when another process uses the data folder.
+var ErrLocked = eris.New("storage: the data folder is in use by another process")
+
+// FS is the part of a file system that the store uses: one flat folder. Tests
+// replace it to inject faults.
+type FS interface {
+	// Lock takes the folder for this process, or returns ErrLocked.
+	Lock() (release func(), err error)
+	List() ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create returns a new empty file, replacing an old one of the name.
+	Create(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes created, renamed and removed names durable.
+	SyncDir() error
+}
+
+// File is a file open for appending.
+type File interface {
+	Write(p []byte) (int, error)
+	// Sync makes everything written durable.
+	Sync() error
+	Close() error
+}
+
+// Dir is the FS of a folder of the operating system.
+type Dir string
+
+const (
+	lockName = "lock"
+	dirMode  = 0o700
+	fileMode = 0o600
+)
+
+// Lock implements FS with flock, which ends with the process.
+func (d Dir) Lock() (func(), error) {
+	if err := os.MkdirAll(string(d), dirMode); err != nil {
+		return nil, eris.Wrap(err, "storage")
+	}
+	f, err := os.OpenFile(d.path(lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, eris.Wrap(err, "storage")
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		if err == syscall.EWOULDBLOCK {
+			return nil, eris.Wrapf(ErrLocked, "%s", string(d))
+		}
+		return nil, eris.Wrapf(err, "storage: lock %s", string(d))
+	}
+	return func() { _ = f.Close() }, nil
+}
+
+// List implements FS.
+func (d Dir) List() ([]string, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// ReadFile implements FS.
+func (d Dir) ReadFile(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
+
+// Create implements FS.
+func (d Dir) Create(name string) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Rename implements FS.
+func (d Dir) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+
+// Remove implements FS.
+func (d Dir) Remove(name string) error { return os.Remove(d.path(name)) }
+
+// SyncDir implements FS.
+func (d Dir) SyncDir() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return f.Sync()
+}
+
+func (d Dir) path(name string) string { return filepath.Join(string(d), name) }
--- /dev/null
+++ b/storage/store.go
@@ -0,0 +1,392 @@
+// Package storage keeps the term, vote, log and snapshots of one replica in a
+// data folder. Whatever a method reports as saved has been synced.
+package storage
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/consensus"
+	"merlinhall/wire"
+)
+
+// ErrFailed is wrapped by all errors of Save after a failed write or sync. What
+// the disk holds is then unknown, so nothing is tried again until a restart.
+var ErrFailed = eris.New("storage: an earlier write or sync failed")
+
+// identity is the first record of a log file.
+type identity struct {
+	ID       uint64         `cbor:"1,keyasint"`
+	Group    uint64         `cbor:"2,keyasint"`
+	Base     consensus.Base `cbor:"3,keyasint"`
+	Snapshot uint64         `cbor:"4,keyasint"` // index of the snapshot file, 0 for none
+}
+
+// Store is an open data folder. It is used by one goroutine.
+type Store struct {
+	fs         FS
+	release    func()
+	identity   identity
+	state      consensus.HardState
+	last       uint64
+	generation uint64
+	file       File
+	batch      uint64
+	buffer     []byte
+	failed     error
+	syncs      uint64
+}
+
+// Open locks and reads a data folder. newID makes the random id of a folder that
+// has none; the folder then belongs to no group. Errors wrap ErrLocked,
+// ErrCorrupt or the error of the file system.
+func Open(fs FS, newID func() uint64) (*Store, consensus.Recovered, error) {
+	release, err := fs.Lock()
+	if err != nil {
+		return nil, consensus.Recovered{}, err
+	}
+	s := &Store{fs: fs, release: release}
+	recovered, err := s.recover(newID)
+	if err != nil {
+		s.Close()
+		return nil, consensus.Recovered{}, err
+	}
+	return s, recovered, nil
+}
+
+// recover reads the newest log file and writes it again as a new one. What was
+// read may come from memory after an earlier failed sync; the new file is synced
+// before anything of it is used.
+func (s *Store) recover(newID func() uint64) (consensus.Recovered, error) {
+	var r consensus.Recovered
+	names, err := s.fs.List()
+	if err != nil {
+		return r, eris.Wrap(err, "storage")
+	}
+	s.generation = newestLog(names)
+	if s.generation == 0 {
+		s.identity = identity{ID: newID()}
+	} else if err := s.read(&r); err != nil {
+		return r, err
+	}
+	if err := s.rewrite(r.Entries); err != nil {
+		return r, err
+	}
+	return r, s.removeOld()
+}
+
+func (s *Store) read(r *consensus.Recovered) error {
+	name := logName(s.generation)
+	b, err := s.fs.ReadFile(name)
+	if err != nil {
+		return eris.Wrap(err, "storage")
+	}
+	records, err := parse(name, b)
+	if err != nil {
+		return err
+	}
+	if len(records) == 0 || records[0].kind != recordIdentity {
+		return eris.Wrapf(ErrCorrupt, "%s: no identity record", name)
+	}
+	for _, rec := range records {
+		if err := s.replay(rec, r); err != nil {
+			return eris.Wrapf(err, "%s", name)
+		}
+	}
+	r.Group = s.identity.Group
+	r.State = s.state
+	r.Base = s.identity.Base
+	if s.identity.Snapshot != 0 {
+		r.Snapshot, err = s.readSnapshot(s.identity.Snapshot)
+	}
+	return err
+}
+
+func (s *Store) replay(rec record, r *consensus.Recovered) error {
+	switch rec.kind {
+	case recordIdentity:
+		if err := wire.Unmarshal(rec.payload, &s.identity); err != nil {
+			return eris.Wrap(ErrCorrupt, err.Error())
+		}
+		s.last = max(s.last, s.identity.Base.Index)
+	case recordState:
+		if err := wire.Unmarshal(rec.payload, &s.state); err != nil {
+			return eris.Wrap(ErrCorrupt, err.Error())
+		}
+	case recordEntry:
+		return s.replayEntry(rec.payload, r)
+	}
+	return nil
+}
+
+// replayEntry adds an entry; an entry at an index that is taken replaces the
+// rest of the log from there on.
+func (s *Store) replayEntry(payload []byte, r *consensus.Recovered) error {
+	var e consensus.Entry
+	if err := wire.Unmarshal(payload, &e); err != nil {
+		return eris.Wrap(ErrCorrupt, err.Error())
+	}
+	base := s.identity.Base.Index
+	if e.Index <= base || e.Index > base+uint64(len(r.Entries))+1 {
+		return eris.Wrapf(ErrCorrupt, "entry %d does not follow entry %d", e.Index, base+uint64(len(r.Entries)))
+	}
+	r.Entries = append(r.Entries[:e.Index-base-1], e)
+	s.last = e.Index
+	return nil
+}
+
+// ID returns the random id of the data folder.
+func (s *Store) ID() uint64 { return s.identity.ID }
+
+// Durable returns what has been synced.
+func (s *Store) Durable() consensus.Durable {
+	return consensus.Durable{Group: s.identity.Group, State: s.state, Last: s.last}
+}
+
+// Syncs returns the number of file syncs since Open.
+func (s *Store) Syncs() uint64 { return s.syncs }
+
+// Save makes the durable part of out durable. After an error, which wraps
+// ErrFailed, nothing can be saved any more.
+func (s *Store) Save(out *consensus.Output) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if err := s.save(out); err != nil {
+		s.failed = eris.Wrap(ErrFailed, err.Error())
+		return s.failed
+	}
+	return nil
+}
+
+func (s *Store) save(out *consensus.Output) error {
+	id := s.identity
+	if out.Group != 0 {
+		id.Group = out.Group
+	}
+	state := s.state
+	if out.State != nil {
+		state = *out.State
+	}
+	last := s.last
+	if len(out.Append) > 0 {
+		last = out.Append[len(out.Append)-1].Index
+	}
+	if out.Install != nil || out.Compacted != nil {
+		return s.saveSnapshot(out, id, state, last)
+	}
+	s.begin()
+	if out.Group != 0 {
+		s.add(recordIdentity, id)
+	}
+	if out.State != nil {
+		s.add(recordState, state)
+	}
+	for i := range out.Append {
+		s.add(recordEntry, &out.Append[i])
+	}
+	if err := s.end(); err != nil {
+		return err
+	}
+	s.identity, s.state, s.last = id, state, last
+	return nil
+}
+
+// saveSnapshot writes the snapshot file, then a log file that begins after it.
+func (s *Store) saveSnapshot(out *consensus.Output, id identity, state consensus.HardState, last uint64) error {
+	snapshot, entries := out.Install, []consensus.Entry(nil)
+	if out.Compacted != nil {
+		snapshot, entries = &out.Compacted.Snapshot, out.Compacted.Entries
+		id.Base = out.Compacted.Base
+	} else {
+		id.Base = consensus.Base{Index: snapshot.Index, Term: snapshot.Term, Members: snapshot.Members}
+		if len(out.Append) == 0 {
+			last = snapshot.Index
+		}
+	}
+	if err := s.writeSnapshot(snapshot); err != nil {
+		return err
+	}
+	id.Snapshot = snapshot.Index
+	s.identity, s.state = id, state
+	all := append(append([]consensus.Entry(nil), entries...), out.Append...)
+	if err := s.rewrite(all); err != nil {
+		return err
+	}
+	s.last = last
+	return s.removeOld()
+}
+
+func (s *Store) begin() {
+	s.batch++
+	s.buffer = s.buffer[:0]
+}
+
+func (s *Store) add(kind recordType, v any) {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		// The types are fixed, so they always have an encoding.
+		panic(fmt.Sprintf("invariant broken: %T cannot be encoded: %v", v, err))
+	}
+	s.buffer = appendRecord(s.buffer, s.batch, kind, b)
+}
+
+// end writes and syncs the batch.
+func (s *Store) end() error {
+	s.buffer = appendRecord(s.buffer, s.batch, recordEnd, nil)
+	if _, err := s.file.Write(s.buffer); err != nil {
+		return eris.Wrap(err, "write")
+	}
+	s.syncs++
+	if err := s.file.Sync(); err != nil {
+		return eris.Wrap(err, "sync")
+	}
+	return nil
+}
+
+// rewrite starts a new log file with the current identity and state.
+func (s *Store) rewrite(entries []consensus.Entry) error {
+	name := logName(s.generation + 1)
+	f, err := s.fs.Create(name + tmpSuffix)
+	if err != nil {
+		return eris.Wrap(err, "storage")
+	}
+	if s.file != nil {
+		_ = s.file.Close()
+	}
+	s.file = f
+	s.batch = 0
+	s.begin()
+	s.add(recordIdentity, s.identity)
+	s.add(recordState, s.state)
+	for i := range entries {
+		s.add(recordEntry, &entries[i])
+	}
+	if err := s.end(); err != nil {
+		return eris.Wrapf(err, "storage: %s", name)
+	}
+	if err := s.publish(name); err != nil {
+		return err
+	}
+	s.generation++
+	return nil
+}
+
+// publish gives a synced temporary file its name.
+func (s *Store) publish(name string) error {
+	if err := s.fs.Rename(name+tmpSuffix, name); err != nil {
+		return eris.Wrap(err, "storage")
+	}
+	return eris.Wrap(s.fs.SyncDir(), "storage")
+}
+
+func (s *Store) writeSnapshot(snapshot *consensus.Snapshot) error {
+	payload, err := wire.Marshal(snapshot)
+	if err != nil {
+		return err
+	}
+	name := snapshotName(snapshot.Index)
+	f, err := s.fs.Create(name + tmpSuffix)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	sum := binary.LittleEndian.AppendUint32(nil, crc32.Checksum(payload, castagnoli))
+	if _, err := f.Write(append(sum, payload...)); err != nil {
+		return eris.Wrapf(err, "write %s", name)
+	}
+	s.syncs++
+	if err := f.Sync(); err != nil {
+		return eris.Wrapf(err, "sync %s", name)
+	}
+	return s.publish(name)
+}
+
+func (s *Store) readSnapshot(index uint64) (consensus.Snapshot, error) {
+	var snapshot consensus.Snapshot
+	name := snapshotName(index)
+	b, err := s.fs.ReadFile(name)
+	if err != nil {
+		return snapshot, eris.Wrapf(ErrCorrupt, "%s: %v", name, err)
+	}
+	if len(b) < 4 || crc32.Checksum(b[4:], castagnoli) != binary.LittleEndian.Uint32(b) {
+		return snapshot, eris.Wrapf(ErrCorrupt, "%s: checksum differs", name)
+	}
+	if err := wire.Unmarshal(b[4:], &snapshot); err != nil {
+		return snapshot, eris.Wrapf(ErrCorrupt, "%s: %v", name, err)
+	}
+	return snapshot, nil
+}
+
+// removeOld removes what the current log file does not need.
+func (s *Store) removeOld() error {
+	names, err := s.fs.List()
+	if err != nil {
+		return eris.Wrap(err, "storage")
+	}
+	for _, name := range names {
+		if !s.obsolete(name) {
+			continue
+		}
+		if err := s.fs.Remove(name); err != nil {
+			return eris.Wrap(err, "storage")
+		}
+	}
+	return nil
+}
+
+func (s *Store) obsolete(name string) bool {
+	switch {
+	case strings.HasPrefix(name, logPrefix):
+		return name != logName(s.generation)
+	case strings.HasPrefix(name, snapshotPrefix):
+		return name != snapshotName(s.identity.Snapshot)
+	}
+	return false
+}
+
+// Close releases the folder. It does not sync: everything saved is synced.
+func (s *Store) Close() {
+	if s.file != nil {
+		_ = s.file.Close()
+	}
+	if s.release != nil {
+		s.release()
+		s.release = nil
+	}
+	if s.failed == nil {
+		s.failed = eris.Wrap(ErrFailed, "the store is closed")
+	}
+}
+
+const (
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	tmpSuffix      = ".tmp"
+)
+
+func logName(generation uint64) string { return fmt.Sprintf("%s%016d", logPrefix, generation) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016d", snapshotPrefix, index) }
+
+// newestLog returns the highest generation of a complete log file, 0 for none.
+func newestLog(names []string) uint64 {
+	generations := []uint64{0}
+	for _, name := range names {
+		number, ok := strings.CutPrefix(name, logPrefix)
+		if !ok {
+			continue
+		}
+		if g, err := strconv.ParseUint(number, 10, 64); err == nil {
+			generations = append(generations, g)
+		}
+	}
+	sort.Slice(generations, func(i, j int) bool { return generations[i] > generations[j] })
+	return generations[0]
+}
