--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -95,12 +95,12 @@
 
 // site is one agent with its target and link listener.
 type site struct {
-	t       testing.TB
-	agent   *Agent
-	target  *httptest.Server
-	links   *httptest.Server
-	system  *duty.System
-	index   uint64
+	t      testing.TB
+	agent  *Agent
+	target *httptest.Server
+	links  *httptest.Server
+	system *duty.System
+	index  uint64
 }
 
 func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
--- /dev/null
+++ b/demo/layout.go
@@ -0,0 +1,223 @@
+// Package demo writes the files of a demonstration on one machine, watches its
+// processes, and judges the run by what the stand-ins recorded. Each process has
+// a loopback address of its own.
+package demo
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Ports of every process; the addresses differ.
+const (
+	portLinks   = 7000
+	portAdmin   = 7001
+	portCallers = 8080
+	portTarget  = 8100
+	portStore   = 9000
+)
+
+// Names of the demonstration's services.
+const (
+	serviceName = "budget-svc"
+	scorerName  = "score-svc"
+)
+
+// Sizes of the trainers' steps.
+const (
+	promptsPerStep = 8
+	groupSize      = 4
+	samplesPerStep = promptsPerStep * groupSize
+	stalenessBound = 2
+)
+
+// target is a back end with the agent beside it.
+type target struct {
+	name    string
+	kind    string // "engine" or "service"
+	group   string // pool or service
+	zone    string
+	agentIP string
+	ip      string
+}
+
+// process is a process of the system.
+type process struct {
+	name string
+	ip   string
+	zone string
+}
+
+var zones = []string{"bole", "kirkos", "yeka", "lideta"}
+
+var controls = []process{
+	{"control-1", "127.0.1.1", "bole"},
+	{"control-2", "127.0.1.2", "kirkos"},
+	{"control-3", "127.0.1.3", "yeka"},
+}
+
+var entries = []process{
+	{"entry-1", "127.0.2.1", "bole"},
+	{"entry-2", "127.0.2.2", "lideta"},
+}
+
+// trainer draws from a pool of its own weights.
+type trainer struct {
+	name string
+	pool string
+}
+
+var trainers = []trainer{{"approver", "policy-lm"}, {"auditor", "audit-lm"}}
+
+func targets() []target {
+	var out []target
+	add := func(name, kind, group, zone string) {
+		n := len(out) + 1
+		out = append(out, target{name, kind, group, zone, fmt.Sprintf("127.0.3.%d", n), fmt.Sprintf("127.0.4.%d", n)})
+	}
+	for i := range 4 {
+		add(fmt.Sprintf("policy-lm-%d", i), "engine", "policy-lm", zones[i])
+	}
+	for i := range 2 {
+		add(fmt.Sprintf("audit-lm-%d", i), "engine", "audit-lm", zones[i])
+	}
+	add("budget-svc-0", "service", serviceName, "yeka")
+	add("budget-svc-1", "service", serviceName, "lideta")
+	add("score-svc-0", "service", scorerName, "bole")
+	return out
+}
+
+const storeIP = "127.0.5.1"
+
+// WriteFiles writes settings, configurations and the list of processes to dir.
+func WriteFiles(dir string) error {
+	for _, sub := range []string{"settings", "data", "record", "log"} {
+		if err := os.MkdirAll(filepath.Join(dir, sub), 0o755); err != nil {
+			return eris.Wrap(err, "demo")
+		}
+	}
+	files := map[string]string{
+		"config-1.toml": configuration("10s"),
+		"config-2.toml": configuration("12s"),
+		"config-3.toml": configuration("15s"),
+		"processes":     processList(dir),
+	}
+	for _, p := range controls {
+		files["settings/"+p.name+".toml"] = controlSettings(dir, p)
+	}
+	for _, p := range entries {
+		files["settings/"+p.name+".toml"] = entrySettings(p)
+	}
+	for _, t := range targets() {
+		files["settings/agent-"+t.name+".toml"] = agentSettings(t)
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644); err != nil {
+			return eris.Wrap(err, "demo")
+		}
+	}
+	return nil
+}
+
+func controlPeers(b *strings.Builder) {
+	for _, p := range controls {
+		fmt.Fprintf(b, "[[control]]\nname = %q\nzone = %q\nlinks = \"%s:%d\"\nadmin = \"%s:%d\"\n", p.name, p.zone, p.ip, portLinks, p.ip, portAdmin)
+	}
+}
+
+func controlSettings(dir string, p process) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\nzone = %q\nroles = [\"control\"]\ndata_dir = %q\n", p.name, p.zone, filepath.Join(dir, "data", p.name))
+	fmt.Fprintf(&b, "[listen]\nlinks = \"%s:%d\"\nadmin = \"%s:%d\"\n", p.ip, portLinks, p.ip, portAdmin)
+	controlPeers(&b)
+	return b.String()
+}
+
+func entrySettings(p process) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\nzone = %q\nroles = [\"entry\"]\n", p.name, p.zone)
+	fmt.Fprintf(&b, "[listen]\ncallers = \"%s:%d\"\nlinks = \"%s:%d\"\nadmin = \"%s:%d\"\n", p.ip, portCallers, p.ip, portLinks, p.ip, portAdmin)
+	controlPeers(&b)
+	return b.String()
+}
+
+func agentSettings(t target) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"agent-%s\"\nzone = %q\nroles = [\"agent\"]\n", t.name, t.zone)
+	fmt.Fprintf(&b, "[listen]\nlinks = \"%s:%d\"\nadmin = \"%s:%d\"\n", t.agentIP, portLinks, t.agentIP, portAdmin)
+	fmt.Fprintf(&b, "[agent]\ntarget = %q\nkind = %q\naddress = \"%s:%d\"\n", t.name, t.kind, t.ip, portTarget)
+	controlPeers(&b)
+	for _, p := range entries {
+		fmt.Fprintf(&b, "[[entries]]\nname = %q\nzone = %q\nlinks = \"%s:%d\"\n", p.name, p.zone, p.ip, portLinks)
+	}
+	return b.String()
+}
+
+func configuration(deadline string) string {
+	var b strings.Builder
+	for _, z := range zones {
+		fmt.Fprintf(&b, "[[zone]]\nname = %q\nregion = \"addis\"\n\n", z)
+	}
+	for _, t := range trainers {
+		fmt.Fprintf(&b, "[[pool]]\nname = %q\ndeadline = \"30s\"\nweight_store = \"%s:%d\"\n", t.pool, storeIP, portStore)
+		configurationTargets(&b, "pool", t.pool)
+	}
+	fmt.Fprintf(&b, "[[service]]\nname = %q\ndepends_on = [\"policy-lm\"]\ndeadline = %q\n", serviceName, deadline)
+	b.WriteString("[[service.call]]\nmethod = \"POST\"\npath_prefix = \"/check\"\nidempotent = false\n")
+	configurationTargets(&b, "service", serviceName)
+	fmt.Fprintf(&b, "[[service]]\nname = %q\n[[service.call]]\nmethod = \"POST\"\npath_prefix = \"/\"\nidempotent = true\n", scorerName)
+	configurationTargets(&b, "service", scorerName)
+	for _, t := range trainers {
+		fmt.Fprintf(&b, "[[trainer]]\nname = %q\npools = [%q]\nstaleness_bound = %d\ngroup_size = %d\nscorer = %q\n\n", t.name, t.pool, stalenessBound, groupSize, scorerName)
+	}
+	return b.String()
+}
+
+func configurationTargets(b *strings.Builder, table, group string) {
+	for _, t := range targets() {
+		if t.group != group {
+			continue
+		}
+		fmt.Fprintf(b, "[[%s.target]]\nname = %q\nzone = %q\nagent = \"%s:%d\"\naddress = \"%s:%d\"\n", table, t.name, t.zone, t.agentIP, portLinks, t.ip, portTarget)
+		if t.name == "policy-lm-0" || t.name == "audit-lm-0" {
+			b.WriteString("checks_fence = true\n")
+		}
+	}
+	b.WriteString("\n")
+}
+
+// processList has one line a process: its name and its command line, which the
+// script of the demonstration starts.
+func processList(dir string) string {
+	var b strings.Builder
+	record := func(name string) string { return filepath.Join(dir, "record", name+".jsonl") }
+	fmt.Fprintf(&b, "store merlinhall standin store --listen %s:%d\n", storeIP, portStore)
+	for _, t := range targets() {
+		fence := ""
+		if t.name == "policy-lm-0" || t.name == "audit-lm-0" {
+			fence = " --checks-fence"
+		}
+		kind := t.kind
+		if t.group == scorerName {
+			kind = "scorer"
+		}
+		fmt.Fprintf(&b, "%s merlinhall standin %s --name %s --listen %s:%d --record %s%s\n", t.name, kind, t.name, t.ip, portTarget, record(t.name), fence)
+	}
+	daemon := func(name string) {
+		fmt.Fprintf(&b, "%s merlinhalld --settings %s\n", name, filepath.Join(dir, "settings", name+".toml"))
+	}
+	for _, p := range controls {
+		daemon(p.name)
+	}
+	for _, t := range targets() {
+		daemon("agent-" + t.name)
+	}
+	for _, p := range entries {
+		daemon(p.name)
+	}
+	return b.String()
+}
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -77,6 +77,7 @@
 		Method: r.Method,
 		Path:   r.URL.Path,
 		Prompt: c.Prompt,
+		Seed:   c.Seed,
 	})
 	if _, ok := e.take(FaultHang); ok {
 		<-r.Context().Done()
@@ -134,10 +135,10 @@
 				return
 			}
 			time.Sleep(e.delay(FaultSlow))
+			e.sent(s.record, ev.Index, ev.Version)
 			writeEvent(w, ev)
 			_ = flush()
 			sent++
-			e.update(func() { s.record.token(ev.Index, ev.Version) })
 		case <-r.Context().Done():
 			e.update(func() { s.record.Cancelled = true })
 			return
@@ -165,7 +166,7 @@
 				return
 			}
 			events = append(events, ev)
-			e.update(func() { s.record.token(ev.Index, ev.Version) })
+			e.sent(s.record, ev.Index, ev.Version)
 		case <-r.Context().Done():
 			e.update(func() { s.record.Cancelled = true })
 			return
--- a/standin/record.go
+++ b/standin/record.go
@@ -21,12 +21,15 @@
 	Method string `json:"method"`
 	Path   string `json:"path"`
 	Prompt string `json:"prompt,omitempty"`
+	Seed   int64  `json:"seed,omitempty"`
 	// Runs is 1 once the request has run, 0 while it only waited.
 	Runs      int  `json:"runs"`
 	Completed bool `json:"completed"`
 	Cancelled bool `json:"cancelled"`
 	// Ranges attribute the tokens sent to weight versions.
 	Ranges []wire.VersionRange `json:"ranges,omitempty"`
+
+	serial uint64 // in the journal
 }
 
 // OrderRecord is one order that an engine received.
@@ -52,12 +55,14 @@
 	requests []*RequestRecord
 	orders   []OrderRecord
 	runs     map[string]int
+	journal  *journal
 }
 
 func (r *recorder) begin(rec RequestRecord) *RequestRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := &rec
+	r.journal.begin(p)
 	r.requests = append(r.requests, p)
 	return p
 }
@@ -73,6 +78,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p.Runs++
+	r.journal.write(JournalLine{Event: JournalRun, Request: p.serial})
 	if r.runs == nil {
 		r.runs = make(map[string]int)
 	}
@@ -87,6 +93,15 @@
 	r.orders = append(r.orders, o)
 }
 
+// sent records token i before it is written, so that no token reaches a reader
+// that the journal does not hold.
+func (r *recorder) sent(p *RequestRecord, i int, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.journal.write(JournalLine{Event: JournalToken, Request: p.serial, Index: i, Version: version})
+	p.token(i, version)
+}
+
 // token attributes token i to version.
 func (p *RequestRecord) token(i int, version uint64) {
 	if n := len(p.Ranges); n > 0 && p.Ranges[n-1].Version == version && p.Ranges[n-1].To == i {
--- a/standin/trainer.go
+++ b/standin/trainer.go
@@ -13,6 +13,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"merlinhall/wire"
 )
 
 const (
@@ -55,6 +57,10 @@
 	Newest  uint64 `json:"newest"`
 	Trainer uint64 `json:"trainer_version"` // at receipt
 	Tokens  int    `json:"tokens"`
+	Prompt  string `json:"prompt"`
+	// Versions are the ranges that the sample names.
+	Versions []wire.VersionRange `json:"versions"`
+	Text     []string            `json:"text"`
 }
 
 // TrainerReport is what a trainer observed.
@@ -111,17 +117,13 @@
 		Step    uint64 `json:"step"`
 		Group   int    `json:"group"`
 		Samples []struct {
-			Trainer  string   `json:"trainer"`
-			Step     uint64   `json:"step"`
-			Group    int      `json:"group"`
-			Index    int      `json:"index"`
-			Tokens   []string `json:"tokens"`
-			Versions []struct {
-				From    int    `json:"from"`
-				To      int    `json:"to"`
-				Version uint64 `json:"version"`
-			} `json:"versions"`
-			Score float64 `json:"score"`
+			Trainer  string              `json:"trainer"`
+			Step     uint64              `json:"step"`
+			Group    int                 `json:"group"`
+			Index    int                 `json:"index"`
+			Tokens   []string            `json:"tokens"`
+			Versions []wire.VersionRange `json:"versions"`
+			Score    float64             `json:"score"`
 		} `json:"samples"`
 	} `json:"groups"`
 }
@@ -300,7 +302,7 @@
 		step := t.state.Opened + 1
 		prompts := make([]string, t.o.Prompts)
 		for i := range prompts {
-			prompts[i] = fmt.Sprintf("%s step %d prompt %d", t.o.Name, step, i)
+			prompts[i] = t.prompt(step, i)
 		}
 		request := map[string]any{
 			"step":       step,
@@ -419,6 +421,10 @@
 	t.state.Violations = append(t.state.Violations, text)
 }
 
+func (t *Trainer) prompt(step uint64, group int) string {
+	return fmt.Sprintf("%s step %d prompt %d", t.o.Name, step, group)
+}
+
 // accept checks and records the samples of a draw.
 func (t *Trainer) accept(d *trainerDraw) {
 	t.mu.Lock()
@@ -429,7 +435,7 @@
 			t.violate("group %d of step %d has %d samples, not %d", g.Group, g.Step, len(g.Samples), t.o.GroupSize)
 		}
 		for _, s := range g.Samples {
-			record := TrainerSample{Step: s.Step, Group: s.Group, Index: s.Index, Draw: d.DrawID, Trainer: t.state.Version, Tokens: len(s.Tokens)}
+			record := TrainerSample{Step: s.Step, Group: s.Group, Index: s.Index, Draw: d.DrawID, Trainer: t.state.Version, Tokens: len(s.Tokens), Prompt: t.prompt(s.Step, s.Group), Versions: s.Versions, Text: s.Tokens}
 			next := 0
 			for i, r := range s.Versions {
 				if r.From != next || r.To <= r.From {
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -27,6 +27,9 @@
 	return fmt.Sprintf("%s:%d: %s: %s; %s", f.File, f.Line, f.Key, f.Problem, f.Fix)
 }
 
+// Error implements error.
+func (f Fault) Error() string { return f.String() }
+
 // Faults is the error of a file with at least one fault.
 type Faults []Fault
 
@@ -39,6 +42,15 @@
 	return strings.Join(lines, "\n")
 }
 
+// Unwrap returns each fault as an error.
+func (fs Faults) Unwrap() []error {
+	errs := make([]error, 0, len(fs))
+	for _, f := range fs {
+		errs = append(errs, f)
+	}
+	return errs
+}
+
 // Duration is a time in a TOML file, a string with a unit such as "250ms".
 type Duration time.Duration
 
