--- /dev/null
+++ b/experiment/overload.go
@@ -0,0 +1,215 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"merlinhall/admission"
+)
+
+// OverloadOptions describe the queueing model of RunOverload.
+type OverloadOptions struct {
+	Seed     uint64
+	Factor   float64 // offered work relative to capacity
+	Duration time.Duration
+	// Naive serves an unbounded queue in order of arrival, without refusals.
+	Naive bool
+	// TrainerShare is the part of the offered work that the trainer offers.
+	TrainerShare float64
+}
+
+// OverloadResult is what one run measured.
+type OverloadResult struct {
+	Goodput float64 // tokens of answers within their deadline, relative to capacity
+	Caller  float64 // share of the application's requests answered in time
+	Trainer float64
+	// TrainerLong is the share for the trainer's requests longer than the mean.
+	TrainerLong float64
+	Refused     int
+	// Late counts requests that ran and missed their deadline.
+	Late int
+	// RefusalP99 is the time from arrival to a refusal, at the 99th percentile.
+	RefusalP99 time.Duration
+}
+
+const (
+	overloadSlots   = 96 // requests that the pool runs at once
+	overloadPerSlot = 100.0
+	overloadQueue   = 2048
+	callerTokens    = 80.0
+	callerDeadline  = 5 * time.Second
+	trainerTokens   = 400.0
+	trainerDeadline = 30 * time.Second
+	warmup          = 20 * time.Second
+)
+
+// job is one request of the overload model.
+type job struct {
+	trainer  bool
+	tokens   float64
+	arrived  time.Time
+	deadline time.Time
+}
+
+type overloadModel struct {
+	options  OverloadOptions
+	events   *events
+	rng      *rand.Rand
+	rate     *admission.Rate
+	queue    *admission.Queue[*job]
+	fifo     []*job
+	running  int
+	good     float64
+	offered  [3]int // application, trainer, long requests of the trainer
+	answered [3]int
+	refusals []time.Duration
+	late     int
+}
+
+// RunOverload offers Factor times the capacity to a pool behind one entry. An
+// application and a trainer have equal shares.
+func RunOverload(o OverloadOptions) OverloadResult {
+	m := &overloadModel{options: o, events: newEvents(), rng: rand.New(rand.NewPCG(o.Seed, 2)), rate: &admission.Rate{}}
+	m.rate.SetSlots(overloadSlots)
+	m.queue = admission.NewQueue[*job](overloadQueue, m.rate)
+	m.queue.SetLimits(overloadQueue, map[string]float64{"approve-app": 1, "trainer": 1})
+	capacity := overloadSlots * overloadPerSlot
+	work := capacity * o.Factor
+	m.arrivals(false, work*(1-o.TrainerShare)/callerTokens)
+	m.arrivals(true, work*o.TrainerShare/trainerTokens)
+	m.events.after(tickOfModel, m.sweep)
+	m.events.run(epoch.Add(o.Duration))
+	return m.result(capacity)
+}
+
+// tickOfModel is the period of the sweep for requests that became too late.
+const tickOfModel = 20 * time.Millisecond
+
+func (m *overloadModel) arrivals(trainer bool, perSecond float64) {
+	if perSecond <= 0 {
+		return
+	}
+	gap := time.Duration(m.rng.ExpFloat64() / perSecond * float64(time.Second))
+	m.events.after(gap, func() {
+		m.arrive(trainer)
+		m.arrivals(trainer, perSecond)
+	})
+}
+
+func (m *overloadModel) arrive(trainer bool) {
+	tokens, deadline := callerTokens, callerDeadline
+	if trainer {
+		tokens, deadline = trainerTokens, trainerDeadline
+	}
+	j := &job{trainer: trainer, arrived: m.events.now, deadline: m.events.now.Add(deadline)}
+	j.tokens = tokens * (0.5 + m.rng.Float64())
+	if m.measured(j) {
+		count(&m.offered, j)
+	}
+	if m.options.Naive {
+		m.fifo = append(m.fifo, j)
+		m.serve()
+		return
+	}
+	item := &admission.Item[*job]{Value: j, Caller: "approve-app", Cost: j.tokens, Deadline: j.deadline}
+	if trainer {
+		item.Caller = "trainer"
+	}
+	refusal, displaced := m.queue.Offer(m.events.now, item)
+	if refusal != nil {
+		m.refuse(j)
+	}
+	if displaced != nil {
+		m.refuse(displaced.Item.Value)
+	}
+	m.serve()
+}
+
+// measured excludes requests whose deadline is after the end of the run.
+func (m *overloadModel) measured(j *job) bool {
+	at := j.arrived.Sub(epoch)
+	return at >= warmup && at < m.options.Duration-trainerDeadline
+}
+
+func (m *overloadModel) refuse(j *job) {
+	m.refusals = append(m.refusals, m.events.now.Sub(j.arrived))
+}
+
+func (m *overloadModel) sweep() {
+	m.events.after(tickOfModel, m.sweep)
+	for _, d := range m.queue.Sweep(m.events.now) {
+		m.refuse(d.Item.Value)
+	}
+	m.serve()
+}
+
+func (m *overloadModel) serve() {
+	for m.running < overloadSlots {
+		j := m.next()
+		if j == nil {
+			return
+		}
+		m.run(j)
+	}
+}
+
+func (m *overloadModel) next() *job {
+	if !m.options.Naive {
+		if item := m.queue.Next(m.events.now); item != nil {
+			return item.Value
+		}
+		return nil
+	}
+	if len(m.fifo) == 0 {
+		return nil
+	}
+	j := m.fifo[0]
+	m.fifo = m.fifo[1:]
+	return j
+}
+
+func (m *overloadModel) run(j *job) {
+	m.running++
+	started := m.events.now
+	took := time.Duration(j.tokens / overloadPerSlot * float64(time.Second))
+	m.events.after(took, func() {
+		m.running--
+		m.rate.Observe(j.tokens, m.events.now.Sub(started))
+		m.finish(j)
+		m.serve()
+	})
+}
+
+func (m *overloadModel) finish(j *job) {
+	if m.events.now.After(j.deadline) {
+		m.late++
+		return
+	}
+	if m.events.now.Sub(epoch) >= warmup {
+		m.good += j.tokens
+	}
+	if m.measured(j) {
+		count(&m.answered, j)
+	}
+}
+
+func count(counts *[3]int, j *job) {
+	if !j.trainer {
+		counts[0]++
+		return
+	}
+	counts[1]++
+	if j.tokens > trainerTokens {
+		counts[2]++
+	}
+}
+
+func (m *overloadModel) result(capacity float64) OverloadResult {
+	r := OverloadResult{Late: m.late, Refused: len(m.refusals)}
+	r.Goodput = m.good / (capacity * (m.options.Duration - warmup).Seconds())
+	r.Caller = float64(m.answered[0]) / max(1, float64(m.offered[0]))
+	r.Trainer = float64(m.answered[1]) / max(1, float64(m.offered[1]))
+	r.TrainerLong = float64(m.answered[2]) / max(1, float64(m.offered[2]))
+	r.RefusalP99 = percentile(m.refusals, 0.99)
+	return r
+}
--- /dev/null
+++ b/experiment/routing.go
@@ -0,0 +1,288 @@
+package experiment
+
+import (
+	"container/list"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"merlinhall/routing"
+	"merlinhall/wire"
+)
+
+// RoutingOptions describe the queueing model of RunRouting.
+type RoutingOptions struct {
+	Seed     uint64
+	Policy   routing.Policy
+	Load     float64 // offered work relative to the capacity without cache hits
+	Duration time.Duration
+}
+
+// RoutingResult is what one run measured.
+type RoutingResult struct {
+	Policy   routing.Policy
+	Requests int
+	P50, P99 time.Duration
+	HitRatio float64 // prompt blocks found in an engine's cache
+	// Least and most share of the requests by target, zone and entry, relative to
+	// an equal share.
+	Target, Zone, Entry [2]float64
+}
+
+// Sizes of the model: the pool of the Abay deployment with one entry per zone.
+const (
+	modelZones    = 4
+	modelTargets  = 12
+	modelSlots    = 8 // requests that an engine runs at once
+	modelCache    = 600
+	modelApps     = 40
+	modelSystem   = 12 // blocks of a system prompt
+	modelUser     = 4  // blocks of the rest of a prompt
+	modelGroup    = 8  // samples with the same prompt
+	prefillBlock  = 20 * time.Millisecond
+	meanDecode    = 300 * time.Millisecond
+	zoneDelay     = 500 * time.Microsecond
+	reportPeriod  = time.Second
+	reportDelay   = 50 * time.Millisecond
+	reportLoss    = 0.05
+	modelSlow     = 5 // an engine that is slower than the others
+	modelSlowness = 2.0
+	modelMaxLoad  = 64
+	burstInterval = 250 * time.Millisecond
+)
+
+// engineModel serves modelSlots requests at once and queues the others.
+type engineModel struct {
+	key, zone string
+	slowness  float64 // factor on all times
+	running   int
+	queue     []*requestModel
+	cache     map[uint64]*list.Element
+	order     *list.List // of prefixes, most recently used first
+	added     []uint64   // cache events since the last report
+	evicted   []uint64
+	served    int
+}
+
+// entryModel is the view of one entry.
+type entryModel struct {
+	zone  string
+	views []routing.Target
+	turn  uint64
+	sent  int
+}
+
+type requestModel struct {
+	prefixes []uint64
+	started  time.Time
+	decode   time.Duration
+	hop      time.Duration
+	done     func()
+}
+
+type routingModel struct {
+	options   RoutingOptions
+	events    *events
+	arrivals  *rand.Rand // the same for all policies
+	choices   *rand.Rand
+	engines   []*engineModel
+	entries   []*entryModel
+	latencies []time.Duration
+	hit, all  int
+}
+
+// RunRouting runs a routing policy over a model of several entries that choose at
+// the same moment by late load reports and late cache events with gaps.
+func RunRouting(o RoutingOptions) RoutingResult {
+	m := &routingModel{options: o, events: newEvents(), arrivals: rand.New(rand.NewPCG(o.Seed, 1)), choices: rand.New(rand.NewPCG(o.Seed, 2))}
+	m.build()
+	m.events.after(reportPeriod, m.report)
+	m.events.after(burstInterval, m.burst)
+	m.events.run(epoch.Add(o.Duration))
+	return m.result()
+}
+
+func (m *routingModel) build() {
+	for i := range modelTargets {
+		m.engines = append(m.engines, &engineModel{
+			key: fmt.Sprintf("policy-lm-%d", i), zone: fmt.Sprintf("zone-%d", i%modelZones), cache: make(map[uint64]*list.Element), order: list.New(), slowness: 1,
+		})
+	}
+	m.engines[modelSlow].slowness = modelSlowness
+	for i := range modelZones {
+		e := &entryModel{zone: fmt.Sprintf("zone-%d", i)}
+		for _, x := range m.engines {
+			e.views = append(e.views, routing.Target{Key: x.key, Zone: x.zone, Limit: modelMaxLoad, Cache: routing.NewCache()})
+		}
+		m.entries = append(m.entries, e)
+	}
+}
+
+// burst lets every entry receive requests at the same moment: single requests of
+// applications and, now and then, the samples of one group.
+func (m *routingModel) burst() {
+	m.events.after(burstInterval, m.burst)
+	work := prefillBlock*(modelSystem+modelUser) + meanDecode
+	perBurst := m.options.Load * modelTargets * modelSlots * burstInterval.Seconds() / work.Seconds()
+	for _, e := range m.entries {
+		for n := m.poisson(perBurst / modelZones); n > 0; {
+			prompt := m.prompt()
+			samples := 1
+			if m.arrivals.IntN(modelGroup) == 0 {
+				samples = min(n, modelGroup)
+			}
+			for range samples {
+				m.submit(e, prompt)
+			}
+			n -= samples
+		}
+	}
+}
+
+func (m *routingModel) poisson(mean float64) int {
+	n := 0
+	for sum := m.arrivals.ExpFloat64(); sum < mean; sum += m.arrivals.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// prompt returns the prefixes of a prompt: the system prompt of an application,
+// chosen with a Zipf-like skew, and a part of its own.
+func (m *routingModel) prompt() []uint64 {
+	app := int(float64(modelApps) * m.arrivals.Float64() * m.arrivals.Float64())
+	system := strings.Repeat(fmt.Sprintf("%064d", app), modelSystem)
+	user := strings.Repeat(fmt.Sprintf("%064x", m.arrivals.Uint64()), modelUser)
+	return routing.PrefixHashes(system + user)
+}
+
+func (m *routingModel) submit(e *entryModel, prefixes []uint64) {
+	for i := range e.views {
+		e.views[i].Cache.Advance(m.events.now)
+	}
+	decode := time.Duration(m.arrivals.ExpFloat64() * float64(meanDecode))
+	e.turn++
+	c := routing.Choose(routing.Request{
+		Zone: e.zone, Prefixes: prefixes, Policy: m.options.Policy, ZoneCost: routing.DefaultZoneCost, Turn: e.turn,
+	}, e.views, m.choices)
+	if c.Index < 0 {
+		return // beyond the capacity of the model; admission handles this case
+	}
+	view, x := &e.views[c.Index], m.engines[c.Index]
+	view.InFlight++
+	view.Cache.Expect(m.events.now, prefixes)
+	e.sent++
+	x.served++
+	r := &requestModel{prefixes: prefixes, started: m.events.now, decode: decode}
+	if x.zone != e.zone {
+		r.hop = zoneDelay
+	}
+	r.done = func() {
+		view.InFlight--
+		m.latencies = append(m.latencies, m.events.now.Sub(r.started))
+	}
+	m.events.after(r.hop, func() { m.arrive(x, r) })
+}
+
+func (m *routingModel) arrive(x *engineModel, r *requestModel) {
+	if x.running >= modelSlots {
+		x.queue = append(x.queue, r)
+		return
+	}
+	m.start(x, r)
+}
+
+func (m *routingModel) start(x *engineModel, r *requestModel) {
+	x.running++
+	hit := x.use(r.prefixes)
+	m.hit += hit
+	m.all += len(r.prefixes)
+	took := time.Duration(x.slowness * float64(prefillBlock*time.Duration(len(r.prefixes)-hit)+r.decode))
+	m.events.after(took, func() {
+		x.running--
+		if len(x.queue) > 0 {
+			next := x.queue[0]
+			x.queue = x.queue[1:]
+			m.start(x, next)
+		}
+		m.events.after(r.hop, r.done)
+	})
+}
+
+// use returns how many leading blocks were cached and caches all of them, least
+// recently used out first.
+func (x *engineModel) use(prefixes []uint64) int {
+	hit := 0
+	for i, h := range prefixes {
+		if block, ok := x.cache[h]; ok {
+			x.order.MoveToFront(block)
+			if hit == i {
+				hit++
+			}
+			continue
+		}
+		x.cache[h] = x.order.PushFront(h)
+		x.added = append(x.added, h)
+	}
+	for len(x.cache) > modelCache {
+		oldest := x.order.Remove(x.order.Back()).(uint64)
+		delete(x.cache, oldest)
+		x.evicted = append(x.evicted, oldest)
+	}
+	return hit
+}
+
+// report sends the state of each engine to each entry, late, and loses some.
+func (m *routingModel) report() {
+	m.events.after(reportPeriod, m.report)
+	for i, x := range m.engines {
+		load := &wire.Load{Running: x.running, Queued: len(x.queue), CachedPrefixes: x.added, EvictedPrefixes: x.evicted}
+		x.added, x.evicted = nil, nil
+		for _, e := range m.entries {
+			own := e.views[i].InFlight
+			if m.choices.Float64() < reportLoss {
+				continue
+			}
+			m.events.after(reportDelay, func() {
+				v := &e.views[i]
+				v.Others = routing.SmoothOthers(v.Others, load.Running+load.Queued-own)
+				v.Cache.Report(m.events.now, load)
+			})
+		}
+	}
+}
+
+func (m *routingModel) result() RoutingResult {
+	slices.Sort(m.latencies)
+	r := RoutingResult{Policy: m.options.Policy, Requests: len(m.latencies)}
+	if r.Requests == 0 {
+		return r
+	}
+	r.P50 = m.latencies[r.Requests/2]
+	r.P99 = m.latencies[r.Requests*99/100]
+	r.HitRatio = float64(m.hit) / float64(m.all)
+	zones := make(map[string]int)
+	var targets, entries, byZone []int
+	for _, x := range m.engines {
+		targets = append(targets, x.served)
+		zones[x.zone] += x.served
+	}
+	for _, e := range m.entries {
+		entries = append(entries, e.sent)
+		byZone = append(byZone, zones[e.zone])
+	}
+	r.Target, r.Zone, r.Entry = spread(targets), spread(byZone), spread(entries)
+	return r
+}
+
+// spread returns the least and the greatest value relative to the mean.
+func spread(values []int) [2]float64 {
+	sum := 0
+	for _, v := range values {
+		sum += v
+	}
+	mean := max(1e-9, float64(sum)/float64(len(values)))
+	return [2]float64{float64(slices.Min(values)) / mean, float64(slices.Max(values)) / mean}
+}
