--- /dev/null
+++ b/consensus/export_test.go
@@ -0,0 +1,36 @@
+package consensus
+
+// Fault names a rule that a test switches off to show that its loss is caught.
+type Fault string
+
+// Planted faults.
+const (
+	FaultLearnerInQuorum Fault = "learner counted in the quorum"
+	FaultCommitOldTerm   Fault = "older term committed by counting"
+	FaultDropPreVote     Fault = "pre-vote dropped"
+	FaultForgetVote      Fault = "vote not persisted"
+	FaultIsolatedRead    Fault = "isolated leader reads without confirmation"
+	FaultVoteInLease     Fault = "vote granted within the lease"
+	FaultAckUnsynced     Fault = "own entries counted before the sync"
+)
+
+// Plant switches a rule off.
+func (c *Config) Plant(f Fault) {
+	switch f {
+	case FaultLearnerInQuorum:
+		c.faults.learnerInQuorum = true
+	case FaultCommitOldTerm:
+		c.faults.commitOldTerm = true
+	case FaultDropPreVote:
+		c.faults.dropPreVote = true
+	case FaultForgetVote:
+		c.faults.forgetVote = true
+	case FaultIsolatedRead:
+		c.faults.unconfirmedRead = true
+		c.faults.ignoreLease = true
+	case FaultVoteInLease:
+		c.faults.voteInLease = true
+	case FaultAckUnsynced:
+		c.faults.ackUnsynced = true
+	}
+}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -309,6 +309,7 @@
 	if term != n.term && !n.cfg.faults.commitOldTerm {
 		return
 	}
+	n.assertQuorum(index)
 	n.setCommit(index)
 	n.lead.announce = true
 	if !n.isMember(n.cfg.ID) && n.memberIndex <= n.commit {
@@ -318,6 +319,22 @@
 	}
 }
 
+// assertQuorum checks, apart from how the index was found, that a majority of
+// the voters has synced it.
+func (n *Node) assertQuorum(index uint64) {
+	voters, holding := 0, 0
+	for _, m := range n.members {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if n.matchOf(m.ID) >= index {
+			holding++
+		}
+	}
+	duty.Invariant(holding > voters/2, "entry %d is committed with %d of %d voters", index, holding, voters)
+}
+
 func (n *Node) matchOf(id uint64) uint64 {
 	if id == n.cfg.ID {
 		if n.cfg.faults.ackUnsynced {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -410,6 +410,8 @@
 	Last     uint64   `json:"last"`
 	Snapshot uint64   `json:"snapshot"`
 	Members  []Member `json:"members"`
+	// MemberIndex is the entry that set Members. It may not be committed yet.
+	MemberIndex uint64 `json:"member_index"`
 	// Ready is set on a leader that has committed an entry of its own term and
 	// holds its lease.
 	Ready bool `json:"ready"`
@@ -429,7 +431,10 @@
 		Last:     n.log.last(),
 		Snapshot: n.log.snapshot.Index,
 		Members:  append([]Member(nil), n.members...),
-		Ready:    n.role == RoleLeader && n.commit >= n.lead.start && n.leaseHeld(),
+
+		MemberIndex: n.memberIndex,
+
+		Ready: n.role == RoleLeader && n.commit >= n.lead.start && n.leaseHeld(),
 	}
 }
 
--- /dev/null
+++ b/consensus/simclient_test.go
@@ -0,0 +1,296 @@
+package consensus_test
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"merlinhall/replica"
+	"merlinhall/storage"
+	"merlinhall/wire"
+)
+
+// Bounds of a client's patience in simulated time.
+const (
+	attemptTimeout = 1500 * time.Millisecond
+	maxAttempts    = 12
+)
+
+type kvOutput struct {
+	known bool
+	item  kvItem
+}
+
+type kvInput struct {
+	write bool
+	key   string
+	value uint64
+}
+
+// history is what the clients saw, for porcupine.
+type history struct {
+	clock      int64
+	operations []porcupine.Operation
+	refused    []uint64 // ids of writes that were refused in every attempt
+	nextID     uint64
+}
+
+func (h *history) tick() int64 {
+	h.clock++
+	return h.clock
+}
+
+// client carries out one operation at a time. It sends a write again, with the
+// same request id, until it is done or the client gives up.
+type client struct {
+	sim       *sim
+	index     int
+	target    int
+	input     kvInput
+	id        uint64
+	call      int64
+	attempt   int
+	uncertain bool // an attempt may have had an effect
+	number    int  // of all attempts, to ignore late answers
+	done      int
+	active    bool // an operation is neither finished nor given up
+}
+
+func (s *sim) addClients(n int) {
+	for i := range n {
+		c := &client{sim: s, index: i, target: s.rng.IntN(len(s.hosts))}
+		s.clients = append(s.clients, c)
+		s.after(s.random(0, time.Second), c.next)
+	}
+}
+
+func (c *client) next() {
+	s := c.sim
+	c.active = true
+	s.history.nextID++
+	c.id = s.history.nextID
+	c.input = kvInput{write: s.rng.IntN(3) > 0, key: fmt.Sprint("k", s.rng.IntN(4)), value: c.id}
+	c.call = s.history.tick()
+	c.attempt = 0
+	c.uncertain = false
+	c.try()
+}
+
+func (c *client) try() {
+	s := c.sim
+	c.attempt++
+	c.number++
+	number := c.number
+	h := s.hosts[c.target]
+	if h.core == nil || h.busy > s.now {
+		// The connection is refused, so the request certainly did not run.
+		c.retry()
+		return
+	}
+	if c.input.write {
+		c.write(h, number)
+	} else {
+		c.read(h, number)
+	}
+	s.after(attemptTimeout, func() {
+		if c.number == number {
+			c.uncertain = c.uncertain || c.input.write
+			c.retry()
+		}
+	})
+}
+
+func (c *client) write(h *host, number int) {
+	command, _ := wire.Marshal(kvCommand{ID: c.id, Key: c.input.key, Value: c.input.value})
+	h.do(func(now time.Duration) {
+		h.core.Propose(now, command, func(result any, index uint64, err error) {
+			if err == nil {
+				c.sim.checkDurable(h, index)
+			}
+			c.answer(h, number, func() { c.writeDone(result, err) })
+		})
+	})
+}
+
+func (c *client) read(h *host, number int) {
+	byLease := c.sim.rng.IntN(2) == 0
+	h.do(func(now time.Duration) {
+		h.core.Read(now, byLease, func(_, _ uint64, err error) {
+			item := h.kv.state.Items[c.input.key]
+			c.answer(h, number, func() { c.readDone(item, err) })
+		})
+	})
+}
+
+// answer brings the result of an attempt to the client, over a network that may
+// lose it.
+func (c *client) answer(h *host, number int, f func()) {
+	h.emit(func() {
+		if c.sim.rng.IntN(1000) < c.sim.loss {
+			return
+		}
+		c.sim.after(c.sim.random(0, c.sim.jitter), func() {
+			if c.number == number {
+				f()
+			}
+		})
+	})
+}
+
+func (c *client) writeDone(result any, err error) {
+	if err == nil {
+		c.finish(kvOutput{true, kvItem{Version: result.(uint64)}})
+		return
+	}
+	if errors.Is(err, replica.ErrUnknownOutcome) {
+		c.uncertain = true
+		c.sim.counts["unknown outcome"]++
+	}
+	c.follow(err)
+	c.retry()
+}
+
+func (c *client) readDone(item kvItem, err error) {
+	if err == nil {
+		c.finish(kvOutput{true, item})
+		return
+	}
+	c.follow(err)
+	c.retry()
+}
+
+func (c *client) follow(err error) {
+	var notLeader *replica.NotLeaderError
+	if errors.As(err, &notLeader) && notLeader.Leader != "" {
+		c.target = int(notLeader.Leader[0] - 'a')
+		return
+	}
+	c.target = c.sim.rng.IntN(len(c.sim.hosts))
+}
+
+func (c *client) retry() {
+	c.number++
+	s := c.sim
+	if c.attempt%3 == 0 {
+		c.target = s.rng.IntN(len(s.hosts))
+	}
+	if c.attempt < maxAttempts {
+		s.after(s.random(20*time.Millisecond, 400*time.Millisecond), c.try)
+		return
+	}
+	c.active = false
+	if c.input.write && !c.uncertain {
+		s.history.refused = append(s.history.refused, c.id)
+	}
+	if c.uncertain {
+		c.record(kvOutput{}, math.MaxInt64)
+	}
+	s.after(s.random(0, 100*time.Millisecond), c.next)
+}
+
+func (c *client) finish(out kvOutput) {
+	c.number++
+	c.done++
+	c.active = false
+	c.record(out, c.sim.history.tick())
+	c.sim.after(c.sim.random(0, 100*time.Millisecond), c.next)
+}
+
+func (c *client) record(out kvOutput, returned int64) {
+	s := c.sim
+	s.history.operations = append(s.history.operations, porcupine.Operation{
+		ClientId: c.index, Input: c.input, Call: c.call, Output: out, Return: returned,
+	})
+}
+
+// checkDurable verifies from outside that an acknowledged write is on the disks
+// of a majority of the voters.
+func (s *sim) checkDurable(leader *host, index uint64) {
+	voters, holding := 0, 0
+	for _, m := range leader.core.Status().Members {
+		if m.Learner {
+			continue
+		}
+		voters++
+		for _, h := range s.hosts {
+			if h.core != nil && h.core.Status().ID == m.ID && h.core.Durable().Last >= index {
+				holding++
+			}
+		}
+	}
+	// A voter that is down may hold the entry too, so this only counts when all
+	// voters are up.
+	if s.allUp() && holding <= voters/2 {
+		s.fail("write at %d is acknowledged with %d of %d voters", index, holding, voters)
+	}
+}
+
+func (s *sim) allUp() bool {
+	for _, h := range s.hosts {
+		if h.core == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// kvModel is a set of registers whose writes return the number of writes so far,
+// so that a write that was lost or applied twice shows.
+var kvModel = porcupine.Model{
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, o := range all {
+			key := o.Input.(kvInput).key
+			byKey[key] = append(byKey[key], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, key := range sortedKeys(byKey) {
+			parts = append(parts, byKey[key])
+		}
+		return parts
+	},
+	Init: func() any { return kvItem{} },
+	Step: func(state, input, output any) (bool, any) {
+		item, in, out := state.(kvItem), input.(kvInput), output.(kvOutput)
+		if !in.write {
+			return out.item == item, item
+		}
+		next := kvItem{item.Version + 1, in.value}
+		return !out.known || out.item.Version == next.Version, next
+	},
+}
+
+// verify judges the history of a run.
+func (s *sim) verify() {
+	if s.failure != "" {
+		return
+	}
+	for _, c := range s.clients {
+		if c.active && c.input.write {
+			c.record(kvOutput{}, math.MaxInt64)
+		}
+	}
+	if result := porcupine.CheckOperationsTimeout(kvModel, s.history.operations, time.Minute); result != porcupine.Ok {
+		s.fail("history of %d operations is not linearizable: %s", len(s.history.operations), result)
+	}
+	for _, h := range s.hosts {
+		for _, id := range s.history.refused {
+			if h.kv == nil {
+				continue
+			}
+			if _, ran := h.kv.state.Done[id]; ran {
+				s.fail("write %d was refused and ran", id)
+			}
+		}
+	}
+}
+
+func isInjected(err error) bool {
+	return errors.Is(err, errSync) || errors.Is(err, syscall.ENOSPC) || errors.Is(err, storage.ErrFailed) ||
+		strings.Contains(err.Error(), errSync.Error())
+}
--- /dev/null
+++ b/consensus/simdisk_test.go
@@ -0,0 +1,167 @@
+package consensus_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"syscall"
+	"time"
+
+	"merlinhall/storage"
+)
+
+var errSync = errors.New("injected sync failure")
+
+// powerLoss is the panic value of a disk operation at which the host loses power.
+type powerLoss struct{}
+
+// simDisk is an in-memory storage.FS that separates what is written from what is
+// durable.
+type simDisk struct {
+	rng     *rand.Rand
+	names   map[string]*simFile
+	durable map[string]*simFile // names as of the last SyncDir
+	busy    func(time.Duration) // told how long a sync took
+
+	slow     time.Duration // extra time of each sync
+	crashIn  int           // operations until a power loss, 0 for none
+	failSync bool          // the next sync fails
+	full     bool          // writes fail
+	skipSync bool          // planted fault: syncs do nothing
+}
+
+type simFile struct {
+	disk    *simDisk
+	content []byte
+	synced  int
+	// poisoned is set by a failed sync: later syncs report success without making
+	// the earlier bytes durable.
+	poisoned bool
+}
+
+func newSimDisk(rng *rand.Rand) *simDisk {
+	return &simDisk{rng: rng, names: map[string]*simFile{}, durable: map[string]*simFile{}}
+}
+
+// operation counts down to a planned power loss.
+func (d *simDisk) operation() {
+	if d.crashIn > 0 {
+		d.crashIn--
+		if d.crashIn == 0 {
+			panic(powerLoss{})
+		}
+	}
+}
+
+// crash drops what is not durable. Unsynced bytes may survive in part, also as
+// zeros where a sector was not written; unsynced names may survive or not.
+func (d *simDisk) crash() {
+	d.crashIn = 0
+	if d.rng.IntN(2) == 0 {
+		d.names = map[string]*simFile{}
+		for name, f := range d.durable {
+			d.names[name] = f
+		}
+	}
+	for _, name := range sortedKeys(d.names) {
+		d.names[name].tear(d.rng)
+	}
+	_ = d.SyncDir()
+}
+
+func (f *simFile) tear(rng *rand.Rand) {
+	unsynced := len(f.content) - f.synced
+	if unsynced > 0 {
+		keep := f.synced + rng.IntN(unsynced+1)
+		torn := append([]byte(nil), f.content[:keep]...)
+		if rng.IntN(2) == 0 {
+			// A sector is written as a whole or not at all.
+			cut := max(f.synced, keep/512*512)
+			torn = append(torn[:cut], make([]byte, len(f.content)-cut)...)
+		}
+		f.content = torn
+	}
+	f.synced = len(f.content)
+	f.poisoned = false
+}
+
+func (d *simDisk) Lock() (func(), error) { return func() {}, nil }
+
+func (d *simDisk) List() ([]string, error) { return sortedKeys(d.names), nil }
+
+func (d *simDisk) ReadFile(name string) ([]byte, error) {
+	f := d.names[name]
+	if f == nil {
+		return nil, os.ErrNotExist
+	}
+	return append([]byte(nil), f.content...), nil
+}
+
+func (d *simDisk) Create(name string) (storage.File, error) {
+	d.operation()
+	if d.full {
+		return nil, syscall.ENOSPC
+	}
+	f := &simFile{disk: d}
+	d.names[name] = f
+	return f, nil
+}
+
+func (d *simDisk) Rename(from, to string) error {
+	d.operation()
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+func (d *simDisk) Remove(name string) error {
+	d.operation()
+	delete(d.names, name)
+	return nil
+}
+
+func (d *simDisk) SyncDir() error {
+	d.operation()
+	d.durable = map[string]*simFile{}
+	for name, f := range d.names {
+		d.durable[name] = f
+	}
+	return nil
+}
+
+func (f *simFile) Write(p []byte) (int, error) {
+	f.disk.operation()
+	if f.disk.full {
+		n := f.disk.rng.IntN(len(p) + 1)
+		f.content = append(f.content, p[:n]...)
+		return n, syscall.ENOSPC
+	}
+	f.content = append(f.content, p...)
+	return len(p), nil
+}
+
+func (f *simFile) Sync() error {
+	f.disk.operation()
+	f.disk.busy(f.disk.slow + time.Duration(f.disk.rng.IntN(2000))*time.Microsecond)
+	if f.disk.failSync {
+		f.disk.failSync = false
+		f.poisoned = true
+		return errSync
+	}
+	if !f.poisoned && !f.disk.skipSync {
+		f.synced = len(f.content)
+	}
+	return nil
+}
+
+func (f *simFile) Close() error { return nil }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/replica/core.go
+++ b/replica/core.go
@@ -133,6 +133,9 @@
 // Err returns the disk error that stopped the replica, or nil.
 func (c *Core) Err() error { return c.failed }
 
+// Durable returns what the data folder holds.
+func (c *Core) Durable() consensus.Durable { return c.store.Durable() }
+
 // Tick lets time pass.
 func (c *Core) Tick(now time.Duration) { c.step(now, consensus.Tick{}) }
 
