Daemon, operators' tool and demonstration: the whole path as separate processes

A pool's weights have one owner: the trainer ledger for pools that a trainer publishes to, the weights slice for others. The world takes the higher version when both know a pool, because a version never goes back.

--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,165 @@
+// Package cli holds the commands of the operators' tool.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Version is the version of the programs, set at build time.
+var Version = "dev"
+
+// Exit codes of the tool.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3 // a text has faults
+	ExitConflict    = 4 // another change came first
+	ExitUnknown     = 5 // the outcome is unknown; ask again with the request id
+	ExitUnavailable = 6 // no control replica answered
+)
+
+// envPrefix starts the environment variables that set flags, for example
+// MERLINHALL_CONTROL.
+const envPrefix = "MERLINHALL"
+
+// ExitError is an error with the exit code of the tool.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error implements error.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+func exit(code int, err error) error { return &ExitError{Code: code, Err: err} }
+
+// env is what all commands share.
+type env struct {
+	out     io.Writer
+	control string
+	token   string
+	ca      string
+	output  string
+}
+
+// Run runs the tool with the command line args and returns its exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	e := &env{out: out}
+	root := e.root(errOut)
+	err := root.ParseAndRun(ctx, args)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, flag.ErrHelp):
+		return ExitUsage
+	}
+	fmt.Fprintln(errOut, "merlinhall:", err)
+	var coded *ExitError
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return ExitFailure
+}
+
+func (e *env) root(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("merlinhall", errOut)
+	e.commonFlags(fs)
+	fs.String("settings", "", "settings file (TOML) with these flags as keys")
+	return &ffcli.Command{
+		ShortUsage: "merlinhall [flags] <command> [flags] [arguments]",
+		LongHelp:   "Operates a merlinhall system. Exit codes: 0 done, 1 failure, 2 usage, 3 faults in a text, 4 conflict, 5 outcome unknown, 6 control not reachable.",
+		FlagSet:    fs,
+		Options: []ff.Option{
+			ff.WithEnvVarPrefix(envPrefix),
+			ff.WithConfigFileFlag("settings"),
+			ff.WithConfigFileParser(parseTOML),
+		},
+		Subcommands: []*ffcli.Command{
+			e.validate(errOut), e.apply(errOut), e.show(errOut), e.diff(errOut), e.history(errOut), e.outcome(errOut),
+			e.drain(errOut), e.members(errOut), e.status(errOut), e.dump(errOut),
+			e.demo(errOut), e.standin(errOut), e.version(errOut),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+// commonFlags adds the flags that may stand before or after the command.
+func (e *env) commonFlags(fs *flag.FlagSet) {
+	fs.StringVar(&e.control, "control", "127.0.0.1:7001", "administration addresses of the control replicas, separated by commas")
+	fs.StringVar(&e.token, "token-file", "", "file with the operator's token")
+	fs.StringVar(&e.ca, "ca", "", "file with the CA certificate; turns on TLS")
+	fs.StringVar(&e.output, "output", "text", `"text" or "json"`)
+}
+
+func newFlags(name string, errOut io.Writer) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	return fs
+}
+
+// command builds a subcommand. Its flags can be set by environment variables.
+func (e *env) command(fs *flag.FlagSet, usage, help string, run func(ctx context.Context, args []string) error) *ffcli.Command {
+	e.commonFlags(fs)
+	name, _, _ := strings.Cut(strings.TrimPrefix(usage, "merlinhall "), " ")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix + "_" + strings.ToUpper(name))},
+		Exec:       run,
+	}
+}
+
+// parseTOML reads a settings file whose keys are the names of flags.
+func parseTOML(r io.Reader, set func(name, value string) error) error {
+	var values map[string]any
+	if err := toml.NewDecoder(r).Decode(&values); err != nil {
+		return err
+	}
+	for name, value := range values {
+		if err := set(name, fmt.Sprint(value)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// print writes v as JSON, or text when the output is text.
+func (e *env) print(v any, text string) error {
+	if e.output == "json" {
+		encoder := json.NewEncoder(e.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	_, err := fmt.Fprint(e.out, text)
+	return err
+}
+
+func (e *env) version(errOut io.Writer) *ffcli.Command {
+	return e.command(newFlags("version", errOut), "merlinhall version", "print the version", func(context.Context, []string) error {
+		return e.print(map[string]string{"version": Version}, Version+"\n")
+	})
+}
+
+// oneArg returns the only argument of a command.
+func oneArg(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", exit(ExitUsage, fmt.Errorf("expected %s as the only argument, got %d arguments", what, len(args)))
+	}
+	return args[0], nil
+}
--- /dev/null
+++ b/cli/config.go
@@ -0,0 +1,301 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"merlinhall/config"
+	"merlinhall/control"
+	"merlinhall/strict"
+)
+
+// configVersion is a configuration as the administration API shows it.
+type configVersion struct {
+	control.Revision
+	Text string `json:"text"`
+}
+
+func (e *env) validate(errOut io.Writer) *ffcli.Command {
+	return e.command(newFlags("validate", errOut), "merlinhall validate <file>", "check a configuration text without a system",
+		func(_ context.Context, args []string) error {
+			file, err := oneArg(args, "a file")
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return err
+			}
+			return e.reportFaults(file, text)
+		})
+}
+
+func (e *env) reportFaults(file string, text []byte) error {
+	c, err := config.Parse(file, text)
+	if err != nil {
+		var faults strict.Faults
+		if e.output == "json" && eris.As(err, &faults) {
+			_ = e.print(map[string]any{"valid": false, "faults": faults}, "")
+		}
+		return exit(ExitInvalid, err)
+	}
+	summary := map[string]any{"valid": true, "zones": len(c.Zones), "services": len(c.Services), "pools": len(c.Pools), "trainers": len(c.Trainers)}
+	return e.print(summary, fmt.Sprintf("%s is valid: %d zones, %d services, %d pools, %d trainers\n", file, len(c.Zones), len(c.Services), len(c.Pools), len(c.Trainers)))
+}
+
+func (e *env) apply(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("apply", errOut)
+	base := fs.Int64("base", -1, "version that the text was edited from; -1 takes the current version")
+	author := fs.String("author", os.Getenv("USER"), "who makes the change")
+	id := fs.String("request-id", "", "id of the request; the same id never makes a second change")
+	wait := fs.Duration("wait", 0, "wait so long until every process holds the version")
+	return e.command(fs, "merlinhall apply [flags] <file>", "submit a configuration text",
+		func(ctx context.Context, args []string) error {
+			file, err := oneArg(args, "a file")
+			if err != nil {
+				return err
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return err
+			}
+			if _, err := config.Parse(file, text); err != nil {
+				return exit(ExitInvalid, err)
+			}
+			c, err := e.client()
+			if err != nil {
+				return err
+			}
+			if *id == "" {
+				*id = rand.Text()
+			}
+			return e.submit(ctx, c, submission{text: text, base: *base, author: *author, id: *id, wait: *wait})
+		})
+}
+
+type submission struct {
+	text   []byte
+	base   int64
+	author string
+	id     string
+	wait   time.Duration
+}
+
+// accepted is the answer to an accepted configuration.
+type accepted struct {
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request_id"`
+	Version   uint64 `json:"version"`
+}
+
+func (e *env) submit(ctx context.Context, c *client, s submission) error {
+	base, err := c.base(ctx, s.base)
+	if err != nil {
+		return err
+	}
+	query := url.Values{"base": {strconv.FormatUint(base, 10)}, "request_id": {s.id}}
+	r, err := c.do(ctx, http.MethodPost, "/v1/config", query, http.Header{"Merlinhall-Author": {s.author}}, s.text)
+	if err != nil {
+		return eris.Wrapf(err, "request id %s", s.id)
+	}
+	if r.status == http.StatusConflict {
+		return exit(ExitConflict, eris.New(conflictText(r)))
+	}
+	if r.status != http.StatusOK {
+		return exit(codeOf(r.status), eris.New(r.problem()))
+	}
+	var done accepted
+	if err := json.Unmarshal(r.body, &done); err != nil {
+		return err
+	}
+	if s.wait > 0 {
+		if err := c.awaitInForce(ctx, done.Version, s.wait); err != nil {
+			return err
+		}
+	}
+	return e.print(done, fmt.Sprintf("accepted as version %d (request id %s)\n", done.Version, done.RequestID))
+}
+
+// base returns the version that a change is based on.
+func (c *client) base(ctx context.Context, given int64) (uint64, error) {
+	if given >= 0 {
+		return uint64(given), nil
+	}
+	r, err := c.do(ctx, http.MethodGet, "/v1/config", nil, nil, nil)
+	if err != nil {
+		return 0, err
+	}
+	if r.status == http.StatusNotFound {
+		return 0, nil
+	}
+	var current configVersion
+	if r.status != http.StatusOK {
+		return 0, exit(codeOf(r.status), eris.New(r.problem()))
+	}
+	return current.Version, json.Unmarshal(r.body, &current)
+}
+
+func conflictText(r *response) string {
+	var conflict struct {
+		Base       uint64            `json:"base"`
+		Winner     *control.Revision `json:"winner"`
+		WinnerDiff []string          `json:"winner_diff"`
+		Diff       []string          `json:"diff"`
+	}
+	if json.Unmarshal(r.body, &conflict) != nil || conflict.Winner == nil {
+		return r.problem()
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "conflict: the text was based on version %d, but version %d by %q (request id %s) came first\n", conflict.Base, conflict.Winner.Version, conflict.Winner.Author, conflict.Winner.RequestID)
+	writeDiff(&b, "what came first:", conflict.WinnerDiff)
+	writeDiff(&b, "what this text would change now:", conflict.Diff)
+	return strings.TrimRight(b.String(), "\n")
+}
+
+func writeDiff(b *strings.Builder, title string, lines []string) {
+	if len(lines) == 0 {
+		return
+	}
+	fmt.Fprintln(b, title)
+	for _, line := range lines {
+		fmt.Fprintln(b, "  "+line)
+	}
+}
+
+// inForce is how many processes hold a version.
+type inForce struct {
+	Version     uint64 `json:"version"`
+	Holding     int    `json:"holding"`
+	Subscribers int    `json:"subscribers"`
+}
+
+func (c *client) awaitInForce(ctx context.Context, version uint64, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	var state inForce
+	for {
+		err := c.get(ctx, "/v1/inforce", url.Values{"version": {strconv.FormatUint(version, 10)}}, &state)
+		if err == nil && state.Subscribers > 0 && state.Holding == state.Subscribers {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return exit(ExitFailure, eris.Errorf("version %d is accepted, but only %d of %d processes hold it after %s", version, state.Holding, state.Subscribers, limit))
+		}
+		if err := sleep(ctx, pollPeriod); err != nil {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *env) show(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("show", errOut)
+	version := fs.Uint64("version", 0, "version to show; 0 is the current one")
+	return e.command(fs, "merlinhall show [--version N]", "print a configuration text", func(ctx context.Context, _ []string) error {
+		shown, err := e.fetch(ctx, *version)
+		if err != nil {
+			return err
+		}
+		return e.print(shown, shown.Text)
+	})
+}
+
+func (e *env) fetch(ctx context.Context, version uint64) (configVersion, error) {
+	var shown configVersion
+	c, err := e.client()
+	if err != nil {
+		return shown, err
+	}
+	query := url.Values{}
+	if version > 0 {
+		query.Set("version", strconv.FormatUint(version, 10))
+	}
+	return shown, c.get(ctx, "/v1/config", query, &shown)
+}
+
+func (e *env) diff(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("diff", errOut)
+	version := fs.Uint64("version", 0, "version to compare with; 0 is the current one")
+	return e.command(fs, "merlinhall diff [--version N] <file>", "show what a text would change", func(ctx context.Context, args []string) error {
+		file, err := oneArg(args, "a file")
+		if err != nil {
+			return err
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		shown, err := e.fetch(ctx, *version)
+		if err != nil {
+			return err
+		}
+		lines := control.LineDiff([]byte(shown.Text), text)
+		var b strings.Builder
+		for _, line := range lines {
+			fmt.Fprintln(&b, line)
+		}
+		return e.print(map[string]any{"version": shown.Version, "diff": lines}, b.String())
+	})
+}
+
+func (e *env) history(errOut io.Writer) *ffcli.Command {
+	return e.command(newFlags("history", errOut), "merlinhall history", "list the configurations that were accepted", func(ctx context.Context, _ []string) error {
+		c, err := e.client()
+		if err != nil {
+			return err
+		}
+		var history struct {
+			Revisions []struct {
+				control.Revision
+				Diff []string `json:"diff,omitempty"`
+			} `json:"revisions"`
+		}
+		if err := c.get(ctx, "/v1/config/history", nil, &history); err != nil {
+			return err
+		}
+		var b strings.Builder
+		for _, r := range history.Revisions {
+			fmt.Fprintf(&b, "version %d  %s  %s  request id %s\n", r.Version, time.UnixMilli(r.TimeMs).UTC().Format(time.RFC3339), r.Author, r.RequestID)
+			writeDiff(&b, "", r.Diff)
+		}
+		return e.print(history, b.String())
+	})
+}
+
+func (e *env) outcome(errOut io.Writer) *ffcli.Command {
+	return e.command(newFlags("outcome", errOut), "merlinhall outcome <request id>", "ask what became of a request", func(ctx context.Context, args []string) error {
+		id, err := oneArg(args, "a request id")
+		if err != nil {
+			return err
+		}
+		c, err := e.client()
+		if err != nil {
+			return err
+		}
+		var outcome map[string]any
+		if err := c.get(ctx, "/v1/requests/"+url.PathEscape(id), nil, &outcome); err != nil {
+			return err
+		}
+		text, _ := json.MarshalIndent(outcome, "", "  ")
+		return e.print(outcome, string(text)+"\n")
+	})
+}
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,65 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"merlinhall/demo"
+)
+
+func (e *env) demo(errOut io.Writer) *ffcli.Command {
+	c := e.command(newFlags("demo", errOut), "merlinhall demo files|watch|report --dir DIR", "parts of make demo: write its files, watch and judge it", nil)
+	c.Subcommands = []*ffcli.Command{
+		demoPart("files", "write settings, configurations and the list of processes", errOut, func(_ context.Context, dir string) error {
+			return demo.WriteFiles(dir)
+		}),
+		demoPart("watch", "record the configuration version of each process until a signal", errOut, func(ctx context.Context, dir string) error {
+			out, err := openRecord(dir + "/record/sightings.jsonl")
+			if err != nil {
+				return err
+			}
+			demo.Watch(ctx, out)
+			return nil
+		}),
+		demoPart("report", "judge a run by what the stand-ins recorded", errOut, func(_ context.Context, dir string) error {
+			report, details, err := demo.Judge(dir)
+			if err != nil {
+				return err
+			}
+			for _, line := range details {
+				_, _ = io.WriteString(e.out, line+"\n")
+			}
+			text, err := json.Marshal(report)
+			if err != nil {
+				return err
+			}
+			if _, err := e.out.Write(append(text, '\n')); err != nil {
+				return err
+			}
+			if !report.Kept() {
+				return exit(ExitFailure, eris.New("a promise was broken"))
+			}
+			return nil
+		}),
+	}
+	c.Exec = func(context.Context, []string) error {
+		return exit(ExitUsage, eris.New("expected files, watch or report; make demo runs all of it"))
+	}
+	return c
+}
+
+func demoPart(name, help string, errOut io.Writer, run func(ctx context.Context, dir string) error) *ffcli.Command {
+	fs := newFlags(name, errOut)
+	dir := fs.String("dir", "out/demo", "folder of the demonstration")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "merlinhall demo " + name + " --dir DIR",
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Exec:       func(ctx context.Context, _ []string) error { return run(ctx, *dir) },
+	}
+}
--- /dev/null
+++ b/cli/standin.go
@@ -0,0 +1,217 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"merlinhall/server"
+	"merlinhall/standin"
+)
+
+func (e *env) standin(errOut io.Writer) *ffcli.Command {
+	c := e.command(newFlags("standin", errOut), "merlinhall standin <kind>", "run a stand-in for an outside system, for trials", nil)
+	c.Subcommands = []*ffcli.Command{
+		e.standinEngine(errOut), e.standinService(errOut), e.standinScorer(errOut), e.standinStore(errOut),
+		e.standinHosts(errOut), e.standinTrainer(errOut), e.standinCaller(errOut),
+	}
+	c.Exec = func(context.Context, []string) error {
+		return exit(ExitUsage, eris.New("expected engine, service, scorer, store, hosts, trainer or caller"))
+	}
+	return c
+}
+
+func subcommand(name, help string, errOut io.Writer) *ffcli.Command {
+	return &ffcli.Command{Name: name, ShortUsage: "merlinhall standin " + name + " [flags]", ShortHelp: help, FlagSet: newFlags(name, errOut)}
+}
+
+// openRecord opens a record file for appending, so that a restarted stand-in goes
+// on with the file of the one before. Without a path nothing is recorded.
+func openRecord(path string) (io.Writer, error) {
+	if path == "" {
+		return io.Discard, nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	return f, eris.Wrap(err, "record")
+}
+
+// serveHTTP serves a stand-in until ctx ends.
+func serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	s, err := server.Start(address, handler, nil)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return s.Close()
+}
+
+// journaled is a stand-in that can write a journal.
+type journaled interface {
+	http.Handler
+	WriteJournal(out io.Writer)
+}
+
+func serveJournaled(ctx context.Context, address, record string, h journaled) error {
+	out, err := openRecord(record)
+	if err != nil {
+		return err
+	}
+	h.WriteJournal(out)
+	return serveHTTP(ctx, address, h)
+}
+
+func (e *env) standinEngine(errOut io.Writer) *ffcli.Command {
+	c := subcommand("engine", "a model engine", errOut)
+	var o standin.EngineOptions
+	c.FlagSet.StringVar(&o.Name, "name", "engine", "name of the target")
+	c.FlagSet.IntVar(&o.Slots, "slots", 16, "streams that run at once")
+	c.FlagSet.DurationVar(&o.TokenPeriod, "token-period", 5*time.Millisecond, "time between two tokens of a single stream")
+	c.FlagSet.DurationVar(&o.SwapTime, "swap-time", 200*time.Millisecond, "time that a weight swap takes")
+	c.FlagSet.Uint64Var(&o.Version, "version", 1, "weight version at the start")
+	c.FlagSet.BoolVar(&o.ChecksFence, "checks-fence", false, "refuse orders with an old fence")
+	address := c.FlagSet.String("listen", "127.0.0.1:8100", "address")
+	record := c.FlagSet.String("record", "", "journal file")
+	c.Exec = func(ctx context.Context, _ []string) error {
+		engine := standin.NewEngine(o)
+		defer engine.Close()
+		return serveJournaled(ctx, *address, *record, engine)
+	}
+	return c
+}
+
+func (e *env) standinService(errOut io.Writer) *ffcli.Command {
+	c := subcommand("service", "a plain service", errOut)
+	var o standin.ServiceOptions
+	c.FlagSet.StringVar(&o.Name, "name", "service", "name of the target")
+	c.FlagSet.DurationVar(&o.Work, "work", 5*time.Millisecond, "time that a call takes")
+	address := c.FlagSet.String("listen", "127.0.0.1:8100", "address")
+	record := c.FlagSet.String("record", "", "journal file")
+	c.Exec = func(ctx context.Context, _ []string) error {
+		return serveJournaled(ctx, *address, *record, standin.NewService(o))
+	}
+	return c
+}
+
+func (e *env) standinScorer(errOut io.Writer) *ffcli.Command {
+	c := subcommand("scorer", "a scoring service", errOut)
+	_ = c.FlagSet.String("name", "scorer", "name of the target")
+	work := c.FlagSet.Duration("work", 5*time.Millisecond, "time that a score takes")
+	address := c.FlagSet.String("listen", "127.0.0.1:8100", "address")
+	record := c.FlagSet.String("record", "", "journal file")
+	c.Exec = func(ctx context.Context, _ []string) error {
+		return serveJournaled(ctx, *address, *record, standin.NewScorer(*work))
+	}
+	return c
+}
+
+func (e *env) standinStore(errOut io.Writer) *ffcli.Command {
+	c := subcommand("store", "a rate-limited weight store", errOut)
+	var o standin.StoreOptions
+	c.FlagSet.IntVar(&o.Size, "size", 1<<20, "bytes of one version")
+	c.FlagSet.IntVar(&o.Rate, "rate", 0, "bytes per second over all readers; 0 means no limit")
+	address := c.FlagSet.String("listen", "127.0.0.1:9000", "address")
+	c.Exec = func(ctx context.Context, _ []string) error {
+		return serveHTTP(ctx, *address, standin.NewStore(o))
+	}
+	return c
+}
+
+// standinHosts serves a file as the platform's host list.
+func (e *env) standinHosts(errOut io.Writer) *ffcli.Command {
+	c := subcommand("hosts", "the platform's host list", errOut)
+	address := c.FlagSet.String("listen", "127.0.0.1:9001", "address")
+	file := c.FlagSet.String("file", "", `JSON file with [{"host": "IP", "state": "live"}]; read at each request`)
+	c.Exec = func(ctx context.Context, _ []string) error {
+		return serveHTTP(ctx, *address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			http.ServeFile(w, r, *file)
+		}))
+	}
+	return c
+}
+
+func (e *env) standinTrainer(errOut io.Writer) *ffcli.Command {
+	c := subcommand("trainer", "a trainer that draws samples", errOut)
+	var o standin.TrainerOptions
+	c.FlagSet.StringVar(&o.Name, "name", "trainer", "name in the configuration")
+	c.FlagSet.StringVar(&o.StateFile, "state", "", "file of the trainer's progress")
+	c.FlagSet.StringVar(&o.Token, "token", "", "bearer token")
+	c.FlagSet.IntVar(&o.Prompts, "prompts", 8, "groups in a step")
+	c.FlagSet.IntVar(&o.GroupSize, "group-size", 4, "samples in a group")
+	c.FlagSet.IntVar(&o.MaxTokens, "max-tokens", 256, "longest sample")
+	c.FlagSet.Uint64Var(&o.Bound, "staleness-bound", 2, "versions that a sample may be old")
+	c.FlagSet.Uint64Var(&o.Seed, "seed", 1, "seed of the lost answers")
+	c.FlagSet.DurationVar(&o.TrainTime, "train-time", time.Second, "time that the training of a step takes")
+	c.FlagSet.IntVar(&o.Ahead, "ahead", 1, "steps opened beyond the one that is drawn")
+	c.FlagSet.IntVar(&o.MaxGroups, "max-groups", 4, "groups in one draw")
+	c.FlagSet.DurationVar(&o.Wait, "wait", 2*time.Second, "longest wait of a draw")
+	c.FlagSet.Float64Var(&o.LoseAnswer, "lose-answer", 0.1, "share of draws that are asked for again")
+	pool := c.FlagSet.String("pool", "", "pool whose weights the trainer publishes")
+	entries := c.FlagSet.String("entries", "127.0.0.1:8080", "caller addresses of entries, separated by commas")
+	record := c.FlagSet.String("record", "", "file for the report at the end")
+	steps := c.FlagSet.Int("steps", 0, "steps to train; 0 means until a signal")
+	c.Exec = func(ctx context.Context, _ []string) error {
+		o.Pools = []string{*pool}
+		for _, entry := range splitList(*entries) {
+			o.Entries = append(o.Entries, "http://"+entry)
+		}
+		o.Logf = func(format string, args ...any) { fmt.Fprintf(errOut, "trainer: "+format+"\n", args...) }
+		trainer, err := standin.NewTrainer(o)
+		if err != nil {
+			return err
+		}
+		err = trainer.Run(ctx, *steps)
+		return joinErrors(err, e.writeReport(*record, trainer.Report()))
+	}
+	return c
+}
+
+func joinErrors(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
+func (e *env) writeReport(path string, report any) error {
+	text, err := json.Marshal(report)
+	if err != nil {
+		return err
+	}
+	if path == "" {
+		_, err = e.out.Write(append(text, '\n'))
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+func (e *env) standinCaller(errOut io.Writer) *ffcli.Command {
+	c := subcommand("caller", "callers of plain services and of model pools", errOut)
+	var o standin.CallerOptions
+	c.FlagSet.StringVar(&o.Name, "name", "caller", "name of the caller")
+	c.FlagSet.StringVar(&o.Service, "service", "", "plain service")
+	c.FlagSet.StringVar(&o.Pool, "pool", "", "model pool")
+	c.FlagSet.IntVar(&o.Workers, "workers", 8, "requests at once")
+	c.FlagSet.DurationVar(&o.Pause, "pause", 20*time.Millisecond, "time between two requests of a worker")
+	c.FlagSet.DurationVar(&o.Timeout, "timeout", 45*time.Second, "time after which a request counts as lost")
+	c.FlagSet.Uint64Var(&o.Seed, "seed", 1, "seed of the choices")
+	entries := c.FlagSet.String("entries", "127.0.0.1:8080", "caller addresses of entries, separated by commas")
+	record := c.FlagSet.String("record", "", "record file")
+	c.Exec = func(ctx context.Context, _ []string) error {
+		out, err := openRecord(*record)
+		if err != nil {
+			return err
+		}
+		o.Entries = splitList(*entries)
+		o.Record = out
+		standin.NewCaller(o).Run(ctx)
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,188 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"merlinhall/control"
+)
+
+// replicaStatus is what one control replica says of itself.
+type replicaStatus struct {
+	Address string `json:"address"`
+	ID      string `json:"id"`
+	Error   string `json:"error,omitempty"`
+	Name    string `json:"name"`
+	Role    string `json:"role"`
+	Term    uint64 `json:"term"`
+	Leader  string `json:"leader"`
+	Commit  uint64 `json:"commit"`
+	Applied uint64 `json:"applied"`
+	World   struct {
+		Version    uint64            `json:"config_version"`
+		Weights    map[string]uint64 `json:"weights,omitempty"`
+		Departures []string          `json:"departures,omitempty"`
+	} `json:"world"`
+	Members []string `json:"members"`
+}
+
+func (e *env) status(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("status", errOut)
+	wait := fs.Duration("wait", 0, "wait so long for a leader")
+	return e.command(fs, "merlinhall status [--wait 10s]", "show the control replicas", func(ctx context.Context, _ []string) error {
+		c, err := e.client()
+		if err != nil {
+			return err
+		}
+		deadline := time.Now().Add(*wait)
+		for {
+			replicas, leader := c.replicas(ctx)
+			if leader != "" || time.Now().After(deadline) {
+				return e.printStatus(replicas, leader)
+			}
+			if err := sleep(ctx, pollPeriod); err != nil {
+				return err
+			}
+		}
+	})
+}
+
+// replicas asks each control replica, and returns the leader that the one with
+// the highest term names.
+func (c *client) replicas(ctx context.Context) ([]replicaStatus, string) {
+	var all []replicaStatus
+	var best replicaStatus
+	for _, address := range c.addresses {
+		one := replicaStatus{Address: address}
+		r, err := c.once(ctx, address, http.MethodGet, "/v1/status", nil, nil)
+		switch {
+		case err != nil:
+			one.Error = err.Error()
+		case r.status != http.StatusOK:
+			one.Error = r.problem()
+		default:
+			if err := json.Unmarshal(r.body, &one); err != nil {
+				one.Error = err.Error()
+			}
+		}
+		if one.Leader != "" && one.Term >= best.Term {
+			best = one
+		}
+		all = append(all, one)
+	}
+	return all, best.Leader
+}
+
+func (e *env) printStatus(replicas []replicaStatus, leader string) error {
+	var b strings.Builder
+	for _, r := range replicas {
+		if r.Error != "" {
+			fmt.Fprintf(&b, "%-22s unreachable: %s\n", r.Address, r.Error)
+			continue
+		}
+		fmt.Fprintf(&b, "%-22s %-12s %-10s term %d  commit %d  applied %d  configuration %d\n", r.Address, r.Name, r.Role, r.Term, r.Commit, r.Applied, r.World.Version)
+	}
+	if leader == "" {
+		b.WriteString("no leader\n")
+	}
+	if err := e.print(map[string]any{"leader": leader, "replicas": replicas}, b.String()); err != nil {
+		return err
+	}
+	if leader == "" {
+		return exit(ExitUnavailable, eris.New("the control replicas have no leader"))
+	}
+	return nil
+}
+
+func (e *env) dump(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("dump", errOut)
+	address := fs.String("address", "", "administration address of the process")
+	return e.command(fs, "merlinhall dump --address IP:PORT", "print the state of one process as JSON", func(ctx context.Context, _ []string) error {
+		if *address == "" {
+			return exit(ExitUsage, eris.New("the flag --address is missing"))
+		}
+		c, err := e.client()
+		if err != nil {
+			return err
+		}
+		r, err := c.once(ctx, *address, http.MethodGet, "/dump", nil, nil)
+		if err != nil {
+			return exit(ExitUnavailable, err)
+		}
+		if r.status != http.StatusOK {
+			return exit(codeOf(r.status), eris.New(r.problem()))
+		}
+		_, err = e.out.Write(r.body)
+		return err
+	})
+}
+
+func (e *env) drain(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("drain", errOut)
+	undo := fs.Bool("undo", false, "give the target work again")
+	return e.command(fs, "merlinhall drain [--undo] <target>", "give a target no new work", func(ctx context.Context, args []string) error {
+		target, err := oneArg(args, "a target")
+		if err != nil {
+			return err
+		}
+		c, err := e.client()
+		if err != nil {
+			return err
+		}
+		action := "/drain"
+		if *undo {
+			action = "/undrain"
+		}
+		r, err := c.do(ctx, http.MethodPost, "/v1/targets/"+url.PathEscape(target)+action, url.Values{"request_id": {rand.Text()}}, nil, nil)
+		if err != nil {
+			return err
+		}
+		if r.status != http.StatusOK {
+			return exit(codeOf(r.status), eris.New(r.problem()))
+		}
+		return e.print(json.RawMessage(r.body), "accepted\n")
+	})
+}
+
+// members changes the membership of the control group.
+func (e *env) members(errOut io.Writer) *ffcli.Command {
+	fs := newFlags("members", errOut)
+	address := fs.String("address", "", "administration address of the replica to add")
+	return e.command(fs, "merlinhall members [--address IP:PORT] add|promote|remove <name>", "change the control group by one replica", func(ctx context.Context, args []string) error {
+		if len(args) != 2 {
+			return exit(ExitUsage, eris.New("expected add, promote or remove, and the name of a replica"))
+		}
+		c, err := e.client()
+		if err != nil {
+			return err
+		}
+		change := control.MemberChange{Action: args[0], Name: args[1]}
+		if *address != "" {
+			one := &client{addresses: []string{*address}, scheme: c.scheme, token: c.token, http: c.http}
+			replicas, _ := one.replicas(ctx)
+			change.ID = replicas[0].ID
+		}
+		body, err := json.Marshal(change)
+		if err != nil {
+			return err
+		}
+		r, err := c.do(ctx, http.MethodPost, "/v1/members", nil, nil, body)
+		if err != nil {
+			return err
+		}
+		if r.status != http.StatusOK {
+			return exit(codeOf(r.status), eris.New(r.problem()))
+		}
+		return e.print(json.RawMessage(r.body), string(r.body))
+	})
+}
--- a/control/adminconfig.go
+++ b/control/adminconfig.go
@@ -133,10 +133,10 @@
 		return answer{http.StatusConflict, out}
 	}
 	if old, ok := state.text(o.Base); ok || o.Base == 0 {
-		out.WinnerDiff = lineDiff(old, current)
+		out.WinnerDiff = LineDiff(old, current)
 	}
 	if text != nil {
-		out.Diff = lineDiff(current, text)
+		out.Diff = LineDiff(current, text)
 	}
 	return answer{http.StatusConflict, out}
 }
@@ -233,5 +233,5 @@
 	if !okOld || !ok {
 		return nil
 	}
-	return lineDiff(old, text)
+	return LineDiff(old, text)
 }
--- a/control/adminother.go
+++ b/control/adminother.go
@@ -15,9 +15,11 @@
 
 // MemberChange is a request to change the membership of the log.
 type MemberChange struct {
-	Action  string `json:"action"` // "add", "promote" or "remove"
-	Name    string `json:"name"`
-	Address string `json:"address,omitempty"`
+	Action string `json:"action"` // "add", "promote" or "remove"
+	Name   string `json:"name"`
+	// ID is the id that the replica to be added shows in its status. A replica
+	// without its former disk has a new one.
+	ID string `json:"id,omitempty"`
 }
 
 // parsedConfig keeps the parsed form of the newest configuration.
--- a/control/linediff.go
+++ b/control/linediff.go
@@ -13,9 +13,9 @@
 	maxDiffLines = 400
 )
 
-// lineDiff returns the difference between two texts: "-N line" for a line N of
+// LineDiff returns the difference between two texts: "-N line" for a line N of
 // the first that is gone, "+N line" for a line N of the second that is new.
-func lineDiff(from, to []byte) []string {
+func LineDiff(from, to []byte) []string {
 	a, b := textLines(from), textLines(to)
 	head := 0
 	for head < len(a) && head < len(b) && a[head] == b[head] {
--- a/control/machine.go
+++ b/control/machine.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/config"
 	"merlinhall/duty"
 	"merlinhall/wire"
 )
@@ -83,6 +84,10 @@
 	worldIndex uint64
 	worldTerm  uint64
 
+	parsed        atomic.Pointer[config.Config]
+	parsedVersion uint64
+	sourced       []wire.WeightTarget // of the WeightsSources
+
 	world     atomic.Pointer[wire.World]
 	listeners []func(*wire.World)
 	progress  chan struct{} // closed at the next Apply or Restore
@@ -112,6 +117,7 @@
 		duty.Invariant(m.slices[s.Name()] == nil, "slice %q is given twice", s.Name())
 		m.slices[s.Name()] = s
 	}
+	m.connectParts()
 	return m
 }
 
@@ -222,6 +228,10 @@
 			changed = true
 		}
 	}
+	m.parseConfig()
+	if m.takeSourced() {
+		changed = true
+	}
 	if !changed {
 		return
 	}
@@ -236,6 +246,7 @@
 			p.addTo(w)
 		}
 	}
+	m.addSourced(w)
 	m.world.Store(w)
 	for _, f := range m.listeners {
 		f(w)
@@ -305,6 +316,8 @@
 		return err
 	}
 	m.applied, m.worldIndex, m.worldTerm = s.Applied, s.WorldIndex, s.WorldTerm
+	m.parseConfig()
+	m.takeSourced()
 	if m.worldIndex > 0 {
 		m.publish()
 	}
--- a/control/weightsslice.go
+++ b/control/weightsslice.go
@@ -89,10 +89,12 @@
 	for _, t := range s.pools {
 		list = append(list, t)
 	}
-	slices.SortFunc(list, func(a, b wire.WeightTarget) int { return cmp.Compare(a.Pool, b.Pool) })
+	slices.SortFunc(list, byPool)
 	return list
 }
 
+func byPool(a, b wire.WeightTarget) int { return cmp.Compare(a.Pool, b.Pool) }
+
 // Snapshot implements Slice.
 func (s *weightsSlice) Snapshot() ([]byte, error) { return wire.Marshal(s.list()) }
 
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"merlinhall/agent"
+	"merlinhall/propagate"
+)
+
+func (d *Daemon) startAgent() error {
+	candidates := d.controlCandidates()
+	for _, p := range d.settings.Entries {
+		candidates = append(candidates, propagate.Candidate{Name: p.Name, Zone: p.Zone, Address: p.Links})
+	}
+	worlds := &worldRelay{}
+	follower := propagate.Follow(propagate.FollowOptions{
+		System:     d.system,
+		Local:      d.hello,
+		Candidates: candidates,
+		Dial:       true,
+		Client:     d.client,
+		Scheme:     d.tls.Scheme(),
+		OnWorld:    worlds.take,
+	})
+	d.stops = append(d.stops, follower.Stop)
+	a, err := agent.Start(agent.Options{
+		Local:    d.hello,
+		Kind:     d.settings.Agent.Kind,
+		Address:  d.settings.Agent.Address,
+		System:   d.system,
+		Observer: d.observer,
+		Barrier:  follower.Barrier,
+	})
+	if err != nil {
+		return err
+	}
+	worlds.passTo(a.OnWorld)
+	d.stops = append(d.stops, a.Stop)
+	d.mux.Handle(a, agent.Kinds...)
+	d.showWorld(follower.World)
+	d.observer.Gate("world", func() error { return holdsWorld(follower) })
+	d.drains = append(d.drains, a.Drain)
+	return nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,176 @@
+// Package daemon wires the roles of one process: it reads the settings, opens
+// the listeners, connects the parts to each other, and drains at shutdown.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/duty"
+	"merlinhall/link"
+	"merlinhall/observe"
+	"merlinhall/server"
+	"merlinhall/settings"
+	"merlinhall/wire"
+)
+
+// linkDrain is the time that a process keeps its links after it has drained, so
+// that the last answers reach their readers.
+const linkDrain = 200 * time.Millisecond
+
+// Daemon is one running process.
+type Daemon struct {
+	settings *settings.Settings
+	observer *observe.Observer
+	log      *logrus.Entry
+	system   *duty.System
+	tls      server.TLS
+	client   *http.Client // dials links
+	hello    wire.Hello
+	mux      link.Mux // links that this process accepts
+	admin    *http.ServeMux
+	servers  []*server.Server
+	// drains run in order at shutdown; each returns when its part is idle.
+	drains []func(ctx context.Context) error
+	// stops run in reverse order after the drains.
+	stops []func()
+}
+
+// Start reads key files, opens the listeners and starts the roles.
+func Start(s *settings.Settings) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		observer: observe.New(s.LogLevel),
+		system:   duty.NewSystem(),
+		admin:    http.NewServeMux(),
+		hello: wire.Hello{
+			Process: s.Name,
+			Zone:    s.Zone,
+			Roles:   s.Roles,
+			Boot:    newBoot(),
+			Target:  s.Agent.Target,
+			Address: s.Listen.Links,
+		},
+	}
+	d.log = d.observer.Logger("daemon")
+	if err := d.start(); err != nil {
+		d.close()
+		return nil, err
+	}
+	d.observer.SetReady(true)
+	d.log.WithField("boot", d.hello.Boot).Infof("%s has started", s.Name)
+	return d, nil
+}
+
+// newBoot returns an id that differs between two runs of a process.
+func newBoot() string {
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func (d *Daemon) start() error {
+	var err error
+	if d.tls, err = server.LoadTLS(d.settings.TLS); err != nil {
+		return err
+	}
+	d.client = link.NewHTTPClient(&http.Transport{TLSClientConfig: d.tls.Client})
+	d.observer.Attach(d.admin)
+	d.observer.Dump("mailboxes", func() any { return d.system.Load() })
+	for _, role := range d.settings.Roles {
+		if err := d.startRole(role); err != nil {
+			return err
+		}
+	}
+	return d.listen()
+}
+
+func (d *Daemon) startRole(role wire.Role) error {
+	switch role {
+	case wire.RoleControl:
+		return d.startControl()
+	case wire.RoleEntry:
+		return d.startEntry()
+	case wire.RoleAgent:
+		return d.startAgent()
+	}
+	return eris.Errorf("daemon: unknown role %q", role)
+}
+
+// listen opens the listeners for links and administration. The entry role opens
+// the one for callers.
+func (d *Daemon) listen() error {
+	if address := d.settings.Listen.Links; address != "" {
+		mux := http.NewServeMux()
+		mux.Handle(link.Path, link.Accept(d.hello, &d.mux))
+		if err := d.serve(address, mux, true); err != nil {
+			return err
+		}
+	}
+	if address := d.settings.Listen.Admin; address != "" {
+		return d.serve(address, d.admin, false)
+	}
+	return nil
+}
+
+func (d *Daemon) serve(address string, handler http.Handler, links bool) error {
+	config := d.tls.Public
+	if links {
+		config = d.tls.Links
+	}
+	s, err := server.Start(address, handler, config)
+	if err != nil {
+		return err
+	}
+	d.servers = append(d.servers, s)
+	return nil
+}
+
+// Shutdown drains the process: readiness fails first, running requests finish,
+// then the listeners close. It returns the first error, with everything closed.
+func (d *Daemon) Shutdown() error {
+	d.observer.SetReady(false)
+	d.log.Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainTimeout))
+	defer cancel()
+	var first error
+	for _, drain := range d.drains {
+		if err := drain(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	time.Sleep(linkDrain)
+	d.close()
+	d.log.Info("stopped")
+	return first
+}
+
+func (d *Daemon) close() {
+	for i := len(d.stops) - 1; i >= 0; i-- {
+		d.stops[i]()
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
+
+// showWorld makes the world that this process holds visible.
+func (d *Daemon) showWorld(world func() *wire.World) {
+	show := func() any {
+		w := world()
+		if w == nil {
+			return map[string]any{"config_version": 0, "index": 0}
+		}
+		return map[string]any{"config_version": w.ConfigVersion, "index": w.Index, "term": w.Term}
+	}
+	d.observer.Dump("world", show)
+	d.admin.HandleFunc("GET /world", func(w http.ResponseWriter, _ *http.Request) {
+		server.WriteJSON(w, http.StatusOK, show())
+	})
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/entry"
+	"merlinhall/link"
+	"merlinhall/propagate"
+	"merlinhall/rollout"
+	"merlinhall/server"
+	"merlinhall/wire"
+)
+
+func (d *Daemon) startEntry() error {
+	token, err := server.ReadToken(d.settings.Auth.TrainerToken)
+	if err != nil {
+		return err
+	}
+	e, err := entry.Start(entry.Options{
+		Name:     d.settings.Name,
+		Zone:     d.settings.Zone,
+		Boot:     d.hello.Boot,
+		Client:   d.client,
+		Scheme:   d.tls.Scheme(),
+		Hello:    d.hello,
+		Observer: d.observer,
+		System:   d.system,
+	})
+	if err != nil {
+		return err
+	}
+	d.stops = append(d.stops, e.Stop)
+	follower := d.followAll(e)
+	d.showWorld(follower.World)
+	d.observer.Gate("world", func() error { return holdsWorld(follower) })
+	mux := http.NewServeMux()
+	mux.Handle("/v1/trainers/", rollout.TrainerHandler(follower, func(given, _ string) bool { return token == "" || given == token }))
+	mux.Handle("/", e.Handler())
+	d.drains = append(d.drains, e.Drain)
+	return d.serve(d.settings.Listen.Callers, mux, false)
+}
+
+// followAll connects an entry to every control replica: it subscribes on one,
+// and accepts rollout jobs from the leader whichever it is. The entry is the
+// parent of the agents that subscribe to it.
+func (d *Daemon) followAll(e *entry.Entry) *propagate.Follower {
+	parent := propagate.NewParent(propagate.ParentOptions{System: d.system})
+	follower := propagate.Follow(propagate.FollowOptions{
+		System:     d.system,
+		Local:      d.hello,
+		Candidates: d.controlCandidates(),
+		Feeds:      parent,
+		OnWorld:    e.OnWorld,
+	})
+	worker := rollout.NewWorker(rollout.WorkerOptions{
+		System: d.system,
+		Runner: entryRunner{e},
+		Log:    d.observer.Logger("rollout"),
+	})
+	d.stops = append(d.stops, follower.Stop, parent.Stop, worker.Stop)
+	d.mux.Handle(parent, propagate.ParentKinds...)
+	var up link.Mux
+	up.Handle(follower, propagate.FollowerKinds...)
+	up.Handle(worker, rollout.WorkerKinds...)
+	for _, p := range d.settings.Control {
+		dialer := link.Keep(d.client, d.tls.Scheme(), p.Links, d.hello, &up)
+		d.stops = append(d.stops, dialer.Stop)
+	}
+	return follower
+}
+
+func (d *Daemon) controlCandidates() []propagate.Candidate {
+	var candidates []propagate.Candidate
+	for _, p := range d.settings.Control {
+		candidates = append(candidates, propagate.Candidate{Name: p.Name, Zone: p.Zone, Address: p.Links, Control: true})
+	}
+	return candidates
+}
+
+func holdsWorld(f *propagate.Follower) error {
+	if f.World() == nil {
+		return eris.New("no configuration has been received")
+	}
+	return nil
+}
+
+// entryRunner runs rollout jobs on an entry.
+type entryRunner struct{ e *entry.Entry }
+
+// Generate implements rollout.Runner.
+func (r entryRunner) Generate(ctx context.Context, g *wire.Generate) ([]wire.Token, int, error) {
+	priority := g.Priority
+	result, err := r.e.Generate(ctx, entry.GenerationRequest{
+		Pool:       g.Pool,
+		Generation: g.Generation,
+		MinVersion: g.MinVersion,
+		Priority:   &priority,
+		Caller:     g.Sample.Trainer,
+		Deadline:   time.UnixMilli(g.Deadline),
+	})
+	return tokens(result), 0, err
+}
+
+func tokens(result entry.GenerationResult) []wire.Token {
+	out := make([]wire.Token, 0, len(result.Tokens))
+	for _, r := range result.Versions {
+		for i := r.From; i < r.To; i++ {
+			out = append(out, wire.Token{Text: result.Tokens[i], Version: r.Version})
+		}
+	}
+	return out
+}
+
+// CallService implements rollout.Runner.
+func (r entryRunner) CallService(ctx context.Context, service, path, requestID string, body []byte) ([]byte, error) {
+	deadline, _ := ctx.Deadline()
+	answer, err := r.e.CallService(ctx, entry.ServiceRequest{
+		Service:  service,
+		Method:   http.MethodPost,
+		Path:     path,
+		Headers:  []wire.Header{{Name: "Content-Type", Value: "application/json"}, {Name: "X-Call-Id", Value: requestID}},
+		Body:     body,
+		Caller:   "rollout",
+		Deadline: deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status != http.StatusOK {
+		return nil, eris.Errorf("service %s answered with status %d", service, answer.Status)
+	}
+	return answer.Body, nil
+}
--- /dev/null
+++ b/daemon/links.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"sync"
+
+	"merlinhall/link"
+	"merlinhall/propagate"
+	"merlinhall/wire"
+)
+
+// peerLinks holds the connection that this process dialled to each peer.
+type peerLinks struct {
+	mu    sync.Mutex
+	conns map[string]*link.Conn
+}
+
+func newPeerLinks() *peerLinks { return &peerLinks{conns: make(map[string]*link.Conn)} }
+
+func (p *peerLinks) get(name string) (propagate.Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[name]
+	return c, ok
+}
+
+// Up implements link.Events.
+func (p *peerLinks) Up(c *link.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c.Peer().Process] = c
+}
+
+// Message implements link.Events.
+func (p *peerLinks) Message(*link.Conn, wire.Message) {}
+
+// Down implements link.Events.
+func (p *peerLinks) Down(c *link.Conn, _ error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[c.Peer().Process] == c {
+		delete(p.conns, c.Peer().Process)
+	}
+}
+
+// messagesOnly hides the beginning and end of connections from a part.
+type messagesOnly struct{ link.Events }
+
+// Up implements link.Events.
+func (messagesOnly) Up(*link.Conn) {}
+
+// Down implements link.Events.
+func (messagesOnly) Down(*link.Conn, error) {}
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -371,3 +371,9 @@
 	close(b.c)
 	b.c = make(chan struct{})
 }
+
+// CoordinatorKinds are the kinds of messages that a Coordinator handles.
+var CoordinatorKinds = []wire.Kind{
+	wire.KindSampleDone, wire.KindJobsHeld,
+	wire.KindPutBody, wire.KindBodyStored, wire.KindFetchBody, wire.KindBodyPart,
+}
--- /dev/null
+++ b/rollout/parts.go
@@ -0,0 +1,39 @@
+package rollout
+
+import (
+	"fmt"
+
+	"merlinhall/config"
+	"merlinhall/wire"
+)
+
+// UseConfig makes the ledger take its rules from the configuration. It implements
+// control.ConfigUser.
+func (l *Ledger) UseConfig(current func() *config.Config) {
+	l.UseRules(func(trainer string) (Rules, bool) {
+		c := current()
+		if c == nil {
+			return Rules{}, false
+		}
+		t := c.Trainer(trainer)
+		if t == nil {
+			return Rules{}, false
+		}
+		return Rules{Bound: t.StalenessBound, Pools: t.Pools}, true
+	})
+}
+
+// RefuseWeights implements control.WeightsGate: a pool whose weights a trainer
+// publishes takes none from an operator, because the staleness of the trainer's
+// samples counts from its own versions.
+func (l *Ledger) RefuseWeights(p wire.PublishWeights) string {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if pool := l.state.Pools[p.Pool]; pool != nil {
+		return fmt.Sprintf("the weights of pool %q are published by trainer %q", p.Pool, pool.Trainer)
+	}
+	return ""
+}
+
+// WeightsPublished implements control.WeightsGate.
+func (l *Ledger) WeightsPublished(uint64, uint64, wire.PublishWeights) {}
--- a/rollout/worker.go
+++ b/rollout/worker.go
@@ -327,3 +327,6 @@
 	}
 	return *response.Score, nil
 }
+
+// WorkerKinds are the kinds of messages that a Worker handles.
+var WorkerKinds = []wire.Kind{wire.KindGenerate, wire.KindAbandon, wire.KindJobsQuery}
