Distribute weights over a tree of agents and swap in turns

Each zone has one seed that reads from the store; the others fetch from an agent of lower rank, four to a parent, and serve while they still receive. A transfer leaves a source that stalls and verifies the digest at the end.

Swaps need exclusion without a coordinator. Fixed time slots were ruled out as they rest on clocks, and strict order within a lane stops at a replica that is down. Agents of a lane therefore claim the swap and ask the others; order is kept only as a preference with patience. Lanes do not depend on the version, as otherwise swaps to a superseded version would not count.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,12 @@
 	KindService = "service"
 )
 
+// Kinds are the message kinds that a link.Mux passes to an Agent.
+var Kinds = []wire.Kind{
+	wire.KindRun, wire.KindAttach, wire.KindCredit, wire.KindCancel, wire.KindRevoke,
+	wire.KindWeightFetch, wire.KindSwapQuery,
+}
+
 // errOverloaded is the reason of a link closed because the agent could not take
 // its messages.
 var errOverloaded = eris.New("agent: mailbox is full")
@@ -60,6 +66,10 @@
 	Barrier func(ctx context.Context) (term, index uint64, err error)
 	// MaxRunning bounds the requests that run at once; 0 means 1024.
 	MaxRunning int
+	// LinkClient and LinkScheme dial other agents for weights; by default without
+	// TLS.
+	LinkClient *http.Client
+	LinkScheme string
 	// OrderLimit bounds the wait for the outcome of an order; 0 means 15 s.
 	OrderLimit time.Duration
 }
@@ -74,6 +84,7 @@
 	target  target
 	engine  *engineTarget // nil for a plain service
 	witness *witness
+	courier *courier // nil for a plain service
 
 	// The fields below belong to the duty.
 	hop      *lastHop
@@ -86,6 +97,8 @@
 	load     loadState
 	world    *wire.World
 	conf     *config.Config
+	holding  bool // the courier has granted a turn that was not given back
+	told     swapFacts
 	orders   uint64 // counts starts and ends of orders
 	drains   []chan<- struct{}
 
@@ -149,11 +162,20 @@
 	if o.MaxRunning == 0 {
 		o.MaxRunning = defaultMaxRunning
 	}
+	if o.LinkClient == nil {
+		o.LinkClient = link.NewHTTPClient(nil)
+	}
+	if o.LinkScheme == "" {
+		o.LinkScheme = "ws"
+	}
 	if o.OrderLimit == 0 {
 		o.OrderLimit = orderLimit
 	}
 	a := build(o)
 	a.duty = o.System.Start("agent "+o.Local.Target, mailbox, duty.HandlerFunc(a.receive))
+	if a.engine != nil {
+		a.courier = startCourier(a.ctx, a)
+	}
 	a.observe()
 	a.duty.Every(tickPeriod, tick{})
 	a.duty.Every(loadPeriod, loadTick{})
@@ -211,13 +233,26 @@
 func (a *Agent) Up(c *link.Conn) { a.post(linkUp{c}) }
 
 // Down implements link.Events.
-func (a *Agent) Down(c *link.Conn, _ error) { a.post(linkDown{c}) }
+func (a *Agent) Down(c *link.Conn, _ error) {
+	a.post(linkDown{c})
+	if a.courier != nil {
+		a.courier.post(linkDown{c})
+	}
+}
 
 // Message implements link.Events. A link whose messages the agent cannot take in
 // time is closed: the peer asks again on another one.
 func (a *Agent) Message(c *link.Conn, m wire.Message) {
+	to := a.duty
+	switch m.Kind() {
+	case wire.KindWeightFetch, wire.KindSwapQuery:
+		if a.courier == nil {
+			return
+		}
+		to = a.courier.duty
+	}
 	until := time.Now().Add(eventLimit)
-	for a.duty.Offer(linkMessage{c, m}) == duty.ErrFull {
+	for to.Offer(linkMessage{c, m}) == duty.ErrFull {
 		if time.Now().After(until) {
 			c.Close(errOverloaded)
 			return
@@ -248,6 +283,9 @@
 func (a *Agent) Stop() {
 	a.cancel()
 	a.duty.Stop()
+	if a.courier != nil {
+		a.courier.stop()
+	}
 }
 
 func (a *Agent) receive(msg any) {
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -185,6 +185,7 @@
 		g.served = a.version
 		g.servedKnown = true
 	case orderNotSent:
+		g.turn = 0 // others may go first while the target is down
 		g.rest(now)
 	case orderStale:
 		g.servedKnown = false
@@ -205,5 +206,14 @@
 	g.rest(now)
 }
 
+// holdsTurn reports whether the replica swaps or will do so without asking again.
+func (g *gate) holdsTurn() bool {
+	if g.swapping() {
+		return true
+	}
+	settled := g.servedKnown && g.served == g.want.Version
+	return g.wanted && g.turn == g.want.Version && !settled && !g.setAside && !g.stale
+}
+
 // swapping reports whether an order is under way.
 func (g *gate) swapping() bool { return g.busy.op == gateOrder }
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -95,12 +95,12 @@
 
 // site is one agent with its target and link listener.
 type site struct {
-	t       testing.TB
-	agent   *Agent
-	target  *httptest.Server
-	links   *httptest.Server
-	system  *duty.System
-	index   uint64
+	t      testing.TB
+	agent  *Agent
+	target *httptest.Server
+	links  *httptest.Server
+	system *duty.System
+	index  uint64
 }
 
 func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
@@ -125,7 +125,7 @@
 	}
 	s.agent = agent
 	mux := &link.Mux{}
-	mux.Handle(agent, wire.KindRun, wire.KindAttach, wire.KindCredit, wire.KindCancel, wire.KindRevoke)
+	mux.Handle(agent, Kinds...)
 	s.links = httptest.NewServer(link.Accept(local, mux))
 	t.Cleanup(func() {
 		agent.Stop()
@@ -179,7 +179,6 @@
 name = "policy-lm"
 deadline = "20s"
 idle_timeout = "%[1]s"
-weight_store = "127.0.0.1:2"
   [[pool.target]]
   name = "%[3]s"
   zone = "bole"
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -5,6 +5,7 @@
 
 	"merlinhall/config"
 	"merlinhall/duty"
+	"merlinhall/weights"
 	"merlinhall/wire"
 )
 
@@ -73,6 +74,7 @@
 		return
 	}
 	action, ok := a.gate.next(now())
+	a.tellCourier()
 	if !ok {
 		return
 	}
@@ -99,16 +101,66 @@
 	}()
 }
 
+// fetch makes the bytes of a version present. Without a store the engine gets
+// them in a way of its own.
 func (a *Agent) fetch(action gateAction) {
-	a.gate.fetched(now(), action, true)
-	a.advanceGate()
+	p := a.hop.place
+	if p == nil || p.pool == nil || p.pool.WeightStore == "" {
+		a.gate.fetched(now(), action, true)
+		a.advanceGate()
+		return
+	}
+	a.courier.post(fetchAsked{
+		action:  action,
+		sources: a.plan(action).Sources(a.o.Local.Target),
+		store:   p.pool.WeightStore,
+	})
 }
 
 func (a *Agent) askTurn(action gateAction) {
-	a.gate.turned(now(), action, true)
+	a.courier.post(turnAsked{action: action, plan: a.plan(action)})
+}
+
+// plan returns the plan of a version for the configured replicas of the pool.
+func (a *Agent) plan(action gateAction) *weights.Plan {
+	var members []weights.Member
+	if p := a.hop.place; p != nil && p.pool != nil {
+		for _, t := range p.pool.Targets {
+			members = append(members, weights.Member{Target: t.Name, Zone: t.Zone, Agent: t.Agent})
+		}
+	}
+	return weights.NewPlan(action.pool, action.version, members)
+}
+
+// turnGranted passes the turn to the gate, or gives it back when the version has
+// been superseded.
+func (a *Agent) turnGranted(m turnGranted) {
+	a.holding = true
+	a.gate.turned(now(), m.action, true)
 	a.advanceGate()
 }
 
+// tellCourier tells the courier what others may ask of this replica, and gives the
+// turn back once it is not needed.
+func (a *Agent) tellCourier() {
+	facts := swapFacts{
+		served:   a.gate.served,
+		swapping: a.gate.swapping() || a.load.state.Swapping,
+		down:     a.table.down,
+	}
+	if a.gate.setAside {
+		facts.setAside = a.gate.want.Version
+	}
+	if facts != a.told {
+		a.told = facts
+		a.courier.post(facts)
+	}
+	if a.holding && !a.gate.holdsTurn() {
+		a.holding = false
+		a.courier.post(swapOver{})
+	}
+}
+
 // passOrder sends the order to the engine.
 func (a *Agent) passOrder(action gateAction) {
 	a.orders++
@@ -155,6 +207,11 @@
 		a.advanceGate()
 	case orderEnded:
 		a.orderEnded(m)
+	case fetchEnded:
+		a.gate.fetched(now(), m.action, m.ok)
+		a.advanceGate()
+	case turnGranted:
+		a.turnGranted(m)
 	case duty.Call[viewAsked, view]:
 		m.Reply(a.view())
 	}
--- a/agent/table.go
+++ b/agent/table.go
@@ -89,6 +89,7 @@
 	ruleKeepRun
 	ruleRetention
 	ruleRefuseForGood
+	ruleCredit
 )
 
 // table is the request table: a pure state machine stepped by (now, message).
@@ -97,6 +98,7 @@
 type table struct {
 	boot       string
 	size       int
+	deadSize   int
 	maxRunning int
 	hop        *lastHop
 	down       bool // the target does not accept connections
@@ -128,6 +130,7 @@
 	return &table{
 		boot:       boot,
 		size:       size,
+		deadSize:   revokedSize,
 		maxRunning: maxRunning,
 		hop:        hop,
 		records:    make(map[string]*record),
@@ -217,7 +220,7 @@
 	if r := t.records[id]; r != nil {
 		return r.phase == revoked
 	}
-	if t.dead >= revokedSize {
+	if t.dead >= t.deadSize {
 		return false
 	}
 	limit := t.now + MaxDeadline.Milliseconds()
@@ -290,7 +293,7 @@
 // flush sends what the credit allows.
 func (t *table) flush(r *record) {
 	end := r.base + uint64(len(r.chunks))
-	for r.link != 0 && r.next < end && r.next < r.limit {
+	for r.link != 0 && r.next < end && (r.next < r.limit || t.off&ruleCredit != 0) {
 		t.send(r.link, r.chunks[r.next-r.base])
 		r.next++
 	}
--- /dev/null
+++ b/agent/table_test.go
@@ -0,0 +1,515 @@
+package agent
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"merlinhall/config"
+	"merlinhall/wire"
+)
+
+// simTable runs the table against a simulated target, entry and network with a
+// virtual clock. Messages are late, duplicated and out of order; links end and the
+// agent restarts. Every answer is checked against what the target recorded.
+type simTable struct {
+	rng     *rand.Rand
+	off     rule
+	now     int64
+	boot    int
+	t       *table
+	link    LinkID
+	mail    []simMail
+	calls   map[string]*simCall
+	ids     []string
+	version uint64
+	fault   string
+	settled int // answers checked to have arrived whole
+}
+
+// simMail is a message under way: to the agent, or a chunk to the entry.
+type simMail struct {
+	at   int64
+	boot int
+	link LinkID
+	m    wire.Message
+	in   bool
+}
+
+// simCall is one id as target and entry see it.
+type simCall struct {
+	run      *wire.Run
+	boot     int
+	starts   int
+	active   bool
+	room     int
+	produced int
+	length   int
+	stopped  bool
+	end      wire.End
+	refused  bool // answered as not run
+	cancel   bool
+	got      map[uint64]string
+	last     uint64
+	ended    bool
+	confirm  uint64
+}
+
+func (s *simTable) fail(format string, args ...any) {
+	if s.fault == "" {
+		s.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+func newSimTable(seed uint64, off rule) *simTable {
+	s := &simTable{rng: rand.New(rand.NewPCG(seed, 1)), off: off, now: 1_000_000, version: 5, calls: make(map[string]*simCall)}
+	s.restart()
+	return s
+}
+
+func (s *simTable) restart() {
+	s.boot++
+	s.link++
+	hop := &lastHop{seen: true, version: s.version, changed: s.version, place: servicePlace()}
+	s.t = newTable(strconv.Itoa(s.boot), 100, 60, hop)
+	s.t.off = s.off
+	s.mail = nil
+	for _, c := range s.calls {
+		c.active = false
+	}
+}
+
+func (s *simTable) mailIn(m wire.Message) {
+	for range 1 + s.rng.IntN(5)/4 {
+		delay := int64(s.rng.IntN(40))
+		if s.rng.IntN(8) == 0 {
+			delay = int64(s.rng.IntN(4000))
+		}
+		s.mail = append(s.mail, simMail{at: s.now + delay, boot: s.boot, link: s.link, m: m, in: true})
+	}
+}
+
+// step does one random thing.
+func (s *simTable) step() {
+	s.now += int64(s.rng.IntN(30))
+	if s.rng.IntN(400) == 0 {
+		s.now += 30_000 // ids expire
+	}
+	switch s.rng.IntN(24) {
+	case 0, 1, 2:
+		s.newCall()
+	case 3:
+		s.again()
+	case 4:
+		s.linkLoss()
+	case 5:
+		if s.rng.IntN(20) == 0 {
+			s.restart()
+		}
+	case 6:
+		s.configure()
+	case 7:
+		s.carry(s.t.Tick(s.now))
+	case 8, 9, 10, 11, 12, 13:
+		s.produce()
+	default:
+		s.deliver()
+	}
+	if s.t.live > s.t.size {
+		s.fail("table holds %d ids, its size is %d", s.t.live, s.t.size)
+	}
+}
+
+func (s *simTable) newCall() {
+	id := fmt.Sprintf("%d-%d", s.boot, len(s.ids))
+	run := &wire.Run{
+		ID:            id,
+		Service:       "svc",
+		Method:        "POST",
+		Deadline:      s.now + int64(s.rng.IntN(12_000)) - 50,
+		ConfigVersion: s.version - uint64(s.rng.IntN(2)),
+		Credit:        4,
+	}
+	s.calls[id] = &simCall{run: run, boot: s.boot, length: s.rng.IntN(20), got: make(map[uint64]string), last: 1 << 60}
+	s.ids = append(s.ids, id)
+	s.mailIn(run)
+}
+
+func (s *simTable) pick() *simCall {
+	if len(s.ids) == 0 {
+		return nil
+	}
+	recent := min(len(s.ids), 30)
+	return s.calls[s.ids[len(s.ids)-1-s.rng.IntN(recent)]]
+}
+
+// again has the entry repeat, revoke or cancel a call of the current boot.
+func (s *simTable) again() {
+	c := s.pick()
+	if c == nil || c.boot != s.boot {
+		return
+	}
+	switch s.rng.IntN(6) {
+	case 0:
+		s.mailIn(&wire.Revoke{ID: c.run.ID})
+	case 1:
+		c.cancel = true
+		s.mailIn(&wire.Cancel{ID: c.run.ID})
+	case 2:
+		s.mailIn(c.run)
+	default:
+		s.mailIn(&wire.Attach{ID: c.run.ID, From: c.next(), Credit: 4})
+	}
+}
+
+// next is the first sequence that the entry has not received.
+func (c *simCall) next() uint64 {
+	n := uint64(0)
+	for c.got[n] != "" {
+		n++
+	}
+	return n
+}
+
+func (s *simTable) linkLoss() {
+	if s.rng.IntN(4) > 0 {
+		return
+	}
+	kept := s.mail[:0]
+	for _, m := range s.mail {
+		if m.in || s.rng.IntN(2) == 0 {
+			kept = append(kept, m)
+		}
+	}
+	s.mail = kept
+	active := make(map[string]bool)
+	for id, c := range s.calls {
+		active[id] = c.active && c.run.Deadline > s.now && !c.cancel
+	}
+	s.carry(s.t.LinkDown(s.now, s.link))
+	for id, c := range s.calls {
+		if active[id] && c.stopped {
+			s.fail("link loss stopped %s before its deadline", id)
+		}
+	}
+	s.link++
+	for _, id := range s.ids {
+		if c := s.calls[id]; c.boot == s.boot && !c.ended && !c.refused && c.run.Deadline > s.now {
+			s.mailIn(&wire.Attach{ID: id, From: c.next(), Credit: 4})
+		}
+	}
+}
+
+func (s *simTable) configure() {
+	if s.rng.IntN(30) > 0 {
+		return
+	}
+	s.version++
+	s.t.hop.version = s.version
+	if s.rng.IntN(2) == 0 {
+		s.t.hop.changed = s.version
+	}
+}
+
+// produce lets a running target call go on.
+func (s *simTable) produce() {
+	for range 3 {
+		c := s.pick()
+		if c == nil || !c.active {
+			continue
+		}
+		switch {
+		case c.stopped:
+			s.finish(c, wire.EndCancelled)
+		case c.produced >= c.length:
+			s.finish(c, wire.EndComplete)
+		case c.room > 0:
+			c.room--
+			c.produced++
+			s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
+		}
+		if r := s.t.records[c.run.ID]; r != nil && len(r.chunks) > Window+1 {
+			s.fail("%s buffers %d chunks", c.run.ID, len(r.chunks))
+		}
+	}
+}
+
+func (s *simTable) finish(c *simCall, end wire.End) {
+	c.active = false
+	c.end = end
+	s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{End: end, Data: []byte("end")}))
+}
+
+// deliver delivers the messages that are due, in random order.
+func (s *simTable) deliver() {
+	s.rng.Shuffle(len(s.mail), func(i, j int) { s.mail[i], s.mail[j] = s.mail[j], s.mail[i] })
+	due := make([]simMail, 0, len(s.mail))
+	kept := s.mail[:0]
+	for _, m := range s.mail {
+		if m.at <= s.now {
+			due = append(due, m)
+		} else {
+			kept = append(kept, m)
+		}
+	}
+	s.mail = kept
+	for _, m := range due {
+		if m.boot != s.boot {
+			continue
+		}
+		if m.in {
+			s.toAgent(m)
+		} else {
+			s.toEntry(m.m.(*wire.Chunk))
+		}
+	}
+}
+
+func (s *simTable) toAgent(mail simMail) {
+	switch m := mail.m.(type) {
+	case *wire.Run:
+		s.carry(s.t.Run(s.now, mail.link, m))
+	case *wire.Attach:
+		s.carry(s.t.Attach(s.now, mail.link, m))
+	case *wire.Credit:
+		s.carry(s.t.Credit(s.now, m))
+	case *wire.Cancel:
+		s.carry(s.t.Cancel(s.now, m.ID))
+	case *wire.Revoke:
+		s.carry(s.t.Revoke(s.now, mail.link, m.ID))
+	}
+}
+
+func (s *simTable) carry(outcomes []outcome) {
+	for _, o := range outcomes {
+		switch o.op {
+		case opStart:
+			s.started(s.calls[o.run.ID])
+		case opStop:
+			s.calls[o.id].stopped = true
+		case opRoom:
+			s.calls[o.id].room += o.n
+		case opSend:
+			s.answered(o)
+		}
+	}
+}
+
+func (s *simTable) started(c *simCall) {
+	c.starts++
+	c.active = true
+	c.room = Window
+	switch {
+	case c.starts > 1:
+		s.fail("%s ran %d times", c.run.ID, c.starts)
+	case c.refused:
+		s.fail("%s ran after it was answered as not run", c.run.ID)
+	case c.run.Deadline <= s.now:
+		s.fail("%s ran after its deadline", c.run.ID)
+	case c.run.ConfigVersion < s.t.hop.changed:
+		s.fail("%s ran by configuration %d, the target changed at %d", c.run.ID, c.run.ConfigVersion, s.t.hop.changed)
+	}
+}
+
+// answered checks what the agent says. "Not run" counts until the deadline, after
+// which entries do not ask any more.
+func (s *simTable) answered(o outcome) {
+	switch m := o.message.(type) {
+	case *wire.Chunk:
+		if r := s.t.records[m.ID]; m.Sequence >= r.limit {
+			s.fail("%s: chunk %d is beyond the credit %d", m.ID, m.Sequence, r.limit)
+		}
+		copied := *m
+		s.mail = append(s.mail, simMail{at: s.now + int64(s.rng.IntN(30)), boot: s.boot, link: o.link, m: &copied})
+	case *wire.Refused:
+		s.notRun(m.ID, string(m.Reason))
+	case *wire.Revoked:
+		if m.Outcome == wire.RevokeNotStarted {
+			s.notRun(m.ID, "revoked")
+		}
+	}
+}
+
+func (s *simTable) notRun(id, why string) {
+	c := s.calls[id]
+	if c.run.Deadline <= s.now {
+		return
+	}
+	c.refused = true
+	if c.starts > 0 {
+		s.fail("%s was answered as not run (%s) but ran", id, why)
+	}
+}
+
+func (s *simTable) toEntry(m *wire.Chunk) {
+	c := s.calls[m.ID]
+	content := string(m.Data) + "/" + string(m.End)
+	if old := c.got[m.Sequence]; old != "" && old != content {
+		s.fail("%s: chunk %d was %q and is %q", m.ID, m.Sequence, old, content)
+	}
+	c.got[m.Sequence] = content
+	if m.End != "" {
+		c.last = m.Sequence
+	}
+	n := c.next()
+	c.ended = n > c.last
+	if c.ended && m.End == wire.EndComplete && !c.cancel && int(n) != c.length+1 {
+		s.fail("%s: complete answer has %d chunks, the target sent %d", m.ID, n, c.length+1)
+	}
+	if n > c.confirm {
+		c.confirm = n
+		s.mailIn(&wire.Credit{ID: m.ID, Confirmed: n, Limit: n + 4})
+	}
+}
+
+// settle ends the disorder: every call that ran in this boot and whose deadline is
+// ahead must reach the entry whole.
+func (s *simTable) settle() {
+	limit := s.now + 2500 // later than the end of the rounds
+	for round := 0; round < 400 && s.fault == ""; round++ {
+		s.now += 5
+		for _, id := range s.ids {
+			c := s.calls[id]
+			if c.boot != s.boot || c.ended || c.refused || c.cancel || c.run.Deadline < limit {
+				continue
+			}
+			if round%40 == 0 {
+				s.mail = append(s.mail, simMail{at: s.now, boot: s.boot, link: s.link, m: &wire.Attach{ID: id, From: c.next(), Credit: 4}, in: true})
+			}
+			if c.active && c.room > 0 {
+				s.produceOne(c)
+			}
+		}
+		s.deliver()
+	}
+	for _, id := range s.ids {
+		c := s.calls[id]
+		if c.boot != s.boot || c.starts == 0 || c.cancel || c.run.Deadline < limit {
+			continue
+		}
+		s.settled++
+		if !c.ended {
+			s.fail("%s ran and its answer never reached the entry whole: %d of %d chunks", id, c.next(), c.length+1)
+		}
+	}
+}
+
+func (s *simTable) produceOne(c *simCall) {
+	if c.produced >= c.length {
+		s.finish(c, wire.EndComplete)
+		return
+	}
+	c.room--
+	c.produced++
+	s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
+}
+
+func runSimTable(seed uint64, steps int, off rule) *simTable {
+	s := newSimTable(seed, off)
+	for i := range steps {
+		s.step()
+		if i%300 == 299 && s.fault == "" {
+			s.settle()
+		}
+		if s.fault != "" {
+			return s
+		}
+	}
+	return s
+}
+
+// simScale returns n, or n times MERLINHALL_SIM_FACTOR for long runs.
+func simScale(t *testing.T, n int) int {
+	if factor, err := strconv.Atoi(os.Getenv("MERLINHALL_SIM_FACTOR")); err == nil && factor > 0 {
+		n *= factor
+		t.Logf("%d runs", n)
+	}
+	return n
+}
+
+// Guards against a request that runs twice, runs after a refusal, or whose answer
+// is lost, mixed up or cut off, under late, duplicated and reordered messages,
+// revokes, lost links and restarts.
+func TestTableUnderDisorder(t *testing.T) {
+	answers, starts := 0, uint64(0)
+	for seed := range uint64(simScale(t, 20)) {
+		s := runSimTable(seed, 3000, 0)
+		if s.fault != "" {
+			t.Fatalf("seed %d: %s", seed, s.fault)
+		}
+		answers += s.settled
+		starts += s.t.counts.Started
+	}
+	t.Logf("%d runs in the last boots, %d answers checked whole", starts, answers)
+	if answers < 500 {
+		t.Fatalf("only %d answers were checked, too few to find a loss", answers)
+	}
+}
+
+// Shows that the random run finds the loss of each rule of the table.
+func TestEachTableRuleIsNeeded(t *testing.T) {
+	rules := map[string]rule{
+		"run once":          ruleOnce,
+		"revoke":            ruleRevoke,
+		"deadline":          ruleDeadline,
+		"last-hop check":    ruleHop,
+		"full table":        ruleFull,
+		"keep chunks":       ruleKeepChunks,
+		"keep run":          ruleKeepRun,
+		"retention":         ruleRetention,
+		"refusal for good":  ruleRefuseForGood,
+		"window and credit": ruleCredit,
+	}
+	for name, off := range rules {
+		found := ""
+		for seed := uint64(0); seed < 60 && found == ""; seed++ {
+			found = runSimTable(seed, 3000, off).fault
+		}
+		if found == "" {
+			t.Errorf("rule %q switched off: no fault found", name)
+		}
+		t.Logf("rule %q switched off: %s", name, found)
+	}
+}
+
+func servicePlace() *place { return &place{owner: "svc", service: &config.Service{Name: "svc"}} }
+
+// Guards against a table that forgets an id to make room, and against a refusal
+// that is answered although it cannot be remembered.
+func TestFullTableRefusesAndForgetsNothing(t *testing.T) {
+	is := is.New(t)
+	tb := newTable("b", 2, 100, &lastHop{seen: true, place: servicePlace()})
+	tb.deadSize = 1
+	run := func(id string) []outcome {
+		return tb.Run(1000, 1, &wire.Run{ID: id, Service: "svc", Deadline: 50_000})
+	}
+	is.Equal(run("a")[0].op, opStart)
+	is.Equal(run("b")[0].op, opStart)
+	tb.Produced(1000, "a", &wire.Chunk{End: wire.EndComplete})
+	is.Equal(run("c")[0].message.(*wire.Refused).Reason, wire.RefusedTableFull)
+	is.Equal(len(run("d")), 0) // no room to remember the refusal: no answer
+	is.Equal(tb.counts.Unanswered, uint64(1))
+	is.Equal(len(run("a")), 0) // repeated: attached without credit, not started
+	is.Equal(tb.Run(80_001, 1, &wire.Run{ID: "d", Service: "svc", Deadline: 90_000})[0].op, opStart)
+}
+
+// Guards against a stream that runs ahead of the entry without bound.
+func TestChunksWaitForCredit(t *testing.T) {
+	is := is.New(t)
+	tb := newTable("b", 10, 10, &lastHop{seen: true, place: servicePlace()})
+	tb.Run(0, 1, &wire.Run{ID: "a", Service: "svc", Deadline: 50_000, Credit: 2})
+	sent := 0
+	for range 5 {
+		sent += len(tb.Produced(1, "a", &wire.Chunk{}))
+	}
+	is.Equal(sent, 2)
+	out := tb.Credit(1, &wire.Credit{ID: "a", Confirmed: 2, Limit: 4})
+	is.Equal(len(out), 3) // room for two, then chunks 2 and 3
+	is.Equal(out[0].op, opRoom)
+	is.Equal(out[0].n, 2)
+	is.Equal(out[2].message.(*wire.Chunk).Sequence, uint64(3))
+}
--- /dev/null
+++ b/standin/scorer.go
@@ -0,0 +1,66 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Scoring is the body of POST /score.
+type Scoring struct {
+	Prompt string   `json:"prompt"`
+	Tokens []string `json:"tokens"`
+}
+
+// Scorer is a scoring service. It scores every POST outside /fault.
+type Scorer struct {
+	recorder
+	faults
+	work time.Duration
+}
+
+// NewScorer returns a scorer that takes work for each sample.
+func NewScorer(work time.Duration) *Scorer { return &Scorer{work: work} }
+
+// Score is the score of a sample, in [0, 1): a pure function of its content.
+func Score(prompt string, tokens []string) float64 {
+	return float64(mix(hashText(prompt)^hashText(strings.Join(tokens, "")))>>11) / (1 << 53)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Scorer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/record":
+		writeJSON(w, http.StatusOK, s.Record())
+	case r.Method == http.MethodPost && r.URL.Path == "/fault":
+		s.faults.serve(w, r)
+	case r.Method == http.MethodPost:
+		s.score(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Scorer) score(w http.ResponseWriter, r *http.Request) {
+	var body Scoring
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	record := s.begin(RequestRecord{
+		ID:     r.Header.Get(HeaderRunID),
+		CallID: r.Header.Get(HeaderCallID),
+		Method: r.Method,
+		Path:   r.URL.Path,
+		Prompt: body.Prompt,
+	})
+	if _, ok := s.take(FaultHang); ok {
+		<-r.Context().Done()
+		return
+	}
+	s.ran(record)
+	time.Sleep(s.work + s.delay(FaultSlow))
+	s.update(func() { record.Completed = true })
+	writeJSON(w, http.StatusOK, map[string]float64{"score": Score(body.Prompt, body.Tokens)})
+}
--- /dev/null
+++ b/weights/plan_test.go
@@ -0,0 +1,264 @@
+package weights
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"merlinhall/wire"
+)
+
+func pool(n, zones int) []Member {
+	members := make([]Member, n)
+	for i := range members {
+		members[i] = Member{Target: fmt.Sprintf("t%d", i), Zone: fmt.Sprintf("z%d", i%zones), Agent: fmt.Sprintf("a%d", i)}
+	}
+	return members
+}
+
+// Guards against a distribution in which an agent waits for itself, fetches across
+// zones, or one agent or the store serves too many.
+func TestTreeIsBounded(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1, 2, 3, 12, 100, 650} {
+		members := pool(n, min(n, 4))
+		p := NewPlan("p", 7, members)
+		zone := make(map[string]string)
+		for _, m := range members {
+			zone[m.Target] = m.Zone
+		}
+		children := make(map[string]int)
+		seeds := 0
+		for _, m := range members {
+			sources := p.Sources(m.Target)
+			is.Equal(sources[len(sources)-1], Store)
+			if sources[0] == Store {
+				seeds++
+				continue
+			}
+			children[sources[0].Target]++
+			hops := 0
+			for at := m.Target; p.Sources(at)[0] != Store; at = p.Sources(at)[0].Target {
+				hops++
+				is.True(hops < 6) // 163 agents of a zone are at most 4 hops from the seed
+				is.Equal(zone[at], zone[p.Sources(at)[0].Target])
+			}
+		}
+		is.Equal(seeds, min(n, 4))
+		for _, c := range children {
+			is.True(c <= FanOut)
+		}
+	}
+}
+
+// Guards against two agents that wait for each other, directly or in a circle.
+func TestSourcesHaveNoCycle(t *testing.T) {
+	p := NewPlan("p", 3, pool(40, 2))
+	for _, m := range p.members {
+		_, own := p.zone(m.Target)
+		for _, s := range p.Sources(m.Target) {
+			if s == Store {
+				continue
+			}
+			if _, other := p.zone(s.Target); other >= own {
+				t.Fatalf("%s of rank %d fetches from rank %d", m.Target, own, other)
+			}
+		}
+	}
+}
+
+// simSwaps runs the turns of a pool with random delays, lost answers and agents
+// that join late, and returns the largest number of replicas that swapped at once
+// and whether all served the version at the end.
+func simSwaps(seed uint64, n int, noClaim bool) (worst int, all bool) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	members := pool(n, 2)
+	type agent struct {
+		turn     *Turn
+		started  bool
+		until    int64
+		served   uint64
+		joins    int64
+		down     bool
+		downTill int64
+	}
+	type mail struct {
+		at    int64
+		to    int
+		from  int
+		query *wire.SwapQuery
+		state *wire.SwapState
+	}
+	agents := make([]*agent, n)
+	for i := range agents {
+		agents[i] = &agent{joins: int64(rng.IntN(2000)), served: 1}
+		if rng.IntN(5) == 0 {
+			agents[i].down, agents[i].downTill = true, int64(rng.IntN(6000))
+		}
+	}
+	index := func(address string) int {
+		var i int
+		_, _ = fmt.Sscanf(address, "a%d", &i)
+		return i
+	}
+	var post []mail
+	for now := int64(0); now < 60_000; now += 5 {
+		var due, kept []mail
+		for _, m := range post {
+			if m.at <= now {
+				due = append(due, m)
+			} else {
+				kept = append(kept, m)
+			}
+		}
+		post = kept
+		for _, m := range due {
+			a := agents[m.to]
+			if m.query != nil {
+				claim := wire.SwapIdle
+				if a.started {
+					claim = wire.SwapStarted
+				} else if a.turn != nil {
+					claim = a.turn.Claim()
+				}
+				post = append(post, mail{at: now + int64(rng.IntN(30)), to: m.from, state: &wire.SwapState{
+					Pool: "p", Target: members[m.to].Target, Round: m.query.Round, Served: a.served, Claim: claim, Down: a.down}})
+			} else if a.turn != nil {
+				a.turn.Answer(m.state)
+			}
+		}
+		swapping := 0
+		for i, a := range agents {
+			a.down = a.down && now < a.downTill
+			if a.started && now >= a.until {
+				a.started, a.served = false, 2
+			}
+			if a.turn == nil && !a.started && a.served == 1 && now >= a.joins && !a.down {
+				a.turn = NewTurn(NewPlan("p", 2, members), members[i].Target, now)
+				a.turn.noClaim = noClaim
+			}
+			if a.turn != nil {
+				step := a.turn.Step(now)
+				for _, to := range step.Ask {
+					post = append(post, mail{at: now + int64(rng.IntN(30)), to: index(to.Agent), from: i, query: step.Query})
+				}
+				if step.Go {
+					a.turn, a.started, a.until = nil, true, now+200+int64(rng.IntN(800))
+				}
+			}
+			if a.started {
+				swapping++
+			}
+		}
+		worst = max(worst, swapping)
+	}
+	all = true
+	for _, a := range agents {
+		all = all && a.served == 2
+	}
+	return worst, all
+}
+
+// Guards against more than a quarter of a pool swapping at once, and against lanes
+// that stop for a replica that is down or late.
+func TestSwapsAreBoundedAndEnd(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 7, 11, 12, 20} {
+		for seed := range uint64(6) {
+			worst, all := simSwaps(seed, n, false)
+			if limit := max(1, n/4); worst > limit || !all {
+				t.Fatalf("pool of %d, seed %d: %d swapped at once, the limit is %d; all served: %v", n, seed, worst, limit, all)
+			}
+		}
+	}
+}
+
+// Shows that the simulation finds the loss of the claim.
+func TestClaimIsNeeded(t *testing.T) {
+	for seed := range uint64(40) {
+		if worst, _ := simSwaps(seed, 12, true); worst > 3 {
+			return
+		}
+	}
+	t.Fatal("no fault found without the claim")
+}
+
+// feed answers the steps of a transfer from content until it ends, and returns the
+// last operation. corrupt spoils the bytes of the first answers of a source.
+func feed(tr *Transfer, content []byte, corrupt map[Source]int) TransferOp {
+	sum := sha256.Sum256(content)
+	digest := hex.EncodeToString(sum[:])
+	steps := tr.Begin(0)
+	for n := 0; len(steps) > 0 && n < 10_000; n++ {
+		s := steps[0]
+		steps = steps[1:]
+		if s.Op == TransferDone || s.Op == TransferFailed || s.Op == TransferTooLarge {
+			return s.Op
+		}
+		from := min(int(s.Offset), len(content))
+		data := bytes.Clone(content[from:])
+		if s.Op == TransferAsk {
+			data = data[:min(len(data), s.Length)]
+		}
+		if corrupt[s.Source] > 0 && len(data) > 0 {
+			corrupt[s.Source]--
+			data[0] ^= 1
+		}
+		steps = append(steps, tr.Part(0, s.Source, s.Offset, data, int64(len(content)), digest)...)
+	}
+	return 0
+}
+
+// Guards against weights that are used although their bytes are wrong, and against
+// a transfer that gives up while another source has the right ones.
+func TestDigestIsVerified(t *testing.T) {
+	is := is.New(t)
+	content := bytes.Repeat([]byte("weights"), 100_000)
+	parent := Source{"t1", "a1"}
+	tr := NewTransfer(NewBlob("p", 1), []Source{parent, Store})
+	is.Equal(feed(tr, content, map[Source]int{parent: 1 << 20}), TransferDone)
+	is.True(tr.Blob.Verified)
+	is.Equal(tr.source(), Store)
+	is.True(bytes.Equal(tr.Blob.data, content))
+
+	tr = NewTransfer(NewBlob("p", 1), []Source{parent, Store})
+	tr.noCheck = true
+	is.Equal(feed(tr, content, map[Source]int{parent: 1}), TransferDone)
+	is.True(!bytes.Equal(tr.Blob.data, content)) // without the check wrong bytes pass
+
+	tr = NewTransfer(NewBlob("p", 1), []Source{Store})
+	is.Equal(feed(tr, content, map[Source]int{Store: 1}), TransferFailed)
+	tr = NewTransfer(NewBlob("p", 1), []Source{Store})
+	tr.MaxBytes = 1000
+	is.Equal(feed(tr, content, nil), TransferTooLarge)
+}
+
+// Guards against a transfer that waits for ever for a silent source, and against
+// one that turns away from a source that says that it waits itself.
+func TestStalledSourceIsLeft(t *testing.T) {
+	is := is.New(t)
+	parent := Source{"t1", "a1"}
+	tr := NewTransfer(NewBlob("p", 1), []Source{parent, Store})
+	is.Equal(tr.Begin(0)[0].Op, TransferAsk)
+	is.Equal(len(tr.Tick(1500)), 0)
+	tr.Part(1500, parent, 0, nil, 0, "")
+	is.Equal(len(tr.Tick(3400)), 0)
+	is.Equal(tr.Tick(3600)[0].Op, TransferStore)
+	is.Equal(tr.Tick(20_000)[0].Op, TransferFailed)
+}
+
+// Guards against a cache that grows with each version.
+func TestCacheIsBounded(t *testing.T) {
+	is := is.New(t)
+	c := NewCache(2)
+	for v := range uint64(5) {
+		c.Open("p", v).head(1000, "d")
+	}
+	is.Equal(c.Bytes(), int64(2000))
+	is.True(c.Get("p", 2) == nil)
+	is.True(c.Get("p", 3) != nil)
+}
