entry: routing, admission, metrics and the state dump in the dispatcher

Requests pass the fair queue of their service, get a target by the routing policy within the adaptive limit, and move within the retry budget. A generation that its caller already sees goes on without using the budget: it is moved once and is not a retry storm, and losing it would break a stream.

Link events carry the target itself instead of its key: an event of a dropped target's old link could otherwise replace the connection of a new target with the same key.

An agent forbids an id before it answers unknown_id (agent/table.go), so this refusal now counts as certainly not run; a second Run with the id, as sent before, would be refused anyway.

--- a/admission/retry.go
+++ b/admission/retry.go
@@ -20,11 +20,9 @@
 // Budget bounds retries to a share of the requests of the last ten seconds. When
 // many targets fail at once, retries then add a bounded load to the rest.
 type Budget struct {
-	share    float64
-	floor    int
-	slots    [budgetSlots]budgetSlot
-	requests int
-	retries  int
+	share float64
+	floor int
+	slots [budgetSlots]budgetSlot
 }
 
 type budgetSlot struct {
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -8,8 +8,9 @@
 	"merlinhall/wire"
 )
 
-// maxDeadline bounds the deadline of any request.
-const maxDeadline = time.Hour
+// maxDeadline bounds the deadline of any request. It is below the limit of agents
+// (one hour), so that clocks may differ.
+const maxDeadline = 55 * time.Minute
 
 // GenerationRequest asks for one generation from a pool.
 type GenerationRequest struct {
@@ -27,8 +28,8 @@
 // GenerationResult is a complete generation.
 type GenerationResult struct {
 	ID       string
-	Tokens   []string
-	Versions []wire.VersionRange // of Tokens, as reported with each token
+	Tokens   []wire.Token        // each with the version that the agent reported
+	Versions []wire.VersionRange // of Tokens
 	Target   string              // target that finished the generation
 	Attempts int
 }
@@ -68,7 +69,7 @@
 	end := e.follow(ctx, f, func(c *wire.Chunk) error {
 		for _, t := range c.Tokens {
 			result.Versions = appendVersion(result.Versions, len(result.Tokens), t.Version)
-			result.Tokens = append(result.Tokens, t.Text)
+			result.Tokens = append(result.Tokens, t)
 		}
 		return nil
 	})
@@ -135,6 +136,7 @@
 	deadline := chooseDeadline(time.Now(), r.Deadline, pool.Deadline)
 	f := newFlight(pool.Name, newRequest(r.ID, run, deadline, pool.IdleTimeout))
 	f.setPriority(r.Priority)
+	f.minVersion = r.MinVersion
 	f.request.rules = e.options.rules
 	return f, nil
 }
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -86,6 +86,7 @@
 	if h.id == "" {
 		h.id = f.request.id
 	}
+	f.callerID = h.id
 	e.answerCompletion(w, r, f, h.id, c)
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
-	"net"
+	"hash/fnv"
+	"math/rand/v2"
 	"time"
 
-	"merlinhall/config"
 	"merlinhall/duty"
 	"merlinhall/link"
 	"merlinhall/wire"
@@ -17,16 +17,16 @@
 	submitMessage struct{ flight *flight }
 	leaveMessage  struct{ flight *flight }
 	upMessage     struct {
-		key  string
-		conn *link.Conn
+		target *target
+		conn   *link.Conn
 	}
 	downMessage struct {
-		key    string
+		target *target
 		conn   *link.Conn
 		reason error
 	}
 	peerMessage struct {
-		key     string
+		target  *target
 		conn    *link.Conn
 		message wire.Message
 	}
@@ -39,23 +39,31 @@
 // dispatcher is the duty that owns all requests and targets of an entry.
 type dispatcher struct {
 	entry    *Entry
+	rng      *rand.Rand
 	view     *view
 	targets  map[string]*target
-	services map[string][]*target
+	services map[string]*service
 	flights  map[*flight]struct{}
 	attempts map[string]*flight // by attempt id
-	waiting  map[*flight]struct{}
+	ready    map[*service]bool  // services with room since the last placement
 	stopped  bool
 }
 
 func newDispatcher(e *Entry) *dispatcher {
+	seed := e.options.Seed
+	if seed == 0 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(e.options.Boot))
+		seed = h.Sum64()
+	}
 	return &dispatcher{
 		entry:    e,
+		rng:      rand.New(rand.NewPCG(seed, 1)),
 		targets:  make(map[string]*target),
-		services: make(map[string][]*target),
+		services: make(map[string]*service),
 		flights:  make(map[*flight]struct{}),
 		attempts: make(map[string]*flight),
-		waiting:  make(map[*flight]struct{}),
+		ready:    make(map[*service]bool),
 	}
 }
 
@@ -81,62 +89,23 @@
 		d.onPeer(now, m)
 	case stopMessage:
 		d.onStop(now)
+	case duty.Call[struct{}, any]:
+		m.Reply(d.dump(now))
 	}
+	d.placeReady(now)
 }
 
 func (d *dispatcher) onTick(now time.Time) {
 	for f := range d.flights {
 		d.step(now, f, tick{})
 	}
-	for f := range d.waiting {
-		d.place(now, f)
-	}
-}
-
-func (d *dispatcher) onSubmit(now time.Time, f *flight) {
-	f.accepted = now
-	d.flights[f] = struct{}{}
-	if d.stopped {
-		d.finish(f, notRun("this entry has stopped", time.Second))
-		return
-	}
-	d.waiting[f] = struct{}{}
-	d.place(now, f)
-}
-
-// place gives a waiting flight a target.
-func (d *dispatcher) place(now time.Time, f *flight) {
-	if now.Before(f.notBefore) {
-		return
-	}
-	t := d.choose(f)
-	if t == nil {
-		return
+	for _, s := range d.services {
+		s.setSlots(now)
+		d.sweep(now, s)
+		d.unpark(now, s)
+		d.ready[s] = true
 	}
-	delete(d.waiting, f)
-	f.target = t
-	t.flights[f] = struct{}{}
-	d.step(now, f, assigned{target: t.key, boot: t.boot, configVersion: d.view.world.ConfigVersion})
-}
-
-func (d *dispatcher) choose(f *flight) *target {
-	var best *target
-	for _, t := range d.services[f.service] {
-		if !t.usable() {
-			continue
-		}
-		if best == nil || better(t, best, f.avoid) {
-			best = t
-		}
-	}
-	return best
-}
-
-func better(a, b *target, avoid string) bool {
-	if (a.key == avoid) != (b.key == avoid) {
-		return b.key == avoid
-	}
-	return len(a.flights) < len(b.flights)
+	d.entry.metrics.gauges(d)
 }
 
 // step runs one input through the state machine of f and carries out the actions.
@@ -154,10 +123,12 @@
 		d.abandon(a)
 	case deliver:
 		d.deliver(f, a.chunk)
+	case blame:
+		d.blame(now, a.target)
 	case route:
 		d.reroute(now, f, a)
 	case finish:
-		d.finish(f, a.result)
+		d.finish(now, f, a.result)
 	}
 }
 
@@ -169,9 +140,6 @@
 		}
 		return
 	}
-	if a.first {
-		d.attempts[f.request.attempt] = f
-	}
 	err := t.conn.Send(a.message)
 	if err == nil {
 		return
@@ -197,6 +165,9 @@
 }
 
 func (d *dispatcher) deliver(f *flight, c *wire.Chunk) {
+	if c.Status != 0 {
+		f.status = c.Status
+	}
 	select {
 	case f.chunks <- c:
 	default:
@@ -204,87 +175,48 @@
 	}
 }
 
-func (d *dispatcher) reroute(now time.Time, f *flight, a route) {
-	d.detach(f)
-	f.avoid = a.avoid
-	f.notBefore = now.Add(10 * time.Millisecond)
-	d.waiting[f] = struct{}{}
+func (d *dispatcher) blame(now time.Time, key string) {
+	if t := d.targets[key]; t != nil {
+		t.service.health.Fail(now, key)
+	}
 }
 
 // detach ends the current attempt of f.
 func (d *dispatcher) detach(f *flight) {
 	delete(d.attempts, f.request.attempt)
-	if f.target == nil {
+	t := f.target
+	if t == nil {
 		return
 	}
-	t := f.target
 	f.target = nil
 	delete(t.flights, f)
+	d.ready[t.service] = true
 	d.dropIdle(t)
 }
 
-func (d *dispatcher) finish(f *flight, result Result) {
+func (d *dispatcher) finish(now time.Time, f *flight, result Result) {
+	if t := f.target; t != nil && result.Outcome == OutcomeDone {
+		f.service.observe(now, t, f)
+	}
 	d.detach(f)
-	delete(d.waiting, f)
+	if f.item != nil {
+		f.service.queue.Remove(f.item)
+	}
 	delete(d.flights, f)
 	f.result = result
 	close(f.chunks)
-	d.entry.ended()
-}
-
-func (d *dispatcher) onUp(now time.Time, m upMessage) {
-	t := d.targets[m.key]
-	if t == nil {
-		return
-	}
-	if t.conn != nil {
-		d.linkLost(now, t)
-	}
-	t.conn = m.conn
-	d.entry.links.Add(1)
-	t.boot = m.conn.Peer().Boot
-	t.load.Down = false
-	d.sendCancels(t)
-	for f := range t.flights {
-		d.step(now, f, linkUp{boot: t.boot})
-	}
-	for f := range d.waiting {
-		d.place(now, f)
-	}
-}
-
-func (d *dispatcher) sendCancels(t *target) {
-	for _, a := range t.cancels {
-		if a.boot == t.boot {
-			_ = t.conn.Send(&wire.Cancel{ID: a.attempt})
-		}
-	}
-	t.cancels = nil
+	d.entry.ended(f)
 }
 
-func (d *dispatcher) onDown(now time.Time, m downMessage) {
-	t := d.targets[m.key]
-	if t == nil || t.conn != m.conn {
+func (d *dispatcher) onPeer(now time.Time, m peerMessage) {
+	if !d.holds(m.target) {
 		return
 	}
-	d.entry.log.WithField("target", t.config.Name).WithError(m.reason).Warn("link lost")
-	d.linkLost(now, t)
-}
-
-func (d *dispatcher) linkLost(now time.Time, t *target) {
-	t.conn = nil
-	d.entry.links.Add(-1)
-	for f := range t.flights {
-		d.step(now, f, linkDown{})
-	}
-}
-
-func (d *dispatcher) onPeer(now time.Time, m peerMessage) {
 	switch msg := m.message.(type) {
 	case *wire.Chunk:
 		d.stepAttempt(now, msg.ID, msg)
 	case *wire.Refused:
-		d.stepAttempt(now, msg.ID, msg)
+		d.onRefused(now, m.target, msg)
 	case *wire.Revoked:
 		d.stepAttempt(now, msg.ID, msg)
 	case *wire.Load:
@@ -292,95 +224,54 @@
 	}
 }
 
+// holds reports whether t is in use. Events of the links of a target that was
+// dropped may still arrive, also when a target of the same key was added since.
+func (d *dispatcher) holds(t *target) bool { return d.targets[t.key] == t }
+
 func (d *dispatcher) stepAttempt(now time.Time, id string, input any) {
 	if f := d.attempts[id]; f != nil {
 		d.step(now, f, input)
 	}
 }
 
+// onRefused takes what a refusal says of the target before the request moves.
+func (d *dispatcher) onRefused(now time.Time, t *target, m *wire.Refused) {
+	switch m.Reason {
+	case wire.RefusedLeaving:
+		t.leavingSign = now
+	case wire.RefusedNotReady, wire.RefusedStale:
+		t.notReady = now.Add(notReadyFor)
+	case wire.RefusedOverload, wire.RefusedTableFull:
+		t.limiter.Overload(now)
+	case wire.RefusedTargetDown:
+		t.load.Down = true // until the next report
+	}
+	d.stepAttempt(now, m.ID, m)
+}
+
 func (d *dispatcher) onLoad(now time.Time, m peerMessage, l *wire.Load) {
-	t := d.targets[m.key]
-	if t == nil || t.conn != m.conn {
+	t := m.target
+	if t.conn != m.conn {
 		return
 	}
-	t.load = *l
+	wasDown := t.load.Down
+	t.report(now, l)
+	if wasDown && !l.Down {
+		t.service.health.Recover(now, t.key)
+	}
 	if l.Leaving || l.Down {
 		d.depart(now, t, "the target is leaving or down")
 	}
+	d.ready[t.service] = true
 }
 
+// depart asks back the requests that a departing target has not started.
 func (d *dispatcher) depart(now time.Time, t *target, why string) {
 	for f := range t.flights {
 		d.step(now, f, departing{why})
 	}
 }
 
-func (d *dispatcher) onWorld(now time.Time, v *view) {
-	if d.view != nil && v.world.Index < d.view.world.Index {
-		return
-	}
-	d.view = v
-	leaving := departures(v.world)
-	for _, t := range d.targets {
-		t.removed = true
-	}
-	clear(d.services)
-	for i := range v.config.Services {
-		s := &v.config.Services[i]
-		d.services[s.Name] = d.adopt(s.Targets, leaving)
-	}
-	for i := range v.config.Pools {
-		p := &v.config.Pools[i]
-		d.services[p.Name] = d.adopt(p.Targets, leaving)
-	}
-	for _, t := range d.targets {
-		if t.removed || t.leaving {
-			d.depart(now, t, "the target is removed or leaving")
-		}
-		d.dropIdle(t)
-	}
-	for f := range d.waiting {
-		d.place(now, f)
-	}
-}
-
-func (d *dispatcher) adopt(list []config.Target, leaving map[string]bool) []*target {
-	out := make([]*target, 0, len(list))
-	for _, c := range list {
-		t := d.targets[targetKey(c)]
-		if t == nil {
-			t = d.dial(c)
-		}
-		t.config = c
-		t.removed = false
-		t.leaving = leaving[c.Name] || leaving[host(c.Agent)] || leaving[host(c.Address)]
-		out = append(out, t)
-	}
-	return out
-}
-
-func (d *dispatcher) dial(c config.Target) *target {
-	t := &target{key: targetKey(c), config: c, flights: make(map[*flight]struct{})}
-	d.targets[t.key] = t
-	o := d.entry.options
-	t.dialer = link.Keep(o.Client, o.Scheme, c.Agent, o.Hello, &targetEvents{d.entry, t.key})
-	return t
-}
-
-// dropIdle closes the link of a removed target that has no request left.
-func (d *dispatcher) dropIdle(t *target) {
-	if !t.removed || len(t.flights) > 0 || d.targets[t.key] != t {
-		return
-	}
-	delete(d.targets, t.key)
-	if t.conn != nil {
-		d.entry.links.Add(-1)
-	}
-	// Stop waits for nothing, but the events of the closing link come back to
-	// this duty.
-	go t.dialer.Stop()
-}
-
 func (d *dispatcher) onStop(now time.Time) {
 	d.stopped = true
 	for f := range d.flights {
@@ -391,23 +282,3 @@
 	}
 	clear(d.targets)
 }
-
-// departures returns the names and hosts that the world reports as leaving.
-func departures(w *wire.World) map[string]bool {
-	leaving := make(map[string]bool, len(w.Departures)+len(w.LeavingHosts))
-	for _, d := range w.Departures {
-		leaving[d.Target] = true
-	}
-	for _, h := range w.LeavingHosts {
-		leaving[h] = true
-	}
-	return leaving
-}
-
-func host(address string) string {
-	h, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return h
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 	idle     chan struct{} // receives when running falls to 0
 	links    atomic.Int64
 	config   atomic.Pointer[view]
+	metrics  *metrics
 }
 
 // view is the configuration of one world, read by callers' goroutines.
@@ -99,8 +100,13 @@
 	if len(o.Hello.Roles) == 0 {
 		o.Hello.Roles = []wire.Role{wire.RoleEntry}
 	}
-	e := &Entry{options: o, log: o.Observer.Logger("entry"), idle: make(chan struct{}, 1)}
+	metrics, err := newMetrics(o.Observer.Registry)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{options: o, metrics: metrics, log: o.Observer.Logger("entry"), idle: make(chan struct{}, 1)}
 	e.duty = o.System.Start("entry", mailbox, newDispatcher(e))
+	e.observe(o.Observer)
 	e.duty.Every(tickPeriod, tickMessage{})
 	return e, nil
 }
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -4,20 +4,34 @@
 	"context"
 	"time"
 
+	"merlinhall/admission"
+	"merlinhall/routing"
 	"merlinhall/wire"
 )
 
 // flight is a request between its caller and the dispatcher.
 type flight struct {
-	request  *request
-	service  string // name of the service or pool
-	caller   string
-	priority int8
-	accepted time.Time
+	request    *request
+	name       string // of the service or pool
+	caller     string
+	callerID   string // request id that the caller knows
+	priority   int8
+	minVersion uint64
+	prefixes   []uint64
+	cost       float64
 
-	target    *target // of the current attempt, nil while waiting
-	notBefore time.Time
-	avoid     string
+	// The rest belongs to the dispatcher.
+	service      *service
+	accepted     time.Time
+	assigned     time.Time // to the current target
+	waiting      time.Time // since when, for another target
+	notBefore    time.Time // of the next attempt
+	target       *target   // of the current attempt, nil while waiting
+	avoid        string
+	item         *admission.Item[*flight]
+	tries        int
+	status       int // of the answer of a plain service
+	tokensBefore int // tokens that earlier targets generated
 
 	// chunks never blocks the dispatcher: the credit window bounds the chunks
 	// that were delivered and not taken.
@@ -25,14 +39,20 @@
 	result Result // valid after chunks is closed
 }
 
-func newFlight(service string, r *request) *flight {
-	return &flight{
-		service:  service,
+func newFlight(name string, r *request) *flight {
+	f := &flight{
+		name:     name,
 		request:  r,
 		caller:   r.run.Caller,
+		callerID: r.id,
 		priority: r.run.Priority,
+		cost:     costOf(&r.run),
 		chunks:   make(chan *wire.Chunk, creditWindow),
 	}
+	if g := r.run.Generation; g != nil {
+		f.prefixes = routing.PrefixHashes(g.Prompt)[:min(1, len(g.Prompt))]
+	}
+	return f
 }
 
 // setPriority replaces the configured priority by p when p is set.
@@ -92,12 +112,14 @@
 
 func (e *Entry) refuse(f *flight, why string) bool {
 	f.result = notRun(why, time.Second)
-	e.ended()
+	e.ended(f)
 	return false
 }
 
 // ended counts the end of a submitted request.
-func (e *Entry) ended() {
+func (e *Entry) ended(f *flight) {
+	e.metrics.finished(f)
+	e.logEnd(f)
 	if e.running.Add(-1) > 0 {
 		return
 	}
@@ -107,6 +129,18 @@
 	}
 }
 
+func (e *Entry) logEnd(f *flight) {
+	log := e.log.WithField("request", f.callerID).WithField("id", f.request.id).WithField("service", f.name)
+	switch r := f.result; {
+	case r.Outcome == OutcomeDone:
+		log.WithField("target", r.Target).Debug("request is done")
+	case r.Outcome == OutcomeNotRun || r.Status == statusCallerGone:
+		log.WithField("detail", r.Detail).Debug("request did not finish")
+	default:
+		log.WithField("target", r.Target).WithField("detail", r.Detail).Warn("outcome of a request is unknown")
+	}
+}
+
 func notRun(detail string, retryAfter time.Duration) Result {
 	return Result{Outcome: OutcomeNotRun, Status: statusUnavailable, RetryAfter: retryAfter, Detail: detail}
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -132,6 +132,7 @@
 		return
 	}
 	f.setPriority(h.priority)
+	f.callerID = h.id
 	e.answerService(w, r, f, h.id)
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -85,7 +85,11 @@
 	route struct {
 		avoid string
 		why   string
+		// refused is set when the agent refused the attempt.
+		refused wire.RefusedReason
 	}
+	// blame notes a failure of the target.
+	blame  struct{ target string }
 	finish struct{ result Result }
 )
 
@@ -93,6 +97,7 @@
 func (abandon) isAction() {}
 func (deliver) isAction() {}
 func (route) isAction()   {}
+func (blame) isAction()   {}
 func (finish) isAction()  {}
 
 // rules switches single safety rules off, for tests that show that the history
@@ -132,6 +137,7 @@
 	delivered uint64
 	taken     uint64 // chunks consumed by the caller
 	limit     uint64 // limit last granted to this attempt
+	held      bool   // the caller was slower than the target at least once
 	asked     uint64 // sequence number for which a gap was reported, plus one
 
 	tokens   []string // generated so far
@@ -279,7 +285,7 @@
 		return append(actions, r.end(Result{Outcome: OutcomeDone})...)
 	case wire.EndNotRun:
 		if r.next == 1 {
-			return append(r.confirm(), r.move(reason(c.Detail, "target did not run the request"))...)
+			return r.onNotRun(c)
 		}
 	case wire.EndCancelled:
 		return append(r.confirm(), r.expire()...)
@@ -294,13 +300,29 @@
 	}
 	r.delivered++
 	r.fruitless = 0
+	r.held = r.held || r.next >= r.limit
 	return []action{deliver{c}}
 }
 
+// onNotRun handles a target that certainly did not run the request.
+func (r *request) onNotRun(c *wire.Chunk) []action {
+	actions := append(r.confirm(), blame{r.target})
+	return append(actions, r.move(reason(c.Detail, "target did not run the request"))...)
+}
+
+// rejects reports whether c says that the engine found fault with the request;
+// another engine would as well.
+func (r *request) rejects(c *wire.Chunk) bool {
+	return r.generation() && c.Status >= 400 && c.Status < 500 && len(c.Tokens) == 0
+}
+
 // onBroken handles an answer that ended before it was complete. Tokens that came
 // with the last chunk are genuine and are kept.
 func (r *request) onBroken(c *wire.Chunk) []action {
-	var actions []action
+	if r.rejects(c) {
+		return append(r.confirm(), r.end(Result{Outcome: OutcomeNotRun, Status: c.Status, Broken: r.delivered > 0, Detail: c.Detail})...)
+	}
+	actions := []action{blame{r.target}}
 	if len(c.Tokens) > 0 {
 		kept := *c
 		kept.End = ""
@@ -322,27 +344,40 @@
 		return r.agentRestarted()
 	}
 	r.lastHeard = now
-	if m.Reason == wire.RefusedUnknownID {
-		return r.onUnknownID()
-	}
 	if r.next > 0 {
 		return r.lost("agent refused a request that it had begun to answer")
 	}
 	if m.Reason == wire.RefusedDeadline {
 		return r.giveUp("deadline passed before the request ran", 0)
 	}
-	return r.move("agent refused: " + string(m.Reason))
+	return r.moveRefused(m.Reason)
 }
 
-// onUnknownID handles an agent that has never seen the request or has forgotten
-// it. Sending the same id again cannot run it twice: a Run that is still under
-// way on an old connection meets the same entry in the agent's table.
-func (r *request) onUnknownID() []action {
-	if r.next > 0 {
-		return r.lost("agent forgot a request that it had begun to answer")
+// moveRefused handles an agent that did not run the request and never will. This
+// holds for RefusedUnknownID as well: the agent forbids the id before it answers,
+// so a Run that is still under way on an old connection is refused.
+func (r *request) moveRefused(reason wire.RefusedReason) []action {
+	if transient(reason) {
+		r.fruitless--
 	}
-	r.phase = phaseSent
-	return []action{send{target: r.target, message: r.runMessage(0)}}
+	actions := r.move("agent refused: " + string(reason))
+	for i, a := range actions {
+		if m, ok := a.(route); ok {
+			m.refused = reason
+			actions[i] = m
+		}
+	}
+	if reason == wire.RefusedTargetDown {
+		actions = append(actions, blame{r.target})
+	}
+	return actions
+}
+
+// transient reports whether a refusal is due to a change of configuration that is
+// under way. The target gets no new work for a while, so such refusals do not
+// count against the attempts or the retry budget.
+func transient(reason wire.RefusedReason) bool {
+	return reason == wire.RefusedLeaving || reason == wire.RefusedNotReady || reason == wire.RefusedStale
 }
 
 func (r *request) onRevoked(now time.Time, m *wire.Revoked) []action {
@@ -439,7 +474,7 @@
 
 func (r *request) onTick(now time.Time) []action {
 	if !now.Before(r.deadline) {
-		return append(r.drop(), r.expire()...)
+		return r.onDeadline()
 	}
 	if r.phase == phaseWaiting {
 		return nil
@@ -454,6 +489,14 @@
 	return nil
 }
 
+func (r *request) onDeadline() []action {
+	actions := r.drop()
+	if r.phase != phaseWaiting && r.next == 0 {
+		actions = append(actions, blame{r.target})
+	}
+	return append(actions, r.expire()...)
+}
+
 // ask repeats the question that the agent has not answered.
 func (r *request) ask() []action {
 	if r.phase == phaseRevoking {
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -46,7 +46,7 @@
 	limitWrites(w, f)
 	hold := time.NewTimer(holdTime)
 	hold.Stop()
-	return &answer{w: w, id: id, hold: hold, status: http.StatusOK}
+	return &answer{w: w, id: id, hold: hold}
 }
 
 // limitWrites keeps a caller that does not read from holding its goroutine for
@@ -107,8 +107,9 @@
 
 func (a *answer) begin(c *wire.Chunk) {
 	a.begun = true
-	if c.Status != 0 {
-		a.status = c.Status
+	a.status = c.Status
+	if c.Status < 200 || c.Status > 999 {
+		a.status = statusBadGateway // not a status that may end an answer
 	}
 	h := a.w.Header()
 	for _, f := range c.Headers {
@@ -123,8 +124,11 @@
 // release writes what is held, with the outcome announced as a trailer.
 func (a *answer) release() error {
 	if !a.sent {
+		// HTTP/1.1 sends trailers only with a chunked body. An answer that is cut
+		// off is then visible by its missing last chunk.
+		a.w.Header().Del("Content-Length")
 		a.w.Header().Del(HeaderOutcome)
-		a.w.Header().Add("Trailer", HeaderOutcome)
+		a.w.Header().Set("Trailer", HeaderOutcome)
 		a.writeHeader()
 	}
 	return a.flush()
--- a/entry/target.go
+++ b/entry/target.go
@@ -6,52 +6,128 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/admission"
 	"merlinhall/config"
 	"merlinhall/link"
+	"merlinhall/routing"
 	"merlinhall/wire"
 )
 
 // errOverrun closes a link whose messages the dispatcher cannot take.
 var errOverrun = eris.New("entry: mailbox is full")
 
-// handOverLimit bounds the wait for room in the mailbox; it is below
-// link.SilenceLimit, which a handler of link events must not reach.
-const handOverLimit = time.Second
+const (
+	// handOverLimit bounds the wait for room in the mailbox; it is below
+	// link.SilenceLimit, which a handler of link events must not reach.
+	handOverLimit = time.Second
+	// maxCancels bounds the cancellations kept for an agent that cannot be
+	// reached; the agent cancels the others by their deadline.
+	maxCancels = 1024
+	// overdue is the age of a load report at which a target becomes suspect. An
+	// agent reports each second.
+	overdue = 3 * time.Second
+	// leavingFor is how long a refusal counts as a sign of departure against later
+	// load reports that may have been under way.
+	leavingFor = 2 * time.Second
+	// notReadyFor is how long a target that does not yet, or no longer, accept our
+	// configuration version gets no new work.
+	notReadyFor = 200 * time.Millisecond
+)
 
 // target is a target of the configuration and the link to its agent. Only the
 // dispatcher uses it.
 type target struct {
 	key     string
 	config  config.Target
+	service *service
 	dialer  *link.Dialer
 	conn    *link.Conn // nil while the link is down
 	boot    string     // boot id of the agent, kept while the link is down
-	load    wire.Load
-	removed bool // not in the current configuration
-	leaving bool // by the current world
 	flights map[*flight]struct{}
 	cancels []abandon // attempts to cancel when the link is back
-}
 
-// maxCancels bounds the cancellations kept for an agent that cannot be reached;
-// the agent cancels the others by their deadline.
-const maxCancels = 1024
+	removed      bool      // not in the current configuration
+	leaving      bool      // by the current world
+	leavingSign  time.Time // of the last refusal for leaving
+	notReady     time.Time // end of the pause after a refusal for the version
+	load         wire.Load
+	reported     time.Time // of load; zero before the first report
+	others       float64
+	cache        *routing.Cache
+	limiter      *admission.Limiter
+	served       uint64
+	wasConnected bool
+}
 
 func targetKey(t config.Target) string { return t.Name + "@" + t.Agent }
 
-func (t *target) usable() bool {
-	return t.conn != nil && !t.removed && !t.leaving && !t.load.Leaving && !t.load.Down
+// departing reports whether any sign says that the target is leaving.
+func (t *target) departing(now time.Time) bool {
+	return t.removed || t.leaving || t.load.Leaving || now.Sub(t.leavingSign) < leavingFor
+}
+
+// route returns the view of t for a choice.
+func (t *target) route(now time.Time, h *routing.Health, most int) routing.Target {
+	return routing.Target{
+		Key:      t.key,
+		Zone:     t.config.Zone,
+		InFlight: len(t.flights),
+		Others:   t.others,
+		Limit:    most,
+		OwnLimit: t.limiter.Limit(),
+		Weight:   h.Weight(now, t.key),
+		Version:  t.load.Version,
+		FreeKV:   t.load.FreeKV,
+		Cache:    t.cache,
+		Unlinked: t.conn == nil || now.Before(t.notReady),
+		Leaving:  t.departing(now),
+		Down:     t.load.Down,
+		Ejected:  h.Ejected(now, t.key),
+		Swapping: t.load.Swapping,
+		Suspect:  t.load.Suspect || h.Suspect(t.key) || t.overdue(now),
+	}
+}
+
+func (t *target) overdue(now time.Time) bool {
+	return !t.reported.IsZero() && now.Sub(t.reported) > overdue
+}
+
+// report takes a load report.
+func (t *target) report(now time.Time, l *wire.Load) {
+	t.load = *l
+	t.load.CachedPrefixes, t.load.EvictedPrefixes = nil, nil
+	t.reported = now
+	t.others = routing.SmoothOthers(t.others, l.Running-len(t.flights))
+	t.cache.Report(now, l)
+}
+
+// linked takes a new connection of the agent.
+func (t *target) linked(now time.Time, c *link.Conn) {
+	boot := c.Peer().Boot
+	if t.wasConnected {
+		t.service.health.Recover(now, t.key)
+	}
+	if boot != t.boot {
+		t.load = wire.Load{}
+		t.reported = time.Time{}
+		t.leavingSign = time.Time{}
+		t.notReady = time.Time{}
+		t.cache.Reset()
+	}
+	t.conn = c
+	t.boot = boot
+	t.wasConnected = true
 }
 
 // targetEvents passes the events of a target's link to the dispatcher.
 type targetEvents struct {
-	entry *Entry
-	key   string
+	entry  *Entry
+	target *target
 }
 
 // Up implements link.Events.
 func (t *targetEvents) Up(c *link.Conn) {
-	t.entry.offer(context.Background(), upMessage{t.key, c})
+	t.entry.offer(context.Background(), upMessage{t.target, c})
 }
 
 // Message implements link.Events. A full mailbox holds back this link; when it
@@ -59,12 +135,12 @@
 func (t *targetEvents) Message(c *link.Conn, m wire.Message) {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverLimit)
 	defer cancel()
-	if !t.entry.offer(ctx, peerMessage{t.key, c, m}) {
+	if !t.entry.offer(ctx, peerMessage{t.target, c, m}) {
 		c.Close(errOverrun)
 	}
 }
 
 // Down implements link.Events.
 func (t *targetEvents) Down(c *link.Conn, reason error) {
-	t.entry.offer(context.Background(), downMessage{t.key, c, reason})
+	t.entry.offer(context.Background(), downMessage{t.target, c, reason})
 }
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// PrefixBlockBytes is the size of the blocks of a prompt that are hashed. An
-	// engine caches whole blocks only.
-	PrefixBlockBytes = 64
+	// PrefixBlockBytes is the size of the blocks of a prompt that are hashed.
+	PrefixBlockBytes = wire.PrefixBytes
 	// maxPrefixes bounds the hashed blocks of one prompt.
 	maxPrefixes = 256
 	// maxCached bounds the prefixes kept for one target.
@@ -28,18 +27,25 @@
 )
 
 // PrefixHashes returns the FNV-1a hashes of the prefixes of prompt at each block
-// boundary, shortest first. Engines that report cached prefixes use the same.
+// boundary, shortest first. The first is wire.PrefixHash, also for a prompt that
+// is shorter than a block; an empty prompt has none.
 func PrefixHashes(prompt string) []uint64 {
-	n := min(len(prompt)/PrefixBlockBytes, maxPrefixes)
+	if prompt == "" {
+		return nil
+	}
+	n := max(1, min(len(prompt)/PrefixBlockBytes, maxPrefixes))
 	out := make([]uint64, 0, n)
 	h := uint64(fnvOffset)
-	for i := range n * PrefixBlockBytes {
+	for i := range min(len(prompt), n*PrefixBlockBytes) {
 		h ^= uint64(prompt[i])
 		h *= fnvPrime
 		if (i+1)%PrefixBlockBytes == 0 {
 			out = append(out, h)
 		}
 	}
+	if len(out) == 0 {
+		out = append(out, h)
+	}
 	return out
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -72,6 +72,16 @@
 	is.Equal(targets[2].Cache.Depth(prefixes), 0)
 }
 
+// Guards against hashes that differ from those in cache events of engines.
+func TestPrefixHashesMatchCacheEvents(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1, PrefixBlockBytes - 1, PrefixBlockBytes, 5*PrefixBlockBytes + 3} {
+		prompt := strings.Repeat("q", n)
+		is.Equal(PrefixHashes(prompt)[0], wire.PrefixHash(prompt))
+	}
+	is.Equal(len(PrefixHashes("")), 0)
+}
+
 // Guards against entries that send the samples of one group to different engines
 // before any cache event arrived.
 func TestEntriesAgreeWithoutCacheEvents(t *testing.T) {
