--- a/agent/agent.go
+++ b/agent/agent.go
@@ -422,6 +422,3 @@
 	}
 	a.drains = nil
 }
-
-// Kinds are the kinds of messages that an Agent handles.
-var Kinds = []wire.Kind{wire.KindRun, wire.KindAttach, wire.KindCredit, wire.KindCancel, wire.KindRevoke}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -22,12 +22,14 @@
 	})
 	d.stops = append(d.stops, follower.Stop)
 	a, err := agent.Start(agent.Options{
-		Local:    d.hello,
-		Kind:     d.settings.Agent.Kind,
-		Address:  d.settings.Agent.Address,
-		System:   d.system,
-		Observer: d.observer,
-		Barrier:  follower.Barrier,
+		Local:      d.hello,
+		Kind:       d.settings.Agent.Kind,
+		Address:    d.settings.Agent.Address,
+		System:     d.system,
+		Observer:   d.observer,
+		Barrier:    follower.Barrier,
+		LinkClient: d.client,
+		LinkScheme: d.tls.Scheme(),
 	})
 	if err != nil {
 		return err
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -102,17 +102,7 @@
 		Caller:     g.Sample.Trainer,
 		Deadline:   time.UnixMilli(g.Deadline),
 	})
-	return tokens(result), 0, err
-}
-
-func tokens(result entry.GenerationResult) []wire.Token {
-	out := make([]wire.Token, 0, len(result.Tokens))
-	for _, r := range result.Versions {
-		for i := r.From; i < r.To; i++ {
-			out = append(out, wire.Token{Text: result.Tokens[i], Version: r.Version})
-		}
-	}
-	return out
+	return result.Tokens, 0, err
 }
 
 // CallService implements rollout.Runner.
--- a/standin/scorer.go
+++ b/standin/scorer.go
@@ -3,14 +3,15 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 )
 
 // Scoring is the body of POST /score.
 type Scoring struct {
-	Prompt string   `json:"prompt"`
-	Tokens []string `json:"tokens"`
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
 }
 
 // Scorer is a scoring service. It scores every POST outside /fault.
@@ -24,8 +25,8 @@
 func NewScorer(work time.Duration) *Scorer { return &Scorer{work: work} }
 
 // Score is the score of a sample, in [0, 1): a pure function of its content.
-func Score(prompt string, tokens []string) float64 {
-	return float64(mix(hashText(prompt)^hashText(strings.Join(tokens, "")))>>11) / (1 << 53)
+func Score(prompt, text string) float64 {
+	return float64(mix(hashText(prompt)^hashText(text))>>11) / (1 << 53)
 }
 
 // ServeHTTP implements http.Handler.
@@ -62,5 +63,5 @@
 	s.ran(record)
 	time.Sleep(s.work + s.delay(FaultSlow))
 	s.update(func() { record.Completed = true })
-	writeJSON(w, http.StatusOK, map[string]float64{"score": Score(body.Prompt, body.Tokens)})
+	writeJSON(w, http.StatusOK, map[string]float64{"score": Score(body.Prompt, body.Text)})
 }
