Stand-in trainer stores weights before it publishes them

Trainers stopped after three steps: agents asked the store for versions it did not hold, so engines kept version 1 and every sample fell below the bound.

--- a/cli/standin.go
+++ b/cli/standin.go
@@ -153,11 +153,15 @@
 	c.FlagSet.DurationVar(&o.Wait, "wait", 2*time.Second, "longest wait of a draw")
 	c.FlagSet.Float64Var(&o.LoseAnswer, "lose-answer", 0.1, "share of draws that are asked for again")
 	pool := c.FlagSet.String("pool", "", "pool whose weights the trainer publishes")
+	store := c.FlagSet.String("store", "", "address of the weight store")
 	entries := c.FlagSet.String("entries", "127.0.0.1:8080", "caller addresses of entries, separated by commas")
 	record := c.FlagSet.String("record", "", "file for the report at the end")
 	steps := c.FlagSet.Int("steps", 0, "steps to train; 0 means until a signal")
 	c.Exec = func(ctx context.Context, _ []string) error {
 		o.Pools = []string{*pool}
+		if *store != "" {
+			o.Store = "http://" + *store
+		}
 		for _, entry := range splitList(*entries) {
 			o.Entries = append(o.Entries, "http://"+entry)
 		}
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -76,7 +76,7 @@
 "$BIN/merlinhall" demo watch --dir "$OUT" & PID[watch]=$!
 declare -A POOL=([approver]=policy-lm [auditor]=audit-lm)
 for t in approver auditor; do
-    "$BIN/merlinhall" standin trainer --name "$t" --pool "${POOL[$t]}" --entries 127.0.2.1:8080,127.0.2.2:8080 \
+    "$BIN/merlinhall" standin trainer --name "$t" --pool "${POOL[$t]}" --store 127.0.5.1:9000 --entries 127.0.2.1:8080,127.0.2.2:8080 \
         --record "$OUT/record/trainer-$t.jsonl" --state "$OUT/data/trainer-$t" >>"$OUT/log/trainer-$t.log" 2>&1 &
     PID[trainer-$t]=$!
 done
--- a/standin/trainer.go
+++ b/standin/trainer.go
@@ -26,6 +26,7 @@
 type TrainerOptions struct {
 	Name      string
 	Entries   []string // base URLs of entries; used in turn after a failure
+	Store     string   // base URL of the weight store; empty means none
 	Token     string
 	Pools     []string
 	Client    *http.Client
@@ -256,6 +257,9 @@
 		return nil
 	}
 	version := t.state.Publishing
+	if err := t.storeWeights(ctx, version); err != nil {
+		return err
+	}
 	for _, pool := range t.o.Pools {
 		request := map[string]any{"pool": pool, "version": version, "request_id": fmt.Sprintf("%s-%s-%d", t.o.Name, pool, version)}
 		if err := t.post(ctx, "weights", request, nil); err != nil {
@@ -271,6 +275,27 @@
 	return t.save()
 }
 
+// storeWeights makes the weight store hold a version before engines are told of
+// it.
+func (t *Trainer) storeWeights(ctx context.Context, version uint64) error {
+	if t.o.Store == "" {
+		return nil
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/publish/%d", t.o.Store, version), nil)
+	if err != nil {
+		return err
+	}
+	answer, err := t.o.Client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("weight store answered %d", answer.StatusCode)
+	}
+	return nil
+}
+
 // publishAbove chooses the version above those of the trainer's pools after a
 // conflict: another trainer that shares a pool has published in the meantime.
 func (t *Trainer) publishAbove(ctx context.Context, cause error, version uint64) bool {
