--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,13 @@
 GO ?= go
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS = -X merlinhall/cli.Version=$(VERSION)
 
-.PHONY: all build fmt vet lint race test demo bench capacity
+.PHONY: all build fmt vet lint race test demo
 
 all: build
 
 build:
-	$(GO) build -o bin/ ./cmd/...
+	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
 
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
@@ -20,4 +22,9 @@
 race:
 	$(GO) test -race -count=1 ./...
 
+# Formatter, vet, linter and every test with the race detector.
 test: fmt vet lint build race
+
+# Runs every process on loopback addresses under faults; ends within 60 s.
+demo: build
+	./demo/run.sh
--- a/demo/judge.go
+++ b/demo/judge.go
@@ -32,15 +32,21 @@
 	RequestsNotRun  int `json:"requests_not_run"`
 	RequestsUnknown int `json:"requests_unknown"`
 	WeightVersions  int `json:"weight_versions_published"`
+	// WorkAfterDrain counts requests that reached the drained target later than
+	// the time that a leaving target may still receive work.
+	WorkAfterDrain int `json:"work_after_drain"`
 }
 
+// drainLimitMs is the time after which a leaving target receives no new work.
+const drainLimitMs = 3000
+
 // inForceLimitS is the time within which a configuration must be in force.
 const inForceLimitS = 5
 
 // Kept reports whether every promise was kept and the run did something.
 func (r Report) Kept() bool {
 	broken := r.RequestsLost + r.RequestsDoubled + r.RequestsWrongAnswer + r.NotRunButRan +
-		r.SamplesDoubled + r.SamplesLost + r.SamplesOverBound + r.SamplesWrongVersion + r.ConfigReverts
+		r.WorkAfterDrain + r.SamplesDoubled + r.SamplesLost + r.SamplesOverBound + r.SamplesWrongVersion + r.ConfigReverts
 	return broken == 0 && r.ConfigInForceMaxS <= inForceLimitS && r.RequestsDone > 0 && r.SamplesDelivered > 0 && r.WeightVersions >= 3
 }
 
@@ -70,6 +76,9 @@
 			return Report{}, nil, err
 		}
 	}
+	if err := j.judgeDrain(); err != nil {
+		return Report{}, nil, err
+	}
 	if err := j.judgeCallers(); err != nil {
 		return Report{}, nil, err
 	}
@@ -114,6 +123,32 @@
 	return nil
 }
 
+// Drained is the time at which the operator was told that a target is leaving.
+type Drained struct {
+	At     int64  `json:"at"` // Unix time in milliseconds
+	Target string `json:"target"`
+}
+
+func (j *judge) judgeDrain() error {
+	drains, err := standin.ReadLines[Drained](j.record("drained"))
+	if err != nil {
+		return err
+	}
+	for _, d := range drains {
+		lines, err := standin.ReadLines[standin.JournalLine](j.record(d.Target))
+		if err != nil {
+			return err
+		}
+		for _, l := range lines {
+			if l.Event == standin.JournalBegin && l.At > d.At+drainLimitMs {
+				j.report.WorkAfterDrain++
+				j.note("target %s received a request %d ms after it was drained", d.Target, l.At-d.At)
+			}
+		}
+	}
+	return nil
+}
+
 func (j *judge) sent(request standin.JournalLine, token generatedToken) {
 	bySeed := j.generated[request.Prompt]
 	if bySeed == nil {
--- /dev/null
+++ b/demo/judge_test.go
@@ -0,0 +1,184 @@
+package demo
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"merlinhall/standin"
+)
+
+// run is a small run that keeps every promise.
+type run struct {
+	calls     []standin.CallRecord
+	service   []standin.JournalLine
+	engine    []standin.JournalLine
+	report    standin.TrainerReport
+	sightings []Sighting
+	accepted  []Accepted
+	drained   []Drained
+}
+
+func goodRun() *run {
+	prompt := "approver step 1 prompt 0"
+	text := []string{standin.Token(prompt, 0), standin.Token(prompt, 1)}
+	sample := standin.TrainerSample{Step: 1, Trainer: 3, Oldest: 2, Newest: 3, Tokens: 2, Prompt: prompt, Text: text}
+	_ = json.Unmarshal([]byte(`[{"from":0,"to":1,"version":2},{"from":1,"to":2,"version":3}]`), &sample.Versions)
+	return &run{
+		calls: []standin.CallRecord{
+			{ID: "a", Kind: standin.CallCheck, Outcome: standin.SawDone, Correct: true},
+			{ID: "b", Kind: standin.CallCheck, Outcome: standin.SawNotRun},
+			{ID: "c", Kind: standin.CallCheck, Outcome: standin.SawUnknown},
+		},
+		service: []standin.JournalLine{
+			{At: 1, Event: standin.JournalBegin, Request: 1, CallID: "a"}, {Event: standin.JournalRun, Request: 1},
+			{At: 1, Event: standin.JournalBegin, Request: 2, CallID: "c"}, {Event: standin.JournalRun, Request: 2},
+		},
+		engine: []standin.JournalLine{
+			{Event: standin.JournalBegin, Request: 1, Prompt: prompt, Seed: 9},
+			{Event: standin.JournalToken, Request: 1, Index: 0, Version: 2},
+			{Event: standin.JournalToken, Request: 1, Index: 1, Version: 3},
+		},
+		report:    standin.TrainerReport{Name: "approver", Steps: 3, TotalSeconds: 10, ReceivedSample: []standin.TrainerSample{sample}},
+		sightings: []Sighting{{At: 1000, Process: "entry-1", Version: 1}, {At: 1500, Process: "entry-1", Version: 2}},
+		accepted:  []Accepted{{At: 1100, Version: 2}},
+		drained:   []Drained{{At: 10, Target: "budget-svc-0"}},
+	}
+}
+
+func (r *run) judge(t *testing.T) Report {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.Mkdir(dir+"/record", 0o755); err != nil {
+		t.Fatal(err)
+	}
+	for _, target := range targets() {
+		write[int](t, dir, target.name, nil)
+	}
+	write(t, dir, "budget-svc-0", r.service)
+	write(t, dir, "policy-lm-0", r.engine)
+	write(t, dir, "caller-x", r.calls)
+	write(t, dir, "trainer-approver", []standin.TrainerReport{r.report})
+	write(t, dir, "trainer-auditor", []standin.TrainerReport{{Name: "auditor"}})
+	write(t, dir, "sightings", r.sightings)
+	write(t, dir, "accepted", r.accepted)
+	write(t, dir, "drained", r.drained)
+	report, _, err := Judge(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func write[T any](t *testing.T, dir, name string, lines []T) {
+	t.Helper()
+	var text []byte
+	for _, l := range lines {
+		b, err := json.Marshal(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(append(text, b...), '\n')
+	}
+	if err := os.WriteFile(dir+"/record/"+name+".jsonl", text, 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestGoodRunIsKept(t *testing.T) {
+	is := is.New(t)
+	report := goodRun().judge(t)
+	is.True(report.Kept())
+	is.Equal(report.Requests, 3)
+	is.Equal(report.ConfigInForceMaxS, 0.4)
+	is.Equal(report.StalenessMax, uint64(1))
+}
+
+// Guards against a demonstration that reports success although a promise was
+// broken: each case breaks one promise.
+func TestBrokenPromisesAreFound(t *testing.T) {
+	cases := map[string]struct {
+		breakIt func(r *run)
+		count   func(r Report) int
+	}{
+		"lost request": {
+			func(r *run) { r.calls[0].Outcome = standin.SawLost },
+			func(r Report) int { return r.RequestsLost },
+		},
+		"doubled request": {
+			func(r *run) {
+				r.service = append(r.service, standin.JournalLine{Event: standin.JournalRun, Request: 1})
+			},
+			func(r Report) int { return r.RequestsDoubled },
+		},
+		"wrong answer": {
+			func(r *run) { r.calls[0].Correct = false },
+			func(r Report) int { return r.RequestsWrongAnswer },
+		},
+		"done without a run": {
+			func(r *run) { r.service = r.service[2:] },
+			func(r Report) int { return r.RequestsWrongAnswer },
+		},
+		"not run but ran": {
+			func(r *run) { r.calls[2].Outcome = standin.SawNotRun },
+			func(r Report) int { return r.NotRunButRan },
+		},
+		"doubled sample": {
+			func(r *run) {
+				r.report.ReceivedSample = append(r.report.ReceivedSample, r.report.ReceivedSample[0])
+			},
+			func(r Report) int { return r.SamplesDoubled },
+		},
+		"lost samples": {
+			func(r *run) {
+				next := r.report.ReceivedSample[0]
+				next.Step = 2
+				r.report.ReceivedSample = append(r.report.ReceivedSample, next)
+			},
+			func(r Report) int { return r.SamplesLost },
+		},
+		"sample over the bound": {
+			func(r *run) { r.report.ReceivedSample[0].Trainer = 5 },
+			func(r Report) int { return r.SamplesOverBound },
+		},
+		"wrong version": {
+			func(r *run) { r.report.ReceivedSample[0].Versions[0].Version = 3 },
+			func(r Report) int { return r.SamplesWrongVersion },
+		},
+		"wrong token": {
+			func(r *run) { r.report.ReceivedSample[0].Text[1] = "x" },
+			func(r Report) int { return r.SamplesWrongVersion },
+		},
+		"configuration went back": {
+			func(r *run) { r.sightings = append(r.sightings, Sighting{At: 1600, Process: "entry-1", Version: 1}) },
+			func(r Report) int { return r.ConfigReverts },
+		},
+		"work after drain": {
+			func(r *run) { r.service[0].At = 10 + drainLimitMs + 1 },
+			func(r Report) int { return r.WorkAfterDrain },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := goodRun()
+			c.breakIt(r)
+			report := r.judge(t)
+			is.True(c.count(report) > 0)
+			is.True(!report.Kept())
+		})
+	}
+}
+
+// Guards against a slow configuration that goes unseen.
+func TestSlowConfigurationIsFound(t *testing.T) {
+	is := is.New(t)
+	r := goodRun()
+	for at := int64(1600); at < 8000; at += 500 {
+		r.sightings = append(r.sightings, Sighting{At: at, Process: "entry-2", Version: 1})
+	}
+	r.sightings = append(r.sightings, Sighting{At: 8000, Process: "entry-2", Version: 2})
+	is.True(!r.judge(t).Kept())
+}
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -121,6 +121,7 @@
 say "continued entry-2"
 pause 1
 tool drain policy-lm-3 >/dev/null
+echo "{\"at\":$(now_ms),\"target\":\"policy-lm-3\"}" >>"$OUT/record/drained.jsonl"
 say "draining policy-lm-3"
 pause 1
 apply config-3.toml 3
