--- a/cli/standin.go
+++ b/cli/standin.go
@@ -206,6 +206,7 @@
 	c.FlagSet.DurationVar(&o.Timeout, "timeout", 45*time.Second, "time after which a request counts as lost")
 	c.FlagSet.Uint64Var(&o.Seed, "seed", 1, "seed of the choices")
 	entries := c.FlagSet.String("entries", "127.0.0.1:8080", "caller addresses of entries, separated by commas")
+	ready := c.FlagSet.String("ready", "", "administration addresses of the same entries, to ask for readiness")
 	record := c.FlagSet.String("record", "", "record file")
 	c.Exec = func(ctx context.Context, _ []string) error {
 		out, err := openRecord(*record)
@@ -213,6 +214,10 @@
 			return err
 		}
 		o.Entries = splitList(*entries)
+		o.Ready = splitList(*ready)
+		if len(o.Ready) > 0 && len(o.Ready) != len(o.Entries) {
+			return exit(ExitUsage, eris.New("the flags --entries and --ready must list the same processes"))
+		}
 		o.Record = out
 		standin.NewCaller(o).Run(ctx)
 		return nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,6 +139,9 @@
 	d.log.Info("draining")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainTimeout))
 	defer cancel()
+	if d.settings.Has(wire.RoleEntry) {
+		time.Sleep(time.Duration(d.settings.DrainGrace))
+	}
 	var first error
 	for _, drain := range d.drains {
 		if err := drain(ctx); err != nil && first == nil {
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the demonstration: starts every process on loopback addresses, injects
-# faults with signals, and prints the judgement as one JSON line at the end.
+# faults with signals, and prints the judgement as one JSON line at the end. The
+# first argument is "faults" (the default) or "rolling", a rolling restart.
 # A process of the system starts no other process, so this script does.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -26,6 +27,7 @@
 # can end.
 cleanup() {
     trap - EXIT INT TERM
+    set +e
     for p in "${PID[@]}"; do kill -CONT "$p" 2>/dev/null || true; done
     for p in "${PID[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
     for _ in $(seq 50); do
@@ -64,6 +66,8 @@
 leader() { tool status --output json | grep -o '"leader": *"[^"]*"' | head -1 | cut -d'"' -f4; }
 
 rm -rf "$OUT"
+mkdir -p "$OUT/record"
+touch "$OUT/record/drained.jsonl"
 "$BIN/merlinhall" demo files --dir "$OUT"
 say "starting $(wc -l <"$OUT/processes") processes"
 while read -r name _; do start "$name"; done <"$OUT/processes"
@@ -82,7 +86,7 @@
 done
 for c in buyers reviewers; do
     "$BIN/merlinhall" standin caller --name "$c" --entries 127.0.2.1:8080,127.0.2.2:8080 \
-        --service budget-svc --pool policy-lm --record "$OUT/record/caller-$c.jsonl" >>"$OUT/log/caller-$c.log" 2>&1 &
+        --ready 127.0.2.1:7001,127.0.2.2:7001 --service budget-svc --pool policy-lm --record "$OUT/record/caller-$c.jsonl" >>"$OUT/log/caller-$c.log" 2>&1 &
     PID[caller-$c]=$!
 done
 say "callers and trainers are running"
@@ -93,40 +97,57 @@
     sleep "$((ms / 1000)).$(printf '%03d' $((ms % 1000)))"
 }
 
-pause 2
-apply config-2.toml 2
-say "configuration 2 accepted"
-pause 1
-crash agent-policy-lm-2
-say "killed agent-policy-lm-2"
-pause 1
-start agent-policy-lm-2
-pause 1
-crash policy-lm-1
-say "killed engine policy-lm-1"
-pause 1
-start policy-lm-1
-pause 1
-old=$(leader)
-crash "$old"
-say "killed control leader $old"
-pause 1
-say "new control leader: $(leader)"
-start "$old"
-pause 1
-kill -STOP "${PID[entry-2]}"
-say "froze entry-2"
-pause 1
-kill -CONT "${PID[entry-2]}"
-say "continued entry-2"
-pause 1
-tool drain policy-lm-3 >/dev/null
-echo "{\"at\":$(now_ms),\"target\":\"policy-lm-3\"}" >>"$OUT/record/drained.jsonl"
-say "draining policy-lm-3"
-pause 1
-apply config-3.toml 3
-say "configuration 3 accepted"
-pause 2
+# Each fault in turn.
+faults() {
+    pause 2
+    apply config-2.toml 2
+    say "configuration 2 accepted"
+    pause 1
+    crash agent-policy-lm-2
+    say "killed agent-policy-lm-2"
+    pause 1
+    start agent-policy-lm-2
+    pause 1
+    crash policy-lm-1
+    say "killed engine policy-lm-1"
+    pause 1
+    start policy-lm-1
+    pause 1
+    old=$(leader)
+    crash "$old"
+    say "killed control leader $old"
+    pause 1
+    say "new control leader: $(leader)"
+    start "$old"
+    pause 1
+    kill -STOP "${PID[entry-2]}"
+    say "froze entry-2"
+    pause 1
+    kill -CONT "${PID[entry-2]}"
+    say "continued entry-2"
+    pause 1
+    tool drain policy-lm-3 >/dev/null
+    echo "{\"at\":$(now_ms),\"target\":\"policy-lm-3\"}" >>"$OUT/record/drained.jsonl"
+    say "draining policy-lm-3"
+    pause 1
+    apply config-3.toml 3
+    say "configuration 3 accepted"
+    pause 2
+}
+
+# Restarts every process of the system with SIGTERM, one after the other.
+rolling() {
+    local name
+    pause 1
+    for name in control-1 control-2 control-3 entry-1 entry-2 $(grep -o '^agent-[^ ]*' "$OUT/processes"); do
+        finish "$name"
+        start "$name"
+        sleep 1.5
+        say "restarted $name"
+    done
+}
+
+"${1:-faults}"
 for c in buyers reviewers; do kill -TERM "${PID[caller-$c]}"; done
 for c in buyers reviewers; do wait "${PID[caller-$c]}" || true; unset "PID[caller-$c]"; done
 for t in approver auditor; do finish "trainer-$t"; done
--- a/settings/check.go
+++ b/settings/check.go
@@ -15,6 +15,7 @@
 
 const (
 	defaultLogLevel     = "info"
+	defaultDrainGrace   = strict.Duration(1 * time.Second)
 	defaultDrainTimeout = strict.Duration(30 * time.Second)
 	maxControlReplicas  = 7
 )
@@ -25,6 +26,9 @@
 	if s.LogLevel == "" {
 		s.LogLevel = defaultLogLevel
 	}
+	if s.DrainGrace == 0 {
+		s.DrainGrace = defaultDrainGrace
+	}
 	if s.DrainTimeout == 0 {
 		s.DrainTimeout = defaultDrainTimeout
 	}
@@ -59,6 +63,9 @@
 	if k.s.DrainTimeout < 0 {
 		k.doc.Report("drain_timeout", "the time is negative", `write a time such as "30s"`)
 	}
+	if k.s.DrainGrace < 0 {
+		k.doc.Report("drain_grace", "the time is negative", `write a time such as "1s"`)
+	}
 }
 
 func (k *checker) checkRoles() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,9 @@
 	Auth    Auth   `toml:"auth"`
 	Agent   Agent  `toml:"agent"`
 	Hosts   Hosts  `toml:"hosts"`
+	// DrainGrace is the time between the failing of readiness and the refusal of
+	// new requests at an entry, in which the platform's balancer turns away.
+	DrainGrace strict.Duration `toml:"drain_grace"`
 	// DrainTimeout bounds the wait for running requests at shutdown.
 	DrainTimeout strict.Duration `toml:"drain_timeout"`
 }
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -57,8 +57,12 @@
 type CallerOptions struct {
 	Name    string
 	Entries []string // caller addresses of the entries
-	Service string   // plain service
-	Pool    string   // model pool
+	// Ready holds the administration address of each entry, in the order of
+	// Entries. With it the caller sends only to entries that say they are ready,
+	// as the platform's balancer does.
+	Ready   []string
+	Service string // plain service
+	Pool    string // model pool
 	Workers int
 	Pause   time.Duration // between two requests of a worker
 	Timeout time.Duration // after which an unanswered request counts as lost
@@ -68,19 +72,21 @@
 
 // Caller sends requests of all kinds and checks the answers.
 type Caller struct {
-	o      CallerOptions
-	client *http.Client
-	mu     sync.Mutex
+	o        CallerOptions
+	client   *http.Client
+	balancer *balancer
+	mu       sync.Mutex
 }
 
 // NewCaller returns a caller.
 func NewCaller(o CallerOptions) *Caller {
 	transport := &http.Transport{MaxIdleConnsPerHost: o.Workers}
-	return &Caller{o: o, client: &http.Client{Transport: transport}}
+	return &Caller{o: o, client: &http.Client{Transport: transport}, balancer: newBalancer(o.Entries, o.Ready)}
 }
 
 // Run sends requests until ctx ends, and returns when the last one is answered.
 func (c *Caller) Run(ctx context.Context) {
+	go c.balancer.watch(ctx)
 	var wg sync.WaitGroup
 	for w := range c.o.Workers {
 		wg.Add(1)
@@ -98,7 +104,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%s-%d-%d", c.o.Name, worker, n)
 		kind := kinds[random.IntN(len(kinds))]
-		entry := c.o.Entries[random.IntN(len(c.o.Entries))]
+		entry := c.balancer.choose(random)
 		c.write(c.send(id, kind, entry))
 		select {
 		case <-time.After(c.o.Pause):
