--- a/control/adminconfig.go
+++ b/control/adminconfig.go
@@ -134,10 +134,10 @@
 		return answer{http.StatusConflict, out}
 	}
 	if old, ok := state.text(o.Base); ok || o.Base == 0 {
-		out.WinnerDiff = lineDiff(old, current)
+		out.WinnerDiff = LineDiff(old, current)
 	}
 	if text != nil {
-		out.Diff = lineDiff(current, text)
+		out.Diff = LineDiff(current, text)
 	}
 	return answer{http.StatusConflict, out}
 }
@@ -236,7 +236,7 @@
 func (s *configState) entry(i int, older, text []byte) historyEntry {
 	e := historyEntry{Revision: s.Records[i].Revision}
 	if i > 0 {
-		e.Diff = lineDiff(older, text)
+		e.Diff = LineDiff(older, text)
 	}
 	return e
 }
