control: log entries carry a patch of the configuration text; config.Load

The leader now proposes the patch from the current text when that is shorter; the digest in the command guards against another base. Request identity is the base and the digest, so that a resend in another form is the same request.

config.Load reads an accepted text without the checks of Parse: 10 ms against 39 ms at 2,600 targets.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -108,3 +108,15 @@
 	f.Add(text)
 	f.Fuzz(func(_ *testing.T, text []byte) { _, _ = Parse("f", text) })
 }
+
+// Guards against a process that reads an accepted text differently from control.
+func TestLoadEqualsParse(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("testdata/good.toml")
+	is.NoErr(err)
+	parsed, err := Parse("good.toml", text)
+	is.NoErr(err)
+	loaded, err := Load(text)
+	is.NoErr(err)
+	is.Equal(loaded, parsed)
+}
--- a/config/parse.go
+++ b/config/parse.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+
 	"merlinhall/strict"
 )
 
@@ -103,6 +106,17 @@
 	return c, nil
 }
 
+// Load reads a text that control has accepted, without the checks of Parse: at
+// 2,600 targets they take three quarters of the time, which every process of the
+// fleet would spend on each change. Keys of newer versions are ignored.
+func Load(text []byte) (*Config, error) {
+	var doc document
+	if err := toml.Unmarshal(text, &doc); err != nil {
+		return nil, eris.Wrap(err, "configuration")
+	}
+	return doc.build(), nil
+}
+
 func (d *document) build() *Config {
 	c := &Config{
 		Limits: Limits{
--- a/control/admin.go
+++ b/control/admin.go
@@ -61,7 +61,6 @@
 type admin struct {
 	c      *Control
 	leader *http.ServeMux // routes that run on the leader
-	parsed parsedConfig
 }
 
 type resultKey struct{}
--- a/control/adminconfig.go
+++ b/control/adminconfig.go
@@ -106,7 +106,8 @@
 
 // ApplyConfig commits a configuration text, on the leader.
 func (c *Control) ApplyConfig(ctx context.Context, base uint64, text []byte, author, requestID string) (*ConfigOutcome, error) {
-	body, err := wire.Marshal(&applyConfig{Text: text, Base: base, Author: author})
+	state := c.o.Machine.configState()
+	body, err := wire.Marshal(newApplyConfig(&state, base, text, author))
 	if err != nil {
 		return nil, err
 	}
--- a/control/adminother.go
+++ b/control/adminother.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -22,28 +21,6 @@
 	ID string `json:"id,omitempty"`
 }
 
-// parsedConfig keeps the parsed form of the newest configuration.
-type parsedConfig struct {
-	mu     sync.Mutex
-	digest string
-	config *config.Config
-}
-
-// of returns the parsed configuration of a world.
-func (p *parsedConfig) of(w *wire.World) (*config.Config, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.config != nil && p.digest == w.ConfigDigest {
-		return p.config, nil
-	}
-	c, err := config.Parse("config", w.ConfigText)
-	if err != nil {
-		return nil, err
-	}
-	p.digest, p.config = w.ConfigDigest, c
-	return c, nil
-}
-
 // targetsOf lists all targets of a configuration.
 func targetsOf(c *config.Config) []config.Target {
 	var all []config.Target
@@ -62,15 +39,7 @@
 	if _, err := a.c.Confirm(r.Context()); err != nil {
 		return nil, err
 	}
-	w := a.c.o.Machine.World()
-	if w == nil || w.ConfigVersion == 0 {
-		return nil, nil
-	}
-	c, err := a.parsed.of(w)
-	if err != nil {
-		return nil, eris.Wrapf(ErrRejected, "configuration %d: %v", w.ConfigVersion, err)
-	}
-	return c, nil
+	return a.c.o.Machine.Config(), nil
 }
 
 // getRequest answers the outcome of a request id. A request that is not found
--- a/control/apply_test.go
+++ b/control/apply_test.go
@@ -265,7 +265,7 @@
 	n := rng.IntN(40)
 	switch slice {
 	case "config":
-		body, _ = wire.Marshal(&applyConfig{Text: smallConfig(n%5, fmt.Sprint(n)), Base: uint64(rng.IntN(12))})
+		body, _ = wire.Marshal(newApplyConfig(&configState{}, uint64(rng.IntN(12)), smallConfig(n%5, fmt.Sprint(n)), ""))
 	case "weights":
 		body, _ = wire.Marshal(&wire.PublishWeights{Pool: fmt.Sprint("p", n%3), Version: uint64(rng.IntN(30))})
 	case "departures":
@@ -320,7 +320,7 @@
 	s := newConfigSlice()
 	for i := range 150 {
 		text := strings.Repeat(fmt.Sprintf("# %d\n", i), 4000)
-		body, _ := wire.Marshal(&applyConfig{Text: []byte(text), Base: uint64(i)})
+		body, _ := wire.Marshal(newApplyConfig(&configState{}, uint64(i), []byte(text), ""))
 		outcome := s.Apply(uint64(i+1), 1, body).(*ConfigOutcome)
 		is.True(outcome.Accepted)
 	}
@@ -344,7 +344,7 @@
 	s := newConfigSlice()
 	s.ignoreBase = true
 	for i, want := range []uint64{1, 2} {
-		body, _ := wire.Marshal(&applyConfig{Text: smallConfig(i, "edit")})
+		body, _ := wire.Marshal(newApplyConfig(&configState{}, 0, smallConfig(i, "edit"), ""))
 		is.Equal(s.Apply(uint64(i+1), 1, body).(*ConfigOutcome).Version, want)
 	}
 }
@@ -377,3 +377,30 @@
 	raw, _ = wire.Marshal(&command{Slice: "departures", RequestID: "r", Body: body})
 	is.True(eris.Is(m.Apply(3, 1, raw).(error), ErrReused))
 }
+
+// Guards against a log that carries the whole text for each small change, and
+// against a patch that is applied to another text than its own.
+func TestCommandCarriesAPatch(t *testing.T) {
+	is := is.New(t)
+	s := newConfigSlice()
+	first, second, third := smallConfig(400, "one"), smallConfig(400, "two"), smallConfig(399, "one")
+	apply := func(c *applyConfig) (*ConfigOutcome, int) {
+		body, err := wire.Marshal(c)
+		is.NoErr(err)
+		return s.Apply(c.Base+1, 1, body).(*ConfigOutcome), len(body)
+	}
+	_, size := apply(newApplyConfig(&s.state, 0, first, ""))
+	is.True(size > len(first))
+	state := s.copyState()
+	outcome, size := apply(newApplyConfig(&state, 1, second, ""))
+	is.Equal(outcome.Version, uint64(2))
+	is.True(size < 300)
+	is.Equal(string(s.state.Text), string(second))
+	late := newApplyConfig(&state, 1, third, "")
+	outcome, _ = apply(late)
+	is.Equal(outcome.Winner.Version, uint64(2))
+	late.Base = 2
+	outcome, _ = apply(late)
+	is.True(outcome.Invalid != "")
+	is.Equal(s.current().Version, uint64(2))
+}
--- a/control/configslice.go
+++ b/control/configslice.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"unicode/utf8"
 
@@ -21,11 +22,28 @@
 	maxHistoryBytes = 2 << 20
 )
 
-// applyConfig is the command of the slice "config".
+// applyConfig is the command of the slice "config". It carries the whole text, or,
+// to keep the log small, the patch that leads from the text of Base to it.
 type applyConfig struct {
-	Text   []byte `cbor:"1,keyasint"`
-	Base   uint64 `cbor:"2,keyasint"`
-	Author string `cbor:"3,keyasint"`
+	Text   []byte         `cbor:"1,keyasint,omitempty"`
+	Base   uint64         `cbor:"2,keyasint"`
+	Author string         `cbor:"3,keyasint"`
+	Digest string         `cbor:"4,keyasint"` // of the whole text
+	Patch  []wire.PatchOp `cbor:"5,keyasint,omitempty"`
+}
+
+// newApplyConfig chooses the shorter form. current is the state in which the
+// request will probably be applied.
+func newApplyConfig(current *configState, base uint64, text []byte, author string) *applyConfig {
+	c := &applyConfig{Base: base, Author: author, Digest: config.Digest(text)}
+	if n := len(current.Records); n > 0 && current.Records[n-1].Revision.Version == base {
+		c.Patch = propagate.MakePatch(current.Text, text)
+		if patchBytes(c.Patch) < len(text)/2 {
+			return c
+		}
+	}
+	c.Patch, c.Text = nil, text
+	return c
 }
 
 // Revision describes an accepted version of the configuration.
@@ -89,25 +107,25 @@
 	if err := wire.Unmarshal(request.Body, &c); err != nil {
 		return eris.Wrapf(ErrBadCommand, "%v", err)
 	}
-	if why := structureError(c.Text); why != "" {
-		return &ConfigOutcome{Base: c.Base, Invalid: why}
-	}
-	digest := config.Digest(c.Text)
-	if version, ok := s.acceptedBefore(request.RequestID, digest); ok {
+	if version, ok := s.acceptedBefore(request.RequestID, c.Digest); ok {
 		return &ConfigOutcome{Accepted: true, Version: version, Base: c.Base}
 	}
 	if c.Base != s.current().Version && !s.ignoreBase {
 		return &ConfigOutcome{Base: c.Base, Winner: s.winner(c.Base), Current: s.current()}
 	}
+	text, why := s.textOf(&c)
+	if why != "" {
+		return &ConfigOutcome{Base: c.Base, Invalid: why}
+	}
 	revision := Revision{
 		Version:   s.current().Version + 1,
 		Author:    c.Author,
 		RequestID: request.RequestID,
 		TimeMs:    request.TimeMs,
-		Digest:    digest,
+		Digest:    c.Digest,
 		Fence:     wire.Fence{Term: term, Sequence: index},
 	}
-	s.accept(revision, c.Text)
+	s.accept(revision, text)
 	return &ConfigOutcome{Accepted: true, Version: revision.Version, Base: c.Base}
 }
 
@@ -118,10 +136,39 @@
 	if wire.Unmarshal(request.Body, &c) != nil {
 		return nil, false
 	}
-	version, ok := s.acceptedBefore(request.RequestID, config.Digest(c.Text))
+	version, ok := s.acceptedBefore(request.RequestID, c.Digest)
 	return &ConfigOutcome{Accepted: ok, Version: version, Base: c.Base}, ok
 }
 
+// identity implements recorder: the form in which the text is carried does not
+// matter.
+func (s *configSlice) identity(request *command) []byte {
+	var c applyConfig
+	if wire.Unmarshal(request.Body, &c) != nil {
+		return request.Body
+	}
+	return fmt.Appendf(nil, "%d %s", c.Base, c.Digest)
+}
+
+// textOf returns the text of a command on the current version, or why there is
+// none.
+func (s *configSlice) textOf(c *applyConfig) (text []byte, why string) {
+	text = c.Text
+	if len(c.Patch) > 0 {
+		var err error
+		if text, err = propagate.ApplyPatch(s.state.Text, c.Patch, MaxConfigBytes); err != nil {
+			return nil, err.Error()
+		}
+	}
+	if why := structureError(text); why != "" {
+		return nil, why
+	}
+	if config.Digest(text) != c.Digest {
+		return nil, "the text does not match its digest"
+	}
+	return text, ""
+}
+
 func structureError(text []byte) string {
 	switch {
 	case len(text) == 0:
--- a/control/hosts.go
+++ b/control/hosts.go
@@ -155,9 +155,9 @@
 		clear(watch.live)
 		return
 	}
-	parsed, err := c.admin.parsed.of(w)
-	if err != nil {
-		c.logf("configuration %d cannot be read: %v", w.ConfigVersion, err)
+	// The configuration may be newer than w; the change is void then.
+	parsed := c.o.Machine.Config()
+	if parsed == nil {
 		return
 	}
 	list, err := c.readHosts(client)
--- a/control/machine.go
+++ b/control/machine.go
@@ -65,6 +65,8 @@
 // recorder is a slice that keeps the request id and time of its commands.
 type recorder interface {
 	applyRequest(index, term uint64, c *command) any
+	// identity returns what two sendings of one request have in common.
+	identity(c *command) []byte
 	// repeated returns the outcome of a request whose id is known with another
 	// body, when that body asks for what was accepted under the id.
 	repeated(c *command) (any, bool)
@@ -180,7 +182,7 @@
 	if s == nil {
 		return eris.Wrapf(ErrBadCommand, "no slice %q", c.Slice)
 	}
-	sum := commandSum(&c)
+	sum := commandSum(s, &c)
 	if known, ok := m.outcomes.find(c.RequestID); ok {
 		return repeatedResult(s, &c, known, sum)
 	}
@@ -211,11 +213,15 @@
 }
 
 // commandSum identifies the content of a command.
-func commandSum(c *command) uint64 {
+func commandSum(s Slice, c *command) uint64 {
+	content := c.Body
+	if r, ok := s.(recorder); ok {
+		content = r.identity(c)
+	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.Slice))
 	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(c.Body)
+	_, _ = h.Write(content)
 	return h.Sum64()
 }
 
--- a/control/parts.go
+++ b/control/parts.go
@@ -42,7 +42,7 @@
 	if !ok {
 		return
 	}
-	if c, err := config.Parse("configuration", text); err == nil {
+	if c, err := config.Load(text); err == nil {
 		m.parsed.Store(c)
 	}
 }
