propagate: children leave a stale parent at its first stale digest

An entry notices after 3 s that it has lost control; a child that waited 3 s more broke the bound of 5 s. A digest now follows each world as well: without it the children of an entry that had just started took it for stale for up to 1 s and went on to control.

--- a/control/admin_test.go
+++ b/control/admin_test.go
@@ -35,3 +35,22 @@
 	is.Equal(out["text"], string(smallConfig(2, "one")))
 	is.Equal(out["author"], "abay")
 }
+
+// Guards against reads of an old state: by a follower that lags, and by a leader
+// that has not applied what is committed.
+func TestReadsAreConfirmed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	lagging := c.nodes["c2"]
+	ask(t, lagging.control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	lagging.paused = true
+	ask(t, lagging.control, "POST", configURI(1, "r2", "abay"), string(smallConfig(1, "two")))
+	_, out := ask(t, lagging.control, "GET", "/v1/config", "")
+	is.Equal(out["version"], 2.0)
+	is.Equal(lagging.machine.World().ConfigVersion, uint64(1))
+	c.elect("c2")
+	code, out := ask(t, lagging.control, "GET", "/v1/config", "")
+	is.Equal(code, http.StatusGatewayTimeout)
+	is.Equal(out["outcome"], "unknown")
+}
--- a/control/apply_test.go
+++ b/control/apply_test.go
@@ -110,6 +110,7 @@
 // while there is no leader; and against one that fails although a leader is
 // elected in time.
 func TestNoLeader(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newFakeCluster(t, "c1", "c2")
 	c.elect("")
@@ -279,6 +280,7 @@
 // Guards against a version that goes back, and against a replica restored from a
 // snapshot that differs from one that applied the whole log.
 func TestSeededCommandsAndSnapshots(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		plain, err := machineRun(t, seed, false).Snapshot()
 		if err != nil {
@@ -316,6 +318,7 @@
 
 // Guards against a history without bound: old versions must go, the newest stay.
 func TestHistoryIsBounded(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newConfigSlice()
 	for i := range 150 {
--- a/control/hosts_test.go
+++ b/control/hosts_test.go
@@ -135,6 +135,7 @@
 // Guards against subscribers of a follower that the leader does not count, and
 // against a count that stays after a subscriber has gone.
 func TestInForceCountsSubscribersOfAllReplicas(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newFakeCluster(t, "c1", "c2", "c3")
 	ask(t, c.nodes["c1"].control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
--- a/control/reallog_test.go
+++ b/control/reallog_test.go
@@ -180,6 +180,7 @@
 // when leaders are cut off while several operators edit. Every accepted request
 // must be exactly one version of the history.
 func TestOperatorsAndLeaderLossOnTheRealLog(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newRealCluster(t, "c1", "c2", "c3")
 	results := make([]map[string]uint64, 3)
--- a/propagate/link_test.go
+++ b/propagate/link_test.go
@@ -153,6 +153,7 @@
 // Guards against a child that stays with a parent whose messages no longer arrive,
 // loses its world on the way to the next parent, or leaves a call unanswered.
 func TestOneWaySilenceOverLinks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	entry := newProcess(t, "e1", ParentOptions{Upstream: stuck{}})
 	control := newProcess(t, "c1", ParentOptions{})
@@ -190,3 +191,32 @@
 	<-ctx.Done()
 	return &wire.Reply{Outcome: wire.CallUnknown}
 }
+
+// Guards against an entry that is cut off from control and keeps its children
+// from the changes that control makes.
+func TestChildrenLeaveAnEntryThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var cutOff atomic.Bool
+	lost := newProcess(t, "c1", ParentOptions{Fresh: func() bool { return !cutOff.Load() }})
+	alive := newProcess(t, "c2", ParentOptions{})
+	entry := newProcess(t, "e1", ParentOptions{})
+	follow := func(name string, feeds *Parent, candidates ...Candidate) *Follower {
+		f := Follow(FollowOptions{Local: wire.Hello{Process: name}, Candidates: candidates, Feeds: feeds,
+			Dial: true, Client: link.NewHTTPClient(nil), Scheme: "ws"})
+		t.Cleanup(f.Stop)
+		return f
+	}
+	upper := follow("e1", entry.parent, lost.candidate(true))
+	agent := follow("a1", nil, entry.candidate(false), alive.candidate(true))
+	first := testWorld(1, 1, "a = 1\n")
+	lost.parent.Publish(first)
+	alive.parent.Publish(first)
+	eventually(t, "the agent follows the entry", func() bool { return agent.State().Parent == "e1" && agent.State().Index == 1 })
+	eventually(t, "the entry is fresh", upper.Fresh)
+	cutOff.Store(true)
+	alive.parent.Publish(testWorld(2, 2, "a = 2\n"))
+	eventually(t, "the agent has the change", func() bool { return agent.State().Index == 2 })
+	is.Equal(agent.State().Parent, "c2")
+	is.Equal(upper.State().Index, uint64(1))
+}
--- a/propagate/seeker.go
+++ b/propagate/seeker.go
@@ -252,6 +252,11 @@
 	if from != s.name() {
 		return step{send: []addressed{{to: from, message: &wire.Subscribe{Stop: true}}}}
 	}
+	if d.Stale && s.limit == freshLimit && len(s.ranked) > 1 {
+		// The parent has waited freshLimit already; waiting as long again would
+		// break the bound of 5 s on a change.
+		return s.advance(now)
+	}
 	if !d.Stale {
 		s.fresh = now
 		s.tried = 0
--- a/propagate/sim_test.go
+++ b/propagate/sim_test.go
@@ -480,6 +480,7 @@
 // never arrives, under lost, duplicated, late and reordered messages, restarts,
 // cut connections and one-way silence. The invariants are in seeker.take.
 func TestSeededFaults(t *testing.T) {
+	t.Parallel()
 	steps := 0
 	for seed := range seedCount() {
 		s := runSeed(seed, false)
--- a/propagate/tree.go
+++ b/propagate/tree.go
@@ -52,7 +52,9 @@
 }
 
 // publish takes a newer world and returns the frames that bring the subscribed
-// children to it. A world that is not newer changes nothing.
+// children to it. A digest follows each, so that the children of a parent that
+// has just started know at once whether it is fresh. A world that is not newer
+// changes nothing.
 func (t *tree[K]) publish(w *wire.World) []outgoing[K] {
 	if t.world != nil && w.Index <= t.world.Index {
 		return nil
@@ -68,7 +70,9 @@
 	clear(t.frames)
 	var out []outgoing[K]
 	for k, c := range t.children {
-		out = append(out, t.update(k, c)...)
+		if frames := t.update(k, c); len(frames) > 0 {
+			out = append(append(out, frames...), t.digestFor(k)...)
+		}
 	}
 	return out
 }
