--- a/control/apply_test.go
+++ b/control/apply_test.go
@@ -71,6 +71,9 @@
 	code, out = ask(t, follower, "POST", configURI(0, "r1", "abay"), text)
 	is.Equal(code, http.StatusOK)
 	is.Equal(out["version"], 1.0)
+	code, out = ask(t, follower, "POST", configURI(2, "r1", "abay"), text)
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
 	is.Equal(c.nodes["c1"].machine.World().ConfigVersion, uint64(2))
 }
 
--- a/propagate/link_test.go
+++ b/propagate/link_test.go
@@ -172,12 +172,19 @@
 	eventually(t, "the first parent delivers", func() bool { return agent.State().Index == 5 })
 	replies := make(chan *wire.Reply, 1)
 	go func() {
-		reply, _ := agent.Call(t.Context(), "any", nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*waitLimit)
+		defer cancel()
+		reply, _ := agent.Call(ctx, "any", nil)
 		replies <- reply
 	}()
 	silent.Store(true)
 	eventually(t, "the child moves", func() bool { return agent.State().Parent == "c1" })
-	is.Equal((<-replies).Outcome, wire.CallUnknown)
+	select {
+	case reply := <-replies:
+		is.Equal(reply.Outcome, wire.CallUnknown)
+	case <-time.After(waitLimit):
+		t.Fatal("the call is not answered")
+	}
 	is.Equal(agent.World().Index, uint64(5))
 	control.parent.Publish(testWorld(6, 3, "a = 3\n"))
 	eventually(t, "the second parent delivers", func() bool { return agent.World().Index == 6 })
--- a/propagate/seeker_test.go
+++ b/propagate/seeker_test.go
@@ -138,10 +138,11 @@
 	s.connected(epoch, "c")
 	var st step
 	at := epoch
-	for ; st.use == nil; at = at.Add(followTick) {
+	for ; st.use == nil && at.Sub(epoch) < 2*controlStay; at = at.Add(followTick) {
 		s.message(at, "c", &wire.Digest{})
 		st = s.tick(at)
 	}
+	is.True(st.use != nil)
 	is.Equal(st.use.Name, "a")
 	is.True(at.Sub(epoch) > controlStay)
 }
