--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -337,9 +337,6 @@
 
 func (n *Node) matchOf(id uint64) uint64 {
 	if id == n.cfg.ID {
-		if n.cfg.faults.ackUnsynced {
-			return n.log.last()
-		}
 		return n.synced
 	}
 	if p := n.lead.peers[id]; p != nil {
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -174,7 +174,6 @@
 	unconfirmedRead bool // answer reads without a quorum round
 	ignoreLease     bool // act on as leader without a quorum
 	voteInLease     bool // vote although a leader was heard
-	ackUnsynced     bool // count own entries before they are synced
 }
 
 // Defaults of Config. The lease is three quarters of the shortest election
--- a/storage/record.go
+++ b/storage/record.go
@@ -21,13 +21,22 @@
 	recordEnd      recordType = 4 // last record of a batch
 )
 
-// A record is a header of headerBytes and a payload. The header holds the length
-// of the payload (4 bytes), the number of the batch (8), the type (1), the
-// checksum of the payload (4) and the checksum of the header before it (4), all
-// little-endian. A batch is written and synced as a whole.
+// A record is a header of headerBytes and a payload. The header holds
+// recordMagic (1 byte), the length of the payload (4 bytes), the number of the
+// batch (8), the type (1), the checksum of the payload (4) and the checksum of
+// the header before it (4), all little-endian. A batch is written and synced as a
+// whole. It begins with recordMagic and ends with endPayload, neither of which is
+// zero, so its part of a written sector is all zeros only in a long payload.
 const (
-	headerBytes = 21
-	sectorBytes = 512 // smallest unit that a disk writes
+	headerBytes  = 22
+	lengthAt     = 1
+	batchAt      = 5
+	kindAt       = 13
+	payloadSumAt = 14
+	headerSumAt  = 18
+	sectorBytes  = 512 // smallest unit that a disk writes
+	recordMagic  = 0x4d
+	endPayload   = 0x45
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -40,28 +49,40 @@
 
 func appendRecord(b []byte, batch uint64, kind recordType, payload []byte) []byte {
 	var h [headerBytes]byte
-	binary.LittleEndian.PutUint32(h[0:], uint32(len(payload)))
-	binary.LittleEndian.PutUint64(h[4:], batch)
-	h[12] = byte(kind)
-	binary.LittleEndian.PutUint32(h[13:], crc32.Checksum(payload, castagnoli))
-	binary.LittleEndian.PutUint32(h[17:], crc32.Checksum(h[:17], castagnoli))
+	h[0] = recordMagic
+	binary.LittleEndian.PutUint32(h[lengthAt:], uint32(len(payload)))
+	binary.LittleEndian.PutUint64(h[batchAt:], batch)
+	h[kindAt] = byte(kind)
+	binary.LittleEndian.PutUint32(h[payloadSumAt:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(h[headerSumAt:], crc32.Checksum(h[:headerSumAt], castagnoli))
 	return append(append(b, h[:]...), payload...)
 }
 
-// readRecord returns the record at the begin of b and its size, or false.
+// validHeader reports whether b begins with an undamaged header.
+func validHeader(b []byte) bool {
+	return len(b) >= headerBytes && b[0] == recordMagic &&
+		crc32.Checksum(b[:headerSumAt], castagnoli) == binary.LittleEndian.Uint32(b[headerSumAt:])
+}
+
+// recordSize returns the size of the record whose valid header begins b.
+func recordSize(b []byte) int {
+	return headerBytes + int(binary.LittleEndian.Uint32(b[lengthAt:]))
+}
+
+// readRecord returns the record at the begin of b, or false.
 func readRecord(b []byte) (r record, size int, ok bool) {
-	if len(b) < headerBytes || crc32.Checksum(b[:17], castagnoli) != binary.LittleEndian.Uint32(b[17:]) {
+	if !validHeader(b) {
 		return r, 0, false
 	}
-	size = headerBytes + int(binary.LittleEndian.Uint32(b))
+	size = recordSize(b)
 	if len(b) < size {
 		return r, size, false
 	}
 	payload := b[headerBytes:size]
-	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[13:]) {
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[payloadSumAt:]) {
 		return r, size, false
 	}
-	r = record{batch: binary.LittleEndian.Uint64(b[4:]), kind: recordType(b[12]), payload: payload}
+	r = record{batch: binary.LittleEndian.Uint64(b[batchAt:]), kind: recordType(b[kindAt]), payload: payload}
 	return r, size, true
 }
 
@@ -98,42 +119,28 @@
 			return eris.Wrapf(ErrCorrupt, "%s: bad record at byte %d of batch %d, which was synced", name, at, batch)
 		}
 	}
-	if endsEarly(b[at:]) || zeroSector(b, begin, at) {
+	end := at + headerBytes
+	if validHeader(b[at:]) {
+		end = at + recordSize(b[at:])
+	}
+	if end > len(b) || zeroSector(b, begin, at, end) {
 		return nil
 	}
 	return eris.Wrapf(ErrCorrupt, "%s: bad record at byte %d of the last batch", name, at)
 }
 
-// endsEarly reports whether b is the begin of a record that goes on beyond the
-// end of the file.
-func endsEarly(b []byte) bool {
-	if len(b) < headerBytes {
-		return true
-	}
-	if crc32.Checksum(b[:17], castagnoli) != binary.LittleEndian.Uint32(b[17:]) {
-		return false
-	}
-	return headerBytes+int(binary.LittleEndian.Uint32(b)) > len(b)
-}
-
-// zeroSector reports whether a sector of the batch from offset begin on was not
-// written, seen from the bad record at offset at: all bytes of the batch in one
-// sector at or after it are zero.
-func zeroSector(b []byte, begin, at int) bool {
-	for from := max(begin, at/sectorBytes*sectorBytes); from < len(b); {
-		to := min(len(b), (from/sectorBytes+1)*sectorBytes)
-		if to-from >= minZeroRun && allZero(b[from:to]) {
+// zeroSector reports whether a sector that holds a part of the record in
+// [at, end) was not written: all bytes in it that belong to the batch, which
+// begins at offset begin, are zero.
+func zeroSector(b []byte, begin, at, end int) bool {
+	for from := at / sectorBytes * sectorBytes; from < end; from += sectorBytes {
+		if allZero(b[max(from, begin):min(from+sectorBytes, len(b))]) {
 			return true
 		}
-		from = to
 	}
 	return false
 }
 
-// minZeroRun is the shortest run of zeros that counts as an unwritten sector. A
-// shorter one may be a part of a valid header.
-const minZeroRun = 9
-
 func allZero(b []byte) bool {
 	for _, c := range b {
 		if c != 0 {
--- a/storage/store.go
+++ b/storage/store.go
@@ -239,7 +239,7 @@
 
 // end writes and syncs the batch.
 func (s *Store) end() error {
-	s.buffer = appendRecord(s.buffer, s.batch, recordEnd, nil)
+	s.buffer = appendRecord(s.buffer, s.batch, recordEnd, []byte{endPayload})
 	if _, err := s.file.Write(s.buffer); err != nil {
 		return eris.Wrap(err, "write")
 	}
