storage tests, forced new group, benchmarks, operator removals in the simulation

Storage: the log is cut at each byte of the last batch and each bit of the file is flipped; a cut drops only the unsynced batch, a flip is always an error.

--- /dev/null
+++ b/consensus/failover_test.go
@@ -0,0 +1,60 @@
+package consensus_test
+
+import (
+	"sort"
+	"testing"
+	"time"
+)
+
+// failover returns the simulated time from the loss of the leader to the first
+// write that its successor commits.
+func failover(seed uint64, hosts int) (time.Duration, string) {
+	s := newSim(seed, hosts)
+	s.startAll()
+	old := s.awaitLeader()
+	if s.failure != "" {
+		return 0, s.failure
+	}
+	s.run(s.now + time.Second + s.random(0, time.Second))
+	lost := s.now
+	old.crash(time.Hour)
+	var w *outcome
+	s.runUntil(30*time.Second, func() bool {
+		l := s.leader()
+		if l != nil && (w == nil || w.err != nil) {
+			w = s.write(l, 1)
+		}
+		return w != nil && w.done && w.err == nil
+	})
+	if w == nil || w.err != nil {
+		s.fail("no write is committed after the loss of the leader")
+	}
+	return s.now - lost, s.failure
+}
+
+// Guards against a group that stays without a leader: in simulated time, a write
+// is committed within 4 s of the loss of the leader, in all seeds.
+func TestFailover(t *testing.T) {
+	for seed := range uint64(20) {
+		took, failure := failover(seed, 3+2*int(seed%2))
+		if failure != "" || took > 4*time.Second {
+			t.Fatalf("seed %d: %v %s", seed, took, failure)
+		}
+	}
+}
+
+// BenchmarkFailover reports the distribution over seeds, in simulated time.
+func BenchmarkFailover(b *testing.B) {
+	var took []time.Duration
+	for b.Loop() {
+		d, failure := failover(uint64(len(took)), 3)
+		if failure != "" {
+			b.Fatal(failure)
+		}
+		took = append(took, d)
+	}
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "median-ms")
+	b.ReportMetric(float64(took[len(took)*99/100].Milliseconds()), "p99-ms")
+	b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max-ms")
+}
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -40,17 +40,16 @@
 }
 
 type host struct {
-	sim    *sim
-	index  int
-	name   string
-	disk   *simDisk
-	core   *replica.Core
-	kv     *kvMachine
-	boot   time.Duration
-	rate   float64 // of its clock
-	life   int     // incarnation
-	busy   time.Duration
-	tickAt bool
+	sim   *sim
+	index int
+	name  string
+	disk  *simDisk
+	core  *replica.Core
+	kv    *kvMachine
+	boot  time.Duration
+	rate  float64 // of its clock
+	life  int     // incarnation
+	busy  time.Duration
 }
 
 // faultSkipSync is planted in the disks: syncs report success and do nothing.
--- a/consensus/simfault_test.go
+++ b/consensus/simfault_test.go
@@ -47,6 +47,7 @@
 		s.after(s.random(0, 4*time.Second), func() { s.loss, s.jitter = 0, 3*time.Millisecond })
 	}},
 	{"lost disk", (*sim).loseDisk},
+	{"member removed by the operator", (*sim).removeMember},
 }
 
 // injectFaults does something bad at random moments until the given time, and
@@ -122,6 +123,26 @@
 	h.kill(s.random(10*time.Millisecond, 2*time.Second))
 }
 
+// removeMember removes a host as an operator does, who then empties its folder.
+// The host comes back as a learner.
+func (s *sim) removeMember(h *host) {
+	l := s.leader()
+	if l == nil || h.core == nil || !s.whole() {
+		return
+	}
+	disk := h.disk
+	l.do(func(now time.Duration) {
+		member := consensus.Member{ID: h.core.Status().ID}
+		l.core.Change(now, consensus.Remove, member, func(_ any, _ uint64, err error) {
+			if err == nil && h.disk == disk {
+				s.counts["member removed"]++
+				h.newDisk()
+				s.after(0, func() { h.kill(s.random(10*time.Millisecond, time.Second)) })
+			}
+		})
+	})
+}
+
 // whole reports whether all hosts are up and voters in the view of all.
 func (s *sim) whole() bool {
 	for _, h := range s.hosts {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -42,6 +42,9 @@
 	Send     func(peer string, m wire.Message) error
 	Observer *observe.Observer
 	System   *duty.System
+	// OnStatus, when set, is called by the duty after the role, term, leader,
+	// readiness or membership has changed. It must not block.
+	OnStatus func(Status)
 
 	// Config overrides timing and limits; its ID, Name, Peers and Rand are set by
 	// Start.
@@ -191,11 +194,16 @@
 	if old == nil {
 		return
 	}
-	if old.Role != next.Role || old.Term != next.Term || old.LeaderID != next.LeaderID {
+	moved := old.Role != next.Role || old.Term != next.Term || old.LeaderID != next.LeaderID
+	regrouped := old.MemberIndex != next.MemberIndex || len(old.Members) != len(next.Members)
+	if moved {
 		r.log.Infof("replica: %s in term %d, leader %q", next.Role, next.Term, next.Leader)
 	}
-	if len(old.Members) != len(next.Members) {
-		r.log.Infof("replica: the group has %d members: %+v", len(next.Members), next.Members)
+	if regrouped {
+		r.log.Infof("replica: members are %+v from entry %d on", next.Members, next.MemberIndex)
+	}
+	if r.options.OnStatus != nil && (moved || regrouped || old.Ready != next.Ready) {
+		r.options.OnStatus(next)
 	}
 }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,7 +13,9 @@
 	"github.com/matryer/is"
 
 	"merlinhall/duty"
+	"merlinhall/link"
 	"merlinhall/observe"
+	"merlinhall/storage"
 	"merlinhall/wire"
 )
 
@@ -60,9 +64,14 @@
 }
 
 func newCluster(t testing.TB, names ...string) *cluster {
+	return newClusterEvery(t, 64, names...)
+}
+
+// newClusterEvery starts a cluster that takes a snapshot each so many entries.
+func newClusterEvery(t testing.TB, every uint64, names ...string) *cluster {
 	c := &cluster{
 		t: t, names: names, dirs: map[string]string{}, replicas: map[string]*Replica{},
-		journals: map[string]*journal{}, cut: map[string]bool{}, every: 64,
+		journals: map[string]*journal{}, cut: map[string]bool{}, every: every,
 	}
 	for _, name := range names {
 		c.dirs[name] = t.TempDir()
@@ -252,3 +261,104 @@
 	})
 	is.True(err != nil)
 }
+
+// Guards against a recovery that loses committed entries, that runs beside a
+// live replica or without confirmation, and against emptied replicas that do not
+// join the new group.
+func TestForceNewGroup(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	for i := range 100 {
+		c.propose(fmt.Sprint(i))
+	}
+	term := c.leader().Status().Term
+	log := observe.New("error").Logger("replica")
+	_, err := ForceNewGroup(storage.Dir(c.dirs["b"]), "b", Position{}, log)
+	is.True(errors.Is(err, storage.ErrLocked))
+	for _, name := range c.names {
+		c.stop(name)
+	}
+	_, err = ForceNewGroup(storage.Dir(t.TempDir()), "b", Position{}, log)
+	is.True(errors.Is(err, ErrNoGroup))
+	_, err = ForceNewGroup(storage.Dir(c.dirs["b"]), "b", Position{}, log)
+	is.True(errors.Is(err, ErrNotConfirmed))
+	survivor, best := "", Position{}
+	for _, name := range c.names {
+		info, err := Inspect(storage.Dir(c.dirs[name]))
+		is.NoErr(err)
+		if best.Less(info.Last) {
+			survivor, best = name, info.Last
+		}
+	}
+	info, err := ForceNewGroup(storage.Dir(c.dirs[survivor]), survivor, best, log)
+	is.NoErr(err)
+	is.Equal(len(info.Members), 1)
+	is.True(info.State.Term > term)
+	for _, name := range c.names {
+		if name != survivor {
+			c.dirs[name] = t.TempDir()
+		}
+		c.start(name)
+	}
+	c.propose("after")
+	list := c.journals[survivor].list()
+	seen := map[string]bool{}
+	for _, command := range list {
+		seen[command] = true
+	}
+	is.Equal(len(seen), 101)
+	c.eventually("three voters", func() bool {
+		members := c.leader().Status().Members
+		for _, m := range members {
+			if m.Learner {
+				return false
+			}
+		}
+		return len(members) == 3
+	})
+}
+
+// Guards against replicas that do not find each other over real links, and
+// against a leader whose start and end are not reported.
+func TestOverLinks(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b", "c"}
+	muxes, urls := map[string]*link.Mux{}, map[string]string{}
+	hello := func(name string) wire.Hello {
+		return wire.Hello{Process: name, Roles: []wire.Role{wire.RoleControl}}
+	}
+	var led sync.Map
+	replicas := map[string]*Replica{}
+	for i, name := range names {
+		others := append(append([]string(nil), names[:i]...), names[i+1:]...)
+		r, err := Start(Options{
+			Name: name, Peers: others, DataDir: t.TempDir(), Machine: &journal{},
+			Observer: observe.New("error"), System: duty.NewSystem(),
+			OnStatus: func(s Status) {
+				if s.Ready {
+					led.Store(s.Name, true)
+				}
+			},
+		})
+		is.NoErr(err)
+		defer r.Stop()
+		replicas[name], muxes[name] = r, &link.Mux{}
+		muxes[name].Handle(r, wire.KindConsensus)
+		srv := httptest.NewServer(link.Accept(hello(name), muxes[name]))
+		defer srv.CloseClientConnections()
+		urls[name] = strings.TrimPrefix(srv.URL, "http://")
+	}
+	for _, from := range names {
+		for _, to := range names {
+			if from != to {
+				d := link.Keep(link.NewHTTPClient(nil), "ws", urls[to], hello(from), muxes[from])
+				defer d.Stop()
+			}
+		}
+	}
+	c := &cluster{t: t, replicas: replicas, cut: map[string]bool{}}
+	c.propose("over links")
+	_, ok := led.Load(c.leader().Status().Name)
+	is.True(ok)
+	is.NoErr(c.leader().ready())
+}
--- /dev/null
+++ b/storage/store_test.go
@@ -0,0 +1,243 @@
+package storage
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"merlinhall/consensus"
+)
+
+func fixedID() uint64 { return 77 }
+
+// faultyDir injects errors into a real folder.
+type faultyDir struct {
+	Dir
+	syncErr, writeErr error
+	syncs             int
+}
+
+type faultyFile struct {
+	File
+	dir *faultyDir
+}
+
+func (d *faultyDir) Create(name string) (File, error) {
+	f, err := d.Dir.Create(name)
+	return &faultyFile{f, d}, err
+}
+
+func (f *faultyFile) Write(p []byte) (int, error) {
+	if f.dir.writeErr != nil {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, f.dir.writeErr
+	}
+	return f.File.Write(p)
+}
+
+func (f *faultyFile) Sync() error {
+	f.dir.syncs++
+	if f.dir.syncErr != nil {
+		return f.dir.syncErr
+	}
+	return f.File.Sync()
+}
+
+func entry(index, term uint64, data string) consensus.Entry {
+	return consensus.Entry{Index: index, Term: term, Kind: consensus.EntryCommand, Data: []byte(data)}
+}
+
+// fill saves five batches of two entries each and returns the log file.
+func fill(t *testing.T, dir string) (path string) {
+	is := is.New(t)
+	s, _, err := Open(Dir(dir), fixedID)
+	is.NoErr(err)
+	defer s.Close()
+	is.NoErr(s.Save(&consensus.Output{Group: 5, State: &consensus.HardState{Term: 2, Vote: 77}}))
+	for i := uint64(1); i <= 10; i += 2 {
+		data := strings.Repeat("x", int(i)*40)
+		is.NoErr(s.Save(&consensus.Output{Append: []consensus.Entry{entry(i, 2, data), entry(i+1, 2, data)}}))
+	}
+	is.Equal(s.Durable(), consensus.Durable{Group: 5, State: consensus.HardState{Term: 2, Vote: 77}, Last: 10})
+	return filepath.Join(dir, logName(s.generation))
+}
+
+// Guards against a log that changes when it is read back: order, overwritten
+// entries, term, vote, identity, snapshots.
+func TestReopen(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	fill(t, dir)
+	s, r, err := Open(Dir(dir), fixedID)
+	is.NoErr(err)
+	is.Equal(r.Group, uint64(5))
+	is.Equal(r.State, consensus.HardState{Term: 2, Vote: 77})
+	is.Equal(len(r.Entries), 10)
+	is.NoErr(s.Save(&consensus.Output{Append: []consensus.Entry{entry(4, 3, "new")}}))
+	members := []consensus.Member{{ID: 77, Name: "a"}}
+	is.NoErr(s.Save(&consensus.Output{Compacted: &consensus.Compaction{
+		Snapshot: consensus.Snapshot{Index: 3, Term: 2, Members: members, Data: []byte("state")},
+		Base:     consensus.Base{Index: 2, Term: 2, Members: members},
+		Entries:  []consensus.Entry{r.Entries[2], entry(4, 3, "new")},
+	}, Append: []consensus.Entry{entry(5, 3, "five")}}))
+	s.Close()
+	s, r, err = Open(Dir(dir), fixedID)
+	is.NoErr(err)
+	is.Equal(r.Base, consensus.Base{Index: 2, Term: 2, Members: members})
+	is.Equal(string(r.Snapshot.Data), "state")
+	is.Equal(len(r.Entries), 3)
+	is.Equal(r.Entries[1], entry(4, 3, "new"))
+	is.Equal(s.Durable().Last, uint64(5))
+	is.NoErr(s.Save(&consensus.Output{Install: &consensus.Snapshot{Index: 9, Term: 4, Members: members, Data: []byte("later")}}))
+	s.Close()
+	s, r, err = Open(Dir(dir), fixedID)
+	is.NoErr(err)
+	defer s.Close()
+	is.Equal(len(r.Entries), 0)
+	is.Equal(r.Base.Index, uint64(9))
+	is.Equal(string(r.Snapshot.Data), "later")
+	names, _ := Dir(dir).List()
+	is.Equal(len(names), 3) // lock, log, snapshot
+}
+
+// Guards against a torn last write that stops the replica or damages what was
+// synced before it: cut at each byte, and with unwritten sectors that read zero.
+func TestTornTail(t *testing.T) {
+	is := is.New(t)
+	path := fill(t, t.TempDir())
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	begin := lastBatch(t, whole)
+	for cut := begin; cut < len(whole); cut++ {
+		records, err := parse("log", whole[:cut])
+		is.NoErr(err)
+		is.Equal(entries(records), 8)
+	}
+	for sector := begin / sectorBytes * sectorBytes; sector < len(whole); sector += sectorBytes {
+		torn := append([]byte(nil), whole...)
+		clear(torn[max(sector, begin):min(sector+sectorBytes, len(whole))])
+		records, err := parse("log", torn)
+		is.NoErr(err)
+		is.Equal(entries(records), 8)
+	}
+}
+
+// Guards against damage that is taken for a torn write, which would drop
+// acknowledged entries without a word: each bit of the file is flipped.
+func TestFlippedBit(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	path := fill(t, dir)
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	for i := range whole {
+		for bit := range 8 {
+			whole[i] ^= 1 << bit
+			_, err := parse("log", whole)
+			if !errors.Is(err, ErrCorrupt) {
+				t.Fatalf("bit %d of byte %d flipped: %v", bit, i, err)
+			}
+			whole[i] ^= 1 << bit
+		}
+	}
+	whole[len(whole)/2] ^= 1
+	is.NoErr(os.WriteFile(path, whole, fileMode))
+	_, _, err = Open(Dir(dir), fixedID)
+	is.True(errors.Is(err, ErrCorrupt))
+	is.True(strings.Contains(err.Error(), "bad record at byte"))
+}
+
+// Guards against a damaged or missing snapshot that is replaced by an empty state.
+func TestDamagedSnapshot(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	s, _, err := Open(Dir(dir), fixedID)
+	is.NoErr(err)
+	is.NoErr(s.Save(&consensus.Output{Install: &consensus.Snapshot{Index: 9, Term: 4, Data: []byte("later")}}))
+	s.Close()
+	path := filepath.Join(dir, snapshotName(9))
+	b, err := os.ReadFile(path)
+	is.NoErr(err)
+	b[len(b)-1] ^= 4
+	is.NoErr(os.WriteFile(path, b, fileMode))
+	_, _, err = Open(Dir(dir), fixedID)
+	is.True(errors.Is(err, ErrCorrupt))
+	is.NoErr(os.Remove(path))
+	_, _, err = Open(Dir(dir), fixedID)
+	is.True(errors.Is(err, ErrCorrupt))
+}
+
+// Guards against a sync that is tried again after it failed, and against a full
+// disk that is forgotten: the kernel may report the next sync as done although
+// the data is gone.
+func TestFailureIsForGood(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		syncErr, writeErr error
+	}{{"failed sync", syscall.EIO, nil}, {"full disk", nil, syscall.ENOSPC}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			fs := &faultyDir{Dir: Dir(t.TempDir())}
+			s, _, err := Open(fs, fixedID)
+			is.NoErr(err)
+			is.NoErr(s.Save(&consensus.Output{Append: []consensus.Entry{entry(1, 1, "a")}}))
+			fs.syncErr, fs.writeErr = c.syncErr, c.writeErr
+			is.True(errors.Is(s.Save(&consensus.Output{Append: []consensus.Entry{entry(2, 1, "b")}}), ErrFailed))
+			is.Equal(s.Durable().Last, uint64(1))
+			fs.syncErr, fs.writeErr = nil, nil
+			syncs := fs.syncs
+			is.True(errors.Is(s.Save(&consensus.Output{Append: []consensus.Entry{entry(2, 1, "b")}}), ErrFailed))
+			is.Equal(fs.syncs, syncs)
+			s.Close()
+			s, r, err := Open(fs, fixedID)
+			is.NoErr(err)
+			defer s.Close()
+			is.True(len(r.Entries) >= 1)
+			is.Equal(r.Entries[0], entry(1, 1, "a"))
+		})
+	}
+}
+
+// Guards against two processes that write the same folder.
+func TestLock(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	s, _, err := Open(Dir(dir), fixedID)
+	is.NoErr(err)
+	_, _, err = Open(Dir(dir), fixedID)
+	is.True(errors.Is(err, ErrLocked))
+	s.Close()
+	s, _, err = Open(Dir(dir), fixedID)
+	is.NoErr(err)
+	s.Close()
+}
+
+func lastBatch(t *testing.T, b []byte) int {
+	begin, at := 0, 0
+	for at < len(b) {
+		r, size, ok := readRecord(b[at:])
+		if !ok {
+			t.Fatalf("bad record at %d", at)
+		}
+		at += size
+		if r.kind == recordEnd && at < len(b) {
+			begin = at
+		}
+	}
+	return begin
+}
+
+func entries(records []record) int {
+	n := 0
+	for _, r := range records {
+		if r.kind == recordEntry {
+			n++
+		}
+	}
+	return n
+}
