--- a/consensus/failover_test.go
+++ b/consensus/failover_test.go
@@ -35,6 +35,7 @@
 // Guards against a group that stays without a leader: in simulated time, a write
 // is committed within 4 s of the loss of the leader, in all seeds.
 func TestFailover(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		took, failure := failover(seed, 3+2*int(seed%2))
 		if failure != "" || took > 4*time.Second {
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -83,6 +83,20 @@
 	return l.base.Members, l.base.Index
 }
 
+// keepFrom returns the index after which entries are kept when at most keep
+// entries of together at most limit bytes are to stay before index.
+func (l *memoryLog) keepFrom(index, keep uint64, limit int) uint64 {
+	from, size := index, 0
+	for from > l.base.Index && index-from < keep {
+		size += len(l.at(from).Data) + entryOverhead
+		if size > limit {
+			break
+		}
+		from--
+	}
+	return from
+}
+
 // compact drops the entries up to index, which must be covered by the snapshot.
 func (l *memoryLog) compact(index uint64) {
 	if index <= l.base.Index {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -41,11 +41,12 @@
 }
 
 // Compact hands over a snapshot of the state machine after Index. The log keeps
-// Keep entries before it for slow followers.
+// up to Keep entries and KeepBytes bytes before it for slow followers.
 type Compact struct {
-	Index uint64
-	Data  []byte
-	Keep  uint64
+	Index     uint64
+	Data      []byte
+	Keep      uint64
+	KeepBytes int
 }
 
 // Accepted tells at which position a proposal was appended. Whether it commits
@@ -258,9 +259,7 @@
 	duty.Invariant(ok, "snapshot at %d, which is not in the log", in.Index)
 	members, _ := n.log.membersAt(in.Index)
 	n.log.snapshot = Snapshot{Index: in.Index, Term: term, Members: members, Data: in.Data}
-	if in.Index > in.Keep {
-		n.log.compact(in.Index - in.Keep)
-	}
+	n.log.compact(n.log.keepFrom(in.Index, in.Keep, in.KeepBytes))
 	n.out.Compacted = &Compaction{
 		Snapshot: n.log.snapshot,
 		Base:     n.log.base,
--- a/replica/core.go
+++ b/replica/core.go
@@ -57,10 +57,14 @@
 
 // Defaults of CoreOptions. A snapshot each 4,096 entries bounds the log that is
 // read after a restart; a follower that misses fewer than 1,024 entries needs no
-// snapshot.
+// snapshot. Retained entries are in memory, so large commands, such as
+// configurations, bring a snapshot earlier and are kept for followers in smaller
+// number.
 const (
 	defaultSnapshotEvery = 4096
 	defaultSnapshotKeep  = 1024
+	snapshotBytes        = 32 << 20
+	snapshotKeepBytes    = 8 << 20
 )
 
 // ProposeDone receives the outcome of a proposal.
@@ -82,6 +86,7 @@
 	store     *storage.Store
 	applied   uint64
 	snapshot  uint64
+	unsaved   int // bytes of commands applied since the snapshot
 	nextKey   uint64
 	accepting map[uint64]ProposeDone // by key, not yet accepted or refused
 	proposals map[uint64]proposal    // by index, not yet applied
@@ -251,6 +256,7 @@
 			result = c.options.Machine.Apply(e.Index, e.Term, e.Data)
 		}
 		c.applied = e.Index
+		c.unsaved += len(e.Data)
 		c.answer(e, result)
 	}
 }
@@ -285,10 +291,12 @@
 	}
 	c.applied = s.Index
 	c.snapshot = s.Index
+	c.unsaved = 0
 }
 
 func (c *Core) maybeSnapshot(now time.Duration) {
-	if c.failed != nil || c.applied < c.snapshot+c.options.SnapshotEvery {
+	due := c.applied >= c.snapshot+c.options.SnapshotEvery || c.unsaved >= snapshotBytes
+	if c.failed != nil || !due || c.applied == c.snapshot {
 		return
 	}
 	data, err := c.options.Machine.Snapshot()
@@ -297,7 +305,11 @@
 		return
 	}
 	c.snapshot = c.applied
-	c.step(now, consensus.Compact{Index: c.applied, Data: data, Keep: c.options.SnapshotKeep})
+	c.unsaved = 0
+	c.step(now, consensus.Compact{
+		Index: c.applied, Data: data,
+		Keep: c.options.SnapshotKeep, KeepBytes: snapshotKeepBytes,
+	})
 }
 
 // fail stops the replica for good. Entries that were handed to the disk may
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -169,6 +169,7 @@
 // Guards against commands that are lost, reordered or applied differently on a
 // follower, and against a replica that does not recover its log and snapshot.
 func TestCommitAndRestart(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, "a", "b", "c")
 	for i := range 200 {
@@ -197,6 +198,7 @@
 // Guards against a leader that answers a read, or reports a proposal as refused
 // or done, while it cannot reach a quorum.
 func TestIsolatedLeader(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, "a", "b", "c")
 	c.propose("first")
@@ -219,6 +221,7 @@
 // Guards against a replica that lost its disk and votes under its former id, or
 // never becomes a voter again.
 func TestLostDiskIsRepaired(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, "a", "b", "c")
 	for i := range 300 {
@@ -252,6 +255,7 @@
 
 // Guards against a second replica on the same data folder.
 func TestDataFolderIsLocked(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, "a")
 	c.propose("x")
@@ -266,6 +270,7 @@
 // live replica or without confirmation, and against emptied replicas that do not
 // join the new group.
 func TestForceNewGroup(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, "a", "b", "c")
 	for i := range 100 {
@@ -321,6 +326,7 @@
 // Guards against replicas that do not find each other over real links, and
 // against a leader whose start and end are not reported.
 func TestOverLinks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	names := []string{"a", "b", "c"}
 	muxes, urls := map[string]*link.Mux{}, map[string]string{}
