--- a/agent/agent.go
+++ b/agent/agent.go
@@ -333,9 +333,13 @@
 		}
 	}
 	a.carry(a.table.Produced(now(), m.id, m.chunk))
-	if m.chunk.End != "" {
-		delete(a.runs, m.id)
-		a.checkDrained()
+	if m.chunk.End == "" {
+		return
+	}
+	delete(a.runs, m.id)
+	a.checkDrained()
+	if m.chunk.End == wire.EndNotRun {
+		a.pollState(gateAction{}) // the target may be down
 	}
 }
 
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -152,7 +153,7 @@
 
 	next     int // index of the next token
 	previous uint64
-	any      bool
+	any      atomic.Bool // a token has come; also read by the idle watch
 	event    tokenEvent
 }
 
@@ -163,7 +164,7 @@
 		return true
 	}
 	state, err := e.t.state(e.ctx, 0)
-	return err == nil && (state.Swapping || !e.any && state.Queued > 0)
+	return err == nil && (state.Swapping || !e.any.Load() && state.Queued > 0)
 }
 
 // relay passes on tokens until the engine marks the end. Tokens that have arrived
@@ -223,16 +224,16 @@
 
 func (e *engineRun) attribute() error {
 	version := e.event.Version
-	if !e.t.witness.known(version) || e.any && e.previous != version {
+	if !e.t.witness.known(version) || e.any.Load() && e.previous != version {
 		e.watch.pause()
-		ok := e.t.witness.attribute(e.ctx, version, e.previous, e.any)
+		ok := e.t.witness.attribute(e.ctx, version, e.previous, e.any.Load())
 		e.watch.heard()
 		if !ok {
 			return errUnattributed
 		}
 	}
 	e.previous = version
-	e.any = true
+	e.any.Store(true)
 	e.next++
 	return nil
 }
--- /dev/null
+++ b/agent/failure_test.go
@@ -0,0 +1,451 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/link"
+	"merlinhall/standin"
+	"merlinhall/wire"
+)
+
+// Guards against a call that is reported as not run although the target may have
+// received it, and the reverse.
+func TestEndsAreExact(t *testing.T) {
+	is := is.New(t)
+	service := standin.NewService(standin.ServiceOptions{})
+	s := startSite(t, KindService, service, nil)
+	s.world("5s", 0)
+	c := s.dial()
+	end := func(id string, fault standin.FaultKind) (wire.End, int) {
+		if fault != "" {
+			service.Inject(standin.Fault{Kind: fault})
+		}
+		c.send(call(id, "POST", "/pay?bytes=50000", ""))
+		got := c.answer(id)
+		return got[len(got)-1].End, service.Record().Runs["call-"+id]
+	}
+	got, runs := end("ok", "")
+	is.Equal(got, wire.EndComplete)
+	is.Equal(runs, 1)
+	got, runs = end("crash", standin.FaultCrash)
+	is.Equal(got, wire.EndBroken)
+	is.Equal(runs, 1)
+	s.target.CloseClientConnections()
+	s.target.Close()
+	got, runs = end("refused", "")
+	is.Equal(got, wire.EndNotRun)
+	is.Equal(runs, 0)
+}
+
+// Guards against a silent connection that holds a call until its deadline, or is
+// taken for healthy because a new connection works.
+func TestSilentTargetConnection(t *testing.T) {
+	is := is.New(t)
+	service := standin.NewService(standin.ServiceOptions{})
+	s := startSite(t, KindService, service, nil)
+	s.world("100ms", 0)
+	c := s.dial()
+	service.Inject(standin.Fault{Kind: standin.FaultSilent})
+	c.send(call("c1", "POST", "/pay", ""))
+	got := c.answer("c1")
+	is.Equal(got[len(got)-1].End, wire.EndUnknown) // it ran; nobody may say that it did not
+	is.Equal(service.Record().Runs["call-c1"], 1)
+	c.until("suspect report", func() bool {
+		return slices.ContainsFunc(c.loads, func(l *wire.Load) bool { return l.Suspect })
+	})
+	c.until("report of the successful probe", func() bool { return !c.loads[len(c.loads)-1].Suspect })
+}
+
+// Guards against an engine stream that breaks off or goes silent and is presented
+// as complete.
+func TestBrokenGeneration(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1})
+	s := startSite(t, KindEngine, engine, nil)
+	s.world("150ms", 0)
+	c := s.dial()
+	whole := standin.Answer("p", 0, 100)
+	for _, fault := range []standin.FaultKind{standin.FaultCrash, standin.FaultSilent} {
+		engine.Inject(standin.Fault{Kind: fault, After: 10})
+		c.send(generation(string(fault), "p", 100))
+		got := c.answer(string(fault))
+		is.Equal(got[len(got)-1].End, wire.EndBroken)
+		part := tokens(got)
+		is.Equal(part, whole[:len(part)])
+		resume := generation(string(fault)+"-resumed", "p", 100)
+		resume.Generation.Prefix = part
+		c.send(resume)
+		rest := c.answer(resume.ID)
+		is.Equal(rest[len(rest)-1].End, wire.EndComplete)
+		is.Equal(append(part, tokens(rest)...), whole)
+	}
+}
+
+// Guards against an answer without length that was cut off and is presented as
+// complete.
+func TestAnswerWithoutLengthIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, KindService, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = conn.Write([]byte("HTTP/1.0 200 OK\r\n\r\nhalf of it"))
+		_ = conn.Close()
+	}), nil)
+	s.world("5s", 0)
+	c := s.dial()
+	c.send(call("c1", "GET", "/", ""))
+	got := c.answer("c1")
+	is.Equal(got[len(got)-1].End, wire.EndBroken)
+}
+
+// lazyServer answers the first request of each connection, and reads the second
+// and closes the connection. It counts the requests read.
+func lazyServer(t *testing.T) (string, *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				requests.Add(1)
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+				if _, err := http.ReadRequest(in); err == nil {
+					requests.Add(1)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), &requests
+}
+
+// Guards against net/http, which repeats a request by itself on a reused
+// connection. The second half shows that it does so without the agent's transport.
+func TestNoRequestIsRepeatedSilently(t *testing.T) {
+	is := is.New(t)
+	send := func(transport http.RoundTripper) int64 {
+		addr, requests := lazyServer(t)
+		for i := range 3 {
+			st := &serviceTarget{address: addr, transport: transport, idle: func() time.Duration { return time.Minute }, silent: func() {}}
+			r := call(fmt.Sprint(i), "POST", "/pay", "")
+			// With this header net/http takes any request as repeatable.
+			r.Headers = append(r.Headers, wire.Header{Name: "Idempotency-Key", Value: "k"})
+			st.run(context.Background(), r, newSink(r.ID, func(any) bool { return true }))
+		}
+		return requests.Load()
+	}
+	is.Equal(send(newTransport()), int64(3))
+	reusing := newTransport()
+	reusing.DisableKeepAlives = false
+	eventually(t, "repeated request on a reused connection", func() bool { return send(reusing) > 3 })
+}
+
+// Guards against a generation that waits for a slot of a busy engine and is taken
+// for silent.
+func TestQueuedGenerationIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1, Slots: 1, TokenPeriod: 2 * time.Millisecond})
+	s := startSite(t, KindEngine, engine, nil)
+	s.world("60ms", 0)
+	c := s.dial()
+	prompt := longPrompt(200)
+	c.send(generation("g1", prompt, 200))
+	c.send(generation("g2", prompt, 200))
+	for _, id := range []string{"g1", "g2"} {
+		got := c.answer(id)
+		is.Equal(got[len(got)-1].End, wire.EndComplete)
+	}
+}
+
+// Guards against a cancelled generation that goes on in the engine.
+func TestCancelReachesEngine(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1, TokenPeriod: 5 * time.Millisecond})
+	s := startSite(t, KindEngine, engine, nil)
+	s.world("5s", 0)
+	c := s.dial()
+	prompt := longPrompt(2000)
+	c.send(generation("g1", prompt, 0))
+	c.until("first token", func() bool { return len(c.chunks["g1"]) > 0 })
+	c.send(&wire.Cancel{ID: "g1"})
+	eventually(t, "cancellation in the engine", func() bool {
+		r := engine.Record().Requests
+		return len(r) == 1 && r[0].Cancelled
+	})
+	eventually(t, "free slot", func() bool { return engine.State(0).Running == 0 })
+	c.send(generation("g1", prompt, 0)) // the id stays used
+	c.send(generation("g2", "p", 5))
+	c.answer("g2")
+	is.Equal(len(engine.Record().Requests), 2)
+}
+
+// longPrompt returns a prompt whose answer has at least n tokens.
+func longPrompt(n int) string {
+	for i := 0; ; i++ {
+		if p := fmt.Sprintf("long %d", i); standin.Length(p, 0, 0) >= n {
+			return p
+		}
+	}
+}
+
+// Guards against a lost link that ends a run or loses part of its answer.
+func TestLostLinkLosesNothing(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1, TokenPeriod: 2 * time.Millisecond})
+	s := startSite(t, KindEngine, engine, nil)
+	s.world("5s", 0)
+	c := s.dial()
+	c.send(generation("g1", "p", 150))
+	c.until("some chunks", func() bool { return len(c.chunks["g1"]) > 3 })
+	c.conn.Close(link.ErrClosed)
+	c.mu.Lock()
+	first := slices.Clone(c.chunks["g1"])
+	c.mu.Unlock()
+	d := s.dial()
+	from := first[len(first)-1].Sequence + 1
+	d.send(&wire.Attach{ID: "g1", From: from, Credit: Window})
+	rest := d.answer("g1")
+	is.Equal(rest[0].Sequence, from)
+	is.Equal(tokens(append(first, rest...)), standin.Answer("p", 0, 150))
+	is.Equal(len(engine.Record().Requests), 1)
+}
+
+// Guards against an entry that does not read and makes the agent buffer without
+// bound: the agent stops reading from the target.
+func TestBufferIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, KindService, standin.NewService(standin.ServiceOptions{}), nil)
+	s.world("5s", 0)
+	c := s.dial()
+	c.credit = 0
+	r := call("c1", "GET", "/?bytes=8000000", "")
+	r.Credit = 1
+	c.send(r)
+	eventually(t, "full window", func() bool { return s.agent.View().(view).Buffered == Window })
+	c.until("first chunk", func() bool { return len(c.chunks["c1"]) == 1 })
+	c.mu.Lock()
+	c.credit = Window
+	c.mu.Unlock()
+	c.send(&wire.Credit{ID: "c1", Confirmed: 1, Limit: Window})
+	is.Equal(data(c.answer("c1")), string(standin.Pattern(8_000_000)))
+}
+
+// Guards against a swap that breaks streams or misattributes their tokens.
+func TestSwapAttributesTokens(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1, TokenPeriod: time.Millisecond})
+	s := startSite(t, KindEngine, engine, nil)
+	s.world("5s", 0)
+	c := s.dial()
+	prompt := longPrompt(400)
+	c.send(generation("g1", prompt, 400))
+	c.until("first chunk", func() bool { return len(c.chunks["g1"]) > 0 })
+	s.world("5s", 2)
+	got := c.answer("g1")
+	is.Equal(got[len(got)-1].End, wire.EndComplete)
+	ranges := versionRanges(got)
+	is.Equal(len(ranges), 2)
+	is.Equal(ranges, engine.Record().Requests[0].Ranges)
+	is.Equal(tokens(got), standin.Answer(prompt, 0, 400))
+}
+
+func versionRanges(chunks []*wire.Chunk) []wire.VersionRange {
+	var out []wire.VersionRange
+	i := 0
+	for _, c := range chunks {
+		for _, t := range c.Tokens {
+			if n := len(out); n > 0 && out[n-1].Version == t.Version {
+				out[n-1].To = i + 1
+			} else {
+				out = append(out, wire.VersionRange{From: i, To: i + 1, Version: t.Version})
+			}
+			i++
+		}
+	}
+	return out
+}
+
+// Guards against a swap without answer that is taken for done or for failed: the
+// state read back decides, and no stream is presented whole with tokens in doubt.
+func TestSwapWithUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1, TokenPeriod: time.Millisecond})
+	s := startSite(t, KindEngine, engine, func(o *Options) { o.OrderLimit = 200 * time.Millisecond })
+	s.world("5s", 0)
+	c := s.dial()
+	engine.Inject(standin.Fault{Kind: standin.FaultSwapSilent})
+	c.send(generation("g1", longPrompt(400), 400))
+	c.until("first chunk", func() bool { return len(c.chunks["g1"]) > 0 })
+	s.world("5s", 2)
+	got := c.answer("g1")
+	if last := got[len(got)-1].End; last == wire.EndComplete {
+		is.Equal(versionRanges(got), engine.Record().Requests[0].Ranges)
+	} else {
+		is.Equal(last, wire.EndBroken)
+	}
+	c.until("report of version 2", func() bool { return c.loads[len(c.loads)-1].Version == 2 })
+	is.Equal(len(engine.Record().Orders), 1) // not ordered again
+}
+
+// Guards against a replica whose swap fails for good and is still used.
+func TestFailedSwapSetsTargetAside(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1})
+	s := startSite(t, KindEngine, engine, nil)
+	engine.Inject(standin.Fault{Kind: standin.FaultSwap, Count: orderAttempts})
+	s.world("5s", 2)
+	c := s.dial()
+	c.until("report of the target as down", func() bool { return len(c.loads) > 0 && c.loads[len(c.loads)-1].Down })
+	is.Equal(len(engine.Record().Orders), orderAttempts)
+	c.send(generation("g1", "p", 5))
+	c.until("refusal", func() bool { return c.refused["g1"] != nil })
+	is.Equal(c.refused["g1"].Reason, wire.RefusedTargetDown)
+	s.world("5s", 3)
+	c.until("report of version 3", func() bool {
+		last := c.loads[len(c.loads)-1]
+		return last.Version == 3 && !last.Down
+	})
+}
+
+// Guards against an agent that stops with work in flight or takes new work while
+// it leaves.
+func TestDrainFinishesWork(t *testing.T) {
+	is := is.New(t)
+	service := standin.NewService(standin.ServiceOptions{Work: 300 * time.Millisecond})
+	s := startSite(t, KindService, service, nil)
+	s.world("5s", 0)
+	c := s.dial()
+	c.send(call("c1", "POST", "/pay", ""))
+	eventually(t, "run", func() bool { return service.Record().Runs["call-c1"] == 1 })
+	drained := make(chan error, 1)
+	go func() { drained <- s.agent.Drain(context.Background()) }()
+	c.until("leaving report", func() bool { return c.loads[len(c.loads)-1].Leaving })
+	c.send(call("c2", "POST", "/pay", ""))
+	c.until("refusal", func() bool { return c.refused["c2"] != nil })
+	is.Equal(c.refused["c2"].Reason, wire.RefusedLeaving)
+	is.NoErr(<-drained)
+	got := c.answer("c1")
+	is.Equal(got[len(got)-1].End, wire.EndComplete)
+	is.Equal(service.Record().Runs["call-c2"], 0)
+}
+
+// Guards against requests routed by a configuration that has changed since, and
+// against an older world that replaces a newer one.
+func TestLastHopCheck(t *testing.T) {
+	is := is.New(t)
+	service := standin.NewService(standin.ServiceOptions{})
+	s := startSite(t, KindService, service, nil)
+	c := s.dial()
+	refusal := func(id string, version uint64, idempotent bool) wire.RefusedReason {
+		r := call(id, "POST", "/pay", "")
+		r.ConfigVersion = version
+		r.Idempotent = idempotent
+		c.send(r)
+		c.until("answer of "+id, func() bool { return c.refused[id] != nil || len(c.chunks[id]) > 0 })
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if f := c.refused[id]; f != nil {
+			return f.Reason
+		}
+		return ""
+	}
+	is.Equal(refusal("early", 1, false), wire.RefusedNotReady)
+	text := s.configText("5s")
+	give := func(index, version uint64, text string, departures ...wire.Departure) {
+		s.agent.OnWorld(&wire.World{Index: index, ConfigVersion: version, ConfigText: []byte(text), Departures: departures})
+	}
+	give(10, 7, text)
+	is.Equal(refusal("before restart", 6, false), wire.RefusedStale)
+	is.Equal(refusal("current", 7, false), wire.RefusedReason(""))
+	give(11, 8, text+"\n")
+	is.Equal(refusal("unchanged", 7, false), wire.RefusedReason(""))
+	calls := strings.Replace(text, "  [[service.target]]", "  [[service.call]]\n  method = \"POST\"\n  path_prefix = \"/pay\"\n  idempotent = true\n  [[service.target]]", 1)
+	give(12, 9, calls)
+	is.Equal(refusal("idempotency", 8, false), wire.RefusedStale)
+	is.Equal(refusal("same idempotency", 8, true), wire.RefusedReason(""))
+	give(13, 10, strings.Replace(text, "target-1", "renamed", 1))
+	is.Equal(refusal("removed", 10, false), wire.RefusedLeaving)
+	give(14, 11, text)
+	is.Equal(refusal("old route", 10, false), wire.RefusedStale)
+	give(13, 10, strings.Replace(text, "target-1", "renamed", 1)) // an older world
+	is.Equal(refusal("back", 11, false), wire.RefusedReason(""))
+	give(15, 11, text, wire.Departure{Target: "target-1"})
+	is.Equal(refusal("drained", 11, false), wire.RefusedLeaving)
+}
+
+// Guards against the loss of agreement between what entries were told and what the
+// target did, over real links that are lost while calls are repeated on others.
+func TestCallsOverFailingLinks(t *testing.T) {
+	service := standin.NewService(standin.ServiceOptions{Work: 2 * time.Millisecond})
+	s := startSite(t, KindService, service, nil)
+	s.world("5s", 0)
+	rng := rand.New(rand.NewPCG(11, 4))
+	final := s.dial()
+	const calls = 150
+	var lost sync.WaitGroup
+	for range 5 {
+		a, b := s.dial(), s.dial()
+		a.credit, b.credit = 0, 0
+		for range calls / 5 {
+			id := fmt.Sprint("c", rng.IntN(calls))
+			_ = a.conn.Send(call(id, "POST", "/pay?bytes=20000", ""))
+			if rng.IntN(3) == 0 {
+				_ = b.conn.Send(call(id, "POST", "/pay?bytes=20000", ""))
+			}
+			if rng.IntN(6) == 0 {
+				_ = b.conn.Send(&wire.Revoke{ID: id})
+			}
+		}
+		lost.Go(func() { a.conn.Close(link.ErrClosed) })
+	}
+	lost.Wait()
+	for i := range calls {
+		final.send(&wire.Attach{ID: fmt.Sprint("c", i), Credit: Window})
+	}
+	complete := 0
+	for i := range calls {
+		id := fmt.Sprint("c", i)
+		final.until("outcome of "+id, func() bool {
+			got := final.chunks[id]
+			return final.refused[id] != nil || len(got) > 0 && got[len(got)-1].End != ""
+		})
+		final.mu.Lock()
+		refused, got := final.refused[id] != nil, final.chunks[id]
+		final.mu.Unlock()
+		runs := service.Record().Runs["call-"+id]
+		switch {
+		case refused && runs != 0:
+			t.Fatalf("%s was refused as not run and ran", id)
+		case !refused && (runs != 1 || data(got) != string(standin.Pattern(20000))):
+			t.Fatalf("%s ran %d times, answer of %d bytes", id, runs, len(data(got)))
+		case !refused:
+			complete++
+		}
+	}
+	if complete < calls/4 {
+		t.Fatalf("only %d calls ran, too few to find a fault", complete)
+	}
+}
--- /dev/null
+++ b/agent/gate_test.go
@@ -0,0 +1,244 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/wire"
+)
+
+// simGate runs the gate of one engine that ignores fences, with restarts of the
+// agent, parents whose world lags, and orders that fail or whose outcome is unknown.
+// It returns a fault, or "".
+func simGate(seed uint64, noBarrier bool) string {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	committed := uint64(1) // the world at index i orders version i
+	seen := uint64(0)      // highest fence the engine received
+	served := uint64(0)
+	now := int64(0)
+	newGate := func() *gate { return &gate{noBarrier: noBarrier} }
+	deliver := func(g *gate, index uint64) {
+		g.takeWorld(index, wire.WeightTarget{Pool: "p", Version: index, Fence: wire.Fence{Term: 1, Sequence: index}}, true)
+	}
+	g := newGate()
+	act := func(calm bool) string {
+		a, ok := g.next(now)
+		if !ok {
+			return ""
+		}
+		good := calm || rng.IntN(4) > 0
+		switch a.op {
+		case gateBarrier:
+			g.barrierDone(now, a, committed, good)
+		case gateState:
+			g.stateRead(now, a, served, good)
+		case gateFetch:
+			g.fetched(now, a, good)
+		case gateTurn:
+			g.turned(now, a, good)
+		case gateOrder:
+			result := orderDone
+			if !calm {
+				result = orderResult(1 + rng.IntN(5))
+			}
+			if result == orderStale {
+				result = orderFailed // this engine checks no fence
+			}
+			if result != orderNotSent {
+				if a.fence.Sequence < seen {
+					return fmt.Sprintf("order %d passed after order %d", a.fence.Sequence, seen)
+				}
+				seen = a.fence.Sequence
+			}
+			if result == orderDone || result == orderUnknown && rng.IntN(2) == 0 {
+				served = a.version
+			}
+			g.ordered(now, a, result)
+		}
+		return ""
+	}
+	for range 2000 {
+		now += int64(rng.IntN(200))
+		switch rng.IntN(12) {
+		case 0:
+			committed++
+		case 1, 2:
+			deliver(g, 1+rng.Uint64N(committed))
+		case 3:
+			if rng.IntN(10) == 0 {
+				g = newGate()
+			}
+		default:
+			if fault := act(false); fault != "" {
+				return fault
+			}
+		}
+	}
+	committed++
+	deliver(g, committed)
+	for range 50 {
+		now += 1000
+		if fault := act(true); fault != "" {
+			return fault
+		}
+	}
+	if served != committed {
+		return fmt.Sprintf("engine serves %d, ordered is %d", served, committed)
+	}
+	return ""
+}
+
+// Guards against an order from an old world after a newer one, above all after a
+// restart of the agent, and against a gate that stops for good.
+func TestOrdersNeverGoBack(t *testing.T) {
+	for seed := range uint64(simScale(t, 200)) {
+		if fault := simGate(seed, false); fault != "" {
+			t.Fatalf("seed %d: %s", seed, fault)
+		}
+	}
+}
+
+// Shows that the random run finds the loss of the barrier.
+func TestBarrierIsNeeded(t *testing.T) {
+	for seed := range uint64(200) {
+		if fault := simGate(seed, true); fault != "" {
+			t.Log(fault)
+			return
+		}
+	}
+	t.Fatal("no fault found without the barrier")
+}
+
+func settledGate(served uint64) *gate {
+	return &gate{confirmed: true, index: 1, served: served, servedKnown: true}
+}
+
+func want(version, term, sequence uint64) wire.WeightTarget {
+	return wire.WeightTarget{Pool: "p", Version: version, Fence: wire.Fence{Term: term, Sequence: sequence}}
+}
+
+// drive answers everything before the order and returns it.
+func drive(g *gate, now int64) (gateAction, bool) {
+	for {
+		a, ok := g.next(now)
+		if !ok || a.op == gateOrder {
+			return a, ok
+		}
+		switch a.op {
+		case gateFetch:
+			g.fetched(now, a, true)
+		case gateTurn:
+			g.turned(now, a, true)
+		case gateState:
+			g.stateRead(now, a, g.served, true)
+		}
+	}
+}
+
+// Guards against an order below the highest fence seen. Without the rule it passes.
+func TestLowerFenceIsNotPassed(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []bool{false, true} {
+		g := settledGate(1)
+		g.noFence = off
+		g.takeWorld(10, want(5, 2, 10), true)
+		a, ok := drive(g, 0)
+		is.True(ok)
+		g.ordered(0, a, orderDone)
+		g.takeWorld(11, want(4, 1, 99), true)
+		_, ok = drive(g, 0)
+		is.Equal(ok, off)
+	}
+}
+
+// Guards against a failed swap that is tried for ever, or not again, or that still
+// blocks the target when a newer version comes.
+func TestFailedSwapIsTriedThreeTimes(t *testing.T) {
+	is := is.New(t)
+	g := settledGate(1)
+	g.takeWorld(10, want(5, 1, 10), true)
+	now := int64(0)
+	for range orderAttempts {
+		is.True(!g.setAside)
+		a, ok := drive(g, now)
+		is.True(ok)
+		g.ordered(now, a, orderFailed)
+		now += 1000
+	}
+	_, ok := drive(g, now)
+	is.True(!ok)
+	is.True(g.setAside)
+	is.True(!g.holdsTurn()) // others may swap
+	g.takeWorld(11, want(6, 1, 11), true)
+	a, ok := drive(g, now)
+	is.True(ok)
+	is.Equal(a.version, uint64(6))
+}
+
+// Guards against a version that was superseded while its bytes were fetched and is
+// still ordered.
+func TestSupersededVersionIsAbandoned(t *testing.T) {
+	is := is.New(t)
+	g := settledGate(1)
+	g.takeWorld(10, want(5, 1, 10), true)
+	a, _ := g.next(0)
+	is.Equal(a.op, gateFetch)
+	g.takeWorld(11, want(6, 1, 11), true)
+	g.fetched(0, a, true) // late answer to the superseded action
+	b, ok := drive(g, 0)
+	is.True(ok)
+	is.Equal(b.version, uint64(6))
+}
+
+// Guards against tokens that are attributed while the outcome of a swap is unknown.
+func TestTokensInDoubtAreNotAttributed(t *testing.T) {
+	is := is.New(t)
+	attribute := func(w *witness, version uint64) <-chan bool {
+		done := make(chan bool, 1)
+		go func() { done <- w.attribute(context.Background(), version, 0, false) }()
+		return done
+	}
+	get := func(c <-chan bool) bool {
+		select {
+		case ok := <-c:
+			return ok
+		case <-time.After(testWait):
+			t.Fatal("token waits for ever")
+			return false
+		}
+	}
+	for _, off := range []bool{false, true} {
+		w := newWitness(nil)
+		w.unknown = func() { go w.wake() } // the state read confirms nothing new
+		w.off = off
+		w.settled(1)
+		is.True(get(attribute(w, 1)))
+		w.swapStarted()
+		w.swapUnknown()
+		old, young := attribute(w, 1), attribute(w, 2)
+		w.settled(2)
+		is.Equal(get(old), off)
+		is.True(get(young))
+
+		w.swapStarted()
+		w.swapUnknown()
+		w.lost()
+		is.Equal(get(attribute(w, 2)), off)
+		w.settled(2)
+		is.True(get(attribute(w, 2)))
+		is.True(get(attribute(w, 2)))
+	}
+	// An orderly swap attributes both versions, in their order only.
+	w := newWitness(func() {})
+	w.settled(1)
+	w.swapStarted()
+	w.settled(2)
+	is.True(get(attribute(w, 1)))
+	is.True(w.attribute(context.Background(), 2, 1, true))
+	is.True(!w.attribute(context.Background(), 1, 2, true))
+}
--- /dev/null
+++ b/agent/pool_test.go
@@ -0,0 +1,173 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/duty"
+	"merlinhall/link"
+	"merlinhall/standin"
+	"merlinhall/weights"
+	"merlinhall/wire"
+)
+
+// testPool is a pool of engines with an agent each and a weight store.
+type testPool struct {
+	t        testing.TB
+	store    *standin.Store
+	storeURL string
+	engines  []*standin.Engine
+	agents   []*Agent
+	links    []*httptest.Server
+	swapping atomic.Int64
+	worst    atomic.Int64
+	index    uint64
+	text     string
+}
+
+// swaps counts the orders that an engine carries out at the same time as others.
+func (p *testPool) swaps(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/orders" {
+			n := p.swapping.Add(1)
+			defer p.swapping.Add(-1)
+			for worst := p.worst.Load(); n > worst && !p.worst.CompareAndSwap(worst, n); worst = p.worst.Load() {
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func startPool(t testing.TB, n int, so standin.StoreOptions) *testPool {
+	p := &testPool{t: t, store: standin.NewStore(so)}
+	store := httptest.NewServer(p.store)
+	t.Cleanup(store.Close)
+	p.storeURL = address(store)
+	p.text = fmt.Sprintf(`
+[[zone]]
+name = "bole"
+region = "addis"
+[[zone]]
+name = "yeka"
+region = "addis"
+[[pool]]
+name = "policy-lm"
+deadline = "20s"
+idle_timeout = "5s"
+weight_store = "%s"
+`, p.storeURL)
+	for i := range n {
+		p.add(i)
+	}
+	return p
+}
+
+func (p *testPool) add(i int) {
+	engine := fastEngine(p.t, standin.EngineOptions{Version: 1, SwapTime: 60 * time.Millisecond})
+	target := httptest.NewServer(p.swaps(engine))
+	zone := []string{"bole", "yeka"}[i%2]
+	local := wire.Hello{Process: fmt.Sprintf("agent-%d", i), Zone: zone, Roles: []wire.Role{wire.RoleAgent}, Boot: "b", Target: fmt.Sprintf("t%d", i)}
+	agent, err := Start(Options{
+		Local:   local,
+		Kind:    KindEngine,
+		Address: address(target),
+		System:  duty.NewSystem(),
+		Barrier: func(context.Context) (uint64, uint64, error) { return 1, 1, nil },
+	})
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	mux := &link.Mux{}
+	mux.Handle(agent, Kinds...)
+	links := httptest.NewServer(link.Accept(local, mux))
+	p.engines = append(p.engines, engine)
+	p.agents = append(p.agents, agent)
+	p.links = append(p.links, links)
+	p.text += fmt.Sprintf("  [[pool.target]]\n  name = %q\n  zone = %q\n  agent = %q\n  address = %q\n", local.Target, zone, address(links), address(target))
+	p.t.Cleanup(func() {
+		agent.Stop()
+		links.CloseClientConnections()
+		links.Close()
+		target.CloseClientConnections()
+		target.Close()
+	})
+}
+
+func (p *testPool) publish(version uint64) {
+	p.index++
+	p.store.Publish(version)
+	w := &wire.World{Index: p.index, Term: 1, ConfigVersion: 1, ConfigText: []byte(p.text),
+		Weights: []wire.WeightTarget{{Pool: "policy-lm", Version: version, Fence: wire.Fence{Term: 1, Sequence: p.index}}}}
+	for _, a := range p.agents {
+		a.OnWorld(w)
+	}
+}
+
+func (p *testPool) serve(version uint64, except int) {
+	p.t.Helper()
+	eventually(p.t, fmt.Sprintf("version %d on all engines", version), func() bool {
+		for i, e := range p.engines {
+			if i != except && e.Version() != version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a distribution that burdens the store, swaps too many replicas at
+// once, or misses a replica.
+func TestPoolTakesUpWeights(t *testing.T) {
+	is := is.New(t)
+	p := startPool(t, 9, standin.StoreOptions{Size: 2 << 20, Rate: 20 << 20})
+	p.publish(2)
+	p.serve(2, -1)
+	is.Equal(p.store.StoreRecord().Bytes["policy-lm/2"], int64(2*(2<<20))) // one seed a zone
+	is.True(p.worst.Load() <= 2)
+	p.publish(3)
+	p.publish(4) // supersedes version 3 in flight
+	p.serve(4, -1)
+	is.True(p.worst.Load() <= 2)
+	eventually(t, "version 4 in all views", func() bool {
+		for _, a := range p.agents {
+			if a.View().(view).Version != 4 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a lost parent or a corrupt copy that keeps others from the
+// version.
+func TestPoolGoesRoundLostAgent(t *testing.T) {
+	is := is.New(t)
+	p := startPool(t, 6, standin.StoreOptions{Size: 1 << 20})
+	seed := 0 // of the first zone, from which others fetch
+	plan := weights.NewPlan("policy-lm", 2, p.members())
+	for plan.Sources(fmt.Sprintf("t%d", seed))[0] != weights.Store {
+		seed += 2
+	}
+	p.links[seed].CloseClientConnections()
+	p.links[seed].Close()
+	p.store.Inject(standin.Fault{Kind: standin.FaultCorrupt})
+	p.publish(2)
+	p.serve(2, -1)
+	// The others cannot ask the lost agent whether it swaps, and count it out.
+	is.True(p.worst.Load() <= 2)
+}
+
+func (p *testPool) members() []weights.Member {
+	var members []weights.Member
+	for i, a := range p.agents {
+		members = append(members, weights.Member{Target: a.o.Local.Target, Zone: a.o.Local.Zone, Agent: address(p.links[i])})
+	}
+	return members
+}
--- a/agent/show.go
+++ b/agent/show.go
@@ -11,6 +11,7 @@
 	Running     int               `json:"running"`
 	Held        int               `json:"held"` // running and finished ids
 	Revoked     int               `json:"revoked"`
+	Buffered    int               `json:"buffered"` // unconfirmed chunks of running requests
 	Started     uint64            `json:"started"`
 	Repeated    uint64            `json:"repeated"`
 	Completed   uint64            `json:"completed"`
@@ -62,6 +63,9 @@
 		Want:        a.gate.want.Version,
 		SetAside:    a.gate.setAside,
 	}
+	for _, r := range a.table.running {
+		v.Buffered += len(r.chunks)
+	}
 	for reason, n := range a.table.counts.Refused {
 		v.Refused[string(reason)] = n
 	}
