--- /dev/null
+++ b/agent/bench_test.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"merlinhall/duty"
+	"merlinhall/wire"
+)
+
+// scriptedEngine answers every completion with n tokens as fast as it can.
+func scriptedEngine(n int) http.Handler {
+	var body bytes.Buffer
+	for i := range n {
+		fmt.Fprintf(&body, "data: {\"token\":\"t%06d \",\"index\":%d,\"version\":1}\n\n", i%1000000, i)
+	}
+	fmt.Fprintf(&body, "data: {\"done\":true,\"index\":%d,\"tokens\":%d}\n\n", n, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/state" {
+			_, _ = w.Write([]byte(`{"version":1}`))
+			return
+		}
+		_, _ = w.Write(body.Bytes())
+	})
+}
+
+// BenchmarkRelayedToken measures the whole way from the engine's stream over the
+// agent and a link to the entry, with client and engine in the same process. The
+// engine sends as fast as the agent reads, so that chunks hold many tokens.
+func BenchmarkRelayedToken(b *testing.B) {
+	const batch = 20_000
+	s := startSite(b, KindEngine, scriptedEngine(batch), nil)
+	s.world("5s", 0)
+	c := s.dial()
+	b.ReportAllocs()
+	cpu := cpuTime()
+	b.ResetTimer()
+	for i := 0; i < b.N; i += batch {
+		id := fmt.Sprint("g", i)
+		r := generation(id, "p", batch)
+		r.Deadline = time.Now().Add(10 * time.Minute).UnixMilli()
+		c.send(r)
+		c.answer(id)
+	}
+	b.StopTimer()
+	done := (b.N + batch - 1) / batch * batch
+	b.ReportMetric(float64(done)/(cpuTime()-cpu).Seconds(), "tokens/cpu-s")
+}
+
+// BenchmarkRelayedSingleToken measures one token a chunk, as a slow engine sends
+// them: parsing, table, encoding, without sockets.
+func BenchmarkRelayedSingleToken(b *testing.B) {
+	data := []byte(`{"token":"t123456 ","index":7,"version":1}`)
+	tb := newTable("boot", TableSize, 1024, &lastHop{seen: true, place: servicePlace()})
+	tb.Run(0, 1, &wire.Run{ID: "entry-1/1234", Service: "svc", Deadline: 50_000, Credit: Window})
+	var bytes int
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		ev, err := parseTokenEvent(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c := &wire.Chunk{Tokens: []wire.Token{{Text: ev.Token, Version: ev.Version}}}
+		for _, o := range tb.Produced(1, "entry-1/1234", c) {
+			frame, err := wire.Encode(o.message)
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes += len(frame)
+		}
+		tb.Credit(1, &wire.Credit{ID: "entry-1/1234", Confirmed: uint64(i) + 1, Limit: uint64(i) + 1 + Window})
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "wire-B/token")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// BenchmarkIdleAgent measures the memory of an agent without work or links.
+func BenchmarkIdleAgent(b *testing.B) {
+	for b.Loop() {
+		const n = 20
+		before := heap()
+		var agents []*Agent
+		for i := range n {
+			a, err := Start(Options{
+				Local:   wire.Hello{Process: "a", Boot: "b", Target: fmt.Sprint("t", i)},
+				Kind:    KindEngine,
+				Address: "127.0.0.1:1",
+				System:  duty.NewSystem(),
+				Barrier: func(context.Context) (uint64, uint64, error) { return 0, 0, context.Canceled },
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			agents = append(agents, a)
+		}
+		b.ReportMetric(float64(heap()-before)/n/1024, "KiB/agent")
+		for _, a := range agents {
+			a.Stop()
+		}
+	}
+}
+
+// BenchmarkTableEntry measures the state of a finished id in a full table.
+func BenchmarkTableEntry(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		tb := newTable("boot", TableSize, TableSize, &lastHop{seen: true, place: servicePlace()})
+		for i := range TableSize {
+			id := fmt.Sprintf("entry-01-boot-4f3a/%d", i)
+			tb.Run(0, 1, &wire.Run{ID: id, Service: "svc", Deadline: 60_000})
+			tb.Produced(0, id, &wire.Chunk{End: wire.EndComplete})
+			tb.Credit(0, &wire.Credit{ID: id, Confirmed: 1})
+		}
+		b.ReportMetric(float64(heap()-before)/TableSize, "B/entry")
+		if tb.live != TableSize {
+			b.Fatal("table is not full")
+		}
+	}
+}
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -43,15 +43,6 @@
 	Stream      bool     `json:"stream"`
 }
 
-// tokenEvent is one server-sent event of the engine.
-type tokenEvent struct {
-	Token   string `json:"token"`
-	Index   int    `json:"index"`
-	Version uint64 `json:"version"`
-	Done    bool   `json:"done"`
-	Tokens  int    `json:"tokens"`
-}
-
 // engineState is the engine's answer to GET /state.
 type engineState struct {
 	Version  uint64 `json:"version"`
@@ -262,14 +253,6 @@
 	return at >= 0 && bytes.IndexByte(waiting[at:], '\n') >= 0
 }
 
-func parseTokenEvent(data []byte) (tokenEvent, error) {
-	var ev tokenEvent
-	if err := json.Unmarshal(data, &ev); err != nil {
-		return ev, eris.Wrap(err, "engine event")
-	}
-	return ev, nil
-}
-
 // state reads the engine's state on a new connection.
 func (t *engineTarget) state(ctx context.Context, since uint64) (*engineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateLimit)
