--- a/standin/scorer.go
+++ b/standin/scorer.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -51,7 +52,7 @@
 	}
 	record := s.begin(RequestRecord{
 		ID:     r.Header.Get(HeaderRunID),
-		CallID: r.Header.Get(HeaderCallID),
+		CallID: cmp.Or(r.Header.Get(HeaderCallID), body.ID),
 		Method: r.Method,
 		Path:   r.URL.Path,
 		Prompt: body.Prompt,
