--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,7 +32,7 @@
 	// below link.SilenceLimit.
 	eventLimit = time.Second
 	// defaultMaxRunning bounds the requests that run at once.
-	defaultMaxRunning = 1024
+	defaultMaxRunning = 512
 )
 
 // Kinds of target.
@@ -64,7 +64,7 @@
 	// Barrier confirms the term and log index with the control leader. It is
 	// required for engines.
 	Barrier func(ctx context.Context) (term, index uint64, err error)
-	// MaxRunning bounds the requests that run at once; 0 means 1024.
+	// MaxRunning bounds the requests that run at once; 0 means 512.
 	MaxRunning int
 	// LinkClient and LinkScheme dial other agents for weights; by default without
 	// TLS.
--- a/agent/courier.go
+++ b/agent/courier.go
@@ -23,7 +23,7 @@
 	// maxWeightBytes bounds one version, so that two of them and the rest of the
 	// process stay within the 256 MB that a node spends on control. An engine loads
 	// a larger version from the store by itself.
-	maxWeightBytes = 64 << 20
+	maxWeightBytes = 32 << 20
 	// fetchesWaiting bounds the questions of other agents that wait for bytes.
 	fetchesWaiting = 256
 	// fetchLimit is how long a question waits for a version that is not being
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -68,11 +68,16 @@
 	return wire.WeightTarget{}, false
 }
 
-// advanceGate carries out the actions that are due at the order gate.
+// advanceGate carries out the actions that are due at the order gate. An agent that
+// drains starts no swap that it may not see end.
 func (a *Agent) advanceGate() {
 	if a.engine == nil {
 		return
 	}
+	if a.hop.draining {
+		a.tellCourier()
+		return
+	}
 	action, ok := a.gate.next(now())
 	a.tellCourier()
 	if !ok {
--- a/agent/show.go
+++ b/agent/show.go
@@ -11,7 +11,8 @@
 	Running     int               `json:"running"`
 	Held        int               `json:"held"` // running and finished ids
 	Revoked     int               `json:"revoked"`
-	Buffered    int               `json:"buffered"` // unconfirmed chunks of running requests
+	Buffered    int               `json:"buffered"`       // unconfirmed chunks of running requests
+	Bytes       int               `json:"buffered_bytes"` // of all unconfirmed chunks
 	Started     uint64            `json:"started"`
 	Repeated    uint64            `json:"repeated"`
 	Completed   uint64            `json:"completed"`
@@ -49,6 +50,7 @@
 		Running:     len(a.table.running),
 		Held:        a.table.live,
 		Revoked:     a.table.dead,
+		Bytes:       a.table.buffered,
 		Started:     a.table.counts.Started,
 		Repeated:    a.table.counts.Repeated,
 		Completed:   a.table.counts.Completed,
@@ -99,6 +101,7 @@
 	}
 	c.emit(out, "merlinhall_agent_running", prometheus.GaugeValue, float64(v.Running))
 	c.emit(out, "merlinhall_agent_table_ids", prometheus.GaugeValue, float64(v.Held))
+	c.emit(out, "merlinhall_agent_buffered_bytes", prometheus.GaugeValue, float64(v.Bytes))
 	c.emit(out, "merlinhall_agent_started_total", prometheus.CounterValue, float64(v.Started))
 	c.emit(out, "merlinhall_agent_repeated_total", prometheus.CounterValue, float64(v.Repeated))
 	c.emit(out, "merlinhall_agent_completed_total", prometheus.CounterValue, float64(v.Completed))
--- a/agent/table.go
+++ b/agent/table.go
@@ -25,6 +25,14 @@
 	// Window is the number of unconfirmed chunks of one stream that the agent
 	// buffers before it stops to read from the target.
 	Window = 64
+	// maxBuffered is the number of buffered bytes of unconfirmed chunks above which
+	// no new request starts. Requests that run may add Window chunks each: with 512
+	// streams of 4 KiB chunks at most 128 MiB.
+	maxBuffered = 64 << 20
+	// chunkOverhead is what a chunk costs beside its data and each token beside its
+	// text, in bytes.
+	chunkOverhead = 160
+	tokenOverhead = 24
 )
 
 // LinkID names a link of the agent. 0 is no link.
@@ -90,6 +98,7 @@
 	ruleRetention
 	ruleRefuseForGood
 	ruleCredit
+	ruleBuffer
 )
 
 // table is the request table: a pure state machine stepped by (now, message).
@@ -111,6 +120,7 @@
 	running  map[string]*record
 	stalled  map[string]*record
 	unsent   int // finished records whose chunks are not all confirmed
+	buffered int // bytes of chunks held
 	expiries expiryHeap
 	out      []outcome
 	counts   tableCounts
@@ -197,7 +207,7 @@
 		return wire.RefusedTargetDown
 	case t.live >= t.size && t.off&ruleFull == 0:
 		return wire.RefusedTableFull
-	case len(t.running) >= t.maxRunning:
+	case len(t.running) >= t.maxRunning, t.buffered >= maxBuffered && t.off&ruleBuffer == 0:
 		return wire.RefusedOverload
 	}
 	return ""
@@ -277,6 +287,9 @@
 		return
 	}
 	n := int(to - r.base)
+	for _, c := range r.chunks[:n] {
+		t.buffered -= chunkBytes(c)
+	}
 	clear(r.chunks[:n])
 	r.chunks = r.chunks[n:]
 	r.base = to
@@ -317,6 +330,7 @@
 	c.Boot = t.boot
 	c.Sequence = r.base + uint64(len(r.chunks))
 	r.chunks = append(r.chunks, c)
+	t.buffered += chunkBytes(c)
 	if c.End != "" {
 		t.finish(r, c.End)
 	}
@@ -460,7 +474,19 @@
 		if len(r.chunks) > 0 {
 			t.unsent--
 		}
+		for _, c := range r.chunks {
+			t.buffered -= chunkBytes(c)
+		}
+	}
+}
+
+// chunkBytes estimates the memory that a chunk takes.
+func chunkBytes(c *wire.Chunk) int {
+	n := chunkOverhead + len(c.Data)
+	for _, token := range c.Tokens {
+		n += tokenOverhead + len(token.Text)
 	}
+	return n
 }
 
 // retryAfter is the advice in a refusal, in milliseconds.
--- a/agent/target.go
+++ b/agent/target.go
@@ -18,8 +18,8 @@
 	// dialLimit bounds one connection attempt to the target.
 	dialLimit = 2 * time.Second
 	// dataChunk is the largest piece of a plain answer in one chunk, in bytes. With
-	// Window chunks a stream buffers at most 512 KiB.
-	dataChunk = 8 << 10
+	// Window chunks a stream buffers at most 256 KiB.
+	dataChunk = 4 << 10
 	// tokensPerChunk bounds the tokens in one chunk.
 	tokensPerChunk = 64
 	// defaultIdle is the idle bound of a target connection when the configuration
--- a/weights/turn.go
+++ b/weights/turn.go
@@ -9,9 +9,11 @@
 const (
 	// RoundPeriod is the time between two rounds of questions to the lane.
 	RoundPeriod = 200 * time.Millisecond
-	// RoundLimit is how long a round waits for answers. A replica whose agent does
-	// not answer counts as not swapping.
-	RoundLimit = time.Second
+	// RoundLimit is how long a round waits for answers. A replica whose agent cannot
+	// be reached counts as not swapping. A link reports that by itself within 4 s
+	// (2 s to dial, 2 s of silence); the limit is for an agent whose link lives and
+	// that does not answer.
+	RoundLimit = 5 * time.Second
 	// patience is how long a replica waits for the one before it, if that one
 	// neither swaps nor is about to. It may not know the version yet or lack the
 	// bytes; new weights have 17 s to reach all replicas.
