agent: late messages of an older link do not take a stream

A repeated Run that was delayed on a link that the entry had given up moved the stream back to that link, and the entry waited on the newer one.

--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -471,7 +471,6 @@
 	s := startSite(t, KindService, service, nil)
 	s.world("5s", 0)
 	rng := rand.New(rand.NewPCG(11, 4))
-	final := s.dial()
 	const calls = 150
 	var lost sync.WaitGroup
 	for range 5 {
@@ -490,6 +489,7 @@
 		lost.Go(func() { a.conn.Close(link.ErrClosed) })
 	}
 	lost.Wait()
+	final := s.dial()
 	for i := range calls {
 		final.send(&wire.Attach{ID: fmt.Sprint("c", i), Credit: Window})
 	}
--- a/agent/table.go
+++ b/agent/table.go
@@ -35,7 +35,7 @@
 	tokenOverhead = 24
 )
 
-// LinkID names a link of the agent. 0 is no link.
+// LinkID names a link of the agent. A later link has a higher id; 0 is no link.
 type LinkID uint64
 
 // op is what an outcome asks the agent to do.
@@ -99,6 +99,7 @@
 	ruleRefuseForGood
 	ruleCredit
 	ruleBuffer
+	ruleNewestLink
 )
 
 // table is the request table: a pure state machine stepped by (now, message).
@@ -260,11 +261,19 @@
 func (t *table) farthest() int64 { return t.now + MaxDeadline.Milliseconds() }
 
 // attach goes on with r on link from sequence from. Chunks below base have been
-// confirmed and are not sent again.
+// confirmed and are not sent again. A late message of an older link does not take
+// the stream from a newer one, on which the entry waits.
 func (t *table) attach(r *record, link LinkID, from uint64, credit uint32) {
+	if link < r.link && t.off&ruleNewestLink == 0 {
+		return
+	}
+	limit := max(from, r.base) + uint64(credit)
+	if link == r.link {
+		limit = max(limit, r.limit)
+	}
 	r.link = link
+	r.limit = limit
 	r.next = min(max(from, r.base), r.base+uint64(len(r.chunks)))
-	r.limit = max(from, r.base) + uint64(credit)
 	t.flush(r)
 }
 
--- a/agent/table_test.go
+++ b/agent/table_test.go
@@ -28,7 +28,8 @@
 	ids     []string
 	version uint64
 	fault   string
-	settled int // answers checked to have arrived whole
+	calm    bool // new messages of the entry arrive soon
+	settled int  // answers checked to have arrived whole
 }
 
 // simMail is a message under way: to the agent, or a chunk to the entry.
@@ -86,7 +87,7 @@
 func (s *simTable) mailIn(m wire.Message) {
 	for range 1 + s.rng.IntN(5)/4 {
 		delay := int64(s.rng.IntN(40))
-		if s.rng.IntN(8) == 0 {
+		if s.rng.IntN(8) == 0 && !s.calm {
 			delay = int64(s.rng.IntN(4000))
 		}
 		s.mail = append(s.mail, simMail{at: s.now + delay, boot: s.boot, link: s.link, m: m, in: true})
@@ -266,7 +267,7 @@
 		}
 		if m.in {
 			s.toAgent(m)
-		} else {
+		} else if m.link == s.link { // the others have ended
 			s.toEntry(m.m.(*wire.Chunk))
 		}
 	}
@@ -373,6 +374,8 @@
 // ahead must reach the entry whole.
 func (s *simTable) settle() {
 	limit := s.now + 2500 // later than the end of the rounds
+	s.calm = true
+	defer func() { s.calm = false }()
 	for round := 0; round < 400 && s.fault == ""; round++ {
 		s.now += 5
 		for _, id := range s.ids {
@@ -380,7 +383,7 @@
 			if c.boot != s.boot || c.ended || c.refused || c.cancel || c.run.Deadline < limit {
 				continue
 			}
-			if round%40 == 0 {
+			if round == 0 {
 				s.mail = append(s.mail, simMail{at: s.now, boot: s.boot, link: s.link, m: &wire.Attach{ID: id, From: c.next(), Credit: 4}, in: true})
 			}
 			if c.active && c.room > 0 {
@@ -466,6 +469,7 @@
 		"retention":         ruleRetention,
 		"refusal for good":  ruleRefuseForGood,
 		"window and credit": ruleCredit,
+		"newest link":       ruleNewestLink,
 	}
 	for name, off := range rules {
 		found := ""
