entry: tests of each failure and random histories with a checker

The random histories run the request state machine against pure agents on a virtual clock with delayed, duplicated and reordered frames, cut and silent links, crashes, partitions, refusals and departures. The checker finds the absence of each of six rules.

The failure tests use fake agents over real links behind a relay that can be silenced or cut.

--- /dev/null
+++ b/entry/failure_test.go
@@ -0,0 +1,568 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/wire"
+)
+
+// gate lets a fake target answer in two halves: it emits the first piece, then
+// waits until it is opened.
+type gate struct {
+	reached chan struct{}
+	open    chan struct{}
+	once    sync.Once
+}
+
+func newGate() *gate { return &gate{reached: make(chan struct{}, 64), open: make(chan struct{})} }
+
+func (g *gate) release() { g.once.Do(func() { close(g.open) }) }
+
+// wait reports whether the gate was opened before ctx ended.
+func (g *gate) wait(ctx context.Context) bool {
+	g.reached <- struct{}{}
+	select {
+	case <-g.open:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// halves answers like echoAnswer but waits at the gate before index 2 of a
+// generation and before the first chunk of a call.
+func (g *gate) halves(ctx context.Context, r *wire.Run, emit func(wire.Chunk)) {
+	if r.Generation == nil {
+		if !g.wait(ctx) {
+			emit(wire.Chunk{End: wire.EndCancelled})
+			return
+		}
+		echoAnswer(ctx, r, emit)
+		return
+	}
+	for i := len(r.Generation.Prefix); i < r.Generation.MaxTokens; i++ {
+		if i == 2 && !g.wait(ctx) {
+			emit(wire.Chunk{End: wire.EndCancelled})
+			return
+		}
+		emit(wire.Chunk{Tokens: []wire.Token{{Text: fakeToken(r.Generation.Prompt, i), Version: 1}}})
+	}
+	emit(wire.Chunk{End: wire.EndComplete})
+}
+
+func receive[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(30 * time.Second):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// ended is how a call or generation in the background came out.
+type ended struct {
+	tokens string
+	body   string
+	err    error
+}
+
+func (s *site) generate(n int) <-chan ended {
+	out := make(chan ended, 1)
+	go func() {
+		g, err := s.entry.Generate(context.Background(), GenerationRequest{Pool: "lm", Generation: wire.Generation{Prompt: "p", MaxTokens: n}})
+		var b strings.Builder
+		for _, t := range g.Tokens {
+			b.WriteString(t.Text)
+		}
+		out <- ended{tokens: b.String(), err: err}
+	}()
+	return out
+}
+
+func (s *site) call(method string) <-chan ended {
+	out := make(chan ended, 1)
+	go func() {
+		r, err := s.entry.CallService(context.Background(), ServiceRequest{Service: "svc", Method: method, Path: "/x", Body: []byte("b")})
+		out <- ended{body: string(r.Body), err: err}
+	}()
+	return out
+}
+
+func total(agents []*fakeAgent) int {
+	n := 0
+	for _, a := range agents {
+		n += a.total()
+	}
+	return n
+}
+
+func outcomeOf(err error) Outcome {
+	var e *OutcomeError
+	if errors.As(err, &e) {
+		return e.Outcome
+	}
+	return OutcomeDone
+}
+
+// busy returns the agent that runs something.
+func busy(t *testing.T, agents []*fakeAgent) *fakeAgent {
+	t.Helper()
+	for _, a := range agents {
+		if a.total() > 0 {
+			return a
+		}
+	}
+	t.Fatal("no agent runs anything")
+	return nil
+}
+
+// Guards against a connection that goes silent without an error: the request must
+// be attached again over a fresh link, and run once.
+func TestSilentConnection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	g, c := newGate(), newGate()
+	s.engines[0].does(g.halves)
+	s.services[0].does(c.halves)
+	generation, call := s.generate(5), s.call(http.MethodPost)
+	receive(t, g.reached, "first half")
+	receive(t, c.reached, "start of the call")
+	s.engines[0].relay.silence()
+	s.services[0].relay.silence()
+	g.release()
+	c.release()
+	end := receive(t, generation, "generation")
+	is.NoErr(end.err)
+	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
+	end = receive(t, call, "call")
+	is.NoErr(end.err)
+	is.Equal(end.body, "b")
+	is.Equal(total(s.engines), 1)
+	is.Equal(total(s.services), 1)
+}
+
+// Guards against the loss of an agent for good: generations go on elsewhere after
+// the tokens so far, repeatable calls run again, others are unknown.
+func TestDeadAgent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 2, nil)
+	g := newGate()
+	for _, a := range s.engines {
+		a.does(g.halves)
+	}
+	generation := s.generate(5)
+	receive(t, g.reached, "first half")
+	busy(t, s.engines).crash()
+	g.release()
+	end := receive(t, generation, "generation")
+	is.NoErr(end.err)
+	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
+	is.Equal(total(s.engines), 2)
+
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		c := newGate()
+		for _, a := range s.services {
+			a.does(c.halves)
+			a.started = make(map[string]int)
+		}
+		call := s.call(method)
+		receive(t, c.reached, "start of the call")
+		dead := busy(t, s.services)
+		dead.crash()
+		c.release()
+		end := receive(t, call, "call")
+		if method == http.MethodGet {
+			is.NoErr(end.err)
+			is.Equal(end.body, "b")
+			dead.restart()
+			s.waitLinks(3)
+			continue
+		}
+		is.Equal(outcomeOf(end.err), OutcomeUnknown)
+		is.Equal(total(s.services), 1)
+	}
+}
+
+// Guards against a restarted agent, which has lost its table, being taken for the
+// one that ran the request.
+func TestAgentRestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	g, c := newGate(), newGate()
+	s.engines[0].does(g.halves)
+	s.services[0].does(c.halves)
+	generation, call := s.generate(4), s.call(http.MethodPost)
+	receive(t, g.reached, "first half")
+	receive(t, c.reached, "start of the call")
+	g.release()
+	for _, a := range s.agents {
+		a.crash()
+		a.restart()
+	}
+	end := receive(t, generation, "generation")
+	is.NoErr(end.err)
+	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 ")
+	end = receive(t, call, "call")
+	is.Equal(outcomeOf(end.err), OutcomeUnknown)
+	is.Equal(total(s.services), 1)
+}
+
+// Guards against a refusal that is final although another target is free, and
+// against "not run" without a time to come back.
+func TestRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 2, nil)
+	refuse := func(*wire.Run) *wire.Refused { return &wire.Refused{Reason: wire.RefusedOverload} }
+	s.services[0].refuses(refuse)
+	for range 6 {
+		r, body, err := s.post("/svc/x", "b")
+		is.NoErr(err)
+		is.Equal(body, "b")
+		is.Equal(outcome(r), "done")
+	}
+	is.Equal(s.services[0].total(), 0)
+	s.services[1].refuses(refuse)
+	r, _, err := s.post("/svc/x", "b")
+	is.NoErr(err)
+	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(outcome(r), "not-run")
+	is.True(r.Header.Get("Retry-After") != "")
+	is.Equal(total(s.services), 6)
+}
+
+// Guards against work that is stuck on a departing target, against running it
+// twice, and against new work for that target.
+func TestRevokeOnDeparture(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 2, nil)
+	for _, a := range s.services {
+		a.hold.Store(true)
+	}
+	call := s.call(http.MethodPost)
+	var from *fakeAgent
+	eventually(t, "request at an agent", func() bool {
+		for _, a := range s.services {
+			if a.known() > 0 {
+				from = a
+			}
+		}
+		return from != nil
+	})
+	for _, a := range s.services {
+		if a != from {
+			a.hold.Store(false)
+		}
+	}
+	from.report(wire.Load{Leaving: true})
+	end := receive(t, call, "call")
+	is.NoErr(end.err)
+	is.Equal(from.total(), 0)
+	from.release()
+	for range 10 {
+		is.NoErr(receive(t, s.call(http.MethodPost), "call").err)
+	}
+	is.Equal(from.total(), 0)
+	is.Equal(total(s.services), 11)
+}
+
+// Guards against the race of Revoke with the start of the request: it stays.
+func TestRevokeOfARunningRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 2, nil)
+	c := newGate()
+	for _, a := range s.services {
+		a.does(c.halves)
+	}
+	call := s.call(http.MethodPost)
+	receive(t, c.reached, "start of the call")
+	from := busy(t, s.services)
+	from.report(wire.Load{Leaving: true})
+	eventually(t, "answer to Revoke", func() bool { return from.revokes.Load() > 0 })
+	c.release()
+	end := receive(t, call, "call")
+	is.NoErr(end.err)
+	is.Equal(end.body, "b")
+	is.Equal(total(s.services), 1)
+}
+
+// Guards against duplicated, late and reordered chunks.
+func TestChunksOutOfOrder(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	var late *wire.Chunk
+	s.engines[0].emitted = func(c *wire.Chunk) []*wire.Chunk {
+		switch {
+		case c.Sequence%7 == 3 && c.End == "":
+			late = c
+			return nil // sent after its successor
+		case late != nil:
+			out := []*wire.Chunk{c, late, c}
+			late = nil
+			return out
+		}
+		return []*wire.Chunk{c, c}
+	}
+	end := receive(t, s.generate(100), "generation")
+	is.NoErr(end.err)
+	is.Equal(strings.Count(end.tokens, " "), 100)
+	for i, token := range strings.Fields(end.tokens) {
+		is.Equal(token+" ", fakeToken("p", i))
+	}
+}
+
+// Guards against work that goes on for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	g := newGate()
+	s.engines[0].does(g.halves)
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.http.URL+"/v1/completions", strings.NewReader(`{"model":"lm","prompt":"p","max_tokens":9,"stream":true}`))
+	is.NoErr(err)
+	response, err := s.http.Client().Do(r)
+	is.NoErr(err)
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	is.NoErr(err)
+	cancel()
+	_ = response.Body.Close()
+	eventually(t, "cancel at the agent", func() bool { return s.engines[0].cancelled() == 1 })
+	eventually(t, "end of the request", func() bool { return s.entry.running.Load() == 0 })
+}
+
+// Guards against a slow reader that makes the entry buffer without bound or holds
+// back other streams.
+func TestSlowReader(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	taken := make(chan struct{})
+	f, err := s.entry.newGeneration(GenerationRequest{Pool: "lm", Generation: wire.Generation{Prompt: "slow", MaxTokens: 500}})
+	is.NoErr(err)
+	is.True(s.entry.submit(f))
+	eventually(t, "full window", func() bool { return s.engines[0].sent(f.request.id) == creditWindow })
+	is.NoErr(receive(t, s.generate(300), "other generation").err)
+	is.Equal(s.engines[0].sent(f.request.id), uint64(creditWindow))
+	n := 0
+	go func() {
+		defer close(taken)
+		s.entry.follow(context.Background(), f, func(c *wire.Chunk) error { n += len(c.Tokens); return nil })
+	}()
+	receive(t, taken, "rest of the slow stream")
+	is.Equal(n, 500)
+}
+
+// Guards against a stream that is cut off and looks complete to its caller.
+func TestBrokenStreamIsVisible(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	s.services[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
+		emit(wire.Chunk{Status: http.StatusOK})
+		emit(wire.Chunk{Data: make([]byte, 2*holdBytes)})
+		emit(wire.Chunk{End: wire.EndBroken, Detail: "target closed the connection"})
+	})
+	r, body, err := s.post("/svc/x", "b")
+	is.Equal(r.StatusCode, http.StatusOK)
+	is.True(err != nil) // the body ends without its last chunk
+	is.Equal(len(body), 2*holdBytes)
+	is.Equal(outcome(r), "")
+	s.services[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
+		emit(wire.Chunk{Status: http.StatusOK, Data: []byte("part")})
+		emit(wire.Chunk{End: wire.EndBroken})
+	})
+	r, _, err = s.post("/svc/x", "b")
+	is.NoErr(err)
+	is.Equal(r.StatusCode, http.StatusBadGateway)
+	is.Equal(outcome(r), "unknown")
+	s.engines[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
+		if len(r.Generation.Prefix) == 0 {
+			emit(wire.Chunk{Tokens: []wire.Token{{Text: "x", Version: 1}}})
+		}
+		emit(wire.Chunk{End: wire.EndBroken})
+	})
+	r, body, err = s.post("/v1/completions", `{"model":"lm","prompt":"p","max_tokens":9,"stream":true}`)
+	is.Equal(r.StatusCode, http.StatusOK)
+	is.True(err != nil)
+	is.True(!strings.Contains(body, "done"))
+}
+
+// Guards against requests beyond the limits and unclear errors.
+func TestLimitsOfRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, func(o *Options) { o.MaxBodyBytes = 1000 })
+	for _, x := range []struct {
+		path, body, name, value string
+		status                  int
+		text                    string
+	}{
+		{"/svc/x", strings.Repeat("b", 1001), "", "", http.StatusRequestEntityTooLarge, "larger than 1000 bytes"},
+		{"/svc/x", "b", "X-Big", strings.Repeat("h", MaxHeaderBytes), http.StatusRequestHeaderFieldsTooLarge, "the limit is"},
+		{"/svc/x", "b", HeaderDeadline, "soon", http.StatusBadRequest, "want milliseconds"},
+		{"/svc/x", "b", HeaderPriority, "900", http.StatusBadRequest, "want an integer"},
+		{"/other/x", "b", "", "", http.StatusNotFound, `"known":["svc"]`},
+		{"/v1/completions", `{"model":"other"}`, "", "", http.StatusNotFound, `"known":["lm"]`},
+		{"/v1/completions", `{"model":`, "", "", http.StatusBadRequest, "not a JSON"},
+		{"/v1/completions", `{"model":"lm","max_tokens":-1}`, "", "", http.StatusBadRequest, "max_tokens"},
+	} {
+		var headers []string
+		if x.name != "" {
+			headers = []string{x.name, x.value}
+		}
+		r, body, err := s.post(x.path, x.body, headers...)
+		is.NoErr(err)
+		is.Equal(r.StatusCode, x.status)
+		is.Equal(outcome(r), "not-run")
+		is.True(strings.Contains(body, x.text))
+	}
+	is.Equal(total(s.agents), 0)
+}
+
+// Guards against a target whose removal cuts off its requests, that keeps getting
+// new ones, or whose link is never closed.
+func TestTargetRemovedDuringARun(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 2, nil)
+	g := newGate()
+	for _, a := range s.engines {
+		a.does(g.halves)
+	}
+	generation := s.generate(5)
+	receive(t, g.reached, "first half")
+	removed := busy(t, s.engines)
+	var kept []*fakeAgent
+	for _, a := range s.agents {
+		a.does(echoAnswer)
+		if a != removed {
+			kept = append(kept, a)
+		}
+	}
+	s.world(kept...)
+	for range 10 {
+		is.NoErr(receive(t, s.generate(1), "generation").err)
+	}
+	is.Equal(removed.total(), 1)
+	is.Equal(s.entry.linksUp(), 4)
+	g.release()
+	end := receive(t, generation, "generation")
+	is.NoErr(end.err)
+	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
+	eventually(t, "closed link", func() bool { return removed.links() == 0 })
+	is.Equal(s.entry.linksUp(), 3)
+}
+
+// Guards against callers that notice the loss of a whole zone other than by a
+// delay, when all their requests may be repeated.
+func TestZoneLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 4, nil)
+	g := newGate()
+	for _, a := range s.engines {
+		a.does(g.halves)
+	}
+	var generations []<-chan ended
+	for range 16 {
+		generations = append(generations, s.generate(5))
+	}
+	for range 16 {
+		receive(t, g.reached, "first half")
+	}
+	for i, a := range s.agents {
+		if (i/2)%2 == 1 { // zone z1
+			a.crash()
+		}
+	}
+	g.release()
+	for _, c := range generations {
+		end := receive(t, c, "generation")
+		is.NoErr(end.err)
+		is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
+	}
+	for range 20 {
+		is.NoErr(receive(t, s.call(http.MethodPost), "call").err)
+	}
+}
+
+// Guards against a drain that cuts off running requests or accepts new ones.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	g := newGate()
+	s.engines[0].does(g.halves)
+	generation := s.generate(5)
+	receive(t, g.reached, "first half")
+	drained := make(chan error, 1)
+	go func() { drained <- s.entry.Drain(context.Background()) }()
+	eventually(t, "draining", s.entry.draining.Load)
+	r, _, err := s.post("/svc/x", "b")
+	is.NoErr(err)
+	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(outcome(r), "not-run")
+	is.True(r.Header.Get("Retry-After") != "")
+	is.Equal(len(drained), 0)
+	g.release()
+	is.NoErr(receive(t, generation, "generation").err)
+	is.NoErr(receive(t, drained, "end of drain"))
+}
+
+// Guards against a deadline that passes unnoticed, at the entry and at the agent.
+func TestDeadline(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	// The agent's clock is behind: it does not end the request itself.
+	stuck := make(chan struct{})
+	defer close(stuck)
+	s.services[0].does(func(context.Context, *wire.Run, func(wire.Chunk)) { <-stuck })
+	r, _, err := s.post("/svc/x", "b", HeaderDeadline, "300")
+	is.NoErr(err)
+	is.Equal(r.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(outcome(r), "unknown")
+	eventually(t, "cancel at the agent", func() bool { return s.services[0].cancelled() == 1 })
+}
+
+// Guards against more requests on a target than the configuration allows.
+func TestMaxInFlight(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	s.publish(&wire.World{ConfigText: []byte(configText(s.agents, "max_in_flight = 3"))})
+	c := newGate()
+	s.services[0].does(c.halves)
+	var calls []<-chan ended
+	for range 10 {
+		calls = append(calls, s.call(http.MethodPost))
+	}
+	for range 3 {
+		receive(t, c.reached, "start of a call")
+	}
+	eventually(t, "accepted requests", func() bool { return s.entry.running.Load() == 10 })
+	is.Equal(s.services[0].known(), 3)
+	c.release()
+	for _, call := range calls {
+		is.NoErr(receive(t, call, "call").err)
+	}
+	is.Equal(total(s.services), 10)
+}
--- /dev/null
+++ b/entry/history_test.go
@@ -0,0 +1,505 @@
+package entry
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/wire"
+)
+
+// The simulation runs request state machines against pure agents on a virtual
+// clock. Messages are delayed; chunks are also duplicated and reordered; links
+// are cut or go silent, with frames of the old link arriving late; agents crash
+// with the loss of their table, and depart.
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type simHeap []simEvent
+
+func (h simHeap) Len() int { return len(h) }
+func (h simHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
+}
+func (h simHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *simHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+type simRun struct {
+	run     *wire.Run
+	chunks  []*wire.Chunk
+	sent    uint64
+	limit   uint64
+	started bool
+	revoked bool
+	ended   bool
+}
+
+type simAgent struct {
+	name    string
+	life    int
+	up      bool // the process runs
+	linked  bool
+	silent  bool
+	refuses bool // every request, for overload
+	version uint64
+	table   map[string]*simRun
+}
+
+func (a *simAgent) boot() string { return fmt.Sprintf("%s/%d", a.name, a.life) }
+
+// simRequest is the history of one request.
+type simRequest struct {
+	r         *request
+	target    *simAgent
+	tries     int
+	want      int // chunks or tokens of a whole answer
+	got       []string
+	runs      int
+	finishes  int
+	result    Result
+	unclaimed uint64 // chunks not yet consumed
+	leaves    bool
+}
+
+type sim struct {
+	rng      *rand.Rand
+	rules    rules
+	now      time.Duration
+	order    int
+	events   simHeap
+	agents   []*simAgent
+	requests map[string]*simRequest
+	list     []*simRequest
+	steps    int
+}
+
+var simStart = time.Unix(1_700_000_000, 0)
+
+func (s *sim) time() time.Time { return simStart.Add(s.now) }
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.order++
+	heap.Push(&s.events, simEvent{s.now + d, s.order, f})
+}
+
+// upTo returns a random duration below d.
+func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
+
+func (s *sim) chance(percent int) bool { return s.rng.IntN(100) < percent }
+
+func runSim(seed uint64, requests int, off rules) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 9)), rules: off, requests: make(map[string]*simRequest)}
+	for i := range 3 {
+		s.agents = append(s.agents, &simAgent{name: fmt.Sprintf("t%d", i), up: true, linked: true, version: 1, table: make(map[string]*simRun)})
+	}
+	for i := range requests {
+		s.after(s.upTo(20*time.Second), func() { s.submit(i) })
+	}
+	for range 12 {
+		a := s.agents[s.rng.IntN(len(s.agents))]
+		s.after(s.upTo(22*time.Second), func() { s.fault(a) })
+	}
+	s.after(tickPeriod, s.tick)
+	for len(s.events) > 0 && s.now < 90*time.Second {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		s.steps++
+		e.run()
+	}
+	return s
+}
+
+func (s *sim) submit(i int) {
+	run := wire.Run{Service: "svc", Idempotent: i%3 == 1}
+	want := 1 + s.rng.IntN(100)
+	if i%3 == 2 {
+		run.Generation = &wire.Generation{Prompt: strconv.Itoa(i), MaxTokens: want}
+	}
+	id := fmt.Sprintf("r%d", i)
+	r := newRequest(id, run, s.time().Add(time.Second+s.upTo(25*time.Second)), time.Second)
+	r.rules = s.rules
+	q := &simRequest{r: r, want: want, leaves: s.chance(5)}
+	s.requests[id] = q
+	s.list = append(s.list, q)
+	s.place(q, "")
+	if q.leaves {
+		s.after(s.upTo(3*time.Second), func() { s.step(q, callerGone{}) })
+	}
+}
+
+// place gives q a linked target; without one it tries again or gives up.
+func (s *sim) place(q *simRequest, avoid string) {
+	if q.r.phase != phaseWaiting {
+		return
+	}
+	var usable []*simAgent
+	for _, a := range s.agents {
+		if a.linked && (a.name != avoid || s.chance(20)) {
+			usable = append(usable, a)
+		}
+	}
+	if len(usable) == 0 {
+		if q.tries++; q.tries > 50 {
+			s.step(q, noTarget{why: "no target"})
+			return
+		}
+		s.after(100*time.Millisecond, func() { s.place(q, avoid) })
+		return
+	}
+	q.target = usable[s.rng.IntN(len(usable))]
+	s.step(q, assigned{target: q.target.name, boot: q.target.boot(), configVersion: 1})
+}
+
+func (s *sim) tick() {
+	s.after(tickPeriod, s.tick)
+	for _, q := range s.list {
+		s.step(q, tick{})
+	}
+}
+
+func (s *sim) step(q *simRequest, input any) {
+	for _, a := range q.r.step(s.time(), input) {
+		switch a := a.(type) {
+		case send:
+			s.toAgent(q.target, a.message)
+		case abandon:
+			s.toAgent(q.target, &wire.Cancel{ID: a.attempt})
+		case deliver:
+			s.deliver(q, a.chunk)
+		case route:
+			s.after(s.upTo(50*time.Millisecond), func() { s.place(q, a.avoid) })
+		case finish:
+			q.finishes++
+			q.result = a.result
+		}
+	}
+}
+
+func (s *sim) deliver(q *simRequest, c *wire.Chunk) {
+	for _, t := range c.Tokens {
+		q.got = append(q.got, t.Text)
+	}
+	if len(c.Data) > 0 {
+		q.got = append(q.got, string(c.Data))
+	}
+	q.unclaimed++
+	wait := s.upTo(20 * time.Millisecond)
+	if s.chance(1) {
+		wait = s.upTo(2 * time.Second)
+	}
+	s.after(wait, func() {
+		if n := q.unclaimed; n > 0 {
+			q.unclaimed = 0
+			s.step(q, consumed{n})
+		}
+	})
+}
+
+// toAgent sends a frame. One that is on the way when the link is cut may arrive
+// late or not at all.
+func (s *sim) toAgent(a *simAgent, m wire.Message) {
+	if !a.linked || a.silent {
+		return
+	}
+	life := a.life
+	s.after(s.upTo(30*time.Millisecond), func() {
+		if !a.linked || a.silent {
+			if s.chance(50) {
+				return
+			}
+			s.after(s.upTo(3*time.Second), func() { s.arrive(a, life, m) })
+			return
+		}
+		s.arrive(a, life, m)
+	})
+}
+
+func (s *sim) arrive(a *simAgent, life int, m wire.Message) {
+	if !a.up || a.life != life {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Run:
+		s.onRun(a, m)
+	case *wire.Attach:
+		r := a.table[m.ID]
+		if r == nil {
+			a.table[m.ID] = &simRun{revoked: true}
+			s.toEntry(a, m.ID, &wire.Refused{ID: m.ID, Reason: wire.RefusedUnknownID, Boot: a.boot()})
+			return
+		}
+		if r.revoked {
+			s.toEntry(a, m.ID, &wire.Refused{ID: m.ID, Reason: wire.RefusedRevoked, Boot: a.boot()})
+			return
+		}
+		r.sent, r.limit = m.From, max(r.limit, m.From+uint64(m.Credit))
+		s.flush(a, r)
+	case *wire.Credit:
+		if r := a.table[m.ID]; r != nil && !r.revoked {
+			r.limit = max(r.limit, m.Limit)
+			s.flush(a, r)
+		}
+	case *wire.Revoke:
+		r := a.table[m.ID]
+		outcome := wire.RevokeRunning
+		if r == nil || !r.started {
+			a.table[m.ID] = &simRun{revoked: true}
+			outcome = wire.RevokeNotStarted
+		}
+		s.toEntry(a, m.ID, &wire.Revoked{ID: m.ID, Outcome: outcome, Boot: a.boot()})
+	case *wire.Cancel:
+		if a.table[m.ID] == nil {
+			a.table[m.ID] = &simRun{revoked: true}
+		}
+	}
+}
+
+func (s *sim) onRun(a *simAgent, m *wire.Run) {
+	if r := a.table[m.ID]; r != nil {
+		if r.revoked {
+			s.toEntry(a, m.ID, &wire.Refused{ID: m.ID, Reason: wire.RefusedRevoked, Boot: a.boot()})
+			return
+		}
+		r.sent, r.limit = 0, max(r.limit, uint64(m.Credit))
+		s.flush(a, r)
+		return
+	}
+	if s.time().UnixMilli() >= m.Deadline || a.refuses || s.chance(3) {
+		a.table[m.ID] = &simRun{revoked: true}
+		s.toEntry(a, m.ID, &wire.Refused{ID: m.ID, Reason: wire.RefusedOverload, Boot: a.boot()})
+		return
+	}
+	r := &simRun{run: m, limit: uint64(m.Credit)}
+	a.table[m.ID] = r
+	life := a.life
+	s.after(s.upTo(300*time.Millisecond), func() { s.start(a, life, r) })
+}
+
+func (s *sim) start(a *simAgent, life int, r *simRun) {
+	if a.life != life || !a.up || a.table[r.run.ID] != r {
+		return
+	}
+	r.started = true
+	if s.chance(2) {
+		s.produce(a, r, &wire.Chunk{End: wire.EndNotRun})
+		return
+	}
+	q := s.requests[baseID(r.run.ID)]
+	q.runs++
+	next := 0
+	if g := r.run.Generation; g != nil {
+		next = len(g.Prefix)
+	}
+	s.work(a, life, r, q, next)
+}
+
+// work produces chunk after chunk until the end or a failure of the target.
+func (s *sim) work(a *simAgent, life int, r *simRun, q *simRequest, next int) {
+	s.after(s.upTo(20*time.Millisecond), func() {
+		if a.life != life || r.ended {
+			return
+		}
+		if s.rng.IntN(1000) == 0 {
+			s.produce(a, r, &wire.Chunk{End: wire.EndBroken})
+			return
+		}
+		c := &wire.Chunk{}
+		if next >= q.want {
+			c.End = wire.EndComplete
+		} else if piece := simPiece(q.r.id, next); r.run.Generation != nil {
+			c.Tokens = []wire.Token{{Text: piece, Version: a.version}}
+		} else {
+			c.Data = []byte(piece)
+		}
+		s.produce(a, r, c)
+		s.work(a, life, r, q, next+1)
+	})
+}
+
+func simPiece(id string, i int) string { return fmt.Sprintf("%s/%d", id, i) }
+
+func (s *sim) produce(a *simAgent, r *simRun, c *wire.Chunk) {
+	c.ID, c.Sequence, c.Boot = r.run.ID, uint64(len(r.chunks)), a.boot()
+	r.chunks = append(r.chunks, c)
+	r.ended = c.End != ""
+	s.flush(a, r)
+}
+
+func (s *sim) flush(a *simAgent, r *simRun) {
+	for r.sent < min(uint64(len(r.chunks)), r.limit) {
+		c := r.chunks[r.sent]
+		r.sent++
+		s.toEntry(a, c.ID, c)
+		if s.chance(3) {
+			s.toEntry(a, c.ID, c)
+		}
+	}
+}
+
+// toEntry sends a frame to the request of an attempt. Random delays reorder
+// frames; now and then one is very late.
+func (s *sim) toEntry(a *simAgent, id string, m wire.Message) {
+	if !a.linked || a.silent {
+		return
+	}
+	wait := 2*time.Millisecond + s.upTo(2*time.Millisecond)
+	if s.chance(2) {
+		wait = s.upTo(2 * time.Second)
+	}
+	s.after(wait, func() {
+		if q := s.requests[baseID(id)]; a.linked || s.chance(50) {
+			s.step(q, m)
+		}
+	})
+}
+
+func (s *sim) fault(a *simAgent) {
+	switch s.rng.IntN(6) {
+	case 0: // crash and restart
+		a.up = false
+		a.life++
+		a.table = make(map[string]*simRun)
+		s.cut(a, s.upTo(8*time.Second))
+	case 1: // the connection breaks
+		s.cut(a, s.upTo(time.Second))
+	case 2: // the connection goes silent and is replaced later
+		a.silent = true
+		s.after(2*time.Second, func() { s.cut(a, s.upTo(100*time.Millisecond)) })
+	case 3: // a partition that is longer than any limit
+		s.cut(a, 10*time.Second)
+	case 4: // overload of all targets
+		for _, a := range s.agents {
+			a.refuses = true
+			s.after(3*time.Second, func() { a.refuses = false })
+		}
+	case 5: // departure
+		for _, q := range s.list {
+			if q.target == a {
+				s.step(q, departing{"leaving"})
+			}
+		}
+	}
+}
+
+func (s *sim) cut(a *simAgent, down time.Duration) {
+	if a.linked {
+		a.linked = false
+		s.each(a, linkDown{})
+	}
+	s.after(down, func() {
+		a.up = true
+		a.silent = false
+		if a.linked {
+			return
+		}
+		a.linked = true
+		s.each(a, linkUp{boot: a.boot()})
+	})
+}
+
+func (s *sim) each(a *simAgent, input any) {
+	for _, q := range s.list {
+		if q.target == a {
+			s.step(q, input)
+		}
+	}
+}
+
+// check returns what the history violates.
+func (s *sim) check() []string {
+	var bad []string
+	for _, q := range s.list {
+		fail := func(format string, args ...any) {
+			bad = append(bad, q.r.id+": "+fmt.Sprintf(format, args...))
+		}
+		if q.finishes != 1 {
+			fail("finished %d times", q.finishes)
+		}
+		if !q.r.run.Idempotent && q.runs > 1 {
+			fail("not idempotent and ran %d times", q.runs)
+		}
+		if q.result.Outcome == OutcomeNotRun && q.runs > 0 {
+			fail("reported as not run and ran %d times", q.runs)
+		}
+		if q.result.Outcome == OutcomeDone && len(q.got) != q.want {
+			fail("reported as complete with %d of %d pieces", len(q.got), q.want)
+		}
+		for i, piece := range q.got {
+			if piece != simPiece(q.r.id, i) {
+				fail("piece %d is %q", i, piece)
+				break
+			}
+		}
+	}
+	return bad
+}
+
+func simRuns() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("MERLINHALL_HISTORIES"), 10, 64)
+	if err != nil {
+		return 12
+	}
+	return n
+}
+
+// Guards against requests that are lost, run twice, cut short or mixed up under
+// any combination of faults.
+func TestRandomHistories(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	outcomes := make(map[Outcome]int)
+	steps, moved := 0, 0
+	for seed := range simRuns() {
+		s := runSim(seed, 60, rules{})
+		steps += s.steps
+		for _, q := range s.list {
+			outcomes[q.result.Outcome]++
+			if q.r.attempts > 1 {
+				moved++
+			}
+		}
+		for _, b := range s.check() {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+	t.Logf("%d histories, %d steps, outcomes %v, moved %d", simRuns(), steps, outcomes, moved)
+	is.True(outcomes[OutcomeDone] > 0 && outcomes[OutcomeNotRun] > 0 && outcomes[OutcomeUnknown] > 0 && moved > 0)
+}
+
+// Guards against a history checker that sees nothing: it must find the absence of
+// each rule.
+func TestCheckerFindsEachMissingRule(t *testing.T) {
+	t.Parallel()
+	for name, off := range map[string]rules{
+		"move only after revoke":       {moveWithoutRevoke: true},
+		"boot id of the agent":         {ignoreBoot: true},
+		"sequence of chunks":           {ignoreSequence: true},
+		"memory of earlier attempts":   {forgetMaybeRan: true},
+		"broken streams are not whole": {brokenIsComplete: true},
+		"resume after the tokens":      {resumeWithoutState: true},
+	} {
+		found := 0
+		for seed := uint64(0); seed < 200 && found == 0; seed++ {
+			found = len(runSim(seed, 60, off).check())
+		}
+		if found == 0 {
+			t.Errorf("with the rule %q off no history fails", name)
+		}
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -437,6 +437,9 @@
 	if r.phase != phaseSent || !r.connected || r.revoked {
 		return nil
 	}
+	if r.rules.moveWithoutRevoke {
+		return r.move(m.why)
+	}
 	r.phase = phaseRevoking
 	r.lastHeard = now
 	return []action{send{target: r.target, message: &wire.Revoke{ID: r.attempt}}}
