--- a/standin/trainer.go
+++ b/standin/trainer.go
@@ -13,6 +13,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"merlinhall/wire"
 )
 
 const (
@@ -24,6 +26,7 @@
 type TrainerOptions struct {
 	Name      string
 	Entries   []string // base URLs of entries; used in turn after a failure
+	Store     string   // base URL of the weight store; empty means none
 	Token     string
 	Pools     []string
 	Client    *http.Client
@@ -55,6 +58,10 @@
 	Newest  uint64 `json:"newest"`
 	Trainer uint64 `json:"trainer_version"` // at receipt
 	Tokens  int    `json:"tokens"`
+	Prompt  string `json:"prompt"`
+	// Versions are the ranges that the sample names.
+	Versions []wire.VersionRange `json:"versions"`
+	Text     []string            `json:"text"`
 }
 
 // TrainerReport is what a trainer observed.
@@ -111,17 +118,13 @@
 		Step    uint64 `json:"step"`
 		Group   int    `json:"group"`
 		Samples []struct {
-			Trainer  string   `json:"trainer"`
-			Step     uint64   `json:"step"`
-			Group    int      `json:"group"`
-			Index    int      `json:"index"`
-			Tokens   []string `json:"tokens"`
-			Versions []struct {
-				From    int    `json:"from"`
-				To      int    `json:"to"`
-				Version uint64 `json:"version"`
-			} `json:"versions"`
-			Score float64 `json:"score"`
+			Trainer  string              `json:"trainer"`
+			Step     uint64              `json:"step"`
+			Group    int                 `json:"group"`
+			Index    int                 `json:"index"`
+			Tokens   []string            `json:"tokens"`
+			Versions []wire.VersionRange `json:"versions"`
+			Score    float64             `json:"score"`
 		} `json:"samples"`
 	} `json:"groups"`
 }
@@ -254,6 +257,9 @@
 		return nil
 	}
 	version := t.state.Publishing
+	if err := t.storeWeights(ctx, version); err != nil {
+		return err
+	}
 	for _, pool := range t.o.Pools {
 		request := map[string]any{"pool": pool, "version": version, "request_id": fmt.Sprintf("%s-%s-%d", t.o.Name, pool, version)}
 		if err := t.post(ctx, "weights", request, nil); err != nil {
@@ -269,6 +275,27 @@
 	return t.save()
 }
 
+// storeWeights makes the weight store hold a version before engines are told of
+// it.
+func (t *Trainer) storeWeights(ctx context.Context, version uint64) error {
+	if t.o.Store == "" {
+		return nil
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/publish/%d", t.o.Store, version), nil)
+	if err != nil {
+		return err
+	}
+	answer, err := t.o.Client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("weight store answered %d", answer.StatusCode)
+	}
+	return nil
+}
+
 // publishAbove chooses the version above those of the trainer's pools after a
 // conflict: another trainer that shares a pool has published in the meantime.
 func (t *Trainer) publishAbove(ctx context.Context, cause error, version uint64) bool {
@@ -300,7 +327,7 @@
 		step := t.state.Opened + 1
 		prompts := make([]string, t.o.Prompts)
 		for i := range prompts {
-			prompts[i] = fmt.Sprintf("%s step %d prompt %d", t.o.Name, step, i)
+			prompts[i] = t.prompt(step, i)
 		}
 		request := map[string]any{
 			"step":       step,
@@ -419,6 +446,10 @@
 	t.state.Violations = append(t.state.Violations, text)
 }
 
+func (t *Trainer) prompt(step uint64, group int) string {
+	return fmt.Sprintf("%s step %d prompt %d", t.o.Name, step, group)
+}
+
 // accept checks and records the samples of a draw.
 func (t *Trainer) accept(d *trainerDraw) {
 	t.mu.Lock()
@@ -429,7 +460,7 @@
 			t.violate("group %d of step %d has %d samples, not %d", g.Group, g.Step, len(g.Samples), t.o.GroupSize)
 		}
 		for _, s := range g.Samples {
-			record := TrainerSample{Step: s.Step, Group: s.Group, Index: s.Index, Draw: d.DrawID, Trainer: t.state.Version, Tokens: len(s.Tokens)}
+			record := TrainerSample{Step: s.Step, Group: s.Group, Index: s.Index, Draw: d.DrawID, Trainer: t.state.Version, Tokens: len(s.Tokens), Prompt: t.prompt(s.Step, s.Group), Versions: s.Versions, Text: s.Tokens}
 			next := 0
 			for i, r := range s.Versions {
 				if r.From != next || r.To <= r.From {
