--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -212,6 +212,9 @@
 	if !d.holds(m.target) {
 		return
 	}
+	if t := m.target; t.conn == m.conn && !t.heard.IsZero() {
+		t.heard = now
+	}
 	switch msg := m.message.(type) {
 	case *wire.Chunk:
 		d.stepAttempt(now, msg.ID, msg)
--- a/entry/request.go
+++ b/entry/request.go
@@ -19,6 +19,9 @@
 	// goneLimit is the time without a link after which the outcome of a request
 	// that must not be repeated is given up as unknown.
 	goneLimit = 5 * time.Second
+	// clockSkew is how early an agent may end a request for its deadline. One that
+	// ends it earlier is shutting down.
+	clockSkew = time.Second
 	// defaultIdle is the time without a chunk after which a request is attached
 	// again, for services without a timeout of their own.
 	defaultIdle = 5 * time.Second
@@ -259,7 +262,7 @@
 	}
 	r.next = c.Sequence + 1
 	r.phase = phaseAttached
-	return r.accept(c)
+	return r.accept(now, c)
 }
 
 // onGap asks once for the chunks that are missing.
@@ -275,7 +278,7 @@
 	return &wire.Attach{ID: r.attempt, From: r.next, Credit: uint32(r.limit - min(r.next, r.limit))}
 }
 
-func (r *request) accept(c *wire.Chunk) []action {
+func (r *request) accept(now time.Time, c *wire.Chunk) []action {
 	switch c.End {
 	case "":
 		return r.pass(c)
@@ -288,7 +291,9 @@
 			return r.onNotRun(c)
 		}
 	case wire.EndCancelled:
-		return append(r.confirm(), r.expire()...)
+		if now.Add(clockSkew).After(r.deadline) {
+			return append(r.confirm(), r.expire()...)
+		}
 	}
 	return r.onBroken(c)
 }
@@ -373,11 +378,17 @@
 	return actions
 }
 
-// transient reports whether a refusal is due to a change of configuration that is
-// under way. The target gets no new work for a while, so such refusals do not
-// count against the attempts or the retry budget.
+// transient reports whether a refusal says nothing of the request or the load: a
+// change of configuration is under way, or the Run was lost with its link. The
+// target gets no new work for a while, so such refusals do not count against the
+// attempts or the retry budget. A silent link loses the Runs of two seconds; with
+// them counted, one such link spent the budget of its service.
 func transient(reason wire.RefusedReason) bool {
-	return reason == wire.RefusedLeaving || reason == wire.RefusedNotReady || reason == wire.RefusedStale
+	switch reason {
+	case wire.RefusedLeaving, wire.RefusedNotReady, wire.RefusedStale, wire.RefusedUnknownID:
+		return true
+	}
+	return false
 }
 
 func (r *request) onRevoked(now time.Time, m *wire.Revoked) []action {
--- a/entry/target.go
+++ b/entry/target.go
@@ -23,9 +23,9 @@
 	// maxCancels bounds the cancellations kept for an agent that cannot be
 	// reached; the agent cancels the others by their deadline.
 	maxCancels = 1024
-	// overdue is the age of a load report at which a target becomes suspect. An
-	// agent reports each second.
-	overdue = 3 * time.Second
+	// overdue is the time without any message at which a target becomes suspect. An
+	// agent reports its load each second, and a silent link is replaced after two.
+	overdue = 1500 * time.Millisecond
 	// leavingFor is how long a refusal counts as a sign of departure against later
 	// load reports that may have been under way.
 	leavingFor = 2 * time.Second
@@ -51,7 +51,7 @@
 	leavingSign  time.Time // of the last refusal for leaving
 	notReady     time.Time // end of the pause after a refusal for the version
 	load         wire.Load
-	reported     time.Time // of load; zero before the first report
+	heard        time.Time // of the last message; zero before the first report
 	others       float64
 	cache        *routing.Cache
 	limiter      *admission.Limiter
@@ -89,14 +89,14 @@
 }
 
 func (t *target) overdue(now time.Time) bool {
-	return !t.reported.IsZero() && now.Sub(t.reported) > overdue
+	return !t.heard.IsZero() && now.Sub(t.heard) > overdue
 }
 
 // report takes a load report.
 func (t *target) report(now time.Time, l *wire.Load) {
 	t.load = *l
 	t.load.CachedPrefixes, t.load.EvictedPrefixes = nil, nil
-	t.reported = now
+	t.heard = now
 	t.others = routing.SmoothOthers(t.others, l.Running-len(t.flights))
 	t.cache.Report(now, l)
 }
@@ -109,12 +109,12 @@
 	}
 	if boot != t.boot {
 		t.load = wire.Load{}
-		t.reported = time.Time{}
 		t.leavingSign = time.Time{}
 		t.notReady = time.Time{}
 		t.cache.Reset()
 	}
 	t.conn = c
+	t.heard = time.Time{}
 	t.boot = boot
 	t.wasConnected = true
 }
