entry: run a repeatable call again while its caller has seen nothing

A plain answer of more than one chunk could not be run again after its first chunk, although up to 50 ms or 64 KB of it are held back. The reader now asks the dispatcher before it shows the first byte; until then a repeatable call moves like one without an answer. Running it again after a part was shown is found by the history checker (rule "no restart of a shown answer").

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -66,7 +66,7 @@
 	if !e.submit(f) {
 		return result, &OutcomeError{f.result}
 	}
-	end := e.follow(ctx, f, func(c *wire.Chunk) error {
+	end := e.follow(ctx, f, func(c piece) error {
 		for _, t := range c.Tokens {
 			result.Versions = appendVersion(result.Versions, len(result.Tokens), t.Version)
 			result.Tokens = append(result.Tokens, t)
@@ -101,10 +101,11 @@
 	if !e.submit(f) {
 		return response, &OutcomeError{f.result}
 	}
-	end := e.follow(ctx, f, func(c *wire.Chunk) error {
-		if c.Status != 0 {
-			response.Status = c.Status
-			response.Headers = c.Headers
+	attempt := 0
+	end := e.follow(ctx, f, func(c piece) error {
+		if c.attempt != attempt {
+			attempt = c.attempt
+			response = ServiceResponse{ID: f.request.id, Status: c.Status, Headers: c.Headers}
 		}
 		response.Body = append(response.Body, c.Data...)
 		return nil
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -113,7 +113,7 @@
 	versions []wire.VersionRange
 }
 
-func (c *completionWriter) take(chunk *wire.Chunk) error {
+func (c *completionWriter) take(chunk piece) error {
 	for _, t := range chunk.Tokens {
 		c.versions = appendVersion(c.versions, c.count, t.Version)
 		c.count++
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -30,6 +30,11 @@
 		conn    *link.Conn
 		message wire.Message
 	}
+	// commitQuery asks whether the caller may see the pieces of an attempt.
+	commitQuery struct {
+		flight  *flight
+		attempt int
+	}
 	consumedMessage struct {
 		flight *flight
 		chunks uint64
@@ -89,6 +94,8 @@
 		d.onPeer(now, m)
 	case stopMessage:
 		d.onStop(now)
+	case duty.Call[commitQuery, bool]:
+		m.Reply(m.Query.flight.request.commit(m.Query.attempt))
 	case duty.Call[struct{}, any]:
 		m.Reply(d.dump(now))
 	}
@@ -122,7 +129,7 @@
 	case abandon:
 		d.abandon(a)
 	case deliver:
-		d.deliver(f, a.chunk)
+		d.deliver(f, a)
 	case blame:
 		d.blame(now, a.target)
 	case route:
@@ -164,12 +171,12 @@
 	}
 }
 
-func (d *dispatcher) deliver(f *flight, c *wire.Chunk) {
-	if c.Status != 0 {
-		f.status = c.Status
+func (d *dispatcher) deliver(f *flight, a deliver) {
+	if a.chunk.Status != 0 {
+		f.status = a.chunk.Status
 	}
 	select {
-	case f.chunks <- c:
+	case f.chunks <- piece{a.chunk, a.attempt}:
 	default:
 		duty.Invariant(false, "request %s has more than %d chunks waiting", f.request.id, creditWindow)
 	}
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -4,14 +4,18 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"merlinhall/observe"
 	"merlinhall/wire"
 )
 
@@ -364,7 +368,7 @@
 	n := 0
 	go func() {
 		defer close(taken)
-		s.entry.follow(context.Background(), f, func(c *wire.Chunk) error { n += len(c.Tokens); return nil })
+		s.entry.follow(context.Background(), f, func(c piece) error { n += len(c.Tokens); return nil })
 	}()
 	receive(t, taken, "rest of the slow stream")
 	is.Equal(n, 500)
@@ -375,24 +379,30 @@
 	t.Parallel()
 	is := is.New(t)
 	s := newSite(t, 1, nil)
-	s.services[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
+	shown := newGate()
+	s.services[0].does(func(ctx context.Context, _ *wire.Run, emit func(wire.Chunk)) {
 		emit(wire.Chunk{Status: http.StatusOK})
 		emit(wire.Chunk{Data: make([]byte, 2*holdBytes)})
+		shown.wait(ctx)
 		emit(wire.Chunk{End: wire.EndBroken, Detail: "target closed the connection"})
 	})
-	r, body, err := s.post("/svc/x", "b")
+	r, err := s.http.Client().Get(s.http.URL + "/svc/x")
+	is.NoErr(err)
 	is.Equal(r.StatusCode, http.StatusOK)
+	shown.release()
+	data, err := io.ReadAll(r.Body)
 	is.True(err != nil) // the body ends without its last chunk
-	is.Equal(len(body), 2*holdBytes)
+	is.Equal(len(data), 2*holdBytes)
 	is.Equal(outcome(r), "")
 	s.services[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
 		emit(wire.Chunk{Status: http.StatusOK, Data: []byte("part")})
 		emit(wire.Chunk{End: wire.EndBroken})
 	})
-	r, _, err = s.post("/svc/x", "b")
+	r, body, err := s.post("/svc/x", "b")
 	is.NoErr(err)
 	is.Equal(r.StatusCode, http.StatusBadGateway)
 	is.Equal(outcome(r), "unknown")
+	is.True(!strings.Contains(body, "part"))
 	s.engines[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
 		if len(r.Generation.Prefix) == 0 {
 			emit(wire.Chunk{Tokens: []wire.Token{{Text: "x", Version: 1}}})
@@ -405,6 +415,81 @@
 	is.True(!strings.Contains(body, "done"))
 }
 
+// Guards against a repeatable call that fails because its answer broke off before
+// the caller saw any of it, and against parts of two answers in one.
+func TestBrokenAnswerIsRunAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 2, nil)
+	var broken atomic.Bool
+	for _, a := range s.services {
+		a.does(func(ctx context.Context, r *wire.Run, emit func(wire.Chunk)) {
+			if !broken.Swap(true) {
+				emit(wire.Chunk{Status: http.StatusAccepted, Headers: []wire.Header{{Name: "X-First", Value: "1"}}})
+				emit(wire.Chunk{Data: []byte("half")})
+				emit(wire.Chunk{End: wire.EndBroken})
+				return
+			}
+			echoAnswer(ctx, r, emit)
+		})
+	}
+	r, err := s.http.Client().Get(s.http.URL + "/svc/x")
+	is.NoErr(err)
+	body, err := io.ReadAll(r.Body)
+	is.NoErr(err)
+	is.Equal(r.StatusCode, http.StatusOK)
+	is.Equal(string(body), "")
+	is.Equal(r.Header.Get("X-First"), "")
+	is.Equal(outcome(r), "done")
+	is.Equal(total(s.services), 2)
+}
+
+// Guards against new work for a departing target after the first sign: the world
+// names it or its host, or it refuses.
+func TestSignsOfDeparture(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 2, nil)
+	text := []byte(configText(s.agents, ""))
+	leaving := s.services[0]
+	s.publish(&wire.World{ConfigText: text, Departures: []wire.Departure{{Target: leaving.target}}})
+	for range 10 {
+		is.NoErr(receive(t, s.call(http.MethodPost), "call").err)
+	}
+	is.Equal(leaving.total(), 0)
+	s.publish(&wire.World{ConfigText: text})
+	asked := 0
+	leaving.refuses(func(*wire.Run) *wire.Refused { asked++; return &wire.Refused{Reason: wire.RefusedLeaving} })
+	for range 20 {
+		is.NoErr(receive(t, s.call(http.MethodPost), "call").err)
+	}
+	is.Equal(leaving.total(), 0)
+	leaving.mu.Lock()
+	defer leaving.mu.Unlock()
+	is.True(asked <= 1)
+}
+
+// Guards against metrics and a dump that do not show what happened.
+func TestMetricsAndDump(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	observer := observe.New("error")
+	s := newSite(t, 1, func(o *Options) { o.Observer = observer })
+	is.NoErr(receive(t, s.call(http.MethodPost), "call").err)
+	is.NoErr(receive(t, s.generate(7), "generation").err)
+	mux := http.NewServeMux()
+	observer.Attach(mux)
+	get := func(path string) string {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w.Body.String()
+	}
+	text := get("/metrics")
+	is.True(strings.Contains(text, `merlinhall_entry_requests_total{outcome="done",service="svc"} 1`))
+	is.True(strings.Contains(text, `merlinhall_entry_tokens_total{service="lm"} 7`))
+	is.True(strings.Contains(get("/dump"), `"name": "svc-0"`))
+}
+
 // Guards against requests beyond the limits and unclear errors.
 func TestLimitsOfRequests(t *testing.T) {
 	t.Parallel()
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -35,10 +35,17 @@
 
 	// chunks never blocks the dispatcher: the credit window bounds the chunks
 	// that were delivered and not taken.
-	chunks chan *wire.Chunk
+	chunks chan piece
 	result Result // valid after chunks is closed
 }
 
+// piece is a chunk of an attempt. The caller of a plain service forgets the pieces
+// of earlier attempts; a generation goes on after them.
+type piece struct {
+	*wire.Chunk
+	attempt int
+}
+
 func newFlight(name string, r *request) *flight {
 	f := &flight{
 		name:     name,
@@ -47,7 +54,7 @@
 		callerID: r.id,
 		priority: r.run.Priority,
 		cost:     costOf(&r.run),
-		chunks:   make(chan *wire.Chunk, creditWindow),
+		chunks:   make(chan piece, creditWindow),
 	}
 	if g := r.run.Generation; g != nil {
 		f.prefixes = routing.PrefixHashes(g.Prompt)[:min(1, len(g.Prompt))]
@@ -66,7 +73,7 @@
 
 // follow passes the chunks of f to take until the end and returns the result.
 // When ctx ends or take fails, the request is cancelled.
-func (e *Entry) follow(ctx context.Context, f *flight, take func(*wire.Chunk) error) Result {
+func (e *Entry) follow(ctx context.Context, f *flight, take func(piece) error) Result {
 	var taken uint64
 	for {
 		select {
--- a/entry/history_test.go
+++ b/entry/history_test.go
@@ -73,6 +73,9 @@
 	runs      int
 	finishes  int
 	result    Result
+	attempt   int    // of got
+	shown     bool   // the caller has seen a part
+	mixed     bool   // the caller has seen parts of two attempts
 	unclaimed uint64 // chunks not yet consumed
 	leaves    bool
 }
@@ -181,7 +184,7 @@
 		case abandon:
 			s.toAgent(q.target, &wire.Cancel{ID: a.attempt})
 		case deliver:
-			s.deliver(q, a.chunk)
+			s.deliver(q, a)
 		case route:
 			s.after(s.upTo(50*time.Millisecond), func() { s.place(q, a.avoid) })
 		case finish:
@@ -191,7 +194,12 @@
 	}
 }
 
-func (s *sim) deliver(q *simRequest, c *wire.Chunk) {
+func (s *sim) deliver(q *simRequest, d deliver) {
+	c := d.chunk
+	if !q.r.generation() && d.attempt != q.attempt {
+		q.mixed = q.mixed || q.shown
+		q.attempt, q.got = d.attempt, nil
+	}
 	for _, t := range c.Tokens {
 		q.got = append(q.got, t.Text)
 	}
@@ -199,6 +207,9 @@
 		q.got = append(q.got, string(c.Data))
 	}
 	q.unclaimed++
+	if s.chance(5) {
+		s.after(s.upTo(50*time.Millisecond), func() { q.shown = q.shown || q.r.commit(d.attempt) })
+	}
 	wait := s.upTo(20 * time.Millisecond)
 	if s.chance(1) {
 		wait = s.upTo(2 * time.Second)
@@ -437,6 +448,9 @@
 		if q.result.Outcome == OutcomeNotRun && q.runs > 0 {
 			fail("reported as not run and ran %d times", q.runs)
 		}
+		if q.mixed {
+			fail("answers of two attempts are mixed")
+		}
 		if q.result.Outcome == OutcomeDone && len(q.got) != q.want {
 			fail("reported as complete with %d of %d pieces", len(q.got), q.want)
 		}
@@ -492,6 +506,7 @@
 		"sequence of chunks":           {ignoreSequence: true},
 		"memory of earlier attempts":   {forgetMaybeRan: true},
 		"broken streams are not whole": {brokenIsComplete: true},
+		"no restart of a shown answer": {restartShown: true},
 		"resume after the tokens":      {resumeWithoutState: true},
 	} {
 		found := 0
--- a/entry/request.go
+++ b/entry/request.go
@@ -83,7 +83,12 @@
 	}
 	// abandon cancels an attempt as soon as its agent can be reached.
 	abandon struct{ target, attempt, boot string }
-	deliver struct{ chunk *wire.Chunk }
+	// deliver passes a chunk on. The caller of a plain service forgets the chunks
+	// of earlier attempts.
+	deliver struct {
+		attempt int
+		chunk   *wire.Chunk
+	}
 	// route asks for another target.
 	route struct {
 		avoid string
@@ -112,6 +117,7 @@
 	forgetMaybeRan     bool // report not-run after an attempt that may have run
 	brokenIsComplete   bool // end a broken stream as a complete one
 	resumeWithoutState bool // resume a generation without the tokens so far
+	restartShown       bool // run a call again of which the caller has seen a part
 }
 
 // request is the state of one caller request. It is pure: it reads no clock and
@@ -143,6 +149,11 @@
 	held      bool   // the caller was slower than the target at least once
 	asked     uint64 // sequence number for which a gap was reported, plus one
 
+	// committed is set when the caller of a plain service has seen a part of the
+	// answer, which can then no longer be replaced by that of another attempt.
+	committed bool
+	done      bool
+
 	tokens   []string // generated so far
 	maybeRan bool     // an earlier attempt may have run
 }
@@ -306,7 +317,7 @@
 	r.delivered++
 	r.fruitless = 0
 	r.held = r.held || r.next >= r.limit
-	return []action{deliver{c}}
+	return []action{deliver{r.attempts, c}}
 }
 
 // onNotRun handles a target that certainly did not run the request.
@@ -325,7 +336,7 @@
 // with the last chunk are genuine and are kept.
 func (r *request) onBroken(c *wire.Chunk) []action {
 	if r.rejects(c) {
-		return append(r.confirm(), r.end(Result{Outcome: OutcomeNotRun, Status: c.Status, Broken: r.delivered > 0, Detail: c.Detail})...)
+		return append(r.confirm(), r.end(Result{Outcome: OutcomeNotRun, Status: c.Status, Broken: r.shown(), Detail: c.Detail})...)
 	}
 	actions := []action{blame{r.target}}
 	if len(c.Tokens) > 0 {
@@ -549,7 +560,7 @@
 		}
 		return r.move(why)
 	}
-	if r.run.Idempotent && r.delivered == 0 {
+	if r.run.Idempotent && !r.committed {
 		return r.move(why)
 	}
 	return r.giveUp(why, 0)
@@ -557,11 +568,11 @@
 
 // giveUp ends the request without a complete answer.
 func (r *request) giveUp(why string, retryAfter time.Duration) []action {
-	if r.rules.brokenIsComplete && r.delivered > 0 {
+	if r.rules.brokenIsComplete && r.shown() {
 		return r.end(Result{Outcome: OutcomeDone})
 	}
 	switch {
-	case r.delivered > 0:
+	case r.shown():
 		return r.end(Result{Outcome: OutcomeUnknown, Status: statusBadGateway, Broken: true, Detail: why})
 	case r.maybeRan:
 		return r.end(Result{Outcome: OutcomeUnknown, Status: statusBadGateway, Detail: why})
@@ -569,6 +580,21 @@
 	return r.end(Result{Outcome: OutcomeNotRun, Status: statusUnavailable, RetryAfter: max(retryAfter, time.Second), Detail: why})
 }
 
+// shown reports whether the caller has a part of the answer.
+func (r *request) shown() bool {
+	return r.committed || (r.generation() && r.delivered > 0)
+}
+
+// commit asks to show the chunks of an attempt to the caller. It returns false
+// when they are not, or no longer, part of the answer.
+func (r *request) commit(attempt int) bool {
+	if attempt != r.attempts || r.phase == phaseWaiting || (r.phase == phaseFinished && !r.done) {
+		return false
+	}
+	r.committed = !r.rules.restartShown
+	return true
+}
+
 // expire ends the request because its deadline passed.
 func (r *request) expire() []action {
 	if r.phase == phaseWaiting {
@@ -577,13 +603,14 @@
 	return r.end(Result{
 		Outcome: OutcomeUnknown,
 		Status:  statusTimeout,
-		Broken:  r.delivered > 0,
+		Broken:  r.shown(),
 		Detail:  "deadline passed",
 	})
 }
 
 func (r *request) end(result Result) []action {
 	r.phase = phaseFinished
+	r.done = result.Outcome == OutcomeDone
 	result.Target = r.target
 	result.Attempts = r.attempts
 	return []action{finish{result}}
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"merlinhall/wire"
+	"merlinhall/duty"
 )
 
 const (
@@ -24,7 +24,7 @@
 		writeResult(w, id, f.result)
 		return
 	}
-	a := newAnswer(w, f, id)
+	a := newAnswer(w, f, id, func(attempt int) bool { return e.commit(f, attempt) })
 	defer a.stop()
 	result := e.followHeld(r.Context(), f, a)
 	a.finish(result)
@@ -32,21 +32,22 @@
 
 // answer writes the answer of a plain service.
 type answer struct {
-	w      http.ResponseWriter
-	id     string
-	hold   *time.Timer
-	held   [][]byte
-	bytes  int
-	begun  bool // chunk 0 was seen
-	sent   bool // the header was written
-	status int
+	w       http.ResponseWriter
+	id      string
+	commit  func(attempt int) bool
+	hold    *time.Timer
+	held    [][]byte
+	bytes   int
+	attempt int  // of what is held
+	sent    bool // the header was written
+	status  int
 }
 
-func newAnswer(w http.ResponseWriter, f *flight, id string) *answer {
+func newAnswer(w http.ResponseWriter, f *flight, id string, commit func(int) bool) *answer {
 	limitWrites(w, f)
 	hold := time.NewTimer(holdTime)
 	hold.Stop()
-	return &answer{w: w, id: id, hold: hold}
+	return &answer{w: w, id: id, commit: commit, hold: hold}
 }
 
 // limitWrites keeps a caller that does not read from holding its goroutine for
@@ -57,14 +58,23 @@
 
 func (a *answer) stop() { a.hold.Stop() }
 
+// commit reports whether the caller may see the pieces of an attempt.
+func (e *Entry) commit(f *flight, attempt int) bool {
+	reply, err := duty.Ask[commitQuery, bool](e.duty, commitQuery{f, attempt})
+	if err != nil {
+		return false
+	}
+	return <-reply
+}
+
 // followHeld is follow with a limit on the time for which an answer is held.
 func (e *Entry) followHeld(ctx context.Context, f *flight, a *answer) Result {
-	out := make(chan *wire.Chunk)
+	out := make(chan piece)
 	ended := make(chan Result, 1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		ended <- e.follow(ctx, f, func(c *wire.Chunk) error {
+		ended <- e.follow(ctx, f, func(c piece) error {
 			select {
 			case out <- c:
 				return nil
@@ -91,8 +101,8 @@
 	}
 }
 
-func (a *answer) take(c *wire.Chunk) error {
-	if !a.begun {
+func (a *answer) take(c piece) error {
+	if c.attempt != a.attempt {
 		a.begin(c)
 	}
 	if len(c.Data) > 0 {
@@ -105,13 +115,17 @@
 	return nil
 }
 
-func (a *answer) begin(c *wire.Chunk) {
-	a.begun = true
+// begin starts with the first piece of an attempt. Nothing of an earlier attempt
+// has been written, or there would be no other.
+func (a *answer) begin(c piece) {
+	a.attempt = c.attempt
+	a.held, a.bytes = nil, 0
 	a.status = c.Status
 	if c.Status < 200 || c.Status > 999 {
 		a.status = statusBadGateway // not a status that may end an answer
 	}
 	h := a.w.Header()
+	clear(h)
 	for _, f := range c.Headers {
 		if !hopHeaders[http.CanonicalHeaderKey(f.Name)] {
 			h.Add(f.Name, f.Value)
@@ -124,6 +138,12 @@
 // release writes what is held, with the outcome announced as a trailer.
 func (a *answer) release() error {
 	if !a.sent {
+		if !a.commit(a.attempt) {
+			// Another attempt or the end of the request follows, or the entry is too
+			// busy to answer.
+			a.hold.Reset(holdTime)
+			return nil
+		}
 		// HTTP/1.1 sends trailers only with a chunked body. An answer that is cut
 		// off is then visible by its missing last chunk.
 		a.w.Header().Del("Content-Length")
