entry: pass unclean paths on, ramp only after a restart or recovery

A redialled link of the same agent is no recovery; with it, a network blip at the entry put all targets of a service on a tenth of their share at once. A ramping target now also takes work when no other has room.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -506,6 +506,7 @@
 		{"/svc/x", "b", HeaderPriority, "900", http.StatusBadRequest, "want an integer"},
 		{"/other/x", "b", "", "", http.StatusNotFound, `"known":["svc"]`},
 		{"/v1/completions", `{"model":"other"}`, "", "", http.StatusNotFound, `"known":["lm"]`},
+		{"//x", "b", "", "", http.StatusNotFound, `"known":["svc"]`},
 		{"/v1/completions", `{"model":`, "", "", http.StatusBadRequest, "not a JSON"},
 		{"/v1/completions", `{"model":"lm","max_tokens":-1}`, "", "", http.StatusBadRequest, "max_tokens"},
 	} {
--- a/entry/http.go
+++ b/entry/http.go
@@ -29,12 +29,20 @@
 	maxNameBytes = 128
 )
 
-// Handler returns the handler for callers.
+// Handler returns the handler for callers. It is not an http.ServeMux, which
+// answers paths such as /svc//x with a redirect instead of passing them on.
 func (e *Entry) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+completionsPath, e.serveCompletions)
-	mux.HandleFunc("/", e.serveService)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != completionsPath:
+			e.serveService(w, r)
+		case r.Method != http.MethodPost:
+			w.Header().Set("Allow", http.MethodPost)
+			e.writeError(w, r.Header.Get(HeaderRequestID), invalid(http.StatusMethodNotAllowed, "%s takes POST", completionsPath))
+		default:
+			e.serveCompletions(w, r)
+		}
+	})
 }
 
 // callerHeaders are the header fields that steer a request.
--- a/entry/target.go
+++ b/entry/target.go
@@ -46,17 +46,16 @@
 	flights map[*flight]struct{}
 	cancels []abandon // attempts to cancel when the link is back
 
-	removed      bool      // not in the current configuration
-	leaving      bool      // by the current world
-	leavingSign  time.Time // of the last refusal for leaving
-	notReady     time.Time // end of the pause after a refusal for the version
-	load         wire.Load
-	heard        time.Time // of the last message; zero before the first report
-	others       float64
-	cache        *routing.Cache
-	limiter      *admission.Limiter
-	served       uint64
-	wasConnected bool
+	removed     bool      // not in the current configuration
+	leaving     bool      // by the current world
+	leavingSign time.Time // of the last refusal for leaving
+	notReady    time.Time // end of the pause after a refusal for the version
+	load        wire.Load
+	heard       time.Time // of the last message; zero before the first report
+	others      float64
+	cache       *routing.Cache
+	limiter     *admission.Limiter
+	served      uint64
 }
 
 func targetKey(t config.Target) string { return t.Name + "@" + t.Agent }
@@ -104,10 +103,10 @@
 // linked takes a new connection of the agent.
 func (t *target) linked(now time.Time, c *link.Conn) {
 	boot := c.Peer().Boot
-	if t.wasConnected {
-		t.service.health.Recover(now, t.key)
-	}
 	if boot != t.boot {
+		if t.boot != "" {
+			t.service.health.Recover(now, t.key)
+		}
 		t.load = wire.Load{}
 		t.leavingSign = time.Time{}
 		t.notReady = time.Time{}
@@ -116,7 +115,6 @@
 	t.conn = c
 	t.heard = time.Time{}
 	t.boot = boot
-	t.wasConnected = true
 }
 
 // targetEvents passes the events of a target's link to the dispatcher.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -165,15 +165,19 @@
 }
 
 func (t *Target) full() bool {
-	limit := t.Limit
-	if limit > 0 && t.Weight > 0 && t.Weight < 1 {
-		limit = max(1, int(float64(limit)*t.Weight))
-	}
-	return (limit > 0 && float64(t.InFlight)+t.Others >= float64(limit)) || (t.OwnLimit > 0 && t.InFlight >= t.OwnLimit)
+	// Others is an estimate; a part of a request does not take a place.
+	return (t.Limit > 0 && t.InFlight+int(t.Others) >= t.Limit) || (t.OwnLimit > 0 && t.InFlight >= t.OwnLimit)
+}
+
+// ramping reports whether a recovering target has the share that it may have. It
+// then takes work only when no other target does, so that a service whose targets
+// all come back at once is not held down.
+func (t *Target) ramping() bool {
+	return t.Weight > 0 && t.Weight < 1 && t.Limit > 0 && float64(t.InFlight)+t.Others >= float64(t.Limit)*t.Weight
 }
 
 func (t *Target) doubtful(r Request) bool {
-	return t.Swapping || t.Suspect || t.Key == r.Avoid || (t.FreeKV > 0 && t.FreeKV < r.Tokens)
+	return t.Swapping || t.Suspect || t.ramping() || t.Key == r.Avoid || (t.FreeKV > 0 && t.FreeKV < r.Tokens)
 }
 
 // load is the load of a target relative to what it may have.
