--- a/rollout/bodies.go
+++ b/rollout/bodies.go
@@ -334,7 +334,7 @@
 	if f.peer == "" || now.Sub(f.askedAt) >= fetchLimit {
 		c.askNext(now, key, f)
 	}
-	if c.leading && state == GroupWhole && !f.lost && now.Sub(f.since) >= lossAfter && c.allMissing(f) {
+	if c.leading && state == GroupWhole && !f.lost && now.Sub(f.since) >= c.lossAfter && c.allMissing(f) {
 		f.lost = true
 		c.loseGroup(key)
 		return
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -71,8 +71,9 @@
 	mu      sync.Mutex
 	work    sync.WaitGroup // goroutines that use the store
 
-	// skipMajority commits a group after its first copy, for tests.
+	// Tests change these: skipMajority commits a group after its first copy.
 	skipMajority bool
+	lossAfter    time.Duration
 }
 
 // Messages of the coordinator's mailbox.
@@ -115,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Coordinator{o: o, store: store, planner: NewPlanner(o.Planner), changes: newBroadcast()}
+	c := &Coordinator{o: o, store: store, planner: NewPlanner(o.Planner), changes: newBroadcast(), lossAfter: lossAfter}
 	c.links.init()
 	c.bodies.init()
 	c.ctx, c.stop = context.WithCancel(context.Background())
--- a/rollout/crash_test.go
+++ b/rollout/crash_test.go
@@ -243,6 +243,7 @@
 // against a trainer that waits for ever, when a process crashes at any point of
 // the path, also while the former leader still acts as one.
 func TestCrashAtEveryPoint(t *testing.T) {
+	t.Parallel()
 	const steps = 4
 	for i, point := range crashPoints {
 		for _, keepOwner := range []bool{false, true} {
@@ -264,6 +265,7 @@
 // Guards against an observer that notices nothing: each rule is switched off in
 // turn and must be missed. TestLedgerPromises does the same for the ledger.
 func TestObserverNoticesMissingRules(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	o, _ := crashRun{allSteps: 2, drop: "body", weaken: func(c *cluster) {
 		for _, r := range c.replicas {
--- a/rollout/ledger_test.go
+++ b/rollout/ledger_test.go
@@ -195,6 +195,7 @@
 // after a resend, a lost body or a restart. Each rule is then switched off to
 // show that the observer notices.
 func TestLedgerPromises(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	violations := func(seeds uint64, weaken func(*Ledger)) (violated []string, drawn int) {
 		for seed := range seeds {
@@ -284,6 +285,7 @@
 
 // Guards against a ledger that grows with the number of steps.
 func TestLedgerIsBounded(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := NewLedger()
 	l.UseRules(testRules)
--- a/rollout/path_test.go
+++ b/rollout/path_test.go
@@ -38,6 +38,7 @@
 // step, jobs, bodies on three replicas, draw, resent draw, acknowledgement and
 // weights.
 func TestTrainerRunsSteps(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, "c1", "c2", "c3")
 	for _, entry := range []string{"e1", "e2"} {
--- a/rollout/store.go
+++ b/rollout/store.go
@@ -37,7 +37,7 @@
 }
 
 // OpenStore opens the store at dir, creates it when needed and removes files
-// that a crash left incomplete.
+// that are incomplete or damaged.
 func OpenStore(dir string) (*Store, error) {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return nil, eris.Wrap(err, "rollout: create body store")
@@ -55,7 +55,9 @@
 			}
 			continue
 		}
-		s.known[key] = true
+		if _, err := s.Get(key); err == nil {
+			s.known[key] = true
+		}
 	}
 	return s, nil
 }
--- a/rollout/worker_test.go
+++ b/rollout/worker_test.go
@@ -130,6 +130,7 @@
 
 // Guards against a sample that is generated again because scoring failed.
 func TestScoreIsRepeated(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	r := &failingScorer{fakeRunner: fakeRunner{version: func() uint64 { return 2 }}, left: 2}
 	w := testWorker(t, r)
