--- a/rollout/assign.go
+++ b/rollout/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"merlinhall/wire"
@@ -25,7 +26,8 @@
 	}
 	queues := p.queues(now)
 	p.assignQueues(now, queues)
-	if p.o.Policies.SecondCopy {
+	p.backlog = len(queues) > 0
+	if p.o.Policies.SecondCopy && len(queues) == 0 {
 		p.assignCopies(now)
 	}
 }
@@ -53,16 +55,9 @@
 
 // queues returns the samples to start of each trainer, most urgent first.
 func (p *Planner) queues(now time.Time) map[string][]candidate {
-	ranked := p.rankedGroups()
 	queues := map[string][]candidate{}
-	for _, id := range ranked {
+	for _, id := range p.rankedGroups(now) {
 		g := p.groups[id]
-		if g.sealed || now.Before(g.retryAt) {
-			continue
-		}
-		if _, ok := p.o.Trainer(id.trainer); !ok {
-			continue
-		}
 		if q := g.startable(now, id, p.o.Policies.Spares); len(q) > 0 {
 			queues[id.trainer] = append(queues[id.trainer], q...)
 		}
@@ -87,14 +82,31 @@
 	return found
 }
 
-func (p *Planner) rankedGroups() []groupID {
-	ids := p.sortedGroups()
-	ranks := make(map[groupID]GroupRank, len(ids))
-	for _, id := range ids {
-		g := p.groups[id]
-		ranks[id] = GroupRank{Step: id.step, Missing: g.size - g.done(), Length: g.meanTokens(p.mean(id.trainer)), Group: id.group}
+// rankedGroups returns the groups with samples to start, most urgent first.
+func (p *Planner) rankedGroups(now time.Time) []groupID {
+	type ranked struct {
+		id   groupID
+		rank GroupRank
+	}
+	known := map[string]bool{}
+	for name := range p.trainers {
+		_, known[name] = p.o.Trainer(name)
+	}
+	var found []ranked
+	for id, g := range p.groups {
+		if g.sealed || g.covered >= g.size+p.o.Policies.Spares || !known[id.trainer] || now.Before(g.retryAt) {
+			continue
+		}
+		rank := GroupRank{Step: id.step, Missing: g.size - g.results, Length: g.meanTokens(p.mean(id.trainer)), Group: id.group}
+		found = append(found, ranked{id, rank})
+	}
+	slices.SortFunc(found, func(a, b ranked) int {
+		return cmp.Or(a.rank.compare(b.rank, p.o.Policies), a.id.compare(b.id))
+	})
+	ids := make([]groupID, len(found))
+	for i, r := range found {
+		ids[i] = r.id
 	}
-	sortBy(ids, func(a, b groupID) bool { return ranks[a].Less(ranks[b], p.o.Policies) })
 	return ids
 }
 
@@ -156,7 +168,10 @@
 	p.jobs[j.id] = j
 	p.inFlight++
 	p.entries[j.entry].jobs++
-	p.groups[j.group].sample(j.index).running++
+	g := p.groups[j.group]
+	s := g.sample(j.index)
+	s.jobs = append(s.jobs, j.id)
+	g.addRunning(s, 1)
 }
 
 func (id groupID) sample(index int) wire.SampleID {
@@ -195,7 +210,7 @@
 		pool = t.view.Pools[j.group.group%n]
 	}
 	priority := plan.Priority
-	if p.o.Policies.NearestGroup && g.size-g.done() <= max(1, g.size/4) {
+	if p.o.Policies.NearestGroup && g.size-g.results <= max(1, g.size/4) {
 		priority++
 	}
 	return &wire.Generate{
@@ -216,17 +231,33 @@
 	}
 }
 
-// assignCopies starts late samples a second time where an entry is free.
-func (p *Planner) assignCopies(now time.Time) {
-	for _, id := range sortedKeys(p.jobs) {
-		j := p.jobs[id]
-		g, t := p.groups[j.group], p.trainers[j.group.trainer]
-		if j.idle || g == nil || t == nil || g.sealed || g.sample(j.index).running != 1 {
-			continue
+// lateJobs returns the jobs that run late and have no second copy yet.
+func (p *Planner) lateJobs(now time.Time) []string {
+	limits := map[string]time.Duration{}
+	for name, t := range p.trainers {
+		if limit, ok := t.history.Late(); ok {
+			limits[name] = limit
 		}
-		if !IsLate(now, j.start, &t.history) {
+	}
+	var late []string
+	for id, j := range p.jobs {
+		limit, ok := limits[j.group.trainer]
+		g := p.groups[j.group]
+		if !ok || j.idle || now.Sub(j.start) <= limit || g == nil || g.sealed {
 			continue
 		}
+		if g.sample(j.index).running == 1 {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	return late
+}
+
+// assignCopies starts late samples a second time where an entry is free.
+func (p *Planner) assignCopies(now time.Time) {
+	for _, id := range p.lateJobs(now) {
+		j := p.jobs[id]
 		entry := p.chooseEntry(j.entry)
 		if entry == "" || entry == j.entry || p.inFlight >= p.o.MaxInFlight {
 			return
--- a/rollout/job.go
+++ b/rollout/job.go
@@ -70,6 +70,10 @@
 	wasted  int  // tokens discarded so far
 	sealed  bool // handed to the body store
 	retryAt time.Time
+
+	results int // samples with a result
+	tokens  int // of the results
+	covered int // samples with a result or a running job
 }
 
 type samplePlan struct {
@@ -81,8 +85,11 @@
 	failures  int
 	notBefore time.Time
 	avoid     string // entry that failed last
+	jobs      []string
 }
 
+func (s *samplePlan) covered() bool { return s.result != nil || s.running > 0 }
+
 func (g *groupPlan) sample(index int) *samplePlan {
 	s := g.samples[index]
 	if s == nil {
@@ -92,27 +99,41 @@
 	return s
 }
 
-func (g *groupPlan) done() int {
-	n := 0
-	for _, s := range g.samples {
-		if s.result != nil {
-			n++
-		}
+// setResult records a result, or forgets it when r is nil.
+func (g *groupPlan) setResult(s *samplePlan, r *wire.SampleDone) {
+	before := s.covered()
+	if s.result != nil {
+		g.results--
+		g.tokens -= len(s.result.Tokens)
+	}
+	s.result = r
+	if r != nil {
+		g.results++
+		g.tokens += len(r.Tokens)
+	}
+	g.recount(before, s.covered())
+}
+
+// addRunning changes the number of running jobs of a sample.
+func (g *groupPlan) addRunning(s *samplePlan, n int) {
+	before := s.covered()
+	s.running += n
+	g.recount(before, s.covered())
+}
+
+func (g *groupPlan) recount(before, after bool) {
+	switch {
+	case after && !before:
+		g.covered++
+	case before && !after:
+		g.covered--
 	}
-	return n
 }
 
 // meanTokens returns the mean length of the finished samples, or fallback.
 func (g *groupPlan) meanTokens(fallback float64) float64 {
-	sum, n := 0, 0
-	for _, s := range g.samples {
-		if s.result != nil {
-			sum += len(s.result.Tokens)
-			n++
-		}
-	}
-	if n == 0 {
+	if g.results == 0 {
 		return fallback
 	}
-	return float64(sum) / float64(n)
+	return float64(g.tokens) / float64(g.results)
 }
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -105,7 +105,10 @@
 	trainers map[string]*trainerPlan
 	shares   *Shares
 	inFlight int
-	actions  []any
+	// backlog is set when samples may wait to be started. Without it a result
+	// does not search all groups for more work.
+	backlog bool
+	actions []any
 
 	// Wasted counts tokens of discarded results.
 	Wasted int
@@ -159,15 +162,27 @@
 		p.sendFailed(now, e)
 	case SealFailed:
 		p.sealFailed(now, e)
+	case Tick:
+		p.tick(now)
 	}
-	if p.leading {
-		p.expire(now)
-		p.cancelTooOld(now)
+	if p.leading && p.backlog {
 		p.assign(now)
 	}
 	return p.actions
 }
 
+// tick does what time alone brings about.
+func (p *Planner) tick(now time.Time) {
+	if !p.leading {
+		return
+	}
+	p.expire(now)
+	if p.o.Policies.CancelTooOld {
+		p.cancelTooOld(now)
+	}
+	p.backlog = true
+}
+
 func (p *Planner) act(a any) { p.actions = append(p.actions, a) }
 
 // lead starts with nothing planned. A former leader sends no abandon: its jobs
@@ -244,15 +259,19 @@
 	if plan != nil {
 		p.dropGroup(id)
 	}
+	p.backlog = true
 	p.groups[id] = &groupPlan{round: g.Round, prompt: g.Prompt, size: s.GroupSize, samples: map[int]*samplePlan{}}
 }
 
 // dropGroup forgets a group that needs no more samples, and releases its jobs.
 func (p *Planner) dropGroup(id groupID) {
+	g := p.groups[id]
 	delete(p.groups, id)
-	for _, jid := range sortedKeys(p.jobs) {
-		if p.jobs[jid].group == id {
-			p.abandon(p.jobs[jid])
+	for _, index := range sortedKeys(g.samples) {
+		for _, jid := range g.samples[index].jobs {
+			if j := p.jobs[jid]; j != nil {
+				p.abandon(j)
+			}
 		}
 	}
 }
@@ -278,7 +297,7 @@
 		e.jobs--
 	}
 	if g := p.groups[j.group]; g != nil {
-		g.sample(j.index).running--
+		g.addRunning(g.sample(j.index), -1)
 	}
 }
 
@@ -294,7 +313,8 @@
 		for _, s := range plan.samples {
 			if s.result != nil && s.oldest < limit {
 				p.waste(plan, len(s.result.Tokens))
-				s.result = nil
+				plan.setResult(s, nil)
+				p.backlog = true
 			}
 		}
 	}
--- a/rollout/planner_test.go
+++ b/rollout/planner_test.go
@@ -236,11 +236,11 @@
 	far := GroupRank{Step: 1, Missing: 4, Length: 5, Group: 1}
 	long := GroupRank{Step: 1, Missing: 4, Length: 9, Group: 3}
 	next := GroupRank{Step: 2, Missing: 1, Length: 99, Group: 0}
-	is.True(near.Less(far, all))
-	is.True(far.Less(near, Policies{}))
-	is.True(long.Less(near, all))
-	is.True(!long.Less(near, Policies{NearestGroup: true}))
-	is.True(long.Less(next, all)) // a lower step always goes first
+	is.True(near.compare(far, all) < 0)
+	is.True(far.compare(near, Policies{}) < 0)
+	is.True(long.compare(near, all) < 0)
+	is.True(long.compare(near, Policies{NearestGroup: true}) > 0)
+	is.True(long.compare(next, all) < 0) // a lower step always goes first
 
 	var h History
 	_, ok := h.Remaining(0)
@@ -255,8 +255,8 @@
 	is.Equal(rest, 30*time.Second)
 
 	now := time.Unix(1000, 0)
-	is.True(!IsLate(now, now.Add(-12*time.Second), &h))
-	is.True(IsLate(now, now.Add(-13*time.Second), &h))
+	late, _ := h.Late()
+	is.Equal(late, 12500*time.Millisecond) // 1.25 times 10 s
 
 	a := Aging{Version: 5, Bound: 1, Advanced: now.Add(-20 * time.Second), Interval: 24 * time.Second}
 	is.True(ShouldCancel(now, now.Add(-time.Second), 3, 5, a, &h))    // too old already
--- a/rollout/policy.go
+++ b/rollout/policy.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -134,12 +135,6 @@
 	return ok && !now.Add(max(again, now.Sub(start)+remaining)).After(fresh)
 }
 
-// IsLate decides whether a sample that has run since start gets a second copy.
-func IsLate(now, start time.Time, h *History) bool {
-	late, ok := h.Late()
-	return ok && now.Sub(start) > late
-}
-
 // GroupRank orders groups for the next sample; the lowest rank goes first.
 type GroupRank struct {
 	Step    uint64
@@ -148,17 +143,17 @@
 	Group   int
 }
 
-// Less reports whether a goes before b under the policies. A lower step always
-// goes first, so that no step waits for ever.
-func (a GroupRank) Less(b GroupRank, p Policies) bool {
-	if a.Step != b.Step {
-		return a.Step < b.Step
+// compare returns a negative number when a goes before b under the policies. A
+// lower step always goes first, so that no step waits for ever.
+func (a GroupRank) compare(b GroupRank, p Policies) int {
+	if c := cmp.Compare(a.Step, b.Step); c != 0 {
+		return c
 	}
-	if p.PredictLength && a.Length != b.Length {
-		return a.Length > b.Length
+	if c := cmp.Compare(b.Length, a.Length); c != 0 && p.PredictLength {
+		return c
 	}
-	if p.NearestGroup && a.Missing != b.Missing {
-		return a.Missing < b.Missing
+	if c := cmp.Compare(a.Missing, b.Missing); c != 0 && p.NearestGroup {
+		return c
 	}
-	return a.Group < b.Group
+	return cmp.Compare(a.Group, b.Group)
 }
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -7,18 +7,6 @@
 	"merlinhall/wire"
 )
 
-func sortBy[T any](list []T, less func(a, b T) bool) {
-	slices.SortStableFunc(list, func(a, b T) int {
-		if less(a, b) {
-			return -1
-		}
-		if less(b, a) {
-			return 1
-		}
-		return 0
-	})
-}
-
 // entryUp connects an entry. The jobs it was given are sent again: it ignores
 // those it runs and answers those it finished while the link was down.
 func (p *Planner) entryUp(name string) {
@@ -49,6 +37,7 @@
 	e.reassign = now.Add(ReassignAfter)
 	if d.Silent {
 		e.reassign = now
+		p.tick(now)
 	}
 }
 
@@ -124,9 +113,10 @@
 		p.release(e.Entry, r.Job)
 		return
 	}
-	s.result, s.oldest, s.newest = r, oldest, newest
+	g.setResult(s, r)
+	s.oldest, s.newest = oldest, newest
 	s.failures = 0
-	p.stopCopies(id, sample.Index, r.Job)
+	p.stopCopies(s, r.Job)
 	p.seal(id, g)
 }
 
@@ -158,6 +148,7 @@
 // fail delays the next try of a sample. A sample that only was too old is tried
 // at once.
 func (p *Planner) fail(now time.Time, s *samplePlan, entry string, delay bool) {
+	p.backlog = true
 	if !delay {
 		return
 	}
@@ -167,18 +158,18 @@
 }
 
 // stopCopies abandons the other jobs of a sample that has a result.
-func (p *Planner) stopCopies(id groupID, index int, keep string) {
-	for _, jid := range sortedKeys(p.jobs) {
-		j := p.jobs[jid]
-		if j.group == id && j.index == index && jid != keep {
+func (p *Planner) stopCopies(s *samplePlan, keep string) {
+	for _, id := range s.jobs {
+		if j := p.jobs[id]; j != nil && id != keep {
 			p.abandon(j)
 		}
 	}
+	s.jobs = []string{keep}
 }
 
 // seal hands a complete group to the body store.
 func (p *Planner) seal(id groupID, g *groupPlan) {
-	if g.sealed || g.done() < g.size {
+	if g.sealed || g.results < g.size {
 		return
 	}
 	g.sealed = true
@@ -230,8 +221,7 @@
 // expire gives up jobs of silent entries and jobs long past their deadline, and
 // seals groups whose seal failed before.
 func (p *Planner) expire(now time.Time) {
-	for _, id := range sortedKeys(p.jobs) {
-		j := p.jobs[id]
+	for _, j := range p.jobs {
 		if j.idle {
 			continue
 		}
@@ -265,15 +255,15 @@
 
 // cancelTooOld stops jobs whose samples would be too old when they end.
 func (p *Planner) cancelTooOld(now time.Time) {
-	if !p.o.Policies.CancelTooOld {
-		return
-	}
-	for _, id := range sortedKeys(p.jobs) {
-		j := p.jobs[id]
+	var old []string
+	for id, j := range p.jobs {
 		t := p.trainers[j.group.trainer]
-		if j.idle || t == nil || !ShouldCancel(now, j.start, j.version, t.aging.Version, t.aging, &t.history) {
-			continue
+		if !j.idle && t != nil && ShouldCancel(now, j.start, j.version, t.aging.Version, t.aging, &t.history) {
+			old = append(old, id)
 		}
-		p.abandon(j)
+	}
+	slices.Sort(old)
+	for _, id := range old {
+		p.abandon(p.jobs[id])
 	}
 }
