--- a/rollout/store.go
+++ b/rollout/store.go
@@ -32,10 +32,12 @@
 	// failed is set by the first failed sync. After it the page cache may have
 	// dropped the data, so a repeated sync would report success wrongly.
 	failed error
+	// skipDigest switches the check of a read body off, for tests.
+	skipDigest bool
 }
 
 // OpenStore opens the store at dir, creates it when needed and removes files
-// that a crash left incomplete.
+// that are incomplete or damaged.
 func OpenStore(dir string) (*Store, error) {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return nil, eris.Wrap(err, "rollout: create body store")
@@ -53,7 +55,9 @@
 			}
 			continue
 		}
-		s.known[key] = true
+		if _, err := s.Get(key); err == nil {
+			s.known[key] = true
+		}
 	}
 	return s, nil
 }
@@ -143,7 +147,7 @@
 func (s *Store) Get(key wire.BodyKey) ([]byte, error) {
 	name := filepath.Join(s.dir, bodyName(key))
 	data, err := os.ReadFile(name)
-	if err == nil && digestOf(data) == key.Digest {
+	if err == nil && (s.skipDigest || digestOf(data) == key.Digest) {
 		return data, nil
 	}
 	s.mu.Lock()
