demo: run with mutual TLS and tokens

DEMO_TLS=1 makes a CA, a certificate for each process and both tokens, and every link, caller and operator uses them.

--- a/cli/client.go
+++ b/cli/client.go
@@ -38,21 +38,33 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &client{addresses: splitList(e.control), scheme: "http", token: token, http: &http.Client{Timeout: requestLimit}}
-	if e.ca == "" {
-		return c, nil
+	transport, scheme, err := newTransport(e.ca)
+	if err != nil {
+		return nil, err
+	}
+	return &client{
+		addresses: splitList(e.control),
+		scheme:    scheme,
+		token:     token,
+		http:      &http.Client{Timeout: requestLimit, Transport: transport},
+	}, nil
+}
+
+// newTransport returns a transport that trusts the CA in a file, and the URL
+// scheme to use with it. Without a file there is no TLS.
+func newTransport(ca string) (*http.Transport, string, error) {
+	if ca == "" {
+		return &http.Transport{}, "http", nil
 	}
-	pem, err := os.ReadFile(e.ca)
+	pem, err := os.ReadFile(ca)
 	if err != nil {
-		return nil, eris.Wrap(err, "CA")
+		return nil, "", eris.Wrap(err, "CA")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, eris.Errorf("CA file %s holds no certificate in PEM form", e.ca)
+		return nil, "", eris.Errorf("CA file %s holds no certificate in PEM form", ca)
 	}
-	c.scheme = "https"
-	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
-	return c, nil
+	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}, "https", nil
 }
 
 func splitList(list string) []string {
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
@@ -14,18 +15,20 @@
 func (e *env) demo(errOut io.Writer) *ffcli.Command {
 	c := e.command(newFlags("demo", errOut), "merlinhall demo files|watch|report --dir DIR", "parts of make demo: write its files, watch and judge it", nil)
 	c.Subcommands = []*ffcli.Command{
-		demoPart("files", "write settings, configurations and the list of processes", errOut, func(_ context.Context, dir string) error {
-			return demo.WriteFiles(dir)
-		}),
-		demoPart("watch", "record the configuration version of each process until a signal", errOut, func(ctx context.Context, dir string) error {
+		e.demoFiles(errOut),
+		e.demoPart("watch", "record the configuration version of each process until a signal", errOut, func(ctx context.Context, dir string) error {
 			out, err := openRecord(dir + "/record/sightings.jsonl")
 			if err != nil {
 				return err
 			}
-			demo.Watch(ctx, out)
+			transport, scheme, err := newTransport(e.ca)
+			if err != nil {
+				return err
+			}
+			demo.Watch(ctx, &http.Client{Transport: transport}, scheme, out)
 			return nil
 		}),
-		demoPart("report", "judge a run by what the stand-ins recorded", errOut, func(_ context.Context, dir string) error {
+		e.demoPart("report", "judge a run by what the stand-ins recorded", errOut, func(_ context.Context, dir string) error {
 			report, details, err := demo.Judge(dir)
 			if err != nil {
 				return err
@@ -52,8 +55,18 @@
 	return c
 }
 
-func demoPart(name, help string, errOut io.Writer, run func(ctx context.Context, dir string) error) *ffcli.Command {
+func (e *env) demoFiles(errOut io.Writer) *ffcli.Command {
+	var tls bool
+	c := e.demoPart("files", "write settings, configurations and the list of processes", errOut, func(_ context.Context, dir string) error {
+		return demo.WriteFiles(dir, tls)
+	})
+	c.FlagSet.BoolVar(&tls, "tls", false, "also write keys and tokens, and use them")
+	return c
+}
+
+func (e *env) demoPart(name, help string, errOut io.Writer, run func(ctx context.Context, dir string) error) *ffcli.Command {
 	fs := newFlags(name, errOut)
+	e.commonFlags(fs)
 	dir := fs.String("dir", "out/demo", "folder of the demonstration")
 	return &ffcli.Command{
 		Name:       name,
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -28,8 +28,10 @@
 	return c
 }
 
-func subcommand(name, help string, errOut io.Writer) *ffcli.Command {
-	return &ffcli.Command{Name: name, ShortUsage: "merlinhall standin " + name + " [flags]", ShortHelp: help, FlagSet: newFlags(name, errOut)}
+func (e *env) subcommand(name, help string, errOut io.Writer) *ffcli.Command {
+	fs := newFlags(name, errOut)
+	e.commonFlags(fs)
+	return &ffcli.Command{Name: name, ShortUsage: "merlinhall standin " + name + " [flags]", ShortHelp: help, FlagSet: fs}
 }
 
 // openRecord opens a record file for appending, so that a restarted stand-in goes
@@ -68,7 +70,7 @@
 }
 
 func (e *env) standinEngine(errOut io.Writer) *ffcli.Command {
-	c := subcommand("engine", "a model engine", errOut)
+	c := e.subcommand("engine", "a model engine", errOut)
 	var o standin.EngineOptions
 	c.FlagSet.StringVar(&o.Name, "name", "engine", "name of the target")
 	c.FlagSet.IntVar(&o.Slots, "slots", 16, "streams that run at once")
@@ -87,7 +89,7 @@
 }
 
 func (e *env) standinService(errOut io.Writer) *ffcli.Command {
-	c := subcommand("service", "a plain service", errOut)
+	c := e.subcommand("service", "a plain service", errOut)
 	var o standin.ServiceOptions
 	c.FlagSet.StringVar(&o.Name, "name", "service", "name of the target")
 	c.FlagSet.DurationVar(&o.Work, "work", 5*time.Millisecond, "time that a call takes")
@@ -100,7 +102,7 @@
 }
 
 func (e *env) standinScorer(errOut io.Writer) *ffcli.Command {
-	c := subcommand("scorer", "a scoring service", errOut)
+	c := e.subcommand("scorer", "a scoring service", errOut)
 	_ = c.FlagSet.String("name", "scorer", "name of the target")
 	work := c.FlagSet.Duration("work", 5*time.Millisecond, "time that a score takes")
 	address := c.FlagSet.String("listen", "127.0.0.1:8100", "address")
@@ -112,7 +114,7 @@
 }
 
 func (e *env) standinStore(errOut io.Writer) *ffcli.Command {
-	c := subcommand("store", "a rate-limited weight store", errOut)
+	c := e.subcommand("store", "a rate-limited weight store", errOut)
 	var o standin.StoreOptions
 	c.FlagSet.IntVar(&o.Size, "size", 1<<20, "bytes of one version")
 	c.FlagSet.IntVar(&o.Rate, "rate", 0, "bytes per second over all readers; 0 means no limit")
@@ -125,7 +127,7 @@
 
 // standinHosts serves a file as the platform's host list.
 func (e *env) standinHosts(errOut io.Writer) *ffcli.Command {
-	c := subcommand("hosts", "the platform's host list", errOut)
+	c := e.subcommand("hosts", "the platform's host list", errOut)
 	address := c.FlagSet.String("listen", "127.0.0.1:9001", "address")
 	file := c.FlagSet.String("file", "", `JSON file with [{"host": "IP", "state": "live"}]; read at each request`)
 	c.Exec = func(ctx context.Context, _ []string) error {
@@ -137,11 +139,10 @@
 }
 
 func (e *env) standinTrainer(errOut io.Writer) *ffcli.Command {
-	c := subcommand("trainer", "a trainer that draws samples", errOut)
+	c := e.subcommand("trainer", "a trainer that draws samples", errOut)
 	var o standin.TrainerOptions
 	c.FlagSet.StringVar(&o.Name, "name", "trainer", "name in the configuration")
 	c.FlagSet.StringVar(&o.StateFile, "state", "", "file of the trainer's progress")
-	c.FlagSet.StringVar(&o.Token, "token", "", "bearer token")
 	c.FlagSet.IntVar(&o.Prompts, "prompts", 8, "groups in a step")
 	c.FlagSet.IntVar(&o.GroupSize, "group-size", 4, "samples in a group")
 	c.FlagSet.IntVar(&o.MaxTokens, "max-tokens", 256, "longest sample")
@@ -158,12 +159,20 @@
 	record := c.FlagSet.String("record", "", "file for the report at the end")
 	steps := c.FlagSet.Int("steps", 0, "steps to train; 0 means until a signal")
 	c.Exec = func(ctx context.Context, _ []string) error {
+		transport, scheme, err := newTransport(e.ca)
+		if err != nil {
+			return err
+		}
+		o.Client = &http.Client{Transport: transport}
+		if o.Token, err = server.ReadToken(e.token); err != nil {
+			return err
+		}
 		o.Pools = []string{*pool}
 		if *store != "" {
 			o.Store = "http://" + *store
 		}
 		for _, entry := range splitList(*entries) {
-			o.Entries = append(o.Entries, "http://"+entry)
+			o.Entries = append(o.Entries, scheme+"://"+entry)
 		}
 		o.Logf = func(format string, args ...any) { fmt.Fprintf(errOut, "trainer: "+format+"\n", args...) }
 		trainer, err := standin.NewTrainer(o)
@@ -196,7 +205,7 @@
 }
 
 func (e *env) standinCaller(errOut io.Writer) *ffcli.Command {
-	c := subcommand("caller", "callers of plain services and of model pools", errOut)
+	c := e.subcommand("caller", "callers of plain services and of model pools", errOut)
 	var o standin.CallerOptions
 	c.FlagSet.StringVar(&o.Name, "name", "caller", "name of the caller")
 	c.FlagSet.StringVar(&o.Service, "service", "", "plain service")
@@ -213,6 +222,9 @@
 		if err != nil {
 			return err
 		}
+		if o.Transport, o.Scheme, err = newTransport(e.ca); err != nil {
+			return err
+		}
 		o.Entries = splitList(*entries)
 		o.Ready = splitList(*ready)
 		if len(o.Ready) > 0 && len(o.Ready) != len(o.Entries) {
--- a/demo/layout.go
+++ b/demo/layout.go
@@ -94,7 +94,8 @@
 const storeIP = "127.0.5.1"
 
 // WriteFiles writes settings, configurations and the list of processes to dir.
-func WriteFiles(dir string) error {
+// With tls it also writes keys and tokens, and the settings name them.
+func WriteFiles(dir string, tls bool) error {
 	for _, sub := range []string{"settings", "data", "record", "log"} {
 		if err := os.MkdirAll(filepath.Join(dir, sub), 0o755); err != nil {
 			return eris.Wrap(err, "demo")
@@ -107,13 +108,18 @@
 		"processes":     processList(dir),
 	}
 	for _, p := range controls {
-		files["settings/"+p.name+".toml"] = controlSettings(dir, p)
+		files["settings/"+p.name+".toml"] = controlSettings(dir, p) + keySettings(dir, p.name, tls)
 	}
 	for _, p := range entries {
-		files["settings/"+p.name+".toml"] = entrySettings(p)
+		files["settings/"+p.name+".toml"] = entrySettings(p) + keySettings(dir, p.name, tls)
 	}
 	for _, t := range targets() {
-		files["settings/agent-"+t.name+".toml"] = agentSettings(t)
+		files["settings/agent-"+t.name+".toml"] = agentSettings(t) + keySettings(dir, "agent-"+t.name, tls)
+	}
+	if tls {
+		if err := writeKeys(dir); err != nil {
+			return err
+		}
 	}
 	for name, text := range files {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644); err != nil {
@@ -123,6 +129,16 @@
 	return nil
 }
 
+// keySettings names the key files and tokens of a process.
+func keySettings(dir, name string, tls bool) string {
+	if !tls {
+		return ""
+	}
+	return fmt.Sprintf("[tls]\ncert = %q\nkey = %q\nca = %q\n[auth]\noperator_token_file = %q\ntrainer_token_file = %q\n",
+		certPath(dir, name), keyPath(dir, name), filepath.Join(dir, caFile),
+		filepath.Join(dir, operatorTokenFile), filepath.Join(dir, trainerTokenFile))
+}
+
 func controlPeers(b *strings.Builder) {
 	for _, p := range controls {
 		fmt.Fprintf(b, "[[control]]\nname = %q\nzone = %q\nlinks = \"%s:%d\"\nadmin = \"%s:%d\"\n", p.name, p.zone, p.ip, portLinks, p.ip, portAdmin)
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -56,7 +56,16 @@
     unset "PID[$1]"
 }
 
-tool() { "$BIN/merlinhall" --control 127.0.1.1:7001,127.0.1.2:7001,127.0.1.3:7001 "$@"; }
+# With DEMO_TLS=1 all links, callers and operators use TLS and tokens.
+TLS=() OPERATOR=() TRAINER=() FILES=()
+if [ -n "${DEMO_TLS:-}" ]; then
+    TLS=(--ca "$OUT/ca.pem")
+    OPERATOR=(--token-file "$OUT/operator.token")
+    TRAINER=(--token-file "$OUT/trainer.token")
+    FILES=(--tls)
+fi
+
+tool() { "$BIN/merlinhall" "${TLS[@]}" "${OPERATOR[@]}" --control 127.0.1.1:7001,127.0.1.2:7001,127.0.1.3:7001 "$@"; }
 
 apply() { # file version
     tool apply --author demo "$OUT/$1" >"$OUT/log/apply-$2.log"
@@ -68,7 +77,7 @@
 rm -rf "$OUT"
 mkdir -p "$OUT/record"
 touch "$OUT/record/drained.jsonl"
-"$BIN/merlinhall" demo files --dir "$OUT"
+"$BIN/merlinhall" demo files --dir "$OUT" "${FILES[@]}"
 say "starting $(wc -l <"$OUT/processes") processes"
 while read -r name _; do start "$name"; done <"$OUT/processes"
 tool status --wait 15s >/dev/null
@@ -77,15 +86,15 @@
 tool apply --author demo --wait 10s "$OUT/config-1.toml" >/dev/null
 say "configuration 1 is in force"
 
-"$BIN/merlinhall" demo watch --dir "$OUT" & PID[watch]=$!
+"$BIN/merlinhall" demo watch --dir "$OUT" "${TLS[@]}" & PID[watch]=$!
 declare -A POOL=([approver]=policy-lm [auditor]=audit-lm)
 for t in approver auditor; do
-    "$BIN/merlinhall" standin trainer --name "$t" --pool "${POOL[$t]}" --store 127.0.5.1:9000 --entries 127.0.2.1:8080,127.0.2.2:8080 \
+    "$BIN/merlinhall" standin trainer "${TLS[@]}" "${TRAINER[@]}" --name "$t" --pool "${POOL[$t]}" --store 127.0.5.1:9000 --entries 127.0.2.1:8080,127.0.2.2:8080 \
         --record "$OUT/record/trainer-$t.jsonl" --state "$OUT/data/trainer-$t" >>"$OUT/log/trainer-$t.log" 2>&1 &
     PID[trainer-$t]=$!
 done
 for c in buyers reviewers; do
-    "$BIN/merlinhall" standin caller --name "$c" --entries 127.0.2.1:8080,127.0.2.2:8080 \
+    "$BIN/merlinhall" standin caller "${TLS[@]}" --name "$c" --entries 127.0.2.1:8080,127.0.2.2:8080 \
         --ready 127.0.2.1:7001,127.0.2.2:7001 --service budget-svc --pool policy-lm --record "$OUT/record/caller-$c.jsonl" >>"$OUT/log/caller-$c.log" 2>&1 &
     PID[caller-$c]=$!
 done
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -34,14 +34,14 @@
 
 // Watch polls the configuration version of every process and writes one Sighting
 // as JSON a line until ctx ends.
-func Watch(ctx context.Context, out io.Writer) {
+func Watch(ctx context.Context, client *http.Client, scheme string, out io.Writer) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for name, address := range adminAddresses() {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			watchProcess(ctx, name, address, func(s Sighting) {
+			watchProcess(ctx, client, name, scheme+"://"+address, func(s Sighting) {
 				line, _ := json.Marshal(s)
 				mu.Lock()
 				defer mu.Unlock()
@@ -54,17 +54,13 @@
 
 func adminAddresses() map[string]string {
 	addresses := make(map[string]string)
-	for _, p := range append(append([]process{}, controls...), entries...) {
-		addresses[p.name] = fmt.Sprintf("%s:%d", p.ip, portAdmin)
-	}
-	for _, t := range targets() {
-		addresses["agent-"+t.name] = fmt.Sprintf("%s:%d", t.agentIP, portAdmin)
+	for name, ip := range processIPs() {
+		addresses[name] = fmt.Sprintf("%s:%d", ip, portAdmin)
 	}
 	return addresses
 }
 
-func watchProcess(ctx context.Context, name, address string, report func(Sighting)) {
-	client := &http.Client{Timeout: watchTimeout}
+func watchProcess(ctx context.Context, client *http.Client, name, url string, report func(Sighting)) {
 	ticker := time.NewTicker(watchPeriod)
 	defer ticker.Stop()
 	for {
@@ -73,14 +69,20 @@
 			return
 		case <-ticker.C:
 		}
-		if version, ok := heldVersion(client, address); ok {
+		if version, ok := heldVersion(ctx, client, url); ok {
 			report(Sighting{At: time.Now().UnixMilli(), Process: name, Version: version})
 		}
 	}
 }
 
-func heldVersion(client *http.Client, address string) (uint64, bool) {
-	resp, err := client.Get("http://" + address + "/world")
+func heldVersion(ctx context.Context, client *http.Client, url string) (uint64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/world", nil)
+	if err != nil {
+		return 0, false
+	}
+	resp, err := client.Do(r)
 	if err != nil {
 		return 0, false
 	}
--- a/standin/balancer.go
+++ b/standin/balancer.go
@@ -16,13 +16,15 @@
 // balancer stands in for the platform's balancer: it chooses among the entries
 // whose last readiness answer was good.
 type balancer struct {
+	client  *http.Client
+	scheme  string
 	entries []string
 	ready   []string
 	good    []atomic.Bool
 }
 
-func newBalancer(entries, ready []string) *balancer {
-	b := &balancer{entries: entries, ready: ready, good: make([]atomic.Bool, len(entries))}
+func newBalancer(client *http.Client, scheme string, entries, ready []string) *balancer {
+	b := &balancer{client: client, scheme: scheme, entries: entries, ready: ready, good: make([]atomic.Bool, len(entries))}
 	for i := range b.good {
 		b.good[i].Store(true)
 	}
@@ -37,13 +39,8 @@
 }
 
 func (b *balancer) watchOne(ctx context.Context, i int) {
-	client := &http.Client{Timeout: balancerTimeout}
 	for ctx.Err() == nil {
-		resp, err := client.Get("http://" + b.ready[i] + "/readyz")
-		b.good[i].Store(err == nil && resp.StatusCode == http.StatusOK)
-		if err == nil {
-			_ = resp.Body.Close()
-		}
+		b.good[i].Store(b.ask(ctx, b.ready[i]))
 		select {
 		case <-time.After(balancerPeriod):
 		case <-ctx.Done():
@@ -51,6 +48,21 @@
 	}
 }
 
+func (b *balancer) ask(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, balancerTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, b.scheme+"://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := b.client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // choose returns a ready entry, or any when none is ready.
 func (b *balancer) choose(random *rand.Rand) string {
 	start := random.IntN(len(b.entries))
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -60,14 +60,17 @@
 	// Ready holds the administration address of each entry, in the order of
 	// Entries. With it the caller sends only to entries that say they are ready,
 	// as the platform's balancer does.
-	Ready   []string
-	Service string // plain service
-	Pool    string // model pool
-	Workers int
-	Pause   time.Duration // between two requests of a worker
-	Timeout time.Duration // after which an unanswered request counts as lost
-	Seed    uint64
-	Record  io.Writer // receives one CallRecord as JSON a line
+	Ready []string
+	// Transport and Scheme are used for every request.
+	Transport *http.Transport
+	Scheme    string
+	Service   string // plain service
+	Pool      string // model pool
+	Workers   int
+	Pause     time.Duration // between two requests of a worker
+	Timeout   time.Duration // after which an unanswered request counts as lost
+	Seed      uint64
+	Record    io.Writer // receives one CallRecord as JSON a line
 }
 
 // Caller sends requests of all kinds and checks the answers.
@@ -80,8 +83,9 @@
 
 // NewCaller returns a caller.
 func NewCaller(o CallerOptions) *Caller {
-	transport := &http.Transport{MaxIdleConnsPerHost: o.Workers}
-	return &Caller{o: o, client: &http.Client{Transport: transport}, balancer: newBalancer(o.Entries, o.Ready)}
+	o.Transport.MaxIdleConnsPerHost = o.Workers
+	client := &http.Client{Transport: o.Transport}
+	return &Caller{o: o, client: client, balancer: newBalancer(client, o.Scheme, o.Entries, o.Ready)}
 }
 
 // Run sends requests until ctx ends, and returns when the last one is answered.
@@ -158,7 +162,7 @@
 		})
 		body = string(text)
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, c.o.Scheme+"://"+entry+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
