--- a/control/hosts_test.go
+++ b/control/hosts_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -73,7 +74,8 @@
 	live := []HostState{{Host: "127.0.1.2", State: "live"}}
 	change := watch.plan(live, state, mustParse(t, smallConfig(2, "one")))
 	is.Equal(change, changeDepartures{Undrain: []string{"gone"}, Back: []string{"127.0.9.9"}})
-	moved := watch.plan(nil, state, mustParse(t, smallConfig(0, "none")))
+	elsewhere := bytes.ReplaceAll(smallConfig(1, "moved"), []byte("127.0.1.1:"), []byte("127.0.1.7:"))
+	moved := watch.plan(nil, state, mustParse(t, elsewhere))
 	is.Equal(moved.Leaving, []leavingHost{{Host: "127.0.1.1"}})
 }
 
