daemon: tests of start and shutdown; agents log the id of each request

The id in the agent's log is the one that the entry logs with the caller's request id, so one request can be followed through both processes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -336,6 +336,7 @@
 	if m.chunk.End == "" {
 		return
 	}
+	a.log.WithField("id", m.id).WithField("end", m.chunk.End).Debug("request ends")
 	delete(a.runs, m.id)
 	a.checkDrained()
 	if m.chunk.End == wire.EndNotRun {
@@ -401,6 +402,7 @@
 }
 
 func (a *Agent) start(r *wire.Run) {
+	a.log.WithField("id", r.ID).WithField("service", r.Service).Debug("request starts")
 	ctx, cancel := context.WithCancel(a.ctx)
 	s := newSink(r.ID, a.post)
 	a.runs[r.ID] = &activeRun{cancel: cancel, sink: s}
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/settings"
+)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func controlSettings(t *testing.T, dir string) *settings.Settings {
+	t.Helper()
+	links, admin := freeAddress(t), freeAddress(t)
+	text := fmt.Sprintf(`name = "control-1"
+zone = "bole"
+roles = ["control"]
+data_dir = %q
+log_level = "error"
+[listen]
+links = %q
+admin = %q
+[[control]]
+name = "control-1"
+links = %q
+`, dir, links, admin, links)
+	s, err := settings.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against two processes that write one log.
+func TestSecondProcessOnDataFolderIsRefused(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	first, err := Start(controlSettings(t, dir))
+	is.NoErr(err)
+	_, err = Start(controlSettings(t, dir))
+	is.True(err != nil)
+	is.NoErr(first.Shutdown())
+	again, err := Start(controlSettings(t, dir))
+	is.NoErr(err) // the lock is free after the shutdown
+	is.NoErr(again.Shutdown())
+}
+
+// Guards against a process that starts without the state it must keep.
+func TestUnusableDataFolder(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "file")
+	is.NoErr(os.WriteFile(file, nil, 0o600))
+	_, err := Start(controlSettings(t, filepath.Join(file, "data")))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), file)) // the error names the folder
+}
+
+// Guards against a failed start that leaves listeners or the lock behind.
+func TestTakenPortReleasesEverything(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	s := controlSettings(t, dir)
+	taken, err := net.Listen("tcp", s.Listen.Admin)
+	is.NoErr(err)
+	_, err = Start(s)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), s.Listen.Admin))
+	is.NoErr(taken.Close())
+	d, err := Start(s)
+	is.NoErr(err)
+	is.NoErr(d.Shutdown())
+}
+
+// Guards against endpoints that operators rely on and that are missing, and
+// against readiness without a leader.
+func TestEndpoints(t *testing.T) {
+	is := is.New(t)
+	s := controlSettings(t, t.TempDir())
+	d, err := Start(s)
+	is.NoErr(err)
+	defer func() { is.NoErr(d.Shutdown()) }()
+	is.True(eventually(func() bool { return get(s, "/readyz") == "ready\n" }))
+	is.Equal(get(s, "/healthz"), "ok\n")
+	is.True(strings.Contains(get(s, "/metrics"), "go_goroutines"))
+	is.True(strings.Contains(get(s, "/dump"), `"replica"`))
+	is.True(strings.Contains(get(s, "/v1/status"), `"control-1"`))
+	is.True(strings.Contains(get(s, "/world"), "config_version"))
+}
+
+// Guards against a shutdown after which the process still claims to be ready.
+func TestShutdownClosesListeners(t *testing.T) {
+	is := is.New(t)
+	s := controlSettings(t, t.TempDir())
+	d, err := Start(s)
+	is.NoErr(err)
+	is.NoErr(d.Shutdown())
+	_, err = http.Get("http://" + s.Listen.Admin + "/readyz")
+	is.True(err != nil)
+}
+
+func get(s *settings.Settings, path string) string {
+	resp, err := http.Get("http://" + s.Listen.Admin + path)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
+
+// eventually polls until done or for 30 s, a bound that only a hang reaches.
+func eventually(done func() bool) bool {
+	for range 3000 {
+		if done() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
