agent: shorten the pause between swap waves

A replica that had swapped was taken to be swapping until the next read of its engine's state, up to a second later, and agents that only waited claimed the swap and held up the one whose turn it was. Reads that began before an order ended no longer set the swap state, and agents claim only after the lane was free in a round without claim.

--- a/agent/load.go
+++ b/agent/load.go
@@ -151,7 +151,7 @@
 	}
 	a.noteHealth(r.err)
 	if r.state != nil {
-		a.load.state = *r.state
+		a.noteState(r)
 		a.noteCache(r.state)
 	}
 	if a.engine != nil {
@@ -160,6 +160,17 @@
 	a.reportChange()
 }
 
+// noteState takes up the state. The version and the swap of a read that began
+// before an order started or ended are out of date.
+func (a *Agent) noteState(r stateRead) {
+	last := a.load.state
+	a.load.state = *r.state
+	if r.orders != a.orders {
+		a.load.state.Version = last.Version
+		a.load.state.Swapping = last.Swapping
+	}
+}
+
 func (a *Agent) noteHealth(err error) {
 	if err != nil {
 		a.load.failures++
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -185,6 +185,7 @@
 	case orderDone:
 		a.witness.settled(m.action.version)
 		a.load.state.Version = m.action.version
+		a.load.state.Swapping = false
 	case orderNotSent:
 		a.witness.swapAborted()
 	case orderUnknown:
--- a/agent/pool_test.go
+++ b/agent/pool_test.go
@@ -30,6 +30,7 @@
 	worst    atomic.Int64
 	index    uint64
 	text     string
+	swapTime time.Duration
 }
 
 // swaps counts the orders that an engine carries out at the same time as others.
@@ -46,7 +47,13 @@
 }
 
 func startPool(t testing.TB, n int, so standin.StoreOptions) *testPool {
-	p := &testPool{t: t, store: standin.NewStore(so)}
+	p := &testPool{t: t, store: standin.NewStore(so), swapTime: 60 * time.Millisecond}
+	p.start(n)
+	return p
+}
+
+func (p *testPool) start(n int) {
+	t := p.t
 	store := httptest.NewServer(p.store)
 	t.Cleanup(store.Close)
 	p.storeURL = address(store)
@@ -66,11 +73,10 @@
 	for i := range n {
 		p.add(i)
 	}
-	return p
 }
 
 func (p *testPool) add(i int) {
-	engine := fastEngine(p.t, standin.EngineOptions{Version: 1, SwapTime: 60 * time.Millisecond})
+	engine := fastEngine(p.t, standin.EngineOptions{Version: 1, SwapTime: p.swapTime})
 	target := httptest.NewServer(p.swaps(engine))
 	zone := []string{"bole", "yeka"}[i%2]
 	local := wire.Hello{Process: fmt.Sprintf("agent-%d", i), Zone: zone, Roles: []wire.Role{wire.RoleAgent}, Boot: "b", Target: fmt.Sprintf("t%d", i)}
@@ -110,11 +116,11 @@
 	}
 }
 
-func (p *testPool) serve(version uint64, except int) {
+func (p *testPool) serve(version uint64) {
 	p.t.Helper()
 	eventually(p.t, fmt.Sprintf("version %d on all engines", version), func() bool {
-		for i, e := range p.engines {
-			if i != except && e.Version() != version {
+		for _, e := range p.engines {
+			if e.Version() != version {
 				return false
 			}
 		}
@@ -129,12 +135,12 @@
 	is := is.New(t)
 	p := startPool(t, 8, standin.StoreOptions{Size: 2 << 20, Rate: 20 << 20})
 	p.publish(2)
-	p.serve(2, -1)
+	p.serve(2)
 	is.Equal(p.store.StoreRecord().Bytes["policy-lm/2"], int64(2*(2<<20))) // one seed a zone
 	is.True(p.worst.Load() <= 2)
 	p.publish(3)
 	p.publish(4) // supersedes version 3 in flight
-	p.serve(4, -1)
+	p.serve(4)
 	is.True(p.worst.Load() <= 2)
 	eventually(t, "version 4 in all views", func() bool {
 		for _, a := range p.agents {
@@ -161,7 +167,7 @@
 	p.links[seed].Close()
 	p.store.Inject(standin.Fault{Kind: standin.FaultCorrupt})
 	p.publish(2)
-	p.serve(2, -1)
+	p.serve(2)
 	// The others cannot ask the lost agent whether it swaps, and count it out.
 	is.True(p.worst.Load() <= 2)
 }
@@ -173,3 +179,26 @@
 	}
 	return members
 }
+
+// BenchmarkPoolTakesUpWeights measures the time from publication to the last
+// replica of a pool of 40 with 1 s swaps, against the time that the swaps alone
+// take in waves of a quarter.
+func BenchmarkPoolTakesUpWeights(b *testing.B) {
+	const n, swap = 40, time.Second
+	p := &testPool{t: b, store: standin.NewStore(standin.StoreOptions{Size: 8 << 20, Rate: 64 << 20}), swapTime: swap}
+	p.start(n)
+	version := uint64(1)
+	var total time.Duration
+	for b.Loop() {
+		version++
+		start := time.Now()
+		p.publish(version)
+		p.serve(version)
+		total += time.Since(start)
+	}
+	lanes := weights.NewPlan("policy-lm", version, p.members()).Lanes()
+	waves := float64((n + lanes - 1) / lanes)
+	b.ReportMetric(total.Seconds()/float64(b.N)/(waves*swap.Seconds()), "time/swap-time")
+	b.ReportMetric(float64(p.worst.Load())/float64(lanes), "worst/limit")
+	b.ReportMetric(float64(p.store.StoreRecord().Bytes[fmt.Sprintf("policy-lm/%d", version)])/(8<<20), "store-reads/version")
+}
--- a/weights/turn.go
+++ b/weights/turn.go
@@ -8,7 +8,7 @@
 
 const (
 	// RoundPeriod is the time between two rounds of questions to the lane.
-	RoundPeriod = 200 * time.Millisecond
+	RoundPeriod = 100 * time.Millisecond
 	// RoundLimit is how long a round waits for answers. A replica whose agent cannot
 	// be reached counts as not swapping. A link reports that by itself within 4 s
 	// (2 s to dial, 2 s of silence); the limit is for an agent whose link lives and
@@ -23,7 +23,9 @@
 // Turn finds out when a replica may swap. At most one replica of a lane swaps at a
 // time: an agent claims the swap, then asks all others of the lane, and goes on
 // only when none of them has a claim. Of two that claim at once, at least one sees
-// the claim of the other; the one later in the lane then withdraws.
+// the claim of the other; the one later in the lane then withdraws. An agent asks
+// without a claim until the lane is free, as claims of agents that only wait would
+// hold up the one whose turn it is.
 //
 // Within a lane the replicas swap in order. The order is a preference: it is given
 // up after patience, the exclusion is not.
@@ -34,6 +36,7 @@
 	lane    []Member
 	at      int
 	claimed bool
+	ready   bool // the lane was free when asked without a claim
 	round   uint64
 	began   int64 // ms
 	next    int64 // start of the next round
@@ -83,7 +86,7 @@
 }
 
 func (t *Turn) ask(now int64) TurnStep {
-	t.claimed = true
+	t.claimed = t.claimed || t.ready
 	t.asking = true
 	t.round++
 	t.limit = now + RoundLimit.Milliseconds()
@@ -130,14 +133,14 @@
 			t.claimed = false
 		}
 	}
-	if !free {
-		return TurnStep{}
-	}
-	if !t.preceded() && now-t.began < patience.Milliseconds() {
-		t.claimed = false
+	t.ready = free && (t.claimed || t.preceded() || now-t.began >= patience.Milliseconds())
+	switch {
+	case !t.ready:
 		return TurnStep{}
+	case t.claimed:
+		return TurnStep{Go: true}
 	}
-	return TurnStep{Go: true}
+	return t.ask(now)
 }
 
 // preceded reports whether the nearest replica before this one that is up has
