--- a/standin/trainer.go
+++ b/standin/trainer.go
@@ -26,6 +26,7 @@
 type TrainerOptions struct {
 	Name      string
 	Entries   []string // base URLs of entries; used in turn after a failure
+	Store     string   // base URL of the weight store; empty means none
 	Token     string
 	Pools     []string
 	Client    *http.Client
@@ -87,6 +88,7 @@
 	Opened     uint64          `json:"opened"` // last step opened
 	Step       uint64          `json:"step"`   // step being drawn
 	DrawID     string          `json:"draw_id"`
+	Accepted   bool            `json:"accepted"` // the samples of DrawID are recorded
 	DrawSerial uint64          `json:"draw_serial"`
 	Publishing uint64          `json:"publishing"` // version being published, 0 when none
 	Received   []TrainerSample `json:"received"`
@@ -256,6 +258,9 @@
 		return nil
 	}
 	version := t.state.Publishing
+	if err := t.storeWeights(ctx, version); err != nil {
+		return err
+	}
 	for _, pool := range t.o.Pools {
 		request := map[string]any{"pool": pool, "version": version, "request_id": fmt.Sprintf("%s-%s-%d", t.o.Name, pool, version)}
 		if err := t.post(ctx, "weights", request, nil); err != nil {
@@ -271,6 +276,27 @@
 	return t.save()
 }
 
+// storeWeights makes the weight store hold a version before engines are told of
+// it.
+func (t *Trainer) storeWeights(ctx context.Context, version uint64) error {
+	if t.o.Store == "" {
+		return nil
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/publish/%d", t.o.Store, version), nil)
+	if err != nil {
+		return err
+	}
+	answer, err := t.o.Client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("weight store answered %d", answer.StatusCode)
+	}
+	return nil
+}
+
 // publishAbove chooses the version above those of the trainer's pools after a
 // conflict: another trainer that shares a pool has published in the meantime.
 func (t *Trainer) publishAbove(ctx context.Context, cause error, version uint64) bool {
@@ -328,6 +354,11 @@
 // spent here is idle time of the trainer.
 func (t *Trainer) drawStep(ctx context.Context) error {
 	start := time.Now()
+	if t.state.Accepted {
+		if err := t.acknowledge(ctx); err != nil {
+			return err
+		}
+	}
 	for t.received(t.state.Step) < t.o.Prompts*t.o.GroupSize {
 		if err := t.draw(ctx); err != nil {
 			return err
@@ -380,11 +411,17 @@
 	if err := t.save(); err != nil {
 		return err
 	}
+	return t.acknowledge(ctx)
+}
+
+// acknowledge releases a recorded draw. A trainer that restarts acknowledges
+// again instead of drawing, because the ledger may have forgotten the samples.
+func (t *Trainer) acknowledge(ctx context.Context) error {
 	if err := t.post(ctx, "acks", map[string]any{"draw_id": t.state.DrawID}, nil); err != nil {
 		return fmt.Errorf("acknowledge draw %s: %w", t.state.DrawID, err)
 	}
 	t.mu.Lock()
-	t.state.DrawID = ""
+	t.state.DrawID, t.state.Accepted = "", false
 	t.mu.Unlock()
 	return t.save()
 }
@@ -430,6 +467,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.state.Draws++
+	t.state.Accepted = true
 	for _, g := range d.Groups {
 		if len(g.Samples) != t.o.GroupSize {
 			t.violate("group %d of step %d has %d samples, not %d", g.Group, g.Step, len(g.Samples), t.o.GroupSize)
