--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -X merlinhall/cli.Version=$(VERSION)
 
-.PHONY: all build fmt vet lint race test demo
+.PHONY: all build fmt vet lint race test demo rolling
 
 all: build
 
@@ -28,3 +28,7 @@
 # Runs every process on loopback addresses under faults; ends within 60 s.
 demo: build
 	./demo/run.sh
+
+# Restarts every process of the system under load, one after the other.
+rolling: build
+	./demo/run.sh rolling
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -60,12 +60,17 @@
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	e := &env{out: out}
 	root := e.root(errOut)
-	err := root.ParseAndRun(ctx, args)
+	err := root.Parse(args)
 	switch {
-	case err == nil:
-		return ExitOK
 	case errors.Is(err, flag.ErrHelp):
-		return ExitUsage
+		return ExitOK
+	case err != nil:
+		err = exit(ExitUsage, err)
+	default:
+		err = root.Run(ctx)
+	}
+	if err == nil {
+		return ExitOK
 	}
 	fmt.Fprintln(errOut, "merlinhall:", err)
 	var coded *ExitError
@@ -93,7 +98,12 @@
 			e.drain(errOut), e.members(errOut), e.status(errOut), e.dump(errOut),
 			e.demo(errOut), e.standin(errOut), e.version(errOut),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return exit(ExitUsage, errors.New("no command is given; --help lists the commands"))
+			}
+			return exit(ExitUsage, fmt.Errorf("unknown command %q; --help lists the commands", args[0]))
+		},
 	}
 }
 
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,114 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func run(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = Run(t.Context(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+// fakeControl answers the paths of answers with a status and a JSON body.
+func fakeControl(t *testing.T, answers map[string]struct {
+	status int
+	body   string
+}) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a, ok := answers[r.Method+" "+r.URL.Path]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.WriteHeader(a.status)
+		_, _ = w.Write([]byte(a.body))
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+type answers = map[string]struct {
+	status int
+	body   string
+}
+
+const good = "../config/testdata/good.toml"
+
+// Guards against exit codes that scripts cannot tell apart.
+func TestExitCodes(t *testing.T) {
+	conflict := `{"outcome":"conflict","base":1,"winner":{"version":2,"author":"abeba","request_id":"r2"},"diff":["-1 a"]}`
+	cases := []struct {
+		name    string
+		answers answers
+		args    []string
+		code    int
+		text    string
+	}{
+		{"no command", nil, nil, ExitUsage, "no command"},
+		{"unknown command", nil, []string{"aply"}, ExitUsage, `unknown command "aply"`},
+		{"unknown flag", nil, []string{"status", "--wat"}, ExitUsage, "wat"},
+		{"help", nil, []string{"--help"}, ExitOK, "validate"},
+		{"version", nil, []string{"version"}, ExitOK, ""},
+		{"faults", nil, []string{"validate", "../config/testdata/bad/many.toml"}, ExitInvalid, "group_sise"},
+		{"no file", nil, []string{"validate", "absent.toml"}, ExitFailure, "absent.toml"},
+		{"accepted", answers{"POST /v1/config": {200, `{"outcome":"accepted","version":2}`}}, []string{"apply", "--base", "1", good}, ExitOK, ""},
+		{"conflict", answers{"POST /v1/config": {409, conflict}}, []string{"apply", "--base", "1", good}, ExitConflict, `version 2 by "abeba"`},
+		{"unknown outcome", answers{"POST /v1/config": {504, `{"outcome":"unknown","request_id":"r9"}`}}, []string{"apply", "--base", "1", good}, ExitUnknown, "merlinhall outcome r9"},
+		{"no leader", answers{"POST /v1/config": {503, `{"outcome":"no_leader"}`}}, []string{"apply", "--base", "1", good}, ExitUnavailable, "no control replica"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			args := append([]string{"--control", fakeControl(t, c.answers)}, c.args...)
+			code, out, errOut := run(t, args...)
+			is.Equal(code, c.code)
+			is.True(strings.Contains(out+errOut, c.text))
+		})
+	}
+}
+
+// Guards against a tool that gives up at the first replica that is down.
+func TestNextReplicaIsAsked(t *testing.T) {
+	is := is.New(t)
+	up := fakeControl(t, answers{"GET /v1/config": {200, `{"version":3,"text":"hello"}`}})
+	code, out, _ := run(t, "--control", "127.0.0.1:1,"+up, "show")
+	is.Equal(code, ExitOK)
+	is.Equal(out, "hello")
+}
+
+// Guards against JSON output that is not JSON.
+func TestJSONOutput(t *testing.T) {
+	is := is.New(t)
+	up := fakeControl(t, answers{"GET /v1/status": {200, `{"name":"control-1","leader":"control-1","term":4}`}})
+	code, out, _ := run(t, "status", "--control", up, "--output", "json")
+	is.Equal(code, ExitOK)
+	var status struct{ Leader string }
+	is.NoErr(json.Unmarshal([]byte(out), &status))
+	is.Equal(status.Leader, "control-1")
+}
+
+// Guards against flags that the environment or a settings file cannot set.
+func TestFlagsFromEnvironmentAndFile(t *testing.T) {
+	is := is.New(t)
+	up := fakeControl(t, answers{"GET /v1/config": {200, `{"version":3,"text":"hello"}`}})
+	t.Setenv("MERLINHALL_CONTROL", up)
+	code, _, _ := run(t, "show")
+	is.Equal(code, ExitOK)
+	t.Setenv("MERLINHALL_CONTROL", "127.0.0.1:1")
+	file := filepath.Join(t.TempDir(), "tool.toml")
+	is.NoErr(os.WriteFile(file, []byte("output = \"json\"\n"), 0o600))
+	code, _, _ = run(t, "--control", up, "--settings", file, "show")
+	is.Equal(code, ExitOK)
+}
