--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -X merlinhall/cli.Version=$(VERSION)
 
-.PHONY: all build fmt vet lint race test demo rolling
+.PHONY: all build fmt vet lint race test demo rolling path capacity bench
 
 all: build
 
@@ -32,3 +32,7 @@
 # Restarts every process of the system under load, one after the other.
 rolling: build
 	./demo/run.sh rolling
+
+# Latency, processor time, memory and start-up time of the path, in one run.
+path: build
+	./demo/path.sh
