--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -86,10 +87,12 @@
 	return m.HeapInuse + m.StackInuse
 }
 
-// BenchmarkIdleAgent measures the memory of an agent without work or links.
+// BenchmarkIdleAgent measures the memory of an agent without work or links, beside
+// the actor system of its process.
 func BenchmarkIdleAgent(b *testing.B) {
 	for b.Loop() {
 		const n = 20
+		system := duty.NewSystem() // shared: a process has one, of about 3 MiB
 		before := heap()
 		var agents []*Agent
 		for i := range n {
@@ -97,7 +100,7 @@
 				Local:   wire.Hello{Process: "a", Boot: "b", Target: fmt.Sprint("t", i)},
 				Kind:    KindEngine,
 				Address: "127.0.0.1:1",
-				System:  duty.NewSystem(),
+				System:  system,
 				Barrier: func(context.Context) (uint64, uint64, error) { return 0, 0, context.Canceled },
 			})
 			if err != nil {
@@ -129,3 +132,10 @@
 		}
 	}
 }
+
+// cpuTime is the CPU time that the process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -11,6 +11,10 @@
 	orderAttempts = 3
 	// orderPause separates two attempts of anything the gate asks for.
 	orderPause = 500 * time.Millisecond
+	// maxFetchPause bounds the pause after a failed fetch, which doubles from
+	// orderPause. Without it every agent of a pool asks the store twice a second for
+	// a version that the store does not have yet.
+	maxFetchPause = 4 * time.Second
 )
 
 // gateOp is what the gate asks the agent to do.
@@ -50,6 +54,7 @@
 	present     uint64 // version whose bytes are present
 	turn        uint64 // version for which it is this replica's turn
 	failures    int
+	fetchFails  int // failed fetches of the wanted version in a row
 	setAside    bool
 	stale       bool // the target knows a higher fence than want.Fence
 
@@ -72,6 +77,7 @@
 	g.want = want
 	g.wanted = wanted
 	g.failures = 0
+	g.fetchFails = 0
 	g.setAside = false
 	g.stale = false
 	g.resting = 0
@@ -157,9 +163,11 @@
 		return
 	}
 	if !ok {
-		g.rest(now)
+		g.resting = now + min(orderPause<<g.fetchFails, maxFetchPause).Milliseconds()
+		g.fetchFails = min(g.fetchFails+1, 8)
 		return
 	}
+	g.fetchFails = 0
 	g.present = a.version
 }
 
--- a/agent/gate_test.go
+++ b/agent/gate_test.go
@@ -180,6 +180,24 @@
 	is.Equal(a.version, uint64(6))
 }
 
+// Guards against agents that ask the store all the time for a version that it does
+// not have.
+func TestFailedFetchesSlowDown(t *testing.T) {
+	is := is.New(t)
+	g := settledGate(1)
+	g.takeWorld(10, want(5, 1, 10), true)
+	fetches := 0
+	for now := int64(0); now < 60_000; now += 50 {
+		if a, ok := g.next(now); ok {
+			is.Equal(a.op, gateFetch)
+			g.fetched(now, a, false)
+			fetches++
+		}
+	}
+	is.True(fetches <= 18) // 4 while the pause grows, then one in 4 s
+	is.True(fetches >= 15)
+}
+
 // Guards against a version that was superseded while its bytes were fetched and is
 // still ordered.
 func TestSupersededVersionIsAbandoned(t *testing.T) {
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -99,41 +99,52 @@
 	agent  *Agent
 	target *httptest.Server
 	links  *httptest.Server
-	system *duty.System
 	index  uint64
 }
 
 func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 
-// startSite starts an agent beside the handler.
-func startSite(t testing.TB, kind string, handler http.Handler, change func(*Options)) *site {
-	s := &site{t: t, system: duty.NewSystem(), target: httptest.NewServer(handler)}
-	local := wire.Hello{Process: "agent-1", Zone: "bole", Roles: []wire.Role{wire.RoleAgent}, Boot: "boot-1", Target: "target-1"}
-	o := Options{
-		Local:   local,
-		Kind:    kind,
-		Address: address(s.target),
-		System:  s.system,
-		Barrier: func(context.Context) (uint64, uint64, error) { return 1, 1, nil },
-	}
-	if change != nil {
-		change(&o)
+// startAgent starts an agent with a link listener of its own.
+func startAgent(t testing.TB, o Options) (*Agent, *httptest.Server) {
+	o.Local.Roles = []wire.Role{wire.RoleAgent}
+	o.Barrier = func(context.Context) (uint64, uint64, error) { return 1, 1, nil }
+	if o.System == nil {
+		o.System = duty.NewSystem()
 	}
 	agent, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.agent = agent
 	mux := &link.Mux{}
 	mux.Handle(agent, Kinds...)
-	s.links = httptest.NewServer(link.Accept(local, mux))
+	links := httptest.NewServer(link.Accept(o.Local, mux))
 	t.Cleanup(func() {
 		agent.Stop()
-		s.links.CloseClientConnections()
-		s.target.CloseClientConnections()
-		s.links.Close()
-		s.target.Close()
+		links.CloseClientConnections()
+		links.Close()
 	})
+	return agent, links
+}
+
+// startTarget serves a stand-in over HTTP.
+func startTarget(t testing.TB, handler http.Handler) *httptest.Server {
+	srv := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv
+}
+
+// startSite starts an agent beside the handler.
+func startSite(t testing.TB, kind string, handler http.Handler, change func(*Options)) *site {
+	s := &site{t: t, target: startTarget(t, handler)}
+	local := wire.Hello{Process: "agent-1", Zone: "bole", Boot: "boot-1", Target: "target-1"}
+	o := Options{Local: local, Kind: kind, Address: address(s.target)}
+	if change != nil {
+		change(&o)
+	}
+	s.agent, s.links = startAgent(t, o)
 	return s
 }
 
@@ -148,6 +159,13 @@
 		changed: make(chan struct{}),
 		credit:  Window,
 	}
+	s.connect(c)
+	return c
+}
+
+// connect gives c a new link to the agent.
+func (s *site) connect(c *client) {
+	s.t.Helper()
 	hello := wire.Hello{Process: "entry-1", Zone: "bole", Roles: []wire.Role{wire.RoleEntry}, Boot: "e"}
 	conn, err := link.Dial(s.t.Context(), link.NewHTTPClient(nil), "ws", address(s.links), hello, c)
 	if err != nil {
@@ -155,7 +173,6 @@
 	}
 	c.conn = conn
 	s.t.Cleanup(func() { conn.Close(link.ErrClosed) })
-	return c
 }
 
 // configText is a configuration with the target in a pool and in a service.
--- a/agent/pool_test.go
+++ b/agent/pool_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,8 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"merlinhall/duty"
-	"merlinhall/link"
 	"merlinhall/standin"
 	"merlinhall/weights"
 	"merlinhall/wire"
@@ -53,10 +50,7 @@
 }
 
 func (p *testPool) start(n int) {
-	t := p.t
-	store := httptest.NewServer(p.store)
-	t.Cleanup(store.Close)
-	p.storeURL = address(store)
+	p.storeURL = address(startTarget(p.t, p.store))
 	p.text = fmt.Sprintf(`
 [[zone]]
 name = "bole"
@@ -77,33 +71,14 @@
 
 func (p *testPool) add(i int) {
 	engine := fastEngine(p.t, standin.EngineOptions{Version: 1, SwapTime: p.swapTime})
-	target := httptest.NewServer(p.swaps(engine))
+	target := startTarget(p.t, p.swaps(engine))
 	zone := []string{"bole", "yeka"}[i%2]
-	local := wire.Hello{Process: fmt.Sprintf("agent-%d", i), Zone: zone, Roles: []wire.Role{wire.RoleAgent}, Boot: "b", Target: fmt.Sprintf("t%d", i)}
-	agent, err := Start(Options{
-		Local:   local,
-		Kind:    KindEngine,
-		Address: address(target),
-		System:  duty.NewSystem(),
-		Barrier: func(context.Context) (uint64, uint64, error) { return 1, 1, nil },
-	})
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	mux := &link.Mux{}
-	mux.Handle(agent, Kinds...)
-	links := httptest.NewServer(link.Accept(local, mux))
+	local := wire.Hello{Process: fmt.Sprintf("agent-%d", i), Zone: zone, Boot: "b", Target: fmt.Sprintf("t%d", i)}
+	agent, links := startAgent(p.t, Options{Local: local, Kind: KindEngine, Address: address(target)})
 	p.engines = append(p.engines, engine)
 	p.agents = append(p.agents, agent)
 	p.links = append(p.links, links)
 	p.text += fmt.Sprintf("  [[pool.target]]\n  name = %q\n  zone = %q\n  agent = %q\n  address = %q\n", local.Target, zone, address(links), address(target))
-	p.t.Cleanup(func() {
-		agent.Stop()
-		links.CloseClientConnections()
-		links.Close()
-		target.CloseClientConnections()
-		target.Close()
-	})
 }
 
 func (p *testPool) publish(version uint64) {
--- a/agent/show.go
+++ b/agent/show.go
@@ -99,21 +99,35 @@
 	if !ok {
 		return
 	}
-	c.emit(out, "merlinhall_agent_running", prometheus.GaugeValue, float64(v.Running))
-	c.emit(out, "merlinhall_agent_table_ids", prometheus.GaugeValue, float64(v.Held))
-	c.emit(out, "merlinhall_agent_buffered_bytes", prometheus.GaugeValue, float64(v.Bytes))
-	c.emit(out, "merlinhall_agent_started_total", prometheus.CounterValue, float64(v.Started))
-	c.emit(out, "merlinhall_agent_repeated_total", prometheus.CounterValue, float64(v.Repeated))
-	c.emit(out, "merlinhall_agent_completed_total", prometheus.CounterValue, float64(v.Completed))
-	c.emit(out, "merlinhall_agent_unanswered_total", prometheus.CounterValue, float64(v.Unanswered))
-	c.emit(out, "merlinhall_agent_weight_version", prometheus.GaugeValue, float64(v.Version))
+	for _, m := range []struct {
+		name, help string
+		kind       prometheus.ValueType
+		value      float64
+	}{
+		{"running", "Requests that run on the target.", prometheus.GaugeValue, float64(v.Running)},
+		{"table_ids", "Running and finished ids in the request table.", prometheus.GaugeValue, float64(v.Held)},
+		{"revoked_ids", "Ids that were refused or revoked and never start.", prometheus.GaugeValue, float64(v.Revoked)},
+		{"buffered_bytes", "Bytes of chunks that entries have not confirmed.", prometheus.GaugeValue, float64(v.Bytes)},
+		{"started_total", "Requests started on the target.", prometheus.CounterValue, float64(v.Started)},
+		{"repeated_total", "Repeated requests answered from the first run.", prometheus.CounterValue, float64(v.Repeated)},
+		{"completed_total", "Requests whose run has ended.", prometheus.CounterValue, float64(v.Completed)},
+		{"unanswered_total", "Messages without an answer for want of room to remember it.", prometheus.CounterValue, float64(v.Unanswered)},
+		{"weight_version", "Weight version that the engine serves.", prometheus.GaugeValue, float64(v.Version)},
+		{"wanted_weight_version", "Weight version that the engine must serve.", prometheus.GaugeValue, float64(v.Want)},
+		{"down", "1 while the target is down or set aside.", prometheus.GaugeValue, oneIf(v.Down)},
+	} {
+		desc := prometheus.NewDesc("merlinhall_agent_"+m.name, m.help, nil, c.labels)
+		out <- prometheus.MustNewConstMetric(desc, m.kind, m.value)
+	}
 	desc := prometheus.NewDesc("merlinhall_agent_refused_total", "Requests refused as not run, by reason.", []string{"reason"}, c.labels)
 	for reason, n := range v.Refused {
 		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(n), reason)
 	}
 }
 
-func (c *viewCollector) emit(out chan<- prometheus.Metric, name string, kind prometheus.ValueType, value float64) {
-	desc := prometheus.NewDesc(name, "See docs/design.md, section 5.", nil, c.labels)
-	out <- prometheus.MustNewConstMetric(desc, kind, value)
+func oneIf(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
 }
--- a/agent/table_test.go
+++ b/agent/table_test.go
@@ -226,16 +226,7 @@
 		if c == nil || !c.active {
 			continue
 		}
-		switch {
-		case c.stopped:
-			s.finish(c, wire.EndCancelled)
-		case c.produced >= c.length:
-			s.finish(c, wire.EndComplete)
-		case c.room > 0:
-			c.room--
-			c.produced++
-			s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
-		}
+		s.produceOne(c)
 		if r := s.t.records[c.run.ID]; r != nil && len(r.chunks) > Window+1 {
 			s.fail("%s buffers %d chunks", c.run.ID, len(r.chunks))
 		}
@@ -386,7 +377,7 @@
 			if round == 0 {
 				s.mail = append(s.mail, simMail{at: s.now, boot: s.boot, link: s.link, m: &wire.Attach{ID: id, From: c.next(), Credit: 4}, in: true})
 			}
-			if c.active && c.room > 0 {
+			if c.active {
 				s.produceOne(c)
 			}
 		}
@@ -405,13 +396,16 @@
 }
 
 func (s *simTable) produceOne(c *simCall) {
-	if c.produced >= c.length {
+	switch {
+	case c.stopped:
+		s.finish(c, wire.EndCancelled)
+	case c.produced >= c.length:
 		s.finish(c, wire.EndComplete)
-		return
+	case c.room > 0:
+		c.room--
+		c.produced++
+		s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
 	}
-	c.room--
-	c.produced++
-	s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
 }
 
 func runSimTable(seed uint64, steps int, off rule) *simTable {
--- a/wire/request.go
+++ b/wire/request.go
@@ -52,8 +52,10 @@
 }
 
 // Attach asks for the chunks of a request from sequence number From on, over a
-// new link. An agent that does not know the ID answers Refused with
-// RefusedUnknownID.
+// new link. Chunks that Credit has confirmed are gone: the answer goes on after
+// them. An agent that does not know the ID answers Refused with RefusedUnknownID,
+// and the ID never runs there; it means "not run" only before the deadline of the
+// request and by an agent of the same boot id, as ids are forgotten afterwards.
 type Attach struct {
 	ID     string `cbor:"1,keyasint"`
 	From   uint64 `cbor:"2,keyasint"`
