agent: streams have no gap after a refused send, checks of strange answers

When a link refused a chunk and took the next one of the same step, the stream had a gap until the next tick. Also: sizes and lengths of other agents are checked before use, a round of swap questions counts only replicas of the lane, and the state is read at once after a swap that did not succeed, as tokens wait for it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -389,11 +389,15 @@
 	if p == nil {
 		return
 	}
+	c, isChunk := m.(*wire.Chunk)
+	if isChunk && !a.table.due(c) {
+		return
+	}
 	err := p.conn.Send(m)
 	if err == nil {
 		return
 	}
-	if c, ok := m.(*wire.Chunk); ok {
+	if isChunk {
 		a.table.Unsent(c)
 		return
 	}
--- a/agent/courier.go
+++ b/agent/courier.go
@@ -178,6 +178,7 @@
 // fetch starts a transfer. One under way belongs to a superseded version.
 func (c *courier) fetch(m fetchAsked) {
 	c.closeReader()
+	c.turn = nil
 	c.fetching = m
 	c.transfer = weights.NewTransfer(c.cache.Open(m.action.pool, m.action.version), m.sources)
 	c.transfer.MaxBytes = maxWeightBytes
--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -397,6 +397,48 @@
 	})
 }
 
+// Guards against entries whose view of the engine's prefix cache drifts: a new link
+// starts from the whole set, later reports carry what changed, and a swap empties it.
+func TestCacheEventsReachEntries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1, CachePrefixes: 2})
+	s := startSite(t, KindEngine, engine, nil)
+	s.world("20s", 0)
+	view := func(c *client) map[uint64]bool {
+		held := make(map[uint64]bool)
+		for i, l := range c.loads {
+			is.True(i > 0 || l.CacheReset)
+			if l.CacheReset {
+				clear(held)
+			}
+			for _, h := range l.EvictedPrefixes {
+				delete(held, h)
+			}
+			for _, h := range l.CachedPrefixes {
+				held[h] = true
+			}
+		}
+		return held
+	}
+	c := s.dial()
+	want := func(c *client, prompts ...string) {
+		t.Helper()
+		c.until(fmt.Sprint("view of ", prompts), func() bool {
+			held := view(c)
+			return len(c.loads) > 0 && len(held) == len(prompts) && !slices.ContainsFunc(prompts, func(p string) bool { return !held[wire.PrefixHash(p)] })
+		})
+	}
+	for _, p := range []string{"a", "b", "c"} {
+		c.send(generation(p, p, 5))
+		c.answer(p)
+	}
+	want(c, "b", "c") // two fit
+	want(s.dial(), "b", "c")
+	s.world("20s", 2)
+	want(c)
+}
+
 // Guards against an agent that stops with work in flight or takes new work while
 // it leaves.
 func TestDrainFinishesWork(t *testing.T) {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -193,6 +193,7 @@
 	}
 	a.gate.ordered(now(), m.action, m.result)
 	if m.result != orderDone {
+		a.pollState(gateAction{}) // tokens wait for what the engine serves
 		a.log.WithField("version", m.action.version).WithField("result", m.result.String()).Warn("weights were not loaded")
 	}
 	a.noteHealthOfGate()
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -23,7 +23,7 @@
 			Down:     c.facts.down,
 		})
 	case *wire.WeightFetch:
-		if len(c.waiting) >= fetchesWaiting {
+		if len(c.waiting) >= fetchesWaiting || q.Length <= 0 || q.Offset < 0 {
 			c.none(m.conn, q)
 			return
 		}
--- a/agent/table.go
+++ b/agent/table.go
@@ -100,6 +100,7 @@
 	ruleCredit
 	ruleBuffer
 	ruleNewestLink
+	ruleNoGap
 )
 
 // table is the request table: a pure state machine stepped by (now, message).
@@ -436,6 +437,13 @@
 	t.stalled[r.id] = r
 }
 
+// due reports whether a chunk of the last step is still to be sent: after an
+// earlier chunk of its stream was taken back it is not, as streams have no gaps.
+func (t *table) due(c *wire.Chunk) bool {
+	r := t.records[c.ID]
+	return r == nil || c.Sequence < r.next || t.off&ruleNoGap != 0
+}
+
 // Tick stops runs whose deadline has passed, forgets expired ids and resumes
 // stalled streams.
 func (t *table) Tick(now int64) []outcome {
--- a/agent/table_test.go
+++ b/agent/table_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -477,6 +478,36 @@
 	}
 }
 
+// Guards against a gap in a stream when a link takes some chunks of a step and not
+// the one before them.
+func TestRefusedSendLeavesNoGap(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rule{0, ruleNoGap} {
+		tb := newTable("b", 10, 10, &lastHop{seen: true, place: servicePlace()})
+		tb.off = off
+		tb.Run(0, 1, &wire.Run{ID: "a", Service: "svc", Deadline: 50_000})
+		for range 4 {
+			tb.Produced(0, "a", &wire.Chunk{})
+		}
+		var sent []uint64
+		carry := func(out []outcome, refused uint64) {
+			for _, o := range out {
+				if c, ok := o.message.(*wire.Chunk); ok && tb.due(c) {
+					if c.Sequence == refused {
+						tb.Unsent(c)
+					} else {
+						sent = append(sent, c.Sequence)
+					}
+				}
+			}
+		}
+		carry(tb.Credit(0, &wire.Credit{ID: "a", Limit: 4}), 1)
+		carry(tb.Tick(1), 99)
+		is.Equal(slices.IsSorted(sent), off == 0)
+		is.Equal(sent[len(sent)-1], uint64(3))
+	}
+}
+
 // Guards against answers that nobody fetches and that fill the memory, and against
 // a count of bytes that drifts. Without the rule the last request starts.
 func TestBufferedBytesStopNewWork(t *testing.T) {
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -237,6 +237,23 @@
 	is.Equal(feed(tr, content, nil), TransferTooLarge)
 }
 
+// Guards against parts of another process that stop this one or are taken for
+// bytes, and against an answer that stands for a replica that has not answered.
+func TestStrangeAnswers(t *testing.T) {
+	is := is.New(t)
+	parent := Source{"t1", "a1"}
+	tr := NewTransfer(NewBlob("p", 1), []Source{parent, Store})
+	tr.Begin(0)
+	is.Equal(tr.Part(0, parent, 0, []byte("x"), -5, "d")[0].Op, TransferStore)
+	is.Equal(len(tr.Part(0, parent, 0, []byte("x"), 1, "d")), 0) // late part of the source that was left
+
+	turn := NewTurn(NewPlan("p", 2, pool(2, 1)), "t0", 0)
+	round := turn.Step(0).Query.Round
+	turn.Answer(&wire.SwapState{Pool: "p", Target: "stranger", Round: round, Served: 9})
+	is.True(!turn.Step(1).Go)
+	is.Equal(len(turn.answers), 0)
+}
+
 // Guards against a transfer that waits for ever for a silent source, and against
 // one that turns away from a source that says that it waits itself.
 func TestStalledSourceIsLeft(t *testing.T) {
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -113,6 +113,9 @@
 	if len(data) == 0 && size == 0 {
 		return nil
 	}
+	if size <= 0 || offset < 0 {
+		return t.next(now)
+	}
 	if t.MaxBytes > 0 && size > t.MaxBytes {
 		t.over = true
 		return []TransferStep{{Op: TransferTooLarge}}
--- a/weights/turn.go
+++ b/weights/turn.go
@@ -100,10 +100,16 @@
 	return step
 }
 
-// Answer takes up an answer. Answers to earlier rounds are stale.
+// Answer takes up an answer. Answers to earlier rounds are stale, and those of
+// replicas outside the lane do not stand for one that has not answered.
 func (t *Turn) Answer(s *wire.SwapState) {
-	if t.asking && s.Round == t.round && s.Pool == t.Plan.Pool {
-		t.answers[s.Target] = s
+	if !t.asking || s.Round != t.round || s.Pool != t.Plan.Pool {
+		return
+	}
+	for i, m := range t.lane {
+		if m.Target == s.Target && i != t.at {
+			t.answers[s.Target] = s
+		}
 	}
 }
 
