admission: a returned item restores the tags of its caller

Return took back the cost but not the start tag, so that a caller whose requests found no target could keep a tag ahead of its share.

The entry answers 503 not-run before the first world instead of 404, and passes on the longest retry time that an agent advised.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -86,6 +86,25 @@
 	is.Equal(got[0], "a high")
 }
 
+// Guards against a caller that is charged for requests that found no target.
+func TestReturnedItemIsNotCharged(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[string](10, &Rate{})
+	q.SetLimits(10, map[string]float64{"a": 1, "b": 1})
+	q.Offer(t0, &Item[string]{Value: "a1", Caller: "a", Cost: 100})
+	q.Offer(t0, &Item[string]{Value: "a2", Caller: "a", Cost: 100})
+	for range 5 {
+		q.Return(q.Next(t0))
+	}
+	q.Offer(t0, &Item[string]{Value: "b1", Caller: "b", Cost: 150})
+	q.Offer(t0, &Item[string]{Value: "b2", Caller: "b", Cost: 150})
+	var got []string
+	for item := q.Next(t0); item != nil; item = q.Next(t0) {
+		got = append(got, item.Value)
+	}
+	is.Equal(got, []string{"a1", "b1", "a2", "b2"})
+}
+
 // Guards against a full queue of one caller that keeps all others out.
 func TestFullQueueGivesUpTheHeaviestCaller(t *testing.T) {
 	is := is.New(t)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -57,6 +57,8 @@
 	sequence uint64
 	index    int
 	flow     *flow[T]
+	finish   float64 // of the flow, before Next
+	virtual  float64 // of the queue, before Next
 }
 
 // Dropped is an item that was refused after it had waited.
@@ -154,6 +156,7 @@
 		return nil
 	}
 	item := f.items[0]
+	item.finish, item.virtual = f.finish, q.virtual
 	start := max(q.virtual, f.finish)
 	f.finish = start + max(item.Cost, 1)/f.weight
 	q.virtual = start
@@ -162,11 +165,11 @@
 	return item
 }
 
-// Return puts back an item that Next returned and that found no target. It keeps
-// its place and its caller is not charged.
+// Return puts back the item that the last call of Next returned, which found no
+// target. It keeps its place and its caller is not charged.
 func (q *Queue[T]) Return(item *Item[T]) {
 	f := q.flow(item.Caller)
-	f.finish -= max(item.Cost, 1) / f.weight
+	f.finish, q.virtual = item.finish, item.virtual
 	f.rate.served -= item.Cost
 	q.push(f, item)
 }
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -118,6 +118,9 @@
 
 func (e *Entry) newGeneration(r GenerationRequest) (*flight, error) {
 	c := e.configuration()
+	if c == nil {
+		return nil, errNoConfiguration
+	}
 	pool := c.Pool(r.Pool)
 	if pool == nil {
 		return nil, &UnknownServiceError{Kind: "pool", Name: r.Pool, Known: poolNames(c)}
@@ -144,6 +147,9 @@
 
 func (e *Entry) newCall(r ServiceRequest) (*flight, error) {
 	c := e.configuration()
+	if c == nil {
+		return nil, errNoConfiguration
+	}
 	service := c.Service(r.Service)
 	if service == nil {
 		return nil, &UnknownServiceError{Kind: "service", Name: r.Service, Known: serviceNames(c)}
@@ -178,12 +184,15 @@
 	return asked
 }
 
-// configuration returns the configuration in force, empty before the first world.
+// errNoConfiguration is returned before the first world.
+var errNoConfiguration = &OutcomeError{notRun("no configuration has arrived yet", time.Second)}
+
+// configuration returns the configuration in force, nil before the first world.
 func (e *Entry) configuration() *config.Config {
 	if v := e.config.Load(); v != nil {
 		return v.config
 	}
-	return &config.Config{}
+	return nil
 }
 
 func serviceNames(c *config.Config) []string {
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -231,7 +231,7 @@
 	t.Parallel()
 	is := is.New(t)
 	s := newSite(t, 2, nil)
-	refuse := func(*wire.Run) *wire.Refused { return &wire.Refused{Reason: wire.RefusedOverload} }
+	refuse := func(*wire.Run) *wire.Refused { return &wire.Refused{Reason: wire.RefusedOverload, RetryAfterMs: 3500} }
 	s.services[0].refuses(refuse)
 	for range 6 {
 		r, body, err := s.post("/svc/x", "b")
@@ -245,7 +245,7 @@
 	is.NoErr(err)
 	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(outcome(r), "not-run")
-	is.True(r.Header.Get("Retry-After") != "")
+	is.Equal(r.Header.Get("Retry-After"), "4")
 	is.Equal(total(s.services), 6)
 }
 
@@ -521,6 +521,11 @@
 		is.True(strings.Contains(body, x.text))
 	}
 	is.Equal(total(s.agents), 0)
+	e, err := Start(Options{Name: "entry-2", Boot: "e2"})
+	is.NoErr(err)
+	defer e.Stop()
+	_, err = e.CallService(t.Context(), ServiceRequest{Service: "svc"})
+	is.Equal(outcomeOf(err), OutcomeNotRun)
 }
 
 // Guards against a target whose removal cuts off its requests, that keeps getting
@@ -629,6 +634,50 @@
 	eventually(t, "cancel at the agent", func() bool { return s.services[0].cancelled() == 1 })
 }
 
+// Guards against a trainer that keeps a caller waiting behind all its samples.
+func TestTrainerDoesNotStarveCallers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 1, nil)
+	s.publish(&wire.World{ConfigText: []byte(configText(s.agents, "max_in_flight = 1"))})
+	var mu sync.Mutex
+	var order []string
+	first := newGate()
+	s.engines[0].does(func(ctx context.Context, r *wire.Run, emit func(wire.Chunk)) {
+		mu.Lock()
+		order = append(order, r.Caller)
+		mu.Unlock()
+		if r.Caller == "first" {
+			first.wait(ctx)
+		}
+		echoAnswer(ctx, r, emit)
+	})
+	var wg sync.WaitGroup
+	run := func(caller string, n int) {
+		for range n {
+			before := s.entry.running.Load()
+			wg.Go(func() {
+				_, err := s.entry.Generate(context.Background(), GenerationRequest{Pool: "lm", Caller: caller, Generation: wire.Generation{Prompt: "p", MaxTokens: 10}})
+				is.NoErr(err)
+			})
+			eventually(t, "request", func() bool { return s.entry.running.Load() > before })
+		}
+	}
+	run("first", 1)
+	receive(t, first.reached, "first request")
+	run("trainer", 40)
+	run("svc", 3) // named by the configuration
+	first.release()
+	wg.Wait()
+	last := 0
+	for i, caller := range order {
+		if caller == "svc" {
+			last = i
+		}
+	}
+	is.True(last <= 8) // in turn with the samples, not after all 40
+}
+
 // Guards against more requests on a target than the configuration allows.
 func TestMaxInFlight(t *testing.T) {
 	t.Parallel()
--- a/entry/http.go
+++ b/entry/http.go
@@ -112,8 +112,9 @@
 		return
 	}
 	name, path := splitPath(r)
-	if e.configuration().Service(name) == nil {
-		e.writeError(w, h.id, &UnknownServiceError{Kind: "service", Name: name, Known: serviceNames(e.configuration())})
+	if c := e.configuration(); c != nil && c.Service(name) == nil {
+		// Found before the body is read, which may be large.
+		e.writeError(w, h.id, &UnknownServiceError{Kind: "service", Name: name, Known: serviceNames(c)})
 		return
 	}
 	body, err := e.readBody(w, r)
@@ -197,7 +198,11 @@
 	status := http.StatusInternalServerError
 	var unknown *UnknownServiceError
 	var bad *InvalidRequestError
+	var refused *OutcomeError
 	switch {
+	case errors.As(err, &refused):
+		writeResult(w, id, refused.Result)
+		return
 	case errors.As(err, &unknown):
 		status = http.StatusNotFound
 		body.Known = unknown.Known
--- a/entry/request.go
+++ b/entry/request.go
@@ -154,8 +154,9 @@
 	committed bool
 	done      bool
 
-	tokens   []string // generated so far
-	maybeRan bool     // an earlier attempt may have run
+	tokens   []string      // generated so far
+	maybeRan bool          // an earlier attempt may have run
+	advised  time.Duration // longest retry time that an agent gave
 }
 
 func newRequest(id string, run wire.Run, deadline time.Time, idle time.Duration) *request {
@@ -366,16 +367,17 @@
 	if m.Reason == wire.RefusedDeadline {
 		return r.giveUp("deadline passed before the request ran", 0)
 	}
-	return r.moveRefused(m.Reason)
+	return r.moveRefused(m.Reason, time.Duration(m.RetryAfterMs)*time.Millisecond)
 }
 
 // moveRefused handles an agent that did not run the request and never will. This
 // holds for RefusedUnknownID as well: the agent forbids the id before it answers,
 // so a Run that is still under way on an old connection is refused.
-func (r *request) moveRefused(reason wire.RefusedReason) []action {
+func (r *request) moveRefused(reason wire.RefusedReason, retryAfter time.Duration) []action {
 	if transient(reason) {
 		r.fruitless--
 	}
+	r.advised = max(r.advised, retryAfter)
 	actions := r.move("agent refused: " + string(reason))
 	for i, a := range actions {
 		if m, ok := a.(route); ok {
@@ -577,7 +579,7 @@
 	case r.maybeRan:
 		return r.end(Result{Outcome: OutcomeUnknown, Status: statusBadGateway, Detail: why})
 	}
-	return r.end(Result{Outcome: OutcomeNotRun, Status: statusUnavailable, RetryAfter: max(retryAfter, time.Second), Detail: why})
+	return r.end(Result{Outcome: OutcomeNotRun, Status: statusUnavailable, RetryAfter: max(retryAfter, r.advised, time.Second), Detail: why})
 }
 
 // shown reports whether the caller has a part of the answer.
