entry: bound the links of an entry by a subset of targets

An idle link costs 62 bytes a second and 0.016% of a core at one end (450 links in one process), so links from 370 entries to 2,600 agents would cost each entry 160 KB a second. An entry now keeps at most 48. Small deployments are not affected.

The capacity tool measures the slopes and writes the tables of the page.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 # Latency, processor time, memory and start-up time of the path, in one run.
 path: build
 	./demo/path.sh
+
+# Measures the slopes of docs/CAPACITY.md again and rewrites its tables.
+capacity:
+	$(GO) run ./tools/capacity
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -63,6 +63,7 @@
 	})
 	d.stops = append(d.stops, follower.Stop, parent.Stop, worker.Stop)
 	d.mux.Handle(parent, propagate.ParentKinds...)
+	d.mux.Handle(&nearTargets{conns: make(map[*link.Conn]string), changed: e.SetNear})
 	var up link.Mux
 	up.Handle(follower, propagate.FollowerKinds...)
 	up.Handle(worker, rollout.WorkerKinds...)
--- /dev/null
+++ b/daemon/near.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"slices"
+	"sync"
+
+	"merlinhall/link"
+	"merlinhall/wire"
+)
+
+// nearTargets collects the targets whose agents follow this entry.
+type nearTargets struct {
+	mu      sync.Mutex
+	conns   map[*link.Conn]string
+	changed func(targets []string)
+}
+
+// Up implements link.Events.
+func (n *nearTargets) Up(c *link.Conn) {
+	target := c.Peer().Target
+	if target == "" || !slices.Contains(c.Peer().Roles, wire.RoleAgent) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = target
+	n.report()
+}
+
+// Message implements link.Events.
+func (n *nearTargets) Message(*link.Conn, wire.Message) {}
+
+// Down implements link.Events.
+func (n *nearTargets) Down(c *link.Conn, _ error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.conns[c]; ok {
+		delete(n.conns, c)
+		n.report()
+	}
+}
+
+func (n *nearTargets) report() {
+	names := make([]string, 0, len(n.conns))
+	for _, name := range n.conns {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	n.changed(slices.Compact(names))
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -46,6 +46,7 @@
 	entry    *Entry
 	rng      *rand.Rand
 	view     *view
+	near     nearMessage
 	targets  map[string]*target
 	services map[string]*service
 	flights  map[*flight]struct{}
@@ -80,6 +81,8 @@
 		d.onTick(now)
 	case *view:
 		d.onWorld(now, m)
+	case nearMessage:
+		d.onNear(now, m)
 	case submitMessage:
 		d.onSubmit(now, m.flight)
 	case leaveMessage:
--- a/entry/world.go
+++ b/entry/world.go
@@ -25,16 +25,17 @@
 		s.present = false
 	}
 	weights := shares(v.config)
+	quotas := d.quotas(v.config)
 	for i := range v.config.Services {
 		c := &v.config.Services[i]
 		s := d.service(c.Name, now)
-		d.adopt(s, c.Targets, c.MaxInFlight, leaving)
+		d.adopt(s, d.subset(c.Targets, quotas[c.Name], leaving), c.MaxInFlight, leaving)
 		s.apply(v.config.Limits, c.MaxInFlight, c.Queue, weights)
 	}
 	for i := range v.config.Pools {
 		c := &v.config.Pools[i]
 		s := d.service(c.Name, now)
-		d.adopt(s, c.Targets, c.MaxInFlight, leaving)
+		d.adopt(s, d.subset(c.Targets, quotas[c.Name], leaving), c.MaxInFlight, leaving)
 		s.apply(v.config.Limits, c.MaxInFlight, c.Queue, weights)
 	}
 	d.dropServices(now)
--- /dev/null
+++ b/tools/capacity/roles.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Sizes of two years ahead.
+const (
+	nodes           = 370.0
+	replicas        = 2600.0
+	requestsPerSec  = 6600.0
+	tokensPerSec    = 2.1e6
+	samplesPerStep  = 6 * 1024.0
+	stepSeconds     = 21 * 60.0
+	groupSize       = 8.0
+	changesPerSec   = 3100.0 / 86400
+	restartsPerSec  = 640.0 / 86400
+	controlReplicas = 5.0
+	tableIDs        = 65536.0
+	linksPerEntry   = 48.0 // maxLinks of package entry
+	baseMemory      = 25.0 // MB resident of an idle process, make path
+	sampleBytes     = 32e3 // 8,000 tokens of four bytes
+)
+
+// Limits of control for one node.
+const (
+	limitCore   = 1.0 // percent
+	limitMemory = 256.0
+	limitBytes  = 4096.0
+)
+
+// row is the cost of control at one role.
+type row struct {
+	role, state, messages string
+	core, memory, bytes   float64
+}
+
+func (s *slopes) rows() []row {
+	linksPerAgent := nodes * linksPerEntry / replicas
+	groups := samplesPerStep / groupSize / stepSeconds
+	commits := changesPerSec + 3*groups // a commit, a draw and an acknowledgement at most for each group
+	parse := s.last("parseCPU") / 1e6 * changesPerSec * 100
+	config := 3 * s.last("textBytes") / 1e6
+	children := nodes / controlReplicas
+	// nodeBytes and nodeCore are those of one entry and its seven agents, so they
+	// bound what one process spends.
+	return []row{
+		{
+			role:     "entry",
+			state:    fmt.Sprintf("configuration, %.0f links, view of their targets", linksPerEntry),
+			messages: fmt.Sprintf("%.0f heartbeats and load reports a second", linksPerEntry*3),
+			core:     linksPerEntry*s.worst("linkCore") + s.worst("nodeCore") + parse,
+			memory:   baseMemory + linksPerEntry*s.worst("linkMemory")/1e6 + config,
+			bytes:    linksPerEntry*s.worst("linkBytes") + s.worst("nodeBytes"),
+		},
+		{
+			role:     "agent",
+			state:    fmt.Sprintf("configuration, %.1f links, up to %.0f request ids", linksPerAgent, tableIDs),
+			messages: fmt.Sprintf("%.0f heartbeats and load reports a second", linksPerAgent*3),
+			core:     linksPerAgent*s.worst("linkCore") + s.worst("nodeCore")/8 + parse,
+			memory:   baseMemory + linksPerAgent*s.worst("linkMemory")/1e6 + config + tableIDs*s.worst("tableEntry")/1e6,
+			bytes:    linksPerAgent*s.worst("linkBytes") + s.worst("nodeBytes")/8,
+		},
+		{
+			role:     "control leader",
+			state:    "configuration and history, ledgers of 6 trainers, bodies of unacknowledged samples on disk",
+			messages: fmt.Sprintf("%.2f commits, %.1f samples, %.0f digests a second", commits, samplesPerStep/stepSeconds, children),
+			core:     children*s.worst("linkCore") + parse + commits*s.worst("commit")/1e4 + samplesPerStep/stepSeconds*s.worst("planner")/1e7,
+			memory:   baseMemory + (nodes+controlReplicas)*s.worst("linkMemory")/1e6 + config,
+			bytes:    children*s.worst("linkBytes") + children*s.worst("changeBytes")*changesPerSec + restartsPerSec*s.last("textPacked"),
+		},
+		{
+			role:     "control follower",
+			state:    "as the leader",
+			messages: fmt.Sprintf("%.2f appends, %.0f digests a second", commits, children),
+			core:     children*s.worst("linkCore") + parse + commits*s.worst("commit")/1e4,
+			memory:   baseMemory + (nodes+controlReplicas)*s.worst("linkMemory")/1e6 + config,
+			bytes:    children*s.worst("linkBytes") + children*s.worst("changeBytes")*changesPerSec + restartsPerSec*s.last("textPacked"),
+		},
+	}
+}
+
+func (s *slopes) roles() string {
+	var b strings.Builder
+	b.WriteString("| role | state | messages | core (≤ 1%) | memory (≤ 256 MB) | bytes a second (≤ 4,096) | met |\n|---|---|---|---|---|---|---|\n")
+	for _, r := range s.rows() {
+		fmt.Fprintf(&b, "| %s | %s | %s | %.2f%% | %.0f MB | %.0f | %s |\n", r.role, r.state, r.messages, r.core, r.memory, r.bytes, met(r))
+	}
+	entryTokens := tokensPerSec / nodes
+	agentTokens := tokensPerSec / replicas
+	fmt.Fprintf(&b, "\nBeside control, the peak load costs an entry %.0f requests and %.0f tokens a second (%.1f%% of a core at the measured rate), and an agent %.1f requests and %.0f tokens a second (%.2f%% of a core). Sample bodies cost the leader about %.0f KB a second towards the other replicas at %.0f KB a sample.\n",
+		requestsPerSec/nodes, entryTokens, 100*entryTokens/s.worst("entryToken"),
+		requestsPerSec/replicas, agentTokens, 100*agentTokens/s.worst("agentToken"),
+		samplesPerStep/stepSeconds*sampleBytes*(controlReplicas-1)/1e3, sampleBytes/1e3)
+	return b.String()
+}
+
+func met(r row) string {
+	var over []string
+	if r.core > limitCore {
+		over = append(over, "core")
+	}
+	if r.memory > limitMemory {
+		over = append(over, "memory")
+	}
+	if r.bytes > limitBytes {
+		over = append(over, "bytes")
+	}
+	if len(over) == 0 {
+		return "yes"
+	}
+	return "no: " + strings.Join(over, ", ")
+}
