--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,7 +32,7 @@
 	// below link.SilenceLimit.
 	eventLimit = time.Second
 	// defaultMaxRunning bounds the requests that run at once.
-	defaultMaxRunning = 1024
+	defaultMaxRunning = 512
 )
 
 // Kinds of target.
@@ -64,7 +64,7 @@
 	// Barrier confirms the term and log index with the control leader. It is
 	// required for engines.
 	Barrier func(ctx context.Context) (term, index uint64, err error)
-	// MaxRunning bounds the requests that run at once; 0 means 1024.
+	// MaxRunning bounds the requests that run at once; 0 means 512.
 	MaxRunning int
 	// LinkClient and LinkScheme dial other agents for weights; by default without
 	// TLS.
@@ -333,9 +333,14 @@
 		}
 	}
 	a.carry(a.table.Produced(now(), m.id, m.chunk))
-	if m.chunk.End != "" {
-		delete(a.runs, m.id)
-		a.checkDrained()
+	if m.chunk.End == "" {
+		return
+	}
+	a.log.WithField("id", m.id).WithField("end", m.chunk.End).Debug("request ends")
+	delete(a.runs, m.id)
+	a.checkDrained()
+	if m.chunk.End == wire.EndNotRun {
+		a.pollState(gateAction{}) // the target may be down
 	}
 }
 
@@ -384,11 +389,15 @@
 	if p == nil {
 		return
 	}
+	c, isChunk := m.(*wire.Chunk)
+	if isChunk && !a.table.due(c) {
+		return
+	}
 	err := p.conn.Send(m)
 	if err == nil {
 		return
 	}
-	if c, ok := m.(*wire.Chunk); ok {
+	if isChunk {
 		a.table.Unsent(c)
 		return
 	}
@@ -397,6 +406,7 @@
 }
 
 func (a *Agent) start(r *wire.Run) {
+	a.log.WithField("id", r.ID).WithField("service", r.Service).Debug("request starts")
 	ctx, cancel := context.WithCancel(a.ctx)
 	s := newSink(r.ID, a.post)
 	a.runs[r.ID] = &activeRun{cancel: cancel, sink: s}
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,15 +43,6 @@
 	Stream      bool     `json:"stream"`
 }
 
-// tokenEvent is one server-sent event of the engine.
-type tokenEvent struct {
-	Token   string `json:"token"`
-	Index   int    `json:"index"`
-	Version uint64 `json:"version"`
-	Done    bool   `json:"done"`
-	Tokens  int    `json:"tokens"`
-}
-
 // engineState is the engine's answer to GET /state.
 type engineState struct {
 	Version  uint64 `json:"version"`
@@ -152,7 +144,7 @@
 
 	next     int // index of the next token
 	previous uint64
-	any      bool
+	any      atomic.Bool // a token has come; also read by the idle watch
 	event    tokenEvent
 }
 
@@ -163,7 +155,7 @@
 		return true
 	}
 	state, err := e.t.state(e.ctx, 0)
-	return err == nil && (state.Swapping || !e.any && state.Queued > 0)
+	return err == nil && (state.Swapping || !e.any.Load() && state.Queued > 0)
 }
 
 // relay passes on tokens until the engine marks the end. Tokens that have arrived
@@ -223,16 +215,16 @@
 
 func (e *engineRun) attribute() error {
 	version := e.event.Version
-	if !e.t.witness.known(version) || e.any && e.previous != version {
+	if !e.t.witness.known(version) || e.any.Load() && e.previous != version {
 		e.watch.pause()
-		ok := e.t.witness.attribute(e.ctx, version, e.previous, e.any)
+		ok := e.t.witness.attribute(e.ctx, version, e.previous, e.any.Load())
 		e.watch.heard()
 		if !ok {
 			return errUnattributed
 		}
 	}
 	e.previous = version
-	e.any = true
+	e.any.Store(true)
 	e.next++
 	return nil
 }
@@ -261,14 +253,6 @@
 	return at >= 0 && bytes.IndexByte(waiting[at:], '\n') >= 0
 }
 
-func parseTokenEvent(data []byte) (tokenEvent, error) {
-	var ev tokenEvent
-	if err := json.Unmarshal(data, &ev); err != nil {
-		return ev, eris.Wrap(err, "engine event")
-	}
-	return ev, nil
-}
-
 // state reads the engine's state on a new connection.
 func (t *engineTarget) state(ctx context.Context, since uint64) (*engineState, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateLimit)
--- a/agent/table.go
+++ b/agent/table.go
@@ -25,9 +25,17 @@
 	// Window is the number of unconfirmed chunks of one stream that the agent
 	// buffers before it stops to read from the target.
 	Window = 64
+	// maxBuffered is the number of buffered bytes of unconfirmed chunks above which
+	// no new request starts. Requests that run may add Window chunks each: with 512
+	// streams of 4 KiB chunks at most 128 MiB.
+	maxBuffered = 64 << 20
+	// chunkOverhead is what a chunk costs beside its data and each token beside its
+	// text, in bytes.
+	chunkOverhead = 160
+	tokenOverhead = 24
 )
 
-// LinkID names a link of the agent. 0 is no link.
+// LinkID names a link of the agent. A later link has a higher id; 0 is no link.
 type LinkID uint64
 
 // op is what an outcome asks the agent to do.
@@ -90,6 +98,9 @@
 	ruleRetention
 	ruleRefuseForGood
 	ruleCredit
+	ruleBuffer
+	ruleNewestLink
+	ruleNoGap
 )
 
 // table is the request table: a pure state machine stepped by (now, message).
@@ -111,6 +122,7 @@
 	running  map[string]*record
 	stalled  map[string]*record
 	unsent   int // finished records whose chunks are not all confirmed
+	buffered int // bytes of chunks held
 	expiries expiryHeap
 	out      []outcome
 	counts   tableCounts
@@ -197,7 +209,7 @@
 		return wire.RefusedTargetDown
 	case t.live >= t.size && t.off&ruleFull == 0:
 		return wire.RefusedTableFull
-	case len(t.running) >= t.maxRunning:
+	case len(t.running) >= t.maxRunning, t.buffered >= maxBuffered && t.off&ruleBuffer == 0:
 		return wire.RefusedOverload
 	}
 	return ""
@@ -250,11 +262,19 @@
 func (t *table) farthest() int64 { return t.now + MaxDeadline.Milliseconds() }
 
 // attach goes on with r on link from sequence from. Chunks below base have been
-// confirmed and are not sent again.
+// confirmed and are not sent again. A late message of an older link does not take
+// the stream from a newer one, on which the entry waits.
 func (t *table) attach(r *record, link LinkID, from uint64, credit uint32) {
+	if link < r.link && t.off&ruleNewestLink == 0 {
+		return
+	}
+	limit := max(from, r.base) + uint64(credit)
+	if link == r.link {
+		limit = max(limit, r.limit)
+	}
 	r.link = link
+	r.limit = limit
 	r.next = min(max(from, r.base), r.base+uint64(len(r.chunks)))
-	r.limit = max(from, r.base) + uint64(credit)
 	t.flush(r)
 }
 
@@ -277,6 +297,9 @@
 		return
 	}
 	n := int(to - r.base)
+	for _, c := range r.chunks[:n] {
+		t.buffered -= chunkBytes(c)
+	}
 	clear(r.chunks[:n])
 	r.chunks = r.chunks[n:]
 	r.base = to
@@ -317,6 +340,7 @@
 	c.Boot = t.boot
 	c.Sequence = r.base + uint64(len(r.chunks))
 	r.chunks = append(r.chunks, c)
+	t.buffered += chunkBytes(c)
 	if c.End != "" {
 		t.finish(r, c.End)
 	}
@@ -413,6 +437,13 @@
 	t.stalled[r.id] = r
 }
 
+// due reports whether a chunk of the last step is still to be sent: after an
+// earlier chunk of its stream was taken back it is not, as streams have no gaps.
+func (t *table) due(c *wire.Chunk) bool {
+	r := t.records[c.ID]
+	return r == nil || c.Sequence < r.next || t.off&ruleNoGap != 0
+}
+
 // Tick stops runs whose deadline has passed, forgets expired ids and resumes
 // stalled streams.
 func (t *table) Tick(now int64) []outcome {
@@ -460,7 +491,19 @@
 		if len(r.chunks) > 0 {
 			t.unsent--
 		}
+		for _, c := range r.chunks {
+			t.buffered -= chunkBytes(c)
+		}
+	}
+}
+
+// chunkBytes estimates the memory that a chunk takes.
+func chunkBytes(c *wire.Chunk) int {
+	n := chunkOverhead + len(c.Data)
+	for _, token := range c.Tokens {
+		n += tokenOverhead + len(token.Text)
 	}
+	return n
 }
 
 // retryAfter is the advice in a refusal, in milliseconds.
--- a/entry/http.go
+++ b/entry/http.go
@@ -29,12 +29,20 @@
 	maxNameBytes = 128
 )
 
-// Handler returns the handler for callers.
+// Handler returns the handler for callers. It is not an http.ServeMux, which
+// answers paths such as /svc//x with a redirect instead of passing them on.
 func (e *Entry) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+completionsPath, e.serveCompletions)
-	mux.HandleFunc("/", e.serveService)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != completionsPath:
+			e.serveService(w, r)
+		case r.Method != http.MethodPost:
+			w.Header().Set("Allow", http.MethodPost)
+			e.writeError(w, r.Header.Get(HeaderRequestID), invalid(http.StatusMethodNotAllowed, "%s takes POST", completionsPath))
+		default:
+			e.serveCompletions(w, r)
+		}
+	})
 }
 
 // callerHeaders are the header fields that steer a request.
@@ -104,8 +112,9 @@
 		return
 	}
 	name, path := splitPath(r)
-	if e.configuration().Service(name) == nil {
-		e.writeError(w, h.id, &UnknownServiceError{Kind: "service", Name: name, Known: serviceNames(e.configuration())})
+	if c := e.configuration(); c != nil && c.Service(name) == nil {
+		// Found before the body is read, which may be large.
+		e.writeError(w, h.id, &UnknownServiceError{Kind: "service", Name: name, Known: serviceNames(c)})
 		return
 	}
 	body, err := e.readBody(w, r)
@@ -189,7 +198,11 @@
 	status := http.StatusInternalServerError
 	var unknown *UnknownServiceError
 	var bad *InvalidRequestError
+	var refused *OutcomeError
 	switch {
+	case errors.As(err, &refused):
+		writeResult(w, id, refused.Result)
+		return
 	case errors.As(err, &unknown):
 		status = http.StatusNotFound
 		body.Known = unknown.Known
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -69,6 +69,11 @@
 	ctx     context.Context
 	serial  uint64 // of proposals, for request ids
 	mu      sync.Mutex
+	work    sync.WaitGroup // goroutines that use the store
+
+	// Tests change these: skipMajority commits a group after its first copy.
+	skipMajority bool
+	lossAfter    time.Duration
 }
 
 // Messages of the coordinator's mailbox.
@@ -111,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Coordinator{o: o, store: store, planner: NewPlanner(o.Planner), changes: newBroadcast()}
+	c := &Coordinator{o: o, store: store, planner: NewPlanner(o.Planner), changes: newBroadcast(), lossAfter: lossAfter}
 	c.links.init()
 	c.bodies.init()
 	c.ctx, c.stop = context.WithCancel(context.Background())
@@ -142,12 +147,13 @@
 // reports it.
 func (c *Coordinator) Lead(leading bool, term uint64) { c.offer(leadership{leading, term}) }
 
-// Stop ends the coordinator.
+// Stop ends the coordinator. It waits for writes to the body store.
 func (c *Coordinator) Stop() {
 	c.mu.Lock()
 	c.stop()
 	c.mu.Unlock()
 	c.duty.Stop()
+	c.work.Wait()
 }
 
 // offer queues a message that must not be lost; it waits while the mailbox is
