propagate: a version counts as in force when the process has taken it

Holding counted worlds that had arrived but that the process had not applied. A dial that is given up no longer counts as a failure of its candidate, and a connection that comes up after Stop is closed.

--- a/propagate/follower.go
+++ b/propagate/follower.go
@@ -66,6 +66,7 @@
 	dial    context.CancelFunc
 	wanted  string // candidate that is being dialled or is connected
 	world   atomic.Pointer[wire.World]
+	inForce atomic.Pointer[wire.World]
 	fresh   atomic.Int64 // Unix nanoseconds of the last fresh digest
 	deliver chan struct{}
 	stop    context.CancelFunc
@@ -110,7 +111,7 @@
 		f.events = f
 	}
 	ranked := Rank(o.Local.Process, o.Local.Zone, o.Candidates)
-	f.seeker = newSeeker(ranked, !o.Dial, f.below, homeJitter(o.Local.Process))
+	f.seeker = newSeeker(ranked, !o.Dial, f.holdings, homeJitter(o.Local.Process))
 	f.duty = o.System.Start("propagate-follower", followerMailbox, duty.HandlerFunc(f.receive))
 	if o.Feeds != nil {
 		o.Feeds.follow(f)
@@ -168,8 +169,11 @@
 // Joined notes a connection to a candidate. Connections to other processes are
 // ignored.
 func (f *Follower) Joined(peer Peer) {
-	if f.seeker.position(peer.Peer().Process) >= 0 {
-		f.offer(peerUp{peer: peer})
+	if f.seeker.position(peer.Peer().Process) < 0 {
+		return
+	}
+	if f.offer(peerUp{peer: peer}) == duty.ErrStopped && f.o.Dial {
+		peer.Close(link.ErrClosed)
 	}
 }
 
@@ -188,14 +192,18 @@
 func (f *Follower) Lost(peer Peer) {
 	f.calls.Lost(peer)
 	if f.seeker.position(peer.Peer().Process) >= 0 {
-		f.offer(peerDown{peer: peer})
+		_ = f.offer(peerDown{peer: peer})
 	}
 }
 
 // offer waits for room: a lost change of a connection would leave the follower
 // with a wrong view of it.
-func (f *Follower) offer(msg any) {
-	for f.duty.Offer(msg) == duty.ErrFull {
+func (f *Follower) offer(msg any) error {
+	for {
+		err := f.duty.Offer(msg)
+		if err != duty.ErrFull {
+			return err
+		}
 		time.Sleep(followTick / 10)
 	}
 }
@@ -338,16 +346,18 @@
 	case <-ctx.Done():
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	limited, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	conn, err := link.Dial(ctx, f.o.Client, f.o.Scheme, c.Address, f.o.Local, f.events)
+	conn, err := link.Dial(limited, f.o.Client, f.o.Scheme, c.Address, f.o.Local, f.events)
 	if err == nil && conn.Peer().Process == c.Name {
 		return
 	}
 	if err == nil {
 		conn.Close(link.ErrClosed)
 	}
-	f.offer(dialFailed{name: c.Name})
+	if ctx.Err() == nil {
+		_ = f.offer(dialFailed{name: c.Name})
+	}
 }
 
 // deliverLoop calls OnWorld with the newest world.
@@ -365,15 +375,26 @@
 		}
 		last = w.Index
 		f.o.OnWorld(w)
+		f.inForce.Store(w)
+		f.subtreeChanged()
 	}
 }
 
-// below returns what the children of this process hold.
-func (f *Follower) below() []wire.VersionCount {
-	if f.o.Feeds == nil {
-		return nil
+// holdings returns the versions in force in this process and those below it. A
+// world is in force when OnWorld has returned.
+func (f *Follower) holdings() []wire.VersionCount {
+	w := f.inForce.Load()
+	if f.o.OnWorld == nil {
+		w = f.world.Load()
+	}
+	var own, below []wire.VersionCount
+	if w != nil {
+		own = []wire.VersionCount{{Version: w.ConfigVersion, Count: 1}}
+	}
+	if f.o.Feeds != nil {
+		below = f.o.Feeds.Counts()
 	}
-	return f.o.Feeds.Counts()
+	return SumCounts(own, below)
 }
 
 // subtreeChanged makes the next tick report what the subtree holds.
--- a/propagate/link_test.go
+++ b/propagate/link_test.go
@@ -227,3 +227,24 @@
 	is.Equal(agent.State().Parent, "c2")
 	is.Equal(upper.State().Index, uint64(1))
 }
+
+// Guards against a version that is counted as in force while the process has not
+// taken it yet.
+func TestHeldVersionIsNotInForceYet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	control := newProcess(t, "c1", ParentOptions{})
+	release, entered := make(chan struct{}), make(chan struct{}, 1)
+	agent := Follow(FollowOptions{
+		Local: wire.Hello{Process: "a1"}, Candidates: []Candidate{control.candidate(true)},
+		OnWorld: func(*wire.World) { entered <- struct{}{}; <-release },
+		Dial:    true, Client: link.NewHTTPClient(nil), Scheme: "ws",
+	})
+	t.Cleanup(agent.Stop)
+	control.parent.Publish(testWorld(5, 1, "a = 1\n"))
+	<-entered
+	eventually(t, "a digest arrives", agent.Fresh)
+	is.Equal(len(control.parent.Counts()), 0)
+	close(release)
+	eventually(t, "the version is in force", func() bool { return fmt.Sprint(control.parent.Counts()) == "[{1 1}]" })
+}
--- a/propagate/seeker.go
+++ b/propagate/seeker.go
@@ -28,8 +28,8 @@
 // follows. It does no I/O: every method returns the step to be carried out.
 type seeker struct {
 	ranked  []Candidate
-	passive bool // connections are made by others
-	below   func() []wire.VersionCount
+	passive bool                       // connections are made by others
+	counts  func() []wire.VersionCount // versions in force here and below
 
 	up       map[string]bool
 	current  int // position in ranked, -1 when there is none
@@ -62,11 +62,11 @@
 	world *wire.World // a newer world
 }
 
-func newSeeker(ranked []Candidate, passive bool, below func() []wire.VersionCount, jitter time.Duration) *seeker {
+func newSeeker(ranked []Candidate, passive bool, counts func() []wire.VersionCount, jitter time.Duration) *seeker {
 	return &seeker{
 		ranked:  ranked,
 		passive: passive,
-		below:   below,
+		counts:  counts,
 		up:      make(map[string]bool),
 		current: -1,
 		limit:   freshLimit,
@@ -330,12 +330,7 @@
 		return nil
 	}
 	s.dirty = false
-	var own []wire.VersionCount
-	if s.world != nil {
-		own = []wire.VersionCount{{Version: s.world.ConfigVersion, Count: 1}}
-	}
-	counts := SumCounts(own, s.below())
-	return []addressed{{to: s.name(), message: &wire.Holding{Index: s.held(), Counts: counts}}}
+	return []addressed{{to: s.name(), message: &wire.Holding{Index: s.held(), Counts: s.counts()}}}
 }
 
 func (s *seeker) held() uint64 {
--- a/propagate/sim_test.go
+++ b/propagate/sim_test.go
@@ -139,12 +139,20 @@
 		}
 		return
 	}
-	below := func() []wire.VersionCount { return nil }
-	if n.tree != nil {
-		tree := n.tree
-		below = func() []wire.VersionCount { return tree.counts() }
+	tree := n.tree
+	var own *seeker
+	counts := func() []wire.VersionCount {
+		var list []wire.VersionCount
+		if own.world != nil {
+			list = append(list, wire.VersionCount{Version: own.world.ConfigVersion, Count: 1})
+		}
+		if tree != nil {
+			list = append(list, tree.counts()...)
+		}
+		return SumCounts(list)
 	}
-	n.seeker = newSeeker(Rank(n.name, "bole", n.rotate), n.passive, below, 0)
+	own = newSeeker(Rank(n.name, "bole", n.rotate), n.passive, counts, 0)
+	n.seeker = own
 	n.seeker.takeBack = s.switchOff
 	s.do(n, n.seeker.start(s.now))
 	if n.passive {
