--- a/consensus/export_test.go
+++ b/consensus/export_test.go
@@ -11,7 +11,9 @@
 	FaultForgetVote      Fault = "vote not persisted"
 	FaultIsolatedRead    Fault = "isolated leader reads without confirmation"
 	FaultVoteInLease     Fault = "vote granted within the lease"
+	FaultVoteAtStart     Fault = "vote granted right after a restart"
 	FaultEchoStale       Fault = "clock and round of an ended term returned"
+	FaultReuseRound      Fault = "read round used again"
 )
 
 // Plant switches a rule off.
@@ -30,6 +32,10 @@
 		c.faults.ignoreLease = true
 	case FaultVoteInLease:
 		c.faults.voteInLease = true
+	case FaultVoteAtStart:
+		c.faults.voteAtStart = true
+	case FaultReuseRound:
+		c.faults.reuseRound = true
 	case FaultEchoStale:
 		c.faults.echoStale = true
 	}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -157,6 +157,9 @@
 		heard:  now,
 		saved:  r.State,
 	}
+	if cfg.faults.voteAtStart {
+		n.heard -= cfg.ElectionMin
+	}
 	n.savedIndex = n.log.last()
 	n.synced = n.log.last()
 	n.members, n.memberIndex = n.log.membersAt(n.log.last())
--- a/consensus/read.go
+++ b/consensus/read.go
@@ -26,7 +26,9 @@
 	if len(n.lead.waiting) == 0 || n.commit < n.lead.start {
 		return false
 	}
-	n.lead.round++
+	if !n.cfg.faults.reuseRound || n.lead.round == 0 {
+		n.lead.round++
+	}
 	for _, r := range n.lead.waiting {
 		r.index = n.commit
 		r.round = n.lead.round
--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -141,6 +141,29 @@
 	}
 	s.write(a, 1)
 	s.run(s.now + time.Second)
+	s.deposeSilently(a, c)
+}
+
+// scenarioRestartedVoter is scenarioLease with b restarted, so that it does not
+// remember having heard a. Nor does it hear a afterwards.
+func scenarioRestartedVoter(s *sim) {
+	a, b, c := s.hosts[0], s.hosts[1], s.hosts[2]
+	s.startAll()
+	if s.awaitLeader(a); s.failure != "" {
+		return
+	}
+	s.write(a, 1)
+	s.run(s.now + s.random(time.Second, 2*time.Second))
+	s.after(600*time.Millisecond+s.random(0, 500*time.Millisecond), func() {
+		s.blocked[[2]int{a.index, b.index}] = true
+		b.kill(10 * time.Millisecond)
+	})
+	s.deposeSilently(a, c)
+}
+
+// deposeSilently cuts c from the leader a, and a from all news of another term.
+// When c or another host leads, a must not answer a read by lease.
+func (s *sim) deposeSilently(a, c *host) {
 	term := a.core.Status().Term
 	s.blocked[[2]int{a.index, c.index}] = true
 	s.drop = func(_, to *host, m *consensus.Message) bool { return to == a && m.Term > term }
@@ -159,6 +182,34 @@
 	}
 }
 
+// scenarioWildClock: the clock of the leader nearly stands still, so it keeps its
+// lease while others elect a leader. Reads that are confirmed by a quorum round
+// must not depend on clocks.
+func scenarioWildClock(s *sim) {
+	a, b, c := s.hosts[0], s.hosts[1], s.hosts[2]
+	s.startAll()
+	if s.awaitLeader(a); s.failure != "" {
+		return
+	}
+	s.write(a, 1)
+	s.readNow(a, false)
+	s.run(s.now + time.Second)
+	s.readNow(a, false)
+	s.run(s.now + time.Second)
+	s.isolate(a)
+	a.boot = s.now - time.Duration(float64(a.clock())/0.01)
+	a.rate = 0.01
+	next := s.awaitLeader(b, c)
+	if s.failure != "" {
+		return
+	}
+	w := s.write(next, 2)
+	s.runUntil(5*time.Second, func() bool { return w.done })
+	if version, ok := s.readNow(a, false); ok && version < 2 {
+		s.fail("a leader with a slow clock answered a read with version %d", version)
+	}
+}
+
 // scenarioLateAppend: a message of a leader arrives only after the leader has
 // restarted and leads a new term. The answer must not count as a confirmation of
 // that term. Seed 23609 of the random runs found this.
@@ -294,6 +345,8 @@
 		{consensus.FaultDropPreVote, 3, scenarioReturn},
 		{consensus.FaultIsolatedRead, 3, scenarioIsolatedRead},
 		{consensus.FaultVoteInLease, 3, scenarioLease},
+		{consensus.FaultVoteAtStart, 3, scenarioRestartedVoter},
+		{consensus.FaultReuseRound, 3, scenarioWildClock},
 		{consensus.FaultEchoStale, 3, scenarioLateAppend},
 		{consensus.FaultCommitOldTerm, 3, scenarioOldTerm},
 		{consensus.FaultLearnerInQuorum, 5, scenarioLearners},
@@ -345,17 +398,23 @@
 	member := func(h *host) consensus.Member {
 		return consensus.Member{ID: h.core.Status().ID, Name: h.name}
 	}
-	s.isolate(d)
+	for id := range uint64(60) {
+		s.write(a, id+1)
+		s.run(s.now + 20*time.Millisecond)
+	}
+	// d needs the snapshot. It answers heartbeats and receives no data.
+	s.drop = func(_, to *host, m *consensus.Message) bool { return to == d && len(m.Entries)+len(m.Data) > 0 }
 	first := s.change(a, consensus.AddLearner, member(d))
 	second := s.change(a, consensus.AddLearner, member(e))
 	is.True(s.runUntil(5*time.Second, func() bool { return second.done }))
 	is.True(errors.Is(second.err, consensus.ErrChangePending))
 	is.True(s.runUntil(5*time.Second, func() bool { return first.done }))
 	is.NoErr(first.err)
+	s.run(s.now + time.Second)
 	early := s.change(a, consensus.Promote, member(d))
 	is.True(s.runUntil(5*time.Second, func() bool { return early.done }))
 	is.True(errors.Is(early.err, consensus.ErrNotCaughtUp))
-	s.blocked = map[[2]int]bool{}
+	s.drop = nil
 	s.run(s.now + 2*time.Second)
 	promoted := s.change(a, consensus.Promote, member(d))
 	is.True(s.runUntil(5*time.Second, func() bool { return promoted.done }))
@@ -416,6 +475,7 @@
 	if !s.runUntil(60*time.Second, s.whole) {
 		s.fail("the group is not repaired")
 	}
+	w.stopped = true
 	s.run(s.now + time.Second)
 	for _, h := range s.hosts {
 		for _, id := range w.acked {
@@ -434,10 +494,14 @@
 	id             uint64
 	acked          []uint64
 	lost           *host // is down
+	stopped        bool
 	ackedAfterLoss int
 }
 
 func (w *steadyWriter) next() {
+	if w.stopped {
+		return
+	}
 	if h := w.sim.leader(); h != nil && h.busy <= w.sim.now {
 		w.id++
 		id, lost := w.id, w.lost
@@ -461,19 +525,7 @@
 		return
 	}
 	w.ackedAfterLoss++
-	voters, holding := 0, 0
-	for _, m := range leader.core.Status().Members {
-		if m.Learner {
-			continue
-		}
-		voters++
-		for _, h := range w.sim.hosts {
-			if h.core != nil && h.core.Status().ID == m.ID && h.core.Durable().Last >= index {
-				holding++
-			}
-		}
-	}
-	if holding <= voters/2 {
+	if voters, holding := w.sim.holders(leader, index); holding <= voters/2 {
 		w.sim.fail("write %d is acknowledged by %d of %d voters", id, holding, voters)
 	}
 }
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -25,8 +25,9 @@
 	tune    func(*consensus.Config)
 	blocked map[[2]int]bool // from, to
 	drop    func(from, to *host, m *consensus.Message) bool
-	voters  int // hosts that are configured as peers; 0 means all
-	loss    int // per thousand messages
+	wild    bool // clocks differ more than the lease allows; it is not used to read
+	voters  int  // hosts that are configured as peers; 0 means all
+	loss    int  // per thousand messages
 	jitter  time.Duration
 	steps   int
 	counts  map[string]int
--- a/consensus/simclient_test.go
+++ b/consensus/simclient_test.go
@@ -124,7 +124,7 @@
 }
 
 func (c *client) read(h *host, number int) {
-	byLease := c.sim.rng.IntN(2) == 0
+	byLease := !c.sim.wild && c.sim.rng.IntN(2) == 0
 	h.do(func(now time.Duration) {
 		h.core.Read(now, byLease, func(_, _ uint64, err error) {
 			item := h.kv.state.Items[c.input.key]
@@ -215,9 +215,17 @@
 }
 
 // checkDurable verifies from outside that an acknowledged write is on the disks
-// of a majority of the voters.
+// of a majority of the voters. A voter that is down may hold it too, so this only
+// counts when all are up.
 func (s *sim) checkDurable(leader *host, index uint64) {
-	voters, holding := 0, 0
+	if voters, holding := s.holders(leader, index); s.allUp() && holding <= voters/2 {
+		s.fail("write at %d is acknowledged with %d of %d voters", index, holding, voters)
+	}
+}
+
+// holders returns the number of voters in the view of a leader, and how many of
+// them are up and have synced the entry at index.
+func (s *sim) holders(leader *host, index uint64) (voters, holding int) {
 	for _, m := range leader.core.Status().Members {
 		if m.Learner {
 			continue
@@ -229,11 +237,7 @@
 			}
 		}
 	}
-	// A voter that is down may hold the entry too, so this only counts when all
-	// voters are up.
-	if s.allUp() && holding <= voters/2 {
-		s.fail("write at %d is acknowledged with %d of %d voters", index, holding, voters)
-	}
+	return voters, holding
 }
 
 func (s *sim) allUp() bool {
--- a/consensus/simfault_test.go
+++ b/consensus/simfault_test.go
@@ -206,6 +206,12 @@
 // chaos is one complete random run: faults for a while, then calm, in which the
 // group must become whole and commit again.
 func (s *sim) chaos(length time.Duration, clients int) {
+	s.wild = s.rng.IntN(3) == 0
+	for _, h := range s.hosts {
+		if s.wild {
+			h.rate = 0.5 + 1.5*s.rng.Float64()
+		}
+	}
 	s.startAll()
 	s.addClients(clients)
 	s.injectFaults(length)
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -176,7 +176,9 @@
 	unconfirmedRead bool // answer reads without a quorum round
 	ignoreLease     bool // act on as leader without a quorum
 	voteInLease     bool // vote although a leader was heard
+	voteAtStart     bool // vote right after a restart
 	echoStale       bool // return clock and round of an ended term
+	reuseRound      bool // never begin a second read round
 }
 
 // Defaults of Config. The lease is three quarters of the shortest election
