--- /dev/null
+++ b/agent/show.go
@@ -0,0 +1,133 @@
+package agent
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"merlinhall/duty"
+)
+
+// view is the agent's part of the state dump.
+type view struct {
+	Running     int               `json:"running"`
+	Held        int               `json:"held"` // running and finished ids
+	Revoked     int               `json:"revoked"`
+	Buffered    int               `json:"buffered"`       // unconfirmed chunks of running requests
+	Bytes       int               `json:"buffered_bytes"` // of all unconfirmed chunks
+	Started     uint64            `json:"started"`
+	Repeated    uint64            `json:"repeated"`
+	Completed   uint64            `json:"completed"`
+	Unanswered  uint64            `json:"unanswered"`
+	Refused     map[string]uint64 `json:"refused"`
+	Links       int               `json:"links"`
+	Down        bool              `json:"down"`
+	Suspect     bool              `json:"suspect"`
+	Leaving     bool              `json:"leaving"`
+	ConfigIndex uint64            `json:"world_index"`
+	Version     uint64            `json:"version"`
+	Want        uint64            `json:"want"`
+	SetAside    bool              `json:"set_aside"`
+}
+
+type viewAsked struct{}
+
+// View returns a summary of the agent's state that encodes as JSON.
+func (a *Agent) View() any {
+	reply, err := duty.Ask[viewAsked, view](a.duty, viewAsked{})
+	if err != nil {
+		return map[string]string{"error": err.Error()}
+	}
+	select {
+	case v := <-reply:
+		return v
+	case <-a.duty.Done():
+		return map[string]string{"error": duty.ErrStopped.Error()}
+	}
+}
+
+func (a *Agent) view() view {
+	l := a.currentLoad()
+	v := view{
+		Running:     len(a.table.running),
+		Held:        a.table.live,
+		Revoked:     a.table.dead,
+		Bytes:       a.table.buffered,
+		Started:     a.table.counts.Started,
+		Repeated:    a.table.counts.Repeated,
+		Completed:   a.table.counts.Completed,
+		Unanswered:  a.table.counts.Unanswered,
+		Refused:     make(map[string]uint64),
+		Links:       len(a.links),
+		Down:        l.Down,
+		Suspect:     l.Suspect,
+		Leaving:     l.Leaving,
+		ConfigIndex: a.gate.world,
+		Version:     a.gate.served,
+		Want:        a.gate.want.Version,
+		SetAside:    a.gate.setAside,
+	}
+	for _, r := range a.table.running {
+		v.Buffered += len(r.chunks)
+	}
+	for reason, n := range a.table.counts.Refused {
+		v.Refused[string(reason)] = n
+	}
+	return v
+}
+
+// observe adds the agent to metrics and to the state dump.
+func (a *Agent) observe() {
+	a.o.Observer.Dump("agent "+a.o.Local.Target, a.View)
+	collector := &viewCollector{agent: a, labels: prometheus.Labels{"target": a.o.Local.Target}}
+	if err := a.o.Observer.Registry.Register(collector); err != nil {
+		a.log.WithError(err).Warn("metrics are not registered")
+	}
+}
+
+// viewCollector turns the view into metrics.
+type viewCollector struct {
+	agent  *Agent
+	labels prometheus.Labels
+}
+
+// Describe implements prometheus.Collector. The collector is unchecked, so that
+// several agents of one process can share a registry.
+func (c *viewCollector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (c *viewCollector) Collect(out chan<- prometheus.Metric) {
+	v, ok := c.agent.View().(view)
+	if !ok {
+		return
+	}
+	for _, m := range []struct {
+		name, help string
+		kind       prometheus.ValueType
+		value      float64
+	}{
+		{"running", "Requests that run on the target.", prometheus.GaugeValue, float64(v.Running)},
+		{"table_ids", "Running and finished ids in the request table.", prometheus.GaugeValue, float64(v.Held)},
+		{"revoked_ids", "Ids that were refused or revoked and never start.", prometheus.GaugeValue, float64(v.Revoked)},
+		{"buffered_bytes", "Bytes of chunks that entries have not confirmed.", prometheus.GaugeValue, float64(v.Bytes)},
+		{"started_total", "Requests started on the target.", prometheus.CounterValue, float64(v.Started)},
+		{"repeated_total", "Repeated requests answered from the first run.", prometheus.CounterValue, float64(v.Repeated)},
+		{"completed_total", "Requests whose run has ended.", prometheus.CounterValue, float64(v.Completed)},
+		{"unanswered_total", "Messages without an answer for want of room to remember it.", prometheus.CounterValue, float64(v.Unanswered)},
+		{"weight_version", "Weight version that the engine serves.", prometheus.GaugeValue, float64(v.Version)},
+		{"wanted_weight_version", "Weight version that the engine must serve.", prometheus.GaugeValue, float64(v.Want)},
+		{"down", "1 while the target is down or set aside.", prometheus.GaugeValue, oneIf(v.Down)},
+	} {
+		desc := prometheus.NewDesc("merlinhall_agent_"+m.name, m.help, nil, c.labels)
+		out <- prometheus.MustNewConstMetric(desc, m.kind, m.value)
+	}
+	desc := prometheus.NewDesc("merlinhall_agent_refused_total", "Requests refused as not run, by reason.", []string{"reason"}, c.labels)
+	for reason, n := range v.Refused {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(n), reason)
+	}
+}
+
+func oneIf(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/control/admin_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// ask sends a request to a replica's administration API.
+func ask(t *testing.T, c *Control, method, uri, body string) (int, map[string]any) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(method, uri, strings.NewReader(body))
+	c.AdminHandler().ServeHTTP(w, r)
+	var out map[string]any
+	if err := json.Unmarshal(w.Body.Bytes(), &out); err != nil {
+		t.Fatalf("%s %s: status %d, body %q: %v", method, uri, w.Code, w.Body.String(), err)
+	}
+	return w.Code, out
+}
+
+// Guards against a follower that answers from its own state or does not forward.
+func TestConfigThroughAFollower(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2", "c3")
+	code, out := ask(t, c.nodes["c2"].control, "POST", "/v1/config?base=0&request_id=r1&author=abay", string(smallConfig(2, "one")))
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["version"], 1.0)
+	code, out = ask(t, c.nodes["c3"].control, "GET", "/v1/config", "")
+	is.Equal(code, http.StatusOK)
+	is.Equal(out["text"], string(smallConfig(2, "one")))
+	is.Equal(out["author"], "abay")
+}
+
+// Guards against reads of an old state: by a follower that lags, and by a leader
+// that has not applied what is committed.
+func TestReadsAreConfirmed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	lagging := c.nodes["c2"]
+	ask(t, lagging.control, "POST", configURI(0, "r1", "abay"), string(smallConfig(1, "one")))
+	lagging.paused = true
+	ask(t, lagging.control, "POST", configURI(1, "r2", "abay"), string(smallConfig(1, "two")))
+	_, out := ask(t, lagging.control, "GET", "/v1/config", "")
+	is.Equal(out["version"], 2.0)
+	is.Equal(lagging.machine.World().ConfigVersion, uint64(1))
+	c.elect("c2")
+	code, out := ask(t, lagging.control, "GET", "/v1/config", "")
+	is.Equal(code, http.StatusGatewayTimeout)
+	is.Equal(out["outcome"], "unknown")
+}
