--- a/routing/routing.go
+++ b/routing/routing.go
@@ -235,7 +235,7 @@
 	} else if len(cached) == 1 {
 		return Choice{cached[0], ReasonCached}, true
 	}
-	if i := rendezvous(r.Prefixes[len(r.Prefixes)-1], targets, candidates, bound); i >= 0 {
+	if i := firstByHash(r.Prefixes[len(r.Prefixes)-1], targets, candidates, bound); i >= 0 {
 		return Choice{i, ReasonAffinity}, true
 	}
 	return Choice{}, false
@@ -271,9 +271,9 @@
 	return loadBound*sum/float64(len(candidates)) + loadSlack
 }
 
-// rendezvous returns the candidate with the highest hash that is within the
+// firstByHash returns the candidate with the highest hash that is within the
 // bound, or -1.
-func rendezvous(key uint64, targets []Target, candidates []int, bound float64) int {
+func firstByHash(key uint64, targets []Target, candidates []int, bound float64) int {
 	best, bestHash := -1, uint64(0)
 	for _, i := range candidates {
 		if targets[i].load() > bound {
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 
 	"merlinhall/config"
+	"merlinhall/rendezvous"
 )
 
 // Subset returns the targets that the entry of that name keeps links to, at most
@@ -55,10 +55,10 @@
 func byZones(entry string, targets []config.Target, avoid func(string) bool) []ranked {
 	all := make([]ranked, 0, len(targets))
 	for _, t := range targets {
-		all = append(all, ranked{Target: t, avoid: avoid(t.Name), hash: pairHash(entry, t.Name)})
+		all = append(all, ranked{Target: t, avoid: avoid(t.Name), hash: rendezvous.Score(entry, t.Name)})
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(compareBool(a.avoid, b.avoid), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(rendezvous.FalseFirst(a.avoid, b.avoid), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
 	})
 	rounds := make(map[string]int)
 	for i := range all {
@@ -66,34 +66,11 @@
 		rounds[all[i].Zone]++
 	}
 	slices.SortStableFunc(all, func(a, b ranked) int {
-		return cmp.Or(compareBool(a.avoid, b.avoid), cmp.Compare(a.round, b.round), cmp.Compare(a.hash, b.hash))
+		return cmp.Or(rendezvous.FalseFirst(a.avoid, b.avoid), cmp.Compare(a.round, b.round), cmp.Compare(a.hash, b.hash))
 	})
 	return all
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-func pairHash(a, b string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(a))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(b))
-	x := h.Sum64()
-	// FNV-1a mixes the last bytes little; this is the finalizer of MurmurHash3.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // Quotas divides maxLinks over services with the given numbers of targets. Each
 // service gets all its targets when they fit, and else a part in proportion, but
 // at least minimum.
--- a/routing/subset_test.go
+++ b/routing/subset_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"merlinhall/config"
+	"merlinhall/rendezvous"
 )
 
 func fleet(targets, zones int) []config.Target {
@@ -35,7 +36,7 @@
 	targets := fleet(2600, 10)
 	links := make(map[string]int)
 	for e := range 370 {
-		near := func(name string) bool { return pairHash("parent", name)%370 == uint64(e) }
+		near := func(name string) bool { return rendezvous.Score("parent", name)%370 == uint64(e) }
 		subset := Subset(fmt.Sprintf("entry-%d", e), targets, 48, near, never)
 		is.Equal(len(subset), 48)
 		zones := make(map[string]bool)
