--- a/propagate/link_test.go
+++ b/propagate/link_test.go
@@ -172,12 +172,19 @@
 	eventually(t, "the first parent delivers", func() bool { return agent.State().Index == 5 })
 	replies := make(chan *wire.Reply, 1)
 	go func() {
-		reply, _ := agent.Call(t.Context(), "any", nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*waitLimit)
+		defer cancel()
+		reply, _ := agent.Call(ctx, "any", nil)
 		replies <- reply
 	}()
 	silent.Store(true)
 	eventually(t, "the child moves", func() bool { return agent.State().Parent == "c1" })
-	is.Equal((<-replies).Outcome, wire.CallUnknown)
+	select {
+	case reply := <-replies:
+		is.Equal(reply.Outcome, wire.CallUnknown)
+	case <-time.After(waitLimit):
+		t.Fatal("the call is not answered")
+	}
 	is.Equal(agent.World().Index, uint64(5))
 	control.parent.Publish(testWorld(6, 3, "a = 3\n"))
 	eventually(t, "the second parent delivers", func() bool { return agent.World().Index == 6 })
@@ -220,3 +227,24 @@
 	is.Equal(agent.State().Parent, "c2")
 	is.Equal(upper.State().Index, uint64(1))
 }
+
+// Guards against a version that is counted as in force while the process has not
+// taken it yet.
+func TestHeldVersionIsNotInForceYet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	control := newProcess(t, "c1", ParentOptions{})
+	release, entered := make(chan struct{}), make(chan struct{}, 1)
+	agent := Follow(FollowOptions{
+		Local: wire.Hello{Process: "a1"}, Candidates: []Candidate{control.candidate(true)},
+		OnWorld: func(*wire.World) { entered <- struct{}{}; <-release },
+		Dial:    true, Client: link.NewHTTPClient(nil), Scheme: "ws",
+	})
+	t.Cleanup(agent.Stop)
+	control.parent.Publish(testWorld(5, 1, "a = 1\n"))
+	<-entered
+	eventually(t, "a digest arrives", agent.Fresh)
+	is.Equal(len(control.parent.Counts()), 0)
+	close(release)
+	eventually(t, "the version is in force", func() bool { return fmt.Sprint(control.parent.Counts()) == "[{1 1}]" })
+}
