--- a/consensus/export_test.go
+++ b/consensus/export_test.go
@@ -14,6 +14,7 @@
 	FaultVoteAtStart     Fault = "vote granted right after a restart"
 	FaultEchoStale       Fault = "clock and round of an ended term returned"
 	FaultReuseRound      Fault = "read round used again"
+	FaultChangeEarly     Fault = "members changed before an own commit"
 )
 
 // Plant switches a rule off.
@@ -34,6 +35,8 @@
 		c.faults.voteInLease = true
 	case FaultVoteAtStart:
 		c.faults.voteAtStart = true
+	case FaultChangeEarly:
+		c.faults.changeEarly = true
 	case FaultReuseRound:
 		c.faults.reuseRound = true
 	case FaultEchoStale:
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -66,7 +66,7 @@
 	if err := n.checkProposal(); err != nil {
 		return err
 	}
-	if n.commit < n.lead.start {
+	if n.commit < n.lead.start && !n.cfg.faults.changeEarly {
 		return ErrNotReady
 	}
 	if n.memberIndex > n.commit {
--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -333,25 +333,60 @@
 	}
 }
 
+// scenarioEarlyChange: of four voters a to d, a leads and promotes a fifth, which
+// only a and e learn. b leads next, with c alone receiving its entries, and
+// removes a. Then a, d and e are a majority of the five that a knows.
+func scenarioEarlyChange(s *sim) {
+	a, b, c, e := s.hosts[0], s.hosts[1], s.hosts[2], s.hosts[4]
+	s.startAll()
+	if s.awaitLeader(a); s.failure != "" {
+		return
+	}
+	s.run(s.now + time.Second)
+	added := s.change(a, consensus.AddLearner, consensus.Member{ID: e.core.Status().ID, Name: e.name})
+	s.runUntil(5*time.Second, func() bool { return added.done })
+	s.run(s.now + time.Second)
+	s.drop = func(from, to *host, m *consensus.Message) bool {
+		if from == a || to == a {
+			return from != e && to != e
+		}
+		return m.Kind == consensus.MsgPreVote && from != b || len(m.Entries) > 0 && from == b && to != c
+	}
+	s.change(a, consensus.Promote, consensus.Member{ID: e.core.Status().ID})
+	s.runUntil(20*time.Second, func() bool { return b.core.Status().Role == consensus.RoleLeader })
+	s.change(b, consensus.Remove, consensus.Member{ID: a.core.Status().ID})
+	w := s.write(b, 1)
+	s.run(s.now + 400*time.Millisecond)
+	s.isolate(b)
+	s.isolate(c)
+	s.drop = func(from, _ *host, m *consensus.Message) bool { return m.Kind == consensus.MsgPreVote && from != a }
+	led := s.runUntil(20*time.Second, func() bool { return a.core.Status().Ready })
+	if led && w.done && w.err == nil {
+		s.checkKept()
+	}
+}
+
 // Guards against checks that do not see the loss of a rule: each planted fault
 // must be caught, and the same run without it must pass.
 func TestPlantedFaults(t *testing.T) {
 	t.Parallel()
 	cases := []struct {
-		fault consensus.Fault
-		hosts int
-		run   func(s *sim)
+		fault  consensus.Fault
+		hosts  int
+		voters int // hosts that found the group
+		run    func(s *sim)
 	}{
-		{consensus.FaultDropPreVote, 3, scenarioReturn},
-		{consensus.FaultIsolatedRead, 3, scenarioIsolatedRead},
-		{consensus.FaultVoteInLease, 3, scenarioLease},
-		{consensus.FaultVoteAtStart, 3, scenarioRestartedVoter},
-		{consensus.FaultReuseRound, 3, scenarioWildClock},
-		{consensus.FaultEchoStale, 3, scenarioLateAppend},
-		{consensus.FaultCommitOldTerm, 3, scenarioOldTerm},
-		{consensus.FaultLearnerInQuorum, 5, scenarioLearners},
-		{consensus.FaultForgetVote, 3, func(s *sim) { s.chaos(20*time.Second, 4) }},
-		{faultSkipSync, 3, func(s *sim) { s.chaos(20*time.Second, 4) }},
+		{consensus.FaultDropPreVote, 3, 3, scenarioReturn},
+		{consensus.FaultIsolatedRead, 3, 3, scenarioIsolatedRead},
+		{consensus.FaultVoteInLease, 3, 3, scenarioLease},
+		{consensus.FaultVoteAtStart, 3, 3, scenarioRestartedVoter},
+		{consensus.FaultReuseRound, 3, 3, scenarioWildClock},
+		{consensus.FaultEchoStale, 3, 3, scenarioLateAppend},
+		{consensus.FaultCommitOldTerm, 3, 3, scenarioOldTerm},
+		{consensus.FaultLearnerInQuorum, 5, 3, scenarioLearners},
+		{consensus.FaultChangeEarly, 5, 4, scenarioEarlyChange},
+		{consensus.FaultForgetVote, 3, 3, func(s *sim) { s.chaos(20*time.Second, 4) }},
+		{faultSkipSync, 3, 3, func(s *sim) { s.chaos(20*time.Second, 4) }},
 	}
 	for _, c := range cases {
 		t.Run(string(c.fault), func(t *testing.T) {
@@ -360,9 +395,7 @@
 			for failure == "" && seed < 20 {
 				seed++
 				s := newSim(seed, c.hosts, c.fault)
-				if c.hosts == 5 {
-					s.voters = 3
-				}
+				s.voters = c.voters
 				c.run(s)
 				steps += s.steps
 				failure = s.failure
@@ -373,9 +406,7 @@
 			t.Logf("caught after %d steps, seed %d: %s", steps, seed, failure)
 			for ; seed > 0; seed-- {
 				s := newSim(seed, c.hosts)
-				if c.hosts == 5 {
-					s.voters = 3
-				}
+				s.voters = c.voters
 				c.run(s)
 				if s.failure != "" {
 					t.Fatalf("seed %d fails without the fault: %s", seed, s.failure)
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -48,8 +48,9 @@
 	core  *replica.Core
 	kv    *kvMachine
 	boot  time.Duration
-	rate  float64 // of its clock
-	life  int     // incarnation
+	rate  float64               // of its clock
+	life  int                   // incarnation
+	died  map[int]time.Duration // end of each incarnation
 	busy  time.Duration
 }
 
@@ -87,7 +88,7 @@
 		s.skip = s.skip || f == faultSkipSync
 	}
 	for i := range hosts {
-		h := &host{sim: s, index: i, name: string(rune('a' + i)), rate: 0.9 + 0.2*s.rng.Float64()}
+		h := &host{sim: s, died: map[int]time.Duration{}, index: i, name: string(rune('a' + i)), rate: 0.9 + 0.2*s.rng.Float64()}
 		h.newDisk()
 		s.hosts = append(s.hosts, h)
 	}
@@ -148,6 +149,7 @@
 		case nil:
 		case powerLoss:
 			h.sim.counts["power loss in disk operation"]++
+			h.died[h.life] = h.busy
 			h.crash(h.sim.random(100*time.Millisecond, 3*time.Second))
 		default:
 			h.sim.fail("%s: %v", h.name, r)
@@ -230,12 +232,13 @@
 	}
 }
 
-// emit runs f when the disk operations of the current step are done, unless the
-// host has gone by then.
+// emit runs f when the disk operations so far are done, unless the host has gone
+// by then. What was sent before a disk operation leaves even if that fails.
 func (h *host) emit(f func()) {
 	life := h.life
-	h.sim.after(max(0, h.busy-h.sim.now), func() {
-		if h.life == life {
+	at := max(h.sim.now, h.busy)
+	h.sim.after(at-h.sim.now, func() {
+		if h.life == life || at <= h.died[life] {
 			f()
 		}
 	})
@@ -287,6 +290,7 @@
 // kill ends the process; what it wrote stays readable, synced or not.
 func (h *host) kill(downFor time.Duration) {
 	h.core = nil
+	h.died[h.life] = max(h.died[h.life], h.sim.now)
 	h.life++
 	h.sim.after(downFor, h.start)
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -179,6 +179,7 @@
 	voteAtStart     bool // vote right after a restart
 	echoStale       bool // return clock and round of an ended term
 	reuseRound      bool // never begin a second read round
+	changeEarly     bool // change members before an own entry is committed
 }
 
 // Defaults of Config. The lease is three quarters of the shortest election
