--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -68,6 +68,51 @@
 	c.until("report of the successful probe", func() bool { return !c.loads[len(c.loads)-1].Suspect })
 }
 
+// Guards against an engine stream with a gap, a wrong count, no end or no sense that
+// is presented as complete.
+func TestEngineStreamIsChecked(t *testing.T) {
+	is := is.New(t)
+	script := map[string]string{
+		"good":  `{"token":"a","index":0,"version":1};{"token":"b","index":1,"version":1};{"done":true,"tokens":2}`,
+		"gap":   `{"token":"a","index":0,"version":1};{"token":"b","index":2,"version":1};{"done":true,"tokens":2}`,
+		"count": `{"token":"a","index":0,"version":1};{"done":true,"tokens":2}`,
+		"cut":   `{"token":"a","index":0,"version":1};{"token":"b","index":1,"version":1}`,
+		"noise": `{"token":"a","index":0,"version":1};nonsense;{"done":true,"tokens":1}`,
+	}
+	s := startSite(t, KindEngine, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/state" {
+			_, _ = w.Write([]byte(`{"version":1}`))
+			return
+		}
+		for line := range strings.SplitSeq(script[r.Header.Get(HeaderRunID)], ";") {
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", line)
+		}
+	}), nil)
+	s.world("20s", 0)
+	c := s.dial()
+	for id := range script {
+		c.send(generation(id, "p", 2))
+		got := c.answer(id)
+		is.Equal(got[len(got)-1].End == wire.EndComplete, id == "good")
+	}
+}
+
+// Guards against a read of the engine's state that began before a swap ended and
+// undoes what is known since: the version would be ordered again and the lane held.
+func TestLateStateReadIsIgnored(t *testing.T) {
+	is := is.New(t)
+	engine := fastEngine(t, standin.EngineOptions{Version: 1})
+	s := startSite(t, KindEngine, engine, nil)
+	s.world("5s", 2)
+	eventually(t, "version 2", func() bool { return s.agent.View().(view).Version == 2 })
+	s.agent.post(stateRead{state: &engineState{Version: 1}})
+	s.agent.post(stateRead{state: &engineState{Version: 1, Swapping: true}})
+	v := s.agent.View().(view)
+	is.Equal(v.Version, uint64(2))
+	is.True(!v.Swapping)
+	is.Equal(len(engine.Record().Orders), 1)
+}
+
 // Guards against a call that nobody waits for any more and that holds the target
 // for ever, and against a lost link that frees it too early.
 func TestDeadlineEndsRun(t *testing.T) {
@@ -457,8 +502,10 @@
 	c.until("refusal", func() bool { return c.refused["c2"] != nil })
 	is.Equal(c.refused["c2"].Reason, wire.RefusedLeaving)
 	is.NoErr(<-drained)
-	got := c.answer("c1")
-	is.Equal(got[len(got)-1].End, wire.EndComplete)
+	c.mu.Lock()
+	got := c.chunks["c1"] // the answer has arrived before Drain returns
+	c.mu.Unlock()
+	is.True(len(got) > 0 && got[len(got)-1].End == wire.EndComplete)
 	is.Equal(service.Record().Runs["call-c2"], 0)
 }
 
@@ -502,8 +549,10 @@
 	is.Equal(refusal("old route", 10, false), wire.RefusedStale)
 	give(13, 10, strings.Replace(text, "target-1", "renamed", 1)) // an older world
 	is.Equal(refusal("back", 11, false), wire.RefusedReason(""))
-	give(15, 11, text, wire.Departure{Target: "target-1"})
-	is.Equal(refusal("drained", 11, false), wire.RefusedLeaving)
+	give(15, 13, text) // what version 12 held is unknown
+	is.Equal(refusal("skipped", 12, false), wire.RefusedStale)
+	give(16, 13, text, wire.Departure{Target: "target-1"})
+	is.Equal(refusal("drained", 13, false), wire.RefusedLeaving)
 }
 
 // Guards against the loss of agreement between what entries were told and what the
--- a/agent/gate_test.go
+++ b/agent/gate_test.go
@@ -207,7 +207,12 @@
 	a, _ := g.next(0)
 	is.Equal(a.op, gateFetch)
 	g.takeWorld(11, want(6, 1, 11), true)
+	c, _ := g.next(0)
+	is.Equal(c.version, uint64(6))
 	g.fetched(0, a, true) // late answer to the superseded action
+	_, ok := g.next(0)
+	is.True(!ok) // the other is still under way
+	g.fetched(0, c, true)
 	b, ok := drive(g, 0)
 	is.True(ok)
 	is.Equal(b.version, uint64(6))
--- a/agent/show.go
+++ b/agent/show.go
@@ -26,6 +26,7 @@
 	Version     uint64            `json:"version"`
 	Want        uint64            `json:"want"`
 	SetAside    bool              `json:"set_aside"`
+	Swapping    bool              `json:"swapping"`
 }
 
 type viewAsked struct{}
@@ -64,6 +65,7 @@
 		Version:     a.gate.served,
 		Want:        a.gate.want.Version,
 		SetAside:    a.gate.setAside,
+		Swapping:    l.Swapping,
 	}
 	for _, r := range a.table.running {
 		v.Buffered += len(r.chunks)
