--- a/agent/pool_test.go
+++ b/agent/pool_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,8 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"merlinhall/duty"
-	"merlinhall/link"
 	"merlinhall/standin"
 	"merlinhall/weights"
 	"merlinhall/wire"
@@ -30,6 +27,7 @@
 	worst    atomic.Int64
 	index    uint64
 	text     string
+	swapTime time.Duration
 }
 
 // swaps counts the orders that an engine carries out at the same time as others.
@@ -46,10 +44,13 @@
 }
 
 func startPool(t testing.TB, n int, so standin.StoreOptions) *testPool {
-	p := &testPool{t: t, store: standin.NewStore(so)}
-	store := httptest.NewServer(p.store)
-	t.Cleanup(store.Close)
-	p.storeURL = address(store)
+	p := &testPool{t: t, store: standin.NewStore(so), swapTime: 60 * time.Millisecond}
+	p.start(n)
+	return p
+}
+
+func (p *testPool) start(n int) {
+	p.storeURL = address(startTarget(p.t, p.store))
 	p.text = fmt.Sprintf(`
 [[zone]]
 name = "bole"
@@ -66,38 +67,18 @@
 	for i := range n {
 		p.add(i)
 	}
-	return p
 }
 
 func (p *testPool) add(i int) {
-	engine := fastEngine(p.t, standin.EngineOptions{Version: 1, SwapTime: 60 * time.Millisecond})
-	target := httptest.NewServer(p.swaps(engine))
+	engine := fastEngine(p.t, standin.EngineOptions{Version: 1, SwapTime: p.swapTime})
+	target := startTarget(p.t, p.swaps(engine))
 	zone := []string{"bole", "yeka"}[i%2]
-	local := wire.Hello{Process: fmt.Sprintf("agent-%d", i), Zone: zone, Roles: []wire.Role{wire.RoleAgent}, Boot: "b", Target: fmt.Sprintf("t%d", i)}
-	agent, err := Start(Options{
-		Local:   local,
-		Kind:    KindEngine,
-		Address: address(target),
-		System:  duty.NewSystem(),
-		Barrier: func(context.Context) (uint64, uint64, error) { return 1, 1, nil },
-	})
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	mux := &link.Mux{}
-	mux.Handle(agent, Kinds...)
-	links := httptest.NewServer(link.Accept(local, mux))
+	local := wire.Hello{Process: fmt.Sprintf("agent-%d", i), Zone: zone, Boot: "b", Target: fmt.Sprintf("t%d", i)}
+	agent, links := startAgent(p.t, Options{Local: local, Kind: KindEngine, Address: address(target)})
 	p.engines = append(p.engines, engine)
 	p.agents = append(p.agents, agent)
 	p.links = append(p.links, links)
 	p.text += fmt.Sprintf("  [[pool.target]]\n  name = %q\n  zone = %q\n  agent = %q\n  address = %q\n", local.Target, zone, address(links), address(target))
-	p.t.Cleanup(func() {
-		agent.Stop()
-		links.CloseClientConnections()
-		links.Close()
-		target.CloseClientConnections()
-		target.Close()
-	})
 }
 
 func (p *testPool) publish(version uint64) {
@@ -110,11 +91,11 @@
 	}
 }
 
-func (p *testPool) serve(version uint64, except int) {
+func (p *testPool) serve(version uint64) {
 	p.t.Helper()
 	eventually(p.t, fmt.Sprintf("version %d on all engines", version), func() bool {
-		for i, e := range p.engines {
-			if i != except && e.Version() != version {
+		for _, e := range p.engines {
+			if e.Version() != version {
 				return false
 			}
 		}
@@ -129,12 +110,12 @@
 	is := is.New(t)
 	p := startPool(t, 8, standin.StoreOptions{Size: 2 << 20, Rate: 20 << 20})
 	p.publish(2)
-	p.serve(2, -1)
+	p.serve(2)
 	is.Equal(p.store.StoreRecord().Bytes["policy-lm/2"], int64(2*(2<<20))) // one seed a zone
 	is.True(p.worst.Load() <= 2)
 	p.publish(3)
 	p.publish(4) // supersedes version 3 in flight
-	p.serve(4, -1)
+	p.serve(4)
 	is.True(p.worst.Load() <= 2)
 	eventually(t, "version 4 in all views", func() bool {
 		for _, a := range p.agents {
@@ -161,7 +142,7 @@
 	p.links[seed].Close()
 	p.store.Inject(standin.Fault{Kind: standin.FaultCorrupt})
 	p.publish(2)
-	p.serve(2, -1)
+	p.serve(2)
 	// The others cannot ask the lost agent whether it swaps, and count it out.
 	is.True(p.worst.Load() <= 2)
 }
@@ -173,3 +154,26 @@
 	}
 	return members
 }
+
+// BenchmarkPoolTakesUpWeights measures the time from publication to the last
+// replica of a pool of 40 with 1 s swaps, against the time that the swaps alone
+// take in waves of a quarter.
+func BenchmarkPoolTakesUpWeights(b *testing.B) {
+	const n, swap = 40, time.Second
+	p := &testPool{t: b, store: standin.NewStore(standin.StoreOptions{Size: 8 << 20, Rate: 64 << 20}), swapTime: swap}
+	p.start(n)
+	version := uint64(1)
+	var total time.Duration
+	for b.Loop() {
+		version++
+		start := time.Now()
+		p.publish(version)
+		p.serve(version)
+		total += time.Since(start)
+	}
+	lanes := weights.NewPlan("policy-lm", version, p.members()).Lanes()
+	waves := float64((n + lanes - 1) / lanes)
+	b.ReportMetric(total.Seconds()/float64(b.N)/(waves*swap.Seconds()), "time/swap-time")
+	b.ReportMetric(float64(p.worst.Load())/float64(lanes), "worst/limit")
+	b.ReportMetric(float64(p.store.StoreRecord().Bytes[fmt.Sprintf("policy-lm/%d", version)])/(8<<20), "store-reads/version")
+}
--- a/agent/table_test.go
+++ b/agent/table_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -226,16 +227,7 @@
 		if c == nil || !c.active {
 			continue
 		}
-		switch {
-		case c.stopped:
-			s.finish(c, wire.EndCancelled)
-		case c.produced >= c.length:
-			s.finish(c, wire.EndComplete)
-		case c.room > 0:
-			c.room--
-			c.produced++
-			s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
-		}
+		s.produceOne(c)
 		if r := s.t.records[c.run.ID]; r != nil && len(r.chunks) > Window+1 {
 			s.fail("%s buffers %d chunks", c.run.ID, len(r.chunks))
 		}
@@ -386,7 +378,7 @@
 			if round == 0 {
 				s.mail = append(s.mail, simMail{at: s.now, boot: s.boot, link: s.link, m: &wire.Attach{ID: id, From: c.next(), Credit: 4}, in: true})
 			}
-			if c.active && c.room > 0 {
+			if c.active {
 				s.produceOne(c)
 			}
 		}
@@ -405,13 +397,16 @@
 }
 
 func (s *simTable) produceOne(c *simCall) {
-	if c.produced >= c.length {
+	switch {
+	case c.stopped:
+		s.finish(c, wire.EndCancelled)
+	case c.produced >= c.length:
 		s.finish(c, wire.EndComplete)
-		return
+	case c.room > 0:
+		c.room--
+		c.produced++
+		s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
 	}
-	c.room--
-	c.produced++
-	s.carry(s.t.Produced(s.now, c.run.ID, &wire.Chunk{Data: []byte(strconv.Itoa(c.produced))}))
 }
 
 func runSimTable(seed uint64, steps int, off rule) *simTable {
@@ -483,6 +478,36 @@
 	}
 }
 
+// Guards against a gap in a stream when a link takes some chunks of a step and not
+// the one before them.
+func TestRefusedSendLeavesNoGap(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rule{0, ruleNoGap} {
+		tb := newTable("b", 10, 10, &lastHop{seen: true, place: servicePlace()})
+		tb.off = off
+		tb.Run(0, 1, &wire.Run{ID: "a", Service: "svc", Deadline: 50_000})
+		for range 4 {
+			tb.Produced(0, "a", &wire.Chunk{})
+		}
+		var sent []uint64
+		carry := func(out []outcome, refused uint64) {
+			for _, o := range out {
+				if c, ok := o.message.(*wire.Chunk); ok && tb.due(c) {
+					if c.Sequence == refused {
+						tb.Unsent(c)
+					} else {
+						sent = append(sent, c.Sequence)
+					}
+				}
+			}
+		}
+		carry(tb.Credit(0, &wire.Credit{ID: "a", Limit: 4}), 1)
+		carry(tb.Tick(1), 99)
+		is.Equal(slices.IsSorted(sent), off == 0)
+		is.Equal(sent[len(sent)-1], uint64(3))
+	}
+}
+
 // Guards against answers that nobody fetches and that fill the memory, and against
 // a count of bytes that drifts. Without the rule the last request starts.
 func TestBufferedBytesStopNewWork(t *testing.T) {
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -25,8 +25,9 @@
 	tune    func(*consensus.Config)
 	blocked map[[2]int]bool // from, to
 	drop    func(from, to *host, m *consensus.Message) bool
-	voters  int // hosts that are configured as peers; 0 means all
-	loss    int // per thousand messages
+	wild    bool // clocks differ more than the lease allows; it is not used to read
+	voters  int  // hosts that are configured as peers; 0 means all
+	loss    int  // per thousand messages
 	jitter  time.Duration
 	steps   int
 	counts  map[string]int
@@ -269,7 +270,7 @@
 
 func (s *sim) deliver(to *host, body []byte) {
 	delay := s.random(200*time.Microsecond, s.jitter)
-	if s.loss > 0 && s.rng.IntN(50) == 0 {
+	if s.loss > 0 && s.rng.IntN(20) == 0 {
 		s.counts["late message"]++
 		delay = s.random(100*time.Millisecond, 5*time.Second)
 	}
