--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -474,24 +474,35 @@
 	s.entry.OnWorld(w)
 }
 
+// place is a target in a configuration.
+type place struct {
+	target         string
+	service        bool
+	agent, address string
+}
+
 func configText(agents []*fakeAgent, extra string) string {
-	var b strings.Builder
-	b.WriteString("[[zone]]\nname = \"z0\"\nregion = \"r\"\n[[zone]]\nname = \"z1\"\nregion = \"r\"\n")
-	list := func(kind, name string, pick func(i int) bool) {
-		fmt.Fprintf(&b, "[[%s]]\nname = %q\ndeadline = \"20s\"\nidle_timeout = \"2s\"\n%s\n", kind, name, extra)
+	var places []place
+	for i, a := range agents {
+		places = append(places, place{a.target, a.service, a.relay.address(), fmt.Sprintf("127.0.8.1:%d", 1000+i)})
+	}
+	return configOf(places, extra)
+}
+
+func configOf(places []place, extra string) string {
+	b := "[[zone]]\nname = \"z0\"\nregion = \"r\"\n[[zone]]\nname = \"z1\"\nregion = \"r\"\n"
+	for kind, name := range map[string]string{"service": "svc", "pool": "lm"} {
+		b += fmt.Sprintf("[[%s]]\nname = %q\ndeadline = \"20s\"\nidle_timeout = \"2s\"\n%s\n", kind, name, extra)
 		if kind == "pool" {
-			b.WriteString("weight_store = \"127.0.9.1:9000\"\n")
+			b += "weight_store = \"127.0.9.1:9000\"\n"
 		}
-		for i, a := range agents {
-			if pick(i) {
-				fmt.Fprintf(&b, "[[%s.target]]\nname = %q\nzone = \"z%d\"\nagent = %q\naddress = \"127.0.8.1:%d\"\n",
-					kind, a.target, (i/2)%2, a.relay.address(), 1000+i)
+		for i, p := range places {
+			if p.service == (kind == "service") {
+				b += fmt.Sprintf("[[%s.target]]\nname = %q\nzone = \"z%d\"\nagent = %q\naddress = %q\n", kind, p.target, (i/2)%2, p.agent, p.address)
 			}
 		}
 	}
-	list("service", "svc", func(i int) bool { return agents[i].service })
-	list("pool", "lm", func(i int) bool { return !agents[i].service })
-	return b.String()
+	return b
 }
 
 func (s *site) waitLinks(n int) {
--- a/entry/history_test.go
+++ b/entry/history_test.go
@@ -1,10 +1,11 @@
 package entry
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -20,24 +21,8 @@
 // with the loss of their table, and depart.
 
 type simEvent struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type simHeap []simEvent
-
-func (h simHeap) Len() int { return len(h) }
-func (h simHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
-}
-func (h simHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *simHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
-func (h *simHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
+	at  time.Duration
+	run func()
 }
 
 type simRun struct {
@@ -84,8 +69,7 @@
 	rng      *rand.Rand
 	rules    rules
 	now      time.Duration
-	order    int
-	events   simHeap
+	events   []simEvent // by time, the latest first
 	agents   []*simAgent
 	requests map[string]*simRequest
 	list     []*simRequest
@@ -97,8 +81,9 @@
 func (s *sim) time() time.Time { return simStart.Add(s.now) }
 
 func (s *sim) after(d time.Duration, f func()) {
-	s.order++
-	heap.Push(&s.events, simEvent{s.now + d, s.order, f})
+	e := simEvent{s.now + d, f}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b simEvent) int { return cmp.Compare(b.at, a.at) })
+	s.events = slices.Insert(s.events, i, e)
 }
 
 // upTo returns a random duration below d.
@@ -120,7 +105,8 @@
 	}
 	s.after(tickPeriod, s.tick)
 	for len(s.events) > 0 && s.now < 90*time.Second {
-		e := heap.Pop(&s.events).(simEvent)
+		e := s.events[len(s.events)-1]
+		s.events = s.events[:len(s.events)-1]
 		s.now = e.at
 		s.steps++
 		e.run()
--- a/entry/integration_test.go
+++ b/entry/integration_test.go
@@ -83,20 +83,6 @@
 	a.agent.OnWorld(w)
 }
 
-func realConfig(engines, services []*realAgent) string {
-	var b strings.Builder
-	b.WriteString("[[zone]]\nname = \"z0\"\nregion = \"r\"\n")
-	list := func(kind, name, extra string, agents []*realAgent) {
-		fmt.Fprintf(&b, "[[%s]]\nname = %q\ndeadline = \"15s\"\nidle_timeout = \"1s\"\n%s\n", kind, name, extra)
-		for _, a := range agents {
-			fmt.Fprintf(&b, "[[%s.target]]\nname = %q\nzone = \"z0\"\nagent = %q\naddress = %q\n", kind, a.name, a.relay.address(), address(a.target))
-		}
-	}
-	list("service", "svc", "", services)
-	list("pool", "lm", "weight_store = \"127.0.9.1:9000\"", engines)
-	return b.String()
-}
-
 // Guards against requests that are lost, run twice or cut short between this
 // package and the real agents, under crashes of targets and agents, silent
 // connections and refusals. The stand-ins record what ran.
@@ -126,9 +112,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Stop)
-	w := &wire.World{Index: 1, Term: 1, ConfigVersion: 1, ConfigText: []byte(realConfig(engines, services))}
-	e.OnWorld(w)
 	agents := append(append([]*realAgent{}, engines...), services...)
+	var places []place
+	for _, a := range agents {
+		places = append(places, place{a.name, a.kind == agent.KindService, a.relay.address(), address(a.target)})
+	}
+	w := &wire.World{Index: 1, Term: 1, ConfigVersion: 1, ConfigText: []byte(configOf(places, ""))}
+	e.OnWorld(w)
 	for _, a := range agents {
 		a.agent.OnWorld(w)
 	}
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -23,15 +23,7 @@
 // buys cache hits with an uneven load. All policies meet the same arrivals.
 func TestRoutingPolicies(t *testing.T) {
 	is := is.New(t)
-	results := make(map[routing.Policy]RoutingResult)
-	t.Logf("%-18s %8s %8s %8s %6s  %-13s %-13s %-13s", "policy", "requests", "p50", "p99", "hits", "target", "zone", "entry")
-	for _, p := range []routing.Policy{routing.RoundRobin, routing.LeastOutstanding, routing.TwoChoices, routing.PrefixAware} {
-		r := RunRouting(RoutingOptions{Seed: 7, Policy: p, Load: 1.2, Duration: duration(15*time.Second, 2*time.Minute)})
-		results[p] = r
-		t.Logf("%-18s %8d %8s %8s %5.1f%%  %.2f..%.2f    %.2f..%.2f    %.2f..%.2f", p, r.Requests,
-			r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), 100*r.HitRatio,
-			r.Target[0], r.Target[1], r.Zone[0], r.Zone[1], r.Entry[0], r.Entry[1])
-	}
+	results, direct := RoutingTable(t.Output(), RoutingOptions{Seed: 7, Load: 1.2, Duration: duration(15*time.Second, 2*time.Minute)})
 	best := results[routing.PrefixAware]
 	for p, r := range results {
 		if p != routing.PrefixAware {
@@ -39,8 +31,6 @@
 			is.True(best.HitRatio > r.HitRatio)
 		}
 	}
-	direct := RunRouting(RoutingOptions{Seed: 7, Policy: routing.TwoChoices, Load: 1.2, Duration: duration(15*time.Second, 2*time.Minute), DirectReports: true})
-	t.Logf("two choices by direct reports: p50 %s p99 %s", direct.P50.Round(time.Millisecond), direct.P99.Round(time.Millisecond))
 	is.True(results[routing.TwoChoices].P50 < direct.P50)
 	is.True(best.Target[1] < 2)
 	is.True(best.Zone[0] > 0.8 && best.Zone[1] < 1.2)
@@ -49,17 +39,11 @@
 // Guards against goodput that collapses when more is offered than can be served.
 func TestOverloadKeepsGoodput(t *testing.T) {
 	is := is.New(t)
-	t.Logf("%6s  %-31s  %s", "load", "admission", "unbounded queue in order of arrival")
-	for _, f := range []float64{0.5, 1, 1.25, 1.5, 2, 2.5, 3} {
-		o := OverloadOptions{Seed: 7, Factor: f, Duration: duration(60*time.Second, 4*time.Minute), TrainerShare: 0.5}
-		a := RunOverload(o)
-		o.Naive = true
-		n := RunOverload(o)
-		t.Logf("%5.2fx  goodput %.2f late %4d refused after %6s (p99)  goodput %.2f late %d",
-			f, a.Goodput, a.Late, a.RefusalP99.Round(time.Millisecond), n.Goodput, n.Late)
-		if f >= 1.25 {
-			is.True(a.Goodput > 0.9)
-			is.True(n.Goodput < 0.7)
+	o := OverloadOptions{Seed: 7, Duration: duration(60*time.Second, 4*time.Minute), TrainerShare: 0.5}
+	for _, row := range OverloadTable(t.Output(), o, []float64{0.5, 1, 1.25, 1.5, 2, 2.5, 3}) {
+		if row.Factor >= 1.25 {
+			is.True(row.Admission.Goodput > 0.9)
+			is.True(row.Naive.Goodput < 0.7)
 		}
 	}
 }
