experiment: rollout against a baseline on a virtual clock

The ledger and the planner run over a model of continuous batching engines (slots, token rate falling with the batch, prefix cache, swaps, crashes, heavy-tailed lengths, callers) for both deployments. The baseline has one queue in order of arrival, round robin, all replicas swapped at once, and steps that wait for all their samples.

What helps is that a trainer begins on the first whole groups and leaves the long ones to the next step; the surplus it opens sets the exchange of idle time for staleness.

A second copy wastes 7 % and saves nothing, so DefaultPolicies leaves it out.

--- /dev/null
+++ b/experiment/rollout_model.go
@@ -0,0 +1,372 @@
+package experiment
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"merlinhall/rollout"
+	"merlinhall/routing"
+	"merlinhall/weights"
+	"merlinhall/wire"
+)
+
+// RolloutScale is a deployment of the rollout experiment.
+type RolloutScale struct {
+	Name      string
+	Engines   int
+	Zones     []string
+	Delay     time.Duration // one way between zones
+	Trainers  int
+	Groups    int // in a training step
+	GroupSize int
+	Mean      float64 // tokens of a sample
+	TrainTime time.Duration
+	Swap      time.Duration // an engine stands still while it loads a version
+	Crash     time.Duration // mean time between crashes of one engine
+	Down      time.Duration
+	Callers   float64 // requests per second over all engines
+	Answer    float64 // mean tokens of an answer to a caller
+	Bound     uint64  // staleness bound
+}
+
+// Abay is the deployment of Abay Ledger Systems: its engines can barely generate
+// what the trainers consume.
+var Abay = RolloutScale{
+	Name: "Abay", Engines: 12, Zones: []string{"bole", "kirkos", "yeka", "lideta"}, Delay: 500 * time.Microsecond,
+	Trainers: 3, Groups: 32, GroupSize: 8, Mean: 1500, TrainTime: 200 * time.Second, Swap: 3 * time.Second,
+	Crash: 40 * time.Minute, Down: 45 * time.Second, Callers: 6, Answer: 60, Bound: 2,
+}
+
+// Chikushi is the deployment of Chikushi Kodo Inspection: its engines have some
+// capacity to spare.
+var Chikushi = RolloutScale{
+	Name: "Chikushi Kodo", Engines: 11, Zones: []string{"fukuoka", "kumamoto", "kagoshima", "oita"}, Delay: 1500 * time.Microsecond,
+	Trainers: 2, Groups: 32, GroupSize: 8, Mean: 1500, TrainTime: 200 * time.Second, Swap: 3 * time.Second,
+	Crash: 40 * time.Minute, Down: 45 * time.Second, Callers: 6, Answer: 60, Bound: 2,
+}
+
+// Figures of the model outside of the engines. The length of a sample is
+// log-normal with a factor that its group shares; the longest of 256 samples is
+// about ten times the mean.
+const (
+	groupSpread    = 0.6
+	sampleSpread   = 0.9
+	longestSample  = 16000 // tokens
+	scoreTime      = 300 * time.Millisecond
+	commitTime     = 20 * time.Millisecond // sync on a majority and commit
+	rolloutTick    = time.Second
+	inFlightShare  = 0.92 // of all slots; the rest is for callers
+	warmUp         = 2    // training steps that are not measured
+	jobDeadline    = time.Hour
+	retryPlacement = 100 * time.Millisecond
+)
+
+// RolloutOptions describe one run.
+type RolloutOptions struct {
+	Scale    RolloutScale
+	Seed     uint64
+	Duration time.Duration
+	// Baseline is the comparison: one queue, round robin, all replicas swapped at
+	// once, lost sequences start again and a step waits for all its samples.
+	Baseline bool
+	Policies rollout.Policies
+	// Ahead is the share of the next step that is opened when a step begins to
+	// train.
+	Ahead float64
+	// Surplus is the share of a step that is opened beyond what a waiting trainer
+	// needs. It begins on the first whole groups and leaves the long ones to the
+	// next step.
+	Surplus float64
+}
+
+// RolloutResult is what one run measured.
+type RolloutResult struct {
+	Idle          float64 // share of the time in which trainers wait
+	StalenessMean float64 // versions
+	StalenessP99  float64
+	Wasted        float64 // tokens discarded, as a share of those delivered
+	CallerP99     float64 // seconds
+	Bound         float64 // least idle share that the engines' token rate allows
+	Steps         float64 // training steps finished by all trainers
+}
+
+type rolloutModel struct {
+	o        RolloutOptions
+	events   *events
+	random   *rand.Rand
+	engines  []*rolloutEngine
+	targets  []routing.Target
+	ledger   *rollout.Ledger
+	planner  *rollout.Planner
+	index    uint64
+	turn     uint64
+	trainers []*trainerModel
+	running  map[string]*sequence // by job
+	bodies   map[wire.BodyKey][]uint64
+	ages     []float64
+	calls    []time.Duration
+	lost     float64 // tokens of cancelled and crashed sequences
+	reported int     // tokens that commits reported as wasted
+}
+
+// blank stands for the tokens of samples, whose text does not matter here.
+var blank = make([]string, longestSample+1)
+
+// RunRollout runs the ledger and the planner over the engine model.
+func RunRollout(o RolloutOptions) RolloutResult {
+	m := &rolloutModel{
+		o:       o,
+		events:  newEvents(),
+		random:  rand.New(rand.NewPCG(o.Seed, 5)),
+		ledger:  rollout.NewLedger(),
+		running: map[string]*sequence{},
+		bodies:  map[wire.BodyKey][]uint64{},
+	}
+	m.build()
+	m.events.run(epoch.Add(o.Duration))
+	return m.result()
+}
+
+func (m *rolloutModel) build() {
+	s := m.o.Scale
+	m.ledger.UseRules(func(trainer string) (rollout.Rules, bool) {
+		return rollout.Rules{Bound: s.Bound, Pools: []string{trainer}}, true
+	})
+	limit := int(inFlightShare * float64(s.Engines*rolloutSlots))
+	if m.o.Baseline {
+		limit = math.MaxInt32
+	}
+	m.planner = rollout.NewPlanner(rollout.PlannerOptions{
+		MaxInFlight: limit,
+		MaxPerEntry: limit,
+		Policies:    m.o.Policies,
+		Trainer: func(string) (rollout.TrainerPlan, bool) {
+			return rollout.TrainerPlan{Share: 1, Deadline: jobDeadline}, true
+		},
+	})
+	for i := range s.Engines {
+		e := &rolloutEngine{m: m, index: i, versions: map[string]uint64{}, last: m.events.now}
+		m.engines = append(m.engines, e)
+		m.targets = append(m.targets, routing.Target{Key: fmt.Sprintf("engine-%d", i), Zone: s.Zones[i%len(s.Zones)], Cache: routing.NewCache()})
+		m.planCrash(e)
+	}
+	for _, zone := range s.Zones {
+		m.plan(rollout.EntryUp{Entry: zone})
+	}
+	m.plan(rollout.LeadChanged{Leading: true})
+	for i := range s.Trainers {
+		t := &trainerModel{m: m, name: fmt.Sprintf("trainer-%d", i), version: 1}
+		m.trainers = append(m.trainers, t)
+		for _, e := range m.engines {
+			e.versions[t.name] = 1
+		}
+		// Trainers do not run in step with each other.
+		m.events.after(time.Duration(i)*s.TrainTime/time.Duration(s.Trainers), t.wait)
+	}
+	m.events.after(rolloutTick, m.tick)
+	m.events.after(0, m.call)
+}
+
+func (m *rolloutModel) tick() {
+	m.events.after(rolloutTick, m.tick)
+	m.plan(rollout.Tick{})
+}
+
+// plan lets the planner handle an event and carries out its actions.
+func (m *rolloutModel) plan(event any) {
+	for _, action := range m.planner.Step(m.events.now, event) {
+		switch a := action.(type) {
+		case rollout.Send:
+			m.send(a)
+		case rollout.Seal:
+			m.events.after(commitTime, func() { m.commit(a) })
+		}
+	}
+}
+
+func (m *rolloutModel) send(a rollout.Send) {
+	switch msg := a.Message.(type) {
+	case *wire.Generate:
+		s := &sequence{
+			job:     msg,
+			prompt:  hash(msg.Generation.Prompt),
+			arrived: m.events.now,
+			length:  m.length(msg),
+		}
+		s.finished = func(s *sequence) { m.events.after(scoreTime, func() { m.finish(a.Entry, s) }) }
+		m.running[msg.Job] = s
+		m.events.after(0, func() { m.place(a.Entry, s) })
+	case *wire.Abandon:
+		s := m.running[msg.Job]
+		if s == nil {
+			return
+		}
+		delete(m.running, msg.Job)
+		m.lost += s.done
+		if s.engine != nil {
+			m.events.after(0, func() { s.engine.remove(s) })
+		}
+	}
+}
+
+// place gives a sequence to an engine, as an entry does.
+func (m *rolloutModel) place(zone string, s *sequence) {
+	if s.job != nil && m.running[s.job.Job] != s {
+		return
+	}
+	pool := ""
+	if s.job != nil {
+		pool = s.job.Pool
+	}
+	for i, e := range m.engines {
+		t := &m.targets[i]
+		t.InFlight = len(e.running) + len(e.queue)
+		t.Down = e.down
+		t.Swapping = e.swapping > 0 && !m.o.Baseline
+		t.Version = e.versions[pool]
+		t.Cache.Advance(m.events.now)
+	}
+	m.turn++
+	r := routing.Request{Zone: zone, Prefixes: []uint64{s.prompt}, ZoneCost: routing.DefaultZoneCost, Turn: m.turn}
+	if m.o.Baseline {
+		r.Policy = routing.RoundRobin
+	}
+	c := routing.Choose(r, m.targets, m.random)
+	if c.Index < 0 {
+		m.events.after(retryPlacement, func() { m.place(zone, s) })
+		return
+	}
+	m.targets[c.Index].Cache.Expect(m.events.now, r.Prefixes)
+	m.events.after(m.o.Scale.Delay, func() {
+		if s.job == nil || m.running[s.job.Job] == s {
+			m.engines[c.Index].add(s)
+		}
+	})
+}
+
+func (m *rolloutModel) finish(entry string, s *sequence) {
+	if m.running[s.job.Job] != s {
+		return
+	}
+	delete(m.running, s.job.Job)
+	n := int(s.length)
+	ranges := []wire.VersionRange{{From: 0, To: n, Version: s.oldest}}
+	if s.newest != s.oldest {
+		ranges = []wire.VersionRange{{From: 0, To: n / 2, Version: s.oldest}, {From: n / 2, To: n, Version: s.newest}}
+	}
+	m.plan(rollout.JobDone{Entry: entry, Result: &wire.SampleDone{Job: s.job.Job, Sample: s.job.Sample, Tokens: blank[:n], Versions: ranges}})
+}
+
+// commit stores a group and marks it whole.
+func (m *rolloutModel) commit(a rollout.Seal) {
+	a.Commit.Key.Digest = fmt.Sprint(m.index)
+	outcome := m.apply(rollout.Command{CommitGroup: &a.Commit})
+	if outcome.Code != rollout.CodeOK {
+		k := a.Commit.Key
+		m.plan(rollout.SealFailed{Trainer: k.Trainer, Step: k.Step, Group: k.Group, Round: k.Round})
+		return
+	}
+	m.reported += a.Commit.Wasted
+	for _, s := range a.Body.Samples {
+		m.bodies[a.Commit.Key] = append(m.bodies[a.Commit.Key], s.Versions[0].Version)
+	}
+	for _, t := range m.trainers {
+		if t.name == a.Commit.Key.Trainer {
+			t.draw()
+		}
+	}
+}
+
+func (m *rolloutModel) apply(c rollout.Command) rollout.Outcome {
+	m.index++
+	outcome := m.ledger.Apply(m.index, 1, c.Encode()).(rollout.Outcome)
+	m.plan(rollout.ViewChanged{View: m.ledger.View()})
+	return outcome
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// length returns the length of a sample. It depends on the sample alone, so a
+// second copy has the same length.
+func (m *rolloutModel) length(g *wire.Generate) float64 {
+	of := func(what string) float64 {
+		h := hash(fmt.Sprintf("%d/%s", m.o.Seed, what))
+		return rand.New(rand.NewPCG(h, 9)).NormFloat64()
+	}
+	group := of(g.Generation.Prompt)
+	sample := of(fmt.Sprint(g.Generation.Seed))
+	spread := groupSpread*groupSpread + sampleSpread*sampleSpread
+	length := m.o.Scale.Mean * math.Exp(groupSpread*group+sampleSpread*sample-spread/2)
+	return math.Floor(min(max(length, 1), longestSample))
+}
+
+// call is the arrival of one caller's request.
+func (m *rolloutModel) call() {
+	m.events.after(time.Duration(m.random.ExpFloat64()/m.o.Scale.Callers*float64(time.Second)), m.call)
+	s := &sequence{
+		prompt:  m.random.Uint64N(64),
+		arrived: m.events.now,
+		length:  math.Ceil(m.random.ExpFloat64() * m.o.Scale.Answer),
+		urgent:  !m.o.Baseline,
+	}
+	s.finished = func(s *sequence) { m.calls = append(m.calls, m.events.now.Sub(s.arrived)) }
+	m.place(m.o.Scale.Zones[m.random.IntN(len(m.o.Scale.Zones))], s)
+}
+
+func (m *rolloutModel) planCrash(e *rolloutEngine) {
+	wait := time.Duration(m.random.ExpFloat64() * float64(m.o.Scale.Crash))
+	m.events.after(wait, func() {
+		for _, s := range e.crash(m.o.Scale.Down) {
+			m.recover(s)
+		}
+		m.planCrash(e)
+	})
+}
+
+// recover moves a sequence off a crashed engine. The baseline starts it again;
+// otherwise it goes on after the tokens that the entry holds.
+func (m *rolloutModel) recover(s *sequence) {
+	s.engine = nil
+	if m.o.Baseline {
+		m.lost += s.done
+		s.done = 0
+	}
+	m.events.after(0, func() { m.place(m.o.Scale.Zones[0], s) })
+}
+
+// publish swaps all engines to a version: all at once in the baseline, else in
+// the lanes of the weights plan.
+func (m *rolloutModel) publish(pool string, version uint64) {
+	if m.o.Baseline {
+		for _, e := range m.engines {
+			e.swap(pool, version, m.o.Scale.Swap, func() {})
+		}
+		return
+	}
+	var members []weights.Member
+	for i, t := range m.targets {
+		members = append(members, weights.Member{Target: t.Key, Zone: t.Zone, Agent: fmt.Sprint(i)})
+	}
+	plan := weights.NewPlan(pool, version, members)
+	for i := range m.engines {
+		if lane, at := plan.Lane(m.targets[i].Key); at == 0 {
+			m.swapLane(pool, version, lane)
+		}
+	}
+}
+
+func (m *rolloutModel) swapLane(pool string, version uint64, lane []weights.Member) {
+	if len(lane) == 0 {
+		return
+	}
+	at := slices.IndexFunc(m.targets, func(t routing.Target) bool { return t.Key == lane[0].Target })
+	m.engines[at].swap(pool, version, m.o.Scale.Swap, func() { m.swapLane(pool, version, lane[1:]) })
+}
--- /dev/null
+++ b/experiment/rollout_report.go
@@ -0,0 +1,283 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"merlinhall/rollout"
+)
+
+// RunOptions describe the experiment of Run.
+type RunOptions struct {
+	Seeds    int
+	Duration time.Duration // virtual
+	JSON     bool
+}
+
+// DefaultRunOptions are those of merlinhall bench.
+func DefaultRunOptions() RunOptions { return RunOptions{Seeds: 10, Duration: time.Hour} }
+
+// Interval is a mean over seeds with the half width of its 95% interval.
+type Interval struct {
+	Mean float64 `json:"mean"`
+	Half float64 `json:"half"`
+}
+
+// RolloutRow is one line of the report.
+type RolloutRow struct {
+	Deployment string   `json:"deployment"`
+	Variant    string   `json:"variant"`
+	Ahead      float64  `json:"ahead"`
+	Surplus    float64  `json:"surplus"`
+	Idle       Interval `json:"idle"`
+	Staleness  Interval `json:"staleness_mean"`
+	P99        Interval `json:"staleness_p99"`
+	Wasted     Interval `json:"wasted"`
+	CallerP99  Interval `json:"caller_p99_seconds"`
+	Bound      Interval `json:"idle_bound"`
+	Distance   Interval `json:"idle_above_bound"`
+	baseline   bool
+	spares     bool
+}
+
+// RolloutComparison sets the best variant against a baseline.
+type RolloutComparison struct {
+	Deployment string  `json:"deployment"`
+	Baseline   string  `json:"baseline"`
+	Aim        string  `json:"aim"`
+	Variant    string  `json:"variant"` // empty when none qualifies
+	Ratio      float64 `json:"ratio"`
+}
+
+// RolloutReport is the result of Run.
+type RolloutReport struct {
+	Seeds       int                 `json:"seeds"`
+	Hours       float64             `json:"virtual_hours"`
+	Rows        []RolloutRow        `json:"rows"`
+	Comparisons []RolloutComparison `json:"comparisons"`
+}
+
+type variant struct {
+	name           string
+	baseline       bool
+	policies       rollout.Policies
+	ahead, surplus float64
+}
+
+// variants are the baselines, one after the other at the same share ahead and
+// surplus no policy, each policy alone and all together, and then the default
+// policies over several shares. Spares are apart because they favour short
+// samples.
+func variants() []variant {
+	all := rollout.AllPolicies()
+	spare := rollout.DefaultPolicies()
+	spare.Spares = 1
+	list := []variant{
+		{name: "baseline", baseline: true},
+		{name: "baseline", baseline: true, ahead: 1},
+	}
+	for _, v := range []variant{
+		{name: "no policy"},
+		{name: "nearest group", policies: rollout.Policies{NearestGroup: true}},
+		{name: "predicted length", policies: rollout.Policies{PredictLength: true}},
+		{name: "cancel too old", policies: rollout.Policies{CancelTooOld: true}},
+		{name: "second copy", policies: rollout.Policies{SecondCopy: true}},
+		{name: "one spare", policies: rollout.Policies{Spares: 1}},
+		{name: "all but spares", policies: all},
+		{name: "default and spare", policies: spare},
+	} {
+		v.ahead, v.surplus = 1, 0.25
+		list = append(list, v)
+	}
+	for _, s := range [][2]float64{{0, 0}, {0, 0.125}, {0, 0.1875}, {0, 0.25}, {0, 0.5}, {0, 0.75}, {0.75, 0.25}, {1.25, 0.25}} {
+		list = append(list, variant{name: "default", policies: rollout.DefaultPolicies(), ahead: s[0], surplus: s[1]})
+	}
+	for _, s := range [][2]float64{{0, 0.125}, {0, 0.25}, {0, 0.5}, {0, 0.75}} {
+		list = append(list, variant{name: "default and spare", policies: spare, ahead: s[0], surplus: s[1]})
+	}
+	return list
+}
+
+// Run runs the rollout experiment and prints its table, or JSON.
+func Run(w io.Writer, o RunOptions) error {
+	report := RolloutReport{Seeds: o.Seeds, Hours: o.Duration.Hours()}
+	for _, scale := range []RolloutScale{Abay, Chikushi} {
+		rows := runVariants(scale, o)
+		report.Rows = append(report.Rows, rows...)
+		report.Comparisons = append(report.Comparisons, compare(rows)...)
+	}
+	if o.JSON {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	}
+	return report.print(w)
+}
+
+func runVariants(scale RolloutScale, o RunOptions) []RolloutRow {
+	list := variants()
+	results := make([][]RolloutResult, len(list))
+	slots := make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/2))
+	var wait sync.WaitGroup
+	for i, v := range list {
+		results[i] = make([]RolloutResult, o.Seeds)
+		for seed := range o.Seeds {
+			slots <- struct{}{}
+			wait.Go(func() {
+				defer func() { <-slots }()
+				results[i][seed] = RunRollout(RolloutOptions{
+					Scale: scale, Seed: uint64(seed + 1), Duration: o.Duration,
+					Baseline: v.baseline, Policies: v.policies, Ahead: v.ahead, Surplus: v.surplus,
+				})
+			})
+		}
+	}
+	wait.Wait()
+	rows := make([]RolloutRow, len(list))
+	for i, v := range list {
+		rows[i] = row(scale, v, results[i])
+	}
+	return rows
+}
+
+func row(scale RolloutScale, v variant, results []RolloutResult) RolloutRow {
+	of := func(f func(RolloutResult) float64) Interval {
+		values := make([]float64, len(results))
+		for i, r := range results {
+			values[i] = f(r)
+		}
+		return interval(values)
+	}
+	return RolloutRow{
+		Deployment: scale.Name,
+		Variant:    v.name,
+		Ahead:      v.ahead,
+		Surplus:    v.surplus,
+		Idle:       of(func(r RolloutResult) float64 { return r.Idle }),
+		Staleness:  of(func(r RolloutResult) float64 { return r.StalenessMean }),
+		P99:        of(func(r RolloutResult) float64 { return r.StalenessP99 }),
+		Wasted:     of(func(r RolloutResult) float64 { return r.Wasted }),
+		CallerP99:  of(func(r RolloutResult) float64 { return r.CallerP99 }),
+		Bound:      of(func(r RolloutResult) float64 { return r.Bound }),
+		Distance:   of(func(r RolloutResult) float64 { return r.Idle - r.Bound }),
+		baseline:   v.baseline,
+		spares:     v.policies.Spares > 0,
+	}
+}
+
+// compare finds, for each baseline, the variant with the least idle time at equal
+// or lower staleness, and that with the least staleness at equal or less idle
+// time, first among the variants without spares and then among all.
+func compare(rows []RolloutRow) []RolloutComparison {
+	unbiased := slices.DeleteFunc(slices.Clone(rows), func(r RolloutRow) bool { return r.spares })
+	return append(compareAmong(unbiased, "without spares"), compareAmong(rows, "with spares")...)
+}
+
+func compareAmong(rows []RolloutRow, among string) []RolloutComparison {
+	var list []RolloutComparison
+	for _, base := range rows {
+		if !base.baseline {
+			continue
+		}
+		idle := RolloutComparison{Deployment: base.Deployment, Baseline: base.label(), Aim: "idle at equal or lower staleness, " + among}
+		age := RolloutComparison{Deployment: base.Deployment, Baseline: base.label(), Aim: "staleness at equal or less idle time, " + among}
+		for _, r := range rows {
+			if r.baseline {
+				continue
+			}
+			idle.offer(r.label(), r.Staleness.Mean <= base.Staleness.Mean, r.Idle.Mean, base.Idle.Mean)
+			age.offer(r.label(), r.Idle.Mean <= base.Idle.Mean, r.Staleness.Mean, base.Staleness.Mean)
+		}
+		list = append(list, idle, age)
+	}
+	return list
+}
+
+// offer keeps a variant that qualifies and is better than the one kept.
+func (c *RolloutComparison) offer(label string, qualifies bool, value, base float64) {
+	if !qualifies || base == 0 {
+		return
+	}
+	if ratio := value / base; c.Variant == "" || ratio < c.Ratio {
+		c.Variant, c.Ratio = label, ratio
+	}
+}
+
+func (r RolloutRow) label() string {
+	return fmt.Sprintf("%s, ahead %.2f, surplus %.3f", r.Variant, r.Ahead, r.Surplus)
+}
+
+func (r RolloutReport) print(w io.Writer) error {
+	deployment := ""
+	for _, row := range r.Rows {
+		if row.Deployment != deployment {
+			deployment = row.Deployment
+			if _, err := fmt.Fprintf(w, "\n%s: %d seeds, %.1f virtual hours each, mean and 95%% interval\n%-17s %5s %7s  %-11s %-11s %-9s %-11s %-13s %-10s %s\n", deployment, r.Seeds, r.Hours,
+				"variant", "ahead", "surplus", "idle %", "staleness", "p99", "wasted %", "callers p99 s", "bound %", "above bound %"); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintf(w, "%-17s %5.2f %7.3f  %-11s %-11s %-9s %-11s %-13s %-10s %s\n", row.Variant, row.Ahead, row.Surplus,
+			row.Idle.text(100, 1), row.Staleness.text(1, 2), row.P99.text(1, 1), row.Wasted.text(100, 1), row.CallerP99.text(1, 1), row.Bound.text(100, 1), row.Distance.text(100, 1)); err != nil {
+			return err
+		}
+	}
+	for _, c := range r.Comparisons {
+		text := "no variant qualifies"
+		if c.Variant != "" {
+			text = fmt.Sprintf("%.2f of the baseline (%s)", c.Ratio, c.Variant)
+		}
+		if _, err := fmt.Fprintf(w, "\n%s, against %s: %s: %s", c.Deployment, c.Baseline, c.Aim, text); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
+
+func (i Interval) text(factor float64, digits int) string {
+	return fmt.Sprintf("%.*f ±%.*f", digits, factor*i.Mean, digits, factor*i.Half)
+}
+
+// studentT holds the 97.5% quantiles of Student's t by degrees of freedom.
+var studentT = []float64{0, 12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14, 2.13, 2.12, 2.11, 2.10, 2.09, 2.09}
+
+func interval(values []float64) Interval {
+	n := len(values)
+	if n < 2 {
+		return Interval{Mean: mean(values)}
+	}
+	m := mean(values)
+	sum := 0.0
+	for _, v := range values {
+		sum += (v - m) * (v - m)
+	}
+	t := 1.96
+	if n-1 < len(studentT) {
+		t = studentT[n-1]
+	}
+	return Interval{Mean: m, Half: t * math.Sqrt(sum/float64(n-1)/float64(n))}
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / max(float64(len(values)), 1)
+}
+
+func quantile(values []float64, p float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[int(p*float64(len(sorted)-1))]
+}
--- /dev/null
+++ b/experiment/rollout_test.go
@@ -0,0 +1,56 @@
+package experiment
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/rollout"
+)
+
+// Guards against an experiment that depends on anything but its seed, and
+// against a rollout that keeps trainers waiting as long as the baseline does.
+func TestRolloutBeatsBaseline(t *testing.T) {
+	is := is.New(t)
+	run := func(baseline bool, ahead, surplus float64) RolloutResult {
+		return RunRollout(RolloutOptions{Scale: Abay, Seed: 3, Duration: duration(25*time.Minute, 4*time.Hour), Baseline: baseline, Policies: rollout.Policies{CancelTooOld: true}, Ahead: ahead, Surplus: surplus})
+	}
+	base, ours := run(true, 1, 0), run(false, 0, 0.5)
+	t.Logf("baseline %+v", base)
+	t.Logf("ours %+v", ours)
+	is.True(ours.Idle < base.Idle)
+	is.True(ours.StalenessMean <= base.StalenessMean)
+	is.True(ours.StalenessP99 <= float64(Abay.Bound))
+	is.True(ours.CallerP99 < base.CallerP99)
+	is.Equal(run(false, 0, 0.5), ours)
+}
+
+// Guards against a report that cannot be read by a program. The whole table runs
+// when MERLINHALL_LONG is set.
+func TestRolloutReport(t *testing.T) {
+	is := is.New(t)
+	if os.Getenv("MERLINHALL_LONG") != "" {
+		is.NoErr(Run(os.Stdout, DefaultRunOptions()))
+		return
+	}
+	rows := []RolloutRow{
+		{Deployment: "d", Variant: "baseline", baseline: true, Idle: Interval{0.5, 0}, Staleness: Interval{1, 0}},
+		{Deployment: "d", Variant: "a", Idle: Interval{0.2, 0}, Staleness: Interval{1, 0}},
+		{Deployment: "d", Variant: "b", Idle: Interval{0.4, 0}, Staleness: Interval{0.4, 0}},
+		{Deployment: "d", Variant: "c", Idle: Interval{0.1, 0}, Staleness: Interval{0.1, 0}, spares: true},
+	}
+	list := compare(rows)
+	is.Equal(len(list), 4)
+	is.Equal(list[0].Ratio, 0.4)
+	is.Equal(list[1].Ratio, 0.4)
+	is.Equal(list[2].Ratio, 0.2)
+	var text, table strings.Builder
+	report := RolloutReport{Rows: rows, Comparisons: list}
+	is.NoErr(json.NewEncoder(&text).Encode(report))
+	is.NoErr(report.print(&table))
+	is.True(strings.Contains(table.String(), "0.40 of the baseline (a, ahead 0.00, surplus 0.000)"))
+}
--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -11,7 +11,7 @@
 
 // Bounds of the ledger. They keep the control snapshot small.
 const (
-	maxOpenSteps   = 8
+	maxOpenSteps   = 64
 	maxGroups      = 4096 // groups in one step
 	maxGroupSize   = 1024
 	maxStepBytes   = 2 << 20 // prompts of one step; a log entry must fit a link frame
--- a/rollout/policy.go
+++ b/rollout/policy.go
@@ -23,6 +23,13 @@
 	SecondCopy bool
 }
 
+// DefaultPolicies returns the policies that cost no tokens. In the rollout
+// experiment a second copy wastes 7% of the tokens and saves no time, because
+// the engines are equally fast.
+func DefaultPolicies() Policies {
+	return Policies{NearestGroup: true, PredictLength: true, CancelTooOld: true}
+}
+
 // AllPolicies returns every policy switched on. Spares stay off because they
 // bias a group towards short samples.
 func AllPolicies() Policies {
