--- a/control/admin.go
+++ b/control/admin.go
@@ -132,10 +132,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), a.c.o.CallTimeout)
 	defer cancel()
-	reply := a.c.Call(ctx, &wire.Call{Method: "admin", Body: raw})
+	reply := a.c.Call(ctx, &wire.Call{Method: adminMethod, Body: raw})
 	for reply.Outcome == wire.CallUnknown && r.Method == http.MethodGet && ctx.Err() == nil {
 		time.Sleep(retryPeriod)
-		reply = a.c.Call(ctx, &wire.Call{Method: "admin", Body: raw})
+		reply = a.c.Call(ctx, &wire.Call{Method: adminMethod, Body: raw})
 	}
 	writeReply(w, reply, id)
 }
--- a/control/calls.go
+++ b/control/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,8 +11,16 @@
 	"merlinhall/wire"
 )
 
+// adminMethod is the call that carries requests of the administration API between
+// control replicas. The replica that received the request has checked its token.
+const adminMethod = "admin"
+
 // receiveCall carries out or forwards the call of another process.
 func (c *Control) receiveCall(peer propagate.Peer, call *wire.Call) {
+	if call.Method == adminMethod && !slices.Contains(c.o.Peers, peer.Peer().Process) {
+		_ = peer.Send(&wire.Reply{ID: call.ID, Outcome: wire.CallRejected, Error: "only control replicas may forward administration requests"})
+		return
+	}
 	select {
 	case c.slots <- struct{}{}:
 	default:
--- a/control/control.go
+++ b/control/control.go
@@ -143,7 +143,7 @@
 	c.admin = newAdmin(c)
 	c.HandleCall("barrier", c.barrier)
 	c.HandleCall("weights.publish", c.publishWeights)
-	c.HandleCall("admin", c.admin.serveCall)
+	c.HandleCall(adminMethod, c.admin.serveCall)
 	c.run(leaderPoll, c.pollLeader)
 	c.run(subtreePeriod, c.reportSubtree)
 	c.startHosts()
--- a/control/hosts_test.go
+++ b/control/hosts_test.go
@@ -117,13 +117,17 @@
 
 // child is a subscriber in memory.
 type child struct {
-	mu     sync.Mutex
-	worlds []*wire.World
+	mu      sync.Mutex
+	worlds  []*wire.World
+	replies chan *wire.Reply
 }
 
 func (c *child) Receive(peer propagate.Peer, m wire.Message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r, ok := m.(*wire.Reply); ok {
+		c.replies <- r
+	}
 	if w, ok := m.(*wire.World); ok {
 		c.worlds = append(c.worlds, w)
 		_ = peer.Send(&wire.Holding{Index: w.Index, Counts: []wire.VersionCount{{Version: w.ConfigVersion, Count: 3}}})
@@ -203,3 +207,19 @@
 	c.elect("c1")
 	is.Equal((<-changes).leading, false)
 }
+
+// Guards against an entry or agent that changes the configuration without the
+// operator's token.
+func TestOnlyReplicasForwardAdminRequests(t *testing.T) {
+	is := is.New(t)
+	c := newFakeCluster(t, "c1", "c2")
+	entry := &child{replies: make(chan *wire.Reply, 1)}
+	body, err := wire.Marshal(&adminRequest{Method: "POST", URI: configURI(0, "r1", "entry"), Body: smallConfig(1, "one")})
+	is.NoErr(err)
+	for _, name := range []string{"c1", "c2"} {
+		link := connect(t, entry, "e1", c.nodes[name].control, name)
+		is.NoErr(link.Send(&wire.Call{ID: "1", Method: adminMethod, Body: body}))
+		is.Equal((<-entry.replies).Outcome, wire.CallRejected)
+	}
+	is.Equal(c.nodes["c1"].machine.World(), nil)
+}
