--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,9 @@
 # Measures the slopes of docs/CAPACITY.md again and rewrites its tables.
 capacity:
 	$(GO) run ./tools/capacity
+
+# Trainer idle time and staleness, routing and overload against their baselines,
+# on a virtual clock; the tables are also written to out/bench.txt.
+bench: build
+	@mkdir -p out
+	{ bin/merlinhall bench rollout; bin/merlinhall bench routing; bin/merlinhall bench overload; } | tee out/bench.txt
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -85,7 +85,7 @@
 		Planner: rollout.PlannerOptions{
 			MaxInFlight: maxJobs,
 			MaxPerEntry: maxJobsPerEntry,
-			Policies:    rollout.AllPolicies(),
+			Policies:    rollout.DefaultPolicies(),
 			Trainer:     func(name string) (rollout.TrainerPlan, bool) { return trainerPlan(machine.Config(), name) },
 		},
 	})
