--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -97,10 +97,8 @@
 		var agents []*Agent
 		for i := range n {
 			a, err := Start(Options{
-				Local:   wire.Hello{Process: "a", Boot: "b", Target: fmt.Sprint("t", i)},
-				Kind:    KindEngine,
-				Address: "127.0.0.1:1",
-				System:  system,
+				Local: wire.Hello{Process: "a", Boot: "b", Target: fmt.Sprint("t", i)}, Kind: KindEngine,
+				Address: "127.0.0.1:1", System: system,
 				Barrier: func(context.Context) (uint64, uint64, error) { return 0, 0, context.Canceled },
 			})
 			if err != nil {
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -152,12 +152,8 @@
 func (s *site) dial() *client {
 	s.t.Helper()
 	c := &client{
-		t:       s.t,
-		chunks:  make(map[string][]*wire.Chunk),
-		refused: make(map[string]*wire.Refused),
-		revoked: make(map[string]*wire.Revoked),
-		changed: make(chan struct{}),
-		credit:  Window,
+		t: s.t, chunks: make(map[string][]*wire.Chunk), refused: make(map[string]*wire.Refused),
+		revoked: make(map[string]*wire.Revoked), changed: make(chan struct{}), credit: Window,
 	}
 	s.connect(c)
 	return c
@@ -225,27 +221,16 @@
 
 func generation(id, prompt string, tokens int) *wire.Run {
 	return &wire.Run{
-		ID:            id,
-		Service:       "policy-lm",
-		Deadline:      time.Now().Add(testWait).UnixMilli(),
-		Idempotent:    true,
-		ConfigVersion: 1,
-		Generation:    &wire.Generation{Prompt: prompt, MaxTokens: tokens},
-		Credit:        Window,
+		ID: id, Service: "policy-lm", Deadline: time.Now().Add(testWait).UnixMilli(), Idempotent: true,
+		ConfigVersion: 1, Generation: &wire.Generation{Prompt: prompt, MaxTokens: tokens}, Credit: Window,
 	}
 }
 
 func call(id, method, path, body string) *wire.Run {
 	return &wire.Run{
-		ID:            id,
-		Service:       "approve-app",
-		Method:        method,
-		Path:          path,
-		Headers:       []wire.Header{{Name: standin.HeaderCallID, Value: "call-" + id}},
-		Body:          []byte(body),
-		Deadline:      time.Now().Add(testWait).UnixMilli(),
-		ConfigVersion: 1,
-		Credit:        Window,
+		ID: id, Service: "approve-app", Method: method, Path: path,
+		Headers: []wire.Header{{Name: standin.HeaderCallID, Value: "call-" + id}}, Body: []byte(body),
+		Deadline: time.Now().Add(testWait).UnixMilli(), ConfigVersion: 1, Credit: Window,
 	}
 }
 
--- a/agent/table_test.go
+++ b/agent/table_test.go
@@ -132,12 +132,8 @@
 func (s *simTable) newCall() {
 	id := fmt.Sprintf("%d-%d", s.boot, len(s.ids))
 	run := &wire.Run{
-		ID:            id,
-		Service:       "svc",
-		Method:        "POST",
-		Deadline:      s.now + int64(s.rng.IntN(12_000)) - 50,
-		ConfigVersion: s.version - uint64(s.rng.IntN(2)),
-		Credit:        4,
+		ID: id, Service: "svc", Method: "POST", Deadline: s.now + int64(s.rng.IntN(12_000)) - 50,
+		ConfigVersion: s.version - uint64(s.rng.IntN(2)), Credit: 4,
 	}
 	s.calls[id] = &simCall{run: run, boot: s.boot, length: s.rng.IntN(20), got: make(map[uint64]string), last: 1 << 60}
 	s.ids = append(s.ids, id)
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -122,9 +122,9 @@
 		select {
 		case ev, ok := <-s.events:
 			if !ok {
+				e.update(func() { s.record.Completed = true })
 				writeEvent(w, event{Done: true, Index: s.length, Tokens: s.length})
 				_ = flush()
-				e.update(func() { s.record.Completed = true })
 				return
 			}
 			if crashes && sent >= crash.After {
--- a/standin/service.go
+++ b/standin/service.go
@@ -96,8 +96,9 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	if _, err := w.Write(answer); err == nil {
-		s.update(func() { record.Completed = true })
+	s.update(func() { record.Completed = true })
+	if _, err := w.Write(answer); err != nil {
+		s.update(func() { record.Completed = false })
 	}
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -144,15 +144,20 @@
 			s.update(func() { record.Cancelled = true })
 			return
 		}
+		// Recorded before it is sent, so that a reader who has the bytes finds them
+		// in the record.
+		s.mu.Lock()
+		s.bytes[key] += int64(n)
+		s.mu.Unlock()
+		if sent+n == len(data) {
+			s.update(func() { record.Completed = true })
+		}
 		if _, err := w.Write(data[sent : sent+n]); err != nil {
+			s.update(func() { record.Completed = false })
 			return
 		}
 		sent += n
-		s.mu.Lock()
-		s.bytes[key] += int64(n)
-		s.mu.Unlock()
 	}
-	s.update(func() { record.Completed = true })
 }
 
 // reserve returns when n bytes may be sent.
