--- a/control/hosts_test.go
+++ b/control/hosts_test.go
@@ -116,20 +116,13 @@
 }
 
 // child is a subscriber in memory.
-type child struct {
-	mu      sync.Mutex
-	worlds  []*wire.World
-	replies chan *wire.Reply
-}
+type child struct{ replies chan *wire.Reply }
 
 func (c *child) Receive(peer propagate.Peer, m wire.Message) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if r, ok := m.(*wire.Reply); ok {
 		c.replies <- r
 	}
 	if w, ok := m.(*wire.World); ok {
-		c.worlds = append(c.worlds, w)
 		_ = peer.Send(&wire.Holding{Index: w.Index, Counts: []wire.VersionCount{{Version: w.ConfigVersion, Count: 3}}})
 	}
 }
