replica: disk failure test; recovery does not create folders

Inspect and ForceNewGroup made a new folder with a new id from a mistyped path. They now refuse a folder without a log. A replica whose sync fails ends its proposals as unknown, refuses further requests and is not ready; a test shows that the group goes on and that the replica comes back after a restart.

--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -453,6 +453,28 @@
 	is.Equal(s.failure, "")
 }
 
+// Guards against a membership that stays in force after its entry was replaced
+// by another leader's.
+func TestReplacedMembership(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSim(1, 4)
+	s.voters = 3
+	s.startAll()
+	a, b, c, d := s.hosts[0], s.hosts[1], s.hosts[2], s.hosts[3]
+	s.awaitLeader(a)
+	s.run(s.now + time.Second)
+	s.isolate(a)
+	s.change(a, consensus.AddLearner, consensus.Member{ID: d.core.Status().ID, Name: d.name})
+	is.Equal(len(a.core.Status().Members), 4)
+	w := s.write(s.awaitLeader(b, c), 1)
+	is.True(s.runUntil(5*time.Second, func() bool { return w.done }))
+	s.blocked = map[[2]int]bool{}
+	s.run(s.now + 2*time.Second)
+	is.Equal(len(a.core.Status().Members), 3)
+	is.Equal(s.failure, "")
+}
+
 // Guards against a half-repaired replica that counts, and against lost writes,
 // when a second host is lost at any moment of a repair and right after it. The
 // second loss is a loss of the disk once the repair is complete, and otherwise a
--- a/replica/recover.go
+++ b/replica/recover.go
@@ -48,7 +48,7 @@
 // Inspect reads the data folder of a stopped replica. Errors wrap
 // storage.ErrLocked while the replica runs, and storage.ErrCorrupt.
 func Inspect(fs storage.FS) (FolderInfo, error) {
-	store, recovered, err := storage.Open(fs, randomID)
+	store, recovered, err := openExisting(fs)
 	if err != nil {
 		return FolderInfo{}, err
 	}
@@ -56,6 +56,19 @@
 	return describe(store, &recovered)
 }
 
+// openExisting opens a data folder that has a log. It does not create one: a
+// mistyped path must not become a new replica.
+func openExisting(fs storage.FS) (*storage.Store, consensus.Recovered, error) {
+	exists, err := storage.HasLog(fs)
+	if err != nil {
+		return nil, consensus.Recovered{}, eris.Wrap(err, "replica: read the data folder")
+	}
+	if !exists {
+		return nil, consensus.Recovered{}, ErrNoGroup
+	}
+	return storage.Open(fs, randomID)
+}
+
 func describe(store *storage.Store, r *consensus.Recovered) (FolderInfo, error) {
 	info := FolderInfo{ID: store.ID(), Group: r.Group, State: r.State}
 	info.Last = Position{Term: r.Base.Term, Index: r.Base.Index}
@@ -82,7 +95,7 @@
 // A replica of the former group ignores the new one, so two former members that
 // are left running with their folders may go on beside it.
 func ForceNewGroup(fs storage.FS, name string, confirmed Position, log *logrus.Entry) (FolderInfo, error) {
-	store, recovered, err := storage.Open(fs, randomID)
+	store, recovered, err := openExisting(fs)
 	if err != nil {
 		return FolderInfo{}, err
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -5,8 +5,12 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,6 +65,7 @@
 	journals map[string]*journal
 	cut      map[string]bool
 	every    uint64
+	broken   map[string]*atomic.Bool // the host's disk fails all syncs
 }
 
 func newCluster(t testing.TB, names ...string) *cluster {
@@ -71,10 +76,11 @@
 func newClusterEvery(t testing.TB, every uint64, names ...string) *cluster {
 	c := &cluster{
 		t: t, names: names, dirs: map[string]string{}, replicas: map[string]*Replica{},
-		journals: map[string]*journal{}, cut: map[string]bool{}, every: every,
+		journals: map[string]*journal{}, cut: map[string]bool{}, every: every, broken: map[string]*atomic.Bool{},
 	}
 	for _, name := range names {
 		c.dirs[name] = t.TempDir()
+		c.broken[name] = &atomic.Bool{}
 		c.start(name)
 	}
 	t.Cleanup(func() {
@@ -85,6 +91,29 @@
 	return c
 }
 
+// brittleDir is a folder whose syncs fail while broken is set.
+type brittleDir struct {
+	storage.Dir
+	broken *atomic.Bool
+}
+
+type brittleFile struct {
+	storage.File
+	broken *atomic.Bool
+}
+
+func (d brittleDir) Create(name string) (storage.File, error) {
+	f, err := d.Dir.Create(name)
+	return brittleFile{f, d.broken}, err
+}
+
+func (f brittleFile) Sync() error {
+	if f.broken.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
 func (c *cluster) start(name string) {
 	var others []string
 	for _, n := range c.names {
@@ -96,7 +125,8 @@
 	r, err := Start(Options{
 		Name: name, Peers: others, DataDir: c.dirs[name], Machine: j,
 		Send:     func(peer string, m wire.Message) error { return c.deliver(name, peer, m) },
-		Observer: observe.New("error"), System: duty.NewSystem(),
+		FS:       brittleDir{storage.Dir(c.dirs[name]), c.broken[name]},
+		Observer: observe.New("fatal"), System: duty.NewSystem(),
 		SnapshotEvery: c.every, SnapshotKeep: c.every / 4,
 	})
 	if err != nil {
@@ -253,6 +283,31 @@
 	})
 }
 
+// Guards against a replica that goes on after a failed sync, that calls the
+// proposal refused, and against a group that does not replace it as leader.
+func TestFailedSyncStopsTheReplica(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.propose("first")
+	old := c.leader()
+	name := old.Status().Name
+	c.broken[name].Store(true)
+	_, _, err := old.Propose(t.Context(), []byte("lost"))
+	is.Equal(err, ErrUnknownOutcome)
+	c.broken[name].Store(false)
+	_, _, err = old.Propose(t.Context(), []byte("refused"))
+	is.Equal(err, ErrStopped)
+	_, _, err = old.Confirm(t.Context())
+	is.Equal(err, ErrStopped)
+	c.eventually("not ready", func() bool { return old.ready() != nil && old.Status().Failed != "" })
+	c.propose("second")
+	is.True(c.leader() != old)
+	c.stop(name)
+	c.start(name)
+	c.eventually("ready after a restart", func() bool { return c.replicas[name].ready() == nil })
+}
+
 // Guards against a second replica on the same data folder.
 func TestDataFolderIsLocked(t *testing.T) {
 	t.Parallel()
@@ -283,6 +338,8 @@
 	for _, name := range c.names {
 		c.stop(name)
 	}
+	_, err = Inspect(storage.Dir(filepath.Join(t.TempDir(), "mistyped")))
+	is.True(errors.Is(err, os.ErrNotExist))
 	_, err = ForceNewGroup(storage.Dir(t.TempDir()), "b", Position{}, log)
 	is.True(errors.Is(err, ErrNoGroup))
 	_, err = ForceNewGroup(storage.Dir(c.dirs["b"]), "b", Position{}, log)
--- a/storage/store.go
+++ b/storage/store.go
@@ -60,6 +60,12 @@
 	return s, recovered, nil
 }
 
+// HasLog reports whether the folder holds the log of a replica.
+func HasLog(fs FS) (bool, error) {
+	names, err := fs.List()
+	return newestLog(names) > 0, err
+}
+
 // recover reads the newest log file and writes it again as a new one. What was
 // read may come from memory after an earlier failed sync; the new file is synced
 // before anything of it is used.
