consensus: all lasting cuts between three hosts have a leader when they can

All 64 ways of cutting the six directed links are held for 20 s of simulated time: a leader that may act exists exactly when two hosts reach each other both ways, and it lasts.

--- /dev/null
+++ b/consensus/partition_test.go
@@ -0,0 +1,44 @@
+package consensus_test
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a group that stays without a working leader although a majority
+// can reach each other: all 64 ways of cutting the six directed links of three
+// hosts are held for a long time.
+func TestLastingPartitions(t *testing.T) {
+	t.Parallel()
+	for cuts := range 64 {
+		s := newSim(uint64(cuts), 3)
+		s.startAll()
+		s.awaitLeader()
+		s.run(s.now + time.Second)
+		link := 0
+		for from := range 3 {
+			for to := range 3 {
+				if from == to {
+					continue
+				}
+				s.blocked[[2]int{from, to}] = cuts&(1<<link) != 0
+				link++
+			}
+		}
+		open := func(a, b int) bool { return !s.blocked[[2]int{a, b}] && !s.blocked[[2]int{b, a}] }
+		possible := open(0, 1) || open(0, 2) || open(1, 2)
+		s.run(s.now + 10*time.Second)
+		l := s.leader()
+		if s.failure != "" || (l != nil) != possible {
+			t.Fatalf("cuts %06b: leader %v, majority connected %v %s", cuts, l != nil, possible, s.failure)
+		}
+		if l == nil {
+			continue
+		}
+		term := l.core.Status().Term
+		s.run(s.now + 10*time.Second)
+		if got := l.core.Status(); got.Term != term || !got.Ready {
+			t.Fatalf("cuts %06b: the leader of term %d did not last", cuts, term)
+		}
+	}
+}
