consensus: a running replica is not replaced by a second one of its name

A second process started under the name of a running replica, with an empty folder, would have been added as a learner and the running one removed. The leader now waits until the member of that name no longer answers.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -162,16 +162,30 @@
 func (n *Node) addNewcomer(id uint64) {
 	name := n.lead.newcomer[id]
 	delete(n.lead.newcomer, id)
-	if n.isMember(id) {
+	if n.isMember(id) || n.nameAnswers(name, id) {
 		return
 	}
 	n.dropOldLearner(name)
 	Change{Kind: AddLearner, Member: Member{ID: id, Name: name}}.internal(n)
 }
 
+// nameAnswers reports whether a member of that name other than id answers. Then
+// two processes have the same name by mistake, and the running one stays.
+func (n *Node) nameAnswers(name string, id uint64) bool {
+	for _, m := range n.members {
+		if m.Name == name && m.ID != id && n.answers(m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // repairLearner removes the former id of a caught-up learner, or promotes the
 // learner when there is none.
 func (n *Node) repairLearner(learner Member) {
+	if n.nameAnswers(learner.Name, learner.ID) {
+		return
+	}
 	for _, m := range n.members {
 		if m.Name == learner.Name && m.ID != learner.ID {
 			Change{Kind: Remove, Member: m}.internal(n)
@@ -185,7 +199,7 @@
 // that repeated repairs do not gather dead learners.
 func (n *Node) dropOldLearner(name string) {
 	for _, m := range n.members {
-		if m.Name == name && m.Learner && !n.answers(m.ID) {
+		if m.Name == name && m.Learner {
 			Change{Kind: Remove, Member: m}.internal(n)
 			return
 		}
--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -453,6 +453,24 @@
 	is.Equal(s.failure, "")
 }
 
+// Guards against a running replica that is replaced because a second process was
+// started under its name by mistake.
+func TestSecondProcessOfTheSameName(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSim(1, 3)
+	s.startAll()
+	a := s.awaitLeader()
+	s.run(s.now + time.Second)
+	for range 20 {
+		who, _ := (&consensus.Message{Kind: consensus.MsgWho, From: 12345, Name: "b"}).Encode()
+		s.deliver(a, who)
+		s.run(s.now + 200*time.Millisecond)
+	}
+	is.Equal(len(a.core.Status().Members), 3)
+	is.Equal(s.failure, "")
+}
+
 // Guards against a membership that stays in force after its entry was replaced
 // by another leader's.
 func TestReplacedMembership(t *testing.T) {
