--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -119,6 +119,18 @@
 	return OutcomeDone
 }
 
+// whole expects a complete generation of n tokens.
+func whole(t *testing.T, c <-chan ended, n int) {
+	t.Helper()
+	want := ""
+	for i := range n {
+		want += fakeToken("p", i)
+	}
+	if end := receive(t, c, "generation"); end.err != nil || end.tokens != want {
+		t.Fatalf("got %q and error %v, want %q", end.tokens, end.err, want)
+	}
+}
+
 // busy returns the agent that runs something.
 func busy(t *testing.T, agents []*fakeAgent) *fakeAgent {
 	t.Helper()
@@ -138,8 +150,8 @@
 	is := is.New(t)
 	s := newSite(t, 1, nil)
 	g, c := newGate(), newGate()
-	s.engines[0].does(g.halves)
-	s.services[0].does(c.halves)
+	does(g.halves, s.engines[0])
+	does(c.halves, s.services[0])
 	generation, call := s.generate(5), s.call(http.MethodPost)
 	receive(t, g.reached, "first half")
 	receive(t, c.reached, "start of the call")
@@ -147,10 +159,8 @@
 	s.services[0].relay.silence()
 	g.release()
 	c.release()
-	end := receive(t, generation, "generation")
-	is.NoErr(end.err)
-	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
-	end = receive(t, call, "call")
+	whole(t, generation, 5)
+	end := receive(t, call, "call")
 	is.NoErr(end.err)
 	is.Equal(end.body, "b")
 	is.Equal(total(s.engines), 1)
@@ -181,23 +191,19 @@
 	is := is.New(t)
 	s := newSite(t, 2, nil)
 	g := newGate()
-	for _, a := range s.engines {
-		a.does(g.halves)
-	}
+	does(g.halves, s.engines...)
 	generation := s.generate(5)
 	receive(t, g.reached, "first half")
 	busy(t, s.engines).crash()
 	g.release()
-	end := receive(t, generation, "generation")
-	is.NoErr(end.err)
-	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
+	whole(t, generation, 5)
 	is.Equal(total(s.engines), 2)
 
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		c := newGate()
 		for _, a := range s.services {
-			a.does(c.halves)
-			a.started = make(map[string]int)
+			does(c.halves, a)
+			locked(a, func() bool { a.runs = 0; return true })
 		}
 		call := s.call(method)
 		receive(t, c.reached, "start of the call")
@@ -224,8 +230,8 @@
 	is := is.New(t)
 	s := newSite(t, 1, nil)
 	g, c := newGate(), newGate()
-	s.engines[0].does(g.halves)
-	s.services[0].does(c.halves)
+	does(g.halves, s.engines[0])
+	does(c.halves, s.services[0])
 	generation, call := s.generate(4), s.call(http.MethodPost)
 	receive(t, g.reached, "first half")
 	receive(t, c.reached, "start of the call")
@@ -234,10 +240,8 @@
 		a.crash()
 		a.restart()
 	}
-	end := receive(t, generation, "generation")
-	is.NoErr(end.err)
-	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 ")
-	end = receive(t, call, "call")
+	whole(t, generation, 4)
+	end := receive(t, call, "call")
 	is.Equal(outcomeOf(end.err), OutcomeUnknown)
 	is.Equal(total(s.services), 1)
 }
@@ -308,9 +312,7 @@
 	is := is.New(t)
 	s := newSite(t, 2, nil)
 	c := newGate()
-	for _, a := range s.services {
-		a.does(c.halves)
-	}
+	does(c.halves, s.services...)
 	call := s.call(http.MethodPost)
 	receive(t, c.reached, "start of the call")
 	from := busy(t, s.services)
@@ -341,7 +343,6 @@
 // Guards against duplicated, late, reordered and lost chunks.
 func TestChunksOutOfOrder(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
 	s := newSite(t, 1, nil)
 	var late *wire.Chunk
 	lost := make(map[uint64]bool)
@@ -360,12 +361,7 @@
 		}
 		return []*wire.Chunk{c, c}
 	}
-	end := receive(t, s.generate(100), "generation")
-	is.NoErr(end.err)
-	is.Equal(strings.Count(end.tokens, " "), 100)
-	for i, token := range strings.Fields(end.tokens) {
-		is.Equal(token+" ", fakeToken("p", i))
-	}
+	whole(t, s.generate(100), 100)
 }
 
 // Guards against work that goes on for a caller that has left.
@@ -374,7 +370,7 @@
 	is := is.New(t)
 	s := newSite(t, 1, nil)
 	g := newGate()
-	s.engines[0].does(g.halves)
+	does(g.halves, s.engines[0])
 	ctx, cancel := context.WithCancel(t.Context())
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.http.URL+"/v1/completions", strings.NewReader(`{"model":"lm","prompt":"p","max_tokens":9,"stream":true}`))
 	is.NoErr(err)
@@ -416,12 +412,12 @@
 	is := is.New(t)
 	s := newSite(t, 1, nil)
 	shown := newGate()
-	s.services[0].does(func(ctx context.Context, _ *wire.Run, emit func(wire.Chunk)) {
+	does(func(ctx context.Context, _ *wire.Run, emit func(wire.Chunk)) {
 		emit(wire.Chunk{Status: http.StatusOK})
 		emit(wire.Chunk{Data: make([]byte, 2*holdBytes)})
 		shown.wait(ctx)
 		emit(wire.Chunk{End: wire.EndBroken, Detail: "target closed the connection"})
-	})
+	}, s.services[0])
 	r, err := s.http.Client().Get(s.http.URL + "/svc/x")
 	is.NoErr(err)
 	is.Equal(r.StatusCode, http.StatusOK)
@@ -430,21 +426,21 @@
 	is.True(err != nil) // the body ends without its last chunk
 	is.Equal(len(data), 2*holdBytes)
 	is.Equal(outcome(r), "")
-	s.services[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
+	does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
 		emit(wire.Chunk{Status: http.StatusOK, Data: []byte("part")})
 		emit(wire.Chunk{End: wire.EndBroken})
-	})
+	}, s.services[0])
 	r, body, err := s.post("/svc/x", "b")
 	is.NoErr(err)
 	is.Equal(r.StatusCode, http.StatusBadGateway)
 	is.Equal(outcome(r), "unknown")
 	is.True(!strings.Contains(body, "part"))
-	s.engines[0].does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
+	does(func(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
 		if len(r.Generation.Prefix) == 0 {
 			emit(wire.Chunk{Tokens: []wire.Token{{Text: "x", Version: 1}}})
 		}
 		emit(wire.Chunk{End: wire.EndBroken})
-	})
+	}, s.engines[0])
 	r, body, err = s.post("/v1/completions", `{"model":"lm","prompt":"p","max_tokens":9,"stream":true}`)
 	is.Equal(r.StatusCode, http.StatusOK)
 	is.True(err != nil)
@@ -459,7 +455,7 @@
 	s := newSite(t, 2, nil)
 	var broken atomic.Bool
 	for _, a := range s.services {
-		a.does(func(ctx context.Context, r *wire.Run, emit func(wire.Chunk)) {
+		does(func(ctx context.Context, r *wire.Run, emit func(wire.Chunk)) {
 			if !broken.Swap(true) {
 				emit(wire.Chunk{Status: http.StatusAccepted, Headers: []wire.Header{{Name: "X-First", Value: "1"}}})
 				emit(wire.Chunk{Data: []byte("half")})
@@ -467,7 +463,7 @@
 				return
 			}
 			echoAnswer(ctx, r, emit)
-		})
+		}, a)
 	}
 	r, err := s.http.Client().Get(s.http.URL + "/svc/x")
 	is.NoErr(err)
@@ -571,15 +567,13 @@
 	is := is.New(t)
 	s := newSite(t, 2, nil)
 	g := newGate()
-	for _, a := range s.engines {
-		a.does(g.halves)
-	}
+	does(g.halves, s.engines...)
 	generation := s.generate(5)
 	receive(t, g.reached, "first half")
 	removed := busy(t, s.engines)
 	var kept []*fakeAgent
 	for _, a := range s.agents {
-		a.does(echoAnswer)
+		does(echoAnswer, a)
 		if a != removed {
 			kept = append(kept, a)
 		}
@@ -591,9 +585,7 @@
 	is.Equal(removed.total(), 1)
 	is.Equal(s.entry.linksUp(), 4)
 	g.release()
-	end := receive(t, generation, "generation")
-	is.NoErr(end.err)
-	is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
+	whole(t, generation, 5)
 	eventually(t, "closed link", func() bool { return removed.links() == 0 })
 	is.Equal(s.entry.linksUp(), 3)
 }
@@ -605,9 +597,7 @@
 	is := is.New(t)
 	s := newSite(t, 4, nil)
 	g := newGate()
-	for _, a := range s.engines {
-		a.does(g.halves)
-	}
+	does(g.halves, s.engines...)
 	var generations []<-chan ended
 	for range 16 {
 		generations = append(generations, s.generate(5))
@@ -622,9 +612,7 @@
 	}
 	g.release()
 	for _, c := range generations {
-		end := receive(t, c, "generation")
-		is.NoErr(end.err)
-		is.Equal(end.tokens, "p/0 p/1 p/2 p/3 p/4 ")
+		whole(t, c, 5)
 	}
 	for range 20 {
 		is.NoErr(receive(t, s.call(http.MethodPost), "call").err)
@@ -637,7 +625,7 @@
 	is := is.New(t)
 	s := newSite(t, 1, nil)
 	g := newGate()
-	s.engines[0].does(g.halves)
+	does(g.halves, s.engines[0])
 	generation := s.generate(5)
 	receive(t, g.reached, "first half")
 	drained := make(chan error, 1)
@@ -662,7 +650,7 @@
 	// The agent's clock is behind: it does not end the request itself.
 	stuck := make(chan struct{})
 	defer close(stuck)
-	s.services[0].does(func(context.Context, *wire.Run, func(wire.Chunk)) { <-stuck })
+	does(func(context.Context, *wire.Run, func(wire.Chunk)) { <-stuck }, s.services[0])
 	r, _, err := s.post("/svc/x", "b", HeaderDeadline, "300")
 	is.NoErr(err)
 	is.Equal(r.StatusCode, http.StatusGatewayTimeout)
@@ -679,7 +667,7 @@
 	var mu sync.Mutex
 	var order []string
 	first := newGate()
-	s.engines[0].does(func(ctx context.Context, r *wire.Run, emit func(wire.Chunk)) {
+	does(func(ctx context.Context, r *wire.Run, emit func(wire.Chunk)) {
 		mu.Lock()
 		order = append(order, r.Caller)
 		mu.Unlock()
@@ -687,7 +675,7 @@
 			first.wait(ctx)
 		}
 		echoAnswer(ctx, r, emit)
-	})
+	}, s.engines[0])
 	var wg sync.WaitGroup
 	run := func(caller string, n int) {
 		for range n {
@@ -721,7 +709,7 @@
 	s := newSite(t, 1, nil)
 	s.publish(&wire.World{ConfigText: []byte(configText(s.agents, "max_in_flight = 3"))})
 	c := newGate()
-	s.services[0].does(c.halves)
+	does(c.halves, s.services[0])
 	var calls []<-chan ended
 	for range 10 {
 		calls = append(calls, s.call(http.MethodPost))
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -28,6 +28,8 @@
 	conn    *link.Conn
 }
 
+type answerFunc = func(ctx context.Context, r *wire.Run, emit func(wire.Chunk))
+
 // fakeAgent implements the agent's side of the request path in memory, behind a
 // relay that can be silenced or cut.
 type fakeAgent struct {
@@ -38,7 +40,7 @@
 	relay   *relay
 	server  *httptest.Server
 	// answer produces the chunks of a request; it returns early when ctx ends.
-	answer func(ctx context.Context, r *wire.Run, emit func(wire.Chunk))
+	answer answerFunc
 	// before decides on a Run that the table does not know; it may refuse it.
 	before func(r *wire.Run) *wire.Refused
 	// emitted changes the frames of one chunk on the way to the entry.
@@ -51,12 +53,12 @@
 	boots   int
 	table   map[string]*fakeRun
 	conns   map[*link.Conn]bool
-	started map[string]int // runs started, by request id without the attempt
+	runs    int // started
 	cancels []string
 }
 
 func newFakeAgent(t testing.TB, target string) *fakeAgent {
-	a := &fakeAgent{t: t, target: target, version: 1, answer: echoAnswer, started: make(map[string]int)}
+	a := &fakeAgent{t: t, target: target, version: 1, answer: echoAnswer}
 	a.reset()
 	a.serve()
 	a.relay = newRelay(t, func() string { a.mu.Lock(); defer a.mu.Unlock(); return a.server.Listener.Addr().String() })
@@ -190,7 +192,7 @@
 		return
 	}
 	r.started = true
-	a.started[baseID(r.run.ID)]++
+	a.runs++
 	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.run.Deadline))
 	r.cancel = cancel
 	boot, answer := a.boot, a.answer
@@ -275,59 +277,6 @@
 	}
 }
 
-// does replaces the answer.
-func (a *fakeAgent) does(answer func(context.Context, *wire.Run, func(wire.Chunk))) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.answer = answer
-}
-
-// refuses replaces the decision on new requests.
-func (a *fakeAgent) refuses(before func(*wire.Run) *wire.Refused) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.before = before
-}
-
-// known returns the number of ids in the table.
-func (a *fakeAgent) known() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.table)
-}
-
-func (a *fakeAgent) cancelled() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.cancels)
-}
-
-func (a *fakeAgent) links() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.conns)
-}
-
-// sent returns the number of chunks sent for an id.
-func (a *fakeAgent) sent(id string) uint64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if r := a.table[id]; r != nil {
-		return r.sent
-	}
-	return 0
-}
-
-func (a *fakeAgent) total() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	n := 0
-	for _, c := range a.started {
-		n += c
-	}
-	return n
-}
-
 // echoAnswer answers a call with its body and a generation with tokens that
 // depend on the prompt and the index alone.
 func echoAnswer(_ context.Context, r *wire.Run, emit func(wire.Chunk)) {
@@ -345,6 +294,39 @@
 
 func fakeToken(prompt string, index int) string { return fmt.Sprintf("%s/%d ", prompt, index) }
 
+// locked runs f with the state of the agent.
+func locked[T any](a *fakeAgent, f func() T) T {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return f()
+}
+
+func (a *fakeAgent) known() int     { return locked(a, func() int { return len(a.table) }) }
+func (a *fakeAgent) cancelled() int { return locked(a, func() int { return len(a.cancels) }) }
+func (a *fakeAgent) links() int     { return locked(a, func() int { return len(a.conns) }) }
+func (a *fakeAgent) total() int     { return locked(a, func() int { return a.runs }) }
+
+// sent returns the number of chunks sent for an id.
+func (a *fakeAgent) sent(id string) uint64 {
+	return locked(a, func() uint64 {
+		if r := a.table[id]; r != nil {
+			return r.sent
+		}
+		return 0
+	})
+}
+
+// does replaces the answer of agents, and refuses the decision on new requests.
+func does(answer answerFunc, agents ...*fakeAgent) {
+	for _, a := range agents {
+		locked(a, func() bool { a.answer = answer; return true })
+	}
+}
+
+func (a *fakeAgent) refuses(before func(*wire.Run) *wire.Refused) {
+	locked(a, func() bool { a.before = before; return true })
+}
+
 // relay forwards connections to an address. silence makes the open connections
 // swallow bytes; cut closes them; refuse turns new ones away.
 type relay struct {
