--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -11,7 +11,7 @@
 
 // Bounds of the ledger. They keep the control snapshot small.
 const (
-	maxOpenSteps   = 8
+	maxOpenSteps   = 64
 	maxGroups      = 4096 // groups in one step
 	maxGroupSize   = 1024
 	maxStepBytes   = 2 << 20 // prompts of one step; a log entry must fit a link frame
@@ -96,6 +96,8 @@
 	Lost      uint64 `cbor:"5,keyasint" json:"lost"`      // groups generated again for a lost body
 	Wasted    uint64 `cbor:"6,keyasint" json:"wasted"`    // tokens
 	Delivered uint64 `cbor:"7,keyasint" json:"delivered"` // tokens
+	// Staleness sums the staleness in versions of the drawn groups.
+	Staleness uint64 `cbor:"8,keyasint" json:"staleness_sum"`
 }
 
 type doneStep struct {
