standin: trainer that trains on the first whole groups of any open step

Off unless TrainGroups is set.

TestTrainerAPIErrors failed once (503 instead of 404) because it called before the coordinator had taken up the leadership; it now waits for that.

--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -167,6 +167,7 @@
 	is.Equal(a.post("steps", stepBody, &failure), http.StatusServiceUnavailable) // no leader
 	is.Equal(failure.Code, CodeUnavailable)
 	c.lead("c1", true)
+	eventually(t, "c1 leads", c.replicas["c1"].coord.isLeading)
 	is.Equal(a.post("steps", `{"stepp":1}`, &failure), http.StatusBadRequest)
 	is.True(strings.Contains(failure.Error, "stepp"))
 	is.Equal(a.post("steps", `{"step":1,"prompts":[],"group_size":2,"version":1}`, &failure), http.StatusBadRequest)
--- a/rollout/path_test.go
+++ b/rollout/path_test.go
@@ -11,22 +11,23 @@
 	"merlinhall/standin"
 )
 
-func (c *cluster) trainer(t *testing.T, url string) *standin.Trainer {
+func testTrainer(t *testing.T, url string, trainGroups int) *standin.Trainer {
 	tr, err := standin.NewTrainer(standin.TrainerOptions{
-		Name:       "abay",
-		Entries:    []string{url},
-		Token:      "secret",
-		Pools:      []string{"lm"},
-		Prompts:    6,
-		GroupSize:  4,
-		MaxTokens:  16,
-		Bound:      2,
-		Ahead:      1,
-		MaxGroups:  4,
-		Wait:       5 * time.Second,
-		LoseAnswer: 0.5,
-		Seed:       7,
-		StateFile:  filepath.Join(t.TempDir(), "trainer.json"),
+		TrainGroups: trainGroups,
+		Name:        "abay",
+		Entries:     []string{url},
+		Token:       "secret",
+		Pools:       []string{"lm"},
+		Prompts:     6,
+		GroupSize:   4,
+		MaxTokens:   16,
+		Bound:       2,
+		Ahead:       1,
+		MaxGroups:   4,
+		Wait:        5 * time.Second,
+		LoseAnswer:  0.5,
+		Seed:        7,
+		StateFile:   filepath.Join(t.TempDir(), "trainer.json"),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -47,7 +48,7 @@
 	c.lead("c1", true)
 	server := httptest.NewServer(TrainerHandler(c, func(token, _ string) bool { return token == "secret" }))
 	defer server.Close()
-	tr := c.trainer(t, server.URL)
+	tr := testTrainer(t, server.URL, 0)
 	is.NoErr(tr.Run(t.Context(), 4))
 	report := tr.Report()
 	is.Equal(report.Violations, []string{})
@@ -56,3 +57,21 @@
 	is.True(report.Resent > 0)
 	is.True(report.StalenessMax <= 2)
 }
+
+// Guards against groups that are left over or drawn twice when a trainer trains
+// on the first whole groups of any open step.
+func TestTrainerTakesAnyGroups(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "c1")
+	c.addEntry("e1", &fakeRunner{version: c.poolVersion})
+	c.lead("c1", true)
+	server := httptest.NewServer(TrainerHandler(c, nil))
+	defer server.Close()
+	tr := testTrainer(t, server.URL, 9)
+	is.NoErr(tr.Run(t.Context(), 4))
+	report := tr.Report()
+	is.Equal(report.Violations, []string{})
+	is.Equal(report.Samples, 4*9*4)
+	is.True(report.StalenessMax <= 2)
+}
--- a/standin/trainer.go
+++ b/standin/trainer.go
@@ -37,7 +37,11 @@
 	TrainTime time.Duration // time a step's training takes
 	Ahead     int           // steps opened beyond the one that is being drawn
 	MaxGroups int           // groups in one draw
-	Wait      time.Duration // wait_ms of a draw
+	// TrainGroups is the number of groups to train on. They may come from any open
+	// step, so a long sample does not hold up the training; Ahead steps are open
+	// beyond them. 0 trains on the groups of one step.
+	TrainGroups int
+	Wait        time.Duration // wait_ms of a draw
 	// LoseAnswer is the share of draws whose answer the trainer pretends to have
 	// lost and asks for again.
 	LoseAnswer float64
@@ -89,6 +93,7 @@
 	DrawID     string          `json:"draw_id"`
 	Accepted   bool            `json:"accepted"` // the samples of DrawID are recorded
 	DrawSerial uint64          `json:"draw_serial"`
+	Got        int             `json:"got"`        // groups received for this training
 	Publishing uint64          `json:"publishing"` // version being published, 0 when none
 	Received   []TrainerSample `json:"received"`
 	Resent     int             `json:"resent"`
@@ -234,6 +239,7 @@
 	t.state.Publishing = t.state.Version + 1
 	t.state.Steps++
 	t.state.Step++
+	t.state.Got = 0
 	t.state.Total += time.Since(start)
 	t.mu.Unlock()
 	if err := t.save(); err != nil {
@@ -298,8 +304,25 @@
 	return t.save() == nil
 }
 
+// lastStep returns the last step of which the current training needs groups.
+func (t *Trainer) lastStep() uint64 {
+	if t.o.TrainGroups == 0 {
+		return t.state.Step
+	}
+	groups := t.state.Step * uint64(t.o.TrainGroups)
+	return (groups + uint64(t.o.Prompts) - 1) / uint64(t.o.Prompts)
+}
+
+// lacks returns how many groups the current training still needs.
+func (t *Trainer) lacks() int {
+	if t.o.TrainGroups > 0 {
+		return t.o.TrainGroups - t.state.Got
+	}
+	return t.o.Prompts - t.received(t.state.Step)/t.o.GroupSize
+}
+
 func (t *Trainer) openSteps(ctx context.Context) error {
-	for t.state.Opened < t.state.Step+uint64(t.o.Ahead) {
+	for t.state.Opened < t.lastStep()+uint64(t.o.Ahead) {
 		step := t.state.Opened + 1
 		prompts := make([]string, t.o.Prompts)
 		for i := range prompts {
@@ -334,7 +357,7 @@
 			return err
 		}
 	}
-	for t.received(t.state.Step) < t.o.Prompts*t.o.GroupSize {
+	for t.lacks() > 0 {
 		if err := t.draw(ctx); err != nil {
 			return err
 		}
@@ -406,7 +429,11 @@
 		"draw_id":    t.state.DrawID,
 		"max_groups": t.o.MaxGroups,
 		"wait_ms":    t.o.Wait.Milliseconds(),
-		"up_to_step": t.state.Step,
+	}
+	if t.o.TrainGroups > 0 {
+		request["max_groups"] = min(t.o.MaxGroups, t.lacks())
+	} else {
+		request["up_to_step"] = t.state.Step
 	}
 	var answer trainerDraw
 	if err := t.post(ctx, "draws", request, &answer); err != nil {
@@ -443,6 +470,7 @@
 	defer t.mu.Unlock()
 	t.state.Draws++
 	t.state.Accepted = true
+	t.state.Got += len(d.Groups)
 	for _, g := range d.Groups {
 		if len(g.Samples) != t.o.GroupSize {
 			t.violate("group %d of step %d has %d samples, not %d", g.Group, g.Step, len(g.Samples), t.o.GroupSize)
