rollout: functions may be added to a ledger that already applies commands

The daemon starts the replica before the coordinator, so OnChange could change the list while Apply read it. The test reports a data race without the lock.

--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -158,11 +159,18 @@
 func (l *Ledger) UseRules(rules func(trainer string) (Rules, bool)) { l.rules = rules }
 
 // OnChange adds a function that is called after each applied command. It must
-// not block. Functions are added before the first command.
-func (l *Ledger) OnChange(f func()) { l.onChange = append(l.onChange, f) }
+// not block. A replica may already apply commands when functions are added.
+func (l *Ledger) OnChange(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onChange = append(slices.Clone(l.onChange), f)
+}
 
 func (l *Ledger) changed() {
-	for _, f := range l.onChange {
+	l.mu.RLock()
+	functions := l.onChange
+	l.mu.RUnlock()
+	for _, f := range functions {
 		f()
 	}
 }
--- a/rollout/ledger_test.go
+++ b/rollout/ledger_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -313,3 +314,24 @@
 	}
 	is.True(sizes[3000] < sizes[1500]+64) // counters may take a few bytes more
 }
+
+// Guards against a data race when a coordinator starts while its replica already
+// applies the log; the race detector reports it.
+func TestOnChangeWhileApplying(t *testing.T) {
+	is := is.New(t)
+	l := openLedger(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range uint64(100) {
+			l.Apply(i+2, 1, commitTest(0, fmt.Sprint(i)).Encode())
+		}
+	}()
+	var calls atomic.Int64
+	for range 10 {
+		l.OnChange(func() { calls.Add(1) })
+	}
+	<-done
+	l.Apply(200, 1, commitTest(1, "x").Encode())
+	is.True(calls.Load() >= 10)
+}
