Processes load accepted texts without checking them again

A check of 2,600 targets takes 39 ms of processor time and a load about 10; every process of the fleet spent the check on each change. Also: propagation shows its state in the dump, proposals that are too large or meet an overloaded log are reported as not run, and log lines of the replica name their part once.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -52,7 +52,7 @@
 	if a.world != nil && a.world.ConfigDigest != "" && a.world.ConfigDigest == w.ConfigDigest {
 		return a.conf, nil
 	}
-	return config.Parse("configuration", w.ConfigText)
+	return config.Load(w.ConfigText)
 }
 
 // weightsFor returns what the pool of the place must serve.
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -16,6 +16,7 @@
 		Local:      d.hello,
 		Candidates: candidates,
 		Dial:       true,
+		Observer:   d.observer,
 		Client:     d.client,
 		Scheme:     d.tls.Scheme(),
 		OnWorld:    worlds.take,
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"merlinhall/config"
+	"merlinhall/consensus"
 	"merlinhall/control"
 	"merlinhall/link"
 	"merlinhall/replica"
@@ -197,8 +198,10 @@
 	switch {
 	case err == nil:
 		return nil
-	case eris.As(err, &notLeader), eris.Is(err, replica.ErrStopped), eris.Is(err, replica.ErrBusy):
+	case eris.As(err, &notLeader), eris.Is(err, replica.ErrStopped), eris.Is(err, replica.ErrBusy), eris.Is(err, consensus.ErrOverloaded):
 		return eris.Wrap(control.ErrNotLeader, err.Error())
+	case eris.Is(err, consensus.ErrTooLarge):
+		return eris.Wrap(control.ErrRejected, err.Error())
 	case eris.Is(err, replica.ErrUnknownOutcome), eris.Is(err, context.DeadlineExceeded), eris.Is(err, context.Canceled):
 		return eris.Wrap(control.ErrUnknownOutcome, err.Error())
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -54,6 +54,7 @@
 		Local:      d.hello,
 		Candidates: d.controlCandidates(),
 		Feeds:      parent,
+		Observer:   d.observer,
 		OnWorld:    e.OnWorld,
 	})
 	worker := rollout.NewWorker(rollout.WorkerOptions{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,7 +113,7 @@
 
 // OnWorld takes a new world. Worlds arrive with increasing index.
 func (e *Entry) OnWorld(w *wire.World) {
-	c, err := config.Parse(fmt.Sprintf("configuration version %d", w.ConfigVersion), w.ConfigText)
+	c, err := config.Load(w.ConfigText)
 	if err != nil {
 		e.log.WithError(err).Error("world ignored: its configuration does not parse")
 		return
--- a/replica/recover.go
+++ b/replica/recover.go
@@ -110,7 +110,7 @@
 	if info.Last != confirmed {
 		return info, eris.Wrapf(ErrNotConfirmed, "confirmed %+v, the log ends at %+v", confirmed, info.Last)
 	}
-	log.Warnf("replica: forcing a new group: group %x, members %+v, last entry %+v", info.Group, info.Members, info.Last)
+	log.Warnf("forcing a new group: group %x, members %+v, last entry %+v", info.Group, info.Members, info.Last)
 	next, err := forced(name, info)
 	if err != nil {
 		return info, err
@@ -122,7 +122,7 @@
 	info.State = *next.State
 	info.Last = Position{Term: next.State.Term, Index: info.Last.Index + 1}
 	info.Members = []consensus.Member{{ID: info.ID, Name: name}}
-	log.Warnf("replica: forced new group %x with %s (id %x) as its only member", info.Group, name, info.ID)
+	log.Warnf("forced new group %x with %s (id %x) as its only member", info.Group, name, info.ID)
 	return info, nil
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -121,7 +121,7 @@
 	r.publish()
 	o.Observer.Dump("replica", func() any { return r.Status() })
 	o.Observer.Gate("replica", r.ready)
-	r.log.Infof("replica: started as id %x with group %x", core.Status().ID, core.Status().Group)
+	r.log.Infof("started as id %x with group %x", core.Status().ID, core.Status().Group)
 	r.duty = o.System.Start("replica", mailboxCapacity, r)
 	r.duty.Every(tickPeriod, tickMessage{})
 	return r, nil
@@ -183,7 +183,7 @@
 	r.publish()
 	if err := r.core.Err(); err != nil && !r.reported {
 		r.reported = true
-		r.log.Errorf("replica: stopped until restart: %v", err)
+		r.log.Errorf("stopped until restart: %v", err)
 	}
 }
 
@@ -197,10 +197,10 @@
 	moved := old.Role != next.Role || old.Term != next.Term || old.LeaderID != next.LeaderID
 	regrouped := old.MemberIndex != next.MemberIndex || len(old.Members) != len(next.Members)
 	if moved {
-		r.log.Infof("replica: %s in term %d, leader %q", next.Role, next.Term, next.Leader)
+		r.log.Infof("%s in term %d, leader %q", next.Role, next.Term, next.Leader)
 	}
 	if regrouped {
-		r.log.Infof("replica: members are %+v from entry %d on", next.Members, next.MemberIndex)
+		r.log.Infof("members are %+v from entry %d on", next.Members, next.MemberIndex)
 	}
 	if r.options.OnStatus != nil && (moved || regrouped || old.Ready != next.Ready) {
 		r.options.OnStatus(next)
@@ -323,7 +323,7 @@
 func (r *Replica) send(m *consensus.Message) {
 	body, err := m.Encode()
 	if err != nil {
-		r.log.Errorf("replica: message to %s cannot be encoded: %v", m.ToName, err)
+		r.log.Errorf("message to %s cannot be encoded: %v", m.ToName, err)
 		return
 	}
 	frame := &wire.Consensus{Body: body}
@@ -356,7 +356,7 @@
 func (r *Replica) Deliver(frame *wire.Consensus) {
 	m, err := consensus.DecodeMessage(frame.Body)
 	if err != nil {
-		r.log.Warnf("replica: message is dropped: %v", err)
+		r.log.Warnf("message is dropped: %v", err)
 		return
 	}
 	if err := r.duty.Offer(m); err != nil {
