--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -62,6 +62,11 @@
 	c.send(call("c1", "POST", "/pay", ""))
 	got := c.answer("c1")
 	is.Equal(got[len(got)-1].End, wire.EndUnknown) // nobody may say that it did not run
+	ran := 0
+	for _, r := range service.Record().Requests {
+		ran += r.Runs
+	}
+	is.True(ran <= 1) // the call is not idempotent
 	c.until("suspect report", func() bool {
 		return slices.ContainsFunc(c.loads, func(l *wire.Load) bool { return l.Suspect })
 	})
