--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,9 @@
 	"merlinhall/wire"
 )
 
+// trainersPath starts the paths of the trainers' API.
+const trainersPath = "/v1/trainers/"
+
 func (d *Daemon) startEntry() error {
 	token, err := server.ReadToken(d.settings.Auth.TrainerToken)
 	if err != nil {
@@ -37,11 +41,22 @@
 	follower := d.followAll(e)
 	d.showWorld(follower.World)
 	d.observer.Gate("world", func() error { return holdsWorld(follower) })
-	mux := http.NewServeMux()
-	mux.Handle("/v1/trainers/", rollout.TrainerHandler(follower, func(given, _ string) bool { return token == "" || given == token }))
-	mux.Handle("/", e.Handler())
+	trainers := rollout.TrainerHandler(follower, func(given, _ string) bool { return token == "" || given == token })
 	d.drains = append(d.drains, e.Drain)
-	return d.serve(d.settings.Listen.Callers, mux, false)
+	return d.serve(d.settings.Listen.Callers, splitTrainers(trainers, e.Handler()), false)
+}
+
+// splitTrainers passes requests of trainers to one handler and all others to the
+// other. It is not an http.ServeMux, which redirects a path such as /svc//x
+// instead of passing it on.
+func splitTrainers(trainers, callers http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, trainersPath) {
+			trainers.ServeHTTP(w, r)
+			return
+		}
+		callers.ServeHTTP(w, r)
+	})
 }
 
 // followAll connects an entry to every control replica: it subscribes on one,
@@ -102,11 +117,19 @@
 		MinVersion: g.MinVersion,
 		Priority:   &priority,
 		Caller:     g.Sample.Trainer,
-		Deadline:   time.UnixMilli(g.Deadline),
+		Deadline:   deadlineOf(g),
 	})
 	return result.Tokens, 0, err
 }
 
+// deadlineOf returns the deadline of a job, zero when it has none.
+func deadlineOf(g *wire.Generate) time.Time {
+	if g.Deadline == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(g.Deadline)
+}
+
 // CallService implements rollout.Runner.
 func (r entryRunner) CallService(ctx context.Context, service, path, requestID string, body []byte) ([]byte, error) {
 	deadline, _ := ctx.Deadline()
