rollout: fresh samples wait for engines that have swapped

A pool swaps in turns. FreshStart asks for the trainer's version for 20 s after a publication; the entry holds such samples until an engine serves it, and later starts take any engine within the bound.

If no engine of a pool can load the version, samples started in these 20 s wait until their deadline before they are tried on the old weights.

Samples in the model now stay away from engines with a full batch, as the in-flight bound of a pool has it.

--- a/experiment/rollout_model.go
+++ b/experiment/rollout_model.go
@@ -62,6 +62,7 @@
 	inFlightShare  = 0.92 // of all slots; the rest is for callers
 	warmUp         = 2    // training steps that are not measured
 	jobDeadline    = time.Hour
+	maxOnEngine    = rolloutSlots + 2 // sequences of one engine at which entries send no more samples
 	retryPlacement = 100 * time.Millisecond
 )
 
@@ -228,10 +229,18 @@
 		t.Down = e.down
 		t.Swapping = e.swapping > 0 && !m.o.Baseline
 		t.Version = e.versions[pool]
+		if s.job != nil && !m.o.Baseline {
+			t.Limit = maxOnEngine
+		} else {
+			t.Limit = 0
+		}
 		t.Cache.Advance(m.events.now)
 	}
 	m.turn++
 	r := routing.Request{Zone: zone, Prefixes: []uint64{s.prompt}, ZoneCost: routing.DefaultZoneCost, Turn: m.turn}
+	if s.job != nil && s.done == 0 {
+		r.MinVersion = s.job.MinVersion
+	}
 	if m.o.Baseline {
 		r.Policy = routing.RoundRobin
 	}
--- a/experiment/rollout_report.go
+++ b/experiment/rollout_report.go
@@ -87,6 +87,7 @@
 		{name: "nearest group", policies: rollout.Policies{NearestGroup: true}},
 		{name: "predicted length", policies: rollout.Policies{PredictLength: true}},
 		{name: "cancel too old", policies: rollout.Policies{CancelTooOld: true}},
+		{name: "fresh start", policies: rollout.Policies{FreshStart: true}},
 		{name: "second copy", policies: rollout.Policies{SecondCopy: true}},
 		{name: "one spare", policies: rollout.Policies{Spares: 1}},
 		{name: "all but spares", policies: all},
@@ -95,10 +96,10 @@
 		v.ahead, v.surplus = 1, 0.25
 		list = append(list, v)
 	}
-	for _, s := range [][2]float64{{0, 0}, {0, 0.125}, {0, 0.1875}, {0, 0.25}, {0, 0.5}, {0, 0.75}, {0.75, 0.25}, {1.25, 0.25}} {
+	for _, s := range [][2]float64{{0, 0}, {0, 0.125}, {0, 0.25}, {0, 0.5}, {0, 0.75}, {0, 1}, {0, 1.25}} {
 		list = append(list, variant{name: "default", policies: rollout.DefaultPolicies(), ahead: s[0], surplus: s[1]})
 	}
-	for _, s := range [][2]float64{{0, 0.125}, {0, 0.25}, {0, 0.5}, {0, 0.75}} {
+	for _, s := range [][2]float64{{0, 0.25}, {0, 0.75}, {0, 1}} {
 		list = append(list, variant{name: "default and spare", policies: spare, ahead: s[0], surplus: s[1]})
 	}
 	return list
--- a/rollout/assign.go
+++ b/rollout/assign.go
@@ -200,6 +200,15 @@
 	return Sampling{}
 }
 
+// startVersion returns the oldest version on which a sample may start.
+func (p *Planner) startVersion(now time.Time, trainer string) uint64 {
+	a := p.trainers[trainer].aging
+	if p.o.Policies.FreshStart && a.Interval > 0 && now.Before(a.Advanced.Add(freshWindow)) {
+		return a.Version
+	}
+	return p.minVersion(trainer)
+}
+
 func (p *Planner) generate(now time.Time, j *job) *wire.Generate {
 	g, t := p.groups[j.group], p.trainers[j.group.trainer]
 	plan, _ := p.o.Trainer(j.group.trainer)
@@ -224,7 +233,7 @@
 			Adapter:     sampling.Adapter,
 			Temperature: sampling.Temperature,
 		},
-		MinVersion: p.minVersion(j.group.trainer),
+		MinVersion: p.startVersion(now, j.group.trainer),
 		Scorer:     plan.Scorer,
 		Priority:   priority,
 		Deadline:   now.Add(plan.Deadline).UnixMilli(),
--- a/rollout/planner_test.go
+++ b/rollout/planner_test.go
@@ -292,3 +292,23 @@
 	is.Equal(len(r.jobs), 0) // all abandoned
 	is.Equal(r.p.inFlight, 0)
 }
+
+// Guards against fresh starts that hold a sample up after the pool had time to
+// swap, or that apply before the trainer's pace is known.
+func TestFreshStart(t *testing.T) {
+	is := is.New(t)
+	o := testPlanner()
+	o.Policies = Policies{FreshStart: true}
+	view := testView("abay")
+	r := newPlannerRun(o)
+	r.start(view, "e1")
+	oldest := func() uint64 { return r.jobs[sortedKeys(r.jobs)[0]].MinVersion }
+	is.Equal(oldest(), uint64(0)) // version 1, bound 1
+	view.Trainers[0].Version = 5
+	r.now = r.now.Add(time.Minute)
+	r.step(ViewChanged{view})
+	is.Equal(r.p.startVersion(r.now, "abay"), uint64(5))
+	is.Equal(r.p.startVersion(r.now.Add(freshWindow), "abay"), uint64(4))
+	r.p.o.Policies.FreshStart = false
+	is.Equal(r.p.startVersion(r.now, "abay"), uint64(4))
+}
--- a/rollout/policy.go
+++ b/rollout/policy.go
@@ -19,6 +19,10 @@
 	// Spares is the number of samples generated beyond the group size. The first
 	// to finish make the group, which favours short samples.
 	Spares int
+	// FreshStart keeps samples that start shortly after a publication away from
+	// engines that have not swapped yet; they would be stale from their first
+	// token.
+	FreshStart bool
 	// SecondCopy starts a sample that runs late a second time on another entry.
 	SecondCopy bool
 }
@@ -27,13 +31,13 @@
 // experiment a second copy wastes 7% of the tokens and saves no time, because
 // the engines are equally fast.
 func DefaultPolicies() Policies {
-	return Policies{NearestGroup: true, PredictLength: true, CancelTooOld: true}
+	return Policies{NearestGroup: true, PredictLength: true, CancelTooOld: true, FreshStart: true}
 }
 
 // AllPolicies returns every policy switched on. Spares stay off because they
 // bias a group towards short samples.
 func AllPolicies() Policies {
-	return Policies{NearestGroup: true, PredictLength: true, CancelTooOld: true, SecondCopy: true}
+	return Policies{NearestGroup: true, PredictLength: true, CancelTooOld: true, FreshStart: true, SecondCopy: true}
 }
 
 const (
@@ -44,6 +48,10 @@
 	minHistory = 16
 	// lateQuantile is the share of samples that finish before one is called late.
 	lateQuantile = 0.95
+	// freshWindow is the time after a publication for which FreshStart applies. A
+	// pool swaps within 17 s; later starts take what engines there are, so that a
+	// failed swap holds nothing up.
+	freshWindow = 20 * time.Second
 	// lateFactor times the late quantile is the run time at which a sample gets a
 	// second copy.
 	lateFactor = 1.25
