--- a/cli/config.go
+++ b/cli/config.go
@@ -30,11 +30,7 @@
 func (e *env) validate(errOut io.Writer) *ffcli.Command {
 	return e.command(newFlags("validate", errOut), "merlinhall validate <file>", "check a configuration text without a system",
 		func(_ context.Context, args []string) error {
-			file, err := oneArg(args, "a file")
-			if err != nil {
-				return err
-			}
-			text, err := os.ReadFile(file)
+			file, text, err := readArg(args)
 			if err != nil {
 				return err
 			}
@@ -42,6 +38,15 @@
 		})
 }
 
+// readArg reads the file that is the only argument of a command.
+func readArg(args []string) (file string, text []byte, err error) {
+	if file, err = oneArg(args, "a file"); err != nil {
+		return "", nil, err
+	}
+	text, err = os.ReadFile(file)
+	return file, text, err
+}
+
 func (e *env) reportFaults(file string, text []byte) error {
 	c, err := config.Parse(file, text)
 	if err != nil {
@@ -63,11 +68,7 @@
 	wait := fs.Duration("wait", 0, "wait so long until every process holds the version")
 	return e.command(fs, "merlinhall apply [flags] <file>", "submit a configuration text",
 		func(ctx context.Context, args []string) error {
-			file, err := oneArg(args, "a file")
-			if err != nil {
-				return err
-			}
-			text, err := os.ReadFile(file)
+			file, text, err := readArg(args)
 			if err != nil {
 				return err
 			}
@@ -236,11 +237,7 @@
 	fs := newFlags("diff", errOut)
 	version := fs.Uint64("version", 0, "version to compare with; 0 is the current one")
 	return e.command(fs, "merlinhall diff [--version N] <file>", "show what a text would change", func(ctx context.Context, args []string) error {
-		file, err := oneArg(args, "a file")
-		if err != nil {
-			return err
-		}
-		text, err := os.ReadFile(file)
+		_, text, err := readArg(args)
 		if err != nil {
 			return err
 		}
