--- a/rollout/policy.go
+++ b/rollout/policy.go
@@ -21,7 +21,8 @@
 	Spares int
 	// FreshStart keeps samples that start shortly after a publication away from
 	// engines that have not swapped yet; they would be stale from their first
-	// token.
+	// token. In the rollout experiment it takes the mean staleness of Abay from
+	// 1.13 to 1.00 and the idle time from 23.0 % to 24.1 %.
 	FreshStart bool
 	// SecondCopy starts a sample that runs late a second time on another entry.
 	SecondCopy bool
