--- a/daemon/control.go
+++ b/daemon/control.go
@@ -25,8 +25,9 @@
 	// maxJobsPerEntry bounds the samples of one entry, so that the loss of an entry
 	// repeats a bounded part of the work.
 	maxJobsPerEntry = 256
-	// rolloutPriority is below that of callers, who wait for their answers.
-	rolloutPriority = -1
+	// rolloutPriority is below that of callers, who wait for their answers, also when
+	// the planner raises it by one for a group that is nearly whole.
+	rolloutPriority = -2
 )
 
 func (d *Daemon) startControl() error {
