--- a/observe/observe_test.go
+++ b/observe/observe_test.go
@@ -39,7 +39,7 @@
 	code, _ := get(t, o, "/readyz")
 	is.Equal(code, http.StatusServiceUnavailable)
 	o.SetReady(true)
-	var failure error = eris.New("no leader is known")
+	failure := eris.New("no leader is known")
 	o.Gate("replica", func() error { return failure })
 	code, text := get(t, o, "/readyz")
 	is.Equal(code, http.StatusServiceUnavailable)
