link: look for silence and heartbeats only when one may be due

Cause: each connection woke a goroutine each 500 ms. An end that sent a load report each second also sent a heartbeat beside it when its looks fell between 750 ms and 1 s after the report.

The loop now sleeps until a heartbeat or the silence limit may be due. A heartbeat goes out when the last frame is 1.25 s old, which was the latest moment before as well; a silent link is closed after 2.5 s, where it was up to 3 s. A wall clock that is set back puts off no look for longer than a heartbeat.

Ruled out: longer heartbeats, which the silence limit does not allow.

--- a/link/link.go
+++ b/link/link.go
@@ -23,8 +23,13 @@
 	// beside each load report, 48 idle links cost an entry more than half of the 1%
 	// of a core that it may spend on control.
 	HeartbeatPeriod = 1 * time.Second
-	// heartbeatCheck is the period of the checks for silence of either end.
-	heartbeatCheck = 500 * time.Millisecond
+	// heartbeatAfter is the age of the last frame at which a heartbeat is sent. It
+	// is above HeartbeatPeriod, so that a frame that comes each HeartbeatPeriod, like
+	// a load report, makes heartbeats unnecessary.
+	heartbeatAfter = HeartbeatPeriod + HeartbeatPeriod/4
+	// eventCheck is the time between two checks for silence while an event handler
+	// runs.
+	eventCheck = 500 * time.Millisecond
 	// SilenceLimit is the time without any frame after which a connection is given
 	// up. Frames come at least every 1.5 s, so that a delay of a second changes
 	// nothing.
@@ -204,27 +209,50 @@
 	return true
 }
 
-// heartbeatLoop sends heartbeats and closes a silent connection. While an event
-// handler runs nothing is read, so that time does not count as silence.
+// heartbeatLoop sends heartbeats and closes a silent connection. It sleeps until
+// one of the two may be due.
 func (c *Conn) heartbeatLoop() {
-	ticker := time.NewTicker(heartbeatCheck)
-	defer ticker.Stop()
+	timer := time.NewTimer(heartbeatAfter)
+	defer timer.Stop()
 	var sequence uint64
 	for {
 		select {
 		case <-c.closed:
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		if since(&c.lastSent) > HeartbeatPeriod-heartbeatCheck/2 {
-			sequence++
-			_ = c.Send(&wire.Ping{Sequence: sequence})
-		}
-		if since(&c.lastRead) > SilenceLimit && !c.inEvent.Load() {
+		ping, silent, wait := due(since(&c.lastSent), since(&c.lastRead), c.inEvent.Load())
+		if silent {
 			c.Close(ErrSilent)
 			return
 		}
+		if ping {
+			sequence++
+			_ = c.Send(&wire.Ping{Sequence: sequence})
+		}
+		timer.Reset(wait)
+	}
+}
+
+// due decides what an end does when its last frame was sent and read the given
+// times ago, and when it looks again. While an event handler runs nothing is read,
+// so that time does not count as silence. A wall clock that was set back makes the
+// times negative and must not put off the next look.
+func due(sent, read time.Duration, inEvent bool) (ping, silent bool, wait time.Duration) {
+	ping = sent >= heartbeatAfter
+	wait = heartbeatAfter
+	if !ping {
+		wait = min(wait, heartbeatAfter-sent)
+	}
+	switch {
+	case read <= SilenceLimit:
+		wait = min(wait, SilenceLimit-read+time.Millisecond)
+	case inEvent:
+		wait = min(wait, eventCheck)
+	default:
+		silent = true
 	}
+	return ping, silent, wait
 }
 
 func since(at *atomic.Int64) time.Duration { return time.Since(time.Unix(0, at.Load())) }
