replica: a follower of a live leader needs no ticks

Cause: a replica ticked each 20 ms, although a follower that has just heard its leader has nothing to do before the shortest election timeout.

A follower leaves ticks out for half of the shortest election timeout after each message of the leader of its term; then it ticks each 20 ms again, so that elections and discovery begin when they did before. Leaders, candidates and replicas without a leader keep ticks of 20 ms, as consensus.Tick asks. For a follower the ticks that are left out are those that can do nothing.

Ruled out: a slower tick for all, which would stretch heartbeats and the end of a lease; sleeping until the exact next deadline, which package consensus does not tell.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	cryptorand "crypto/rand"
 	"encoding/binary"
@@ -22,6 +23,9 @@
 const (
 	// tickPeriod is a fifth of a heartbeat.
 	tickPeriod = 20 * time.Millisecond
+	// restShare is the part of the shortest election timeout for which a follower
+	// needs no tick after it heard its leader.
+	restShare = 2
 	// mailboxCapacity bounds waiting messages; the wire protocol survives the loss
 	// of those beyond it.
 	mailboxCapacity = 8192
@@ -64,6 +68,9 @@
 	peers   *peers
 	metrics *metrics
 	status  atomic.Pointer[Status]
+	alarm   *duty.Alarm   // of the next tick
+	rest    time.Duration // of a follower after a message of its leader
+	heard   time.Duration // when the last such message was handled
 
 	// flushing is set while a flush message is in the mailbox. It is used by the
 	// duty's goroutine alone.
@@ -104,6 +111,7 @@
 	config.Name = o.Name
 	config.Peers = o.Peers
 	config.Rand = rand.New(rand.NewPCG(randomID(), randomID()))
+	r.rest = cmp.Or(config.ElectionMin, consensus.DefaultElectionMin) / restShare
 	core, err := OpenCore(CoreOptions{
 		Consensus:     config,
 		FS:            fs,
@@ -123,8 +131,8 @@
 	o.Observer.Gate("replica", r.ready)
 	r.log.Infof("started as id %x with group %x", core.Status().ID, core.Status().Group)
 	r.duty = o.System.Start("replica", mailboxCapacity, r)
-	r.duty.Every(tickPeriod, tickMessage{})
-	return r, nil
+	r.alarm = r.duty.NewAlarm(tickMessage{})
+	return r, r.offer(tickMessage{})
 }
 
 func randomID() uint64 {
@@ -153,11 +161,38 @@
 // together and share one sync: the flush message queues behind them.
 func (r *Replica) Receive(msg any) {
 	now := r.now()
+	r.handle(now, msg)
+	r.alarm.Ring(r.start.Add(now), r.start.Add(r.nextTick(now)))
+}
+
+// nextTick returns the time of the next tick. What ticks bring about in a
+// follower, elections and the search for a leader, is at least the shortest
+// election timeout away when the leader has just been heard.
+func (r *Replica) nextTick(now time.Duration) time.Duration {
+	next := now + tickPeriod
+	if s := r.status.Load(); s.Role == consensus.RoleFollower && s.LeaderID != 0 {
+		return max(next, r.heard+r.rest)
+	}
+	return next
+}
+
+// note takes the time of a message that keeps this follower from an election.
+func (r *Replica) note(now time.Duration, m *consensus.Message) {
+	s := r.status.Load()
+	leads := m.Kind == consensus.MsgAppend || m.Kind == consensus.MsgSnapshot
+	if leads && m.From == s.LeaderID && m.Term == s.Term {
+		r.heard = now
+	}
+}
+
+func (r *Replica) handle(now time.Duration, msg any) {
 	switch m := msg.(type) {
 	case tickMessage:
+		r.alarm.Rang()
 		r.core.Tick(now)
 	case *consensus.Message:
 		r.core.Receive(now, m)
+		r.note(now, m)
 	case proposeCall:
 		r.core.Propose(now, m.command, m.done)
 	case readCall:
