rollout: tick the coordinator fast only while it plans

Cause: the coordinator of each control replica ticked each 100 ms, also on followers and without a step to plan.

It now ticks each 100 ms while it leads and has jobs or groups, or while a body waits for its majority, and otherwise each second for repairs, as often as repairs are due. Messages and changes of the ledger wake it as before. A change of the ledger that met a full mailbox while nothing was planned is noticed after a second instead of 100 ms.

The test fails when jobs are not regarded.

--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -18,7 +18,8 @@
 const (
 	// coordinatorMailbox is the capacity of the coordinator's mailbox.
 	coordinatorMailbox = 16384
-	// coordinatorTick is the period of the planner's clock.
+	// coordinatorTick is the period of the planner's clock while it plans. Otherwise
+	// the coordinator is woken by messages and each repairPeriod.
 	coordinatorTick = 100 * time.Millisecond
 	// proposeLimit bounds the wait for one proposal.
 	proposeLimit = 5 * time.Second
@@ -61,6 +62,7 @@
 	changes *broadcast
 	links   links
 	bodies  bodies
+	alarm   *duty.Alarm // of the next tick
 
 	seen    uint64 // revision of the last view
 	leading bool
@@ -122,11 +124,12 @@
 	c.bodies.init()
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.duty = o.System.Start("rollout coordinator", coordinatorMailbox, duty.HandlerFunc(c.receive))
+	c.alarm = c.duty.NewAlarm(clockTick{})
 	o.Ledger.OnChange(func() {
 		c.changes.notify()
 		_ = c.duty.Offer(ledgerChanged{})
 	})
-	c.duty.Every(coordinatorTick, clockTick{})
+	c.offer(clockTick{})
 	c.observe(o.Observer)
 	return c, nil
 }
@@ -167,6 +170,15 @@
 
 func (c *Coordinator) receive(msg any) {
 	now := time.Now()
+	c.handle(now, msg)
+	if len(c.bodies.seals) > 0 || c.planner.planning() {
+		c.alarm.Ring(now, now.Add(coordinatorTick))
+		return
+	}
+	c.alarm.Ring(now, now.Add(repairPeriod))
+}
+
+func (c *Coordinator) handle(now time.Time, msg any) {
 	switch m := msg.(type) {
 	case linkUp:
 		c.linkUp(now, m)
@@ -179,6 +191,7 @@
 	case ledgerChanged:
 		c.ledgerChanged(now)
 	case clockTick:
+		c.alarm.Rang()
 		c.tick(now)
 	case putDone:
 		c.putDone(m)
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -183,6 +183,11 @@
 	p.backlog = true
 }
 
+// planning reports whether time may bring about more than forgetting an entry.
+func (p *Planner) planning() bool {
+	return p.leading && (len(p.jobs) > 0 || len(p.groups) > 0)
+}
+
 func (p *Planner) act(a any) { p.actions = append(p.actions, a) }
 
 // lead starts with nothing planned. A former leader sends no abandon: its jobs
--- /dev/null
+++ b/rollout/rest_test.go
@@ -0,0 +1,25 @@
+package rollout
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a planner whose clock stands still while a group or a job may
+// need it, and against an idle control replica that ticks.
+func TestPlannerNeedsClockWhilePlanning(t *testing.T) {
+	is := is.New(t)
+	p := NewPlanner(PlannerOptions{})
+	is.True(!p.planning())
+	p.leading = true
+	is.True(!p.planning())
+	p.groups[groupID{}] = &groupPlan{}
+	is.True(p.planning())
+	p.leading = false
+	is.True(!p.planning())
+	p.leading = true
+	delete(p.groups, groupID{})
+	p.jobs["j"] = &job{}
+	is.True(p.planning())
+}
