replica: pace ticks by one ticker

The likely cause, not shown by a profile, is that a timer set by a running thread interrupts another one that polls the network with a later deadline; a ticker sets itself again without.

duty.Pace is Every with a period that the handler may change. The leader ticks each 20 ms, a follower each half of the shortest election timeout while its leader is heard; the second such tick after the last message comes no later than the timeout, and ticks are each 20 ms from the first that finds the leader quiet.

The test fails when a silent leader does not end the rest.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -118,21 +118,44 @@
 
 // Every offers msg each period until the duty stops. A tick that meets a full
 // mailbox is skipped.
-func (d *Duty) Every(period time.Duration, msg any) {
+func (d *Duty) Every(period time.Duration, msg any) { d.NewPace(period, msg).Start() }
+
+// Pace is Every with a period that the handler may change.
+type Pace struct {
+	duty   *Duty
+	msg    any
+	ticker *time.Ticker
+	period time.Duration
+}
+
+// NewPace returns a pace that offers nothing before Start.
+func (d *Duty) NewPace(period time.Duration, msg any) *Pace {
+	return &Pace{duty: d, msg: msg, ticker: time.NewTicker(period), period: period}
+}
+
+// Start offers messages until the duty stops.
+func (p *Pace) Start() {
 	go func() {
-		ticker := time.NewTicker(period)
-		defer ticker.Stop()
+		defer p.ticker.Stop()
 		for {
 			select {
-			case <-ticker.C:
-				_ = d.Offer(msg)
-			case <-d.done:
+			case <-p.ticker.C:
+				_ = p.duty.Offer(p.msg)
+			case <-p.duty.done:
 				return
 			}
 		}
 	}()
 }
 
+// Set changes the period. It is called by the duty's handler alone.
+func (p *Pace) Set(period time.Duration) {
+	if period != p.period {
+		p.period = period
+		p.ticker.Reset(period)
+	}
+}
+
 // alarmRetry is the pause before an alarm tries a full mailbox again.
 const alarmRetry = 10 * time.Millisecond
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -23,8 +23,9 @@
 const (
 	// tickPeriod is a fifth of a heartbeat.
 	tickPeriod = 20 * time.Millisecond
-	// restShare is the part of the shortest election timeout for which a follower
-	// needs no tick after it heard its leader.
+	// restShare is the part of the shortest election timeout that lies between two
+	// ticks of a follower that has just heard its leader. The second tick after the
+	// last message comes before the timeout.
 	restShare = 2
 	// mailboxCapacity bounds waiting messages; the wire protocol survives the loss
 	// of those beyond it.
@@ -68,8 +69,8 @@
 	peers   *peers
 	metrics *metrics
 	status  atomic.Pointer[Status]
-	alarm   *duty.Alarm   // of the next tick
-	rest    time.Duration // of a follower after a message of its leader
+	pace    *duty.Pace    // of ticks
+	rest    time.Duration // period of ticks after a message of the leader
 	heard   time.Duration // when the last such message was handled
 
 	// flushing is set while a flush message is in the mailbox. It is used by the
@@ -131,8 +132,9 @@
 	o.Observer.Gate("replica", r.ready)
 	r.log.Infof("started as id %x with group %x", core.Status().ID, core.Status().Group)
 	r.duty = o.System.Start("replica", mailboxCapacity, r)
-	r.alarm = r.duty.NewAlarm(tickMessage{})
-	return r, r.offer(tickMessage{})
+	r.pace = r.duty.NewPace(tickPeriod, tickMessage{})
+	r.pace.Start()
+	return r, nil
 }
 
 func randomID() uint64 {
@@ -162,18 +164,18 @@
 func (r *Replica) Receive(msg any) {
 	now := r.now()
 	r.handle(now, msg)
-	r.alarm.Ring(r.start.Add(now), r.start.Add(r.nextTick(now)))
+	r.pace.Set(r.period(now))
 }
 
-// nextTick returns the time of the next tick. What ticks bring about in a
-// follower, elections and the search for a leader, is at least the shortest
-// election timeout away when the leader has just been heard.
-func (r *Replica) nextTick(now time.Duration) time.Duration {
-	next := now + tickPeriod
-	if s := r.status.Load(); s.Role == consensus.RoleFollower && s.LeaderID != 0 {
-		return max(next, r.heard+r.rest)
+// period returns the time between ticks. What ticks bring about in a follower,
+// elections and the search for a leader, is at least the shortest election timeout
+// away when the leader has just been heard.
+func (r *Replica) period(now time.Duration) time.Duration {
+	s := r.status.Load()
+	if s.Role == consensus.RoleFollower && s.LeaderID != 0 && now < r.heard+r.rest {
+		return r.rest
 	}
-	return next
+	return tickPeriod
 }
 
 // note takes the time of a message that keeps this follower from an election.
@@ -188,7 +190,6 @@
 func (r *Replica) handle(now time.Duration, msg any) {
 	switch m := msg.(type) {
 	case tickMessage:
-		r.alarm.Rang()
 		r.core.Tick(now)
 	case *consensus.Message:
 		r.core.Receive(now, m)
--- a/replica/rest_test.go
+++ b/replica/rest_test.go
@@ -19,22 +19,22 @@
 		r.status.Store(&Status{Status: consensus.Status{Role: role, LeaderID: leader, Term: 3}})
 	}
 	set(consensus.RoleFollower, 7)
-	is.Equal(r.nextTick(now), now+tickPeriod) // nothing heard yet
+	is.Equal(r.period(now), tickPeriod) // nothing heard yet
 	for _, m := range []consensus.Message{
 		{Kind: consensus.MsgAppend, From: 8, Term: 3},       // another replica
 		{Kind: consensus.MsgAppend, From: 7, Term: 2},       // an ended term
 		{Kind: consensus.MsgPreVoteReply, From: 7, Term: 3}, // not as a leader
 	} {
 		r.note(now, &m)
-		is.Equal(r.nextTick(now), now+tickPeriod)
+		is.Equal(r.period(now), tickPeriod)
 	}
 	r.note(now, &consensus.Message{Kind: consensus.MsgAppend, From: 7, Term: 3})
-	is.Equal(r.nextTick(now), now+r.rest)
-	is.Equal(r.nextTick(now+r.rest), now+r.rest+tickPeriod) // the leader is silent
+	is.Equal(r.period(now), r.rest)
+	is.Equal(r.period(now+r.rest), tickPeriod) // the leader is silent
 	for _, role := range []consensus.Role{consensus.RoleLeader, consensus.RoleCandidate, consensus.RoleFresh} {
 		set(role, 7)
-		is.Equal(r.nextTick(now), now+tickPeriod)
+		is.Equal(r.period(now), tickPeriod)
 	}
 	set(consensus.RoleFollower, 0)
-	is.Equal(r.nextTick(now), now+tickPeriod)
+	is.Equal(r.period(now), tickPeriod)
 }
