--- a/link/link.go
+++ b/link/link.go
@@ -31,7 +31,7 @@
 	// runs.
 	eventCheck = 500 * time.Millisecond
 	// SilenceLimit is the time without any frame after which a connection is given
-	// up. Frames come at least every 1.5 s, so that a delay of a second changes
+	// up. Frames come at least every 1.25 s, so that a delay of a second changes
 	// nothing.
 	SilenceLimit = 2500 * time.Millisecond
 	// writeLimit bounds one write; a peer that does not read for so long is
