--- a/entry/request.go
+++ b/entry/request.go
@@ -101,12 +101,17 @@
 	finish struct{ result Result }
 )
 
-func (send) isAction()    {}
+func (send) isAction() {}
+
 func (abandon) isAction() {}
+
 func (deliver) isAction() {}
-func (route) isAction()   {}
-func (blame) isAction()   {}
-func (finish) isAction()  {}
+
+func (route) isAction() {}
+
+func (blame) isAction() {}
+
+func (finish) isAction() {}
 
 // rules switches single safety rules off, for tests that show that the history
 // checker finds their absence. The zero value has every rule on.
@@ -370,40 +375,6 @@
 	return r.moveRefused(m.Reason, time.Duration(m.RetryAfterMs)*time.Millisecond)
 }
 
-// moveRefused handles an agent that did not run the request and never will. This
-// holds for RefusedUnknownID as well: the agent forbids the id before it answers,
-// so a Run that is still under way on an old connection is refused.
-func (r *request) moveRefused(reason wire.RefusedReason, retryAfter time.Duration) []action {
-	if transient(reason) {
-		r.fruitless--
-	}
-	r.advised = max(r.advised, retryAfter)
-	actions := r.move("agent refused: " + string(reason))
-	for i, a := range actions {
-		if m, ok := a.(route); ok {
-			m.refused = reason
-			actions[i] = m
-		}
-	}
-	if reason == wire.RefusedTargetDown {
-		actions = append(actions, blame{r.target})
-	}
-	return actions
-}
-
-// transient reports whether a refusal says nothing of the request or the load: a
-// change of configuration is under way, or the Run was lost with its link. The
-// target gets no new work for a while, so such refusals do not count against the
-// attempts or the retry budget. A silent link loses the Runs of two seconds; with
-// them counted, one such link spent the budget of its service.
-func transient(reason wire.RefusedReason) bool {
-	switch reason {
-	case wire.RefusedLeaving, wire.RefusedNotReady, wire.RefusedStale, wire.RefusedUnknownID:
-		return true
-	}
-	return false
-}
-
 func (r *request) onRevoked(now time.Time, m *wire.Revoked) []action {
 	if !r.current(m.ID) {
 		return nil
@@ -487,18 +458,6 @@
 	return r.taken + creditWindow - r.base
 }
 
-func (r *request) onCallerGone() []action {
-	return append(r.drop(), r.end(Result{Outcome: OutcomeUnknown, Status: statusCallerGone, Detail: "the caller left"})...)
-}
-
-// drop cancels the current attempt.
-func (r *request) drop() []action {
-	if r.phase == phaseWaiting {
-		return nil
-	}
-	return []action{abandon{r.target, r.attempt, r.boot}}
-}
-
 func (r *request) onTick(now time.Time) []action {
 	if !now.Before(r.deadline) {
 		return r.onDeadline()
@@ -516,14 +475,6 @@
 	return nil
 }
 
-func (r *request) onDeadline() []action {
-	actions := r.drop()
-	if r.phase != phaseWaiting && r.next == 0 {
-		actions = append(actions, blame{r.target})
-	}
-	return append(actions, r.expire()...)
-}
-
 // ask repeats the question that the agent has not answered.
 func (r *request) ask() []action {
 	if r.phase == phaseRevoking {
@@ -532,56 +483,6 @@
 	return []action{send{target: r.target, message: r.attachMessage()}}
 }
 
-func (r *request) whileDown(quiet time.Duration) []action {
-	if r.run.Idempotent && quiet >= reattachLimit {
-		return append(r.drop(), r.lost("no link to the agent")...)
-	}
-	if quiet >= goneLimit {
-		return append(r.drop(), r.lost("no link to the agent")...)
-	}
-	return nil
-}
-
-// move sends the request to another target. The current attempt certainly did
-// not run.
-func (r *request) move(why string) []action {
-	r.fruitless++
-	if r.fruitless >= maxAttempts {
-		return r.giveUp(why, time.Second)
-	}
-	r.phase = phaseWaiting
-	return []action{route{avoid: r.target, why: why}}
-}
-
-// lost handles an attempt that may have run and whose answer cannot be had.
-func (r *request) lost(why string) []action {
-	r.maybeRan = !r.rules.forgetMaybeRan
-	if r.generation() {
-		if n := r.run.Generation.MaxTokens; n > 0 && len(r.tokens)+len(r.prefix) >= n {
-			return r.end(Result{Outcome: OutcomeDone})
-		}
-		return r.move(why)
-	}
-	if r.run.Idempotent && !r.committed {
-		return r.move(why)
-	}
-	return r.giveUp(why, 0)
-}
-
-// giveUp ends the request without a complete answer.
-func (r *request) giveUp(why string, retryAfter time.Duration) []action {
-	if r.rules.brokenIsComplete && r.shown() {
-		return r.end(Result{Outcome: OutcomeDone})
-	}
-	switch {
-	case r.shown():
-		return r.end(Result{Outcome: OutcomeUnknown, Status: statusBadGateway, Broken: true, Detail: why})
-	case r.maybeRan:
-		return r.end(Result{Outcome: OutcomeUnknown, Status: statusBadGateway, Detail: why})
-	}
-	return r.end(Result{Outcome: OutcomeNotRun, Status: statusUnavailable, RetryAfter: max(retryAfter, r.advised, time.Second), Detail: why})
-}
-
 // shown reports whether the caller has a part of the answer.
 func (r *request) shown() bool {
 	return r.committed || (r.generation() && r.delivered > 0)
@@ -596,31 +497,3 @@
 	r.committed = !r.rules.restartShown
 	return true
 }
-
-// expire ends the request because its deadline passed.
-func (r *request) expire() []action {
-	if r.phase == phaseWaiting {
-		return r.giveUp("deadline passed while the request waited", time.Second)
-	}
-	return r.end(Result{
-		Outcome: OutcomeUnknown,
-		Status:  statusTimeout,
-		Broken:  r.shown(),
-		Detail:  "deadline passed",
-	})
-}
-
-func (r *request) end(result Result) []action {
-	r.phase = phaseFinished
-	r.done = result.Outcome == OutcomeDone
-	result.Target = r.target
-	result.Attempts = r.attempts
-	return []action{finish{result}}
-}
-
-func reason(detail, fallback string) string {
-	if detail != "" {
-		return detail
-	}
-	return fallback
-}
--- /dev/null
+++ b/standin/trainer_http.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"merlinhall/wire"
+)
+
+type trainerDraw struct {
+	DrawID  string `json:"draw_id"`
+	Version uint64 `json:"version"`
+	Groups  []struct {
+		Step    uint64 `json:"step"`
+		Group   int    `json:"group"`
+		Samples []struct {
+			Trainer  string              `json:"trainer"`
+			Step     uint64              `json:"step"`
+			Group    int                 `json:"group"`
+			Index    int                 `json:"index"`
+			Tokens   []string            `json:"tokens"`
+			Versions []wire.VersionRange `json:"versions"`
+			Score    float64             `json:"score"`
+		} `json:"samples"`
+	} `json:"groups"`
+}
+
+// TrainerStatusError is an HTTP response other than 200.
+type TrainerStatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *TrainerStatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// post sends a request until it succeeds or can never succeed.
+func (t *Trainer) post(ctx context.Context, what string, request, response any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	for {
+		err := t.request(ctx, http.MethodPost, "/"+what, body, response)
+		var status *TrainerStatusError
+		if err == nil || errors.As(err, &status) && status.Status < 500 && status.Status != http.StatusTooManyRequests {
+			return err
+		}
+		t.o.Logf("%s: %v", what, err)
+		t.entry++
+		if err := sleep(ctx, trainerRetryPause); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *Trainer) request(ctx context.Context, method, path string, body []byte, response any) error {
+	base := t.o.Entries[t.entry%len(t.o.Entries)]
+	url := base + "/v1/trainers/" + t.o.Name + path
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+t.o.Token)
+	answer, err := t.o.Client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return &TrainerStatusError{Status: answer.StatusCode, Body: string(bytes.TrimSpace(text))}
+	}
+	if response == nil {
+		return nil
+	}
+	return json.Unmarshal(text, response)
+}
