rollout: job limits of zero are refused, failed scores are logged

Both were silent when the path was first put together: a planner without limits planned nothing, and a scorer that refused every body was asked for ever.

--- a/entry/target.go
+++ b/entry/target.go
@@ -29,7 +29,7 @@
 	// leavingFor is how long a refusal counts as a sign of departure against later
 	// load reports that may have been under way.
 	leavingFor = 2 * time.Second
-	// notReadyFor is how long a target that does not yet, or no longer, accept our
+	// notReadyFor is how long a target that does not yet, or no longer, accept the
 	// configuration version gets no new work.
 	notReadyFor = 200 * time.Millisecond
 )
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -115,6 +115,9 @@
 
 // NewCoordinator opens the body store and starts the coordinator.
 func NewCoordinator(o CoordinatorOptions) (*Coordinator, error) {
+	if o.Planner.MaxInFlight < 1 || o.Planner.MaxPerEntry < 1 {
+		return nil, eris.Errorf("rollout: the limits of jobs are %d in all and %d an entry, both must be above 0", o.Planner.MaxInFlight, o.Planner.MaxPerEntry)
+	}
 	store, err := OpenStore(filepath.Join(o.DataDir, bodyDir))
 	if err != nil {
 		return nil, err
--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -190,3 +190,11 @@
 		is.Equal(w.Code, want)
 	}
 }
+
+// Guards against limits of zero, with which a coordinator would plan no job and
+// say nothing.
+func TestLimitsOfJobsAreChecked(t *testing.T) {
+	is := is.New(t)
+	_, err := NewCoordinator(CoordinatorOptions{DataDir: t.TempDir()})
+	is.True(err != nil)
+}
--- a/rollout/worker.go
+++ b/rollout/worker.go
@@ -237,7 +237,7 @@
 	if err != nil {
 		return failJob(done, len(tokens), err)
 	}
-	score, err := scoreSample(ctx, w.o.Runner, g, tokens)
+	score, err := w.scoreSample(ctx, g, tokens)
 	if err != nil {
 		return failJob(done, len(tokens), err)
 	}
@@ -287,7 +287,7 @@
 // ScorePath is the path of the scoring call.
 const ScorePath = "/score"
 
-func scoreSample(ctx context.Context, r Runner, g *wire.Generate, tokens []wire.Token) (float64, error) {
+func (w *Worker) scoreSample(ctx context.Context, g *wire.Generate, tokens []wire.Token) (float64, error) {
 	if g.Scorer == "" {
 		return 0, nil
 	}
@@ -301,10 +301,11 @@
 	}
 	pause := scorePause
 	for {
-		score, err := callScorer(ctx, r, g, body)
+		score, err := callScorer(ctx, w.o.Runner, g, body)
 		if err == nil {
 			return score, nil
 		}
+		w.o.Log.WithField("sample", sampleName(g.Sample)).WithError(err).Warn("scoring failed and is repeated")
 		select {
 		case <-time.After(pause):
 			pause = min(2*pause, maxScorePause)
