--- a/control/admin.go
+++ b/control/admin.go
@@ -253,6 +253,15 @@
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
 func (discard) WriteHeader(int)             {}
 
+// proposalFailed answers a proposal without a result. An id that belongs to another
+// request is the caller's fault; other errors say why there is no answer.
+func proposalFailed(err error, id string) (answer, error) {
+	if eris.Is(err, ErrReused) {
+		return answer{http.StatusConflict, failure{Outcome: "reused", Error: err.Error(), RequestID: id}}, nil
+	}
+	return answer{}, err
+}
+
 // badRequest answers 400.
 func badRequest(format string, args ...any) (answer, error) {
 	return answer{http.StatusBadRequest, failure{Outcome: "invalid", Error: fmt.Sprintf(format, args...)}}, nil
--- a/control/adminconfig.go
+++ b/control/adminconfig.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 
-	"github.com/rotisserie/eris"
-
 	"merlinhall/config"
 	"merlinhall/propagate"
 	"merlinhall/wire"
@@ -75,11 +73,8 @@
 		return answer{http.StatusUnprocessableEntity, failure{Outcome: "invalid", Errors: problems, RequestID: id}}, nil
 	}
 	outcome, err := a.c.ApplyConfig(r.Context(), base, text, name, id)
-	if eris.Is(err, ErrReused) {
-		return answer{http.StatusConflict, failure{Outcome: "reused", Error: err.Error(), RequestID: id}}, nil
-	}
 	if err != nil {
-		return answer{}, err
+		return proposalFailed(err, id)
 	}
 	return a.configAnswer(outcome, id, text), nil
 }
--- a/control/adminother.go
+++ b/control/adminother.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/rotisserie/eris"
-
 	"merlinhall/config"
 	"merlinhall/wire"
 )
@@ -129,11 +127,8 @@
 	}
 	p := wire.PublishWeights{RequestID: id, Pool: pool, Version: version, Trainer: r.URL.Query().Get("trainer")}
 	out, err := a.c.PublishWeights(r.Context(), p)
-	if eris.Is(err, ErrReused) {
-		return answer{http.StatusConflict, failure{Outcome: "reused", Error: err.Error(), RequestID: id}}, nil
-	}
 	if err != nil {
-		return answer{}, err
+		return proposalFailed(err, id)
 	}
 	return weightsAnswer(out, id), nil
 }
@@ -183,11 +178,8 @@
 	}
 	result, err := a.c.Propose(r.Context(), "departures", id, body)
 	out, err := resultAs[*DepartureOutcome](result, err)
-	if eris.Is(err, ErrReused) {
-		return answer{http.StatusConflict, failure{Outcome: "reused", Error: err.Error(), RequestID: id}}, nil
-	}
 	if err != nil {
-		return answer{}, err
+		return proposalFailed(err, id)
 	}
 	return departureAnswer(out, id), nil
 }
