server: one check of bearer tokens, in constant time

The operators' API, the trainers' API and package server each had a check of their own. The trainers' one compared with ==, whose time tells how much of a guess is right, and accepted a token without the Bearer scheme; the new case of TestTrainerAPIErrors got 200 instead of 401 before. RequireToken was used by its test only. All now go through server.BearerToken and server.SameToken, and the test of the listener keeps its paths and status codes.

--- a/control/admin.go
+++ b/control/admin.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"crypto/subtle"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/server"
 	"merlinhall/wire"
 )
 
@@ -99,21 +99,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", c.admin.getStatus)
 	mux.HandleFunc("/v1/", c.admin.forward)
-	return c.admin.authorize(mux)
+	return server.RequireToken(c.o.OperatorToken, http.HandlerFunc(unauthorized), mux)
 }
 
-// authorize requires the operator's bearer token when there is one.
-func (a *admin) authorize(next http.Handler) http.Handler {
-	want := []byte("Bearer " + a.c.o.OperatorToken)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got := []byte(r.Header.Get("Authorization"))
-		if a.c.o.OperatorToken != "" && subtle.ConstantTimeCompare(got, want) != 1 {
-			w.Header().Set("WWW-Authenticate", "Bearer")
-			writeJSON(w, http.StatusUnauthorized, failure{Outcome: "unauthorized", Error: "the operator's bearer token is needed"})
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
+// unauthorized answers a request without the operator's token.
+func unauthorized(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusUnauthorized, failure{Outcome: "unauthorized", Error: "the operator's bearer token is needed"})
 }
 
 // forward passes a request to the leader, which may be this process.
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -41,7 +41,7 @@
 	follower := d.followAll(e)
 	d.showWorld(follower.World)
 	d.observer.Gate("world", func() error { return holdsWorld(follower) })
-	trainers := rollout.TrainerHandler(follower, func(given, _ string) bool { return token == "" || given == token })
+	trainers := rollout.TrainerHandler(follower, func(given, _ string) bool { return server.SameToken(given, token) })
 	d.drains = append(d.drains, e.Drain)
 	return d.serve(d.settings.Listen.Callers, splitTrainers(trainers, e.Handler()), false)
 }
--- a/rollout/coordinator_test.go
+++ b/rollout/coordinator_test.go
@@ -182,7 +182,7 @@
 	is.Equal(a.post("draws", `{"draw_id":"d","max_groups":1,"wait_ms":50}`, &empty), http.StatusOK)
 	is.True(empty.Groups != nil && len(empty.Groups) == 0)
 
-	for header, want := range map[string]int{"Bearer wrong": http.StatusUnauthorized, "": http.StatusUnauthorized, "Bearer secret": http.StatusOK} {
+	for header, want := range map[string]int{"secret": http.StatusUnauthorized, "Bearer wrong": http.StatusUnauthorized, "": http.StatusUnauthorized, "Bearer secret": http.StatusOK} {
 		r := httptest.NewRequest(http.MethodGet, "/v1/trainers/abay", nil)
 		r.Header.Set("Authorization", header)
 		w := httptest.NewRecorder()
--- a/rollout/handler.go
+++ b/rollout/handler.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
+	"merlinhall/server"
 	"merlinhall/wire"
 )
 
@@ -126,8 +126,7 @@
 
 func (h *trainerHandler) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if h.authorize != nil && !h.authorize(token, r.PathValue("trainer")) {
+		if h.authorize != nil && !h.authorize(server.BearerToken(r), r.PathValue("trainer")) {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			writeJSON(w, http.StatusUnauthorized, ErrorResponse{Code: "unauthorized", Error: "the bearer token is missing or not valid for this trainer"})
 			return
--- a/server/server.go
+++ b/server/server.go
@@ -122,25 +122,32 @@
 	return token, nil
 }
 
-// Authorized reports whether r carries the bearer token. With an empty token
-// every request is authorized.
-func Authorized(r *http.Request, token string) bool {
-	if token == "" {
-		return true
+// BearerToken returns the bearer token of r, or "" when it carries none.
+func BearerToken(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
 	}
-	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	return ok && subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1
+	return token
+}
+
+// SameToken reports whether a given token is the wanted one, in a time that does
+// not depend on where they differ. With an empty want every token is accepted.
+func SameToken(given, want string) bool {
+	return want == "" || subtle.ConstantTimeCompare([]byte(given), []byte(want)) == 1
 }
 
-// RequireToken answers 401 to requests under the path prefix that lack the token.
-func RequireToken(token, prefix string, next http.Handler) http.Handler {
+// RequireToken passes requests that carry the bearer token to next and others to
+// refuse, which writes the body of the answer 401. With an empty token every
+// request passes.
+func RequireToken(token string, refuse, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, prefix) && !Authorized(r, token) {
-			w.Header().Set("WWW-Authenticate", "Bearer")
-			WriteJSON(w, http.StatusUnauthorized, map[string]string{"error": "the bearer token is missing or wrong"})
+		if SameToken(BearerToken(r), token) {
+			next.ServeHTTP(w, r)
 			return
 		}
-		next.ServeHTTP(w, r)
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		refuse.ServeHTTP(w, r)
 	})
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -53,7 +53,11 @@
 // Guards against a listener that accepts a request without the token.
 func TestToken(t *testing.T) {
 	is := is.New(t)
-	s, err := Start("127.0.0.1:0", RequireToken("secret", "/v1/", ok), nil)
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) })
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", RequireToken("secret", refuse, ok))
+	mux.Handle("/healthz", RequireToken("", refuse, ok))
+	s, err := Start("127.0.0.1:0", mux, nil)
 	is.NoErr(err)
 	defer s.Close()
 	for path, want := range map[string][2]int{"/v1/config": {401, 200}, "/healthz": {200, 200}} {
