Run on the users' platform: the whole path, thin

Cause: nothing of the product could be started by the platform, speak its interface or reach a target without an agent.

Change: platform/ decodes settings, manifest, submissions, list of targets and engines; routes, directory, upstream, forward, ledger, batch, hub and gateway are the product's parts; consensus may be open to replicas that are not configured; the log's clock goes on while a host is suspended.

Seen and open: pooled connections keep the write deadline of an earlier request.

--- /dev/null
+++ b/batch/orders.go
@@ -0,0 +1,152 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/upstream"
+)
+
+type reportEnd struct {
+	engine *engine
+	report Report
+	err    error
+}
+
+type orderEnd struct {
+	engine *engine
+	load   *load
+	answer LoadAnswer
+	orders uint64
+}
+
+// ask asks an engine for its state.
+func (r *Runner) ask(now time.Time, e *engine) {
+	if e.asking {
+		return
+	}
+	e.asking = true
+	to := upstream.Address{HostPort: e.address, ID: e.id}
+	lead := r.ctx
+	go func() {
+		ctx, cancel := context.WithTimeout(lead, exchangeLimit)
+		defer cancel()
+		report, err := r.o.Protocol.Report(ctx, to)
+		r.deliver(lead, reportEnd{e, report, err})
+	}()
+}
+
+// scheduleLoads gives the orders that are due and follows those under way.
+func (r *Runner) scheduleLoads(now time.Time) {
+	for _, e := range r.engines {
+		if e.load == nil {
+			continue
+		}
+		if now.Sub(e.load.since) > loadLimit {
+			r.log.WithFields(logrus.Fields{"engine": e.id, "model": e.load.model, "version": e.load.version}).Warn("load takes too long and is ordered again")
+			e.load = nil
+			e.pausedUntil = now.Add(pauseBroken)
+			continue
+		}
+		if e.load.taken && !now.Before(e.load.askAt) {
+			e.load.askAt = now.Add(loadPoll)
+			r.ask(now, e)
+		}
+	}
+	if r.superseded || now.Sub(r.leadSince) < r.o.OrderHold {
+		return
+	}
+	named := r.o.Versions.Named()
+	r.homes = homes(r.engines, r.demand(named), r.homes)
+	for _, l := range planLoads(now, r.engines, r.homes, named) {
+		r.order(now, l)
+	}
+}
+
+// demand returns the share of the work of each model that has versions.
+func (r *Runner) demand(named map[string]uint64) map[string]float64 {
+	demand := make(map[string]float64, len(named))
+	for model := range named {
+		demand[model] = 1
+	}
+	return demand
+}
+
+// order gives an engine the order to load a version. The number of orders that
+// the engine has accepted is asked first and goes with the order, so that a copy
+// of it that arrives late has no effect.
+func (r *Runner) order(now time.Time, l loadPlan) {
+	e := l.engine
+	e.load = &load{model: l.model, version: l.version, since: now}
+	to := upstream.Address{HostPort: e.address, ID: e.id}
+	o := LoadOrder{Model: l.model, Version: l.version, Holder: r.o.Name, Fence: r.term, KeepRuns: true}
+	current, ctx := e.load, r.ctx
+	go func() {
+		reportCtx, cancel := context.WithTimeout(ctx, exchangeLimit)
+		report, err := r.o.Protocol.Report(reportCtx, to)
+		cancel()
+		if err != nil || report.Busy {
+			r.deliver(ctx, orderEnd{e, current, LoadBusy, 0})
+			return
+		}
+		o.Orders = report.Orders
+		orderCtx, cancel := context.WithTimeout(ctx, exchangeLimit)
+		answer := r.o.Protocol.Load(orderCtx, to, o)
+		cancel()
+		r.deliver(ctx, orderEnd{e, current, answer, report.Orders})
+	}()
+}
+
+func (r *Runner) endOrder(now time.Time, m orderEnd) {
+	e := m.engine
+	r.metrics.orders.WithLabelValues(string(m.answer)).Inc()
+	r.log.WithFields(logrus.Fields{
+		"engine": e.id, "model": m.load.model, "version": m.load.version, "fence": r.term,
+		"orders": m.orders, "outcome": m.answer,
+	}).Info("load ordered")
+	if e.load != m.load {
+		return
+	}
+	switch m.answer {
+	case LoadAccepted, LoadUnknown:
+		e.load.taken = true
+		e.load.askAt = now.Add(loadExpected)
+	case LoadHolds:
+		e.versions[m.load.model] = m.load.version
+		e.checked = now
+		e.load = nil
+	case LoadSuperseded:
+		r.superseded = true
+		e.load = nil
+	default:
+		e.load = nil
+		e.pausedUntil = now.Add(pauseBroken)
+	}
+}
+
+func (r *Runner) endReport(now time.Time, m reportEnd) {
+	e := m.engine
+	e.asking = false
+	if m.err != nil {
+		r.log.WithField("engine", e.id).Infof("engine gives no report: %v", m.err)
+		return
+	}
+	if m.report.Busy {
+		return
+	}
+	for model, version := range m.report.Versions {
+		e.versions[model] = version
+	}
+	e.checked = now
+	if e.load != nil && e.load.taken {
+		held := e.versions[e.load.model] >= e.load.version
+		if held || now.Sub(e.load.since) > 2*loadExpected {
+			if !held {
+				r.log.WithFields(logrus.Fields{"engine": e.id, "model": e.load.model, "version": e.load.version}).Info("load had no effect")
+			}
+			e.load = nil
+		}
+	}
+}
--- /dev/null
+++ b/batch/plan.go
@@ -0,0 +1,231 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// stealAfter is how long an item waits for the engine of its group before
+	// another one may take it: reading a prompt again costs a few milliseconds of
+	// an engine, so a short wait is worth it.
+	stealAfter = 300 * time.Millisecond
+	// slowFactor is how far above the median time per event an engine is avoided.
+	slowFactor = 2.0
+	// moveFactor is how far above it running items are moved elsewhere.
+	moveFactor = 2.5
+	// maxMoves bounds the moves of one item, so that engines whose pace changes
+	// do not pass it back and forth.
+	maxMoves = 3
+	// paceSamples is the number of events before an engine's pace is judged.
+	paceSamples = 20
+	// paceGain is the weight of one event in the pace of an engine.
+	paceGain = 0.05
+)
+
+// engine is what the leader knows of a model engine.
+type engine struct {
+	id      string
+	zone    string
+	address string
+	born    int64
+	slots   int
+	// versions holds the weight version of each model.
+	versions map[string]uint64
+	checked  time.Time // when versions was last learnt from the engine itself
+	running  int
+	// pausedUntil keeps new runs away after a refusal or a lost connection.
+	pausedUntil time.Time
+	load        *load // order under way
+	asking      bool  // a report is under way
+	pace        time.Duration
+	paced       int // events behind pace
+	draining    bool
+}
+
+// observe takes the time between two events of a run.
+func (e *engine) observe(d time.Duration) {
+	e.paced++
+	if e.pace == 0 {
+		e.pace = d
+		return
+	}
+	e.pace += time.Duration(paceGain * float64(d-e.pace))
+}
+
+// free returns the runs that the engine can begin now.
+func (e *engine) free(now time.Time) int {
+	if e.draining || e.load != nil || now.Before(e.pausedUntil) {
+		return 0
+	}
+	return max(0, e.slots-e.running)
+}
+
+// runs reports whether the engine's weights may generate for the task.
+func (e *engine) serves(t *task) bool {
+	version, ok := e.versions[t.job.sub.Model]
+	if !ok || version < t.job.sub.MinVersion {
+		return false
+	}
+	if t.job.sub.SingleVersion && len(t.versions) > 0 {
+		return slices.Contains(t.versions, version)
+	}
+	return true
+}
+
+// placement says on which engine a task begins.
+type placement struct {
+	task   *task
+	engine *engine
+	reason string
+}
+
+// plan chooses the tasks to begin now. jobs come oldest first; engines are in a
+// fixed order. It changes nothing but the engine of groups.
+func plan(now time.Time, jobs []*job, engines []*engine) []placement {
+	free := make(map[string]int, len(engines))
+	total := 0
+	for _, e := range engines {
+		free[e.id] = e.free(now)
+		total += free[e.id]
+	}
+	if total == 0 {
+		return nil
+	}
+	p := &planning{now: now, engines: engines, free: free, median: medianPace(engines)}
+	for _, j := range jobs {
+		for _, t := range j.order {
+			if t.state == taskPending && !now.Before(t.tryAt) {
+				p.place(t)
+			}
+		}
+	}
+	return p.out
+}
+
+type planning struct {
+	now     time.Time
+	engines []*engine
+	free    map[string]int
+	median  time.Duration
+	out     []placement
+}
+
+func (p *planning) place(t *task) {
+	e, reason := p.choose(t)
+	if e == nil {
+		return
+	}
+	if t.group.engine == "" {
+		t.group.engine = e.id
+	}
+	p.free[e.id]--
+	p.out = append(p.out, placement{t, e, reason})
+}
+
+// choose returns the engine of the task's group, or the best one for a group that
+// has none. A task that waited for its group's engine goes to any other one.
+func (p *planning) choose(t *task) (*engine, string) {
+	home := p.byID(t.group.engine)
+	if home != nil && home.serves(t) && !home.draining && !p.slow(home, slowFactor) {
+		if p.free[home.id] > 0 {
+			return home, "group"
+		}
+		if p.now.Sub(t.since) < stealAfter {
+			return nil, ""
+		}
+		return p.best(t), "waited"
+	}
+	e := p.best(t)
+	if e != nil {
+		t.group.engine = e.id
+	}
+	return e, "least loaded"
+}
+
+// best returns the engine with the most room. Engines at a slow pace come last;
+// they are still better than waiting.
+func (p *planning) best(t *task) *engine {
+	var best *engine
+	for _, e := range p.engines {
+		if p.free[e.id] <= 0 || !e.serves(t) {
+			continue
+		}
+		if best == nil || p.better(e, best, t) {
+			best = e
+		}
+	}
+	return best
+}
+
+func (p *planning) better(a, b *engine, t *task) bool {
+	if sa, sb := p.slow(a, slowFactor), p.slow(b, slowFactor); sa != sb {
+		return sb
+	}
+	if fa, fb := p.free[a.id]*b.slots, p.free[b.id]*a.slots; fa != fb {
+		return fa > fb
+	}
+	// The engine whose version of the model is newer is the model's own.
+	return a.versions[t.job.sub.Model] > b.versions[t.job.sub.Model]
+}
+
+func (p *planning) slow(e *engine, factor float64) bool { return slow(e, p.median, factor) }
+
+func (p *planning) byID(id string) *engine {
+	for _, e := range p.engines {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func slow(e *engine, median time.Duration, factor float64) bool {
+	return median > 0 && e.paced >= paceSamples && float64(e.pace) > factor*float64(median)
+}
+
+// medianPace returns the median time per event, or 0 before it is known.
+func medianPace(engines []*engine) time.Duration {
+	var all []time.Duration
+	for _, e := range engines {
+		if e.paced >= paceSamples && !e.draining {
+			all = append(all, e.pace)
+		}
+	}
+	if len(all) < 3 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
+// moves returns the running tasks that are better taken off their engine: it is
+// much slower than the others, and one of those has room.
+func moves(now time.Time, tasks []*task, engines []*engine) []*task {
+	median := medianPace(engines)
+	room := 0
+	for _, e := range engines {
+		if !slow(e, median, slowFactor) {
+			room += e.free(now)
+		}
+	}
+	var out []*task
+	for _, t := range tasks {
+		if room == 0 {
+			break
+		}
+		i := slices.IndexFunc(engines, func(e *engine) bool { return e.id == t.engine })
+		if i < 0 || t.state != taskRunning || t.moves >= maxMoves || !slow(engines[i], median, moveFactor) {
+			continue
+		}
+		out = append(out, t)
+		room--
+	}
+	return out
+}
+
+// sortEngines puts engines into the order that plan expects.
+func sortEngines(engines []*engine) {
+	slices.SortFunc(engines, func(a, b *engine) int { return cmp.Compare(a.id, b.id) })
+}
--- /dev/null
+++ b/batch/task.go
@@ -0,0 +1,173 @@
+// Package batch runs the items of batch submissions on engines: it plans which
+// item runs where, keeps what a run has generated, has complete texts scored and
+// lists the results. It is a duty of the control leader.
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"merlinhall/ledger"
+)
+
+// taskState is where an item is on its way to a result.
+type taskState uint8
+
+const (
+	taskPending taskState = iota
+	taskRunning
+	taskScoring
+	taskListing // its result is proposed
+)
+
+// task is an item without a result.
+type task struct {
+	job   *job
+	item  ledger.Item
+	group *group
+	state taskState
+	// size is the estimated output in tokens.
+	size   int
+	engine string // on which it runs
+	since  time.Time
+	run    *run
+	// events is the text generated so far; versions are the weight versions that
+	// generated it. A run on another engine goes on after them.
+	events   [][]byte
+	versions []uint64
+	failures int // runs that an engine answered with a failure
+	moves    int // runs that were taken off a slow engine
+	tryAt    time.Time
+	// rewardFailures counts failures that the reward service answered with.
+	rewardFailures int
+	result         *ledger.Result // once it is being listed
+	unlisted       bool           // its proposal must be made again
+}
+
+// restart drops the text.
+func (t *task) restart() {
+	t.events = nil
+	t.versions = nil
+}
+
+// oldest returns the oldest version of the text, or 0 without one.
+func (t *task) oldest() uint64 {
+	if len(t.versions) == 0 {
+		return 0
+	}
+	return slices.Min(t.versions)
+}
+
+// group is the items of a submission that share a prompt. They run on one engine
+// while it has room, so that the prompt is read once.
+type group struct {
+	name    string
+	tasks   []*task
+	largest int // size of the largest item
+	engine  string
+	// urgent groups are among those that the trainer most likely waits for.
+	urgent bool
+	seen   bool // some of its items had come in an earlier submission
+}
+
+// job is an open submission.
+type job struct {
+	sub    *ledger.Submission
+	since  time.Time
+	due    time.Time
+	giveUp time.Time // items without a result may be given up
+	groups map[string]*group
+	tasks  map[string]*task
+	order  []*task // in which items are started
+}
+
+// newJob ranks the items of a submission. Of the groups that are not carried over
+// from an earlier submission the smallest are expected to complete first, so those
+// that fill the trainer's wait come first; within them the largest items start
+// first.
+func newJob(open ledger.Open, seen func(item string) bool) *job {
+	sub := open.Submission
+	j := &job{
+		sub:    sub,
+		since:  open.Since,
+		due:    open.Since.Add(sub.Due),
+		groups: make(map[string]*group),
+		tasks:  make(map[string]*task),
+	}
+	if sub.ItemTTL > 0 {
+		j.giveUp = open.Since.Add(sub.ItemTTL)
+	}
+	for _, item := range open.Left {
+		g := j.groups[item.Group]
+		if g == nil {
+			g = &group{name: item.Group}
+			j.groups[item.Group] = g
+		}
+		t := &task{job: j, item: item, group: g, size: sizeOf(item)}
+		g.tasks = append(g.tasks, t)
+		g.largest = max(g.largest, t.size)
+		g.seen = g.seen || seen(item.ID)
+		j.tasks[item.ID] = t
+		j.order = append(j.order, t)
+	}
+	j.rank()
+	return j
+}
+
+// sizeOf estimates the output of an item: the client's estimate where it gave
+// one, otherwise the most that it may be.
+func sizeOf(item ledger.Item) int {
+	if item.Length > 0 {
+		return item.Length
+	}
+	return item.Tokens
+}
+
+func (j *job) rank() {
+	list := make([]*group, 0, len(j.groups))
+	for _, g := range j.groups {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *group) int {
+		switch {
+		case a.seen != b.seen:
+			return boolOrder(b.seen, a.seen)
+		case a.largest != b.largest:
+			return a.largest - b.largest
+		case a.name < b.name:
+			return -1
+		}
+		return 1
+	})
+	wanted := j.sub.WantedGroups
+	if wanted <= 0 {
+		wanted = len(list)
+	}
+	for i, g := range list {
+		g.urgent = i < wanted
+	}
+	slices.SortStableFunc(j.order, func(a, b *task) int {
+		switch {
+		case a.group.urgent != b.group.urgent:
+			return boolOrder(b.group.urgent, a.group.urgent)
+		case a.group != b.group && a.group.largest != b.group.largest:
+			return b.group.largest - a.group.largest
+		case a.group != b.group:
+			if a.group.name < b.group.name {
+				return -1
+			}
+			return 1
+		}
+		return b.size - a.size
+	})
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/cmd/merlinhalld/main.go
+++ b/cmd/merlinhalld/main.go
@@ -25,6 +25,9 @@
 	if len(args) > 0 && args[0] == "recover" {
 		return recoverGroup(args[1:])
 	}
+	if len(args) > 0 && args[0] == "hosted" {
+		return serveHosted()
+	}
 	fs := flag.NewFlagSet("merlinhalld", flag.ContinueOnError)
 	path := fs.String("settings", "", "settings file of this process (TOML)")
 	check := fs.Bool("check", false, "check the settings and exit")
--- a/consensus/bootstrap.go
+++ b/consensus/bootstrap.go
@@ -45,7 +45,7 @@
 	if m, ok := n.member(n.cfg.ID); ok && !m.Learner || n.now-n.heard < learnerSilence {
 		return
 	}
-	if len(n.members) > 0 && !n.isMember(n.cfg.ID) {
+	if len(n.members) > 0 && !n.isMember(n.cfg.ID) && !n.cfg.Open {
 		return
 	}
 	n.askPeers()
@@ -53,6 +53,9 @@
 
 // founder reports whether this replica creates the group: the first by name.
 func (n *Node) founder() bool {
+	if n.cfg.Joiner {
+		return false
+	}
 	for _, name := range n.cfg.Peers {
 		if name < n.cfg.Name {
 			return false
@@ -95,7 +98,7 @@
 	case RoleFresh:
 		n.send(Member{ID: m.From, Name: m.Name}, Message{Kind: MsgFresh})
 	case RoleLeader:
-		if n.configured(m.Name) && !n.isMember(m.From) {
+		if n.mayJoin(m.Name) && !n.isMember(m.From) {
 			n.lead.newcomer[m.From] = m.Name
 		}
 	}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -92,6 +92,7 @@
 }
 
 func (n *Node) handlePreVote(m *Message) {
+	n.admitAgain(m)
 	if n.bound() {
 		return
 	}
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -146,11 +146,14 @@
 		return
 	}
 	for _, m := range n.members {
-		if m.Learner && n.configured(m.Name) && n.caughtUp(m.ID) {
+		if m.Learner && n.mayJoin(m.Name) && n.caughtUp(m.ID) {
 			n.repairLearner(m)
 			return
 		}
 	}
+	if n.removeUnwanted() {
+		return
+	}
 	ids := sortedIDs(n.lead.newcomer)
 	if len(ids) > 0 {
 		n.addNewcomer(ids[0])
@@ -165,6 +168,9 @@
 	if n.isMember(id) || n.nameAnswers(name, id) {
 		return
 	}
+	if !n.hasRoom(name) {
+		return
+	}
 	n.dropOldLearner(name)
 	Change{Kind: AddLearner, Member: Member{ID: id, Name: name}}.internal(n)
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -120,6 +120,7 @@
 	commit      uint64
 	handed      uint64 // last entry given to the driver for application
 	members     []Member
+	excluded    []string // names that must not be members, of an open group
 	memberIndex uint64
 
 	heard      time.Duration // last contact with a leader, or start
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -155,12 +155,21 @@
 	ElectionMax time.Duration
 	// Lease must be shorter than ElectionMin by more than the clocks drift apart
 	// within it.
-	Lease           time.Duration
-	MaxInflight     int // append messages on the way to one follower
-	MaxBatchBytes   int // bytes of entries in one append message
-	MaxUncommitted  int // entries; more are refused
-	SnapshotChunk   int // bytes
-	DisableRepair   bool
+	Lease          time.Duration
+	MaxInflight    int // append messages on the way to one follower
+	MaxBatchBytes  int // bytes of entries in one append message
+	MaxUncommitted int // entries; more are refused
+	SnapshotChunk  int // bytes
+	DisableRepair  bool
+	// Open lets replicas that are not configured as peers join the group, up to
+	// VotersWanted voters that answer, and removes voters that have been silent
+	// for SilentAfter while VotersLeast others remain.
+	Open         bool
+	VotersWanted int
+	VotersLeast  int
+	SilentAfter  time.Duration
+	// Joiner never founds a group.
+	Joiner          bool
 	RepairPeriod    time.Duration
 	DiscoveryPeriod time.Duration
 
@@ -196,6 +205,12 @@
 	defaultSnapshotChunk  = 1 << 20
 	defaultRepairPeriod   = 500 * time.Millisecond
 	defaultDiscovery      = 200 * time.Millisecond
+	// Of an open group: four voters bear the loss of one while another is being
+	// replaced.
+	defaultVotersWanted = 4
+	defaultVotersLeast  = 3
+	// defaultSilentAfter is above the time of a restart with recovery.
+	defaultSilentAfter = 10 * time.Second
 )
 
 func (c *Config) setDefaults() {
@@ -209,6 +224,9 @@
 	setDefault(&c.SnapshotChunk, defaultSnapshotChunk)
 	setDefault(&c.RepairPeriod, defaultRepairPeriod)
 	setDefault(&c.DiscoveryPeriod, defaultDiscovery)
+	setDefault(&c.VotersWanted, defaultVotersWanted)
+	setDefault(&c.VotersLeast, defaultVotersLeast)
+	setDefault(&c.SilentAfter, defaultSilentAfter)
 }
 
 func setDefault[T comparable](p *T, value T) {
--- /dev/null
+++ b/daemon/hostedcontrol.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/batch"
+	"merlinhall/consensus"
+	"merlinhall/control"
+	"merlinhall/hub"
+	"merlinhall/ledger"
+	"merlinhall/link"
+	"merlinhall/platform"
+	"merlinhall/replica"
+	"merlinhall/wire"
+)
+
+var errNoRoutes = eris.New("no manifest is known yet")
+
+// orderMargin is added to the time in which two holders of orders must not take
+// turns, for clocks that differ in rate.
+const orderMargin = 300 * time.Millisecond
+
+// startHub starts the part that holds the replicated state. The link address is
+// the process's name in the group, because it is all that others know of it.
+func (d *HostedDaemon) startHub() error {
+	s := d.settings
+	d.hello.Process, d.hello.Address = s.Links, s.Links
+	d.hello.Roles = []wire.Role{wire.RoleControl}
+	submissions, manifests := ledger.NewSubmissions(), ledger.NewManifests()
+	versions, hosts := ledger.NewVersions(), ledger.NewHosts()
+	machine := control.NewMachine(manifests, versions, submissions, hosts)
+	r, err := replica.Start(replica.Options{
+		Name:     s.Links,
+		Peers:    slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == s.Links }),
+		DataDir:  s.DataDir,
+		Machine:  machine,
+		Observer: d.observer,
+		System:   d.system,
+		Config: consensus.Config{
+			Open:         true,
+			Joiner:       !s.Founding || !slices.Contains(s.Seeds, s.Links),
+			VotersWanted: 2*s.HostFaults + 2,
+			VotersLeast:  2*s.HostFaults + 1,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	d.stops = append(d.stops, r.Stop)
+	peers := newPeerLinks()
+	c := control.New(control.Options{
+		Name: s.Links, Log: replicaLog{r}, Machine: machine, Peer: peers.get, System: d.system, Observer: d.observer,
+	})
+	d.stops = append(d.stops, c.Stop)
+	runner := batch.Start(batch.Options{
+		Name: s.Name, Submissions: submissions, Versions: versions, Manifests: manifests,
+		Directory: d.targets, Pool: d.pool, Forwarder: d.forward, Protocol: platform.Protocol{Pool: d.pool},
+		Propose: func(ctx context.Context, body []byte) error {
+			_, err := c.Propose(ctx, submissions.Name(), "", body)
+			return err
+		},
+		OrderHold: s.FenceHold + orderMargin, Keep: s.KeepResults, System: d.system, Observer: d.observer,
+	})
+	c.OnLeader(runner.Lead)
+	d.mux.Handle(peers)
+	d.mux.Handle(r, wire.KindConsensus)
+	d.mux.Handle(c, control.Kinds...)
+	h := hub.New(hub.Options{
+		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
+		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts,
+		Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"), Dial: d.dial,
+	})
+	d.mux.Handle(h, wire.KindGroupUpdate)
+	h.Start()
+	d.stops = append(d.stops, h.Stop)
+	d.setSeeds = append(d.setSeeds, h.SetSeeds)
+	links := http.NewServeMux()
+	links.Handle(link.Path, link.Accept(d.hello, &d.mux))
+	if err := d.serve(s.Links, links); err != nil {
+		return err
+	}
+	return d.serve(s.Operator, platform.OperatorHandler(h.Operator()))
+}
--- /dev/null
+++ b/daemon/hostedentry.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"net/http"
+
+	"merlinhall/gateway"
+	"merlinhall/hub"
+	"merlinhall/platform"
+	"merlinhall/server"
+)
+
+// startGateway starts the part that serves callers.
+func (d *HostedDaemon) startGateway() error {
+	client := hub.NewClient(hub.ClientOptions{
+		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"),
+		Dial: d.dial,
+	})
+	d.mux.Handle(client, hub.ClientKinds...)
+	client.Start()
+	d.stops = append(d.stops, client.Stop)
+	d.setSeeds = append(d.setSeeds, client.SetSeeds)
+	d.front = &platform.Front{Gateway: gateway.New(client, d.forward, d.observer)}
+	d.observer.Gate("routes", func() error {
+		if client.Table() == nil {
+			return errNoRoutes
+		}
+		return nil
+	})
+	if err := d.serve(d.settings.Ready, platform.ReadyHandler(d.observer.Ready)); err != nil {
+		return err
+	}
+	s, err := server.Start(d.settings.Callers, http.Handler(d.front), nil)
+	if err != nil {
+		return err
+	}
+	d.entry = s
+	d.servers = append(d.servers, s)
+	return nil
+}
--- /dev/null
+++ b/ledger/manifest.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/routes"
+	"merlinhall/wire"
+)
+
+// Manifests is the slice of the routing manifest. The highest version is in force.
+type Manifests struct {
+	current  atomic.Pointer[routes.Table]
+	mu       sync.Mutex
+	listener func(*routes.Manifest)
+}
+
+// NewManifests returns a slice without a manifest.
+func NewManifests() *Manifests { return &Manifests{} }
+
+// OnChange calls f with each new manifest, from the applying goroutine, and at
+// once when there is one. f must not block.
+func (m *Manifests) OnChange(f func(*routes.Manifest)) {
+	m.mu.Lock()
+	m.listener = f
+	m.mu.Unlock()
+	if t := m.Table(); t != nil {
+		f(t.Manifest())
+	}
+}
+
+// Table returns the routes in force, or nil before the first manifest.
+func (m *Manifests) Table() *routes.Table { return m.current.Load() }
+
+// Name implements control.Slice.
+func (m *Manifests) Name() string { return "manifests" }
+
+// Apply implements control.Slice. A manifest whose version is not above the
+// current one changes nothing.
+func (m *Manifests) Apply(_, _ uint64, body []byte) any {
+	next := new(routes.Manifest)
+	if err := wire.Unmarshal(body, next); err != nil {
+		return eris.Wrap(err, "ledger: manifest")
+	}
+	if t := m.Table(); t == nil || next.Version > t.Manifest().Version {
+		m.set(next)
+	}
+	return nil
+}
+
+func (m *Manifests) set(next *routes.Manifest) {
+	m.current.Store(routes.NewTable(next))
+	m.mu.Lock()
+	f := m.listener
+	m.mu.Unlock()
+	if f != nil {
+		f(next)
+	}
+}
+
+// Snapshot implements control.Slice.
+func (m *Manifests) Snapshot() ([]byte, error) {
+	if t := m.Table(); t != nil {
+		return wire.Marshal(t.Manifest())
+	}
+	return nil, nil
+}
+
+// Restore implements control.Slice.
+func (m *Manifests) Restore(snapshot []byte) error {
+	if len(snapshot) == 0 {
+		return nil
+	}
+	next := new(routes.Manifest)
+	if err := wire.Unmarshal(snapshot, next); err != nil {
+		return err
+	}
+	m.set(next)
+	return nil
+}
+
+// Versions is the slice of the newest weight version of each model.
+type Versions struct {
+	mu       sync.Mutex
+	named    map[string]uint64
+	listener func()
+}
+
+// NewVersions returns an empty slice.
+func NewVersions() *Versions { return &Versions{named: make(map[string]uint64)} }
+
+// OnChange makes f hear of each new version, from the applying goroutine.
+func (v *Versions) OnChange(f func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.listener = f
+}
+
+// Named returns the newest version of each model that a trainer has named.
+func (v *Versions) Named() map[string]uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.named)
+}
+
+// Name implements control.Slice.
+func (v *Versions) Name() string { return "versions" }
+
+// Apply implements control.Slice.
+func (v *Versions) Apply(_, _ uint64, body []byte) any {
+	var in wire.ModelVersion
+	if err := wire.Unmarshal(body, &in); err != nil {
+		return eris.Wrap(err, "ledger: version")
+	}
+	v.mu.Lock()
+	f := v.listener
+	newer := in.Version > v.named[in.Model]
+	if newer {
+		v.named[in.Model] = in.Version
+	}
+	v.mu.Unlock()
+	if newer && f != nil {
+		f()
+	}
+	return nil
+}
+
+// Snapshot implements control.Slice.
+func (v *Versions) Snapshot() ([]byte, error) { return wire.Marshal(v.Named()) }
+
+// Restore implements control.Slice.
+func (v *Versions) Restore(snapshot []byte) error {
+	named := make(map[string]uint64)
+	if err := wire.Unmarshal(snapshot, &named); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	v.named = named
+	f := v.listener
+	v.mu.Unlock()
+	if f != nil {
+		f()
+	}
+	return nil
+}
--- /dev/null
+++ b/ledger/read.go
@@ -0,0 +1,135 @@
+package ledger
+
+import (
+	"sort"
+	"time"
+)
+
+// Page is a part of a submission's results.
+type Page struct {
+	Total   int // items of the submission
+	Next    int // position after the last result of the page
+	Results []Result
+}
+
+// Page returns the results from position after on, at least one if there is one
+// and about limit bytes at most. changed is closed when there may be more; it is
+// nil when there will be none. found is false for an unknown submission.
+func (s *Submissions) Page(id string, after, limit int) (page Page, changed <-chan struct{}, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.held[id]
+	if h == nil {
+		return Page{}, nil, false
+	}
+	after = max(0, after)
+	page = Page{Total: len(h.Submission.Items), Next: after}
+	size := 0
+	for at := after; at < len(h.Results); at++ {
+		r := h.Results[at]
+		size += len(r.Text) + resultOverhead
+		if size > limit && len(page.Results) > 0 {
+			break
+		}
+		page.Results = append(page.Results, r)
+		page.Next = at + 1
+	}
+	if !h.Ended && len(h.Results) < page.Total {
+		changed = h.changed
+	}
+	return page, changed, true
+}
+
+// resultOverhead is what a result takes beside its text.
+const resultOverhead = 200
+
+// Body returns the body of an item that has no result yet, until the submission
+// ends. known is false for an unknown submission.
+func (s *Submissions) Body(id, item string) (body []byte, found, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.held[id]
+	if h == nil {
+		return nil, false, false
+	}
+	at, ok := h.byID[item]
+	_, listed := h.listed[item]
+	if !ok || listed || h.Ended {
+		return nil, false, true
+	}
+	return h.Submission.Items[at].Body, true, true
+}
+
+// Has reports whether a submission is held.
+func (s *Submissions) Has(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[id] != nil
+}
+
+// Finished returns the completed text of an item of an earlier submission.
+func (s *Submissions) Finished(item string) (Result, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.finished[item]
+	return r, ok
+}
+
+// Open is a submission with items that have no result.
+type Open struct {
+	Submission *Submission // must not be changed
+	Since      time.Time   // when this process learnt of it
+	Left       []Item
+}
+
+// Open returns the submissions that have not ended, oldest first.
+func (s *Submissions) Open() []Open {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*held
+	for _, h := range s.held {
+		if !h.Ended && len(h.Results) < len(h.Submission.Items) {
+			list = append(list, h)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
+	out := make([]Open, 0, len(list))
+	for _, h := range list {
+		o := Open{Submission: &h.Submission, Since: h.since}
+		for _, item := range h.Submission.Items {
+			if _, listed := h.listed[item.ID]; !listed {
+				o.Left = append(o.Left, item)
+			}
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// Expired returns the submissions that this process has known for longer than
+// keep and that have ended or are complete.
+func (s *Submissions) Expired(now time.Time, keep time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for id, h := range s.held {
+		over := h.Ended || len(h.Results) == len(h.Submission.Items)
+		if over && now.Sub(h.since) > keep {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Counts returns the number of submissions held, and of those that are open.
+func (s *Submissions) Counts() (held, open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.held {
+		if !h.Ended && len(h.Results) < len(h.Submission.Items) {
+			open++
+		}
+	}
+	return len(s.held), open
+}
--- /dev/null
+++ b/ledger/submissions.go
@@ -0,0 +1,292 @@
+// Package ledger holds the replicated state of a hosted deployment: the manifest,
+// the weight versions that trainers named, batch submissions with their results,
+// and the hosts that are being emptied. Each part is a slice of the control state
+// machine. Reads may come from any goroutine.
+package ledger
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+// Submission is a set of requests that a trainer hands over at once and that run
+// later.
+type Submission struct {
+	ID    string `cbor:"1,keyasint"`
+	Host  string `cbor:"2,keyasint"` // of the route
+	Path  string `cbor:"3,keyasint"` // under the route's prefix
+	Model string `cbor:"4,keyasint,omitempty"`
+	Step  int    `cbor:"5,keyasint,omitempty"`
+	// MinVersion is the oldest weight version that may generate its texts.
+	MinVersion uint64 `cbor:"6,keyasint,omitempty"`
+	// WantedGroups is how many complete groups end the trainer's wait.
+	WantedGroups int    `cbor:"7,keyasint,omitempty"`
+	Items        []Item `cbor:"8,keyasint"`
+	// Of the route, when the submission was accepted.
+	SingleVersion bool          `cbor:"9,keyasint,omitempty"`
+	MaxAttempts   int           `cbor:"10,keyasint,omitempty"`
+	Due           time.Duration `cbor:"11,keyasint,omitempty"` // after acceptance
+	ItemTTL       time.Duration `cbor:"12,keyasint,omitempty"` // after acceptance
+}
+
+// Item is one request of a submission.
+type Item struct {
+	ID      string        `cbor:"1,keyasint"`
+	Path    string        `cbor:"2,keyasint"`
+	Headers []wire.Header `cbor:"3,keyasint,omitempty"`
+	Body    []byte        `cbor:"4,keyasint,omitempty"`
+	Tokens  int           `cbor:"5,keyasint,omitempty"` // prompt and most of the output
+	Group   string        `cbor:"6,keyasint,omitempty"`
+	Reward  *Reward       `cbor:"7,keyasint,omitempty"`
+	// Length is the client's estimate of the output in tokens, 0 when unknown.
+	Length int `cbor:"8,keyasint,omitempty"`
+}
+
+// Reward is the request that scores a complete text.
+type Reward struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	Body []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// Result is the end of an item.
+type Result struct {
+	Item     string   `cbor:"1,keyasint"`
+	Failed   bool     `cbor:"2,keyasint,omitempty"`
+	Text     []byte   `cbor:"3,keyasint,omitempty"`
+	Versions []uint64 `cbor:"4,keyasint,omitempty"` // that generated the text
+	Score    string   `cbor:"5,keyasint,omitempty"`
+}
+
+// submissionsCommand is the body of a command; one field is set.
+type submissionsCommand struct {
+	Accept  *Submission `cbor:"1,keyasint,omitempty"`
+	Of      string      `cbor:"2,keyasint,omitempty"` // the submission of Results
+	Results []Result    `cbor:"3,keyasint,omitempty"`
+	End     string      `cbor:"4,keyasint,omitempty"`
+	Forget  []string    `cbor:"5,keyasint,omitempty"`
+}
+
+// held is a submission with its state.
+type held struct {
+	Submission Submission `cbor:"1,keyasint"`
+	Results    []Result   `cbor:"2,keyasint,omitempty"` // by position
+	Ended      bool       `cbor:"3,keyasint,omitempty"`
+	Order      uint64     `cbor:"4,keyasint"` // log index of the acceptance
+
+	listed  map[string]int // item id to position
+	byID    map[string]int // item id to place in Submission.Items
+	since   time.Time      // when this process learnt of it
+	changed chan struct{}  // closed at the next change
+}
+
+func (h *held) index() {
+	h.listed = make(map[string]int, len(h.Submission.Items))
+	for i, r := range h.Results {
+		h.listed[r.Item] = i
+	}
+	h.byID = make(map[string]int, len(h.Submission.Items))
+	for i := range h.Submission.Items {
+		h.byID[h.Submission.Items[i].ID] = i
+	}
+	h.since = time.Now()
+	h.changed = make(chan struct{})
+}
+
+func (h *held) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// SubmissionChange tells a listener what a command did. One field is set.
+type SubmissionChange struct {
+	Accepted *Submission
+	Listed   string // submission that got results
+	Ended    string
+}
+
+// Submissions is the slice of batch submissions.
+type Submissions struct {
+	mu       sync.Mutex
+	held     map[string]*held
+	finished map[string]Result // completed texts by item id, of all held submissions
+	notify   func(SubmissionChange)
+}
+
+// NewSubmissions returns an empty slice.
+func NewSubmissions() *Submissions {
+	return &Submissions{held: make(map[string]*held), finished: make(map[string]Result)}
+}
+
+// OnChange makes f hear of each change, from the applying goroutine. f must not
+// block.
+func (s *Submissions) OnChange(f func(SubmissionChange)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notify = f
+}
+
+// Name implements control.Slice.
+func (s *Submissions) Name() string { return "submissions" }
+
+// Apply implements control.Slice. The result is nil or an error.
+func (s *Submissions) Apply(index, _ uint64, body []byte) any {
+	var c submissionsCommand
+	if err := wire.Unmarshal(body, &c); err != nil {
+		return eris.Wrap(err, "ledger: submissions")
+	}
+	s.mu.Lock()
+	change, notify := s.apply(index, &c), s.notify
+	s.mu.Unlock()
+	if change != nil && notify != nil {
+		notify(*change)
+	}
+	return nil
+}
+
+func (s *Submissions) apply(index uint64, c *submissionsCommand) *SubmissionChange {
+	switch {
+	case c.Accept != nil:
+		return s.accept(index, c.Accept)
+	case c.Of != "":
+		return s.list(c.Of, c.Results)
+	case c.End != "":
+		return s.end(c.End)
+	}
+	for _, id := range c.Forget {
+		s.forget(id)
+	}
+	return nil
+}
+
+func (s *Submissions) accept(index uint64, sub *Submission) *SubmissionChange {
+	if s.held[sub.ID] != nil {
+		return nil
+	}
+	h := &held{Submission: *sub, Order: index}
+	h.index()
+	s.held[sub.ID] = h
+	return &SubmissionChange{Accepted: &h.Submission}
+}
+
+// list appends results. An item that has a position keeps it.
+func (s *Submissions) list(id string, results []Result) *SubmissionChange {
+	h := s.held[id]
+	if h == nil || h.Ended {
+		return nil
+	}
+	added := false
+	for _, r := range results {
+		_, known := h.byID[r.Item]
+		if _, listed := h.listed[r.Item]; listed || !known {
+			continue
+		}
+		h.listed[r.Item] = len(h.Results)
+		h.Results = append(h.Results, r)
+		added = true
+		if !r.Failed {
+			s.finished[r.Item] = r
+		}
+	}
+	if !added {
+		return nil
+	}
+	h.wake()
+	return &SubmissionChange{Listed: id}
+}
+
+// end keeps the results and drops the bodies, which nobody may ask for any more.
+func (s *Submissions) end(id string) *SubmissionChange {
+	h := s.held[id]
+	if h == nil || h.Ended {
+		return nil
+	}
+	h.Ended = true
+	for i := range h.Submission.Items {
+		item := &h.Submission.Items[i]
+		item.Body, item.Headers, item.Reward = nil, nil, nil
+	}
+	h.wake()
+	return &SubmissionChange{Ended: id}
+}
+
+func (s *Submissions) forget(id string) {
+	h := s.held[id]
+	if h == nil {
+		return
+	}
+	delete(s.held, id)
+	for _, r := range h.Results {
+		delete(s.finished, r.Item)
+	}
+	h.wake()
+}
+
+type submissionsSnapshot struct {
+	Held []*held `cbor:"1,keyasint"`
+}
+
+// Snapshot implements control.Slice.
+func (s *Submissions) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*held, 0, len(s.held))
+	for _, h := range s.held {
+		list = append(list, h)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
+	return wire.Marshal(submissionsSnapshot{Held: list})
+}
+
+// Restore implements control.Slice.
+func (s *Submissions) Restore(snapshot []byte) error {
+	var in submissionsSnapshot
+	if err := wire.Unmarshal(snapshot, &in); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.held {
+		h.wake()
+	}
+	s.held = make(map[string]*held, len(in.Held))
+	s.finished = make(map[string]Result)
+	for _, h := range in.Held {
+		h.index()
+		s.held[h.Submission.ID] = h
+		for _, r := range h.Results {
+			if !r.Failed {
+				s.finished[r.Item] = r
+			}
+		}
+	}
+	return nil
+}
+
+// Commands.
+
+// AcceptCommand returns the command that accepts a submission.
+func AcceptCommand(sub *Submission) ([]byte, error) {
+	return wire.Marshal(&submissionsCommand{Accept: sub})
+}
+
+// ListCommand returns the command that lists results.
+func ListCommand(submission string, results ...Result) ([]byte, error) {
+	return wire.Marshal(&submissionsCommand{Of: submission, Results: results})
+}
+
+// EndCommand returns the command that ends a submission.
+func EndCommand(submission string) ([]byte, error) {
+	return wire.Marshal(&submissionsCommand{End: submission})
+}
+
+// ForgetCommand returns the command that drops submissions.
+func ForgetCommand(submissions []string) ([]byte, error) {
+	return wire.Marshal(&submissionsCommand{Forget: submissions})
+}
--- a/observe/observe.go
+++ b/observe/observe.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -97,17 +98,24 @@
 }
 
 func (o *Observer) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !o.ready.Load() {
-		http.Error(w, "draining or starting", http.StatusServiceUnavailable)
+	if err := o.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// Ready returns why the process is not ready, or nil.
+func (o *Observer) Ready() error {
+	if !o.ready.Load() {
+		return eris.New("draining or starting")
+	}
 	for part, gate := range o.gateCopy() {
 		if err := gate(); err != nil {
-			http.Error(w, part+": "+err.Error(), http.StatusServiceUnavailable)
-			return
+			return eris.New(part + ": " + err.Error())
 		}
 	}
-	_, _ = w.Write([]byte("ready\n"))
+	return nil
 }
 
 func (o *Observer) gateCopy() map[string]func() error {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"merlinhall/consensus"
 	"merlinhall/duty"
@@ -63,7 +64,7 @@
 type Replica struct {
 	options Options
 	log     *logrus.Entry
-	start   time.Time
+	start   time.Duration // of the boot clock
 	core    *Core
 	duty    *duty.Duty
 	peers   *peers
@@ -94,6 +95,8 @@
 	done    ReadDone
 }
 
+type peersCall struct{ names, excluded []string }
+
 type changeCall struct {
 	kind   consensus.ChangeKind
 	member consensus.Member
@@ -103,7 +106,8 @@
 // Start opens the data folder and runs the replica as a duty. Errors wrap
 // storage.ErrLocked or storage.ErrCorrupt.
 func Start(o Options) (*Replica, error) {
-	r := &Replica{options: o, log: o.Observer.Logger("replica"), start: time.Now(), peers: newPeers()}
+	r := &Replica{options: o, log: o.Observer.Logger("replica"), peers: newPeers()}
+	r.start = r.now()
 	fs := o.FS
 	if fs == nil {
 		fs = storage.Dir(o.DataDir)
@@ -144,7 +148,15 @@
 	return binary.LittleEndian.Uint64(b[:]) | 1
 }
 
-func (r *Replica) now() time.Duration { return time.Since(r.start) }
+// now is the time that the log works with. It goes on while the host is suspended,
+// so that a leader that wakes up knows that its lease is over.
+func (r *Replica) now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		duty.Invariant(false, "replica: the boot clock cannot be read: %v", err)
+	}
+	return time.Duration(t.Nano()) - r.start
+}
 
 // ready is the readiness condition: the replica follows or leads, and its disk
 // works.
@@ -200,6 +212,8 @@
 		r.core.Read(now, m.byLease, m.done)
 	case changeCall:
 		r.core.Change(now, m.kind, m.member, m.done)
+	case peersCall:
+		r.core.step(now, consensus.Peers{Names: m.names, Excluded: m.excluded})
 	case flushMessage:
 		r.flushing = false
 		r.flush()
@@ -348,6 +362,12 @@
 	return err
 }
 
+// SetPeers tells which replicas to ask for admission and which must not be members
+// of an open group.
+func (r *Replica) SetPeers(names, excluded []string) error {
+	return r.offer(peersCall{names, excluded})
+}
+
 // Stop ends the duty. Proposals without an outcome end as unknown.
 func (r *Replica) Stop() {
 	r.duty.Stop()
--- /dev/null
+++ b/routes/check.go
@@ -0,0 +1,60 @@
+package routes
+
+import (
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrInvalid is wrapped by the errors of Check.
+var ErrInvalid = eris.New("the manifest is invalid")
+
+// Check returns the first fault of a manifest.
+func (m *Manifest) Check() error {
+	if m.Version == 0 {
+		return eris.Wrap(ErrInvalid, "version is missing")
+	}
+	services := make(map[string]bool, len(m.Services))
+	for _, s := range m.Services {
+		if s.Name == "" {
+			return eris.Wrap(ErrInvalid, "a service has no name")
+		}
+		services[s.Name] = true
+	}
+	places := make(map[[2]string]string, len(m.Routes))
+	for i := range m.Routes {
+		r := &m.Routes[i]
+		if err := r.check(services); err != nil {
+			return err
+		}
+		place := [2]string{r.Host, r.Prefix}
+		if other, taken := places[place]; taken {
+			return eris.Wrapf(ErrInvalid, "routes %q and %q have the same host and prefix", other, r.Name)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) check(services map[string]bool) error {
+	if r.Timeout <= 0 {
+		return eris.Wrapf(ErrInvalid, "route %q: the timeout must be above 0", r.Name)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return eris.Wrapf(ErrInvalid, "route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if !services[s.Service] {
+			return eris.Wrapf(ErrInvalid, "route %q: service %q is not defined", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return eris.Wrapf(ErrInvalid, "route %q: weight %d is negative", r.Name, s.Weight)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return eris.Wrapf(ErrInvalid, "route %q: the weights add up to 0", r.Name)
+	}
+	return nil
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -134,6 +134,8 @@
 	// Address is the link address on which the sender accepts links, empty when
 	// it accepts none.
 	Address string `cbor:"6,keyasint,omitempty"`
+	// Host is the name of the host, where it differs from that of the process.
+	Host string `cbor:"7,keyasint,omitempty"`
 }
 
 // Ping keeps a link from being taken for silent.
