upstream: a pooled connection has no deadline of an earlier request

Cause: the write deadline of a request's context stayed on its connection, so the next request on it failed before it was sent (i/o timeout, 0 events). Ruled out: idle closes by the target (the error was a local timeout). Change: each request sets its own deadline or none; tests of the pool against late, doubled, short and unframed responses. Conclusion: mended; the test fails without the change.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -179,8 +179,9 @@
 }
 
 func (c *conn) write(r *Request) error {
-	if deadline := r.writeDeadline; !deadline.IsZero() {
-		_ = c.net.SetWriteDeadline(deadline)
+	// The zero time removes the deadline of an earlier request.
+	if err := c.net.SetWriteDeadline(r.writeDeadline); err != nil {
+		return err
 	}
 	var b strings.Builder
 	b.Grow(writeBuffer)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -118,9 +118,7 @@
 	if err != nil {
 		return nil, &Failure{NotSent: true, Err: err}
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		r.writeDeadline = deadline
-	}
+	r.writeDeadline, _ = ctx.Deadline()
 	response, done, sent, err := c.exchange(ctx, r)
 	if err != nil {
 		return nil, &Failure{NotSent: !sent, Err: err}
--- /dev/null
+++ b/upstream/pool_test.go
@@ -0,0 +1,191 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serve accepts connections and answers each request with what respond writes. It
+// returns the address and a count of accepted connections.
+func serve(t *testing.T, respond func(w io.Writer, r *http.Request, n int) (keep bool)) (Address, chan net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	accepted := make(chan net.Conn, 64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					if !respond(c, r, n) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return Address{HostPort: l.Addr().String(), ID: "t1"}, accepted
+}
+
+func write(w io.Writer, text string) bool {
+	_, err := io.WriteString(w, text)
+	return err == nil
+}
+
+func newTestPool() *Pool {
+	return NewPool(func(id string, h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id })
+}
+
+func get(id string) *Request {
+	return &Request{ID: id, Method: http.MethodPost, URI: "/a?b", Host: "h", Body: []byte("x")}
+}
+
+func TestConnectionIsUsedAgainAfterDeadlinePassed(t *testing.T) {
+	is := is.New(t)
+	to, accepted := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		return write(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	p := newTestPool()
+	short, cancel := context.WithTimeout(context.Background(), 80*time.Millisecond)
+	_, body, err := p.Do(short, to, get("1"))
+	cancel()
+	is.NoErr(err)
+	is.Equal(string(body), "ok")
+	time.Sleep(100 * time.Millisecond)
+	_, _, err = p.Do(context.Background(), to, get("2"))
+	is.NoErr(err) // the deadline of the first request must not bind the second
+	is.Equal(len(accepted), 1)
+}
+
+func TestResponseOfAnotherRequestIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	to, _ := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		return write(w, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nok")
+	})
+	_, _, err := newTestPool().Do(context.Background(), to, get("1"))
+	var failure *Failure
+	is.True(errors.As(err, &failure))
+	is.True(!failure.NotSent) // it may have run
+}
+
+func TestStrayBytesCloseTheConnection(t *testing.T) {
+	is := is.New(t)
+	to, accepted := serve(t, func(w io.Writer, _ *http.Request, n int) bool {
+		text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		if n == 0 {
+			text += "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+		}
+		return write(w, text)
+	})
+	p := newTestPool()
+	_, _, err := p.Do(context.Background(), to, get("1"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	_, body, err := p.Do(context.Background(), to, get("2"))
+	is.NoErr(err)
+	is.Equal(string(body), "ok")
+	is.Equal(len(accepted), 2)
+}
+
+func TestShortResponseIsAFailure(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+		"nothing": "",
+		"garbage": "\x00\x01\x02 no response\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			to, _ := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				write(w, text)
+				return false
+			})
+			_, _, err := newTestPool().Do(context.Background(), to, get("1"))
+			var failure *Failure
+			is.True(errors.As(err, &failure))
+			is.True(!failure.NotSent)
+		})
+	}
+}
+
+func TestResponseWithoutLengthEndsWithTheConnection(t *testing.T) {
+	is := is.New(t)
+	to, accepted := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		write(w, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		return false
+	})
+	p := newTestPool()
+	for range 2 {
+		_, body, err := p.Do(context.Background(), to, get("1"))
+		is.NoErr(err)
+		is.Equal(string(body), "all of it")
+	}
+	is.Equal(len(accepted), 2)
+}
+
+func TestNobodyListening(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, _, err = newTestPool().Do(context.Background(), Address{HostPort: address}, get("1"))
+	var failure *Failure
+	is.True(errors.As(err, &failure))
+	is.True(failure.NotSent)
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	to, accepted := serve(t, func(_ io.Writer, _ *http.Request, _ int) bool {
+		<-gone
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err := newTestPool().Do(ctx, to, get("1"))
+	is.True(err != nil)
+	c := <-accepted
+	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // the target sees that nobody waits any more
+	close(gone)
+}
+
+func TestIdleTimeOfTheTargetIsKept(t *testing.T) {
+	is := is.New(t)
+	to, accepted := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		return write(w, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n")
+	})
+	p := newTestPool()
+	for range 2 {
+		_, _, err := p.Do(context.Background(), to, get("1"))
+		is.NoErr(err)
+	}
+	is.Equal(len(accepted), 2)
+}
