--- a/batch/runner.go
+++ b/batch/runner.go
@@ -207,7 +207,12 @@
 	for _, t := range j.order {
 		t.since = now
 		if earlier, ok := r.o.Submissions.Finished(t.item.ID); ok && r.reusable(t, earlier) {
-			t.events, t.versions = [][]byte{earlier.Text}, earlier.Versions
+			text, err := ledger.Unpack(earlier.Packed)
+			if err != nil {
+				r.log.WithField("item", t.item.ID).Errorf("earlier text is not used: %v", err)
+				continue
+			}
+			t.events, t.versions = [][]byte{text}, earlier.Versions
 			r.score(t)
 		}
 	}
@@ -502,7 +507,7 @@
 }
 
 func (r *Runner) result(t *task, score string) ledger.Result {
-	return ledger.Result{Item: t.item.ID, Text: bytes.Join(t.events, []byte("\n")), Versions: t.versions, Score: score}
+	return ledger.Result{Item: t.item.ID, Packed: ledger.Pack(bytes.Join(t.events, []byte("\n"))), Versions: t.versions, Score: score}
 }
 
 // rewardLimit bounds a reward call whose route allows more.
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -25,6 +25,10 @@
 // turns, for clocks that differ in rate.
 const orderMargin = 300 * time.Millisecond
 
+// logShare is the part of the memory that commands after the newest snapshot may
+// take: the state, a snapshot and its encoding take some times their own size.
+const logShare = 16
+
 // startHub starts the part that holds the replicated state. The link address is
 // the process's name in the group, because it is all that others know of it.
 func (d *HostedDaemon) startHub() error {
@@ -35,12 +39,13 @@
 	versions, hosts := ledger.NewVersions(), ledger.NewHosts()
 	machine := control.NewMachine(manifests, versions, submissions, hosts)
 	r, err := replica.Start(replica.Options{
-		Name:     s.Links,
-		Peers:    slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == s.Links }),
-		DataDir:  s.DataDir,
-		Machine:  machine,
-		Observer: d.observer,
-		System:   d.system,
+		Name:          s.Links,
+		Peers:         slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == s.Links }),
+		DataDir:       s.DataDir,
+		Machine:       machine,
+		Observer:      d.observer,
+		System:        d.system,
+		SnapshotBytes: int(s.MemoryBytes / logShare),
 		Config: consensus.Config{
 			Open:         true,
 			Joiner:       !s.Founding || !slices.Contains(s.Seeds, s.Links),
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -27,7 +27,7 @@
 	size := 0
 	for at := after; at < len(h.Results); at++ {
 		r := h.Results[at]
-		size += len(r.Text) + resultOverhead
+		size += packedFactor*len(r.Packed) + resultOverhead
 		if size > limit && len(page.Results) > 0 {
 			break
 		}
@@ -40,6 +40,10 @@
 	return page, changed, true
 }
 
+// packedFactor is how much longer than its packed form a text may be expected to
+// be.
+const packedFactor = 3
+
 // resultOverhead is what a result takes beside its text.
 const resultOverhead = 200
 
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -59,7 +59,7 @@
 type Result struct {
 	Item     string   `cbor:"1,keyasint"`
 	Failed   bool     `cbor:"2,keyasint,omitempty"`
-	Text     []byte   `cbor:"3,keyasint,omitempty"`
+	Packed   []byte   `cbor:"3,keyasint,omitempty"` // the text, see Pack
 	Versions []uint64 `cbor:"4,keyasint,omitempty"` // that generated the text
 	Score    string   `cbor:"5,keyasint,omitempty"`
 }
--- a/replica/core.go
+++ b/replica/core.go
@@ -53,6 +53,9 @@
 	// SnapshotKeep is how many entries before a snapshot stay for slow followers.
 	SnapshotEvery uint64
 	SnapshotKeep  uint64
+	// SnapshotBytes of applied commands bring a snapshot earlier; a quarter of them
+	// stays for slow followers.
+	SnapshotBytes int
 }
 
 // Defaults of CoreOptions. A snapshot each 4,096 entries bounds the log that is
@@ -63,8 +66,9 @@
 const (
 	defaultSnapshotEvery = 4096
 	defaultSnapshotKeep  = 1024
-	snapshotBytes        = 32 << 20
-	snapshotKeepBytes    = 8 << 20
+	defaultSnapshotBytes = 32 << 20
+	// keepShare is the part of the snapshot bytes that stays for slow followers.
+	keepShare = 4
 )
 
 // ProposeDone receives the outcome of a proposal.
@@ -101,6 +105,9 @@
 		o.SnapshotEvery = defaultSnapshotEvery
 		o.SnapshotKeep = defaultSnapshotKeep
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
 	store, recovered, err := storage.Open(o.FS, o.NewID)
 	if err != nil {
 		return nil, err
@@ -295,7 +302,7 @@
 }
 
 func (c *Core) maybeSnapshot(now time.Duration) {
-	due := c.applied >= c.snapshot+c.options.SnapshotEvery || c.unsaved >= snapshotBytes
+	due := c.applied >= c.snapshot+c.options.SnapshotEvery || c.unsaved >= c.options.SnapshotBytes
 	if c.failed != nil || !due || c.applied == c.snapshot {
 		return
 	}
@@ -308,7 +315,7 @@
 	c.unsaved = 0
 	c.step(now, consensus.Compact{
 		Index: c.applied, Data: data,
-		Keep: c.options.SnapshotKeep, KeepBytes: snapshotKeepBytes,
+		Keep: c.options.SnapshotKeep, KeepBytes: c.options.SnapshotBytes / keepShare,
 	})
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -58,6 +58,7 @@
 	FS            storage.FS // nil: the folder DataDir
 	SnapshotEvery uint64     // entries; 0 means the default
 	SnapshotKeep  uint64
+	SnapshotBytes int // of commands; 0 means the default
 }
 
 // Replica is a running replica.
@@ -125,6 +126,7 @@
 		Send:          r.send,
 		SnapshotEvery: o.SnapshotEvery,
 		SnapshotKeep:  o.SnapshotKeep,
+		SnapshotBytes: o.SnapshotBytes,
 	}, r.now())
 	if err != nil {
 		return nil, err
