consensus: a probe of a follower's log carries no entries

Change: probes are empty; the ring of a link is bounded in bytes as well. Conclusion: mended; TestSilentLearnerCostsNoEntries and TestWaitingFramesAreBoundedInBytes fail without it.

--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -204,8 +204,16 @@
 		n.sendChunk(m, p, force)
 		return
 	}
+	if p.probing {
+		// A probe carries no entries: until the follower answers, it may be sent
+		// again and again to a process that takes nothing.
+		if force || !p.probed && p.next <= n.log.last() {
+			n.sendAppend(m, p, nil)
+		}
+		return
+	}
 	sent := false
-	for p.next <= n.log.last() && len(p.inflight) < n.cfg.MaxInflight && !(p.probing && p.probed) {
+	for p.next <= n.log.last() && len(p.inflight) < n.cfg.MaxInflight {
 		n.sendAppend(m, p, n.log.batch(p.next, n.cfg.MaxBatchBytes))
 		sent = true
 	}
--- /dev/null
+++ b/consensus/open_test.go
@@ -0,0 +1,180 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// openGroup steps the nodes of an open group against each other without loss.
+type openGroup struct {
+	now   time.Duration
+	nodes map[string]*Node
+	down  map[string]bool
+	bytes map[string]int // sent to each
+	next  uint64
+}
+
+func newOpenGroup() *openGroup {
+	return &openGroup{nodes: make(map[string]*Node), down: make(map[string]bool), bytes: make(map[string]int), next: 1}
+}
+
+// start adds a replica with an empty folder.
+func (g *openGroup) start(name string, seeds []string, joiner bool) *Node {
+	var peers []string
+	for _, s := range seeds {
+		if s != name {
+			peers = append(peers, s)
+		}
+	}
+	n := New(Config{
+		ID: g.next, Name: name, Peers: peers, Rand: rand.New(rand.NewPCG(g.next, 7)), Open: true, Joiner: joiner,
+	}, Recovered{}, g.now)
+	g.next++
+	g.nodes[name] = n
+	g.down[name] = false
+	return n
+}
+
+// run lets time pass.
+func (g *openGroup) run(d time.Duration) {
+	for end := g.now + d; g.now < end; g.now += 10 * time.Millisecond {
+		for name, n := range g.nodes {
+			if !g.down[name] {
+				n.Step(g.now, Tick{})
+			}
+		}
+		for range 4 {
+			g.deliver()
+		}
+	}
+}
+
+func (g *openGroup) deliver() {
+	var out []Message
+	for name, n := range g.nodes {
+		if g.down[name] {
+			continue
+		}
+		for {
+			o, ok := n.Take()
+			if !ok {
+				break
+			}
+			n.Persisted()
+			out = append(out, o.Messages...)
+		}
+	}
+	for i := range out {
+		m := &out[i]
+		for _, e := range m.Entries {
+			g.bytes[m.ToName] += len(e.Data)
+		}
+		if n := g.nodes[m.ToName]; n != nil && !g.down[m.ToName] {
+			n.Step(g.now, Receive{m})
+		}
+	}
+}
+
+func (g *openGroup) leader() *Node {
+	for name, n := range g.nodes {
+		if n.role == RoleLeader && !g.down[name] {
+			return n
+		}
+	}
+	return nil
+}
+
+// voterNames returns the names of the leader's voters.
+func (g *openGroup) voterNames() []string {
+	var names []string
+	for _, m := range g.leader().voters() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+var seedNames = []string{"a:1", "b:1", "c:1"}
+
+func foundedGroup() *openGroup {
+	g := newOpenGroup()
+	for _, name := range seedNames {
+		g.start(name, seedNames, false)
+	}
+	g.run(2 * time.Second)
+	return g
+}
+
+func TestOpenGroupAdmitsReplicasItWasNotToldOf(t *testing.T) {
+	is := is.New(t)
+	g := foundedGroup()
+	is.Equal(len(g.voterNames()), 3)
+	g.start("d:1", seedNames, true)
+	g.run(3 * time.Second)
+	is.Equal(len(g.voterNames()), 4)
+	g.start("e:1", seedNames, true)
+	g.run(3 * time.Second)
+	is.Equal(len(g.voterNames()), 4) // no more than are wanted
+}
+
+func TestOpenGroupReplacesAHostByOneAtAnotherAddress(t *testing.T) {
+	is := is.New(t)
+	g := foundedGroup()
+	g.start("d:1", seedNames, true)
+	g.run(3 * time.Second)
+	g.down["c:1"] = true
+	g.start("e:1", seedNames, true)
+	g.run(20 * time.Second)
+	names := g.voterNames()
+	is.Equal(len(names), 4)
+	for _, name := range names {
+		is.True(name != "c:1") // silent for long
+	}
+}
+
+func TestVoterThatWasRemovedWhileSilentComesBack(t *testing.T) {
+	is := is.New(t)
+	g := foundedGroup()
+	g.start("d:1", seedNames, true)
+	g.run(3 * time.Second)
+	g.down["d:1"] = true
+	g.run(15 * time.Second)
+	is.Equal(len(g.voterNames()), 3)
+	g.down["d:1"] = false
+	g.run(5 * time.Second)
+	is.Equal(len(g.voterNames()), 4)
+}
+
+func TestExcludedReplicaLeavesAndStaysAway(t *testing.T) {
+	is := is.New(t)
+	g := foundedGroup()
+	g.start("d:1", seedNames, true)
+	g.run(3 * time.Second)
+	for _, n := range g.nodes {
+		n.Step(g.now, Peers{Names: seedNames, Excluded: []string{"a:1"}})
+	}
+	g.run(5 * time.Second)
+	names := g.voterNames()
+	is.Equal(len(names), 3)
+	for _, name := range names {
+		is.True(name != "a:1")
+	}
+}
+
+func TestSilentLearnerCostsNoEntries(t *testing.T) {
+	is := is.New(t)
+	g := foundedGroup()
+	g.start("d:1", seedNames, true)
+	for len(g.leader().members) == 3 {
+		g.run(10 * time.Millisecond)
+	}
+	g.down["d:1"] = true // before it has answered anything
+	g.bytes["d:1"] = 0
+	for i := range 64 {
+		g.leader().Step(g.now, Propose{Key: uint64(i), Data: make([]byte, 32<<10)})
+		g.run(50 * time.Millisecond)
+	}
+	is.True(g.bytes["d:1"] <= 9<<20) // the bytes that may be in flight, not those of each heartbeat
+}
--- a/link/link.go
+++ b/link/link.go
@@ -39,6 +39,9 @@
 	writeLimit = 2 * time.Second
 	// sendRing is the number of frames that wait for the socket.
 	sendRing = 1024
+	// sendBytes bounds their size, so that a peer that does not read costs a
+	// bounded part of a small host's memory. It is the largest frame.
+	sendBytes = wire.MaxFrameBytes
 	// helloLimit bounds the exchange of Hello messages.
 	helloLimit = 2 * time.Second
 	// Path is the HTTP path of links.
@@ -80,6 +83,7 @@
 	reason   error
 	sent     atomic.Uint64
 	received atomic.Uint64
+	waiting  atomic.Int64 // bytes of frames in send
 }
 
 // Peer returns the Hello of the other end.
@@ -111,10 +115,16 @@
 		return ErrClosed
 	default:
 	}
+	// A frame above the limit goes when nothing else waits.
+	if waiting := c.waiting.Add(int64(len(frame))); waiting > sendBytes && waiting > int64(len(frame)) {
+		c.waiting.Add(-int64(len(frame)))
+		return ErrSendFull
+	}
 	select {
 	case c.send <- frame:
 		return nil
 	default:
+		c.waiting.Add(-int64(len(frame)))
 		return ErrSendFull
 	}
 }
@@ -188,7 +198,9 @@
 	for {
 		select {
 		case frame := <-c.send:
-			if !c.write(frame) {
+			ok := c.write(frame)
+			c.waiting.Add(-int64(len(frame)))
+			if !ok {
 				return
 			}
 		case <-c.closed:
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -145,3 +145,13 @@
 }
 
 var _ http.Handler = Accept(wire.Hello{}, nil)
+
+func TestWaitingFramesAreBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	c := &Conn{send: make(chan []byte, sendRing), closed: make(chan struct{})}
+	frame := make([]byte, 1<<20)
+	for range sendBytes / len(frame) {
+		is.NoErr(c.SendFrame(frame))
+	}
+	is.Equal(c.SendFrame(frame), ErrSendFull) // a peer that does not read
+}
