--- a/batch/runner.go
+++ b/batch/runner.go
@@ -86,6 +86,7 @@
 	stop       context.CancelFunc
 
 	jobs    []*job // oldest first
+	partial *partials
 	engines []*engine
 	homes   map[string]string // engine to model
 	expiry  time.Time
@@ -189,7 +190,7 @@
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.leadSince, r.superseded = now, false
-	r.engines, r.homes = nil, make(map[string]string)
+	r.engines, r.homes, r.partial = nil, make(map[string]string), newPartials()
 	r.takeView(now, r.o.Directory.View())
 	for _, open := range r.o.Submissions.Open() {
 		r.addJob(open)
@@ -200,7 +201,7 @@
 func (r *Runner) addJob(open ledger.Open) {
 	j := newJob(open, func(item string) bool {
 		_, ok := r.o.Submissions.Finished(item)
-		return ok
+		return ok || r.partial.has(item)
 	})
 	r.jobs = append(r.jobs, j)
 	now := time.Now()
@@ -214,7 +215,24 @@
 			}
 			t.events, t.versions = [][]byte{text}, earlier.Versions
 			r.score(t)
+			continue
 		}
+		r.resume(t)
+	}
+}
+
+// resume goes on with the text that an ended submission left of the item.
+func (r *Runner) resume(t *task) {
+	p := r.partial.take(t.item.ID, t.job.sub.MinVersion, t.job.sub.SingleVersion)
+	if p == nil {
+		return
+	}
+	t.events, t.versions = p.events, p.versions
+	r.log.WithFields(logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "events": len(p.events), "versions": p.versions, "complete": p.complete,
+	}).Info("item goes on with the text of an earlier submission")
+	if p.complete {
+		r.score(t)
 	}
 }
 
@@ -261,11 +279,14 @@
 	if j == nil {
 		return
 	}
+	now := time.Now()
 	for _, t := range j.tasks {
 		if t.run != nil {
 			t.run.why = why
 			t.run.cancel()
+			continue
 		}
+		r.partial.keep(now, t.item.ID, t.events, t.versions, t.state == taskScoring)
 	}
 	r.jobs = slices.DeleteFunc(r.jobs, func(k *job) bool { return k == j })
 	r.log.WithFields(logrus.Fields{"submission": id, "left": len(j.tasks)}).Info("submission is closed: " + why)
@@ -379,6 +400,10 @@
 	version := e.versions[t.job.sub.Model]
 	run := &run{task: t, engine: e.id, born: e.born, began: now, cancel: cancel, version: version}
 	t.state, t.engine, t.run = taskRunning, e.id, run
+	t.runs++
+	if t.begun.IsZero() {
+		t.begun = now
+	}
 	e.running++
 	request := &upstream.Request{
 		ID:     t.item.ID,
@@ -416,20 +441,22 @@
 		e.running--
 		r.judge(now, e, m)
 	}
-	if r.job(t.job.sub.ID) != t.job {
-		return
-	}
 	t.events = append(t.events, m.events...)
 	for _, v := range m.versions {
 		if !slices.Contains(t.versions, v) {
 			t.versions = append(t.versions, v)
 		}
 	}
+	if r.job(t.job.sub.ID) != t.job {
+		r.partial.keep(now, t.item.ID, t.events, t.versions, m.outcome == runComplete)
+		return
+	}
 	r.metrics.runs.WithLabelValues(string(m.outcome)).Inc()
 	r.logRun(now, m)
 	t.since = now
 	switch m.outcome {
 	case runComplete:
+		t.texted = now
 		r.score(t)
 	case runImpossible:
 		r.list(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine will never do it")
@@ -599,6 +626,7 @@
 		return
 	}
 	r.metrics.listed(t, now)
+	r.logListed(t, now)
 	delete(j.tasks, t.item.ID)
 	j.order = slices.DeleteFunc(j.order, func(o *task) bool { return o == t })
 	if len(j.tasks) == 0 {
@@ -606,6 +634,20 @@
 	}
 }
 
+func (r *Runner) logListed(t *task, now time.Time) {
+	since := func(at time.Time) int64 {
+		if at.IsZero() {
+			return -1
+		}
+		return at.Sub(t.job.since).Milliseconds()
+	}
+	r.log.WithFields(logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "failed": t.result.Failed,
+		"versions": t.versions, "events": len(t.events), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
+		"begun_ms": since(t.begun), "text_ms": since(t.texted), "listed_ms": since(now),
+	}).Info("item is listed")
+}
+
 // tick looks for what no message tells.
 func (r *Runner) tick(now time.Time) {
 	if !r.leading {
--- a/batch/task.go
+++ b/batch/task.go
@@ -37,6 +37,9 @@
 	versions []uint64
 	failures int // runs that an engine answered with a failure
 	moves    int // runs that were taken off a slow engine
+	runs     int
+	begun    time.Time // first run
+	texted   time.Time // the text was complete
 	tryAt    time.Time
 	// rewardFailures counts failures that the reward service answered with.
 	rewardFailures int
