batch: an item whose engine fails it goes to another engine

Its wait for the group's engine began anew with each failure. Change: a failed run frees the group from that engine; an engine that takes no connections is asked after 0.25 s, doubling to 2 s. Items that are left when a submission closes are logged with how far they were.

--- a/batch/generate.go
+++ b/batch/generate.go
@@ -110,6 +110,7 @@
 	outcome  runOutcome
 	events   [][]byte // new ones, in order
 	versions []uint64 // of the new events
+	reached  bool     // the engine took the request
 	current  uint64   // version that the engine named, 0 if it named none
 	err      error
 }
@@ -126,6 +127,7 @@
 		}
 		return end
 	}
+	end.reached = true
 	end.current = p.Version(response.Header)
 	if response.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxFailureBody))
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -37,6 +37,7 @@
 	running  int
 	// pausedUntil keeps new runs away after a refusal or a lost connection.
 	pausedUntil time.Time
+	unreached   int   // connections in a row that it did not take
 	load        *load // order under way
 	asking      bool  // a report is under way
 	pace        time.Duration
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -32,6 +32,11 @@
 	silenceInLoad = 4 * time.Second
 	// pauseRefused keeps new runs from an engine that refused one.
 	pauseRefused = 100 * time.Millisecond
+	// pauseUnreached keeps new runs from an engine that takes no connections. It
+	// doubles with each further failure up to pauseMost, so that a crashed engine
+	// costs few attempts and one that is back is used within seconds.
+	pauseUnreached = 250 * time.Millisecond
+	pauseMost      = 2 * time.Second
 	// pauseBroken keeps new runs from an engine that broke one off.
 	pauseBroken = 500 * time.Millisecond
 	// pauseSilent keeps new runs from an engine that went silent.
@@ -281,6 +286,7 @@
 	}
 	now := time.Now()
 	for _, t := range j.tasks {
+		r.logLeft(t, now, why)
 		if t.run != nil {
 			t.run.why = why
 			t.run.cancel()
@@ -453,7 +459,9 @@
 	}
 	r.metrics.runs.WithLabelValues(string(m.outcome)).Inc()
 	r.logRun(now, m)
-	t.since = now
+	if m.outcome != runComplete {
+		t.group.leave(m.run.engine)
+	}
 	switch m.outcome {
 	case runComplete:
 		t.texted = now
@@ -494,6 +502,9 @@
 
 // judge takes what the end of a run shows of its engine.
 func (r *Runner) judge(now time.Time, e *engine, m runEnd) {
+	if m.reached {
+		e.unreached = 0
+	}
 	if m.current != 0 && e.load == nil {
 		e.versions[m.run.task.job.sub.Model] = m.current
 		e.checked = now
@@ -503,6 +514,11 @@
 	}
 	switch m.outcome {
 	case runNotRun:
+		if !m.reached {
+			e.unreached++
+			e.pausedUntil = now.Add(min(pauseUnreached<<min(e.unreached-1, 8), pauseMost))
+			return
+		}
 		e.pausedUntil = now.Add(pauseRefused)
 	case runWrongPlace, runOldWeights:
 		e.pausedUntil = now.Add(pauseBroken)
@@ -634,6 +650,21 @@
 	}
 }
 
+// logLeft tells how far an item without a result was when its submission closed.
+func (r *Runner) logLeft(t *task, now time.Time, why string) {
+	fields := logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "state": t.state.String(),
+		"events": len(t.events), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
+		"reward_failures": t.rewardFailures, "age_ms": now.Sub(t.job.since).Milliseconds(),
+	}
+	if t.run != nil {
+		fields["run_ms"] = now.Sub(t.run.began).Milliseconds()
+		fields["run_events"] = t.run.count.Load()
+		fields["idle_ms"] = t.run.idle(now).Milliseconds()
+	}
+	r.log.WithFields(fields).Info("item is left: " + why)
+}
+
 func (r *Runner) logListed(t *task, now time.Time) {
 	since := func(at time.Time) int64 {
 		if at.IsZero() {
@@ -665,7 +696,7 @@
 	for _, t := range moves(now, running, r.engines) {
 		t.moves++
 		r.cancelRun(t, "the engine is slow")
-		t.group.engine = ""
+		t.group.leave(t.engine)
 	}
 	r.expire(now)
 }
@@ -678,7 +709,7 @@
 				e.pausedUntil = now.Add(pauseSilent)
 			}
 			r.cancelRun(t, "the engine is silent")
-			t.group.engine = ""
+			t.group.leave(t.engine)
 		}
 	case taskScoring:
 		if !t.tryAt.IsZero() && !now.Before(t.tryAt) {
--- a/batch/task.go
+++ b/batch/task.go
@@ -20,6 +20,10 @@
 	taskListing // its result is proposed
 )
 
+func (s taskState) String() string {
+	return [...]string{"pending", "running", "scoring", "listing"}[s]
+}
+
 // task is an item without a result.
 type task struct {
 	job   *job
@@ -73,6 +77,14 @@
 	seen   bool // some of its items had come in an earlier submission
 }
 
+// leave lets the group's items go to any engine but the one that failed one of
+// them.
+func (g *group) leave(engine string) {
+	if g.engine == engine {
+		g.engine = ""
+	}
+}
+
 // job is an open submission.
 type job struct {
 	sub    *ledger.Submission
