--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -49,7 +49,7 @@
 		Config: consensus.Config{
 			Open:         true,
 			Joiner:       !s.Founding || !slices.Contains(s.Seeds, s.Links),
-			VotersWanted: 2*s.HostFaults + 2,
+			VotersWanted: 2*s.HostFaults + 3,
 			VotersLeast:  2*s.HostFaults + 1,
 		},
 	})
