batch: engines belong to models by demand and lag; pace is looked at during runs

Cause: after each change of the leader, engines were given to models by the largest version number, not by how far they were behind, so steps waited 4 s for loads; models had four engines each though one brings half the work; a slow engine was found slow only when a run on it ended. Change: homes in proportion to the size of a model's submissions, least lag first; time per event is taken each 0.4 s from running runs.

--- a/batch/generate.go
+++ b/batch/generate.go
@@ -97,6 +97,7 @@
 	count   atomic.Int64 // events so far
 	newest  atomic.Int64 // time of the last event, nanoseconds since began
 	version uint64       // that the engine was expected to have
+	seen    int64        // count when the pace was last looked at
 }
 
 // idle returns the time since the run's last event or its start.
--- a/batch/loads.go
+++ b/batch/loads.go
@@ -39,8 +39,9 @@
 
 // homes assigns engines to models in proportion to their demand, so that each
 // version is loaded by a part of the engines only. An engine keeps its model as
-// far as the proportions allow.
-func homes(engines []*engine, demand map[string]float64, before map[string]string) map[string]string {
+// far as the proportions allow; others get the model whose named version they are
+// least behind.
+func homes(engines []*engine, demand map[string]float64, named map[string]uint64, before map[string]string) map[string]string {
 	models := make([]string, 0, len(demand))
 	total := 0.0
 	for m, d := range demand {
@@ -53,33 +54,35 @@
 		return out
 	}
 	quota := quotas(models, demand, total, len(engines))
-	var rest []*engine
+	var open []homeChoice
 	for _, e := range engines {
 		if m := before[e.id]; m != "" && quota[m] > 0 && has(e, m) {
 			out[e.id] = m
 			quota[m]--
-		} else {
-			rest = append(rest, e)
+			continue
 		}
-	}
-	for _, e := range rest {
-		best := ""
 		for _, m := range models {
-			if quota[m] <= 0 || !has(e, m) {
-				continue
-			}
-			if best == "" || e.versions[m] > e.versions[best] {
-				best = m
+			if has(e, m) {
+				open = append(open, homeChoice{e.id, m, named[m] - min(named[m], e.versions[m])})
 			}
 		}
-		if best != "" {
-			out[e.id] = best
-			quota[best]--
+	}
+	slices.SortStableFunc(open, func(a, b homeChoice) int { return cmp.Compare(a.lag, b.lag) })
+	for _, c := range open {
+		if _, taken := out[c.engine]; !taken && quota[c.model] > 0 {
+			out[c.engine] = c.model
+			quota[c.model]--
 		}
 	}
 	return out
 }
 
+// homeChoice is an engine that could be a model's own, lag versions behind.
+type homeChoice struct {
+	engine, model string
+	lag           uint64
+}
+
 func has(e *engine, model string) bool {
 	_, ok := e.versions[model]
 	return ok
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/ledger"
 	"merlinhall/upstream"
 )
 
@@ -59,21 +60,41 @@
 		return
 	}
 	named := r.o.Versions.Named()
-	r.homes = homes(r.engines, r.demand(named), r.homes)
+	r.homes = homes(r.engines, r.demandOf(named), named, r.homes)
 	for _, l := range planLoads(now, r.engines, r.homes, named) {
 		r.order(now, l)
 	}
 }
 
-// demand returns the share of the work of each model that has versions.
-func (r *Runner) demand(named map[string]uint64) map[string]float64 {
+// demandOf returns the work that a step of each model with versions brings.
+func (r *Runner) demandOf(named map[string]uint64) map[string]float64 {
 	demand := make(map[string]float64, len(named))
 	for model := range named {
-		demand[model] = 1
+		demand[model] = max(1, r.demand[model])
 	}
 	return demand
 }
 
+// noteDemand takes the size of a submission into the demand of its model.
+func (r *Runner) noteDemand(sub *ledger.Submission) {
+	size := 0
+	for i := range sub.Items {
+		size += sizeOf(sub.Items[i])
+	}
+	if size == 0 {
+		return
+	}
+	before := r.demand[sub.Model]
+	if before == 0 {
+		before = float64(size)
+	}
+	r.demand[sub.Model] = before + demandGain*(float64(size)-before)
+}
+
+// demandGain is the weight of one submission in the demand of its model. Homes
+// move seldom: each move costs a load.
+const demandGain = 0.2
+
 // order gives an engine the order to load a version. The number of orders that
 // the engine has accepted is asked first and goes with the order, so that a copy
 // of it that arrives late has no effect.
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -18,10 +18,14 @@
 	// maxMoves bounds the moves of one item, so that engines whose pace changes
 	// do not pass it back and forth.
 	maxMoves = 3
-	// paceSamples is the number of events before an engine's pace is judged.
-	paceSamples = 20
-	// paceGain is the weight of one event in the pace of an engine.
-	paceGain = 0.05
+	// pacePeriod is the time between two looks at the pace of the runs, in which
+	// an engine makes some events of each.
+	pacePeriod = 400 * time.Millisecond
+	// paceSamples is the number of looks at a run before an engine's pace is
+	// judged.
+	paceSamples = 3
+	// paceGain is the weight of one look at a run in the pace of an engine.
+	paceGain = 0.2
 )
 
 // engine is what the leader knows of a model engine.
@@ -41,11 +45,11 @@
 	load        *load // order under way
 	asking      bool  // a report is under way
 	pace        time.Duration
-	paced       int // events behind pace
+	paced       int // looks behind pace
 	draining    bool
 }
 
-// observe takes the time between two events of a run.
+// observe takes the time per event of a run.
 func (e *engine) observe(d time.Duration) {
 	e.paced++
 	if e.pace == 0 {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -94,7 +94,10 @@
 	partial *partials
 	engines []*engine
 	homes   map[string]string // engine to model
-	expiry  time.Time
+	// demand is the mean size of a submission by model, in tokens.
+	demand map[string]float64
+	expiry time.Time
+	paced  time.Time // when the pace of the engines was last looked at
 }
 
 type (
@@ -196,6 +199,7 @@
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.leadSince, r.superseded = now, false
 	r.engines, r.homes, r.partial = nil, make(map[string]string), newPartials()
+	r.demand = make(map[string]float64)
 	r.takeView(now, r.o.Directory.View())
 	for _, open := range r.o.Submissions.Open() {
 		r.addJob(open)
@@ -209,6 +213,7 @@
 		return ok || r.partial.has(item)
 	})
 	r.jobs = append(r.jobs, j)
+	r.noteDemand(open.Submission)
 	now := time.Now()
 	for _, t := range j.order {
 		t.since = now
@@ -509,9 +514,6 @@
 		e.versions[m.run.task.job.sub.Model] = m.current
 		e.checked = now
 	}
-	if n := m.run.count.Load(); n > 1 {
-		r.pace(e, m.run, n)
-	}
 	switch m.outcome {
 	case runNotRun:
 		if !m.reached {
@@ -530,11 +532,23 @@
 	}
 }
 
-// pace takes the mean time between two events of a run.
-func (r *Runner) pace(e *engine, run *run, n int64) {
-	mean := time.Duration(run.newest.Load() / n)
-	for range min(n, paceSamples) {
-		e.observe(mean)
+// pace takes the time per event of the runs on each engine since the last look.
+// Runs whose first event has not come say nothing: they may wait for a load.
+func (r *Runner) pace(now time.Time, running []*task) {
+	if now.Sub(r.paced) < pacePeriod {
+		return
+	}
+	passed := now.Sub(r.paced)
+	r.paced = now
+	for _, t := range running {
+		n := t.run.count.Load()
+		before := t.run.seen
+		t.run.seen = n
+		e := r.engine(t.engine)
+		if before == 0 || e == nil || e.load != nil {
+			continue
+		}
+		e.observe(passed / time.Duration(max(1, n-before)))
 	}
 }
 
@@ -693,6 +707,7 @@
 			}
 		}
 	}
+	r.pace(now, running)
 	for _, t := range moves(now, running, r.engines) {
 		t.moves++
 		r.cancelRun(t, "the engine is slow")
