batch: a load holds up the runs of its own model only

Cause: an engine that loaded one model began nothing for the others; the end of a load was seen up to 0.3 s late. Change: only runs of the model wait; loads under way are asked about each 0.1 s.

--- a/batch/loads.go
+++ b/batch/loads.go
@@ -16,7 +16,7 @@
 	// is the time of a load that shares its source with none.
 	loadExpected = 900 * time.Millisecond
 	// loadPoll is the time between two questions after that.
-	loadPoll = 300 * time.Millisecond
+	loadPoll = 100 * time.Millisecond
 	// loadLimit ends the wait for a load; the order is then given again.
 	loadLimit = 6 * time.Second
 )
@@ -37,11 +37,17 @@
 	version uint64
 }
 
+// homesPerEngine is how many models an engine keeps fresh. With one, a step that
+// comes while another of its model is open waits although other engines are idle;
+// a load holds up the runs of its own model only.
+const homesPerEngine = 1
+
 // homes assigns engines to models in proportion to their demand, so that each
-// version is loaded by a part of the engines only. An engine keeps its model as
-// far as the proportions allow; others get the model whose named version they are
-// least behind.
-func homes(engines []*engine, demand map[string]float64, named map[string]uint64, before map[string]string) map[string]string {
+// version is loaded by a part of the engines only. Each engine gets the models
+// that it is to keep fresh, the most important one first. An engine keeps its
+// models as far as the proportions allow; others get the model whose named version
+// they are least behind.
+func homes(engines []*engine, demand map[string]float64, named map[string]uint64, before map[string][]string) map[string][]string {
 	models := make([]string, 0, len(demand))
 	total := 0.0
 	for m, d := range demand {
@@ -49,32 +55,39 @@
 		total += d
 	}
 	slices.Sort(models)
-	out := make(map[string]string, len(engines))
+	out := make(map[string][]string, len(engines))
 	if len(models) == 0 || len(engines) == 0 {
 		return out
 	}
-	quota := quotas(models, demand, total, len(engines))
+	for round := range min(homesPerEngine, len(models)) {
+		assignHomes(engines, models, quotas(models, demand, total, len(engines)), named, before, out, round)
+	}
+	return out
+}
+
+// assignHomes gives each engine its model of one round.
+func assignHomes(engines []*engine, models []string, quota map[string]int, named map[string]uint64, before, out map[string][]string, round int) {
 	var open []homeChoice
 	for _, e := range engines {
-		if m := before[e.id]; m != "" && quota[m] > 0 && has(e, m) {
-			out[e.id] = m
-			quota[m]--
+		had := before[e.id]
+		if len(had) > round && quota[had[round]] > 0 && has(e, had[round]) && !slices.Contains(out[e.id], had[round]) {
+			out[e.id] = append(out[e.id], had[round])
+			quota[had[round]]--
 			continue
 		}
 		for _, m := range models {
-			if has(e, m) {
+			if has(e, m) && !slices.Contains(out[e.id], m) {
 				open = append(open, homeChoice{e.id, m, named[m] - min(named[m], e.versions[m])})
 			}
 		}
 	}
 	slices.SortStableFunc(open, func(a, b homeChoice) int { return cmp.Compare(a.lag, b.lag) })
 	for _, c := range open {
-		if _, taken := out[c.engine]; !taken && quota[c.model] > 0 {
-			out[c.engine] = c.model
+		if len(out[c.engine]) == round && quota[c.model] > 0 {
+			out[c.engine] = append(out[c.engine], c.model)
 			quota[c.model]--
 		}
 	}
-	return out
 }
 
 // homeChoice is an engine that could be a model's own, lag versions behind.
@@ -111,9 +124,10 @@
 	return quota
 }
 
-// planLoads chooses the orders to give now: the engines that are farthest behind
-// the named version of their model, a few at a time.
-func planLoads(now time.Time, engines []*engine, home map[string]string, named map[string]uint64) []loadPlan {
+// planLoads chooses the orders to give now, a few at a time. A step may use the
+// version before the one that is named with it, so engines that are two or more
+// behind come first; then those that are one behind with their first model.
+func planLoads(now time.Time, engines []*engine, home map[string][]string, named map[string]uint64) []loadPlan {
 	most := max(loadLeast, int(loadShare*float64(len(engines))))
 	var behind []loadPlan
 	for _, e := range engines {
@@ -121,12 +135,9 @@
 			most--
 			continue
 		}
-		model := home[e.id]
-		version, ok := e.versions[model]
-		if model == "" || !ok || e.draining || now.Before(e.pausedUntil) || named[model] <= version {
-			continue
+		if l, ok := nextLoad(now, e, home[e.id], named); ok {
+			behind = append(behind, l)
 		}
-		behind = append(behind, loadPlan{e, model, named[model]})
 	}
 	slices.SortStableFunc(behind, func(a, b loadPlan) int {
 		return cmp.Compare(b.lag(), a.lag())
@@ -137,4 +148,22 @@
 	return behind
 }
 
+// nextLoad returns the load that an engine needs most, if it needs one.
+func nextLoad(now time.Time, e *engine, models []string, named map[string]uint64) (best loadPlan, ok bool) {
+	if e.draining || now.Before(e.pausedUntil) {
+		return loadPlan{}, false
+	}
+	for rank, m := range models {
+		version, known := e.versions[m]
+		if !known || named[m] <= version || rank > 0 && named[m]-version < 2 {
+			continue
+		}
+		l := loadPlan{e, m, named[m]}
+		if !ok || l.lag() > best.lag() {
+			best, ok = l, true
+		}
+	}
+	return best, ok
+}
+
 func (l loadPlan) lag() uint64 { return l.version - l.engine.versions[l.model] }
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -164,9 +164,9 @@
 	if e.load != nil && e.load.taken {
 		held := e.versions[e.load.model] >= e.load.version
 		if held || now.Sub(e.load.since) > 2*loadExpected {
-			if !held {
-				r.log.WithFields(logrus.Fields{"engine": e.id, "model": e.load.model, "version": e.load.version}).Info("load had no effect")
-			}
+			r.log.WithFields(logrus.Fields{
+				"engine": e.id, "model": e.load.model, "version": e.load.version, "held": held, "ms": now.Sub(e.load.since).Milliseconds(),
+			}).Info("load has ended")
 			e.load = nil
 		}
 	}
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -61,14 +61,23 @@
 
 // free returns the runs that the engine can begin now.
 func (e *engine) free(now time.Time) int {
-	if e.draining || e.load != nil || now.Before(e.pausedUntil) {
+	if e.draining || now.Before(e.pausedUntil) {
 		return 0
 	}
 	return max(0, e.slots-e.running)
 }
 
-// runs reports whether the engine's weights may generate for the task.
+// serves reports whether the engine may generate for the task now: its weights fit
+// and are not being replaced.
 func (e *engine) serves(t *task) bool {
+	if e.load != nil && e.load.model == t.job.sub.Model {
+		return false
+	}
+	return e.mayServe(t)
+}
+
+// mayServe reports whether the engine's weights fit the task.
+func (e *engine) mayServe(t *task) bool {
 	version, ok := e.versions[t.job.sub.Model]
 	if !ok || version < t.job.sub.MinVersion {
 		return false
@@ -133,8 +142,8 @@
 // has none. A task that waited for its group's engine goes to any other one.
 func (p *planning) choose(t *task) (*engine, string) {
 	home := p.byID(t.group.engine)
-	if home != nil && home.serves(t) && !home.draining && !p.slow(home, slowFactor) {
-		if p.free[home.id] > 0 {
+	if home != nil && home.mayServe(t) && !home.draining && !p.slow(home, slowFactor) {
+		if p.free[home.id] > 0 && home.serves(t) {
 			return home, "group"
 		}
 		if p.now.Sub(t.since) < stealAfter {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -93,7 +93,7 @@
 	jobs    []*job // oldest first
 	partial *partials
 	engines []*engine
-	homes   map[string]string // engine to model
+	homes   map[string][]string // models of each engine, see homes
 	// demand is the mean size of a submission by model, in tokens.
 	demand map[string]float64
 	expiry time.Time
@@ -124,7 +124,7 @@
 
 // Start runs the duty. It does nothing until Lead tells that this process leads.
 func Start(o Options) *Runner {
-	r := &Runner{o: o, log: o.Observer.Logger("batch"), homes: make(map[string]string), metrics: newMetrics(o.Observer.Registry)}
+	r := &Runner{o: o, log: o.Observer.Logger("batch"), homes: make(map[string][]string), metrics: newMetrics(o.Observer.Registry)}
 	r.duty = o.System.Start("batch", mailboxCapacity, r)
 	o.Submissions.OnChange(func(c ledger.SubmissionChange) { r.offer(changeMessage{c}) })
 	o.Versions.OnChange(func() { r.offer(wakeMessage{}) })
@@ -198,7 +198,7 @@
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.leadSince, r.superseded = now, false
-	r.engines, r.homes, r.partial = nil, make(map[string]string), newPartials()
+	r.engines, r.homes, r.partial = nil, make(map[string][]string), newPartials()
 	r.demand = make(map[string]float64)
 	r.takeView(now, r.o.Directory.View())
 	for _, open := range r.o.Submissions.Open() {
@@ -510,7 +510,7 @@
 	if m.reached {
 		e.unreached = 0
 	}
-	if m.current != 0 && e.load == nil {
+	if model := m.run.task.job.sub.Model; m.current != 0 && (e.load == nil || e.load.model != model) {
 		e.versions[m.run.task.job.sub.Model] = m.current
 		e.checked = now
 	}
