batch: pending items begin by their latest start

Cause: a trainer has two steps open; items of the older step all came first, so the longest items of the next step, which take 6.9 s of the 7.5 s until it is due, began 2 to 5 s late, and the trainer fell behind its steps. Change: one queue over all submissions, ordered by when an item must begin to end in time; the time per estimated token is measured.

--- /dev/null
+++ b/batch/loads_test.go
@@ -0,0 +1,64 @@
+package batch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func modelEngine(id string, versions map[string]uint64) *engine {
+	return &engine{id: id, slots: 4, versions: versions}
+}
+
+// Pattern: a new leader knows nothing of the engines' models but their versions.
+func TestHomesFollowTheLagAfterAChangeOfTheLeader(t *testing.T) {
+	is := is.New(t)
+	named := map[string]uint64{"x": 30, "y": 9}
+	engines := []*engine{
+		modelEngine("a", map[string]uint64{"x": 20, "y": 9}), // its x has the larger number but is far behind
+		modelEngine("b", map[string]uint64{"x": 30, "y": 1}),
+		modelEngine("c", map[string]uint64{"x": 29, "y": 1}),
+		modelEngine("d", map[string]uint64{"x": 2, "y": 8}),
+	}
+	home := homes(engines, map[string]float64{"x": 1, "y": 1}, named, nil)
+	is.Equal(home["a"], []string{"y"})
+	is.Equal(home["b"], []string{"x"})
+	is.Equal(home["c"], []string{"x"})
+	is.Equal(home["d"], []string{"y"})
+	is.Equal(homes(engines, map[string]float64{"x": 1, "y": 1}, named, home), home) // stays
+}
+
+func TestHomesAreInProportionToDemand(t *testing.T) {
+	is := is.New(t)
+	var engines []*engine
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		engines = append(engines, modelEngine(id, map[string]uint64{"x": 1, "y": 1, "z": 1}))
+	}
+	home := homes(engines, map[string]float64{"x": 10, "y": 5, "z": 0.1}, map[string]uint64{"x": 1, "y": 1, "z": 1}, nil)
+	count := make(map[string]int)
+	for _, m := range home {
+		count[m[0]]++
+	}
+	is.Equal(count["z"], 1) // never none
+	is.True(count["x"] > count["y"])
+	is.Equal(count["x"]+count["y"]+count["z"], 8)
+}
+
+// Pattern: a step is asked as soon as its version is named; engines two versions
+// behind cannot serve it.
+func TestEnginesThatCannotServeTheNextStepLoadFirst(t *testing.T) {
+	is := is.New(t)
+	var engines []*engine
+	home := make(map[string][]string)
+	for id, version := range map[string]uint64{"a": 5, "b": 4, "c": 3, "d": 2} {
+		engines = append(engines, modelEngine(id, map[string]uint64{"m": version}))
+		home[id] = []string{"m"}
+	}
+	sortEngines(engines)
+	plans := planLoads(start, engines, home, map[string]uint64{"m": 5})
+	is.Equal(len(plans), loadLeast)
+	is.Equal(plans[0].engine.id, "d")
+	is.Equal(plans[1].engine.id, "c")
+	engines[2].load, engines[3].load = &load{}, &load{}
+	is.Equal(len(planLoads(start, engines, home, map[string]uint64{"m": 5})), 0) // no more at one time
+}
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -95,9 +95,9 @@
 	reason string
 }
 
-// plan chooses the tasks to begin now. jobs come oldest first; engines are in a
-// fixed order. It changes nothing but the engine of groups.
-func plan(now time.Time, jobs []*job, engines []*engine) []placement {
+// plan chooses the tasks to begin now. pending is in the order of a queue, engines
+// are in a fixed order. It changes nothing but the engine of groups.
+func plan(now time.Time, pending []*task, engines []*engine) []placement {
 	free := make(map[string]int, len(engines))
 	total := 0
 	for _, e := range engines {
@@ -108,10 +108,10 @@
 		return nil
 	}
 	p := &planning{now: now, engines: engines, free: free, median: medianPace(engines)}
-	for _, j := range jobs {
-		for _, t := range j.order {
-			if t.state == taskPending && !now.Before(t.tryAt) {
-				p.place(t)
+	for _, t := range pending {
+		if !now.Before(t.tryAt) && p.place(t) {
+			if total--; total == 0 {
+				break
 			}
 		}
 	}
@@ -126,16 +126,17 @@
 	out     []placement
 }
 
-func (p *planning) place(t *task) {
+func (p *planning) place(t *task) bool {
 	e, reason := p.choose(t)
 	if e == nil {
-		return
+		return false
 	}
 	if t.group.engine == "" {
 		t.group.engine = e.id
 	}
 	p.free[e.id]--
 	p.out = append(p.out, placement{t, e, reason})
+	return true
 }
 
 // choose returns the engine of the task's group, or the best one for a group that
--- /dev/null
+++ b/batch/plan_test.go
@@ -0,0 +1,134 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/ledger"
+)
+
+var start = time.Unix(1000, 0)
+
+// testJob returns a submission whose items have the given sizes, one group each
+// slice.
+func testJob(id string, at time.Time, wanted int, groups ...[]int) *job {
+	sub := &ledger.Submission{ID: id, Model: "m", MinVersion: 1, WantedGroups: wanted, Due: 7500 * time.Millisecond}
+	var items []ledger.Item
+	for g, sizes := range groups {
+		for i, size := range sizes {
+			items = append(items, ledger.Item{ID: fmt.Sprintf("%s-%d-%d", id, g, i), Group: fmt.Sprintf("%s-%d", id, g), Length: size})
+		}
+	}
+	return newJob(ledger.Open{Submission: sub, Since: at, Left: items}, func(string) bool { return false })
+}
+
+func testEngine(id string, slots int, version uint64) *engine {
+	return &engine{id: id, slots: slots, versions: map[string]uint64{"m": version}}
+}
+
+func pending(jobs ...*job) *queue {
+	q := &queue{}
+	for _, j := range jobs {
+		for _, t := range j.tasks {
+			q.add(t)
+		}
+	}
+	return q
+}
+
+// Pattern: two steps of one trainer are open at once and all slots are wanted; a
+// text of the longest size takes nearly the time until its step is due.
+func TestLongItemsOfTheNextStepBeginBeforeShortOnesOfThisStep(t *testing.T) {
+	is := is.New(t)
+	short := testJob("k", start, 2, []int{600, 700}, []int{600, 800})
+	long := testJob("k+1", start.Add(time.Second), 1, []int{10000, 600})
+	q := pending(short, long)
+	out := plan(start, q.tasks, []*engine{testEngine("e", 1, 1)})
+	is.Equal(len(out), 1)
+	is.Equal(out[0].task.item.ID, "k+1-0-0")
+}
+
+// Pattern: the trainer waits for 90% of the groups; those with the longest items
+// are not needed.
+func TestGroupsBeyondTheTrainersWaitBeginLater(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 2, []int{900}, []int{3000}, []int{1000})
+	q := pending(j)
+	is.Equal(q.tasks[len(q.tasks)-1].item.ID, "k-1-0")
+	is.True(!j.tasks["k-1-0"].group.urgent)
+	is.True(j.tasks["k-2-0"].group.urgent)
+}
+
+// Pattern: a group shares its prompt; reading it on several engines costs time of
+// each.
+func TestGroupStaysOnOneEngineWhileThatHasRoom(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 1, []int{600, 600, 600, 600})
+	out := plan(start, pending(j).tasks, []*engine{testEngine("a", 4, 1), testEngine("b", 4, 1)})
+	is.Equal(len(out), 4)
+	for _, p := range out {
+		is.Equal(p.engine.id, out[0].engine.id)
+	}
+}
+
+func TestItemThatWaitedGoesToAnotherEngine(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 1, []int{600, 600})
+	engines := []*engine{testEngine("a", 1, 1), testEngine("b", 1, 1)}
+	q := pending(j)
+	for _, task := range q.tasks {
+		task.since = start
+	}
+	is.Equal(len(plan(start, q.tasks, engines)), 1) // the other waits for the engine of its group
+	out := plan(start.Add(stealAfter), q.tasks, engines)
+	is.Equal(len(out), 2)
+	is.True(out[0].engine != out[1].engine)
+}
+
+func TestEnginesWithUnfitWeightsGetNothing(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 1, []int{600})
+	j.sub.MinVersion = 3
+	old, loading, draining, fit := testEngine("a", 4, 2), testEngine("b", 4, 3), testEngine("c", 4, 3), testEngine("d", 1, 3)
+	loading.load = &load{model: "m", version: 4}
+	draining.draining = true
+	out := plan(start, pending(j).tasks, []*engine{old, loading, draining, fit})
+	is.Equal(len(out), 1)
+	is.Equal(out[0].engine, fit)
+	loading.load = &load{model: "other", version: 4} // holds up its own model only
+	is.Equal(loading.serves(j.tasks["k-0-0"]), true)
+}
+
+// Pattern: some engines turn three times slower for seconds.
+func TestSlowEngineIsAvoidedAndItsRunsAreMoved(t *testing.T) {
+	is := is.New(t)
+	engines := []*engine{testEngine("a", 4, 1), testEngine("b", 4, 1), testEngine("c", 4, 1)}
+	for i, e := range engines {
+		for range 10 {
+			e.observe([]time.Duration{150, 40, 42}[i] * time.Millisecond)
+		}
+	}
+	j := testJob("k", start, 1, []int{600})
+	out := plan(start, pending(j).tasks, engines)
+	is.True(out[0].engine.id != "a")
+	running := &task{job: j, group: j.tasks["k-0-0"].group, state: taskRunning, engine: "a"}
+	is.Equal(moves(start, []*task{running}, engines), []*task{running})
+	running.moves = maxMoves
+	is.Equal(len(moves(start, []*task{running}, engines)), 0)
+	engines[1].draining, engines[2].draining = true, true
+	running.moves = 0
+	is.Equal(len(moves(start, []*task{running}, engines)), 0) // nowhere to go
+}
+
+func TestSingleVersionTextGoesOnUnderItsVersionOnly(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 1, []int{600})
+	j.sub.SingleVersion = true
+	task := j.tasks["k-0-0"]
+	task.versions = []uint64{2}
+	is.True(!testEngine("a", 1, 3).serves(task))
+	is.True(testEngine("a", 1, 2).serves(task))
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -91,6 +91,7 @@
 	stop       context.CancelFunc
 
 	jobs    []*job // oldest first
+	queue   queue
 	partial *partials
 	engines []*engine
 	homes   map[string][]string // models of each engine, see homes
@@ -186,7 +187,7 @@
 func (r *Runner) lead(now time.Time, m leadMessage) {
 	if r.leading {
 		r.stop()
-		r.jobs = nil
+		r.jobs, r.queue = nil, queue{perToken: r.queue.perToken}
 		for _, e := range r.engines {
 			e.running, e.load = 0, nil
 		}
@@ -215,7 +216,7 @@
 	r.jobs = append(r.jobs, j)
 	r.noteDemand(open.Submission)
 	now := time.Now()
-	for _, t := range j.order {
+	for _, t := range j.tasks {
 		t.since = now
 		if earlier, ok := r.o.Submissions.Finished(t.item.ID); ok && r.reusable(t, earlier) {
 			text, err := ledger.Unpack(earlier.Packed)
@@ -228,6 +229,9 @@
 			continue
 		}
 		r.resume(t)
+		if t.state == taskPending {
+			r.queue.add(t)
+		}
 	}
 }
 
@@ -299,6 +303,8 @@
 		}
 		r.partial.keep(now, t.item.ID, t.events, t.versions, t.state == taskScoring)
 	}
+	j.closed = true
+	r.queue.clean()
 	r.jobs = slices.DeleteFunc(r.jobs, func(k *job) bool { return k == j })
 	r.log.WithFields(logrus.Fields{"submission": id, "left": len(j.tasks)}).Info("submission is closed: " + why)
 }
@@ -389,9 +395,13 @@
 
 // schedule begins what can begin now.
 func (r *Runner) schedule(now time.Time) {
-	for _, p := range plan(now, r.jobs, r.engines) {
+	placements := plan(now, r.queue.tasks, r.engines)
+	for _, p := range placements {
 		r.begin(now, p)
 	}
+	if len(placements) > 0 {
+		r.queue.clean()
+	}
 	r.scheduleLoads(now)
 }
 
@@ -452,6 +462,9 @@
 		e.running--
 		r.judge(now, e, m)
 	}
+	if len(m.events) > 0 {
+		t.ran += now.Sub(m.run.began)
+	}
 	t.events = append(t.events, m.events...)
 	for _, v := range m.versions {
 		if !slices.Contains(t.versions, v) {
@@ -470,6 +483,7 @@
 	switch m.outcome {
 	case runComplete:
 		t.texted = now
+		r.queue.measure(t.size, t.ran)
 		r.score(t)
 	case runImpossible:
 		r.list(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine will never do it")
@@ -480,8 +494,10 @@
 			return
 		}
 		t.state, t.tryAt = taskPending, now.Add(retryFailed)
+		r.queue.add(t)
 	default:
 		t.state = taskPending
+		r.queue.add(t)
 	}
 }
 
@@ -658,7 +674,6 @@
 	r.metrics.listed(t, now)
 	r.logListed(t, now)
 	delete(j.tasks, t.item.ID)
-	j.order = slices.DeleteFunc(j.order, func(o *task) bool { return o == t })
 	if len(j.tasks) == 0 {
 		r.endJob(j.sub.ID, "all results are listed")
 	}
@@ -700,7 +715,7 @@
 	}
 	var running []*task
 	for _, j := range r.jobs {
-		for _, t := range j.order {
+		for _, t := range j.tasks {
 			r.tickTask(now, t)
 			if t.state == taskRunning {
 				running = append(running, t)
--- a/batch/task.go
+++ b/batch/task.go
@@ -42,8 +42,10 @@
 	failures int // runs that an engine answered with a failure
 	moves    int // runs that were taken off a slow engine
 	runs     int
-	begun    time.Time // first run
-	texted   time.Time // the text was complete
+	begun    time.Time     // first run
+	ran      time.Duration // of runs that added to the text
+	startBy  time.Time     // see queue
+	texted   time.Time     // the text was complete
 	tryAt    time.Time
 	// rewardFailures counts failures that the reward service answered with.
 	rewardFailures int
@@ -93,13 +95,12 @@
 	giveUp time.Time // items without a result may be given up
 	groups map[string]*group
 	tasks  map[string]*task
-	order  []*task // in which items are started
+	closed bool
 }
 
-// newJob ranks the items of a submission. Of the groups that are not carried over
-// from an earlier submission the smallest are expected to complete first, so those
-// that fill the trainer's wait come first; within them the largest items start
-// first.
+// newJob finds the groups of a submission that fill the trainer's wait: those that
+// are carried over from an earlier submission, then the smallest, which are
+// expected to complete first.
 func newJob(open ledger.Open, seen func(item string) bool) *job {
 	sub := open.Submission
 	j := &job{
@@ -123,7 +124,6 @@
 		g.largest = max(g.largest, t.size)
 		g.seen = g.seen || seen(item.ID)
 		j.tasks[item.ID] = t
-		j.order = append(j.order, t)
 	}
 	j.rank()
 	return j
@@ -161,20 +161,6 @@
 	for i, g := range list {
 		g.urgent = i < wanted
 	}
-	slices.SortStableFunc(j.order, func(a, b *task) int {
-		switch {
-		case a.group.urgent != b.group.urgent:
-			return boolOrder(b.group.urgent, a.group.urgent)
-		case a.group != b.group && a.group.largest != b.group.largest:
-			return b.group.largest - a.group.largest
-		case a.group != b.group:
-			if a.group.name < b.group.name {
-				return -1
-			}
-			return 1
-		}
-		return b.size - a.size
-	})
 }
 
 func boolOrder(a, b bool) int {
