batch: texts of running items are kept by the ledger

Change: once a second the leader gives the ledger what running items have generated, from 15 events on; results carry only the rest; a new leader and a later submission go on after it.

--- a/batch/generate.go
+++ b/batch/generate.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -98,6 +99,30 @@
 	newest  atomic.Int64 // time of the last event, nanoseconds since began
 	version uint64       // that the engine was expected to have
 	seen    int64        // count when the pace was last looked at
+
+	mu       sync.Mutex
+	events   [][]byte // that the leader has not taken yet
+	versions []uint64 // of all events of the run
+}
+
+// take returns the events since the last call and the versions of the run.
+func (r *run) take() (events [][]byte, versions []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events = r.events
+	r.events = nil
+	return events, slices.Clone(r.versions)
+}
+
+func (r *run) add(event []byte, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, event)
+	if !slices.Contains(r.versions, version) {
+		r.versions = append(r.versions, version)
+	}
+	r.count.Add(1)
+	r.newest.Store(int64(time.Since(r.began)))
 }
 
 // idle returns the time since the run's last event or its start.
@@ -107,13 +132,11 @@
 
 // runEnd is the end of a run.
 type runEnd struct {
-	run      *run
-	outcome  runOutcome
-	events   [][]byte // new ones, in order
-	versions []uint64 // of the new events
-	reached  bool     // the engine took the request
-	current  uint64   // version that the engine named, 0 if it named none
-	err      error
+	run     *run
+	outcome runOutcome
+	reached bool   // the engine took the request
+	current uint64 // version that the engine named, 0 if it named none
+	err     error
 }
 
 // generate carries out a run: it sends the item and reads the events of its text.
@@ -263,14 +286,8 @@
 	if t.version < t.least {
 		return errOldWeights
 	}
-	t.end.events = append(t.end.events, t.data)
-	if !slices.Contains(t.end.versions, t.version) {
-		t.end.versions = append(t.end.versions, t.version)
-	}
+	t.end.run.add(t.data, t.version)
 	t.next++
 	t.data, t.some, t.body, t.id = nil, false, false, 0
-	r := t.end.run
-	r.count.Add(1)
-	r.newest.Store(int64(time.Since(r.began)))
 	return nil
 }
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"merlinhall/ledger"
 )
 
 const (
@@ -13,15 +15,6 @@
 	partialKeep = 45 * time.Second
 )
 
-// partialText is what was generated of an item whose submission has ended.
-type partialText struct {
-	events   [][]byte
-	versions []uint64
-	complete bool
-	kept     time.Time
-	size     int
-}
-
 // partials keeps the texts of items that may come again in a later submission.
 // They are a saving only: this process may forget them at any time.
 type partials struct {
@@ -30,26 +23,32 @@
 	size  int
 }
 
+// partialText is what was generated of an item whose submission has ended.
+type partialText struct {
+	text     text
+	complete bool
+	kept     time.Time
+	size     int
+}
+
 func newPartials() *partials { return &partials{texts: make(map[string]*partialText)} }
 
-// keep takes the text of an item, unless a longer one is held.
-func (p *partials) keep(now time.Time, item string, events [][]byte, versions []uint64, complete bool) {
-	if len(events) == 0 {
+// keep takes the text of an item, in place of an older one.
+func (p *partials) keep(now time.Time, item string, t text, complete bool) {
+	if t.length() == 0 {
 		return
 	}
-	if old := p.texts[item]; old != nil {
-		if len(old.events) > len(events) && slices.Min(old.versions) >= slices.Min(versions) {
-			return
-		}
-		p.drop(item)
+	p.drop(item)
+	kept := &partialText{text: t, complete: complete, kept: now}
+	for _, e := range t.events {
+		kept.size += len(e)
 	}
-	t := &partialText{events: events, versions: versions, complete: complete, kept: now}
-	for _, e := range events {
-		t.size += len(e)
+	for _, part := range t.parts {
+		kept.size += len(part)
 	}
-	p.texts[item] = t
+	p.texts[item] = kept
 	p.order = append(p.order, item)
-	p.size += t.size
+	p.size += kept.size
 	for len(p.order) > 0 && (p.size > partialBytes || now.Sub(p.texts[p.order[0]].kept) > partialKeep) {
 		p.drop(p.order[0])
 	}
@@ -63,16 +62,15 @@
 	}
 }
 
-// take returns the text of an item, and removes it, if the versions that generated
-// it may be used.
-func (p *partials) take(item string, least uint64, single bool) *partialText {
+// take returns the text of an item, and removes it, if the submission may use it.
+func (p *partials) take(item string, sub *ledger.Submission) *partialText {
 	t := p.texts[item]
-	if t == nil || slices.Min(t.versions) < least || single && len(t.versions) > 1 {
+	if t == nil || !t.text.fits(sub) {
 		return nil
 	}
 	p.drop(item)
 	return t
 }
 
-// has reports whether anything is held of it.
+// has reports whether anything is held of an item.
 func (p *partials) has(item string) bool { return p.texts[item] != nil }
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -82,8 +82,8 @@
 	if !ok || version < t.job.sub.MinVersion {
 		return false
 	}
-	if t.job.sub.SingleVersion && len(t.versions) > 0 {
-		return slices.Contains(t.versions, version)
+	if t.job.sub.SingleVersion && len(t.text.versions) > 0 {
+		return slices.Contains(t.text.versions, version)
 	}
 	return true
 }
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -128,7 +128,7 @@
 	j := testJob("k", start, 1, []int{600})
 	j.sub.SingleVersion = true
 	task := j.tasks["k-0-0"]
-	task.versions = []uint64{2}
+	task.text.versions = []uint64{2}
 	is.True(!testEngine("a", 1, 3).serves(task))
 	is.True(testEngine("a", 1, 2).serves(task))
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -1,8 +1,8 @@
 package batch
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -99,6 +99,7 @@
 	demand map[string]float64
 	expiry time.Time
 	paced  time.Time // when the pace of the engines was last looked at
+	saved  time.Time // when texts were last given to the ledger
 }
 
 type (
@@ -172,6 +173,8 @@
 		r.endScore(now, m)
 	case listEnd:
 		r.endList(now, m)
+	case saveEnd:
+		r.endSave(m)
 	case reportEnd:
 		r.endReport(now, m)
 	case orderEnd:
@@ -219,12 +222,7 @@
 	for _, t := range j.tasks {
 		t.since = now
 		if earlier, ok := r.o.Submissions.Finished(t.item.ID); ok && r.reusable(t, earlier) {
-			text, err := ledger.Unpack(earlier.Packed)
-			if err != nil {
-				r.log.WithField("item", t.item.ID).Errorf("earlier text is not used: %v", err)
-				continue
-			}
-			t.events, t.versions = [][]byte{text}, earlier.Versions
+			t.text = text{parts: earlier.Parts, versions: earlier.Versions}
 			r.score(t)
 			continue
 		}
@@ -235,16 +233,24 @@
 	}
 }
 
-// resume goes on with the text that an ended submission left of the item.
+// resume goes on with what is held of the item's text, from this submission under
+// an earlier leader or from one that has ended.
 func (r *Runner) resume(t *task) {
-	p := r.partial.take(t.item.ID, t.job.sub.MinVersion, t.job.sub.SingleVersion)
+	p := r.partial.take(t.item.ID, t.job.sub)
 	if p == nil {
-		return
+		kept, ok := r.o.Submissions.Partial(t.item.ID)
+		if !ok {
+			return
+		}
+		p = &partialText{text: fromPartial(kept)}
+		if !p.text.fits(t.job.sub) {
+			return
+		}
 	}
-	t.events, t.versions = p.events, p.versions
+	t.text = p.text
 	r.log.WithFields(logrus.Fields{
-		"submission": t.job.sub.ID, "item": t.item.ID, "events": len(p.events), "versions": p.versions, "complete": p.complete,
-	}).Info("item goes on with the text of an earlier submission")
+		"submission": t.job.sub.ID, "item": t.item.ID, "events": t.text.length(), "versions": t.text.versions, "complete": p.complete,
+	}).Info("item goes on with an earlier text")
 	if p.complete {
 		r.score(t)
 	}
@@ -252,11 +258,8 @@
 
 // reusable reports whether the text of an earlier submission fits the task.
 func (r *Runner) reusable(t *task, earlier ledger.Result) bool {
-	sub := t.job.sub
-	if len(earlier.Versions) == 0 || slices.Min(earlier.Versions) < sub.MinVersion {
-		return false
-	}
-	return !sub.SingleVersion || len(earlier.Versions) == 1
+	text := text{versions: earlier.Versions}
+	return text.fits(t.job.sub)
 }
 
 func (r *Runner) change(c ledger.SubmissionChange) {
@@ -301,7 +304,7 @@
 			t.run.cancel()
 			continue
 		}
-		r.partial.keep(now, t.item.ID, t.events, t.versions, t.state == taskScoring)
+		r.partial.keep(now, t.item.ID, t.text, t.state == taskScoring)
 	}
 	j.closed = true
 	r.queue.clean()
@@ -417,7 +420,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	lastEvent := len(t.events)
+	lastEvent := t.text.length()
 	version := e.versions[t.job.sub.Model]
 	run := &run{task: t, engine: e.id, born: e.born, began: now, cancel: cancel, version: version}
 	t.state, t.engine, t.run = taskRunning, e.id, run
@@ -462,17 +465,12 @@
 		e.running--
 		r.judge(now, e, m)
 	}
-	if len(m.events) > 0 {
+	if m.run.count.Load() > 0 {
 		t.ran += now.Sub(m.run.began)
 	}
-	t.events = append(t.events, m.events...)
-	for _, v := range m.versions {
-		if !slices.Contains(t.versions, v) {
-			t.versions = append(t.versions, v)
-		}
-	}
+	t.text.add(m.run.take())
 	if r.job(t.job.sub.ID) != t.job {
-		r.partial.keep(now, t.item.ID, t.events, t.versions, m.outcome == runComplete)
+		r.partial.keep(now, t.item.ID, t.text, m.outcome == runComplete)
 		return
 	}
 	r.metrics.runs.WithLabelValues(string(m.outcome)).Inc()
@@ -505,7 +503,7 @@
 	t := m.run.task
 	entry := r.log.WithFields(logrus.Fields{
 		"submission": t.job.sub.ID, "item": t.item.ID, "engine": m.run.engine, "outcome": m.outcome,
-		"events": len(t.events), "version": m.current, "ms": now.Sub(m.run.began).Milliseconds(),
+		"events": t.text.length(), "version": m.current, "ms": now.Sub(m.run.began).Milliseconds(),
 	})
 	if m.outcome == runComplete {
 		entry.Debug("run ended")
@@ -579,8 +577,12 @@
 	go func() { r.deliver(lead, r.callReward(lead, t)) }()
 }
 
+// result returns the result of a complete text. While a part of it is on its way
+// to the ledger it is not known how much that holds.
 func (r *Runner) result(t *task, score string) ledger.Result {
-	return ledger.Result{Item: t.item.ID, Packed: ledger.Pack(bytes.Join(t.events, []byte("\n"))), Versions: t.versions, Score: score}
+	known := t.text
+	known.held = known.held && !t.saving
+	return known.result(t.item.ID, score)
 }
 
 // rewardLimit bounds a reward call whose route allows more.
@@ -666,6 +668,11 @@
 		return
 	}
 	if m.err != nil {
+		if errors.Is(m.err, ledger.ErrNotHeld) {
+			t.text.held = false
+			whole := t.text.result(t.item.ID, t.result.Score)
+			t.result = &whole
+		}
 		r.log.WithFields(logrus.Fields{"submission": j.sub.ID, "item": t.item.ID}).Warnf("result is proposed again: %v", m.err)
 		t.tryAt = now.Add(retryReward)
 		t.unlisted = true
@@ -683,7 +690,7 @@
 func (r *Runner) logLeft(t *task, now time.Time, why string) {
 	fields := logrus.Fields{
 		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "state": t.state.String(),
-		"events": len(t.events), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
+		"events": t.text.length(), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
 		"reward_failures": t.rewardFailures, "age_ms": now.Sub(t.job.since).Milliseconds(),
 	}
 	if t.run != nil {
@@ -703,7 +710,7 @@
 	}
 	r.log.WithFields(logrus.Fields{
 		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "failed": t.result.Failed,
-		"versions": t.versions, "events": len(t.events), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
+		"versions": t.text.versions, "events": t.text.length(), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
 		"begun_ms": since(t.begun), "text_ms": since(t.texted), "listed_ms": since(now),
 	}).Info("item is listed")
 }
@@ -723,6 +730,7 @@
 		}
 	}
 	r.pace(now, running)
+	r.saveTexts(now, running)
 	for _, t := range moves(now, running, r.engines) {
 		t.moves++
 		r.cancelRun(t, "the engine is slow")
--- a/batch/task.go
+++ b/batch/task.go
@@ -31,14 +31,11 @@
 	group *group
 	state taskState
 	// size is the estimated output in tokens.
-	size   int
-	engine string // on which it runs
-	since  time.Time
-	run    *run
-	// events is the text generated so far; versions are the weight versions that
-	// generated it. A run on another engine goes on after them.
-	events   [][]byte
-	versions []uint64
+	size     int
+	engine   string // on which it runs
+	since    time.Time
+	run      *run
+	text     text
 	failures int // runs that an engine answered with a failure
 	moves    int // runs that were taken off a slow engine
 	runs     int
@@ -51,20 +48,7 @@
 	rewardFailures int
 	result         *ledger.Result // once it is being listed
 	unlisted       bool           // its proposal must be made again
-}
-
-// restart drops the text.
-func (t *task) restart() {
-	t.events = nil
-	t.versions = nil
-}
-
-// oldest returns the oldest version of the text, or 0 without one.
-func (t *task) oldest() uint64 {
-	if len(t.versions) == 0 {
-		return 0
-	}
-	return slices.Min(t.versions)
+	saving         bool           // a part of its text is being kept
 }
 
 // group is the items of a submission that share a prompt. They run on one engine
--- /dev/null
+++ b/batch/text.go
@@ -0,0 +1,83 @@
+package batch
+
+import (
+	"bytes"
+	"slices"
+
+	"merlinhall/ledger"
+)
+
+// text is what was generated of an item. A run on any engine goes on after it.
+type text struct {
+	parts    [][]byte // packed, of the first base events
+	base     int
+	events   [][]byte // after those
+	versions []uint64 // weight versions that generated the text
+	// held is set when the ledger holds exactly the parts.
+	held bool
+}
+
+// length returns the number of events.
+func (t *text) length() int { return t.base + len(t.events) }
+
+// add takes further events and the weight versions of their run.
+func (t *text) add(events [][]byte, versions []uint64) {
+	t.events = append(t.events, events...)
+	for _, v := range versions {
+		if !slices.Contains(t.versions, v) {
+			t.versions = append(t.versions, v)
+		}
+	}
+}
+
+// fits reports whether the text may be used for a submission.
+func (t *text) fits(sub *ledger.Submission) bool {
+	if len(t.versions) == 0 || slices.Min(t.versions) < sub.MinVersion {
+		return false
+	}
+	return !sub.SingleVersion || len(t.versions) == 1
+}
+
+// fromPartial returns the text that the ledger holds of an item.
+func fromPartial(p ledger.Partial) text {
+	return text{parts: p.Parts, base: p.Events, versions: p.Versions, held: true}
+}
+
+// rest returns the packed parts that the ledger lacks, and after how many events
+// they come.
+func (t *text) rest() (parts [][]byte, after int) {
+	if t.held {
+		after = t.base
+	} else {
+		parts = slices.Clone(t.parts)
+	}
+	if len(t.events) > 0 {
+		parts = append(parts, ledger.Pack(bytes.Join(t.events, []byte("\n"))))
+	}
+	return parts, after
+}
+
+// result returns the result of an item with this text.
+func (t *text) result(item, score string) ledger.Result {
+	parts, after := t.rest()
+	return ledger.Result{Item: item, Kept: after, Parts: parts, Versions: t.versions, Score: score}
+}
+
+// progress returns what the ledger lacks of the text.
+func (t *text) progress(item string) ledger.Progress {
+	parts, after := t.rest()
+	return ledger.Progress{Item: item, From: after, Events: t.length() - after, Parts: parts, Versions: slices.Clone(t.versions)}
+}
+
+// noteHeld takes that the ledger has taken p, which progress returned. Events may
+// have been added since.
+func (t *text) noteHeld(p *ledger.Progress) {
+	base := p.From + p.Events
+	if p.From > 0 {
+		t.parts = append(slices.Clone(t.parts), p.Parts...)
+	} else {
+		t.parts = p.Parts
+	}
+	t.events = slices.Clone(t.events[base-t.base:])
+	t.base, t.held = base, true
+}
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -66,7 +66,10 @@
 		Name: s.Name, Submissions: submissions, Versions: versions, Manifests: manifests,
 		Directory: d.targets, Pool: d.pool, Forwarder: d.forward, Protocol: platform.Protocol{Pool: d.pool},
 		Propose: func(ctx context.Context, body []byte) error {
-			_, err := c.Propose(ctx, submissions.Name(), "", body)
+			result, err := c.Propose(ctx, submissions.Name(), "", body)
+			if refused, ok := result.(error); ok && err == nil {
+				return refused
+			}
 			return err
 		},
 		OrderHold: s.FenceHold + orderMargin, Keep: s.KeepResults, System: d.system, Observer: d.observer,
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -27,7 +27,7 @@
 	size := 0
 	for at := after; at < len(h.Results); at++ {
 		r := h.Results[at]
-		size += packedFactor*len(r.Packed) + resultOverhead
+		size += packedFactor*r.size() + resultOverhead
 		if size > limit && len(page.Results) > 0 {
 			break
 		}
@@ -40,6 +40,15 @@
 	return page, changed, true
 }
 
+// size returns the packed size of the text.
+func (r *Result) size() int {
+	n := 0
+	for _, part := range r.Parts {
+		n += len(part)
+	}
+	return n
+}
+
 // packedFactor is how much longer than its packed form a text may be expected to
 // be.
 const packedFactor = 3
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -59,18 +59,22 @@
 type Result struct {
 	Item     string   `cbor:"1,keyasint"`
 	Failed   bool     `cbor:"2,keyasint,omitempty"`
-	Packed   []byte   `cbor:"3,keyasint,omitempty"` // the text, see Pack
+	Parts    [][]byte `cbor:"3,keyasint,omitempty"` // packed parts of the text, see Text
 	Versions []uint64 `cbor:"4,keyasint,omitempty"` // that generated the text
 	Score    string   `cbor:"5,keyasint,omitempty"`
+	// Kept is how many events of the text are held already, in a command. Parts
+	// has the rest.
+	Kept int `cbor:"6,keyasint,omitempty"`
 }
 
 // submissionsCommand is the body of a command; one field is set.
 type submissionsCommand struct {
-	Accept  *Submission `cbor:"1,keyasint,omitempty"`
-	Of      string      `cbor:"2,keyasint,omitempty"` // the submission of Results
-	Results []Result    `cbor:"3,keyasint,omitempty"`
-	End     string      `cbor:"4,keyasint,omitempty"`
-	Forget  []string    `cbor:"5,keyasint,omitempty"`
+	Accept   *Submission `cbor:"1,keyasint,omitempty"`
+	Of       string      `cbor:"2,keyasint,omitempty"` // the submission of Results or Progress
+	Results  []Result    `cbor:"3,keyasint,omitempty"`
+	Progress []Progress  `cbor:"6,keyasint,omitempty"`
+	End      string      `cbor:"4,keyasint,omitempty"`
+	Forget   []string    `cbor:"5,keyasint,omitempty"`
 }
 
 // held is a submission with its state.
@@ -115,13 +119,14 @@
 type Submissions struct {
 	mu       sync.Mutex
 	held     map[string]*held
-	finished map[string]Result // completed texts by item id, of all held submissions
+	finished map[string]Result   // completed texts by item id, of all held submissions
+	partial  map[string]*Partial // texts of items without a result, by item id
 	notify   func(SubmissionChange)
 }
 
 // NewSubmissions returns an empty slice.
 func NewSubmissions() *Submissions {
-	return &Submissions{held: make(map[string]*held), finished: make(map[string]Result)}
+	return &Submissions{held: make(map[string]*held), finished: make(map[string]Result), partial: make(map[string]*Partial)}
 }
 
 // OnChange makes f hear of each change, from the applying goroutine. f must not
@@ -135,6 +140,10 @@
 // Name implements control.Slice.
 func (s *Submissions) Name() string { return "submissions" }
 
+// ErrNotHeld is the result of a command whose result goes on after a text that is
+// not held. It must be sent with the whole text.
+var ErrNotHeld = eris.New("ledger: the beginning of the text is not held")
+
 // Apply implements control.Slice. The result is nil or an error.
 func (s *Submissions) Apply(index, _ uint64, body []byte) any {
 	var c submissionsCommand
@@ -142,27 +151,32 @@
 		return eris.Wrap(err, "ledger: submissions")
 	}
 	s.mu.Lock()
-	change, notify := s.apply(index, &c), s.notify
+	change, err := s.apply(index, &c)
+	notify := s.notify
 	s.mu.Unlock()
 	if change != nil && notify != nil {
 		notify(*change)
 	}
+	if err != nil {
+		return err
+	}
 	return nil
 }
 
-func (s *Submissions) apply(index uint64, c *submissionsCommand) *SubmissionChange {
+func (s *Submissions) apply(index uint64, c *submissionsCommand) (*SubmissionChange, error) {
 	switch {
 	case c.Accept != nil:
-		return s.accept(index, c.Accept)
+		return s.accept(index, c.Accept), nil
 	case c.Of != "":
+		s.progress(c.Of, c.Progress)
 		return s.list(c.Of, c.Results)
 	case c.End != "":
-		return s.end(c.End)
+		return s.end(c.End), nil
 	}
 	for _, id := range c.Forget {
 		s.forget(id)
 	}
-	return nil
+	return nil, nil
 }
 
 func (s *Submissions) accept(index uint64, sub *Submission) *SubmissionChange {
@@ -176,10 +190,10 @@
 }
 
 // list appends results. An item that has a position keeps it.
-func (s *Submissions) list(id string, results []Result) *SubmissionChange {
+func (s *Submissions) list(id string, results []Result) (change *SubmissionChange, err error) {
 	h := s.held[id]
 	if h == nil || h.Ended {
-		return nil
+		return nil, nil
 	}
 	added := false
 	for _, r := range results {
@@ -187,6 +201,12 @@
 		if _, listed := h.listed[r.Item]; listed || !known {
 			continue
 		}
+		if !s.complete(&r) {
+			err = ErrNotHeld
+			continue
+		}
+		r.Kept = 0
+		delete(s.partial, r.Item)
 		h.listed[r.Item] = len(h.Results)
 		h.Results = append(h.Results, r)
 		added = true
@@ -195,10 +215,10 @@
 		}
 	}
 	if !added {
-		return nil
+		return nil, err
 	}
 	h.wake()
-	return &SubmissionChange{Listed: id}
+	return &SubmissionChange{Listed: id}, err
 }
 
 // end keeps the results and drops the bodies, which nobody may ask for any more.
@@ -225,11 +245,17 @@
 	for _, r := range h.Results {
 		delete(s.finished, r.Item)
 	}
+	for _, item := range h.Submission.Items {
+		if p := s.partial[item.ID]; p != nil && p.Of == id {
+			delete(s.partial, item.ID)
+		}
+	}
 	h.wake()
 }
 
 type submissionsSnapshot struct {
-	Held []*held `cbor:"1,keyasint"`
+	Held    []*held             `cbor:"1,keyasint"`
+	Partial map[string]*Partial `cbor:"2,keyasint,omitempty"`
 }
 
 // Snapshot implements control.Slice.
@@ -241,7 +267,7 @@
 		list = append(list, h)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
-	return wire.Marshal(submissionsSnapshot{Held: list})
+	return wire.Marshal(submissionsSnapshot{Held: list, Partial: s.partial})
 }
 
 // Restore implements control.Slice.
@@ -257,6 +283,10 @@
 	}
 	s.held = make(map[string]*held, len(in.Held))
 	s.finished = make(map[string]Result)
+	s.partial = in.Partial
+	if s.partial == nil {
+		s.partial = make(map[string]*Partial)
+	}
 	for _, h := range in.Held {
 		h.index()
 		s.held[h.Submission.ID] = h
@@ -281,6 +311,11 @@
 	return wire.Marshal(&submissionsCommand{Of: submission, Results: results})
 }
 
+// ProgressCommand returns the command that keeps parts of texts.
+func ProgressCommand(submission string, list []Progress) ([]byte, error) {
+	return wire.Marshal(&submissionsCommand{Of: submission, Progress: list})
+}
+
 // EndCommand returns the command that ends a submission.
 func EndCommand(submission string) ([]byte, error) {
 	return wire.Marshal(&submissionsCommand{End: submission})
