batch: orders are taken over from a holder that is gone; starved models load first

Then loads went to the engines farthest behind, so that one model got none for 3 s. Ruled out: no wait at all, which would let two leaders that both run take turns; that wait stays. Change: the process that gives orders names itself and its boot in the ledger. Where engines check fences, a new leader takes over once that run is silent for 0.4 s or known to have ended. Of the models, the one with the fewest engines at a usable version loads first.

--- /dev/null
+++ b/batch/holding_test.go
@@ -0,0 +1,33 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestOrdersAreTakenOverWhenTheFormerHolderIsOutOfReach(t *testing.T) {
+	checked := holding{hold: 3300 * time.Millisecond, fencesChecked: true, self: "b"}
+	unchecked := holding{hold: 3300 * time.Millisecond, self: "b"}
+	for _, c := range []struct {
+		name   string
+		h      holding
+		since  time.Duration
+		before string
+		silent bool
+		want   bool
+	}{
+		{"first holder", checked, 0, "", false, true},
+		{"same process", unchecked, 0, "b", false, true},
+		{"former holder answers", checked, time.Second, "a", false, false},
+		{"former holder is silent", checked, time.Second, "a", true, true},
+		{"not listened for long", checked, 100 * time.Millisecond, "a", true, false},
+		{"fences are not checked", unchecked, time.Second, "a", true, false},
+		{"held long enough", unchecked, 3400 * time.Millisecond, "a", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(c.h.may(c.since, c.before, c.silent), c.want)
+		})
+	}
+}
--- a/batch/loads.go
+++ b/batch/loads.go
@@ -125,12 +125,20 @@
 }
 
 // planLoads chooses the orders to give now, a few at a time. A step may use the
-// version before the one that is named with it, so engines that are two or more
-// behind come first; then those that are one behind with their first model.
+// version before the one that is named with it. The model with the smallest part
+// of its engines at that version or a newer one comes first; of its engines, the
+// one farthest behind.
 func planLoads(now time.Time, engines []*engine, home map[string][]string, named map[string]uint64) []loadPlan {
 	most := max(loadLeast, int(loadShare*float64(len(engines))))
+	all, fresh := make(map[string]float64), make(map[string]float64)
 	var behind []loadPlan
 	for _, e := range engines {
+		for _, m := range home[e.id] {
+			all[m]++
+			if e.versions[m]+1 >= named[m] || e.load != nil && e.load.model == m {
+				fresh[m]++
+			}
+		}
 		if e.load != nil {
 			most--
 			continue
@@ -139,13 +147,34 @@
 			behind = append(behind, l)
 		}
 	}
-	slices.SortStableFunc(behind, func(a, b loadPlan) int {
-		return cmp.Compare(b.lag(), a.lag())
-	})
-	if len(behind) > max(0, most) {
-		behind = behind[:max(0, most)]
+	var out []loadPlan
+	for len(out) < most && len(behind) > 0 {
+		best := 0
+		for i := range behind {
+			if behind[i].before(behind[best], all, fresh) {
+				best = i
+			}
+		}
+		l := behind[best]
+		out = append(out, l)
+		behind = slices.Delete(behind, best, best+1)
+		if l.lag() > 1 {
+			fresh[l.model]++
+		}
+	}
+	return out
+}
+
+// before reports whether l is more urgent than o. A load that only brings the
+// newest version to an engine that can serve the next step comes after all others.
+func (l loadPlan) before(o loadPlan, all, fresh map[string]float64) bool {
+	if needed, other := l.lag() > 1, o.lag() > 1; needed != other {
+		return needed
+	}
+	if a, b := fresh[l.model]/all[l.model], fresh[o.model]/all[o.model]; a != b {
+		return a < b
 	}
-	return behind
+	return l.lag() > o.lag()
 }
 
 // nextLoad returns the load that an engine needs most, if it needs one.
--- a/batch/loads_test.go
+++ b/batch/loads_test.go
@@ -62,3 +62,19 @@
 	engines[2].load, engines[3].load = &load{}, &load{}
 	is.Equal(len(planLoads(start, engines, home, map[string]uint64{"m": 5})), 0) // no more at one time
 }
+
+// Pattern: after a change of the leader all engines are behind and few may load at
+// one time; each model's next step waits for its own engines.
+func TestLoadsGoToTheModelWithTheFewestFreshEngines(t *testing.T) {
+	is := is.New(t)
+	home := map[string][]string{"a": {"x"}, "b": {"x"}, "c": {"x"}, "d": {"y"}, "e": {"y"}}
+	engines := []*engine{
+		modelEngine("a", map[string]uint64{"x": 1}), modelEngine("b", map[string]uint64{"x": 1}),
+		modelEngine("c", map[string]uint64{"x": 9}), modelEngine("d", map[string]uint64{"y": 5}),
+		modelEngine("e", map[string]uint64{"y": 5}),
+	}
+	plans := planLoads(start, engines, home, map[string]uint64{"x": 10, "y": 7})
+	is.Equal(len(plans), 2)
+	is.Equal(plans[0].model, "y") // none of its engines can serve the next step
+	is.Equal(plans[1].model, "x")
+}
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -56,10 +56,10 @@
 			r.ask(now, e)
 		}
 	}
-	if r.superseded || now.Sub(r.leadSince) < r.o.OrderHold {
+	named := r.o.Versions.Named()
+	if len(named) == 0 || !r.mayOrder(now) {
 		return
 	}
-	named := r.o.Versions.Named()
 	r.homes = homes(r.engines, r.demandOf(named), named, r.homes)
 	for _, l := range planLoads(now, r.engines, r.homes, named) {
 		r.order(now, l)
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -55,7 +55,9 @@
 
 // Options configures a Runner.
 type Options struct {
-	Name        string // of this process, as holder of orders
+	Name        string // of this host, as holder of orders
+	Process     string // name of this process
+	Boot        string // differs between two runs of it
 	Submissions *ledger.Submissions
 	Versions    *ledger.Versions
 	Manifests   *ledger.Manifests
@@ -65,9 +67,17 @@
 	Protocol    Protocol
 	// Propose commits a command of the submissions slice.
 	Propose func(ctx context.Context, body []byte) error
+	Holder  *ledger.Holder
+	// ProposeHolder commits a command of the holder slice.
+	ProposeHolder func(ctx context.Context, body []byte) error
+	// Gone reports whether that run of a control process does not answer this
+	// leader or has ended.
+	Gone func(process, boot string) bool
 	// OrderHold is how long a new leader waits before its first order, so that
-	// the orders of two leaders do not interleave.
-	OrderHold time.Duration
+	// the orders of two leaders do not interleave. FencesChecked tells that the
+	// engines refuse the orders of a superseded one.
+	OrderHold     time.Duration
+	FencesChecked bool
 	// Keep is how long results stay readable after the submission.
 	Keep     time.Duration
 	System   *duty.System
@@ -87,6 +97,9 @@
 	leadSince time.Time
 	// superseded is set when an engine has seen a higher fence than this term's.
 	superseded bool
+	holding    holding
+	holds      bool            // this process may give orders
+	naming     bool            // it is being named as their holder
 	ctx        context.Context // of the leadership
 	stop       context.CancelFunc
 
@@ -127,6 +140,7 @@
 // Start runs the duty. It does nothing until Lead tells that this process leads.
 func Start(o Options) *Runner {
 	r := &Runner{o: o, log: o.Observer.Logger("batch"), homes: make(map[string][]string), metrics: newMetrics(o.Observer.Registry)}
+	r.holding = holding{hold: o.OrderHold, fencesChecked: o.FencesChecked, self: o.Process}
 	r.duty = o.System.Start("batch", mailboxCapacity, r)
 	o.Submissions.OnChange(func(c ledger.SubmissionChange) { r.offer(changeMessage{c}) })
 	o.Versions.OnChange(func() { r.offer(wakeMessage{}) })
@@ -173,6 +187,8 @@
 		r.endScore(now, m)
 	case listEnd:
 		r.endList(now, m)
+	case holderEnd:
+		r.endHolder(m)
 	case saveEnd:
 		r.endSave(m)
 	case reportEnd:
@@ -201,7 +217,7 @@
 		return
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.leadSince, r.superseded = now, false
+	r.leadSince, r.superseded, r.holds, r.naming = now, false, false, false
 	r.engines, r.homes, r.partial = nil, make(map[string][]string), newPartials()
 	r.demand = make(map[string]float64)
 	r.takeView(now, r.o.Directory.View())
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -423,11 +423,15 @@
 	// Ready is set on a leader that has committed an entry of its own term and
 	// holds its lease.
 	Ready bool `json:"ready"`
+	// Silent names the members that have not answered this leader lately.
+	Silent []string `json:"silent,omitempty"`
 }
 
 // Status returns the current view.
 func (n *Node) Status() Status {
 	return Status{
+		Silent: n.silent(),
+
 		ID:       n.cfg.ID,
 		Group:    n.group,
 		Name:     n.cfg.Name,
@@ -446,6 +450,19 @@
 	}
 }
 
+func (n *Node) silent() []string {
+	if n.role != RoleLeader {
+		return nil
+	}
+	var names []string
+	for _, m := range n.members {
+		if !n.answers(m.ID) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 func (n *Node) leaderName() string {
 	if n.leader == 0 {
 		return ""
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -36,8 +36,8 @@
 	d.hello.Process, d.hello.Address = s.Links, s.Links
 	d.hello.Roles = []wire.Role{wire.RoleControl}
 	submissions, manifests := ledger.NewSubmissions(), ledger.NewManifests()
-	versions, hosts := ledger.NewVersions(), ledger.NewHosts()
-	machine := control.NewMachine(manifests, versions, submissions, hosts)
+	versions, hosts, holder := ledger.NewVersions(), ledger.NewHosts(), ledger.NewHolder()
+	machine := control.NewMachine(manifests, versions, submissions, hosts, holder)
 	r, err := replica.Start(replica.Options{
 		Name:          s.Links,
 		Peers:         slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == s.Links }),
@@ -62,17 +62,24 @@
 		Name: s.Links, Log: replicaLog{r}, Machine: machine, Peer: peers.get, System: d.system, Observer: d.observer,
 	})
 	d.stops = append(d.stops, c.Stop)
-	runner := batch.Start(batch.Options{
-		Name: s.Name, Submissions: submissions, Versions: versions, Manifests: manifests,
-		Directory: d.targets, Pool: d.pool, Forwarder: d.forward, Protocol: platform.Protocol{Pool: d.pool},
-		Propose: func(ctx context.Context, body []byte) error {
-			result, err := c.Propose(ctx, submissions.Name(), "", body)
+	propose := func(slice string) func(ctx context.Context, body []byte) error {
+		return func(ctx context.Context, body []byte) error {
+			result, err := c.Propose(ctx, slice, "", body)
 			if refused, ok := result.(error); ok && err == nil {
 				return refused
 			}
 			return err
+		}
+	}
+	runner := batch.Start(batch.Options{
+		Name: s.Name, Process: s.Links, Submissions: submissions, Versions: versions, Manifests: manifests,
+		Directory: d.targets, Pool: d.pool, Forwarder: d.forward, Protocol: platform.Protocol{Pool: d.pool},
+		Propose: propose(submissions.Name()), Holder: holder, ProposeHolder: propose(holder.Name()),
+		Boot: d.hello.Boot,
+		Gone: func(process, boot string) bool {
+			return slices.Contains(r.Status().Silent, process) || peers.restarted(process, boot)
 		},
-		OrderHold: s.FenceHold + orderMargin, Keep: s.KeepResults, System: d.system, Observer: d.observer,
+		OrderHold: s.FenceHold + orderMargin, FencesChecked: s.FencesChecked, Keep: s.KeepResults, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
 	d.mux.Handle(peers)
--- a/daemon/links.go
+++ b/daemon/links.go
@@ -23,6 +23,15 @@
 	return c, ok
 }
 
+// restarted reports whether the newest connection is that of another run of the
+// process.
+func (p *peerLinks) restarted(name, boot string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[name]
+	return ok && c.Peer().Boot != boot
+}
+
 // Up implements link.Events.
 func (p *peerLinks) Up(c *link.Conn) {
 	p.mu.Lock()
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -34,6 +34,8 @@
 	// FenceHold is the time in which two holders must not take turns in giving
 	// orders to a target.
 	FenceHold time.Duration
+	// FencesChecked tells that targets refuse orders with a superseded fence.
+	FencesChecked bool
 	// KeepResults is how long results stay readable after their submission.
 	KeepResults time.Duration
 	// StopGrace is the time between the request to stop and the end by force.
