consensus: an open group has an odd number of voters

Ruled out: five voters (there are four hosts), two groups. Change: the replica that would make the number even stays a learner and takes the place of a voter that is lost; one of an even number of voters is made a learner.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -146,8 +146,7 @@
 		return
 	}
 	for _, m := range n.members {
-		if m.Learner && n.mayJoin(m.Name) && n.caughtUp(m.ID) {
-			n.repairLearner(m)
+		if m.Learner && n.mayJoin(m.Name) && n.caughtUp(m.ID) && n.repairLearner(m) {
 			return
 		}
 	}
@@ -187,18 +186,22 @@
 }
 
 // repairLearner removes the former id of a caught-up learner, or promotes the
-// learner when there is none.
-func (n *Node) repairLearner(learner Member) {
+// learner when there is none. It reports whether there was something to do.
+func (n *Node) repairLearner(learner Member) bool {
 	if n.nameAnswers(learner.Name, learner.ID) {
-		return
+		return false
 	}
 	for _, m := range n.members {
 		if m.Name == learner.Name && m.ID != learner.ID {
 			Change{Kind: Remove, Member: m}.internal(n)
-			return
+			return true
 		}
 	}
+	if n.cfg.Open && !n.wantsVoter() {
+		return false
+	}
 	Change{Kind: Promote, Member: learner}.internal(n)
+	return true
 }
 
 // dropOldLearner removes a learner whose process came back under another id, so
--- a/consensus/open.go
+++ b/consensus/open.go
@@ -49,28 +49,67 @@
 	return wanted < n.cfg.VotersWanted
 }
 
-// removeUnwanted removes one member of an open group that was excluded, or that
-// has been silent for long. It reports whether it did.
+// oddTarget returns the number of voters that the group should have when so many
+// replicas could vote.
+func (n *Node) oddTarget(able int) int {
+	able = min(able, n.cfg.VotersWanted)
+	return able - (able+1)%2
+}
+
+// wantsVoter reports whether a learner that has caught up is to be promoted.
+func (n *Node) wantsVoter() bool {
+	voters, able := 0, 0
+	for _, m := range n.members {
+		switch {
+		case !m.Learner && !n.unwanted(m):
+			voters++
+			able++
+		case m.Learner && n.mayJoin(m.Name) && n.caughtUp(m.ID):
+			able++
+		}
+	}
+	return voters < n.oddTarget(able)
+}
+
+// removeUnwanted removes one member of an open group that was excluded or has been
+// silent for long, or one voter of an even number. The latter joins again as a
+// learner. It reports whether it did.
 func (n *Node) removeUnwanted() bool {
 	if !n.cfg.Open {
 		return false
 	}
 	for _, m := range n.members {
-		if !n.unwanted(m) {
-			continue
-		}
-		if !m.Learner && len(n.voters()) <= n.cfg.VotersLeast {
-			continue
-		}
-		before := n.memberIndex
-		Change{Kind: Remove, Member: m}.internal(n)
-		if n.memberIndex != before {
+		if n.unwanted(m) && (m.Learner || len(n.voters()) > n.cfg.VotersLeast) && n.drop(m) {
 			return true
 		}
 	}
+	if voters := n.voters(); len(voters) > n.cfg.VotersLeast && len(voters)%2 == 0 && n.allAnswer() {
+		for i := len(voters) - 1; i >= 0; i-- {
+			if voters[i].ID != n.cfg.ID {
+				return n.drop(voters[i])
+			}
+		}
+	}
 	return false
 }
 
+func (n *Node) drop(m Member) bool {
+	before := n.memberIndex
+	Change{Kind: Remove, Member: m}.internal(n)
+	return n.memberIndex != before
+}
+
+// allAnswer reports whether all members answer. Otherwise the membership is about
+// to change anyway.
+func (n *Node) allAnswer() bool {
+	for _, m := range n.members {
+		if !n.answers(m.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) unwanted(m Member) bool {
 	if slices.Contains(n.excluded, m.Name) {
 		return true
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -161,9 +161,11 @@
 	MaxUncommitted int // entries; more are refused
 	SnapshotChunk  int // bytes
 	DisableRepair  bool
-	// Open lets replicas that are not configured as peers join the group, up to
-	// VotersWanted voters that answer, and removes voters that have been silent
-	// for SilentAfter while VotersLeast others remain.
+	// Open lets replicas that are not configured as peers join the group. It has
+	// an odd number of voters, up to VotersWanted, so that a cut into two leaves
+	// a majority on one side; the replica that would make it even is a learner. A
+	// voter that has been silent for SilentAfter is removed while VotersLeast
+	// remain.
 	Open         bool
 	VotersWanted int
 	VotersLeast  int
@@ -205,9 +207,9 @@
 	defaultSnapshotChunk  = 1 << 20
 	defaultRepairPeriod   = 500 * time.Millisecond
 	defaultDiscovery      = 200 * time.Millisecond
-	// Of an open group: four voters bear the loss of one while another is being
-	// replaced.
-	defaultVotersWanted = 4
+	// Of an open group that bears the loss of one voter, also while another is
+	// being replaced.
+	defaultVotersWanted = 5
 	defaultVotersLeast  = 3
 	// defaultSilentAfter is above the time of a restart with recovery.
 	defaultSilentAfter = 10 * time.Second
