--- a/forward/choose.go
+++ b/forward/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"merlinhall/directory"
 	"merlinhall/wire"
 )
 
@@ -11,6 +12,12 @@
 // target of another zone is preferred: bytes between zones are costly.
 const localBonus = 1.25
 
+// coldFactor is how much longer an answer may take over an open connection before
+// a new one is opened: that takes a round trip and a moment of a target's slot, and
+// a target bounds its connections. A process with few requests thus uses few
+// targets.
+const coldFactor = 2.5
+
 // choose returns the target with the least expected time and counts the request
 // to it, or returns nil when all have been tried. Targets in doubt come last.
 func (f *Forwarder) choose(now time.Time, service string, tried map[string]bool) *wire.TargetEntry {
@@ -45,6 +52,9 @@
 	if t.Zone != f.Zone {
 		cost *= localBonus
 	}
+	if !f.Pool.Warm(directory.Address(t)) {
+		cost *= coldFactor
+	}
 	if now.Before(s.doubtUntil) {
 		cost += doubtCost
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -186,6 +186,14 @@
 	return c
 }
 
+// Warm reports whether a connection to the target is open and idle.
+func (p *Pool) Warm(to Address) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[to]
+	return len(list) > 0 && list[len(list)-1].fresh(time.Now()) && !list[len(list)-1].isClosed()
+}
+
 func (p *Pool) put(to Address, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
