hub: processes begin with the cached manifest and read the targets at once

Change: the manifest in force is cached in the data folder; control processes pass it on before they know a leader; the first reading of the list is due at once. An entry without a disk gets it from the control processes.

--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -88,7 +89,7 @@
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts,
-		Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"), Dial: d.dial,
+		Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: d.dial,
 	})
 	d.mux.Handle(h, wire.KindGroupUpdate)
 	h.Start()
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -12,7 +12,7 @@
 // startGateway starts the part that serves callers.
 func (d *HostedDaemon) startGateway() error {
 	client := hub.NewClient(hub.ClientOptions{
-		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"),
+		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, DataDir: d.settings.DataDir, Log: d.observer.Logger("hub"),
 		Dial: d.dial,
 	})
 	d.mux.Handle(client, hub.ClientKinds...)
--- a/directory/poller.go
+++ b/directory/poller.go
@@ -33,7 +33,9 @@
 
 // NewPoller returns a poller.
 func NewPoller(l Lister, log *logrus.Entry) *Poller {
-	return &Poller{lister: l, log: log, wake: make(chan struct{}, 1)}
+	p := &Poller{lister: l, log: log, wake: make(chan struct{}, 1)}
+	p.Wake() // the first reading is due at once
+	return p
 }
 
 // Wake makes the next Wait return at once.
--- a/hub/client.go
+++ b/hub/client.go
@@ -39,6 +39,7 @@
 	Seeds     []string
 	Directory *directory.Directory
 	Poller    *directory.Poller
+	DataDir   string // for the cached manifest; may be empty
 	Log       *logrus.Entry
 	Dial      func(address string) (stop func())
 }
@@ -47,6 +48,7 @@
 // to the control leader. It implements link.Events.
 type Client struct {
 	o     ClientOptions
+	cache *routeCache
 	calls *propagate.Calls
 	table atomic.Pointer[routes.Table]
 	done  context.Context
@@ -68,13 +70,16 @@
 func NewClient(o ClientOptions) *Client {
 	done, stop := context.WithCancel(context.Background())
 	return &Client{
-		o: o, calls: propagate.NewCalls(), done: done, stop: stop,
+		o: o, cache: newRouteCache(o.DataDir, o.Log), calls: propagate.NewCalls(), done: done, stop: stop,
 		conns: make(map[string]*link.Conn), dialed: make(map[string]func()),
 	}
 }
 
 // Start begins to link with control processes.
 func (c *Client) Start() {
+	if u := c.cache.load(); u != nil {
+		c.takeRoutes(u)
+	}
 	c.dial(nil)
 	c.wg.Add(1)
 	go c.pollTargets()
@@ -144,6 +149,7 @@
 	defer c.mu.Unlock()
 	if t := c.Table(); t == nil || t.Manifest().Version < next.Version {
 		c.table.Store(routes.NewTable(next))
+		c.cache.save(m)
 		c.o.Log.WithFields(logrus.Fields{"version": next.Version, "routes": len(next.Routes)}).Info("manifest is in force")
 	}
 }
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -39,16 +39,18 @@
 	Directory   *directory.Directory
 	Poller      *directory.Poller
 	Log         *logrus.Entry
+	DataDir     string // for the cached manifest
 	// Dial keeps a link to a control process.
 	Dial func(address string) (stop func())
 }
 
 // Hub is the control side. It implements link.Events for all links of the process.
 type Hub struct {
-	o    Options
-	done context.Context
-	stop context.CancelFunc
-	wg   sync.WaitGroup
+	o     Options
+	cache *routeCache
+	done  context.Context
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
 
 	mu       sync.Mutex
 	entries  map[*link.Conn]bool
@@ -65,12 +67,14 @@
 func New(o Options) *Hub {
 	done, stop := context.WithCancel(context.Background())
 	h := &Hub{
-		o: o, done: done, stop: stop,
+		o: o, cache: newRouteCache(o.DataDir, o.Log), done: done, stop: stop,
 		entries: make(map[*link.Conn]bool),
 		hosts:   map[string]string{o.Address: o.Host},
 		dialed:  make(map[string]func()),
 	}
 	h.register()
+	// What is cached was in force, so entries may use it before there is a leader.
+	h.manifest = h.cache.load()
 	o.Manifests.OnChange(h.publishManifest)
 	o.Directory.OnChange(func(v *directory.View) { h.publishTargets(v.Targets) })
 	o.Control.OnLeader(h.lead)
@@ -166,7 +170,11 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.manifest != nil && h.manifest.Version > m.Version {
+		return // the log is still being applied
+	}
 	h.manifest = &wire.RouteUpdate{Version: m.Version, Manifest: body}
+	h.cache.save(h.manifest)
 	h.broadcast(h.manifest)
 	h.o.Log.WithFields(logrus.Fields{"version": m.Version, "routes": len(m.Routes), "entries": len(h.entries)}).Info("manifest is in force")
 }
