--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -87,8 +87,10 @@
 	admin := http.NewServeMux()
 	d.observer.Attach(admin)
 	d.observer.Dump("mailboxes", func() any { return d.system.Load() })
-	if err := d.serve(d.settings.Metrics, admin); err != nil {
-		return err
+	if d.settings.Metrics != "" {
+		if err := d.serve(d.settings.Metrics, admin); err != nil {
+			return err
+		}
 	}
 	if d.settings.Control {
 		if err := d.startHub(); err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -138,7 +138,6 @@
 	verdict Verdict
 	result  Result
 	err     *upstream.Failure
-	cancel  context.CancelFunc
 }
 
 // run is the state of one request.
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,273 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/directory"
+	"merlinhall/routes"
+	"merlinhall/upstream"
+	"merlinhall/wire"
+)
+
+type testProtocol struct{}
+
+func (testProtocol) Outbound(target string, left time.Duration) []wire.Header {
+	return []wire.Header{{Name: "Target", Value: target}, {Name: "Left", Value: left.String()}}
+}
+
+func (testProtocol) Verdict(status int, h http.Header) Verdict {
+	switch {
+	case h.Get("Not-Run") != "":
+		return NotRun
+	case status == http.StatusMisdirectedRequest:
+		return WrongPlace
+	case status >= 500:
+		return FailedRun
+	}
+	return Answered
+}
+
+// target answers requests as its behaviour says and counts the runs by id.
+type target struct {
+	entry wire.TargetEntry
+	mu    sync.Mutex
+	runs  map[string]int
+	left  map[string]time.Duration
+	how   behaviour
+}
+
+type behaviour func(w io.Writer) (ran bool)
+
+func answer(status int, header, body string) behaviour {
+	return func(w io.Writer) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+		return header != "Not-Run: 1\r\n" && status != http.StatusMisdirectedRequest
+	}
+}
+
+func startTarget(t *testing.T, id string, how behaviour) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &target{
+		entry: wire.TargetEntry{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z"},
+		runs:  make(map[string]int), left: make(map[string]time.Duration), how: how,
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *target) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		left, _ := time.ParseDuration(r.Header.Get("Left"))
+		s.mu.Lock()
+		s.left[r.Header.Get("Id")] = left
+		s.mu.Unlock()
+		if s.how == nil {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if s.how(c) {
+			s.mu.Lock()
+			s.runs[r.Header.Get("Id")]++
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *target) count(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+func (s *target) timeLeft(id string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left[id]
+}
+
+func newForwarder(targets ...*target) *Forwarder {
+	d := directory.New()
+	var list []wire.TargetEntry
+	for _, s := range targets {
+		list = append(list, s.entry)
+	}
+	d.Replace(time.Now(), list)
+	pool := upstream.NewPool(func(id string, h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id })
+	return &Forwarder{Pool: pool, Directory: d, Protocol: testProtocol{}, Zone: "z"}
+}
+
+func request(id string, repeatable bool, goal, limit time.Duration) *Request {
+	return &Request{
+		Request: upstream.Request{
+			ID: id, Method: http.MethodPost, URI: "/x", Host: "h", Header: []wire.Header{{Name: "Id", Value: id}}, Body: []byte("b"),
+		},
+		Route: &routes.Route{
+			Repeatable: repeatable, MaxAttempts: 3, Goal: goal, Timeout: limit, Shares: []routes.Share{{Service: "s", Weight: 1}},
+		},
+		Deadline: time.Now().Add(limit),
+	}
+}
+
+var (
+	ok        = answer(200, "", "fine")
+	full      = answer(503, "Not-Run: 1\r\n", "")
+	broken    = answer(500, "", "failed")
+	elsewhere = answer(421, "", "")
+	hang      = func(io.Writer) bool { time.Sleep(3 * time.Second); return true }
+)
+
+func TestFullTargetsAreLeftForOthers(t *testing.T) {
+	is := is.New(t)
+	a, b, c := startTarget(t, "a", full), startTarget(t, "b", elsewhere), startTarget(t, "c", ok)
+	f := newForwarder(a, b, c)
+	for i := range 8 {
+		id := fmt.Sprint("r", i)
+		result := f.Do(context.Background(), request(id, false, time.Second, time.Second))
+		is.Equal(result.Outcome, OutcomeAnswered)
+		is.Equal(string(result.Body), "fine")
+		is.Equal(c.count(id), 1)
+	}
+}
+
+func TestRefusalIsTrueAndAtOnce(t *testing.T) {
+	is := is.New(t)
+	a, b := startTarget(t, "a", full), startTarget(t, "b", full)
+	began := time.Now()
+	result := newForwarder(a, b).Do(context.Background(), request("r", false, time.Second, 2*time.Second))
+	is.Equal(result.Outcome, OutcomeNotRun)
+	is.True(result.RetryAfter > 0)
+	is.True(time.Since(began) < 500*time.Millisecond) // not held until its deadline
+	is.Equal(a.count("r")+b.count("r"), 0)
+}
+
+func TestRequestThatMayHaveRunIsNotRepeatedNorRefused(t *testing.T) {
+	is := is.New(t)
+	a, b := startTarget(t, "a", nil), startTarget(t, "b", nil) // reset after the request was read
+	result := newForwarder(a, b).Do(context.Background(), request("r", false, time.Second, time.Second))
+	is.Equal(result.Outcome, OutcomeUnknown)
+	is.Equal(result.Attempts, 1)
+}
+
+func TestRepeatableRequestGoesOnAfterAReset(t *testing.T) {
+	is := is.New(t)
+	a, b := startTarget(t, "a", nil), startTarget(t, "b", ok)
+	f := newForwarder(a, b)
+	for i := range 6 {
+		result := f.Do(context.Background(), request(fmt.Sprint("r", i), true, time.Second, time.Second))
+		is.Equal(result.Outcome, OutcomeAnswered)
+	}
+}
+
+// Pattern: a target falls silent while its connections stay open.
+func TestSilentTargetIsHedged(t *testing.T) {
+	is := is.New(t)
+	a, b := startTarget(t, "a", hang), startTarget(t, "b", ok)
+	f := newForwarder(a, b)
+	for i := range 6 {
+		began := time.Now()
+		result := f.Do(context.Background(), request(fmt.Sprint("r", i), true, 200*time.Millisecond, 2*time.Second))
+		is.Equal(result.Outcome, OutcomeAnswered)
+		is.True(time.Since(began) < 400*time.Millisecond)
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var targets []*target
+	for i := range 6 {
+		targets = append(targets, startTarget(t, fmt.Sprint("t", i), broken))
+	}
+	result := newForwarder(targets...).Do(context.Background(), request("r", true, time.Second, time.Second))
+	is.Equal(result.Outcome, OutcomeAnswered) // the target's own failure is passed on
+	is.Equal(result.Status, 500)
+	is.Equal(string(result.Body), "failed")
+	runs := 0
+	for _, s := range targets {
+		runs += s.count("r")
+	}
+	is.Equal(runs, 3)
+	is.Equal(result.Failures, 3)
+}
+
+func TestTimeLeftShrinksWithEachAttempt(t *testing.T) {
+	is := is.New(t)
+	a, b := startTarget(t, "a", hang), startTarget(t, "b", hang)
+	f := newForwarder(a, b)
+	result := f.Do(context.Background(), request("r", true, 400*time.Millisecond, 600*time.Millisecond))
+	is.Equal(result.Outcome, OutcomeUnknown)
+	first, second := max(a.timeLeft("r"), b.timeLeft("r")), min(a.timeLeft("r"), b.timeLeft("r"))
+	is.True(first <= 600*time.Millisecond)
+	is.True(second <= first-150*time.Millisecond)
+}
+
+func TestNoTargetIsARefusal(t *testing.T) {
+	is := is.New(t)
+	result := newForwarder().Do(context.Background(), request("r", true, time.Second, time.Second))
+	is.Equal(result.Outcome, OutcomeNotRun)
+}
+
+func TestCallerThatLeavesCancelsTheRun(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	a := startTarget(t, "a", func(w io.Writer) bool {
+		c := w.(net.Conn)
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err == io.EOF {
+			close(gone)
+		}
+		return true
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	newForwarder(a).Do(ctx, request("r", false, time.Second, 3*time.Second))
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		is.Fail() // the target works on for nobody
+	}
+}
+
+func TestOpenConnectionsAreUsedFirst(t *testing.T) {
+	is := is.New(t)
+	var targets []*target
+	for i := range 8 {
+		targets = append(targets, startTarget(t, fmt.Sprint("t", i), ok))
+	}
+	f := newForwarder(targets...)
+	var opened atomic.Int32
+	f.Pool.Opened = func() { opened.Add(1) }
+	for i := range 40 {
+		f.Do(context.Background(), request(fmt.Sprint("r", i), true, time.Second, time.Second))
+	}
+	is.True(opened.Load() <= 4) // one request at a time needs few
+}
--- /dev/null
+++ b/ledger/submissions_test.go
@@ -0,0 +1,185 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// log applies commands to a slice and keeps them.
+type testLog struct {
+	t     *testing.T
+	slice *Submissions
+	index uint64
+}
+
+func newTestLog(t *testing.T) *testLog { return &testLog{t: t, slice: NewSubmissions()} }
+
+func (l *testLog) apply(body []byte, err error) error {
+	l.t.Helper()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.index++
+	failure, _ := l.slice.Apply(l.index, 1, body).(error)
+	return failure
+}
+
+func submission(id string, items int) *Submission {
+	s := &Submission{ID: id, Model: "m"}
+	for i := range items {
+		s.Items = append(s.Items, Item{ID: fmt.Sprintf("%s-%d", id, i), Body: []byte{byte(i)}})
+	}
+	return s
+}
+
+func texts(t *testing.T, s *Submissions, id string) []string {
+	t.Helper()
+	page, _, _ := s.Page(id, 0, 1<<20)
+	var out []string
+	for _, r := range page.Results {
+		text, err := Text(r.Parts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, r.Item+"="+string(text))
+	}
+	return out
+}
+
+func TestResultsKeepTheirPositionAndContent(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("s", 3))))
+	is.NoErr(l.apply(ListCommand("s", Result{Item: "s-1", Parts: [][]byte{Pack([]byte("one"))}})))
+	is.NoErr(l.apply(ListCommand("s", Result{Item: "s-1", Parts: [][]byte{Pack([]byte("again"))}}))) // sent twice
+	is.NoErr(l.apply(ListCommand("s", Result{Item: "foreign"})))
+	is.NoErr(l.apply(ListCommand("s", Result{Item: "s-0", Failed: true})))
+	is.NoErr(l.apply(AcceptCommand(submission("s", 3)))) // the submission again
+	is.Equal(texts(t, l.slice, "s"), []string{"s-1=one", "s-0="})
+	page, changed, found := l.slice.Page("s", 1, 1<<20)
+	is.True(found && changed != nil)
+	is.Equal(page.Next, 2)
+	is.Equal(page.Total, 3)
+	_, _, found = l.slice.Page("other", 0, 1)
+	is.True(!found)
+}
+
+func TestBodiesAreGivenUntilAResultOrTheEnd(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("s", 3))))
+	body, found, _ := l.slice.Body("s", "s-2")
+	is.True(found)
+	is.Equal(body, []byte{2})
+	is.NoErr(l.apply(ListCommand("s", Result{Item: "s-2"})))
+	_, found, known := l.slice.Body("s", "s-2")
+	is.True(!found && known)
+	is.NoErr(l.apply(EndCommand("s")))
+	_, found, known = l.slice.Body("s", "s-0")
+	is.True(!found && known)
+	is.NoErr(l.apply(ListCommand("s", Result{Item: "s-0"}))) // late, of a run that was under way
+	is.Equal(len(texts(t, l.slice, "s")), 1)
+	is.Equal(len(l.slice.Open()), 0)
+}
+
+func TestTextOfANewLeaderGoesOnAfterWhatIsHeld(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("s", 2))))
+	part := func(from int, text string, events int) []byte {
+		b, err := ProgressCommand("s", []Progress{{Item: "s-0", From: from, Events: events, Parts: [][]byte{Pack([]byte(text))}, Versions: []uint64{3}}})
+		is.NoErr(err)
+		return b
+	}
+	is.NoErr(l.apply(part(0, "a\nb", 2), nil))
+	is.NoErr(l.apply(part(2, "c", 1), nil))
+	is.NoErr(l.apply(part(7, "out of place", 1), nil))
+	p, ok := l.slice.Partial("s-0")
+	is.True(ok)
+	is.Equal(p.Events, 3)
+	result := Result{Item: "s-0", Kept: 2, Parts: [][]byte{Pack([]byte("x"))}, Versions: []uint64{3}}
+	is.True(errors.Is(l.apply(ListCommand("s", result)), ErrNotHeld)) // a leader with an older view
+	result.Kept = 3
+	is.NoErr(l.apply(ListCommand("s", result)))
+	is.Equal(texts(t, l.slice, "s"), []string{"s-0=a\nb\nc\nx"})
+	_, ok = l.slice.Partial("s-0")
+	is.True(!ok)
+}
+
+// Two replicas that apply the same commands hold the same, also when one of them
+// went through a snapshot at a random place.
+func TestSnapshotsHoldEverything(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	a, b := newTestLog(t), newTestLog(t)
+	for i := range 400 {
+		sub := fmt.Sprint("s", rng.IntN(5))
+		item := fmt.Sprintf("%s-%d", sub, rng.IntN(6))
+		var body []byte
+		var err error
+		switch rng.IntN(6) {
+		case 0:
+			body, err = AcceptCommand(submission(sub, 6))
+		case 1, 2:
+			body, err = ListCommand(sub, Result{Item: item, Kept: rng.IntN(3), Parts: [][]byte{Pack([]byte(item))}})
+		case 3, 4:
+			body, err = ProgressCommand(sub, []Progress{{Item: item, From: rng.IntN(3), Events: 1, Parts: [][]byte{Pack([]byte("p"))}}})
+		default:
+			body, err = EndCommand(sub)
+			if rng.IntN(3) == 0 {
+				body, err = ForgetCommand([]string{sub})
+			}
+		}
+		first, second := a.apply(body, err), b.apply(body, err)
+		is.Equal(first == nil, second == nil)
+		if i%37 == 0 {
+			snapshot, err := b.slice.Snapshot()
+			is.NoErr(err)
+			b.slice = NewSubmissions()
+			is.NoErr(b.slice.Restore(snapshot))
+		}
+		for s := range 5 {
+			id := fmt.Sprint("s", s)
+			is.Equal(texts(t, a.slice, id), texts(t, b.slice, id))
+		}
+		x, err := a.slice.Snapshot()
+		is.NoErr(err)
+		y, err := b.slice.Snapshot()
+		is.NoErr(err)
+		is.True(bytes.Equal(x, y))
+	}
+}
+
+func TestReadersAreWokenByResults(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("s", 1))))
+	_, changed, _ := l.slice.Page("s", 0, 1<<20)
+	is.NoErr(l.apply(ListCommand("s", Result{Item: "s-0"})))
+	select {
+	case <-changed:
+	case <-time.After(time.Second):
+		t.Fatal("no wake-up")
+	}
+	_, changed, _ = l.slice.Page("s", 1, 1<<20)
+	is.True(changed == nil) // nothing more can come
+}
+
+func TestPagesAreBoundedButNeverEmpty(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("s", 3))))
+	for i := range 3 {
+		is.NoErr(l.apply(ListCommand("s", Result{Item: fmt.Sprint("s-", i), Parts: [][]byte{make([]byte, 1000)}})))
+	}
+	page, _, _ := l.slice.Page("s", 0, 10)
+	is.Equal(page.Next, 1)
+	page, _, _ = l.slice.Page("s", 1, 10)
+	is.Equal(page.Next, 2)
+}
