--- a/consensus/node.go
+++ b/consensus/node.go
@@ -450,6 +450,14 @@
 	}
 }
 
+// SnapshotAt returns a snapshot without data at an applied index.
+func (n *Node) SnapshotAt(index uint64) Snapshot {
+	term, ok := n.log.term(index)
+	duty.Invariant(ok && index <= n.handed, "snapshot at %d, applied only %d", index, n.handed)
+	members, _ := n.log.membersAt(index)
+	return Snapshot{Index: index, Term: term, Members: members}
+}
+
 func (n *Node) silent() []string {
 	if n.role != RoleLeader {
 		return nil
--- a/control/machine.go
+++ b/control/machine.go
@@ -282,7 +282,16 @@
 }
 
 // Snapshot returns the encoded state.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() ([]byte, error) { return m.Freeze()() }
+
+// Freezer is a slice whose state can be encoded later, as it is now.
+type Freezer interface {
+	Freeze() func() ([]byte, error)
+}
+
+// Freeze implements replica.Freezer. Slices that are no Freezer are encoded at
+// once.
+func (m *Machine) Freeze() func() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := machineSnapshot{
@@ -291,18 +300,30 @@
 		WorldTerm:  m.worldTerm,
 		Slices:     make(map[string][]byte, len(m.order)),
 	}
+	encoders := make(map[string]func() ([]byte, error), len(m.order))
 	for _, part := range m.order {
+		if f, ok := part.(Freezer); ok {
+			encoders[part.Name()] = f.Freeze()
+			continue
+		}
 		b, err := part.Snapshot()
+		encoders[part.Name()] = func() ([]byte, error) { return b, err }
+	}
+	outcomes, err := m.outcomes.encode()
+	return func() ([]byte, error) {
 		if err != nil {
-			return nil, eris.Wrapf(err, "snapshot of slice %q", part.Name())
+			return nil, err
 		}
-		s.Slices[part.Name()] = b
-	}
-	var err error
-	if s.Outcomes, err = m.outcomes.encode(); err != nil {
-		return nil, err
+		s.Outcomes = outcomes
+		for name, encode := range encoders {
+			b, err := encode()
+			if err != nil {
+				return nil, eris.Wrapf(err, "snapshot of slice %q", name)
+			}
+			s.Slices[name] = b
+		}
+		return wire.Marshal(&s)
 	}
-	return wire.Marshal(&s)
 }
 
 // Restore replaces the state by that of a snapshot.
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,6 +31,25 @@
 // take: the state, a snapshot and its encoding take some times their own size.
 const logShare = 16
 
+// votersWanted is the number of voters where one host may be lost: one more pair
+// than bears that loss, for a loss during a replacement.
+const votersWanted = 5
+
+// hostedLog is the log of a control process that may be outside the group.
+type hostedLog struct {
+	replicaLog
+	outside func() string // the leader as such a process knows it
+}
+
+// Status implements control.Log.
+func (l hostedLog) Status() control.Status {
+	st := l.replicaLog.Status()
+	if st.Leader == "" && st.Role == string(consensus.RoleFresh) {
+		st.Leader = l.outside()
+	}
+	return st
+}
+
 // startHub starts the part that holds the replicated state. The link address is
 // the process's name in the group, because it is all that others know of it.
 func (d *HostedDaemon) startHub() error {
@@ -50,7 +70,7 @@
 		Config: consensus.Config{
 			Open:         true,
 			Joiner:       !s.Founding || !slices.Contains(s.Seeds, s.Links),
-			VotersWanted: 2*s.HostFaults + 3,
+			VotersWanted: max(2*s.HostFaults+1, votersWanted),
 			VotersLeast:  2*s.HostFaults + 1,
 		},
 	})
@@ -59,8 +79,15 @@
 	}
 	d.stops = append(d.stops, r.Stop)
 	peers := newPeerLinks()
+	var known atomic.Pointer[hub.Hub] // set once there is one
+	log := hostedLog{replicaLog{r}, func() string {
+		if h := known.Load(); h != nil {
+			return h.Leader()
+		}
+		return ""
+	}}
 	c := control.New(control.Options{
-		Name: s.Links, Log: replicaLog{r}, Machine: machine, Peer: peers.get, System: d.system, Observer: d.observer,
+		Name: s.Links, Log: log, Machine: machine, Peer: peers.get, System: d.system, Observer: d.observer,
 	})
 	d.stops = append(d.stops, c.Stop)
 	propose := func(slice string) func(ctx context.Context, body []byte) error {
@@ -91,6 +118,7 @@
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts,
 		Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: d.dial,
 	})
+	known.Store(h)
 	d.mux.Handle(h, wire.KindGroupUpdate)
 	h.Start()
 	d.stops = append(d.stops, h.Stop)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/consensus"
 	"merlinhall/control"
 	"merlinhall/directory"
 	"merlinhall/ledger"
@@ -57,10 +58,13 @@
 	hosts    map[string]string // link address to host, of control processes
 	dialed   map[string]func()
 	group    wire.GroupUpdate
+	controls map[*link.Conn]bool // links to other control processes
 	manifest *wire.RouteUpdate
 	targets  wire.TargetUpdate
 	leading  bool
 	term     uint64
+	// outsideLeader is the leader that members of the group named.
+	outsideLeader string
 }
 
 // New returns the control side. It does nothing before Start.
@@ -71,6 +75,8 @@
 		entries: make(map[*link.Conn]bool),
 		hosts:   map[string]string{o.Address: o.Host},
 		dialed:  make(map[string]func()),
+
+		controls: make(map[*link.Conn]bool),
 	}
 	h.register()
 	// What is cached was in force, so entries may use it before there is a leader.
@@ -107,11 +113,12 @@
 	hello := c.Peer()
 	if slices.Contains(hello.Roles, wire.RoleControl) {
 		h.hosts[hello.Process] = hello.Host
-		_ = c.Send(&h.group)
+		h.controls[c] = true
+		h.send(c, h.groupCopy())
 		return
 	}
 	h.entries[c] = true
-	h.send(c, &h.group)
+	h.send(c, h.groupCopy())
 	if h.manifest != nil {
 		h.send(c, h.manifest)
 	}
@@ -127,24 +134,38 @@
 	h.mu.Lock()
 	_, entry := h.entries[c]
 	delete(h.entries, c)
+	delete(h.controls, c)
 	h.mu.Unlock()
 	h.o.Log.WithFields(logrus.Fields{"peer": c.Peer().Process, "entry": entry, "reason": reason.Error()}).Info("link is lost")
 }
 
 // Message implements link.Events for wire.KindGroupUpdate: another control
-// process tells which processes form the group.
+// process tells which processes form the group. A process that is not one of them
+// needs it to ask for admission and to pass calls on.
 func (h *Hub) Message(_ *link.Conn, m wire.Message) {
 	u, ok := m.(*wire.GroupUpdate)
-	if !ok || len(u.Members) == 0 {
+	if !ok || len(u.Members) == 0 || h.o.Replica.Status().Role != consensus.RoleFresh {
 		return
 	}
 	h.mu.Lock()
-	known := len(h.group.Members) > 0
-	h.mu.Unlock()
-	if !known {
-		h.dial(u.Members)
-		h.setPeers(u.Members)
+	if u.Leader != "" {
+		h.outsideLeader = u.Leader
 	}
+	h.mu.Unlock()
+	h.dial(u.Members)
+	h.setPeers(u.Members)
+}
+
+// Leader returns the leader as a process outside the group knows it, or "".
+func (h *Hub) Leader() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.outsideLeader
+}
+
+func (h *Hub) groupCopy() *wire.GroupUpdate {
+	u := h.group
+	return &u
 }
 
 func (h *Hub) send(c *link.Conn, m wire.Message) {
@@ -265,7 +286,11 @@
 	changed := next.Leader != h.group.Leader || !slices.Equal(next.Members, h.group.Members)
 	if changed {
 		h.group = next
-		h.broadcast(&h.group)
+		sent := next
+		h.broadcast(&sent)
+		for c := range h.controls {
+			h.send(c, &sent)
+		}
 	}
 	h.mu.Unlock()
 	if len(next.Members) > 0 {
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -108,7 +108,8 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
 	out := make([]Open, 0, len(list))
 	for _, h := range list {
-		o := Open{Submission: &h.Submission, Since: h.since}
+		sub := h.Submission
+		o := Open{Submission: &sub, Since: h.since}
 		for _, item := range h.Submission.Items {
 			if _, listed := h.listed[item.ID]; !listed {
 				o.Left = append(o.Left, item)
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -5,6 +5,7 @@
 package ledger
 
 import (
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -228,10 +229,13 @@
 		return nil
 	}
 	h.Ended = true
-	for i := range h.Submission.Items {
-		item := &h.Submission.Items[i]
+	// A frozen state may still refer to the items.
+	items := make([]Item, len(h.Submission.Items))
+	for i, item := range h.Submission.Items {
 		item.Body, item.Headers, item.Reward = nil, nil, nil
+		items[i] = item
 	}
+	h.Submission.Items = items
 	h.wake()
 	return &SubmissionChange{Ended: id}
 }
@@ -259,15 +263,22 @@
 }
 
 // Snapshot implements control.Slice.
-func (s *Submissions) Snapshot() ([]byte, error) {
+func (s *Submissions) Snapshot() ([]byte, error) { return s.Freeze()() }
+
+// Freeze implements control.Freezer. What it refers to is never changed in place:
+// results are only appended, items and partial texts are replaced.
+func (s *Submissions) Freeze() func() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]*held, 0, len(s.held))
 	for _, h := range s.held {
-		list = append(list, h)
+		list = append(list, &held{Submission: h.Submission, Results: h.Results, Ended: h.Ended, Order: h.Order})
+	}
+	partial := maps.Clone(s.partial)
+	return func() ([]byte, error) {
+		sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
+		return wire.Marshal(submissionsSnapshot{Held: list, Partial: partial})
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
-	return wire.Marshal(submissionsSnapshot{Held: list, Partial: s.partial})
 }
 
 // Restore implements control.Slice.
--- a/replica/core.go
+++ b/replica/core.go
@@ -42,6 +42,13 @@
 	Restore(snapshot []byte) error
 }
 
+// Freezer is a StateMachine whose state can be encoded while further commands are
+// applied: Freeze returns at once, and the function that it returns encodes the
+// state as it was then.
+type Freezer interface {
+	Freeze() func() ([]byte, error)
+}
+
 // CoreOptions configure a Core.
 type CoreOptions struct {
 	Consensus consensus.Config // ID is taken from the data folder
@@ -56,6 +63,10 @@
 	// SnapshotBytes of applied commands bring a snapshot earlier; a quarter of them
 	// stays for slow followers.
 	SnapshotBytes int
+	// Background, when set, runs work on another goroutine and hands its result to
+	// Core.Finish. Snapshots of a Freezer are then encoded and written there: that
+	// takes longer than a lease.
+	Background func(work func() any)
 }
 
 // Defaults of CoreOptions. A snapshot each 4,096 entries bounds the log that is
@@ -96,6 +107,13 @@
 	proposals map[uint64]proposal    // by index, not yet applied
 	reads     map[uint64]ReadDone
 	failed    error
+	freezing  bool // a snapshot is being made in the background
+}
+
+// frozenSnapshot is a snapshot that was made in the background.
+type frozenSnapshot struct {
+	snapshot consensus.Snapshot
+	err      error
 }
 
 // OpenCore opens the data folder and restores the state machine from the newest
@@ -302,10 +320,14 @@
 }
 
 func (c *Core) maybeSnapshot(now time.Duration) {
-	due := c.applied >= c.snapshot+c.options.SnapshotEvery || c.unsaved >= c.options.SnapshotBytes
+	due := c.applied >= c.snapshot+c.options.SnapshotEvery || c.unsaved >= c.snapshotBytes()
 	if c.failed != nil || !due || c.applied == c.snapshot {
 		return
 	}
+	if f, ok := c.options.Machine.(Freezer); ok && c.options.Background != nil {
+		c.freeze(f)
+		return
+	}
 	data, err := c.options.Machine.Snapshot()
 	if err != nil {
 		c.fail(eris.Wrap(err, "replica: take a snapshot"))
@@ -313,12 +335,61 @@
 	}
 	c.snapshot = c.applied
 	c.unsaved = 0
+	c.compact(now, c.applied, data)
+}
+
+// snapshotBytes differs between replicas by up to a half, so that they do not all
+// make their snapshots at the same moment.
+func (c *Core) snapshotBytes() int {
+	const steps = 64
+	step := int(c.options.Consensus.ID % steps)
+	return c.options.SnapshotBytes/2 + c.options.SnapshotBytes*step/(2*steps)
+}
+
+func (c *Core) compact(now time.Duration, index uint64, data []byte) {
 	c.step(now, consensus.Compact{
-		Index: c.applied, Data: data,
+		Index: index, Data: data,
 		Keep: c.options.SnapshotKeep, KeepBytes: c.options.SnapshotBytes / keepShare,
 	})
 }
 
+// freeze begins a snapshot in the background.
+func (c *Core) freeze(f Freezer) {
+	if c.freezing {
+		return
+	}
+	c.freezing = true
+	s := c.node.SnapshotAt(c.applied)
+	encode := f.Freeze()
+	c.snapshot = c.applied
+	c.unsaved = 0
+	c.options.Background(func() any {
+		data, err := encode()
+		if err == nil {
+			s.Data = data
+			err = c.store.WriteSnapshot(&s)
+		}
+		return frozenSnapshot{s, err}
+	})
+}
+
+// Finish takes the result of work that Background ran.
+func (c *Core) Finish(now time.Duration, result any) {
+	s, ok := result.(frozenSnapshot)
+	if !ok || c.failed != nil {
+		return
+	}
+	c.freezing = false
+	if s.err != nil && c.node.Status().Snapshot >= s.snapshot.Index {
+		return // the leader's snapshot took its place, and its file
+	}
+	if s.err != nil {
+		c.fail(eris.Wrap(s.err, "replica: take a snapshot"))
+		return
+	}
+	c.compact(now, s.snapshot.Index, s.snapshot.Data)
+}
+
 // fail stops the replica for good. Entries that were handed to the disk may
 // survive there, so their outcome is unknown.
 func (c *Core) fail(err error) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -96,6 +96,9 @@
 	done    ReadDone
 }
 
+// finishMessage brings the result of work of the background.
+type finishMessage struct{ result any }
+
 type peersCall struct{ names, excluded []string }
 
 type changeCall struct {
@@ -127,6 +130,7 @@
 		SnapshotEvery: o.SnapshotEvery,
 		SnapshotKeep:  o.SnapshotKeep,
 		SnapshotBytes: o.SnapshotBytes,
+		Background:    r.background,
 	}, r.now())
 	if err != nil {
 		return nil, err
@@ -181,6 +185,18 @@
 	r.pace.Set(r.period(now))
 }
 
+// background runs work on another goroutine and brings its result to the duty.
+func (r *Replica) background(work func() any) {
+	go func() {
+		began := time.Now()
+		result := work()
+		r.log.WithField("ms", time.Since(began).Milliseconds()).Info("snapshot is made")
+		for r.duty.Offer(finishMessage{result}) == duty.ErrFull {
+			time.Sleep(tickPeriod)
+		}
+	}()
+}
+
 // period returns the time between ticks. What ticks bring about in a follower,
 // elections and the search for a leader, is at least the shortest election timeout
 // away when the leader has just been heard.
@@ -214,6 +230,10 @@
 		r.core.Read(now, m.byLease, m.done)
 	case changeCall:
 		r.core.Change(now, m.kind, m.member, m.done)
+	case finishMessage:
+		r.core.Finish(now, m.result)
+		r.flush()
+		r.log.WithField("ms", (r.now() - now).Milliseconds()).Info("log begins after the snapshot")
 	case peersCall:
 		r.core.step(now, consensus.Peers{Names: m.names, Excluded: m.excluded})
 	case flushMessage:
--- a/storage/store.go
+++ b/storage/store.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
@@ -41,6 +42,7 @@
 	buffer     []byte
 	failed     error
 	syncs      uint64
+	written    atomic.Uint64 // index of the newest snapshot file
 }
 
 // Open locks and reads a data folder. newID makes the random id of a folder that
@@ -216,8 +218,10 @@
 			last = snapshot.Index
 		}
 	}
-	if err := s.writeSnapshot(snapshot); err != nil {
-		return err
+	if s.written.Load() != snapshot.Index || out.Install != nil {
+		if err := s.WriteSnapshot(snapshot); err != nil {
+			return err
+		}
 	}
 	id.Snapshot = snapshot.Index
 	s.identity, s.state = id, state
@@ -277,6 +281,7 @@
 	if err := s.end(); err != nil {
 		return eris.Wrapf(err, "storage: %s", name)
 	}
+	s.buffer = nil // many times the size of a batch
 	if err := s.publish(name); err != nil {
 		return err
 	}
@@ -292,7 +297,9 @@
 	return eris.Wrap(s.fs.SyncDir(), "storage")
 }
 
-func (s *Store) writeSnapshot(snapshot *consensus.Snapshot) error {
+// WriteSnapshot writes the file of a snapshot. It may run beside Save, which then
+// makes the log begin after that snapshot; until then a restart ignores the file.
+func (s *Store) WriteSnapshot(snapshot *consensus.Snapshot) error {
 	payload, err := wire.Marshal(snapshot)
 	if err != nil {
 		return err
@@ -304,14 +311,19 @@
 	}
 	defer func() { _ = f.Close() }()
 	sum := binary.LittleEndian.AppendUint32(nil, crc32.Checksum(payload, castagnoli))
-	if _, err := f.Write(append(sum, payload...)); err != nil {
-		return eris.Wrapf(err, "write %s", name)
+	for _, b := range [][]byte{sum, payload} {
+		if _, err := f.Write(b); err != nil {
+			return eris.Wrapf(err, "write %s", name)
+		}
 	}
-	s.syncs++
 	if err := f.Sync(); err != nil {
 		return eris.Wrapf(err, "sync %s", name)
 	}
-	return s.publish(name)
+	if err := s.publish(name); err != nil {
+		return err
+	}
+	s.written.Store(snapshot.Index)
+	return nil
 }
 
 func (s *Store) readSnapshot(index uint64) (consensus.Snapshot, error) {
