--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -173,7 +173,9 @@
 	return now.Sub(c.idleSince) < idleLimit
 }
 
-// pop takes the connection that was used last, so that the others may expire.
+// pop takes the connection that has been idle for longest. Work comes in bursts
+// some seconds apart: in turn, all connections of a burst stay in use, while those
+// used last would leave the others to expire before the next one.
 func (p *Pool) pop(to Address) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -181,9 +183,8 @@
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[to] = list[:len(list)-1]
-	return c
+	p.idle[to] = list[1:]
+	return list[0]
 }
 
 // Warm reports whether a connection to the target is open and idle.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -189,3 +189,28 @@
 	}
 	is.Equal(len(accepted), 2)
 }
+
+// Pattern: bursts of many requests at once with pauses, then single requests.
+func TestConnectionsOfABurstTakeTurns(t *testing.T) {
+	is := is.New(t)
+	to, accepted := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		time.Sleep(20 * time.Millisecond)
+		return write(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	p := newTestPool()
+	done := make(chan error, 4)
+	for range 4 {
+		go func() { _, _, err := p.Do(context.Background(), to, get("1")); done <- err }()
+	}
+	for range 4 {
+		is.NoErr(<-done)
+	}
+	is.Equal(len(accepted), 4)
+	used := make(map[*conn]bool)
+	for range 4 {
+		c := p.pop(to)
+		used[c] = true
+		p.put(to, c)
+	}
+	is.Equal(len(used), 4)
+}
