--- a/batch/runner.go
+++ b/batch/runner.go
@@ -622,6 +622,7 @@
 			Header: r.o.Protocol.RewardHeaders(reward.ID),
 		},
 		Route:    route,
+		Patient:  true,
 		Deadline: time.Now().Add(min(route.Timeout, rewardLimit)),
 	})
 	end.failures, end.most, end.reason = result.Failures, max(1, route.MaxAttempts), result.Reason
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -26,6 +26,8 @@
 	// memoryShare is the part of the host's memory that the collector aims to
 	// stay below; the rest covers stacks, sockets and the C library.
 	memoryShare = 0.7
+	// gcPercent trades processor time, of which there is enough, for memory.
+	gcPercent = 50
 	// readyGrace is the time for which a process that stops still takes new
 	// connections: the platform asks each second and needs two misses.
 	readyGrace = 2500 * time.Millisecond
@@ -59,6 +61,7 @@
 // StartHosted starts the process that s describes.
 func StartHosted(s *settings.Hosted) (*HostedDaemon, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	debug.SetGCPercent(gcPercent)
 	d := &HostedDaemon{
 		settings: s,
 		observer: observe.NewStructured("info", os.Stdout),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,6 +61,9 @@
 	upstream.Request
 	Route    *routes.Route
 	Deadline time.Time
+	// Patient requests have nobody waiting for them: a second target is asked
+	// only after the whole objective.
+	Patient bool
 }
 
 // Outcome says how a request ended.
@@ -206,6 +209,9 @@
 }
 
 func (u *run) hedgeDelay() time.Duration {
+	if u.r.Patient {
+		return max(hedgeLeast, u.r.Route.Goal)
+	}
 	return max(hedgeLeast, time.Duration(float64(u.r.Route.Goal)*hedgeShare))
 }
 
