hub: the cached manifest survives a power loss; refusals without a route are logged

Change: the file and its folder are synced on a goroutine of their own, only the newest manifest is written; refusals before and without a route are logged with the request's id, host, path and the version in force.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,15 +83,19 @@
 }
 
 // Route returns the route of a request. The result is set when there is none.
-func (g *Gateway) Route(host, path string) (*routes.Route, *Result) {
+func (g *Gateway) Route(id, host, path string) (*routes.Route, *Result) {
 	table := g.client.Table()
 	if table == nil {
-		return nil, &Result{Outcome: NotRun, Reason: "no manifest is known yet", RetryAfter: retryNoRoutes}
+		result := Result{Outcome: NotRun, Reason: "no manifest is known yet", RetryAfter: retryNoRoutes}
+		g.note("route", id, time.Now(), result, logrus.Fields{"host": host, "path": path})
+		return nil, &result
 	}
 	if r := table.Find(host, path); r != nil {
 		return r, nil
 	}
-	return nil, &Result{Outcome: NoRoute, Reason: "no route"}
+	result := Result{Outcome: NoRoute, Reason: "no route"}
+	g.note("route", id, time.Now(), result, logrus.Fields{"host": host, "path": path, "version": table.Manifest().Version})
+	return nil, &result
 }
 
 // Limits returns what clients may send, and false before the first manifest.
@@ -121,11 +125,19 @@
 		result.Outcome = Unknown
 	}
 	g.note("forward", request.ID, began, result, logrus.Fields{
-		"route": route.Name, "target": end.Target, "attempts": end.Attempts, "status": end.Status, "limit_ms": limit.Milliseconds(),
+		"route": route.Name, "version": g.version(), "targets_age_ms": g.forwarder.Directory.Age(began).Milliseconds(), "target": end.Target, "attempts": end.Attempts, "status": end.Status, "limit_ms": limit.Milliseconds(),
 	})
 	return result
 }
 
+// version returns the version of the manifest in force.
+func (g *Gateway) version() uint64 {
+	if table := g.client.Table(); table != nil {
+		return table.Manifest().Version
+	}
+	return 0
+}
+
 // Submit hands a submission to the control leader.
 func (g *Gateway) Submit(ctx context.Context, sub *ledger.Submission) Result {
 	began := time.Now()
--- a/hub/cache.go
+++ b/hub/cache.go
@@ -16,6 +16,7 @@
 type routeCache struct {
 	path string // empty without a data folder
 	log  *logrus.Entry
+	next chan *wire.RouteUpdate // the newest one that is not written yet
 }
 
 const (
@@ -24,7 +25,7 @@
 )
 
 func newRouteCache(dir string, log *logrus.Entry) *routeCache {
-	c := &routeCache{log: log}
+	c := &routeCache{log: log, next: make(chan *wire.RouteUpdate, 1)}
 	if dir == "" {
 		return c
 	}
@@ -33,6 +34,11 @@
 		return c
 	}
 	c.path = filepath.Join(dir, cacheName)
+	go func() {
+		for u := range c.next {
+			c.write(u)
+		}
+	}()
 	return c
 }
 
@@ -59,19 +65,53 @@
 	return u
 }
 
-// save replaces the file.
+// save has the file replaced soon, by the newest manifest only. Calls must not
+// overlap.
 func (c *routeCache) save(u *wire.RouteUpdate) {
 	if c.path == "" {
 		return
 	}
+	select {
+	case <-c.next:
+	default:
+	}
+	c.next <- u
+}
+
+// write replaces the file and syncs it and its folder: a power loss takes what was
+// not synced.
+func (c *routeCache) write(u *wire.RouteUpdate) {
 	b, err := wire.Marshal(u)
 	if err == nil {
-		err = os.WriteFile(c.path+".new", b, cacheMode)
+		err = writeSynced(c.path, b)
+	}
+	if err != nil {
+		c.log.Infof("manifest is not cached: %v", err)
 	}
+}
+
+func writeSynced(path string, b []byte) error {
+	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, cacheMode)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
 	if err == nil {
-		err = os.Rename(c.path+".new", c.path)
+		err = f.Sync()
+	}
+	if closing := f.Close(); err == nil {
+		err = closing
 	}
 	if err != nil {
-		c.log.Infof("manifest is not cached: %v", err)
+		return err
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
 	}
+	defer func() { _ = dir.Close() }()
+	return dir.Sync()
 }
--- /dev/null
+++ b/hub/cache_test.go
@@ -0,0 +1,48 @@
+package hub
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/routes"
+	"merlinhall/wire"
+)
+
+func update(t *testing.T, version uint64) *wire.RouteUpdate {
+	t.Helper()
+	body, err := wire.Marshal(&routes.Manifest{Version: version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wire.RouteUpdate{Version: version, Manifest: body}
+}
+
+func TestNewestManifestIsCached(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "cache")
+	c := newRouteCache(dir, logrus.NewEntry(logrus.New()))
+	is.Equal(c.load(), nil)
+	for v := uint64(1); v <= 50; v++ {
+		c.save(update(t, v))
+	}
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if u := c.load(); u != nil && u.Version == 50 {
+			return
+		}
+	}
+	is.Fail() // the newest one is not there
+}
+
+func TestSpoiledCacheIsIgnored(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	c := newRouteCache(dir, logrus.NewEntry(logrus.New()))
+	is.NoErr(os.WriteFile(filepath.Join(dir, cacheName), []byte("torn"), cacheMode))
+	is.Equal(c.load(), nil)
+	is.Equal(newRouteCache("", c.log).load(), nil) // a host without a disk
+}
