trace: the account of one request, submission or item from all logs

Cause: an engineer on call has the logs of many processes and one id; attempts of requests left no line, lines did not name their host and times had no fraction of a second. Change: merlinhall trace ID FILE... joins lines, shows what the processes involved learnt meanwhile, says what is missing and ends with the cause. Attempts that brought no answer, slow and sampled successes are logged; counters of attempts, connections, lost lines and the age of the targets.

--- /dev/null
+++ b/cli/trace.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"merlinhall/trace"
+)
+
+func (e *env) trace(errOut io.Writer) *ffcli.Command {
+	return e.command(newFlags("trace", errOut), "merlinhall trace [flags] <id> <log file>...",
+		"tell from the logs of all processes what became of a request, submission or item",
+		func(_ context.Context, args []string) error {
+			if len(args) < 2 {
+				return exit(ExitUsage, errors.New("expected an id and at least one log file; - is the standard input"))
+			}
+			log := &trace.Log{}
+			for _, name := range args[1:] {
+				if err := readLog(log, name); err != nil {
+					return err
+				}
+			}
+			account := log.Of(args[0])
+			return e.print(account, accountText(&account))
+		})
+}
+
+func readLog(log *trace.Log, name string) error {
+	if name == "-" {
+		return log.Read("stdin", os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return log.Read(name, f)
+}
+
+// hidden fields are shown elsewhere on the line, or say nothing more.
+var hidden = []string{"msg", "time", "host", "level"}
+
+func accountText(a *trace.Account) string {
+	var b strings.Builder
+	for _, l := range a.Lines {
+		fmt.Fprintf(&b, "%s %s %s", l.At.Format("15:04:05.000"), l.Host, l.Text)
+		names := make([]string, 0, len(l.Fields))
+		for name := range l.Fields {
+			if !slices.Contains(hidden, name) {
+				names = append(names, name)
+			}
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+		}
+		b.WriteByte('\n')
+	}
+	for _, d := range a.Doubts {
+		fmt.Fprintf(&b, "note: %s\n", d)
+	}
+	fmt.Fprintf(&b, "cause: %s\n", a.Cause)
+	return b.String()
+}
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/directory"
@@ -64,7 +65,7 @@
 	debug.SetGCPercent(gcPercent)
 	d := &HostedDaemon{
 		settings: s,
-		observer: observe.NewStructured("info", os.Stdout),
+		observer: observe.NewStructured("info", s.Name, os.Stdout),
 		system:   duty.NewSystem(),
 		client:   link.NewHTTPClient(nil),
 		targets:  directory.New(),
@@ -74,6 +75,7 @@
 	d.poller = directory.NewPoller(&platform.List{Address: s.TargetList, Client: &http.Client{}}, d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward")}
 	d.hello = wire.Hello{Process: s.Name, Zone: s.Zone, Boot: newBoot(), Host: s.Name, Roles: []wire.Role{wire.RoleEntry}}
+	d.countConnections()
 	d.stops = append(d.stops, d.sweepPool())
 	if err := d.start(); err != nil {
 		d.close()
@@ -119,6 +121,20 @@
 	return link.Keep(d.client, "ws", address, d.hello, &d.mux).Stop
 }
 
+// countConnections makes the use of connections to targets and the age of the view
+// of them visible.
+func (d *HostedDaemon) countConnections() {
+	connections := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "merlinhall_target_connections_total", Help: "Connections to targets, by whether they were opened or reused.",
+	}, []string{"how"})
+	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "merlinhall_targets_age_seconds", Help: "Time since the view of the targets was last confirmed.",
+	}, func() float64 { return d.targets.Age(time.Now()).Seconds() })
+	d.observer.Registry.MustRegister(connections, age, d.forward.Metrics())
+	d.pool.Opened = connections.WithLabelValues("opened").Inc
+	d.pool.Reused = connections.WithLabelValues("reused").Inc
+}
+
 // sweepPool closes idle connections to targets that are gone.
 func (d *HostedDaemon) sweepPool() func() {
 	d.targets.OnChange(d.forward.Forget)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/directory"
@@ -49,6 +50,10 @@
 	WrongPlace                // another target has the address; not run
 )
 
+func (v Verdict) String() string {
+	return [...]string{"answered", "failed", "not_run", "wrong_place"}[v]
+}
+
 // Protocol is the form of requests and responses of a platform.
 type Protocol interface {
 	// Outbound returns the headers that name the target and the time left.
@@ -98,8 +103,42 @@
 	Zone      string
 	Log       *logrus.Entry
 
-	mu     sync.Mutex
-	states map[string]*targetState
+	mu       sync.Mutex
+	states   map[string]*targetState
+	attempts *prometheus.HistogramVec
+}
+
+// Metrics returns the collector of the attempts; it is registered once.
+func (f *Forwarder) Metrics() prometheus.Collector {
+	f.attempts = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "merlinhall_forward_attempt_seconds", Help: "Sendings of requests to targets, by outcome.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+	}, []string{"outcome"})
+	return f.attempts
+}
+
+// note counts an attempt, and logs one that did not bring the answer.
+func (f *Forwarder) note(ctx context.Context, r *Request, a *attempt, left, took time.Duration) {
+	outcome, reason := a.verdict.String(), ""
+	if a.err != nil {
+		outcome, reason = "broken", a.err.Error()
+		switch {
+		case ctx.Err() == context.Canceled:
+			outcome = "cancelled" // another attempt answered, or the client left
+		case a.err.NotSent:
+			outcome = "not_sent"
+		}
+	}
+	if f.attempts != nil {
+		f.attempts.WithLabelValues(outcome).Observe(took.Seconds())
+	}
+	if f.Log == nil || a.err == nil && a.verdict == Answered {
+		return
+	}
+	f.Log.WithFields(logrus.Fields{
+		"request": r.ID, "target": a.target.ID, "outcome": outcome, "reason": reason, "status": a.result.Status,
+		"left_ms": left.Milliseconds(), "ms": took.Milliseconds(),
+	}).Info("attempt ended")
 }
 
 // targetState is what this process has seen of a target.
@@ -287,6 +326,7 @@
 		}
 	}
 	f.release(ctx, t.ID, a, time.Since(began))
+	f.note(ctx, r, a, left, time.Since(began))
 	done <- a
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -87,14 +88,14 @@
 	table := g.client.Table()
 	if table == nil {
 		result := Result{Outcome: NotRun, Reason: "no manifest is known yet", RetryAfter: retryNoRoutes}
-		g.note("route", id, time.Now(), result, logrus.Fields{"host": host, "path": path})
+		g.note("route", id, time.Now(), result, logrus.Fields{"authority": host, "path": path})
 		return nil, &result
 	}
 	if r := table.Find(host, path); r != nil {
 		return r, nil
 	}
 	result := Result{Outcome: NoRoute, Reason: "no route"}
-	g.note("route", id, time.Now(), result, logrus.Fields{"host": host, "path": path, "version": table.Manifest().Version})
+	g.note("route", id, time.Now(), result, logrus.Fields{"authority": host, "path": path, "version": table.Manifest().Version})
 	return nil, &result
 }
 
@@ -208,10 +209,25 @@
 	entry := g.log.WithFields(fields).WithFields(logrus.Fields{
 		"request": id, "outcome": r.Outcome, "ms": took.Milliseconds(),
 	})
-	switch r.Outcome {
-	case Answered, Accepted:
-		entry.Debug(kind + " ended")
-	default:
+	switch {
+	case r.Outcome != Answered && r.Outcome != Accepted:
 		entry.WithFields(logrus.Fields{"reason": r.Reason, "retry_after_ms": r.RetryAfter.Milliseconds()}).Info(kind + " ended without success")
+	case kind == "submit", kind == "end", kind == "forward" && took > slowAnswer, sampled(id):
+		entry.Info(kind + " ended")
 	}
 }
+
+const (
+	// slowAnswer is the time from which successes are logged as well.
+	slowAnswer = 150 * time.Millisecond
+	// sampleOf is how many quick successes one logged one stands for.
+	sampleOf = 16
+)
+
+// sampled chooses a part of the requests by their ids, so that all processes choose
+// the same ones.
+func sampled(id string) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()%sampleOf == 0
+}
--- a/observe/structured.go
+++ b/observe/structured.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 )
 
@@ -17,27 +19,35 @@
 	dropReport = time.Second
 )
 
-// NewStructured returns an observer that logs one JSON object a line to out. A
-// writer that blocks holds nobody up: lines that find no room are counted and
-// left out.
-func NewStructured(level string, out io.Writer) *Observer {
+// NewStructured returns an observer that logs one JSON object a line to out, with
+// the name of the host. A writer that blocks holds nobody up: lines that find no
+// room are counted and left out.
+func NewStructured(level, host string, out io.Writer) *Observer {
 	o := New(level)
-	o.Log.SetFormatter(&prefixJSON{})
-	o.Log.SetOutput(newBoundedWriter(out))
+	w := newBoundedWriter(out)
+	o.Log.SetFormatter(&prefixJSON{host: host, inner: logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}})
+	o.Log.SetOutput(w)
+	o.Registry.MustRegister(w.lost)
 	return o
 }
 
 // prefixJSON writes the part before the message, as prefixFormatter does.
-type prefixJSON struct{ inner logrus.JSONFormatter }
+type prefixJSON struct {
+	host  string
+	inner logrus.JSONFormatter
+}
 
 // Format implements logrus.Formatter.
 func (f *prefixJSON) Format(e *logrus.Entry) ([]byte, error) {
-	part, ok := e.Data[partField].(string)
-	if !ok {
-		return f.inner.Format(e)
-	}
 	changed := *e
-	changed.Message = part + ": " + e.Message
+	if part, ok := e.Data[partField].(string); ok {
+		changed.Message = part + ": " + e.Message
+	}
+	changed.Data = maps.Clone(e.Data)
+	delete(changed.Data, partField)
+	if f.host != "" {
+		changed.Data["host"] = f.host
+	}
 	return f.inner.Format(&changed)
 }
 
@@ -45,10 +55,16 @@
 type boundedWriter struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	lost    prometheus.Counter
 }
 
 func newBoundedWriter(out io.Writer) *boundedWriter {
-	w := &boundedWriter{lines: make(chan []byte, logLines)}
+	w := &boundedWriter{
+		lines: make(chan []byte, logLines),
+		lost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "merlinhall_log_lines_lost_total", Help: "Log lines that were left out because the writer was too slow.",
+		}),
+	}
 	go w.run(out)
 	return w
 }
@@ -59,6 +75,7 @@
 	case w.lines <- append([]byte(nil), line...):
 	default:
 		w.dropped.Add(1)
+		w.lost.Inc()
 	}
 	return len(line), nil
 }
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,65 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The lines are those of a bench day, shortened.
+const lines = `
+  37.45 edge-2 {"host":"edge-2","msg":"daemon: edge-2 has started","time":"2026-05-05T01:54:26.100Z"}
+  37.45 edge-2 {"host":"edge-2","ms":0,"msg":"gateway: route ended without success","outcome":"not_run","path":"/a/x","reason":"no manifest is known yet","request":"early","retry_after_ms":300,"time":"2026-05-05T01:54:26.150Z"}
+  38.00 edge-1 {"host":"edge-1","msg":"forward: attempt ended","ms":2,"outcome":"not_run","reason":"","request":"full","target":"i-1","time":"2026-05-05T01:54:27.000Z"}
+  38.00 edge-1 {"host":"edge-1","msg":"forward: attempt ended","ms":3,"outcome":"not_sent","reason":"connection refused","request":"full","target":"i-2","time":"2026-05-05T01:54:27.002Z"}
+  38.00 edge-1 {"host":"edge-1","ms":9,"msg":"gateway: forward ended without success","outcome":"not_run","reason":"no target took the request","request":"full","retry_after_ms":250,"time":"2026-05-05T01:54:27.010Z"}
+  38.10 edge-1 {"host":"edge-1","msg":"forward: attempt ended","ms":40,"outcome":"broken","reason":"EOF","request":"lost","target":"i-3","time":"2026-05-05T01:54:27.100Z"}
+  38.10 edge-1 {"host":"edge-1","ms":41,"msg":"gateway: forward ended without success","outcome":"unknown","reason":"EOF","request":"lost","retry_after_ms":0,"time":"2026-05-05T01:54:27.101Z"}
+  39.00 store-1 {"host":"store-1","msg":"batch: leads","term":4,"time":"2026-05-05T01:54:28.000Z"}
+  39.00 store-1 {"engine":"i-9","error":"EOF","host":"store-1","item":"it","msg":"batch: run ended early","ms":700,"outcome":"broken","submission":"sub","time":"2026-05-05T01:54:28.700Z","why":""}
+  39.00 store-1 {"host":"store-1","item":"it","msg":"batch: reward call has no score","reason":"Internal Server Error","submission":"sub","time":"2026-05-05T01:54:29.000Z"}
+  39.00 store-1 {"host":"store-1","item":"it","msg":"batch: item is given up: the reward call failed too often","submission":"sub","time":"2026-05-05T01:54:29.001Z"}
+  39.00 store-1 {"begun_ms":5,"failed":false,"host":"store-1","item":"ok","listed_ms":2100,"moves":0,"msg":"batch: item is listed","runs":1,"submission":"sub","text_ms":2000,"time":"2026-05-05T01:54:29.100Z"}
+  39.00 store-1 {"host":"store-1","item":"slow","age_ms":12000,"events":90,"msg":"batch: item is left: ended by the client","state":"running","submission":"sub","time":"2026-05-05T01:54:40.000Z"}
+  39.00 store-1 {"host":"store-1","left":1,"msg":"batch: submission is closed: ended by the client","submission":"sub","time":"2026-05-05T01:54:40.001Z"}
+  39.00 store-1 {"host":"store-1","msg":"batch: item is lis
+`
+
+func account(t *testing.T, id string) Account {
+	t.Helper()
+	log := &Log{}
+	if err := log.Read("file", strings.NewReader(lines)); err != nil {
+		t.Fatal(err)
+	}
+	return log.Of(id)
+}
+
+func TestCauses(t *testing.T) {
+	for id, want := range map[string]string{
+		"early":   "Refused, not run: edge-2 had no manifest yet; it told the caller to come back after 300 ms.",
+		"full":    "Refused, not run, after 9 ms: no target took the request [target i-1: not_run after 2 ms; target i-2: not_sent after 3 ms (connection refused)]; the caller may come back after 250 ms.",
+		"lost":    "Outcome unknown after 41 ms: EOF [target i-3: broken after 40 ms (EOF)].",
+		"it":      "Failed: the reward call failed too often [engine i-9: broken after 700 ms (EOF); no score: Internal Server Error].",
+		"ok":      "Listed 2100 ms after its submission (began after 5 ms, text complete after 2000 ms, 1 runs, 0 moves).",
+		"slow":    "Left without a result when its submission closed (ended by the client) after 12000 ms: it was running with 90 events kept.",
+		"sub":     "1 items were listed, 0 of them failed; 1 were left when it was closed: ended by the client. The slowest item, ok, was listed after 2100 ms: it began after 5 ms and its text was complete after 2000 ms.",
+		"nowhere": "Unknown: no line names this id.",
+	} {
+		t.Run(id, func(t *testing.T) { is.New(t).Equal(account(t, id).Cause, want) })
+	}
+}
+
+func TestWhatProcessesLearntMeanwhileIsShown(t *testing.T) {
+	is := is.New(t)
+	a := account(t, "early")
+	is.Equal(a.Lines[0].Text, "daemon: edge-2 has started")
+	is.Equal(len(a.Lines), 2)
+}
+
+func TestWhatIsMissingIsSaid(t *testing.T) {
+	is := is.New(t)
+	a := account(t, "nowhere")
+	is.Equal(len(a.Doubts), 2)
+	is.True(strings.Contains(a.Doubts[0], "1 lines cannot be read"))
+}
