--- a/control/machine.go
+++ b/control/machine.go
@@ -272,13 +272,14 @@
 	return o.Slice, o.result, ok
 }
 
-// machineSnapshot is the encoded state of the machine.
+// machineSnapshot is the encoded state of the machine. The states of its slices
+// follow it, framed, in the order of their names.
 type machineSnapshot struct {
-	Applied    uint64            `cbor:"1,keyasint"`
-	WorldIndex uint64            `cbor:"2,keyasint"`
-	WorldTerm  uint64            `cbor:"3,keyasint"`
-	Slices     map[string][]byte `cbor:"4,keyasint"`
-	Outcomes   []outcome         `cbor:"5,keyasint"`
+	Applied    uint64    `cbor:"1,keyasint"`
+	WorldIndex uint64    `cbor:"2,keyasint"`
+	WorldTerm  uint64    `cbor:"3,keyasint"`
+	Slices     []string  `cbor:"4,keyasint"`
+	Outcomes   []outcome `cbor:"5,keyasint"`
 }
 
 // Snapshot returns the encoded state.
@@ -298,16 +299,16 @@
 		Applied:    m.applied,
 		WorldIndex: m.worldIndex,
 		WorldTerm:  m.worldTerm,
-		Slices:     make(map[string][]byte, len(m.order)),
 	}
-	encoders := make(map[string]func() ([]byte, error), len(m.order))
+	var encoders []func() ([]byte, error)
 	for _, part := range m.order {
+		s.Slices = append(s.Slices, part.Name())
 		if f, ok := part.(Freezer); ok {
-			encoders[part.Name()] = f.Freeze()
+			encoders = append(encoders, f.Freeze())
 			continue
 		}
 		b, err := part.Snapshot()
-		encoders[part.Name()] = func() ([]byte, error) { return b, err }
+		encoders = append(encoders, func() ([]byte, error) { return b, err })
 	}
 	outcomes, err := m.outcomes.encode()
 	return func() ([]byte, error) {
@@ -315,14 +316,19 @@
 			return nil, err
 		}
 		s.Outcomes = outcomes
-		for name, encode := range encoders {
+		first, err := wire.Marshal(&s)
+		if err != nil {
+			return nil, err
+		}
+		parts := [][]byte{first}
+		for i, encode := range encoders {
 			b, err := encode()
 			if err != nil {
-				return nil, eris.Wrapf(err, "snapshot of slice %q", name)
+				return nil, eris.Wrapf(err, "snapshot of slice %q", s.Slices[i])
 			}
-			s.Slices[name] = b
+			parts = append(parts, b)
 		}
-		return wire.Marshal(&s)
+		return wire.Frame(parts...), nil
 	}
 }
 
@@ -330,11 +336,22 @@
 func (m *Machine) Restore(snapshot []byte) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	parts, err := wire.Unframe(snapshot)
+	if err != nil {
+		return eris.Wrap(err, "snapshot of the control state")
+	}
+	if len(parts) == 0 {
+		return eris.New("snapshot of the control state is empty")
+	}
 	var s machineSnapshot
-	if err := wire.Unmarshal(snapshot, &s); err != nil {
+	if err := wire.Unmarshal(parts[0], &s); err != nil {
 		return eris.Wrap(err, "snapshot of the control state")
 	}
-	for name, b := range s.Slices {
+	if len(s.Slices) != len(parts)-1 {
+		return eris.Errorf("snapshot of the control state names %d slices and has %d", len(s.Slices), len(parts)-1)
+	}
+	for i, name := range s.Slices {
+		b := parts[i+1]
 		part := m.slices[name]
 		if part == nil {
 			return eris.Errorf("snapshot has the slice %q, which this build does not know", name)
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -18,6 +18,7 @@
 	"merlinhall/link"
 	"merlinhall/platform"
 	"merlinhall/replica"
+	"merlinhall/settings"
 	"merlinhall/wire"
 )
 
@@ -35,6 +36,17 @@
 // than bears that loss, for a loss during a replacement.
 const votersWanted = 5
 
+// electionScale returns twice the factor of the election timing. Deployments that
+// bear the loss of several hosts have many small ones, where a snapshot can take up
+// a leader's share of a core for half a second. All processes are told the same
+// number of losses, so that no lease outlasts another's election timeout.
+func electionScale(s *settings.Hosted) time.Duration {
+	if s.HostFaults > 1 {
+		return 3
+	}
+	return 2
+}
+
 // hostedLog is the log of a control process that may be outside the group.
 type hostedLog struct {
 	replicaLog
@@ -68,6 +80,9 @@
 		System:        d.system,
 		SnapshotBytes: int(s.MemoryBytes / logShare),
 		Config: consensus.Config{
+			Lease:        electionScale(s) * consensus.DefaultLease / 2,
+			ElectionMin:  electionScale(s) * consensus.DefaultElectionMin / 2,
+			ElectionMax:  electionScale(s) * consensus.DefaultElectionMax / 2,
 			Open:         true,
 			Joiner:       !s.Founding || !slices.Contains(s.Seeds, s.Links),
 			VotersWanted: max(2*s.HostFaults+1, votersWanted),
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -297,3 +297,6 @@
 func (t *thread) Throughput() int { return messagesPerRun }
 
 func (t *thread) stop() { t.once.Do(func() { close(t.quit) }) }
+
+// Queued returns the number of messages that wait in the mailbox.
+func (d *Duty) Queued() int64 { return d.queued.Load() }
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -257,10 +257,12 @@
 	h.wake()
 }
 
-type submissionsSnapshot struct {
-	Held    []*held             `cbor:"1,keyasint"`
-	Partial map[string]*Partial `cbor:"2,keyasint,omitempty"`
-}
+const (
+	// encodePause is left after each encodePiece bytes, so that on a part of a core
+	// the log's heartbeats go on while a snapshot is made.
+	encodePause = 3 * time.Millisecond
+	encodePiece = 512 << 10
+)
 
 // Snapshot implements control.Slice.
 func (s *Submissions) Snapshot() ([]byte, error) { return s.Freeze()() }
@@ -277,28 +279,55 @@
 	partial := maps.Clone(s.partial)
 	return func() ([]byte, error) {
 		sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
-		return wire.Marshal(submissionsSnapshot{Held: list, Partial: partial})
+		b, err := wire.Marshal(partial)
+		if err != nil {
+			return nil, err
+		}
+		parts, encoded := [][]byte{b}, 0
+		for _, h := range list {
+			if b, err = wire.Marshal(h); err != nil {
+				return nil, err
+			}
+			parts = append(parts, b)
+			if encoded += len(b); encoded > encodePiece {
+				encoded = 0
+				time.Sleep(encodePause)
+			}
+		}
+		return wire.Frame(parts...), nil
 	}
 }
 
 // Restore implements control.Slice.
 func (s *Submissions) Restore(snapshot []byte) error {
-	var in submissionsSnapshot
-	if err := wire.Unmarshal(snapshot, &in); err != nil {
+	parts, err := wire.Unframe(snapshot)
+	if err != nil {
 		return err
 	}
+	if len(parts) == 0 {
+		return eris.Wrap(wire.ErrMalformed, "ledger: submissions without a first part")
+	}
+	partial := make(map[string]*Partial)
+	if err := wire.Unmarshal(parts[0], &partial); err != nil {
+		return err
+	}
+	var list []*held
+	for _, part := range parts[1:] {
+		h := new(held)
+		if err := wire.Unmarshal(part, h); err != nil {
+			return err
+		}
+		list = append(list, h)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, h := range s.held {
 		h.wake()
 	}
-	s.held = make(map[string]*held, len(in.Held))
+	s.held = make(map[string]*held, len(list))
 	s.finished = make(map[string]Result)
-	s.partial = in.Partial
-	if s.partial == nil {
-		s.partial = make(map[string]*Partial)
-	}
-	for _, h := range in.Held {
+	s.partial = partial
+	for _, h := range list {
 		h.index()
 		s.held[h.Submission.ID] = h
 		for _, r := range h.Results {
--- a/replica/core.go
+++ b/replica/core.go
@@ -60,7 +60,7 @@
 	// SnapshotKeep is how many entries before a snapshot stay for slow followers.
 	SnapshotEvery uint64
 	SnapshotKeep  uint64
-	// SnapshotBytes of applied commands bring a snapshot earlier; a quarter of them
+	// SnapshotBytes of applied commands bring a snapshot earlier; an eighth of them
 	// stays for slow followers.
 	SnapshotBytes int
 	// Background, when set, runs work on another goroutine and hands its result to
@@ -79,7 +79,7 @@
 	defaultSnapshotKeep  = 1024
 	defaultSnapshotBytes = 32 << 20
 	// keepShare is the part of the snapshot bytes that stays for slow followers.
-	keepShare = 4
+	keepShare = 8
 )
 
 // ProposeDone receives the outcome of a proposal.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -74,6 +74,7 @@
 	pace    *duty.Pace    // of ticks
 	rest    time.Duration // period of ticks after a message of the leader
 	heard   time.Duration // when the last such message was handled
+	ticked  time.Duration // when the last tick was handled
 
 	// flushing is set while a flush message is in the mailbox. It is used by the
 	// duty's goroutine alone.
@@ -197,6 +198,20 @@
 	}()
 }
 
+// heldUpAfter is the time between two ticks from which a leader is logged as held
+// up: half of its lease.
+const heldUpAfter = consensus.DefaultLease / 2
+
+// noteTick logs when the duty of a leader did not run for long: it then loses its
+// lease though nothing else is wrong.
+func (r *Replica) noteTick(now time.Duration) {
+	late := now - r.ticked
+	r.ticked = now
+	if late > heldUpAfter && r.status.Load().Role == consensus.RoleLeader {
+		r.log.WithFields(logrus.Fields{"ms": late.Milliseconds(), "waiting": r.duty.Queued()}).Warn("the leader's duty was held up")
+	}
+}
+
 // period returns the time between ticks. What ticks bring about in a follower,
 // elections and the search for a leader, is at least the shortest election timeout
 // away when the leader has just been heard.
@@ -220,6 +235,7 @@
 func (r *Replica) handle(now time.Duration, msg any) {
 	switch m := msg.(type) {
 	case tickMessage:
+		r.noteTick(now)
 		r.core.Tick(now)
 	case *consensus.Message:
 		r.core.Receive(now, m)
--- a/storage/store.go
+++ b/storage/store.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -297,21 +298,32 @@
 	return eris.Wrap(s.fs.SyncDir(), "storage")
 }
 
+// writePiece is how much of a snapshot is written at once; other goroutines get the
+// processor in between.
+const writePiece = 1 << 20
+
 // WriteSnapshot writes the file of a snapshot. It may run beside Save, which then
 // makes the log begin after that snapshot; until then a restart ignores the file.
 func (s *Store) WriteSnapshot(snapshot *consensus.Snapshot) error {
-	payload, err := wire.Marshal(snapshot)
+	meta := *snapshot
+	meta.Data = nil
+	head, err := wire.Marshal(&meta)
 	if err != nil {
 		return err
 	}
+	head = wire.Frame(head)
 	name := snapshotName(snapshot.Index)
 	f, err := s.fs.Create(name + tmpSuffix)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = f.Close() }()
-	sum := binary.LittleEndian.AppendUint32(nil, crc32.Checksum(payload, castagnoli))
-	for _, b := range [][]byte{sum, payload} {
+	sum := crc32.Update(crc32.Checksum(head, castagnoli), castagnoli, snapshot.Data)
+	pieces := [][]byte{binary.LittleEndian.AppendUint32(nil, sum), head}
+	for b := range slices.Chunk(snapshot.Data, writePiece) {
+		pieces = append(pieces, b)
+	}
+	for _, b := range pieces {
 		if _, err := f.Write(b); err != nil {
 			return eris.Wrapf(err, "write %s", name)
 		}
@@ -336,9 +348,15 @@
 	if len(b) < 4 || crc32.Checksum(b[4:], castagnoli) != binary.LittleEndian.Uint32(b) {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: checksum differs", name)
 	}
-	if err := wire.Unmarshal(b[4:], &snapshot); err != nil {
+	length, n := binary.Uvarint(b[4:])
+	if n <= 0 || length > uint64(len(b)-4-n) {
+		return snapshot, eris.Wrapf(ErrCorrupt, "%s: no head", name)
+	}
+	head, data := b[4+n:4+n+int(length)], b[4+n+int(length):]
+	if err := wire.Unmarshal(head, &snapshot); err != nil {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: %v", name, err)
 	}
+	snapshot.Data = data
 	return snapshot, nil
 }
 
