batch, hub: files by what they do, one keeper of links

Change: engines, runs and results have files of their own; dials keeps links. No behaviour changes. Figures: tests of batch and hub pass with the race detector.

--- /dev/null
+++ b/batch/results.go
@@ -0,0 +1,165 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/forward"
+	"merlinhall/ledger"
+	"merlinhall/routes"
+	"merlinhall/upstream"
+)
+
+// score has a complete text scored, or lists it when there is nothing to call.
+func (r *Runner) score(t *task) {
+	t.state = taskScoring
+	if t.item.Reward == nil {
+		r.list(t, r.result(t, ""), "")
+		return
+	}
+	lead := r.ctx
+	go func() { r.deliver(lead, r.callReward(lead, t)) }()
+}
+
+// result returns the result of a complete text. While a part of it is on its way
+// to the ledger it is not known how much that holds.
+func (r *Runner) result(t *task, score string) ledger.Result {
+	known := t.text
+	known.held = known.held && !t.saving
+	return known.result(t.item.ID, score)
+}
+
+// rewardLimit bounds a reward call whose route allows more.
+const rewardLimit = 3 * time.Second
+
+func (r *Runner) callReward(ctx context.Context, t *task) scoreEnd {
+	reward := t.item.Reward
+	end := scoreEnd{task: t}
+	table := r.o.Manifests.Table()
+	var route *routes.Route
+	if table != nil {
+		route = table.Find(reward.Host, reward.Path)
+	}
+	if route == nil {
+		end.reason = "no route to the reward service"
+		return end
+	}
+	result := r.o.Forwarder.Do(ctx, &forward.Request{
+		Request: upstream.Request{
+			ID: reward.ID, Method: http.MethodPost, URI: reward.Path, Host: reward.Host, Body: reward.Body,
+			Header: r.o.Protocol.RewardHeaders(reward.ID),
+		},
+		Route:    route,
+		Patient:  true,
+		Deadline: time.Now().Add(min(route.Timeout, rewardLimit)),
+	})
+	end.failures, end.most, end.reason = result.Failures, max(1, route.MaxAttempts), result.Reason
+	if result.Outcome == forward.OutcomeAnswered && result.Status >= 200 && result.Status < 300 {
+		end.score = r.o.Protocol.Score(result.Header)
+	} else if result.Outcome == forward.OutcomeAnswered {
+		end.reason = http.StatusText(result.Status)
+	}
+	return end
+}
+
+func (r *Runner) endScore(now time.Time, m scoreEnd) {
+	t := m.task
+	if r.job(t.job.sub.ID) != t.job || t.state != taskScoring {
+		return
+	}
+	if m.score != "" {
+		r.list(t, r.result(t, m.score), "")
+		return
+	}
+	t.rewardFailures += m.failures
+	r.log.WithFields(logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "failures": t.rewardFailures, "reason": m.reason,
+	}).Info("reward call has no score")
+	if m.most > 0 && t.rewardFailures >= m.most {
+		r.list(t, ledger.Result{Item: t.item.ID, Failed: true}, "the reward call failed too often")
+		return
+	}
+	t.tryAt = now.Add(retryReward)
+}
+
+// retryReward is the wait before a reward call without a score is sent again.
+const retryReward = 200 * time.Millisecond
+
+// list proposes the result of a task.
+func (r *Runner) list(t *task, result ledger.Result, why string) {
+	t.state = taskListing
+	t.result = &result
+	if why != "" {
+		r.log.WithFields(logrus.Fields{"submission": t.job.sub.ID, "item": t.item.ID}).Info("item is given up: " + why)
+	}
+	body, err := ledger.ListCommand(t.job.sub.ID, result)
+	if err != nil {
+		r.log.WithField("item", t.item.ID).Errorf("result cannot be encoded: %v", err)
+		return
+	}
+	lead := r.ctx
+	go func() {
+		ctx, cancel := context.WithTimeout(lead, proposeLimit)
+		defer cancel()
+		err := r.o.Propose(ctx, body)
+		r.deliver(lead, listEnd{t, err})
+	}()
+}
+
+func (r *Runner) endList(now time.Time, m listEnd) {
+	t := m.task
+	j := r.job(t.job.sub.ID)
+	if j != t.job || t.state != taskListing {
+		return
+	}
+	if m.err != nil {
+		if errors.Is(m.err, ledger.ErrNotHeld) {
+			t.text.held = false
+			whole := t.text.result(t.item.ID, t.result.Score)
+			t.result = &whole
+		}
+		r.log.WithFields(logrus.Fields{"submission": j.sub.ID, "item": t.item.ID}).Warnf("result is proposed again: %v", m.err)
+		t.tryAt = now.Add(retryReward)
+		t.unlisted = true
+		return
+	}
+	r.metrics.listed(t, now)
+	r.logListed(t, now)
+	delete(j.tasks, t.item.ID)
+	if len(j.tasks) == 0 {
+		r.endJob(j.sub.ID, "all results are listed")
+	}
+}
+
+// logLeft tells how far an item without a result was when its submission closed.
+func (r *Runner) logLeft(t *task, now time.Time, why string) {
+	fields := logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "state": t.state.String(),
+		"events": t.text.length(), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
+		"reward_failures": t.rewardFailures, "age_ms": now.Sub(t.job.since).Milliseconds(),
+	}
+	if t.run != nil {
+		fields["run_ms"] = now.Sub(t.run.began).Milliseconds()
+		fields["run_events"] = t.run.count.Load()
+		fields["idle_ms"] = t.run.idle(now).Milliseconds()
+	}
+	r.log.WithFields(fields).Info("item is left: " + why)
+}
+
+func (r *Runner) logListed(t *task, now time.Time) {
+	since := func(at time.Time) int64 {
+		if at.IsZero() {
+			return -1
+		}
+		return at.Sub(t.job.since).Milliseconds()
+	}
+	r.log.WithFields(logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "failed": t.result.Failed,
+		"versions": t.text.versions, "events": t.text.length(), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
+		"begun_ms": since(t.begun), "text_ms": since(t.texted), "listed_ms": since(now),
+	}).Info("item is listed")
+}
--- /dev/null
+++ b/batch/runs.go
@@ -0,0 +1,178 @@
+package batch
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/ledger"
+	"merlinhall/routes"
+	"merlinhall/upstream"
+)
+
+func (r *Runner) begin(now time.Time, p placement) {
+	t, e := p.task, p.engine
+	table := r.o.Manifests.Table()
+	if table == nil {
+		return
+	}
+	route := table.Find(t.job.sub.Host, t.item.Path)
+	if route == nil || !slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == r.serviceOf(e) }) {
+		t.tryAt = now.Add(retryFailed)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	lastEvent := t.text.length()
+	version := e.versions[t.job.sub.Model]
+	run := &run{task: t, engine: e.id, born: e.born, began: now, cancel: cancel, version: version}
+	t.state, t.engine, t.run = taskRunning, e.id, run
+	t.runs++
+	if t.begun.IsZero() {
+		t.begun = now
+	}
+	e.running++
+	request := &upstream.Request{
+		ID:     t.item.ID,
+		Method: http.MethodPost,
+		URI:    t.item.Path,
+		Host:   t.job.sub.Host,
+		Header: slices.Concat(t.item.Headers, r.o.Protocol.ItemHeaders(t.item.ID, e.id, version, lastEvent)),
+		Body:   t.item.Body,
+	}
+	to := upstream.Address{HostPort: e.address, ID: e.id}
+	least, lead := t.job.sub.MinVersion, r.ctx
+	go func() {
+		end := generate(ctx, r.o.Pool, r.o.Protocol, to, request, run, lastEvent+1, least)
+		cancel()
+		r.deliver(lead, end)
+	}()
+}
+
+// endRun takes the end of a run.
+func (r *Runner) endRun(now time.Time, m runEnd) {
+	t := m.run.task
+	e := r.engine(m.run.engine)
+	if t.run != m.run {
+		return // of a former leadership
+	}
+	t.run = nil
+	if e != nil && e.born == m.run.born {
+		e.running--
+		r.judge(now, e, m)
+	}
+	if m.run.count.Load() > 0 {
+		t.ran += now.Sub(m.run.began)
+	}
+	t.text.add(m.run.take())
+	if r.job(t.job.sub.ID) != t.job {
+		r.partial.keep(now, t.item.ID, t.text, m.outcome == runComplete)
+		return
+	}
+	r.metrics.runs.WithLabelValues(string(m.outcome)).Inc()
+	r.logRun(now, m)
+	if m.outcome != runComplete {
+		t.group.leave(m.run.engine)
+	}
+	switch m.outcome {
+	case runComplete:
+		t.texted = now
+		r.queue.measure(t.size, t.ran)
+		r.score(t)
+	case runImpossible:
+		r.list(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine will never do it")
+	case runFailed:
+		t.failures++
+		if t.failures >= max(1, t.job.sub.MaxAttempts) {
+			r.list(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine failed it too often")
+			return
+		}
+		t.state, t.tryAt = taskPending, now.Add(retryFailed)
+		r.queue.add(t)
+	default:
+		t.state = taskPending
+		r.queue.add(t)
+	}
+}
+
+func (r *Runner) logRun(now time.Time, m runEnd) {
+	t := m.run.task
+	entry := r.log.WithFields(logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "engine": m.run.engine, "outcome": m.outcome,
+		"events": t.text.length(), "version": m.current, "ms": now.Sub(m.run.began).Milliseconds(),
+	})
+	if m.outcome == runComplete {
+		entry.Debug("run ended")
+		return
+	}
+	entry.WithFields(logrus.Fields{"why": m.run.why, "error": errorText(m.err)}).Info("run ended early")
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// judge takes what the end of a run shows of its engine.
+func (r *Runner) judge(now time.Time, e *engine, m runEnd) {
+	if m.reached {
+		e.unreached = 0
+	}
+	if model := m.run.task.job.sub.Model; m.current != 0 && (e.load == nil || e.load.model != model) {
+		e.versions[m.run.task.job.sub.Model] = m.current
+		e.checked = now
+	}
+	switch m.outcome {
+	case runNotRun:
+		if !m.reached {
+			e.unreached++
+			e.pausedUntil = now.Add(min(pauseUnreached<<min(e.unreached-1, 8), pauseMost))
+			return
+		}
+		e.pausedUntil = now.Add(pauseRefused)
+	case runWrongPlace, runOldWeights:
+		e.pausedUntil = now.Add(pauseBroken)
+		r.ask(now, e)
+	case runBroken:
+		if m.run.why == "" {
+			e.pausedUntil = now.Add(pauseBroken)
+		}
+	}
+}
+
+// pace takes the time per event of the runs on each engine since the last look.
+// Runs whose first event has not come say nothing: they may wait for a load.
+func (r *Runner) pace(now time.Time, running []*task) {
+	if now.Sub(r.paced) < pacePeriod {
+		return
+	}
+	passed := now.Sub(r.paced)
+	r.paced = now
+	for _, t := range running {
+		n := t.run.count.Load()
+		before := t.run.seen
+		t.run.seen = n
+		e := r.engine(t.engine)
+		if before == 0 || e == nil || e.load != nil {
+			continue
+		}
+		e.observe(passed / time.Duration(max(1, n-before)))
+	}
+}
+
+func (r *Runner) silence(t *task) time.Duration {
+	e := r.engine(t.engine)
+	if e != nil && (e.load != nil || time.Since(e.checked) < silenceLimit) {
+		return silenceInLoad
+	}
+	return silenceLimit
+}
+
+func (r *Runner) cancelRun(t *task, why string) {
+	t.run.why = why
+	t.run.cancel()
+}
--- a/hub/client.go
+++ b/hub/client.go
@@ -57,7 +57,7 @@
 
 	mu      sync.Mutex
 	conns   map[string]*link.Conn // newest link by address
-	dialed  map[string]func()
+	dials   *dials
 	leader  string
 	members []string
 	next    int // for tries without a known leader
@@ -71,7 +71,7 @@
 	done, stop := context.WithCancel(context.Background())
 	return &Client{
 		o: o, cache: newRouteCache(o.DataDir, o.Log), calls: propagate.NewCalls(), done: done, stop: stop,
-		conns: make(map[string]*link.Conn), dialed: make(map[string]func()),
+		conns: make(map[string]*link.Conn), dials: newDials(o.Dial),
 	}
 }
 
@@ -92,9 +92,7 @@
 	c.calls.Stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, stop := range c.dialed {
-		stop()
-	}
+	c.dials.keep(nil, "")
 }
 
 // Table returns the routes in force, or nil before the first manifest.
@@ -173,19 +171,7 @@
 func (c *Client) dial(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wanted := make(map[string]bool)
-	for _, a := range slices.Concat(addresses, c.o.Seeds) {
-		wanted[a] = true
-		if c.dialed[a] == nil {
-			c.dialed[a] = c.o.Dial(a)
-		}
-	}
-	for a, stop := range c.dialed {
-		if !wanted[a] {
-			stop()
-			delete(c.dialed, a)
-		}
-	}
+	c.dials.keep(slices.Concat(addresses, c.o.Seeds), "")
 }
 
 // SetSeeds changes the addresses at which control processes are looked for.
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -56,7 +56,7 @@
 	mu       sync.Mutex
 	entries  map[*link.Conn]bool
 	hosts    map[string]string // link address to host, of control processes
-	dialed   map[string]func()
+	dials    *dials
 	group    wire.GroupUpdate
 	controls map[*link.Conn]bool // links to other control processes
 	manifest *wire.RouteUpdate
@@ -74,7 +74,7 @@
 		o: o, cache: newRouteCache(o.DataDir, o.Log), done: done, stop: stop,
 		entries: make(map[*link.Conn]bool),
 		hosts:   map[string]string{o.Address: o.Host},
-		dialed:  make(map[string]func()),
+		dials:   newDials(o.Dial),
 
 		controls: make(map[*link.Conn]bool),
 	}
@@ -101,9 +101,7 @@
 	h.wg.Wait()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, stop := range h.dialed {
-		stop()
-	}
+	h.dials.keep(nil, "")
 }
 
 // Up implements link.Events. An entry is told all that it routes by.
@@ -330,22 +328,7 @@
 func (h *Hub) dial(addresses []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	wanted := make(map[string]bool)
-	for _, a := range slices.Concat(addresses, h.o.Seeds) {
-		if a == h.o.Address {
-			continue
-		}
-		wanted[a] = true
-		if h.dialed[a] == nil {
-			h.dialed[a] = h.o.Dial(a)
-		}
-	}
-	for a, stop := range h.dialed {
-		if !wanted[a] {
-			stop()
-			delete(h.dialed, a)
-		}
-	}
+	h.dials.keep(slices.Concat(addresses, h.o.Seeds), h.o.Address)
 }
 
 // SetSeeds changes the addresses at which control processes are looked for.
