batch: a run is moved only when that saves half a second

Change: what is left of the text is estimated; a text longer than its estimate is expected to go on for half of what it has.

--- a/batch/generate.go
+++ b/batch/generate.go
@@ -114,6 +114,13 @@
 	return events, slices.Clone(r.versions)
 }
 
+// waiting returns the number of events that the leader has not taken yet.
+func (r *run) waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.events)
+}
+
 func (r *run) add(event []byte, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -21,6 +21,9 @@
 	// pacePeriod is the time between two looks at the pace of the runs, in which
 	// an engine makes some events of each.
 	pacePeriod = 400 * time.Millisecond
+	// moveGain is the time that a move must save: a step is due some seconds after
+	// it was submitted, and a move costs a connection.
+	moveGain = 500 * time.Millisecond
 	// paceSamples is the number of looks at a run before an engine's pace is
 	// judged.
 	paceSamples = 3
@@ -216,8 +219,9 @@
 }
 
 // moves returns the running tasks that are better taken off their engine: it is
-// much slower than the others, and one of those has room.
-func moves(now time.Time, tasks []*task, engines []*engine) []*task {
+// much slower than the others, one of those has room, and what is left of the text
+// is worth a new connection and another reading of the prompt.
+func moves(now time.Time, tasks []*task, engines []*engine, perToken time.Duration) []*task {
 	median := medianPace(engines)
 	room := 0
 	for _, e := range engines {
@@ -234,12 +238,28 @@
 		if i < 0 || t.state != taskRunning || t.moves >= maxMoves || !slow(engines[i], median, moveFactor) {
 			continue
 		}
+		slower := float64(engines[i].pace)/float64(median) - 1
+		if time.Duration(float64(t.left(perToken, median))*slower) < moveGain {
+			continue
+		}
 		out = append(out, t)
 		room--
 	}
 	return out
 }
 
+// left estimates how long the rest of a text takes at the pace of a sound engine.
+// A text that is longer than it was estimated is expected to go on for half of
+// what it has.
+func (t *task) left(perToken, pace time.Duration) time.Duration {
+	made := t.text.length()
+	if t.run != nil {
+		made += t.run.waiting()
+	}
+	passed := time.Duration(made) * pace
+	return max(time.Duration(t.size)*perToken-passed, passed/2)
+}
+
 // sortEngines puts engines into the order that plan expects.
 func sortEngines(engines []*engine) {
 	slices.SortFunc(engines, func(a, b *engine) int { return cmp.Compare(a.id, b.id) })
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -114,13 +114,18 @@
 	j := testJob("k", start, 1, []int{600})
 	out := plan(start, pending(j).tasks, engines)
 	is.True(out[0].engine.id != "a")
-	running := &task{job: j, group: j.tasks["k-0-0"].group, state: taskRunning, engine: "a"}
-	is.Equal(moves(start, []*task{running}, engines), []*task{running})
+	running := &task{job: j, group: j.tasks["k-0-0"].group, state: taskRunning, engine: "a", size: 6000}
+	moved := func() int { return len(moves(start, []*task{running}, engines, tokenTime)) }
+	is.Equal(moved(), 1)
+	running.size = 200
+	is.Equal(moved(), 0) // ends soon enough where it is
+	running.text.base = 100
+	is.Equal(moved(), 1) // longer than estimated, so likely to go on for long
 	running.moves = maxMoves
-	is.Equal(len(moves(start, []*task{running}, engines)), 0)
+	is.Equal(moved(), 0)
 	engines[1].draining, engines[2].draining = true, true
 	running.moves = 0
-	is.Equal(len(moves(start, []*task{running}, engines)), 0) // nowhere to go
+	is.Equal(moved(), 0) // nowhere to go
 }
 
 func TestSingleVersionTextGoesOnUnderItsVersionOnly(t *testing.T) {
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -24,13 +24,17 @@
 	perToken time.Duration
 }
 
+// tokenTime returns the time per estimated token.
+func (q *queue) tokenTime() time.Duration {
+	if q.perToken == 0 {
+		return tokenTime
+	}
+	return q.perToken
+}
+
 // latestStart returns when the task must begin to end when its submission is due.
 func (q *queue) latestStart(t *task) time.Time {
-	perToken := q.perToken
-	if perToken == 0 {
-		perToken = tokenTime
-	}
-	left := max(0, time.Duration(t.size)*perToken-t.ran)
+	left := max(0, time.Duration(t.size)*q.tokenTime()-t.ran)
 	at := t.job.due.Add(-left)
 	if !t.group.urgent {
 		at = at.Add(spareDelay)
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -352,7 +352,7 @@
 	}
 	r.pace(now, running)
 	r.saveTexts(now, running)
-	for _, t := range moves(now, running, r.engines) {
+	for _, t := range moves(now, running, r.engines, r.queue.tokenTime()) {
 		t.moves++
 		r.cancelRun(t, "the engine is slow")
 		t.group.leave(t.engine)
