wire: one compressor; batch: one comparison of conditions

Change: Deflate and Inflate in wire serve both. No behaviour changes but for a bound of 64 MB on an unpacked text.

--- a/batch/task.go
+++ b/batch/task.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"merlinhall/ledger"
+	"merlinhall/rendezvous"
 )
 
 // taskState is where an item is on its way to a result.
@@ -130,7 +131,7 @@
 	slices.SortFunc(list, func(a, b *group) int {
 		switch {
 		case a.seen != b.seen:
-			return boolOrder(b.seen, a.seen)
+			return rendezvous.FalseFirst(b.seen, a.seen)
 		case a.largest != b.largest:
 			return a.largest - b.largest
 		case a.name < b.name:
@@ -146,13 +147,3 @@
 		g.urgent = i < wanted
 	}
 }
-
-func boolOrder(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
--- a/ledger/pack.go
+++ b/ledger/pack.go
@@ -1,20 +1,13 @@
 package ledger
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
-	"sync"
-
 	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
 )
 
-// writers keeps compressors, each of which takes some hundred kilobytes.
-var writers = sync.Pool{New: func() any {
-	// The only error is that of an unknown level.
-	w, _ := flate.NewWriter(nil, flate.BestSpeed)
-	return w
-}}
+// maxText bounds a text, or a part of one.
+const maxText = 64 << 20
 
 // Pack compresses a text. Texts are kept, copied to other replicas and written to
 // disks many times and unpacked once or twice.
@@ -22,14 +15,7 @@
 	if len(text) == 0 {
 		return nil
 	}
-	var out bytes.Buffer
-	w := writers.Get().(*flate.Writer)
-	defer writers.Put(w)
-	w.Reset(&out)
-	// Writes to a buffer do not fail.
-	_, _ = w.Write(text)
-	_ = w.Close()
-	return out.Bytes()
+	return wire.Deflate(text)
 }
 
 // Unpack reverses Pack.
@@ -37,6 +23,6 @@
 	if len(packed) == 0 {
 		return nil, nil
 	}
-	text, err := io.ReadAll(flate.NewReader(bytes.NewReader(packed)))
+	text, err := wire.Inflate(packed, maxText)
 	return text, eris.Wrap(err, "ledger: unpack a text")
 }
--- a/propagate/delta.go
+++ b/propagate/delta.go
@@ -1,18 +1,13 @@
 package propagate
 
 import (
-	"bytes"
 	"cmp"
-	"compress/flate"
 	"hash/fnv"
-	"io"
 	"slices"
-	"sync"
 
 	"github.com/rotisserie/eris"
 
 	"merlinhall/config"
-	"merlinhall/duty"
 	"merlinhall/wire"
 )
 
@@ -145,26 +140,13 @@
 	return h.Sum64()
 }
 
-// compressors are kept for reuse, because one takes about 0.6 MB.
-var compressors = sync.Pool{New: func() any {
-	z, err := flate.NewWriter(nil, flate.BestSpeed)
-	duty.Invariant(err == nil, "compressor: %v", err)
-	return z
-}}
-
 // pack compresses a frame and returns the smaller of the two frames. Frames below
 // packFloor are left as they are.
 func pack(frame []byte) []byte {
 	if len(frame) < packFloor {
 		return frame
 	}
-	var b bytes.Buffer
-	z := compressors.Get().(*flate.Writer)
-	defer compressors.Put(z)
-	z.Reset(&b)
-	_, _ = z.Write(frame)
-	_ = z.Close()
-	packed, err := wire.Encode(&wire.Packed{Data: b.Bytes()})
+	packed, err := wire.Encode(&wire.Packed{Data: wire.Deflate(frame)})
 	if err != nil || len(packed) >= len(frame) {
 		return frame
 	}
@@ -173,10 +155,9 @@
 
 // unpack returns the message inside p. Errors wrap wire.ErrMalformed.
 func unpack(p *wire.Packed) (wire.Message, error) {
-	z := flate.NewReader(bytes.NewReader(p.Data))
-	frame, err := io.ReadAll(io.LimitReader(z, wire.MaxFrameBytes+1))
-	if err != nil || len(frame) > wire.MaxFrameBytes {
-		return nil, eris.Wrapf(wire.ErrMalformed, "packed frame of %d bytes: %v", len(frame), err)
+	frame, err := wire.Inflate(p.Data, wire.MaxFrameBytes)
+	if err != nil {
+		return nil, err
 	}
 	m, err := wire.Decode(frame)
 	if err != nil {
