--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"merlinhall/directory"
 	"merlinhall/routes"
@@ -271,3 +275,25 @@
 	}
 	is.True(opened.Load() <= 4) // one request at a time needs few
 }
+
+func TestFailedAttemptsLeaveLinesThatExplainThem(t *testing.T) {
+	is := is.New(t)
+	a, b := startTarget(t, "a", full), startTarget(t, "b", nil)
+	f := newForwarder(a, b)
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	f.Log = logrus.NewEntry(log)
+	result := f.Do(context.Background(), request("r", true, time.Second, time.Second))
+	is.Equal(result.Outcome, OutcomeUnknown) // one reset it after reading it
+	outcomes := make(map[string]string)
+	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		var line map[string]any
+		is.NoErr(json.Unmarshal([]byte(text), &line))
+		is.Equal(line["request"], "r")
+		is.True(line["left_ms"] != nil && line["ms"] != nil)
+		outcomes[line["target"].(string)] = line["outcome"].(string)
+	}
+	is.Equal(outcomes, map[string]string{"a": "not_run", "b": "broken"})
+}
