forward: the tests count a run before its answer is written

Change: the count comes first; the checks are as they were. A refusal is now checked against a count that cannot come late. Conclusion: mended.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -51,12 +51,19 @@
 	how   behaviour
 }
 
-type behaviour func(w io.Writer) (ran bool)
+// behaviour is how a target answers. A run is counted before the answer is
+// written: the caller may look at the count as soon as it has the answer.
+type behaviour struct {
+	runs    bool
+	respond func(w io.Writer) // nil: the connection is reset
+}
 
 func answer(status int, header, body string) behaviour {
-	return func(w io.Writer) bool {
-		_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
-		return header != "Not-Run: 1\r\n" && status != http.StatusMisdirectedRequest
+	return behaviour{
+		runs: header != "Not-Run: 1\r\n" && status != http.StatusMisdirectedRequest,
+		respond: func(w io.Writer) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+		},
 	}
 }
 
@@ -95,15 +102,16 @@
 		s.mu.Lock()
 		s.left[r.Header.Get("Id")] = left
 		s.mu.Unlock()
-		if s.how == nil {
-			_ = c.(*net.TCPConn).SetLinger(0)
-			return
-		}
-		if s.how(c) {
+		if s.how.runs {
 			s.mu.Lock()
 			s.runs[r.Header.Get("Id")]++
 			s.mu.Unlock()
 		}
+		if s.how.respond == nil {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		s.how.respond(c)
 	}
 }
 
@@ -147,7 +155,8 @@
 	full      = answer(503, "Not-Run: 1\r\n", "")
 	broken    = answer(500, "", "failed")
 	elsewhere = answer(421, "", "")
-	hang      = func(io.Writer) bool { time.Sleep(3 * time.Second); return true }
+	hang      = behaviour{runs: true, respond: func(io.Writer) { time.Sleep(3 * time.Second) }}
+	reset     = behaviour{runs: true}
 )
 
 func TestFullTargetsAreLeftForOthers(t *testing.T) {
@@ -176,7 +185,7 @@
 
 func TestRequestThatMayHaveRunIsNotRepeatedNorRefused(t *testing.T) {
 	is := is.New(t)
-	a, b := startTarget(t, "a", nil), startTarget(t, "b", nil) // reset after the request was read
+	a, b := startTarget(t, "a", reset), startTarget(t, "b", reset) // reset after the request was read
 	result := newForwarder(a, b).Do(context.Background(), request("r", false, time.Second, time.Second))
 	is.Equal(result.Outcome, OutcomeUnknown)
 	is.Equal(result.Attempts, 1)
@@ -184,7 +193,7 @@
 
 func TestRepeatableRequestGoesOnAfterAReset(t *testing.T) {
 	is := is.New(t)
-	a, b := startTarget(t, "a", nil), startTarget(t, "b", ok)
+	a, b := startTarget(t, "a", reset), startTarget(t, "b", ok)
 	f := newForwarder(a, b)
 	for i := range 6 {
 		result := f.Do(context.Background(), request(fmt.Sprint("r", i), true, time.Second, time.Second))
@@ -243,14 +252,13 @@
 func TestCallerThatLeavesCancelsTheRun(t *testing.T) {
 	is := is.New(t)
 	gone := make(chan struct{})
-	a := startTarget(t, "a", func(w io.Writer) bool {
+	a := startTarget(t, "a", behaviour{runs: true, respond: func(w io.Writer) {
 		c := w.(net.Conn)
 		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
 		if _, err := c.Read(make([]byte, 1)); err == io.EOF {
 			close(gone)
 		}
-		return true
-	})
+	}})
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	newForwarder(a).Do(ctx, request("r", false, time.Second, 3*time.Second))
@@ -278,7 +286,7 @@
 
 func TestFailedAttemptsLeaveLinesThatExplainThem(t *testing.T) {
 	is := is.New(t)
-	a, b := startTarget(t, "a", full), startTarget(t, "b", nil)
+	a, b := startTarget(t, "a", full), startTarget(t, "b", reset)
 	f := newForwarder(a, b)
 	var out bytes.Buffer
 	log := logrus.New()
