server: limits that can change while a listener serves

Cause: the size of headers, the time for them and the idle time of connections were constants. A hosted deployment names them in its manifest, which comes after the listener has started and may change.

Ruled out: changing the fields of a running http.Server (it reads them without a lock); a deadline of our own on each connection (net/http sets its own).

Change: the listener hands each connection to the newest of its servers; other limits start another server, and open connections stay with theirs.

--- a/server/server.go
+++ b/server/server.go
@@ -3,7 +3,6 @@
 package server
 
 import (
-	"context"
 	"crypto/subtle"
 	"crypto/tls"
 	"crypto/x509"
@@ -12,6 +11,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,42 +29,33 @@
 
 // Server is one listener.
 type Server struct {
-	http *http.Server
-	addr string
+	listener net.Listener
+	handler  http.Handler
+
+	mu      sync.Mutex
+	limits  Limits
+	stages  []*stage // the last one takes new connections
+	closing bool
 }
 
-// Start listens on address and serves handler until Shutdown. config may be nil
-// for plain HTTP. An address in use is an error.
+// Start listens on address and serves handler under DefaultLimits until Shutdown.
+// config may be nil for plain HTTP. An address in use is an error.
 func Start(address string, handler http.Handler, config *tls.Config) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
-	s := &Server{
-		addr: l.Addr().String(),
-		http: &http.Server{
-			Handler:           handler,
-			MaxHeaderBytes:    MaxHeaderBytes,
-			ReadHeaderTimeout: readHeaderLimit,
-			IdleTimeout:       idleLimit,
-		},
-	}
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	go func() { _ = s.http.Serve(l) }()
+	s := &Server{listener: l, handler: handler}
+	s.SetLimits(DefaultLimits())
+	go s.accept()
 	return s, nil
 }
 
 // Addr returns the address of the listener.
-func (s *Server) Addr() string { return s.addr }
-
-// Shutdown accepts no more connections and waits for running requests until ctx
-// ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
-// Close ends the listener and all its connections at once.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Addr() string { return s.listener.Addr().String() }
 
 // TLS holds the TLS configurations of a process. All are nil without TLS.
 type TLS struct {
