gateway, platform: limits of the manifest are in force for callers

Cause: an entry bounded headers and idle time by constants and waited for a body without an end; the time that a slow body took was not taken from the time that a target was given.

Change: the manifest's limits go to the listener when it comes into force; a body must come within its route's timeout and is answered 408 otherwise, which is true as nothing was sent on; the time left counts from the header.

--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -1,11 +1,10 @@
 package daemon
 
 import (
-	"net/http"
-
 	"merlinhall/gateway"
 	"merlinhall/hub"
 	"merlinhall/platform"
+	"merlinhall/routes"
 	"merlinhall/server"
 )
 
@@ -13,12 +12,8 @@
 func (d *HostedDaemon) startGateway() error {
 	client := hub.NewClient(hub.ClientOptions{
 		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, DataDir: d.settings.DataDir, Log: d.observer.Logger("hub"),
-		Dial: d.dial,
+		Dial: d.dial, OnRoutes: func(m *routes.Manifest) { d.entry.SetLimits(clientLimits(m.Limits)) },
 	})
-	d.mux.Handle(client, hub.ClientKinds...)
-	client.Start()
-	d.stops = append(d.stops, client.Stop)
-	d.setSeeds = append(d.setSeeds, client.SetSeeds)
 	d.front = &platform.Front{Gateway: gateway.New(client, d.forward, d.observer)}
 	d.observer.Gate("routes", func() error {
 		if client.Table() == nil {
@@ -29,11 +24,21 @@
 	if err := d.serve(d.settings.Ready, platform.ReadyHandler(d.observer.Ready)); err != nil {
 		return err
 	}
-	s, err := server.Start(d.settings.Callers, http.Handler(d.front), nil)
+	s, err := server.Start(d.settings.Callers, d.front, nil)
 	if err != nil {
 		return err
 	}
 	d.entry = s
 	d.servers = append(d.servers, s)
+	d.mux.Handle(client, hub.ClientKinds...)
+	client.Start()
+	d.stops = append(d.stops, client.Stop)
+	d.setSeeds = append(d.setSeeds, client.SetSeeds)
 	return nil
 }
+
+// clientLimits returns the part of a manifest's limits that the listener keeps; the
+// length of a body is bounded where it is read.
+func clientLimits(l routes.Limits) server.Limits {
+	return server.Limits{HeaderBytes: l.HeaderBytes, HeaderTime: l.HeaderTimeout, Idle: l.IdleTimeout}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	NoRoute  Outcome = "no_route"
 	NotFound Outcome = "not_found"
 	NotValid Outcome = "not_valid"
+	TooLarge Outcome = "too_large" // a body above the limit
+	TooSlow  Outcome = "too_slow"  // a body that did not come within the route's timeout
 )
 
 // Result is the end of a request.
@@ -107,15 +109,22 @@
 	return routes.Limits{}, false
 }
 
-// Forward carries a request to a target of its route. wait is how long the client
-// waits, 0 when it did not say.
-func (g *Gateway) Forward(ctx context.Context, route *routes.Route, request upstream.Request, wait time.Duration) Result {
+// Unreadable ends a request whose body could not be read.
+func (g *Gateway) Unreadable(id string, outcome Outcome, err error) *Result {
+	result := Result{Outcome: outcome, Reason: "body: " + err.Error()}
+	g.note("read", id, time.Now(), result, nil)
+	return &result
+}
+
+// Forward carries a request to a target of its route. received is when its header
+// came; wait is how long the client waits from then on, 0 when it did not say.
+func (g *Gateway) Forward(ctx context.Context, route *routes.Route, request upstream.Request, received time.Time, wait time.Duration) Result {
 	began := time.Now()
 	limit := route.Timeout
 	if wait > 0 {
 		limit = min(limit, wait)
 	}
-	end := g.forwarder.Do(ctx, &forward.Request{Request: request, Route: route, Deadline: began.Add(limit)})
+	end := g.forwarder.Do(ctx, &forward.Request{Request: request, Route: route, Deadline: received.Add(limit)})
 	result := Result{Reason: end.Reason, RetryAfter: end.RetryAfter}
 	switch end.Outcome {
 	case forward.OutcomeAnswered:
@@ -125,7 +134,7 @@
 	default:
 		result.Outcome = Unknown
 	}
-	g.note("forward", request.ID, began, result, logrus.Fields{
+	g.note("forward", request.ID, received, result, logrus.Fields{
 		"route": route.Name, "version": g.version(), "targets_age_ms": g.forwarder.Directory.Age(began).Milliseconds(), "target": end.Target, "attempts": end.Attempts, "status": end.Status, "limit_ms": limit.Milliseconds(),
 	})
 	return result
--- a/hub/client.go
+++ b/hub/client.go
@@ -42,6 +42,8 @@
 	DataDir   string // for the cached manifest; may be empty
 	Log       *logrus.Entry
 	Dial      func(address string) (stop func())
+	// OnRoutes is called with each manifest that comes into force, in order.
+	OnRoutes func(*routes.Manifest)
 }
 
 // Client is the entries' side: it follows the routes and targets and makes calls
@@ -147,6 +149,7 @@
 	defer c.mu.Unlock()
 	if t := c.Table(); t == nil || t.Manifest().Version < next.Version {
 		c.table.Store(routes.NewTable(next))
+		c.o.OnRoutes(next)
 		c.cache.save(m)
 		c.o.Log.WithFields(logrus.Fields{"version": next.Version, "routes": len(next.Routes)}).Info("manifest is in force")
 	}
