--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -59,8 +59,9 @@
 	stopOnce sync.Once
 }
 
-// StartHosted starts the process that s describes.
-func StartHosted(s *settings.Hosted) (*HostedDaemon, error) {
+// StartHosted starts the process that s describes. began is when the process
+// started, for its start-up time.
+func StartHosted(s *settings.Hosted, began time.Time) (*HostedDaemon, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	debug.SetGCPercent(gcPercent)
 	d := &HostedDaemon{
@@ -82,8 +83,10 @@
 		return nil, err
 	}
 	d.observer.SetReady(true)
+	took := time.Since(began)
+	d.countStart(took)
 	d.log.WithFields(logrus.Fields{
-		"boot": d.hello.Boot, "entry": s.Entry, "control": s.Control, "seeds": s.Seeds, "founding": s.Founding,
+		"settings": s.Digest, "start_ms": took.Milliseconds(), "boot": d.hello.Boot, "entry": s.Entry, "control": s.Control, "seeds": s.Seeds, "founding": s.Founding,
 	}).Infof("%s has started", s.Name)
 	return d, nil
 }
@@ -135,6 +138,14 @@
 	d.pool.Reused = connections.WithLabelValues("reused").Inc
 }
 
+func (d *HostedDaemon) countStart(took time.Duration) {
+	start := prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "merlinhall_start_seconds", Help: "Time from the start of the process until its listeners were open.",
+	})
+	start.Set(took.Seconds())
+	d.observer.Registry.MustRegister(start)
+}
+
 // sweepPool closes idle connections to targets that are gone.
 func (d *HostedDaemon) sweepPool() func() {
 	d.targets.OnChange(d.forward.Forget)
@@ -160,7 +171,7 @@
 
 // Reload takes the settings that may change while the process runs.
 func (d *HostedDaemon) Reload(s *settings.Hosted) {
-	d.log.WithField("seeds", s.Seeds).Info("settings are reloaded")
+	d.log.WithFields(logrus.Fields{"seeds": s.Seeds, "settings": s.Digest}).Info("settings are reloaded")
 	for _, f := range d.setSeeds {
 		f(s.Seeds)
 	}
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -6,6 +6,8 @@
 type Hosted struct {
 	Name string // of the host
 	Zone string
+	// Digest tells two versions of the settings apart.
+	Digest string
 	// Entry processes serve callers; Control processes hold the replicated state
 	// and serve the operator.
 	Entry   bool
