link: dial again before the kernel repeats a lost opening packet

Their first opening packets went to control hosts that started 0.3 s later, were lost, and the kernel repeats them after a second; a dial waited 2 s for that. Entries without a disk had no manifest so long.

Ruled out: the election, which ended at 38.18 s; the time to redial, 50 ms.

Change: a dial ends after 0.4 s, the limit that connections to targets have.

--- a/link/link.go
+++ b/link/link.go
@@ -42,6 +42,10 @@
 	// sendBytes bounds their size, so that a peer that does not read costs a
 	// bounded part of a small host's memory. It is the largest frame.
 	sendBytes = wire.MaxFrameBytes
+	// dialLimit bounds the opening of a connection. It is well above a round trip and
+	// below the second after which the kernel repeats a lost opening packet: a host
+	// that was without power is reached soon after it is back.
+	dialLimit = 400 * time.Millisecond
 	// helloLimit bounds the exchange of Hello messages.
 	helloLimit = 2 * time.Second
 	// Path is the HTTP path of links.
@@ -339,6 +343,6 @@
 	if transport == nil {
 		transport = &http.Transport{}
 	}
-	transport.DialContext = (&net.Dialer{Timeout: helloLimit}).DialContext
+	transport.DialContext = (&net.Dialer{Timeout: dialLimit}).DialContext
 	return &http.Client{Transport: transport}
 }
