forward: a success without its proof is no answer

Cause: a 2xx without a receipt counted as a failed run, whose response is passed on when no attempt is left; a caller then had a success with bytes that are not the target's answer. A body with an encoding, which nobody asked for, was passed on at once.

Ruled out: the same check for texts of items: their events are numbered and a text that is not whole is never listed.

Change: such a response counts like a broken connection: the request may have run, another target is asked where it may be repeated.

Figures: the new test fails before (the body "other bytes" came through).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/directory"
@@ -48,10 +49,11 @@
 	FailedRun                 // the request ran and failed
 	NotRun                    // the target refused to run it
 	WrongPlace                // another target has the address; not run
+	Garbled                   // no answer of the protocol; the request may have run
 )
 
 func (v Verdict) String() string {
-	return [...]string{"answered", "failed", "not_run", "wrong_place"}[v]
+	return [...]string{"answered", "failed", "not_run", "wrong_place", "garbled"}[v]
 }
 
 // Protocol is the form of requests and responses of a platform.
@@ -182,6 +184,19 @@
 	err     *upstream.Failure
 }
 
+var errGarbled = eris.New("forward: the response is no answer of the protocol")
+
+// take notes a response that was read whole.
+func (a *attempt) take(verdict Verdict, response *http.Response, body []byte) {
+	a.verdict = verdict
+	a.result = Result{
+		Outcome: OutcomeAnswered, Status: response.StatusCode, Header: response.Header, Body: body, Target: a.target.ID,
+	}
+	if verdict == Garbled {
+		a.err = &upstream.Failure{Err: errGarbled}
+	}
+}
+
 // run is the state of one request.
 type run struct {
 	f       *Forwarder
@@ -320,10 +335,7 @@
 		errors.As(err, &failure)
 		a.err = failure
 	} else {
-		a.verdict = f.Protocol.Verdict(response.StatusCode, response.Header)
-		a.result = Result{
-			Outcome: OutcomeAnswered, Status: response.StatusCode, Header: response.Header, Body: body, Target: t.ID,
-		}
+		a.take(f.Protocol.Verdict(response.StatusCode, response.Header), response, body)
 	}
 	f.release(ctx, t.ID, a, time.Since(began))
 	f.note(ctx, r, a, left, time.Since(began))
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -38,6 +38,8 @@
 		return WrongPlace
 	case status >= 500:
 		return FailedRun
+	case h.Get("Garbled") != "":
+		return Garbled
 	}
 	return Answered
 }
@@ -157,6 +159,7 @@
 	elsewhere = answer(421, "", "")
 	hang      = behaviour{runs: true, respond: func(io.Writer) { time.Sleep(3 * time.Second) }}
 	reset     = behaviour{runs: true}
+	garbled   = answer(200, "Garbled: 1\r\n", "other bytes")
 )
 
 func TestFullTargetsAreLeftForOthers(t *testing.T) {
@@ -305,3 +308,16 @@
 	}
 	is.Equal(outcomes, map[string]string{"a": "not_run", "b": "broken"})
 }
+
+// Guards against bytes that are no answer and reach the caller as a success.
+func TestGarbledResponseIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	result := newForwarder(startTarget(t, "a", garbled)).Do(context.Background(), request("r", false, time.Second, time.Second))
+	is.Equal(result.Outcome, OutcomeUnknown)
+	is.Equal(result.Body, nil)
+	f := newForwarder(startTarget(t, "a", garbled), startTarget(t, "b", ok))
+	for i := range 6 {
+		result := f.Do(context.Background(), request(fmt.Sprint("r", i), true, time.Second, time.Second))
+		is.Equal(string(result.Body), "fine")
+	}
+}
