forward, gateway: streams are passed on as they come and resumed

Cause: the answer of a route of streams was read whole before its first byte went to the caller, and a target that broke off cost the caller the whole answer.

Ruled out: hedging streams, as two targets would generate the same text; ending a silent stream that may not be repeated, as its target may still go on.

Change: whole events go on at once. Where the route allows it, a stream that breaks or is silent for a second goes on at another target after its last whole event, under the header of the first one. What cannot be finished is broken off, so that it does not look complete.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,6 +61,10 @@
 	// Outbound returns the headers that name the target and the time left.
 	Outbound(targetID string, left time.Duration) []wire.Header
 	Verdict(status int, h http.Header) Verdict
+	// Events reports whether the body of a response is a stream of events.
+	Events(h http.Header) bool
+	// Resume returns the headers of a request that go on after the event of an id.
+	Resume(h []wire.Header, lastEvent string) []wire.Header
 }
 
 // Request is a request with its route.
@@ -305,18 +309,27 @@
 	return Result{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: after}
 }
 
-// start sends the request to one more target, if one is left.
-func (u *run) start(ctx context.Context) bool {
+// next chooses one more target and counts the sending to it. It returns nil when
+// no target, time or attempt is left.
+func (u *run) next() (*wire.TargetEntry, time.Duration) {
 	left := time.Until(u.r.Deadline)
 	if u.runs >= u.maxRuns() || u.refused >= notRunTries || left < minLeft {
-		return false
+		return nil, 0
 	}
 	t := u.f.choose(time.Now(), u.r.Route.Choose(u.r.ID), u.tried)
+	if t != nil {
+		u.tried[t.ID] = true
+		u.runs++
+	}
+	return t, left
+}
+
+// start sends the request to one more target, if one is left.
+func (u *run) start(ctx context.Context) bool {
+	t, left := u.next()
 	if t == nil {
 		return false
 	}
-	u.tried[t.ID] = true
-	u.runs++
 	u.open++
 	ctx, cancel := context.WithCancel(ctx)
 	u.cancels = append(u.cancels, cancel)
--- /dev/null
+++ b/forward/stream_test.go
@@ -0,0 +1,194 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/wire"
+)
+
+func (testProtocol) Events(h http.Header) bool { return h.Get("Content-Type") == "events" }
+
+func (testProtocol) Resume(h []wire.Header, last string) []wire.Header {
+	return append(append([]wire.Header(nil), h...), wire.Header{Name: "After", Value: last})
+}
+
+// collector is a caller of a stream.
+type collector struct {
+	status int
+	header http.Header
+	text   string
+	at     []time.Time // of each passing on
+	stay   int         // texts after which the caller leaves, 0 for never
+}
+
+func (c *collector) Begin(status int, h http.Header) { c.status, c.header = status, h }
+
+func (c *collector) Events(text []byte) error {
+	c.text += string(text)
+	c.at = append(c.at, time.Now())
+	if len(c.at) == c.stay {
+		return errors.New("closed")
+	}
+	return nil
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", n, n) }
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		b.WriteString(event(n))
+	}
+	return b.String()
+}
+
+// streamTarget is a target that sends events from the one on that a request asks
+// for, up to breakAt, after which then is called.
+func streamTarget(t *testing.T, id string, breakAt int, pause time.Duration, then func(w http.ResponseWriter, r *http.Request)) (*target, *atomic.Int32) {
+	t.Helper()
+	var runs atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Content-Type", "events")
+		w.Header().Set("Receipt", id)
+		after, _ := strconv.Atoi(r.Header.Get("After"))
+		for n := after + 1; n <= breakAt; n++ {
+			_, _ = w.Write([]byte(event(n)))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+		}
+		then(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return &target{entry: wire.TargetEntry{ID: id, Service: "s", Address: s.Listener.Addr().String(), Zone: "z"}}, &runs
+}
+
+func complete(http.ResponseWriter, *http.Request) {}
+
+func breakWithin(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("id: 99\ndata: ha"))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	is := is.New(t)
+	const pause = 100 * time.Millisecond
+	a, _ := streamTarget(t, "a", 4, pause, complete)
+	var c collector
+	result := newForwarder(a).Stream(context.Background(), request("r", false, time.Second, 5*time.Second), &c)
+	is.Equal(result.Outcome, OutcomeAnswered)
+	is.Equal(c.status, 200)
+	is.Equal(c.text, events(1, 4))
+	is.True(c.at[len(c.at)-1].Sub(c.at[0]) >= 2*pause)
+}
+
+// Pattern: targets break off within an event or fall silent.
+func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	for name, then := range map[string]func(http.ResponseWriter, *http.Request){"broken": breakWithin, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, runsA := streamTarget(t, "a", 3, 0, then)
+			b, runsB := streamTarget(t, "b", 6, 0, complete)
+			f := newForwarder(a, b)
+			f.state("b").doubtUntil = time.Now().Add(time.Minute) // so that a is asked first
+			var c collector
+			result := f.Stream(context.Background(), request("r", true, time.Second, 5*time.Second), &c)
+			is.Equal(result.Outcome, OutcomeAnswered)
+			is.Equal(c.text, events(1, 6))
+			is.Equal(c.header.Get("Receipt"), "a") // the first target's header stays
+			is.Equal(runsA.Load()+runsB.Load(), int32(2))
+		})
+	}
+}
+
+func TestStreamThatMayNotBeRepeatedIsCut(t *testing.T) {
+	is := is.New(t)
+	a, runsA := streamTarget(t, "a", 3, 0, breakWithin)
+	b, runsB := streamTarget(t, "b", 3, 0, breakWithin)
+	var c collector
+	result := newForwarder(a, b).Stream(context.Background(), request("r", false, time.Second, 5*time.Second), &c)
+	is.Equal(result.Outcome, OutcomeCut)
+	is.Equal(c.text, events(1, 3)) // nothing of the event that is not whole
+	is.Equal(runsA.Load()+runsB.Load(), int32(1))
+}
+
+func TestSilenceDoesNotEndAStreamThatMayNotBeRepeated(t *testing.T) {
+	is := is.New(t)
+	a, _ := streamTarget(t, "a", 1, 0, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(streamSilence + 300*time.Millisecond)
+		_, _ = w.Write([]byte(event(2)))
+	})
+	var c collector
+	result := newForwarder(a).Stream(context.Background(), request("r", false, time.Second, 5*time.Second), &c)
+	is.Equal(result.Outcome, OutcomeAnswered)
+	is.Equal(c.text, events(1, 2))
+}
+
+func TestCallerThatLeavesAStreamCancelsTheRun(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	a, runs := streamTarget(t, "a", 1, 0, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(gone)
+	})
+	c := collector{stay: 1}
+	result := newForwarder(a).Stream(context.Background(), request("r", true, time.Second, 5*time.Second), &c)
+	is.Equal(result.Outcome, OutcomeCut)
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		is.Fail() // the target works on for nobody
+	}
+	is.Equal(runs.Load(), int32(1))
+}
+
+// Pattern: all targets are full, or one fails before its stream begins.
+func TestStreamThatDoesNotBeginEndsLikeARequest(t *testing.T) {
+	is := is.New(t)
+	var c collector
+	result := newForwarder(startTarget(t, "a", full)).Stream(context.Background(), request("r", false, time.Second, time.Second), &c)
+	is.Equal(result.Outcome, OutcomeNotRun)
+	is.Equal(c.status, 0)
+	result = newForwarder(startTarget(t, "a", broken)).Stream(context.Background(), request("r", false, time.Second, time.Second), &c)
+	is.Equal(result.Outcome, OutcomeAnswered)
+	is.Equal(result.Status, 500)
+	is.Equal(c.status, 0)
+	result = newForwarder(startTarget(t, "a", reset)).Stream(context.Background(), request("r", false, time.Second, time.Second), &c)
+	is.Equal(result.Outcome, OutcomeUnknown)
+	is.Equal(result.Attempts, 1)
+}
+
+func TestWholeEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		text, id string
+		whole    int
+	}{
+		"none":           {"id: 1\ndata: a\n", "", 0},
+		"one":            {"id: 1\ndata: a\n\nid: 2", "1", 15},
+		"crlf":           {"id: 1\r\ndata: a\r\n\r\nid", "1", 18},
+		"two":            {"id: 1\n\nid: 2\n\n", "2", 14},
+		"last has no id": {"id: 7\n\ndata: a\n\n", "7", 16},
+		"no space":       {"id:3\n\n", "3", 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			whole := wholeEvents([]byte(c.text))
+			is.Equal(whole, c.whole)
+			is.Equal(lastEvent([]byte(c.text)[:whole]), c.id)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	NoRoute  Outcome = "no_route"
 	NotFound Outcome = "not_found"
 	NotValid Outcome = "not_valid"
+	Cut      Outcome = "cut"       // a stream that began and is not complete
 	TooLarge Outcome = "too_large" // a body above the limit
 	TooSlow  Outcome = "too_slow"  // a body that did not come within the route's timeout
 )
@@ -119,23 +120,41 @@
 // Forward carries a request to a target of its route. received is when its header
 // came; wait is how long the client waits from then on, 0 when it did not say.
 func (g *Gateway) Forward(ctx context.Context, route *routes.Route, request upstream.Request, received time.Time, wait time.Duration) Result {
-	began := time.Now()
+	r := outbound(route, request, received, wait)
+	return g.forwarded(r, received, g.forwarder.Do(ctx, r))
+}
+
+// Stream is Forward for a route whose answers are events, which sink takes as they
+// come. What sink took is then not part of the result.
+func (g *Gateway) Stream(ctx context.Context, route *routes.Route, request upstream.Request, received time.Time, wait time.Duration, sink forward.Sink) Result {
+	r := outbound(route, request, received, wait)
+	return g.forwarded(r, received, g.forwarder.Stream(ctx, r, sink))
+}
+
+func outbound(route *routes.Route, request upstream.Request, received time.Time, wait time.Duration) *forward.Request {
 	limit := route.Timeout
 	if wait > 0 {
 		limit = min(limit, wait)
 	}
-	end := g.forwarder.Do(ctx, &forward.Request{Request: request, Route: route, Deadline: received.Add(limit)})
+	return &forward.Request{Request: request, Route: route, Deadline: received.Add(limit)}
+}
+
+// forwarded notes the end of a request that went to targets.
+func (g *Gateway) forwarded(r *forward.Request, received time.Time, end forward.Result) Result {
 	result := Result{Reason: end.Reason, RetryAfter: end.RetryAfter}
 	switch end.Outcome {
 	case forward.OutcomeAnswered:
 		result.Outcome, result.Target = Answered, &end
 	case forward.OutcomeNotRun:
 		result.Outcome = NotRun
+	case forward.OutcomeCut:
+		result.Outcome = Cut
 	default:
 		result.Outcome = Unknown
 	}
-	g.note("forward", request.ID, received, result, logrus.Fields{
-		"route": route.Name, "version": g.version(), "targets_age_ms": g.forwarder.Directory.Age(began).Milliseconds(), "target": end.Target, "attempts": end.Attempts, "status": end.Status, "limit_ms": limit.Milliseconds(),
+	g.note("forward", r.ID, received, result, logrus.Fields{
+		"route": r.Route.Name, "version": g.version(), "targets_age_ms": g.forwarder.Directory.Age(time.Now()).Milliseconds(),
+		"target": end.Target, "attempts": end.Attempts, "status": end.Status, "limit_ms": r.Deadline.Sub(received).Milliseconds(),
 	})
 	return result
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -24,8 +24,11 @@
 	Name   string
 	Host   string
 	Prefix string // begins and ends with a slash
-	// Repeatable requests may run more than once.
+	// Repeatable requests may run more than once; a stream that is repeatable may go
+	// on after its last event at another target.
 	Repeatable bool
+	// Stream answers are events, which are passed on as they come.
+	Stream bool
 	// Batch routes take submissions of many requests that run later.
 	Batch bool
 	// SingleVersion texts come from one weight version only.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -111,6 +111,17 @@
 	}
 }
 
+// ReadAll reads the body to its end and closes the response. The error is a
+// *Failure.
+func (r *Response) ReadAll() ([]byte, error) {
+	b, err := body(r.Response, maxBody)
+	r.Close(err == nil)
+	if err != nil {
+		return nil, &Failure{Err: eris.Wrap(err, "upstream: read the response")}
+	}
+	return b, nil
+}
+
 // Open sends a request and returns when the header of the response has come. The
 // error is a *Failure. ctx bounds the whole exchange, the body included.
 func (p *Pool) Open(ctx context.Context, to Address, r *Request) (*Response, error) {
@@ -136,12 +147,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	b, err := body(response.Response, maxBody)
-	response.Close(err == nil)
-	if err != nil {
-		return nil, nil, &Failure{Err: eris.Wrap(err, "upstream: read the response")}
-	}
-	return response.Response, b, nil
+	b, err := response.ReadAll()
+	return response.Response, b, err
 }
 
 func (p *Pool) take(ctx context.Context, to Address) (*conn, error) {
