batch: a run's line says why it runs on its engine

Cause: the reason of a placement was computed and read by nobody, and two fields of services and the zone of engines were decoded and not used.

Change: the reason stands in the line of the run's end; the unused fields are gone.

--- a/batch/engines.go
+++ b/batch/engines.go
@@ -21,7 +21,7 @@
 		}
 		e := known[t.ID]
 		if e == nil || t.Born != 0 && e.born != 0 && e.born != t.Born || e.address != t.Address {
-			e = &engine{id: t.ID, zone: t.Zone, address: t.Address, born: t.Born, versions: make(map[string]uint64)}
+			e = &engine{id: t.ID, address: t.Address, born: t.Born, versions: make(map[string]uint64)}
 		}
 		e.draining = t.Draining
 		e.slots = r.slotsOf(t)
--- a/batch/generate.go
+++ b/batch/generate.go
@@ -94,6 +94,7 @@
 	born    int64
 	began   time.Time
 	cancel  context.CancelFunc
+	chosen  string       // why it runs on this engine
 	why     string       // of a cancellation by the leader
 	count   atomic.Int64 // events so far
 	newest  atomic.Int64 // time of the last event, nanoseconds since began
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -34,7 +34,6 @@
 // engine is what the leader knows of a model engine.
 type engine struct {
 	id      string
-	zone    string
 	address string
 	born    int64
 	slots   int
@@ -95,7 +94,7 @@
 type placement struct {
 	task   *task
 	engine *engine
-	reason string
+	reason string // of the choice, for the log
 }
 
 // plan chooses the tasks to begin now. pending is in the order of a queue, engines
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -27,7 +27,7 @@
 	ctx, cancel := context.WithCancel(r.ctx)
 	lastEvent := t.text.length()
 	version := e.versions[t.job.sub.Model]
-	run := &run{task: t, engine: e.id, born: e.born, began: now, cancel: cancel, version: version}
+	run := &run{task: t, engine: e.id, born: e.born, began: now, cancel: cancel, version: version, chosen: p.reason}
 	t.state, t.engine, t.run = taskRunning, e.id, run
 	t.runs++
 	if t.begun.IsZero() {
@@ -101,7 +101,7 @@
 	t := m.run.task
 	entry := r.log.WithFields(logrus.Fields{
 		"submission": t.job.sub.ID, "item": t.item.ID, "engine": m.run.engine, "outcome": m.outcome,
-		"events": t.text.length(), "version": m.current, "ms": now.Sub(m.run.began).Milliseconds(),
+		"chosen": m.run.chosen, "events": t.text.length(), "version": m.current, "ms": now.Sub(m.run.began).Milliseconds(),
 	})
 	if m.outcome == runComplete {
 		entry.Debug("run ended")
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -52,10 +52,8 @@
 
 // Service is a group of targets.
 type Service struct {
-	Name     string
-	MaxConns int // connections that a target accepts from all callers together
-	Slots    int // requests that an engine runs at once; 0 when not stated
-	Models   []string
+	Name  string
+	Slots int // requests that an engine runs at once; 0 when not stated
 }
 
 // Limits bound what a client may send.
