batch: a run is moved only to an engine of its model; a slow pace is forgotten

Room was counted over the engines of all models, so runs were cut that could go nowhere else, began on the same engine again and were cut again (bursts at 16.4, 20.6, 24.5, 28.5 s); and an engine whose runs were all moved away showed no pace any more and stayed slow for ever: the disruption ended at 19.2 s, the last cut came at 32.7 s.

Ruled out: loads and lost connections (no such line).

Change: a move needs room on a sound engine that serves the task. A pace without a look for 3 s is forgotten, and the next looks start anew.

Two tests by pattern; both fail before.

--- a/batch/plan.go
+++ b/batch/plan.go
@@ -27,6 +27,10 @@
 	// paceSamples is the number of looks at a run before an engine's pace is
 	// judged.
 	paceSamples = 3
+	// paceAge is how long an engine's pace is believed after the last look at a run
+	// there. An engine that is avoided shows no pace; it gets work again after this
+	// time and is judged anew within a second.
+	paceAge = 3 * time.Second
 	// paceGain is the weight of one look at a run in the pace of an engine.
 	paceGain = 0.2
 )
@@ -47,12 +51,17 @@
 	load        *load // order under way
 	asking      bool  // a report is under way
 	pace        time.Duration
-	paced       int // looks behind pace
+	paced       int       // looks behind pace
+	pacedAt     time.Time // of the last one
 	draining    bool
 }
 
 // observe takes the time per event of a run.
-func (e *engine) observe(d time.Duration) {
+func (e *engine) observe(now time.Time, d time.Duration) {
+	if now.Sub(e.pacedAt) > paceAge {
+		e.paced, e.pace = 0, 0
+	}
+	e.pacedAt = now
 	e.paced++
 	if e.pace == 0 {
 		e.pace = d
@@ -187,7 +196,7 @@
 	return a.versions[t.job.sub.Model] > b.versions[t.job.sub.Model]
 }
 
-func (p *planning) slow(e *engine, factor float64) bool { return slow(e, p.median, factor) }
+func (p *planning) slow(e *engine, factor float64) bool { return e.slow(p.now, p.median, factor) }
 
 func (p *planning) byID(id string) *engine {
 	for _, e := range p.engines {
@@ -198,8 +207,9 @@
 	return nil
 }
 
-func slow(e *engine, median time.Duration, factor float64) bool {
-	return median > 0 && e.paced >= paceSamples && float64(e.pace) > factor*float64(median)
+// slow reports whether the engine's pace is known and that much above the median.
+func (e *engine) slow(now time.Time, median time.Duration, factor float64) bool {
+	return median > 0 && e.paced >= paceSamples && now.Sub(e.pacedAt) <= paceAge && float64(e.pace) > factor*float64(median)
 }
 
 // medianPace returns the median time per event, or 0 before it is known.
@@ -218,31 +228,32 @@
 }
 
 // moves returns the running tasks that are better taken off their engine: it is
-// much slower than the others, one of those has room, and what is left of the text
-// is worth a new connection and another reading of the prompt.
+// much slower than the others, one of those has room for the task, and what is left
+// of the text is worth a new connection and another reading of the prompt.
 func moves(now time.Time, tasks []*task, engines []*engine, perToken time.Duration) []*task {
 	median := medianPace(engines)
-	room := 0
+	free := make(map[string]int, len(engines))
 	for _, e := range engines {
-		if !slow(e, median, slowFactor) {
-			room += e.free(now)
+		if !e.slow(now, median, slowFactor) {
+			free[e.id] = e.free(now)
 		}
 	}
 	var out []*task
 	for _, t := range tasks {
-		if room == 0 {
-			break
-		}
 		i := slices.IndexFunc(engines, func(e *engine) bool { return e.id == t.engine })
-		if i < 0 || t.state != taskRunning || t.moves >= maxMoves || !slow(engines[i], median, moveFactor) {
+		if i < 0 || t.state != taskRunning || t.moves >= maxMoves || !engines[i].slow(now, median, moveFactor) {
 			continue
 		}
 		slower := float64(engines[i].pace)/float64(median) - 1
 		if time.Duration(float64(t.left(perToken, median))*slower) < moveGain {
 			continue
 		}
+		to := slices.IndexFunc(engines, func(e *engine) bool { return free[e.id] > 0 && e.serves(t) })
+		if to < 0 {
+			continue
+		}
+		free[engines[to].id]--
 		out = append(out, t)
-		room--
 	}
 	return out
 }
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -108,7 +108,7 @@
 	engines := []*engine{testEngine("a", 4, 1), testEngine("b", 4, 1), testEngine("c", 4, 1)}
 	for i, e := range engines {
 		for range 10 {
-			e.observe([]time.Duration{150, 40, 42}[i] * time.Millisecond)
+			e.observe(start, []time.Duration{150, 40, 42}[i]*time.Millisecond)
 		}
 	}
 	j := testJob("k", start, 1, []int{600})
@@ -128,6 +128,50 @@
 	is.Equal(moved(), 0) // nowhere to go
 }
 
+// Pattern: engines of several models; one is slow, and all others of its model are
+// full while those of another model stand idle.
+func TestRunIsNotMovedWithoutRoomForItsModel(t *testing.T) {
+	is := is.New(t)
+	engines := []*engine{testEngine("a", 4, 1), testEngine("b", 4, 1), testEngine("c", 4, 1)}
+	for i, e := range engines {
+		for range 10 {
+			e.observe(start, []time.Duration{150, 40, 42}[i]*time.Millisecond)
+		}
+	}
+	engines[1].running = engines[1].slots
+	engines[2].versions = map[string]uint64{"other": 1}
+	j := testJob("k", start, 1, []int{6000, 6000})
+	one, other := j.tasks["k-0-0"], j.tasks["k-0-1"]
+	one.state, one.engine, other.state, other.engine = taskRunning, "a", taskRunning, "a"
+	is.Equal(len(moves(start, []*task{one, other}, engines, tokenTime)), 0)
+	engines[1].running-- // room for one
+	is.Equal(len(moves(start, []*task{one, other}, engines, tokenTime)), 1)
+}
+
+// Pattern: an engine was slow for some seconds, lost its runs to others, and is as
+// fast as they are again.
+func TestSlowPaceIsForgottenWithoutRunsThatShowIt(t *testing.T) {
+	is := is.New(t)
+	engines := []*engine{testEngine("a", 4, 1), testEngine("b", 4, 1), testEngine("c", 4, 1)}
+	for i, e := range engines {
+		for range 10 {
+			e.observe(start, []time.Duration{150, 40, 42}[i]*time.Millisecond)
+		}
+	}
+	median := medianPace(engines)
+	is.True(engines[0].slow(start.Add(paceAge), median, slowFactor))
+	later := start.Add(paceAge + time.Millisecond)
+	is.True(!engines[0].slow(later, median, slowFactor))
+	for range paceSamples { // it is judged by what it does now, not by what it did
+		engines[0].observe(later, 45*time.Millisecond)
+	}
+	is.True(!engines[0].slow(later, median, slowFactor))
+	for range 10 {
+		engines[0].observe(later, 150*time.Millisecond)
+	}
+	is.True(engines[0].slow(later, median, slowFactor))
+}
+
 func TestSingleVersionTextGoesOnUnderItsVersionOnly(t *testing.T) {
 	is := is.New(t)
 	j := testJob("k", start, 1, []int{600})
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -160,7 +160,7 @@
 		if before == 0 || e == nil || e.load != nil {
 			continue
 		}
-		e.observe(passed / time.Duration(max(1, n-before)))
+		e.observe(now, passed/time.Duration(max(1, n-before)))
 	}
 }
 
