--- a/batch/generate.go
+++ b/batch/generate.go
@@ -101,7 +101,7 @@
 	version uint64       // that the engine was expected to have
 	// changed is called when the engine goes on with another weight version.
 	changed func(version uint64)
-	seen    int64        // count when the pace was last looked at
+	seen    int64 // count when the pace was last looked at
 
 	mu       sync.Mutex
 	events   [][]byte // that the leader has not taken yet
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -114,7 +114,7 @@
 func (l *memoryLog) install(s Snapshot) {
 	l.base = Base{Index: s.Index, Term: s.Term, Members: s.Members}
 	l.entries = nil
-	l.snapshot = s
+	l.snapshot = s.withoutData()
 }
 
 func encodeMembers(members []Member) []byte {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -45,7 +45,8 @@
 // up to Keep entries and KeepBytes bytes before it for slow followers.
 type Compact struct {
 	Index     uint64
-	Data      []byte
+	Data      []byte // nil when the driver has written the state
+	Size      uint64 // of the state then, bytes
 	Keep      uint64
 	KeepBytes int
 }
@@ -153,7 +154,7 @@
 		role:   RoleFollower,
 		term:   r.State.Term,
 		vote:   r.State.Vote,
-		log:    memoryLog{base: r.Base, entries: r.Entries, snapshot: r.Snapshot},
+		log:    memoryLog{base: r.Base, entries: r.Entries, snapshot: r.Snapshot.withoutData()},
 		commit: r.Snapshot.Index,
 		handed: r.Snapshot.Index,
 		heard:  now,
@@ -263,10 +264,11 @@
 	term, ok := n.log.term(in.Index)
 	duty.Invariant(ok, "snapshot at %d, which is not in the log", in.Index)
 	members, _ := n.log.membersAt(in.Index)
-	n.log.snapshot = Snapshot{Index: in.Index, Term: term, Members: members, Data: in.Data}
+	full := Snapshot{Index: in.Index, Term: term, Members: members, Data: in.Data, Size: in.Size}
+	n.log.snapshot = full.withoutData()
 	n.log.compact(n.log.keepFrom(in.Index, in.Keep, in.KeepBytes))
 	n.out.Compacted = &Compaction{
-		Snapshot: n.log.snapshot,
+		Snapshot: full,
 		Base:     n.log.base,
 		Entries:  n.log.slice(n.log.base.Index+1, n.log.last()),
 	}
--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -453,6 +453,44 @@
 	is.Equal(s.failure, "")
 }
 
+// Guards against a transfer of a snapshot that is no longer on the leader's disk:
+// newer ones take its place while its parts are on the way.
+func TestTransferBeginsAgainWithTheNewestSnapshot(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSim(1, 4)
+	s.voters = 3
+	s.startAll()
+	a, d := s.awaitLeader(), s.hosts[3]
+	s.run(s.now + time.Second)
+	next := uint64(0)
+	write := func(n int) {
+		for range n {
+			next++
+			s.write(a, next)
+			s.run(s.now + 20*time.Millisecond)
+		}
+	}
+	write(60)
+	lost := 0
+	s.drop = func(_, to *host, m *consensus.Message) bool {
+		dropped := to == d && len(m.Entries)+len(m.Data) > 0
+		if dropped {
+			lost++
+		}
+		return dropped
+	}
+	added := s.change(a, consensus.AddLearner, consensus.Member{ID: d.core.Status().ID, Name: d.name})
+	is.True(s.runUntil(5*time.Second, func() bool { return added.done }))
+	before := a.core.Status().Snapshot
+	write(120)
+	is.True(lost > 0)
+	is.True(a.core.Status().Snapshot > before)
+	s.drop = nil
+	is.True(s.runUntil(5*time.Second, func() bool { return d.core.Status().Applied >= a.core.Status().Snapshot }))
+	is.Equal(s.failure, "")
+}
+
 // Guards against a running replica that is replaced because a second process was
 // started under its name by mistake.
 func TestSecondProcessOfTheSameName(t *testing.T) {
--- a/consensus/simdisk_test.go
+++ b/consensus/simdisk_test.go
@@ -98,6 +98,12 @@
 	return append([]byte(nil), f.content...), nil
 }
 
+func (d *simDisk) ReadPart(name string, offset, n uint64) ([]byte, error) {
+	b, err := d.ReadFile(name)
+	from := min(offset, uint64(len(b)))
+	return b[from:min(from+n, uint64(len(b)))], err
+}
+
 func (d *simDisk) Create(name string) (storage.File, error) {
 	d.operation()
 	if d.full {
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -18,6 +18,9 @@
 // again. Until then heartbeats carry no data.
 const chunkTimeout = 500 * time.Millisecond
 
+// mostReserved bounds the room that is made for a snapshot before its data has come.
+const mostReserved = 64 << 20
+
 func newTransfer(s Snapshot) *transfer { return &transfer{snapshot: s} }
 
 // incomingSnapshot is a snapshot that arrives from the leader.
@@ -27,16 +30,18 @@
 }
 
 func (n *Node) sendChunk(to Member, p *progress, force bool) {
+	if p.transfer.snapshot.Index != n.log.snapshot.Index {
+		p.transfer = newTransfer(n.log.snapshot) // the disk holds the newest one only
+	}
 	t := p.transfer
 	if t.sent && !force {
 		return
 	}
-	total := uint64(len(t.snapshot.Data))
-	end := t.offset
+	total, read := t.snapshot.Size, uint64(0)
 	if !t.sent || n.now >= t.sentAt+chunkTimeout {
 		t.sent = true
 		t.sentAt = n.now
-		end = min(total, t.offset+uint64(n.cfg.SnapshotChunk))
+		read = min(total-t.offset, uint64(n.cfg.SnapshotChunk))
 	}
 	n.send(to, Message{
 		Kind:    MsgSnapshot,
@@ -46,7 +51,7 @@
 		Members: t.snapshot.Members,
 		Offset:  t.offset,
 		Total:   total,
-		Data:    t.snapshot.Data[t.offset:end],
+		Read:    read,
 		Sent:    n.now,
 		Round:   n.lead.round,
 	})
@@ -55,7 +60,7 @@
 // handleChunkReply goes on with the chunk that the follower expects.
 func (n *Node) handleChunkReply(m *Message, p *progress) {
 	t := p.transfer
-	if t == nil || m.Index != t.snapshot.Index || m.Offset > uint64(len(t.snapshot.Data)) {
+	if t == nil || m.Index != t.snapshot.Index || m.Offset > t.snapshot.Size {
 		return
 	}
 	if m.Offset != t.offset {
@@ -90,7 +95,7 @@
 // leaders at the same index may differ in bytes, so a new term starts again.
 func (n *Node) incomingFor(m *Message) *incomingSnapshot {
 	if n.incoming == nil || n.incoming.index != m.Index || n.incoming.term != m.Term {
-		n.incoming = &incomingSnapshot{term: m.Term, index: m.Index}
+		n.incoming = &incomingSnapshot{term: m.Term, index: m.Index, data: make([]byte, 0, min(m.Total, mostReserved))}
 	}
 	return n.incoming
 }
@@ -103,6 +108,6 @@
 	n.savedIndex = s.Index
 	n.synced = min(n.synced, s.Index)
 	n.members, n.memberIndex = s.Members, s.Index
-	n.out.Install = &n.log.snapshot
+	n.out.Install = &s
 	n.out.Compacted = nil
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -43,12 +43,22 @@
 	Vote uint64 `cbor:"2,keyasint"` // replica id, 0 for none
 }
 
-// Snapshot is the state machine's state after Index.
+// Snapshot is the state machine's state after Index. The state itself is on the
+// disk; Data holds it only on the way there or to the state machine.
 type Snapshot struct {
 	Index   uint64   `cbor:"1,keyasint"`
 	Term    uint64   `cbor:"2,keyasint"`
 	Members []Member `cbor:"3,keyasint"`
-	Data    []byte   `cbor:"4,keyasint"`
+	Data    []byte   `cbor:"4,keyasint,omitempty"`
+	Size    uint64   `cbor:"5,keyasint,omitempty"` // of the state, bytes
+}
+
+// withoutData returns what a Node keeps of a snapshot.
+func (s Snapshot) withoutData() Snapshot {
+	if s.Data != nil {
+		s.Size, s.Data = uint64(len(s.Data)), nil
+	}
+	return s
 }
 
 // Recovered is what a replica finds in its data folder. Group is 0 in a folder
@@ -116,6 +126,9 @@
 	Data   []byte `cbor:"17,keyasint,omitempty"`
 	Name   string `cbor:"18,keyasint,omitempty"` // sender's process name
 
+	// Read is how many bytes of the snapshot's state the driver puts into Data, from
+	// Offset on.
+	Read uint64 `cbor:"-"`
 	// ToName is the process that the driver sends the message to.
 	ToName string `cbor:"-"`
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -4,7 +4,9 @@
 package control
 
 import (
+	"bytes"
 	"hash/fnv"
+	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -283,16 +285,23 @@
 }
 
 // Snapshot returns the encoded state.
-func (m *Machine) Snapshot() ([]byte, error) { return m.Freeze()() }
+func (m *Machine) Snapshot() ([]byte, error) {
+	var b bytes.Buffer
+	err := m.Freeze()(&b)
+	return b.Bytes(), err
+}
 
-// Freezer is a slice whose state can be encoded later, as it is now.
+// Freezer is a slice whose state can be encoded later, as it is now, part by part.
+// Large states are never in memory a second time.
 type Freezer interface {
-	Freeze() func() ([]byte, error)
+	// Freeze returns a function that calls part with each part, none of them empty.
+	Freeze() func(part func(b []byte) error) error
+	RestoreParts(parts [][]byte) error
 }
 
 // Freeze implements replica.Freezer. Slices that are no Freezer are encoded at
 // once.
-func (m *Machine) Freeze() func() ([]byte, error) {
+func (m *Machine) Freeze() func(w io.Writer) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := machineSnapshot{
@@ -300,7 +309,7 @@
 		WorldIndex: m.worldIndex,
 		WorldTerm:  m.worldTerm,
 	}
-	var encoders []func() ([]byte, error)
+	var encoders []func(part func(b []byte) error) error
 	for _, part := range m.order {
 		s.Slices = append(s.Slices, part.Name())
 		if f, ok := part.(Freezer); ok {
@@ -308,28 +317,55 @@
 			continue
 		}
 		b, err := part.Snapshot()
-		encoders = append(encoders, func() ([]byte, error) { return b, err })
+		encoders = append(encoders, func(part func(b []byte) error) error {
+			if err != nil || len(b) == 0 {
+				return err
+			}
+			return part(b)
+		})
 	}
 	outcomes, err := m.outcomes.encode()
-	return func() ([]byte, error) {
+	s.Outcomes = outcomes
+	return func(w io.Writer) error {
 		if err != nil {
-			return nil, err
+			return err
 		}
-		s.Outcomes = outcomes
-		first, err := wire.Marshal(&s)
-		if err != nil {
-			return nil, err
+		return writeSnapshot(w, &s, encoders)
+	}
+}
+
+// writeSnapshot writes the head, then the parts of each slice, which end with an
+// empty part.
+func writeSnapshot(w io.Writer, s *machineSnapshot, encoders []func(part func(b []byte) error) error) error {
+	part := func(b []byte) error { return wire.WriteFrame(w, b) }
+	head, err := wire.Marshal(s)
+	if err != nil {
+		return err
+	}
+	if err := part(head); err != nil {
+		return err
+	}
+	for i, encode := range encoders {
+		err := encode(part)
+		if err == nil {
+			err = part(nil)
 		}
-		parts := [][]byte{first}
-		for i, encode := range encoders {
-			b, err := encode()
-			if err != nil {
-				return nil, eris.Wrapf(err, "snapshot of slice %q", s.Slices[i])
-			}
-			parts = append(parts, b)
+		if err != nil {
+			return eris.Wrapf(err, "snapshot of slice %q", s.Slices[i])
 		}
-		return wire.Frame(parts...), nil
 	}
+	return nil
+}
+
+func (m *Machine) restoreSlice(name string, parts [][]byte) error {
+	slice := m.slices[name]
+	if slice == nil {
+		return eris.New("this build does not know it")
+	}
+	if f, ok := slice.(Freezer); ok {
+		return f.RestoreParts(parts)
+	}
+	return slice.Restore(bytes.Join(parts, nil))
 }
 
 // Restore replaces the state by that of a snapshot.
@@ -347,18 +383,16 @@
 	if err := wire.Unmarshal(parts[0], &s); err != nil {
 		return eris.Wrap(err, "snapshot of the control state")
 	}
-	if len(s.Slices) != len(parts)-1 {
-		return eris.Errorf("snapshot of the control state names %d slices and has %d", len(s.Slices), len(parts)-1)
-	}
-	for i, name := range s.Slices {
-		b := parts[i+1]
-		part := m.slices[name]
-		if part == nil {
-			return eris.Errorf("snapshot has the slice %q, which this build does not know", name)
+	rest := parts[1:]
+	for _, name := range s.Slices {
+		end := slices.IndexFunc(rest, func(b []byte) bool { return len(b) == 0 })
+		if end < 0 {
+			return eris.Errorf("snapshot of the control state ends within the slice %q", name)
 		}
-		if err := part.Restore(b); err != nil {
+		if err := m.restoreSlice(name, rest[:end]); err != nil {
 			return eris.Wrapf(err, "restore slice %q", name)
 		}
+		rest = rest[end+1:]
 	}
 	if err := m.outcomes.restore(s.Outcomes, m.slices); err != nil {
 		return err
--- /dev/null
+++ b/ledger/freeze_test.go
@@ -0,0 +1,28 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Pattern: two minutes of results are held on a host with little memory; a snapshot
+// must not need room for all of them again.
+func TestSnapshotIsMadeOfSmallParts(t *testing.T) {
+	is := is.New(t)
+	log := newTestLog(t)
+	const jobs, text = 40, 100 << 10
+	for i := range jobs {
+		id := fmt.Sprint("s", i)
+		_ = log.apply(AcceptCommand(submission(id, 2)))
+		_ = log.apply(ListCommand(id, Result{Item: id + "-0", Parts: [][]byte{make([]byte, text)}}))
+	}
+	total, largest := 0, 0
+	is.NoErr(log.slice.Freeze()(func(b []byte) error {
+		total, largest = total+len(b), max(largest, len(b))
+		return nil
+	}))
+	is.True(total > jobs*text)
+	is.True(largest < 2*text)
+}
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -265,11 +265,19 @@
 )
 
 // Snapshot implements control.Slice.
-func (s *Submissions) Snapshot() ([]byte, error) { return s.Freeze()() }
+func (s *Submissions) Snapshot() ([]byte, error) {
+	var parts [][]byte
+	err := s.Freeze()(func(b []byte) error {
+		parts = append(parts, b)
+		return nil
+	})
+	return wire.Frame(parts...), err
+}
 
-// Freeze implements control.Freezer. What it refers to is never changed in place:
-// results are only appended, items and partial texts are replaced.
-func (s *Submissions) Freeze() func() ([]byte, error) {
+// Freeze implements control.Freezer: a part of texts in progress, then one of each
+// submission. What it refers to is never changed in place: results are only
+// appended, items and partial texts are replaced.
+func (s *Submissions) Freeze() func(part func(b []byte) error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]*held, 0, len(s.held))
@@ -277,24 +285,23 @@
 		list = append(list, &held{Submission: h.Submission, Results: h.Results, Ended: h.Ended, Order: h.Order})
 	}
 	partial := maps.Clone(s.partial)
-	return func() ([]byte, error) {
+	return func(part func(b []byte) error) error {
 		sort.Slice(list, func(i, j int) bool { return list[i].Order < list[j].Order })
 		b, err := wire.Marshal(partial)
-		if err != nil {
-			return nil, err
+		if err == nil {
+			err = part(b)
 		}
-		parts, encoded := [][]byte{b}, 0
-		for _, h := range list {
-			if b, err = wire.Marshal(h); err != nil {
-				return nil, err
+		for encoded, i := 0, 0; err == nil && i < len(list); i++ {
+			if b, err = wire.Marshal(list[i]); err == nil {
+				err = part(b)
 			}
-			parts = append(parts, b)
+			list[i] = nil
 			if encoded += len(b); encoded > encodePiece {
 				encoded = 0
 				time.Sleep(encodePause)
 			}
 		}
-		return wire.Frame(parts...), nil
+		return err
 	}
 }
 
@@ -304,6 +311,11 @@
 	if err != nil {
 		return err
 	}
+	return s.RestoreParts(parts)
+}
+
+// RestoreParts implements control.Freezer.
+func (s *Submissions) RestoreParts(parts [][]byte) error {
 	if len(parts) == 0 {
 		return eris.Wrap(wire.ErrMalformed, "ledger: submissions without a first part")
 	}
--- a/replica/core.go
+++ b/replica/core.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"io"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,10 +44,10 @@
 }
 
 // Freezer is a StateMachine whose state can be encoded while further commands are
-// applied: Freeze returns at once, and the function that it returns encodes the
-// state as it was then.
+// applied: Freeze returns at once, and the function that it returns writes the
+// state as it was then, in the form that Restore takes.
 type Freezer interface {
-	Freeze() func() ([]byte, error)
+	Freeze() func(w io.Writer) error
 }
 
 // CoreOptions configure a Core.
@@ -268,9 +269,29 @@
 func (c *Core) sendAll(messages []consensus.Message) {
 	durable := c.store.Durable()
 	for i := range messages {
-		consensus.CheckSend(&messages[i], durable)
-		c.options.Send(&messages[i])
+		m := &messages[i]
+		consensus.CheckSend(m, durable)
+		if m.Read > 0 && !c.readState(m) {
+			continue
+		}
+		c.options.Send(m)
+	}
+}
+
+// readState puts its part of the newest snapshot into a message. It reports false
+// when the message must not be sent: a newer snapshot has taken the place of the
+// one that it is about, and its transfer begins again, or the disk failed.
+func (c *Core) readState(m *consensus.Message) bool {
+	if c.store.Snapshot() != m.Index {
+		return false
 	}
+	data, err := c.store.ReadState(m.Offset, m.Read)
+	if err != nil {
+		c.fail(eris.Wrap(err, "replica: read the snapshot"))
+		return false
+	}
+	m.Data = data
+	return true
 }
 
 func (c *Core) applyAll(entries []consensus.Entry) {
@@ -335,7 +356,7 @@
 	}
 	c.snapshot = c.applied
 	c.unsaved = 0
-	c.compact(now, c.applied, data)
+	c.compact(now, consensus.Compact{Index: c.applied, Data: data})
 }
 
 // snapshotBytes differs between replicas by up to a half, so that they do not all
@@ -346,11 +367,9 @@
 	return c.options.SnapshotBytes/2 + c.options.SnapshotBytes*step/(2*steps)
 }
 
-func (c *Core) compact(now time.Duration, index uint64, data []byte) {
-	c.step(now, consensus.Compact{
-		Index: index, Data: data,
-		Keep: c.options.SnapshotKeep, KeepBytes: c.options.SnapshotBytes / keepShare,
-	})
+func (c *Core) compact(now time.Duration, in consensus.Compact) {
+	in.Keep, in.KeepBytes = c.options.SnapshotKeep, c.options.SnapshotBytes/keepShare
+	c.step(now, in)
 }
 
 // freeze begins a snapshot in the background.
@@ -364,11 +383,8 @@
 	c.snapshot = c.applied
 	c.unsaved = 0
 	c.options.Background(func() any {
-		data, err := encode()
-		if err == nil {
-			s.Data = data
-			err = c.store.WriteSnapshot(&s)
-		}
+		var err error
+		s.Size, err = c.store.WriteSnapshot(&s, encode)
 		return frozenSnapshot{s, err}
 	})
 }
@@ -387,7 +403,7 @@
 		c.fail(eris.Wrap(s.err, "replica: take a snapshot"))
 		return
 	}
-	c.compact(now, s.snapshot.Index, s.snapshot.Data)
+	c.compact(now, consensus.Compact{Index: s.snapshot.Index, Size: s.snapshot.Size})
 }
 
 // fail stops the replica for good. Entries that were handed to the disk may
--- a/storage/fs.go
+++ b/storage/fs.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -18,6 +19,8 @@
 	Lock() (release func(), err error)
 	List() ([]string, error)
 	ReadFile(name string) ([]byte, error)
+	// ReadPart reads up to n bytes from offset on, fewer at the end of the file.
+	ReadPart(name string, offset, n uint64) ([]byte, error)
 	// Create returns a new empty file, replacing an old one of the name.
 	Create(name string) (File, error)
 	Rename(from, to string) error
@@ -78,6 +81,21 @@
 // ReadFile implements FS.
 func (d Dir) ReadFile(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
 
+// ReadPart implements FS.
+func (d Dir) ReadPart(name string, offset, n uint64) ([]byte, error) {
+	f, err := os.Open(d.path(name))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	b := make([]byte, n)
+	got, err := f.ReadAt(b, int64(offset))
+	if err == io.EOF {
+		err = nil
+	}
+	return b[:got], err
+}
+
 // Create implements FS.
 func (d Dir) Create(name string) (File, error) {
 	f, err := os.OpenFile(d.path(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
--- a/storage/store.go
+++ b/storage/store.go
@@ -3,10 +3,11 @@
 package storage
 
 import (
+	"bufio"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
-	"slices"
+	"io"
 	"sort"
 	"strconv"
 	"strings"
@@ -220,7 +221,11 @@
 		}
 	}
 	if s.written.Load() != snapshot.Index || out.Install != nil {
-		if err := s.WriteSnapshot(snapshot); err != nil {
+		encode := func(w io.Writer) error {
+			_, err := w.Write(snapshot.Data)
+			return err
+		}
+		if _, err := s.WriteSnapshot(snapshot, encode); err != nil {
 			return err
 		}
 	}
@@ -298,44 +303,88 @@
 	return eris.Wrap(s.fs.SyncDir(), "storage")
 }
 
-// writePiece is how much of a snapshot is written at once; other goroutines get the
-// processor in between.
-const writePiece = 1 << 20
+const (
+	// writePiece is how much of a snapshot is written at once; other goroutines get
+	// the processor in between.
+	writePiece = 256 << 10
+	sumBytes   = 4 // at the end of a snapshot file, of all before
+)
 
-// WriteSnapshot writes the file of a snapshot. It may run beside Save, which then
-// makes the log begin after that snapshot; until then a restart ignores the file.
-func (s *Store) WriteSnapshot(snapshot *consensus.Snapshot) error {
+// WriteSnapshot writes the file of a snapshot, whose state comes from encode, and
+// returns the size of the state. It may run beside Save, which then makes the log
+// begin after that snapshot; until then a restart ignores the file.
+func (s *Store) WriteSnapshot(snapshot *consensus.Snapshot, encode func(w io.Writer) error) (uint64, error) {
 	meta := *snapshot
 	meta.Data = nil
 	head, err := wire.Marshal(&meta)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	head = wire.Frame(head)
 	name := snapshotName(snapshot.Index)
 	f, err := s.fs.Create(name + tmpSuffix)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = f.Close() }()
-	sum := crc32.Update(crc32.Checksum(head, castagnoli), castagnoli, snapshot.Data)
-	pieces := [][]byte{binary.LittleEndian.AppendUint32(nil, sum), head}
-	for b := range slices.Chunk(snapshot.Data, writePiece) {
-		pieces = append(pieces, b)
-	}
-	for _, b := range pieces {
-		if _, err := f.Write(b); err != nil {
-			return eris.Wrapf(err, "write %s", name)
-		}
+	size, err := writeSummed(f, wire.Frame(head), encode)
+	if err != nil {
+		return 0, eris.Wrapf(err, "write %s", name)
 	}
 	if err := f.Sync(); err != nil {
-		return eris.Wrapf(err, "sync %s", name)
+		return 0, eris.Wrapf(err, "sync %s", name)
 	}
 	if err := s.publish(name); err != nil {
-		return err
+		return 0, err
 	}
 	s.written.Store(snapshot.Index)
-	return nil
+	return size, nil
+}
+
+// writeSummed writes head, what encode writes, whose size it returns, and the
+// checksum of both.
+func writeSummed(f io.Writer, head []byte, encode func(w io.Writer) error) (uint64, error) {
+	sum := crc32.New(castagnoli)
+	var size counter
+	buffered := bufio.NewWriterSize(f, writePiece)
+	if _, err := io.MultiWriter(buffered, sum).Write(head); err != nil {
+		return 0, err
+	}
+	if err := encode(io.MultiWriter(buffered, sum, &size)); err != nil {
+		return 0, err
+	}
+	if _, err := buffered.Write(binary.LittleEndian.AppendUint32(nil, sum.Sum32())); err != nil {
+		return 0, err
+	}
+	return uint64(size), buffered.Flush()
+}
+
+// counter is a writer that counts bytes.
+type counter uint64
+
+func (c *counter) Write(p []byte) (int, error) {
+	*c += counter(len(p))
+	return len(p), nil
+}
+
+// Snapshot returns the index of the newest snapshot, 0 without one.
+func (s *Store) Snapshot() uint64 { return s.identity.Snapshot }
+
+// ReadState reads n bytes of the newest snapshot's state from offset on.
+func (s *Store) ReadState(offset, n uint64) ([]byte, error) {
+	name := snapshotName(s.identity.Snapshot)
+	b, err := s.fs.ReadPart(name, 0, binary.MaxVarintLen64)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read %s", name)
+	}
+	length, prefix := binary.Uvarint(b)
+	if prefix <= 0 {
+		return nil, eris.Wrapf(ErrCorrupt, "%s: no head", name)
+	}
+	b, err = s.fs.ReadPart(name, uint64(prefix)+length+offset, n)
+	if err == nil && uint64(len(b)) < n {
+		err = eris.Wrapf(ErrCorrupt, "%d of %d bytes", len(b), n)
+	}
+	return b, eris.Wrapf(err, "read %s", name)
 }
 
 func (s *Store) readSnapshot(index uint64) (consensus.Snapshot, error) {
@@ -345,18 +394,18 @@
 	if err != nil {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: %v", name, err)
 	}
-	if len(b) < 4 || crc32.Checksum(b[4:], castagnoli) != binary.LittleEndian.Uint32(b) {
+	end := len(b) - sumBytes
+	if end < 0 || crc32.Checksum(b[:end], castagnoli) != binary.LittleEndian.Uint32(b[end:]) {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: checksum differs", name)
 	}
-	length, n := binary.Uvarint(b[4:])
-	if n <= 0 || length > uint64(len(b)-4-n) {
+	length, n := binary.Uvarint(b)
+	if n <= 0 || length > uint64(end-n) {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: no head", name)
 	}
-	head, data := b[4+n:4+n+int(length)], b[4+n+int(length):]
-	if err := wire.Unmarshal(head, &snapshot); err != nil {
+	if err := wire.Unmarshal(b[n:n+int(length)], &snapshot); err != nil {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: %v", name, err)
 	}
-	snapshot.Data = data
+	snapshot.Data = b[n+int(length) : end]
 	return snapshot, nil
 }
 
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -1,9 +1,12 @@
 package storage
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -105,6 +108,41 @@
 	is.Equal(len(names), 3) // lock, log, snapshot
 }
 
+// Guards against a part of a snapshot that reaches a follower with other bytes.
+func TestStateIsReadInParts(t *testing.T) {
+	is := is.New(t)
+	s, _, err := Open(Dir(t.TempDir()), fixedID)
+	is.NoErr(err)
+	defer s.Close()
+	state := make([]byte, 3*writePiece+7)
+	for i := range state {
+		state[i] = byte(i * 31 >> 3)
+	}
+	snapshot := consensus.Snapshot{Index: 3, Term: 2}
+	size, err := s.WriteSnapshot(&snapshot, func(w io.Writer) error {
+		for b := range slices.Chunk(state, 1000) {
+			if _, err := w.Write(b); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(size, uint64(len(state)))
+	is.Equal(s.Snapshot(), uint64(0)) // the log does not begin after it yet
+	is.NoErr(s.Save(&consensus.Output{Compacted: &consensus.Compaction{Snapshot: snapshot, Base: consensus.Base{Index: 3, Term: 2}}}))
+	is.Equal(s.Snapshot(), uint64(3))
+	var got []byte
+	for uint64(len(got)) < size {
+		part, err := s.ReadState(uint64(len(got)), min(size-uint64(len(got)), 100_000))
+		is.NoErr(err)
+		got = append(got, part...)
+	}
+	is.True(bytes.Equal(got, state))
+	_, err = s.ReadState(size, 100)
+	is.True(errors.Is(err, ErrCorrupt)) // the checksum is not the state
+}
+
 // Guards against a torn last write that stops the replica or damages what was
 // synced before it: cut at each byte, and with unwritten sectors that read zero.
 func TestTornTail(t *testing.T) {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"io"
 
 	"github.com/rotisserie/eris"
 )
@@ -22,6 +23,15 @@
 	return out
 }
 
+// WriteFrame writes one part as Frame has it.
+func WriteFrame(w io.Writer, part []byte) error {
+	if _, err := w.Write(binary.AppendUvarint(nil, uint64(len(part)))); err != nil {
+		return err
+	}
+	_, err := w.Write(part)
+	return err
+}
+
 // Unframe reverses Frame. The parts refer to b. Errors wrap ErrMalformed.
 func Unframe(b []byte) ([][]byte, error) {
 	var parts [][]byte
