trace: requests whose process was lost, or that reached none, have a cause

A request left a line only at its end.

Ruled out: lines of all successes (volume); a second id given by us.

Change: a request of a caller leaves a line when it is sent, 50 a second in a process at most; trace tells that its process ended meanwhile. With --at, the time at which the caller saw it fail, trace names the hosts that were down.

--- a/cli/trace.go
+++ b/cli/trace.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -15,7 +16,9 @@
 )
 
 func (e *env) trace(errOut io.Writer) *ffcli.Command {
-	return e.command(newFlags("trace", errOut), "merlinhall trace [flags] <id> <log file>...",
+	fs := newFlags("trace", errOut)
+	at := fs.String("at", "", "when the caller saw the request fail, as a time of day or in RFC 3339 form; for ids that no line names")
+	return e.command(fs, "merlinhall trace [flags] <id> <log file>...",
 		"tell from the logs of all processes what became of a request, submission or item",
 		func(_ context.Context, args []string) error {
 			if len(args) < 2 {
@@ -27,7 +30,14 @@
 					return err
 				}
 			}
-			account := log.Of(args[0])
+			var seen time.Time
+			if *at != "" {
+				var err error
+				if seen, err = log.Time(*at); err != nil {
+					return exit(ExitUsage, err)
+				}
+			}
+			account := log.Of(args[0], seen)
 			return e.print(account, accountText(&account))
 		})
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -109,6 +109,8 @@
 	Zone      string
 	Log       *logrus.Entry
 
+	lines lineBudget
+
 	mu       sync.Mutex
 	states   map[string]*targetState
 	attempts *prometheus.HistogramVec
@@ -147,6 +149,28 @@
 	}).Info("attempt ended")
 }
 
+// sentLines is how many requests a second leave a line when they are sent. Above
+// that, only those that fail leave lines.
+const sentLines = 50
+
+// lineBudget bounds the lines of one second.
+type lineBudget struct {
+	mu     sync.Mutex
+	second int64
+	used   int
+}
+
+// take reports whether another line may be written.
+func (b *lineBudget) take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := now.Unix(); s != b.second {
+		b.second, b.used = s, 0
+	}
+	b.used++
+	return b.used <= sentLines
+}
+
 // targetState is what this process has seen of a target.
 type targetState struct {
 	outstanding int
@@ -320,10 +344,23 @@
 	if t != nil {
 		u.tried[t.ID] = true
 		u.runs++
+		u.noteSent(t, left)
 	}
 	return t, left
 }
 
+// noteSent logs where a request goes, so that one whose process is lost before its
+// end leaves a line. Requests that nobody waits for have lines of their own.
+func (u *run) noteSent(t *wire.TargetEntry, left time.Duration) {
+	if u.f.Log == nil || u.r.Patient || !u.f.lines.take(time.Now()) {
+		return
+	}
+	u.f.Log.WithFields(logrus.Fields{
+		"request": u.r.ID, "target": t.ID, "attempt": u.runs + u.refused, "left_ms": left.Milliseconds(),
+		"targets_age_ms": u.f.Directory.Age(time.Now()).Milliseconds(),
+	}).Info("request is sent")
+}
+
 // start sends the request to one more target, if one is left.
 func (u *run) start(ctx context.Context) bool {
 	t, left := u.next()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -298,14 +298,19 @@
 	f.Log = logrus.NewEntry(log)
 	result := f.Do(context.Background(), request("r", true, time.Second, time.Second))
 	is.Equal(result.Outcome, OutcomeUnknown) // one reset it after reading it
-	outcomes := make(map[string]string)
+	outcomes, sent := make(map[string]string), 0
 	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
 		var line map[string]any
 		is.NoErr(json.Unmarshal([]byte(text), &line))
 		is.Equal(line["request"], "r")
-		is.True(line["left_ms"] != nil && line["ms"] != nil)
+		is.True(line["left_ms"] != nil)
+		if line["msg"] == "request is sent" {
+			sent++
+			continue
+		}
 		outcomes[line["target"].(string)] = line["outcome"].(string)
 	}
+	is.Equal(sent, 2)
 	is.Equal(outcomes, map[string]string{"a": "not_run", "b": "broken"})
 }
 
@@ -321,3 +326,16 @@
 		is.Equal(string(result.Body), "fine")
 	}
 }
+
+// Guards against a flood of requests that is also a flood of lines.
+func TestLinesOfSentRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var b lineBudget
+	now, written := time.Unix(1000, 0), 0
+	for i := range 10_000 {
+		if b.take(now.Add(time.Duration(i) * time.Second / 5000)) { // two seconds
+			written++
+		}
+	}
+	is.Equal(written, 2*sentLines)
+}
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -3,16 +3,27 @@
 import (
 	"fmt"
 	"strings"
+	"time"
+)
+
+const (
+	// clock is the form of times in causes.
+	clock = "15:04:05.000"
+	// mostNamed bounds the hosts that a cause names; the lines show all.
+	mostNamed = 4
 )
 
 // cause returns one sentence on how the id ended.
-func cause(id string, own []*Line) string {
+func (l *Log) cause(id string, own []*Line, at time.Time) string {
 	if len(own) == 0 {
-		return "Unknown: no line names this id."
+		return l.absentCause(at)
 	}
 	if s := requestCause(own); s != "" {
 		return s
 	}
+	if s := l.sentCause(own); s != "" {
+		return s
+	}
 	if s := itemCause(id, own); s != "" {
 		return s
 	}
@@ -22,6 +33,41 @@
 	return "No line tells its end: " + own[len(own)-1].Text + " is the last one."
 }
 
+// absentCause tells what may have become of a request that no line names and whose
+// caller saw it fail at a time, which may be zero.
+func (l *Log) absentCause(at time.Time) string {
+	if at.IsZero() {
+		return "Unknown: no line names this id."
+	}
+	var away []string
+	for _, line := range l.starts(at) {
+		away = append(away, fmt.Sprintf("%s, which started at %s", line.Host, line.At.Format(clock)))
+	}
+	if len(away) == 0 {
+		return "It reached no process: no line names it, and no process started near that time."
+	}
+	if more := len(away) - mostNamed; more > 0 {
+		away = append(away[:mostNamed], fmt.Sprintf("%d more", more))
+	}
+	return "It reached no process that was up: no line names it. Down near that time: " + strings.Join(away, "; ") + "."
+}
+
+// sentCause tells of a request that was sent and whose process did not live to see
+// its end.
+func (l *Log) sentCause(own []*Line) string {
+	sent := last(own, "forward: request is sent")
+	if sent == nil {
+		return ""
+	}
+	for _, line := range l.Lines {
+		if line.Host == sent.Host && line.place > sent.place && started(line) {
+			return fmt.Sprintf("Outcome unknown: %s ended while target %s had the request; it started again %v after it had sent it.",
+				sent.Host, sent.str("target"), line.At.Sub(sent.At).Round(time.Millisecond))
+		}
+	}
+	return fmt.Sprintf("No line tells its end: %s sent it to target %s at %s.", sent.Host, sent.str("target"), sent.At.Format(clock))
+}
+
 // last returns the last line whose text begins with the prefix.
 func last(own []*Line, prefix string) *Line {
 	for i := len(own) - 1; i >= 0; i-- {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // maxLine bounds a log line; a longer one is counted as torn.
@@ -121,8 +123,43 @@
 	return slices.ContainsFunc(beliefs, func(b string) bool { return strings.HasPrefix(l.Text, b) })
 }
 
-// Of returns the account of an id.
-func (l *Log) Of(id string) Account {
+// started reports whether a line is the first one of a process.
+func started(line *Line) bool {
+	return strings.HasPrefix(line.Text, "daemon: ") && strings.HasSuffix(line.Text, "has started")
+}
+
+// starts returns the starts of processes near a time.
+func (l *Log) starts(at time.Time) []*Line {
+	var out []*Line
+	for _, line := range l.Lines {
+		if started(line) && line.At.After(at.Add(-before)) && line.At.Before(at.Add(before)) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// Time reads a time of day as the log lines near it have it: the first line's date
+// is taken when text has none.
+func (l *Log) Time(text string) (time.Time, error) {
+	if t, err := time.Parse(time.RFC3339Nano, text); err == nil {
+		return t, nil
+	}
+	t, err := time.Parse("15:04:05.999999999", text)
+	if err != nil {
+		return t, eris.Errorf("%q is neither a time of day nor in RFC 3339 form", text)
+	}
+	for _, line := range l.Lines {
+		if !line.At.IsZero() {
+			y, m, d := line.At.Date()
+			return t.AddDate(y, int(m)-1, d-1), nil
+		}
+	}
+	return t, eris.New("no line has a time")
+}
+
+// Of returns the account of an id. at is when its caller saw it fail, or zero.
+func (l *Log) Of(id string, at time.Time) Account {
 	a := Account{ID: id}
 	var own []*Line
 	for _, line := range l.Lines {
@@ -131,8 +168,11 @@
 		}
 	}
 	a.Lines = append(a.Lines, own...)
-	if len(own) > 0 {
+	switch {
+	case len(own) > 0:
 		a.Lines = append(a.Lines, l.around(own)...)
+	case !at.IsZero():
+		a.Lines = append(a.Lines, l.starts(at)...)
 	}
 	slices.SortStableFunc(a.Lines, func(x, y *Line) int {
 		if x.Host == y.Host {
@@ -140,7 +180,7 @@
 		}
 		return x.At.Compare(y.At)
 	})
-	a.Cause = cause(id, own)
+	a.Cause = l.cause(id, own, at)
 	a.Doubts = l.doubts(own)
 	return a
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -16,6 +17,9 @@
   38.00 edge-1 {"host":"edge-1","ms":9,"msg":"gateway: forward ended without success","outcome":"not_run","reason":"no target took the request","request":"full","retry_after_ms":250,"time":"2026-05-05T01:54:27.010Z"}
   38.10 edge-1 {"host":"edge-1","msg":"forward: attempt ended","ms":40,"outcome":"broken","reason":"EOF","request":"lost","target":"i-3","time":"2026-05-05T01:54:27.100Z"}
   38.10 edge-1 {"host":"edge-1","ms":41,"msg":"gateway: forward ended without success","outcome":"unknown","reason":"EOF","request":"lost","retry_after_ms":0,"time":"2026-05-05T01:54:27.101Z"}
+  38.20 edge-1 {"host":"edge-1","msg":"forward: request is sent","request":"gone","target":"i-4","time":"2026-05-05T01:54:27.200Z"}
+  38.25 edge-1 {"host":"edge-1","msg":"hub: link to control is up","time":"2026-05-05T01:54:27.250Z"}
+  39.20 edge-1 {"host":"edge-1","msg":"daemon: edge-1 has started","time":"2026-05-05T01:54:28.200Z"}
   39.00 store-1 {"host":"store-1","msg":"batch: leads","term":4,"time":"2026-05-05T01:54:28.000Z"}
   39.00 store-1 {"engine":"i-9","error":"EOF","host":"store-1","item":"it","msg":"batch: run ended early","ms":700,"outcome":"broken","submission":"sub","time":"2026-05-05T01:54:28.700Z","why":""}
   39.00 store-1 {"host":"store-1","item":"it","msg":"batch: reward call has no score","reason":"Internal Server Error","submission":"sub","time":"2026-05-05T01:54:29.000Z"}
@@ -32,7 +36,7 @@
 	if err := log.Read("file", strings.NewReader(lines)); err != nil {
 		t.Fatal(err)
 	}
-	return log.Of(id)
+	return log.Of(id, time.Time{})
 }
 
 func TestCauses(t *testing.T) {
@@ -44,6 +48,7 @@
 		"ok":      "Listed 2100 ms after its submission (began after 5 ms, text complete after 2000 ms, 1 runs, 0 moves).",
 		"slow":    "Left without a result when its submission closed (ended by the client) after 12000 ms: it was running with 90 events kept.",
 		"sub":     "1 items were listed, 0 of them failed; 1 were left when it was closed: ended by the client. The slowest item, ok, was listed after 2100 ms: it began after 5 ms and its text was complete after 2000 ms.",
+		"gone":    "Outcome unknown: edge-1 ended while target i-4 had the request; it started again 1s after it had sent it.",
 		"nowhere": "Unknown: no line names this id.",
 	} {
 		t.Run(id, func(t *testing.T) { is.New(t).Equal(account(t, id).Cause, want) })
@@ -63,3 +68,21 @@
 	is.Equal(len(a.Doubts), 2)
 	is.True(strings.Contains(a.Doubts[0], "1 lines cannot be read"))
 }
+
+// A caller knows when its request failed, also when it reached no process.
+func TestRequestThatReachedNoProcess(t *testing.T) {
+	is := is.New(t)
+	log := &Log{}
+	is.NoErr(log.Read("file", strings.NewReader(lines)))
+	at, err := log.Time("01:54:27.900")
+	is.NoErr(err)
+	is.Equal(at, time.Date(2026, 5, 5, 1, 54, 27, 900_000_000, time.UTC))
+	a := log.Of("nowhere", at)
+	is.Equal(a.Cause, "It reached no process that was up: no line names it. Down near that time: edge-2, which started at 01:54:26.100; edge-1, which started at 01:54:28.200.")
+	is.Equal(len(a.Lines), 2)
+	later, err := log.Time("2026-05-05T02:54:27Z")
+	is.NoErr(err)
+	is.Equal(log.Of("nowhere", later).Cause, "It reached no process: no line names it, and no process started near that time.")
+	_, err = log.Time("soon")
+	is.True(err != nil)
+}
