batch, replica: metrics of steps, queues, syncs and leaders

Cause: the time of a step, its waiting and running parts, open items by state, the time of syncs, changes of the leader and the manifest in force could be had from log lines only.

Change: histograms of step, queue, run and sync times, gauges of open items and of the manifest's version, a counter of leaders; one line when a submission has the groups that its trainer waits for, with how late that is.

--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -11,6 +11,10 @@
 	orders *prometheus.CounterVec
 	items  *prometheus.CounterVec
 	took   prometheus.Histogram
+	queued prometheus.Histogram
+	ran    prometheus.Histogram
+	steps  prometheus.Histogram
+	open   *prometheus.GaugeVec
 	lost   prometheus.Counter
 }
 
@@ -29,11 +33,26 @@
 			Name: "merlinhall_batch_item_seconds", Help: "Time from the acceptance of a submission to the result of an item.",
 			Buckets: prometheus.ExponentialBuckets(0.125, 2, 9),
 		}),
+		queued: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "merlinhall_batch_queue_seconds", Help: "Time from the acceptance of a submission to the first run of an item.",
+			Buckets: prometheus.ExponentialBuckets(0.03125, 2, 9),
+		}),
+		ran: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "merlinhall_batch_run_seconds", Help: "Time that the runs of an item took which added to its text.",
+			Buckets: prometheus.ExponentialBuckets(0.03125, 2, 9),
+		}),
+		steps: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "merlinhall_batch_step_seconds", Help: "Time from the acceptance of a submission until the groups that its trainer waits for have all results.",
+			Buckets: prometheus.LinearBuckets(1, 1, 12),
+		}),
+		open: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "merlinhall_batch_open_items", Help: "Items without a result, by state.",
+		}, []string{"state"}),
 		lost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.lost)
+	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost)
 	return m
 }
 
@@ -44,4 +63,15 @@
 	}
 	m.items.WithLabelValues(state).Inc()
 	m.took.Observe(now.Sub(t.job.since).Seconds())
+	m.ran.Observe(t.ran.Seconds())
+	if !t.begun.IsZero() {
+		m.queued.Observe(t.begun.Sub(t.job.since).Seconds())
+	}
+}
+
+// states takes the number of open items in each state.
+func (m *metrics) states(count map[taskState]int) {
+	for s := taskPending; s <= taskListing; s++ {
+		m.open.WithLabelValues(s.String()).Set(float64(count[s]))
+	}
 }
--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -57,3 +57,14 @@
 	_, versions := r.take()
 	is.Equal(versions, []uint64{4, 5})
 }
+
+// Guards against a step that is late without a line or a figure that says so.
+func TestJobKnowsWhenItsWaitIsOver(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 2, []int{900, 800}, []int{3000}, []int{1000})
+	is.True(!j.listed(j.tasks["k-0-0"]))
+	is.True(!j.listed(j.tasks["k-1-0"])) // one whole group
+	is.True(j.listed(j.tasks["k-0-1"]))  // two
+	is.True(!j.listed(j.tasks["k-2-0"]))
+	is.Equal(len(j.tasks), 0)
+}
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -22,6 +22,7 @@
 			items = append(items, ledger.Item{ID: fmt.Sprintf("%s-%d-%d", id, g, i), Group: fmt.Sprintf("%s-%d", id, g), Length: size})
 		}
 	}
+	sub.Items = items
 	return newJob(ledger.Open{Submission: sub, Since: at, Left: items}, func(string) bool { return false })
 }
 
--- a/batch/results.go
+++ b/batch/results.go
@@ -129,7 +129,13 @@
 	}
 	r.metrics.listed(t, now)
 	r.logListed(t, now)
-	delete(j.tasks, t.item.ID)
+	if j.listed(t) {
+		took := now.Sub(j.since)
+		r.metrics.steps.Observe(took.Seconds())
+		r.log.WithFields(logrus.Fields{
+			"submission": j.sub.ID, "step": j.sub.Step, "groups": j.whole, "ms": took.Milliseconds(), "late_ms": now.Sub(j.due).Milliseconds(),
+		}).Info("submission has the groups that its trainer waits for")
+	}
 	if len(j.tasks) == 0 {
 		r.endJob(j.sub.ID, "all results are listed")
 	}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -344,14 +344,17 @@
 		return
 	}
 	var running []*task
+	count := make(map[taskState]int)
 	for _, j := range r.jobs {
 		for _, t := range j.tasks {
 			r.tickTask(now, t)
+			count[t.state]++
 			if t.state == taskRunning {
 				running = append(running, t)
 			}
 		}
 	}
+	r.metrics.states(count)
 	r.pace(now, running)
 	r.saveTexts(now, running)
 	for _, t := range moves(now, running, r.engines, r.queue.tokenTime()) {
--- a/batch/task.go
+++ b/batch/task.go
@@ -61,6 +61,7 @@
 	engine  string
 	// urgent groups are among those that the trainer most likely waits for.
 	urgent bool
+	listed int  // items with a result, of those in tasks
 	seen   bool // some of its items had come in an earlier submission
 }
 
@@ -81,6 +82,20 @@
 	groups map[string]*group
 	tasks  map[string]*task
 	closed bool
+	// whole counts the groups of which all items have results.
+	whole int
+}
+
+// listed takes that an item has its result. It reports whether the groups that the
+// trainer waits for have become complete with it.
+func (j *job) listed(t *task) bool {
+	delete(j.tasks, t.item.ID)
+	t.group.listed++
+	if t.group.listed < len(t.group.tasks) {
+		return false
+	}
+	j.whole++
+	return j.whole == j.sub.WantedGroups
 }
 
 // newJob finds the groups of a submission that fill the trainer's wait: those that
@@ -110,10 +125,19 @@
 		g.seen = g.seen || seen(item.ID)
 		j.tasks[item.ID] = t
 	}
+	j.whole = len(groupNames(sub)) - len(j.groups)
 	j.rank()
 	return j
 }
 
+func groupNames(sub *ledger.Submission) map[string]bool {
+	names := make(map[string]bool)
+	for i := range sub.Items {
+		names[sub.Items[i].Group] = true
+	}
+	return names
+}
+
 // sizeOf estimates the output of an item: the client's estimate where it gave
 // one, otherwise the most that it may be.
 func sizeOf(item ledger.Item) int {
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"github.com/prometheus/client_golang/prometheus"
+
 	"merlinhall/gateway"
 	"merlinhall/hub"
 	"merlinhall/platform"
@@ -30,6 +32,14 @@
 	}
 	d.entry = s
 	d.servers = append(d.servers, s)
+	d.observer.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "merlinhall_manifest_version", Help: "Version of the manifest in force, 0 before the first one.",
+	}, func() float64 {
+		if table := client.Table(); table != nil {
+			return float64(table.Manifest().Version)
+		}
+		return 0
+	}))
 	d.mux.Handle(client, hub.ClientKinds...)
 	client.Start()
 	d.stops = append(d.stops, client.Stop)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -138,6 +138,7 @@
 	}
 	r.core = core
 	r.metrics = newMetrics(o.Observer.Registry)
+	core.store.OnSync = func(d time.Duration) { r.metrics.sync.Observe(d.Seconds()) }
 	r.publish()
 	o.Observer.Dump("replica", func() any { return r.Status() })
 	o.Observer.Gate("replica", r.ready)
@@ -284,6 +285,9 @@
 	}
 	moved := old.Role != next.Role || old.Term != next.Term || old.LeaderID != next.LeaderID
 	regrouped := old.MemberIndex != next.MemberIndex || len(old.Members) != len(next.Members)
+	if old.LeaderID != next.LeaderID && next.LeaderID != 0 {
+		r.metrics.leaders.Inc()
+	}
 	if moved {
 		r.log.Infof("%s in term %d, leader %q", next.Role, next.Term, next.Leader)
 	}
--- a/storage/store.go
+++ b/storage/store.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -45,6 +46,8 @@
 	failed     error
 	syncs      uint64
 	written    atomic.Uint64 // index of the newest snapshot file
+	// OnSync, when set, is told how long each sync of the log took.
+	OnSync func(time.Duration)
 }
 
 // Open locks and reads a data folder. newID makes the random id of a folder that
@@ -260,9 +263,13 @@
 		return eris.Wrap(err, "write")
 	}
 	s.syncs++
+	began := time.Now()
 	if err := s.file.Sync(); err != nil {
 		return eris.Wrap(err, "sync")
 	}
+	if s.OnSync != nil {
+		s.OnSync(time.Since(began))
+	}
 	return nil
 }
 
