consensus: a stopping leader hands its leadership over

Ruled out: shorter election timeouts (leaders would lose their place to a moment without processor time).

Change: on its stop a leader has all texts kept, refuses proposals, and once all is committed gives up its lease and tells the voter with its whole log, which campaigns at once. Voters are freed of their promise only for the term after the one in which they promised.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -109,6 +109,9 @@
 	expiry time.Time
 	paced  time.Time // when the pace of the engines was last looked at
 	saved  time.Time // when texts were last given to the ledger
+	saves  int       // proposals of texts under way
+	// keeping is closed when there are none.
+	keeping []chan struct{}
 }
 
 type (
@@ -185,6 +188,8 @@
 		r.endList(now, m)
 	case holderEnd:
 		r.endHolder(m)
+	case keepMessage:
+		r.keepAll(now, m)
 	case saveEnd:
 		r.endSave(m)
 	case versionSeen:
@@ -215,6 +220,7 @@
 		return
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
+	r.saves = 0
 	r.leadSince, r.superseded, r.holds, r.naming = now, false, false, false
 	r.engines, r.homes, r.partial = nil, make(map[string][]string), newPartials()
 	r.demand = make(map[string]float64)
--- a/batch/save.go
+++ b/batch/save.go
@@ -29,11 +29,16 @@
 	if now.Sub(r.saved) < savePeriod {
 		return
 	}
+	r.keepTexts(now, running, saveLeast)
+}
+
+// keepTexts gives the ledger the texts that have grown by least events or more.
+func (r *Runner) keepTexts(now time.Time, running []*task, least int) {
 	r.saved = now
 	byJob := make(map[*job]*saveEnd)
 	for _, t := range running {
 		t.text.add(t.run.take())
-		if t.saving || len(t.text.events) < saveLeast {
+		if t.saving || len(t.text.events) < least {
 			continue
 		}
 		s := byJob[t.job]
@@ -56,6 +61,7 @@
 		r.log.WithField("submission", j.sub.ID).Errorf("texts cannot be encoded: %v", err)
 		return
 	}
+	r.saves++
 	lead := r.ctx
 	go func() {
 		ctx, cancel := context.WithTimeout(lead, proposeLimit)
@@ -68,6 +74,8 @@
 // endSave takes what the ledger holds now. After a failed proposal it may hold
 // more than known; the next part then brings the whole text.
 func (r *Runner) endSave(m saveEnd) {
+	r.saves = max(0, r.saves-1) // one of a former leadership may have been lost
+	r.endKeeping()
 	for i, t := range m.tasks {
 		t.saving = false
 		if m.err == nil {
@@ -80,3 +88,48 @@
 		r.log.WithField("items", len(m.tasks)).Infof("texts are not kept: %v", m.err)
 	}
 }
+
+// keepMessage asks for all texts to be kept; done is closed when they are.
+type keepMessage struct{ done chan struct{} }
+
+// KeepTexts gives the ledger all texts of running items before the leadership ends,
+// so that the next leader generates nothing of them again. It returns when they
+// are kept or cannot be, or when ctx ends.
+func (r *Runner) KeepTexts(ctx context.Context) {
+	m := keepMessage{make(chan struct{})}
+	if err := r.duty.Offer(m); err != nil {
+		r.log.Infof("texts are not kept before the stop: %v", err)
+		return
+	}
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) keepAll(now time.Time, m keepMessage) {
+	if r.leading {
+		var running []*task
+		for _, j := range r.jobs {
+			for _, t := range j.tasks {
+				if t.state == taskRunning {
+					running = append(running, t)
+				}
+			}
+		}
+		r.keepTexts(now, running, 1)
+	}
+	r.keeping = append(r.keeping, m.done)
+	r.endKeeping()
+}
+
+// endKeeping tells those who wait for texts when no proposal of them is open.
+func (r *Runner) endKeeping() {
+	if r.saves > 0 {
+		return
+	}
+	for _, done := range r.keeping {
+		close(done)
+	}
+	r.keeping = nil
+}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -16,7 +16,7 @@
 	}
 	n.leader = 0
 	if n.cfg.faults.dropPreVote {
-		n.campaign()
+		n.campaign(false)
 		return
 	}
 	n.preCampaign()
@@ -29,12 +29,13 @@
 	n.role = RoleCandidate
 	n.preVoting = true
 	n.votes = map[uint64]bool{n.cfg.ID: true}
-	n.askVotes(MsgPreVote, n.term+1)
+	n.askVotes(Message{Kind: MsgPreVote, Term: n.term + 1})
 	n.countVotes()
 }
 
-// campaign starts an election in a new term.
-func (n *Node) campaign() {
+// campaign starts an election in a new term. released is set when the leader of the
+// term before has given up its lease.
+func (n *Node) campaign(released bool) {
 	n.resetElection()
 	n.role = RoleCandidate
 	n.preVoting = false
@@ -43,16 +44,17 @@
 	n.leader = 0
 	n.ledBy = 0
 	n.votes = map[uint64]bool{n.cfg.ID: true}
-	n.askVotes(MsgVote, n.term)
+	n.askVotes(Message{Kind: MsgVote, Term: n.term, Released: released})
 	n.countVotes()
 }
 
-func (n *Node) askVotes(kind MessageKind, term uint64) {
+func (n *Node) askVotes(m Message) {
+	m.Index, m.LogTerm = n.log.last(), n.log.lastTerm()
 	for _, v := range n.voters() {
 		if v.ID == n.cfg.ID {
 			continue
 		}
-		n.send(v, Message{Kind: kind, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
+		n.send(v, m)
 	}
 }
 
@@ -69,7 +71,7 @@
 		return
 	}
 	if n.preVoting {
-		n.campaign()
+		n.campaign(false)
 		return
 	}
 	n.becomeLeader(EntryNoOp, nil)
@@ -119,7 +121,7 @@
 }
 
 func (n *Node) handleVote(m *Message) {
-	if n.bound() {
+	if n.bound() && !n.releasedBy(m) {
 		return
 	}
 	if m.Term > n.term {
--- a/consensus/export_test.go
+++ b/consensus/export_test.go
@@ -15,6 +15,7 @@
 	FaultEchoStale       Fault = "clock and round of an ended term returned"
 	FaultReuseRound      Fault = "read round used again"
 	FaultChangeEarly     Fault = "members changed before an own commit"
+	FaultLeadOn          Fault = "leader acts on after a handover"
 )
 
 // Plant switches a rule off.
@@ -37,6 +38,8 @@
 		c.faults.voteAtStart = true
 	case FaultChangeEarly:
 		c.faults.changeEarly = true
+	case FaultLeadOn:
+		c.faults.leadOn = true
 	case FaultReuseRound:
 		c.faults.reuseRound = true
 	case FaultEchoStale:
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -45,6 +45,7 @@
 	waiting  []pendingRead // not yet in a round
 	reads    []pendingRead // in a round, oldest first
 	newcomer map[uint64]string
+	handing  bool // proposals are refused, see Handover
 }
 
 // progress is what the leader knows of one other member.
@@ -113,6 +114,9 @@
 	if n.role != RoleLeader {
 		return &NotLeaderError{Leader: n.leaderName()}
 	}
+	if n.lead.handing {
+		return &NotLeaderError{} // whoever comes next is not known
+	}
 	if n.log.last()-n.commit >= uint64(n.cfg.MaxUncommitted) {
 		return ErrOverloaded
 	}
@@ -269,6 +273,7 @@
 	default:
 		n.handleMatch(m, p)
 	}
+	n.tryHandover()
 }
 
 // handleRejection moves next back to where the logs may match. A rejection of an
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -313,6 +313,8 @@
 		n.handleSnapshot(m)
 	case MsgAppendReply, MsgSnapshotReply:
 		n.handleReply(m)
+	case MsgHandover:
+		n.handleHandover(m)
 	case MsgStale:
 		if m.Term > n.term {
 			n.becomeFollower(m.Term, 0)
--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -366,6 +366,63 @@
 	}
 }
 
+// scenarioHandover: the leader hands over and hears of nothing afterwards. It must
+// not answer a read by its lease once its heir has accepted a write.
+func scenarioHandover(s *sim) {
+	s.startAll()
+	if s.awaitLeader(); s.failure != "" {
+		return
+	}
+	a := s.leader()
+	s.write(a, 1)
+	s.run(s.now + time.Second)
+	term := a.core.Status().Term
+	s.drop = func(_, to *host, m *consensus.Message) bool { return to == a && m.Term > term }
+	a.do(func(now time.Duration) { a.core.Handover(now) })
+	var w *outcome
+	for range 300 {
+		s.run(s.now + 2*time.Millisecond)
+		if s.failure != "" {
+			return
+		}
+		for _, h := range s.hosts {
+			if w == nil && h != a && h.core.Status().Ready {
+				w = s.write(h, 2)
+			}
+		}
+		if version, ok := s.readNow(a, true); ok && w != nil && w.done && w.err == nil && version < 2 {
+			s.fail("a leader that handed over answered a read by lease with version %d", version)
+		}
+	}
+}
+
+// Pattern: the process of the leader is stopped for planned work while changes go
+// on. The next leader is there within some round trips, not after a timeout.
+func TestHandoverNeedsNoTimeout(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for seed := uint64(1); seed <= 20; seed++ {
+		s := newSim(seed, 3)
+		s.startAll()
+		s.awaitLeader()
+		a := s.leader()
+		s.run(s.now + time.Second)
+		w := s.write(a, 1)
+		a.do(func(now time.Duration) { a.core.Handover(now) })
+		refused := s.write(a, 2)
+		began := s.now
+		is.True(s.runUntil(time.Second, func() bool {
+			l := s.leader()
+			return l != nil && l != a && l.core.Status().Ready
+		}))
+		is.True(s.now-began < 200*time.Millisecond) // the shortest election timeout is 600 ms
+		is.True(w.done && w.err == nil)             // what was accepted before is kept
+		var other *consensus.NotLeaderError
+		is.True(refused.done && errors.As(refused.err, &other))
+		is.Equal(s.failure, "")
+	}
+}
+
 // Guards against checks that do not see the loss of a rule: each planted fault
 // must be caught, and the same run without it must pass.
 func TestPlantedFaults(t *testing.T) {
@@ -385,6 +442,7 @@
 		{consensus.FaultCommitOldTerm, 3, 3, scenarioOldTerm},
 		{consensus.FaultLearnerInQuorum, 5, 3, scenarioLearners},
 		{consensus.FaultChangeEarly, 5, 4, scenarioEarlyChange},
+		{consensus.FaultLeadOn, 3, 3, scenarioHandover},
 		{consensus.FaultForgetVote, 3, 3, func(s *sim) { s.chaos(20*time.Second, 4) }},
 		{faultSkipSync, 3, 3, func(s *sim) { s.chaos(20*time.Second, 4) }},
 	}
--- a/consensus/simfault_test.go
+++ b/consensus/simfault_test.go
@@ -46,6 +46,11 @@
 		s.jitter = s.random(time.Millisecond, 150*time.Millisecond)
 		s.after(s.random(0, 4*time.Second), func() { s.loss, s.jitter = 0, 3*time.Millisecond })
 	}},
+	{"handover", func(_ *sim, h *host) {
+		if h.core != nil {
+			h.do(func(now time.Duration) { h.core.Handover(now) })
+		}
+	}},
 	{"lost disk", (*sim).loseDisk},
 	{"member removed by the operator", (*sim).removeMember},
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -98,6 +98,9 @@
 	MsgFresh MessageKind = 10
 	// MsgStale answers a leader whose term is over with the newer term.
 	MsgStale MessageKind = 11
+	// MsgHandover tells a voter that the leader of the term has given up its lease
+	// and that the voter has its whole log.
+	MsgHandover MessageKind = 12
 )
 
 // Message is a message between two replicas. The use of a field depends on Kind.
@@ -125,6 +128,8 @@
 	Total  uint64 `cbor:"16,keyasint,omitempty"` // size of the snapshot in bytes
 	Data   []byte `cbor:"17,keyasint,omitempty"`
 	Name   string `cbor:"18,keyasint,omitempty"` // sender's process name
+	// Released is set in a vote that follows a MsgHandover of the term before.
+	Released bool `cbor:"19,keyasint,omitempty"`
 
 	// Read is how many bytes of the snapshot's state the driver puts into Data, from
 	// Offset on.
@@ -204,6 +209,7 @@
 	echoStale       bool // return clock and round of an ended term
 	reuseRound      bool // never begin a second read round
 	changeEarly     bool // change members before an own entry is committed
+	leadOn          bool // act on as leader after a handover
 }
 
 // Defaults of Config. The lease is three quarters of the shortest election
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -32,6 +32,8 @@
 	// readyGrace is the time for which a process that stops still takes new
 	// connections: the platform asks each second and needs two misses.
 	readyGrace = 2500 * time.Millisecond
+	// handoverLimit bounds the wait for another leader; an election takes longer.
+	handoverLimit = 500 * time.Millisecond
 	// stopMargin is kept from the time before the end by force.
 	stopMargin = 1500 * time.Millisecond
 	// poolSweep is how often idle connections to targets are looked over.
@@ -55,7 +57,8 @@
 	entry    *server.Server // for callers
 	servers  []*server.Server
 	setSeeds []func(seeds []string)
-	stops    []func() // in reverse order at the end
+	handOver func(ctx context.Context) // of control processes
+	stops    []func()                  // in reverse order at the end
 	stopOnce sync.Once
 }
 
@@ -182,6 +185,11 @@
 func (d *HostedDaemon) Shutdown() {
 	d.log.Info("draining")
 	d.observer.SetReady(false)
+	if d.handOver != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), handoverLimit)
+		d.handOver(ctx)
+		cancel()
+	}
 	if d.front != nil {
 		d.front.Draining.Store(true)
 		time.Sleep(min(readyGrace, d.settings.StopGrace/3))
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -125,6 +125,12 @@
 		OrderHold: s.FenceHold + orderMargin, FencesChecked: s.FencesChecked, Keep: s.KeepResults, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
+	d.handOver = func(ctx context.Context) {
+		runner.KeepTexts(ctx)
+		if err := r.Handover(ctx); err != nil {
+			d.log.Infof("leadership is not handed over: %v", err)
+		}
+	}
 	d.mux.Handle(peers)
 	d.mux.Handle(r, wire.KindConsensus)
 	d.mux.Handle(c, control.Kinds...)
--- a/replica/core.go
+++ b/replica/core.go
@@ -190,6 +190,10 @@
 	})
 }
 
+// Handover asks a leader to give its leadership to another voter. It refuses
+// proposals from then on.
+func (c *Core) Handover(now time.Duration) { c.step(now, consensus.Handover{}) }
+
 func (c *Core) request(done ProposeDone, step func(key uint64)) {
 	if c.failed != nil {
 		done(nil, 0, ErrStopped)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -85,6 +85,8 @@
 type (
 	tickMessage  struct{}
 	flushMessage struct{}
+	// handoverMessage asks the replica to give its leadership up.
+	handoverMessage struct{}
 )
 
 type proposeCall struct {
@@ -253,6 +255,8 @@
 		r.log.WithField("ms", (r.now() - now).Milliseconds()).Info("log begins after the snapshot")
 	case peersCall:
 		r.core.step(now, consensus.Peers{Names: m.names, Excluded: m.excluded})
+	case handoverMessage:
+		r.core.Handover(now)
 	case flushMessage:
 		r.flushing = false
 		r.flush()
@@ -410,6 +414,30 @@
 	return r.offer(peersCall{names, excluded})
 }
 
+// Handover gives the leadership of this replica to another voter before its process
+// stops. It returns when the replica does not lead, or with the error of ctx.
+func (r *Replica) Handover(ctx context.Context) error {
+	if err := r.offer(handoverMessage{}); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(handoverPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if r.Status().Role != consensus.RoleLeader {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// handoverPoll is the time between two looks whether a handover is over, about a
+// round trip between zones.
+const handoverPoll = 5 * time.Millisecond
+
 // Stop ends the duty. Proposals without an outcome end as unknown.
 func (r *Replica) Stop() {
 	r.duty.Stop()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -425,3 +425,26 @@
 	is.True(ok)
 	is.NoErr(c.leader().ready())
 }
+
+// Guards against a planned stop of the leader that costs an election.
+func TestHandoverBeforeAStop(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	for i := range 3 {
+		old := c.leader()
+		c.propose(fmt.Sprint("before ", i))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		is.NoErr(old.Handover(ctx))
+		cancel()
+		c.eventually("another leader", func() bool {
+			l := c.leader()
+			return l != nil && l != old
+		})
+		c.propose(fmt.Sprint("after ", i))
+	}
+	follower := c.replicas["a"]
+	if follower == c.leader() {
+		follower = c.replicas["b"]
+	}
+	is.NoErr(follower.Handover(t.Context())) // nothing to hand over
+}
