storage: the log is copied at the start, not encoded again

Ruled out: using the old file on: what was read may come from memory after a failed sync, so it must be written again.

Change: the bytes of the complete batches are written to the new file as they are; batches are counted on.

A test of five starts in a row with torn ends.

--- a/storage/record.go
+++ b/storage/record.go
@@ -86,16 +86,17 @@
 	return r, size, true
 }
 
-// parse returns the records of all complete batches. An incomplete last batch
+// parse returns the records of all complete batches and where the last of them
+// ends. An incomplete last batch
 // was never acknowledged and is dropped; the error wraps ErrCorrupt when the
 // damage cannot be the trace of an interrupted write.
-func parse(name string, b []byte) ([]record, error) {
-	var complete, batch []record
+func parse(name string, b []byte) (complete []record, end int, err error) {
+	var batch []record
 	begin, next := 0, uint64(1)
 	for at := 0; at < len(b); {
 		r, size, ok := readRecord(b[at:])
 		if !ok || r.batch != next {
-			return complete, checkTorn(name, b, begin, at, next)
+			return complete, begin, checkTorn(name, b, begin, at, next)
 		}
 		at += size
 		batch = append(batch, r)
@@ -106,7 +107,7 @@
 			next++
 		}
 	}
-	return complete, nil
+	return complete, begin, nil
 }
 
 // checkTorn decides whether the bad record at offset at, in a batch that begins
--- a/storage/store.go
+++ b/storage/store.go
@@ -85,22 +85,24 @@
 	s.generation = newestLog(names)
 	if s.generation == 0 {
 		s.identity = identity{ID: newID()}
-	} else if err := s.read(&r); err != nil {
-		return r, err
+		err = s.rewrite(nil)
+	} else {
+		err = s.read(&r)
 	}
-	if err := s.rewrite(r.Entries); err != nil {
+	if err != nil {
 		return r, err
 	}
 	return r, s.removeOld()
 }
 
+// read takes the newest log file and copies what is complete of it to the next one.
 func (s *Store) read(r *consensus.Recovered) error {
 	name := logName(s.generation)
 	b, err := s.fs.ReadFile(name)
 	if err != nil {
 		return eris.Wrap(err, "storage")
 	}
-	records, err := parse(name, b)
+	records, end, err := parse(name, b)
 	if err != nil {
 		return err
 	}
@@ -116,9 +118,32 @@
 	r.State = s.state
 	r.Base = s.identity.Base
 	if s.identity.Snapshot != 0 {
-		r.Snapshot, err = s.readSnapshot(s.identity.Snapshot)
+		if r.Snapshot, err = s.readSnapshot(s.identity.Snapshot); err != nil {
+			return err
+		}
+	}
+	s.batch = records[len(records)-1].batch
+	return s.copyLog(b[:end])
+}
+
+// copyLog starts a new log file with the bytes of complete batches.
+func (s *Store) copyLog(b []byte) error {
+	name := logName(s.generation + 1)
+	f, err := s.fs.Create(name + tmpSuffix)
+	if err != nil {
+		return eris.Wrap(err, "storage")
+	}
+	s.file = f
+	s.buffer = b
+	if err := s.write(); err != nil {
+		return eris.Wrapf(err, "storage: %s", name)
 	}
-	return err
+	s.buffer = nil
+	if err := s.publish(name); err != nil {
+		return err
+	}
+	s.generation++
+	return nil
 }
 
 func (s *Store) replay(rec record, r *consensus.Recovered) error {
@@ -259,6 +284,11 @@
 // end writes and syncs the batch.
 func (s *Store) end() error {
 	s.buffer = appendRecord(s.buffer, s.batch, recordEnd, []byte{endPayload})
+	return s.write()
+}
+
+// write writes and syncs the buffer.
+func (s *Store) write() error {
 	if _, err := s.file.Write(s.buffer); err != nil {
 		return eris.Wrap(err, "write")
 	}
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -143,6 +143,27 @@
 	is.True(errors.Is(err, ErrCorrupt)) // the checksum is not the state
 }
 
+// Guards against a log that is lost, or that cannot be added to, after several starts
+// in a row, some after a torn write.
+func TestLogGoesOnAfterEachStart(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	fill(t, dir)
+	for i := range 5 {
+		s, r, err := Open(Dir(dir), fixedID)
+		is.NoErr(err)
+		is.Equal(len(r.Entries), 10+i)
+		is.NoErr(s.Save(&consensus.Output{Append: []consensus.Entry{entry(s.Durable().Last+1, 3, "more")}}))
+		name := logName(s.generation)
+		s.Close()
+		path := filepath.Join(dir, name)
+		whole, err := os.ReadFile(path)
+		is.NoErr(err)
+		torn := append(whole, whole[:headerBytes/2]...) // the begin of a batch that was not written
+		is.NoErr(os.WriteFile(path, torn, 0o600))
+	}
+}
+
 // Guards against a torn last write that stops the replica or damages what was
 // synced before it: cut at each byte, and with unwritten sectors that read zero.
 func TestTornTail(t *testing.T) {
@@ -152,14 +173,14 @@
 	is.NoErr(err)
 	begin := lastBatch(t, whole)
 	for cut := begin; cut < len(whole); cut++ {
-		records, err := parse("log", whole[:cut])
+		records, _, err := parse("log", whole[:cut])
 		is.NoErr(err)
 		is.Equal(entries(records), 8)
 	}
 	for sector := begin / sectorBytes * sectorBytes; sector < len(whole); sector += sectorBytes {
 		torn := append([]byte(nil), whole...)
 		clear(torn[max(sector, begin):min(sector+sectorBytes, len(whole))])
-		records, err := parse("log", torn)
+		records, _, err := parse("log", torn)
 		is.NoErr(err)
 		is.Equal(entries(records), 8)
 	}
@@ -176,7 +197,7 @@
 	for i := range whole {
 		for bit := range 8 {
 			whole[i] ^= 1 << bit
-			_, err := parse("log", whole)
+			_, _, err := parse("log", whole)
 			if !errors.Is(err, ErrCorrupt) {
 				t.Fatalf("bit %d of byte %d flipped: %v", bit, i, err)
 			}
