--- a/server/limits.go
+++ b/server/limits.go
@@ -42,7 +42,7 @@
 func (s *Server) SetLimits(l Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l = l.filled(); l == s.limits {
+	if l = l.filled(); l == s.limits || s.closing {
 		return
 	}
 	s.limits = l
