batch: texts of one weight version stay of one version

Cause: found on reading: loads let runs go on, so on a route that asks for texts of a single version a run that an engine carried through a load was listed with two. A text whose version no engine has any more waited until it was given up.

Ruled out: the choice of the engine, which held to the version already.

Change: an engine that runs such texts gets the order that lets runs end first, and more time for it; a run whose version changes ends, and goes on from the events before; a text begins anew when its version is gone.

--- a/batch/generate.go
+++ b/batch/generate.go
@@ -84,7 +84,8 @@
 	runFailed     runOutcome = "failed"
 	runImpossible runOutcome = "impossible" // the engine will never do it
 	runBroken     runOutcome = "broken"     // ended before its end
-	runOldWeights runOutcome = "old_weights"
+	// runUnfitWeights: the engine went on under a version that the text must not have.
+	runUnfitWeights runOutcome = "unfit_weights"
 )
 
 // run is one run of an item on an engine.
@@ -150,7 +151,7 @@
 }
 
 // generate carries out a run: it sends the item and reads the events of its text.
-func generate(ctx context.Context, pool *upstream.Pool, p Protocol, to upstream.Address, request *upstream.Request, r *run, first int, least uint64) runEnd {
+func generate(ctx context.Context, pool *upstream.Pool, p Protocol, to upstream.Address, request *upstream.Request, r *run, first int, fit fitting) runEnd {
 	end := runEnd{run: r}
 	response, err := pool.Open(ctx, to, request)
 	if err != nil {
@@ -170,12 +171,12 @@
 		end.err = eris.Errorf("status %d", response.StatusCode)
 		return end
 	}
-	reader := textReader{p: p, next: first, version: end.current, least: least, end: &end}
+	reader := textReader{p: p, next: first, version: end.current, fit: fit, end: &end}
 	err = reader.read(response.Body)
 	response.Close(err == nil)
 	switch {
-	case errors.Is(err, errOldWeights):
-		end.outcome = runOldWeights
+	case errors.Is(err, errUnfitWeights):
+		end.outcome = runUnfitWeights
 	case err != nil:
 		end.outcome = runBroken
 	default:
@@ -201,7 +202,23 @@
 	return runFailed
 }
 
-var errOldWeights = eris.New("batch: the engine generates with weights that are too old")
+var errUnfitWeights = eris.New("batch: the engine generates with weights that the text must not have")
+
+// fitting says under which weight versions a text may be generated.
+type fitting struct {
+	least  uint64 // the oldest one
+	single bool   // all events under the same one
+	only   uint64 // with single, the one of the text so far, 0 before its first event
+}
+
+// allows reports whether an event may be of a version, and takes it as the only one
+// where there must be one.
+func (f *fitting) allows(version uint64) bool {
+	if f.single && f.only == 0 {
+		f.only = version
+	}
+	return version >= f.least && (!f.single || version == f.only)
+}
 
 // maxEvent bounds one event.
 const maxEvent = 1 << 20
@@ -211,7 +228,7 @@
 	p       Protocol
 	next    int // number of the event that must come next
 	version uint64
-	least   uint64
+	fit     fitting
 	end     *runEnd
 
 	id   int
@@ -296,8 +313,8 @@
 	if t.id != t.next {
 		return eris.Errorf("batch: event %d comes where %d is due", t.id, t.next)
 	}
-	if t.version < t.least {
-		return errOldWeights
+	if !t.fit.allows(t.version) {
+		return errUnfitWeights
 	}
 	t.end.run.add(t.data, t.version)
 	t.next++
--- a/batch/loads.go
+++ b/batch/loads.go
@@ -22,6 +22,9 @@
 	loadPoll = 100 * time.Millisecond
 	// loadLimit ends the wait for a load; the order is then given again.
 	loadLimit = 6 * time.Second
+	// runsLimit is added for an engine that ends its runs first: the time of a long
+	// text and a margin.
+	runsLimit = 14 * time.Second
 )
 
 // load is an order to take a weight version.
@@ -31,6 +34,15 @@
 	since   time.Time
 	askAt   time.Time
 	taken   bool // the engine has accepted the order
+	waits   bool // until the engine's runs have ended
+}
+
+// limit returns the time after which the load is given up.
+func (l *load) limit() time.Duration {
+	if l.waits {
+		return loadLimit + runsLimit
+	}
+	return loadLimit
 }
 
 // loadPlan is an order to give.
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -45,7 +45,7 @@
 		if e.load == nil {
 			continue
 		}
-		if now.Sub(e.load.since) > loadLimit {
+		if now.Sub(e.load.since) > e.load.limit() {
 			r.log.WithFields(logrus.Fields{"engine": e.id, "model": e.load.model, "version": e.load.version}).Warn("load takes too long and is ordered again")
 			e.load = nil
 			e.pausedUntil = now.Add(pauseBroken)
@@ -95,6 +95,22 @@
 // move seldom: each move costs a load.
 const demandGain = 0.2
 
+// runsSingle reports whether the engine runs texts of the model that must have one
+// version only.
+func (r *Runner) runsSingle(e *engine, model string) bool {
+	for _, j := range r.jobs {
+		if j.sub.Model != model || !j.sub.SingleVersion {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.state == taskRunning && t.engine == e.id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // order gives an engine the order to load a version. The number of orders that
 // the engine has accepted is asked first and goes with the order, so that a copy
 // of it that arrives late has no effect.
@@ -102,7 +118,9 @@
 	e := l.engine
 	e.load = &load{model: l.model, version: l.version, since: now}
 	to := upstream.Address{HostPort: e.address, ID: e.id}
-	o := LoadOrder{Model: l.model, Version: l.version, Holder: r.o.Name, Fence: r.term, KeepRuns: true}
+	// Texts of one version only must be complete before the engine takes another.
+	e.load.waits = r.runsSingle(e, l.model)
+	o := LoadOrder{Model: l.model, Version: l.version, Holder: r.o.Name, Fence: r.term, KeepRuns: !e.load.waits}
 	current, ctx := e.load, r.ctx
 	go func() {
 		reportCtx, cancel := context.WithTimeout(ctx, exchangeLimit)
@@ -191,6 +209,9 @@
 		return
 	}
 	held := e.versions[e.load.model] >= e.load.version
+	if !held && e.load.waits {
+		return // the engine reports that it is busy until its runs have ended
+	}
 	if !held && now.Sub(e.load.since) <= 2*loadExpected {
 		return
 	}
--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -68,3 +69,56 @@
 	is.True(!j.listed(j.tasks["k-2-0"]))
 	is.Equal(len(j.tasks), 0)
 }
+
+// Guards against a text of one weight version only that goes on under another.
+func TestTextOfOneVersionEndsWhenItsEngineTakesAnother(t *testing.T) {
+	is := is.New(t)
+	const events = "id: 1\ndata: a\n\nversion: 5\nid: 2\ndata: b\n\n"
+	r := &run{began: time.Now(), changed: func(uint64) {}}
+	reader := textReader{p: versionField{}, next: 1, version: 4, fit: fitting{single: true}, end: &runEnd{run: r}}
+	is.True(errors.Is(reader.read(strings.NewReader(events)), errUnfitWeights))
+	kept, versions := r.take()
+	is.Equal(len(kept), 1)
+	is.Equal(versions, []uint64{4})
+
+	r = &run{began: time.Now(), changed: func(uint64) {}} // goes on after events of version 3
+	reader = textReader{p: versionField{}, next: 1, version: 4, fit: fitting{single: true, only: 3}, end: &runEnd{run: r}}
+	is.True(errors.Is(reader.read(strings.NewReader(events)), errUnfitWeights))
+	is.Equal(r.waiting(), 0)
+}
+
+func TestEngineEndsRunsOfOneVersionBeforeALoad(t *testing.T) {
+	is := is.New(t)
+	e := testEngine("a", 4, 4)
+	j := testJob("k", start, 1, []int{600})
+	r := quietRunner(e)
+	r.jobs = []*job{j}
+	task := j.tasks["k-0-0"]
+	task.state, task.engine = taskRunning, "a"
+	is.True(!r.runsSingle(e, "m"))
+	j.sub.SingleVersion = true
+	is.True(r.runsSingle(e, "m"))
+	is.True(!r.runsSingle(e, "other"))
+	is.True(!r.runsSingle(testEngine("b", 4, 4), "m"))
+	e.load = &load{model: "m", version: 5, since: start, taken: true, waits: true}
+	r.endLoad(start.Add(5*time.Second), e)
+	is.True(e.load != nil) // its runs may take that long
+}
+
+// Pattern: the engines go on to new versions while a text waits for one of them.
+func TestTextWhoseVersionIsGoneBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	e := testEngine("a", 4, 5)
+	j := testJob("k", start, 1, []int{600})
+	j.sub.SingleVersion = true
+	task := j.tasks["k-0-0"]
+	task.text = text{events: [][]byte{[]byte("a")}, versions: []uint64{4}}
+	other := testEngine("b", 4, 4)
+	r := quietRunner(e, other)
+	r.dropStranded(task)
+	is.Equal(task.text.length(), 1) // one engine can still go on with it
+	other.versions["m"] = 5
+	r.dropStranded(task)
+	is.Equal(task.text.length(), 0)
+	is.True(e.serves(task))
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -390,12 +390,29 @@
 			r.list(t, *t.result, "")
 		}
 	case taskPending:
+		r.dropStranded(t)
 		if !t.job.giveUp.IsZero() && now.After(t.job.giveUp) {
 			r.list(t, ledger.Result{Item: t.item.ID, Failed: true}, "its time is over")
 		}
 	}
 }
 
+// dropStranded begins a text of one version only anew when no engine has that
+// version any more: it could never go on.
+func (r *Runner) dropStranded(t *task) {
+	if !t.job.sub.SingleVersion || len(t.text.versions) == 0 || len(r.engines) == 0 {
+		return
+	}
+	version, model := t.text.versions[0], t.job.sub.Model
+	if slices.ContainsFunc(r.engines, func(e *engine) bool { return e.versions[model] == version && !e.draining }) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "events": t.text.length(), "version": version,
+	}).Info("text is dropped: no engine has its weights any more")
+	t.text, t.ran = text{}, 0
+}
+
 func (r *Runner) expire(now time.Time) {
 	if now.Before(r.expiry) {
 		return
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -45,9 +45,9 @@
 		Body:   t.item.Body,
 	}
 	to := upstream.Address{HostPort: e.address, ID: e.id}
-	least := t.job.sub.MinVersion
+	fit := t.fitting()
 	go func() {
-		end := generate(ctx, r.o.Pool, r.o.Protocol, to, request, run, lastEvent+1, least)
+		end := generate(ctx, r.o.Pool, r.o.Protocol, to, request, run, lastEvent+1, fit)
 		cancel()
 		r.deliver(lead, end)
 	}()
@@ -136,7 +136,7 @@
 			return
 		}
 		e.pausedUntil = now.Add(pauseRefused)
-	case runWrongPlace, runOldWeights:
+	case runWrongPlace, runUnfitWeights:
 		e.pausedUntil = now.Add(pauseBroken)
 		r.ask(now, e)
 	case runBroken:
--- a/batch/task.go
+++ b/batch/task.go
@@ -51,6 +51,15 @@
 	saving         bool           // a part of its text is being kept
 }
 
+// fitting returns under which weight versions the text of the task may go on.
+func (t *task) fitting() fitting {
+	f := fitting{least: t.job.sub.MinVersion, single: t.job.sub.SingleVersion}
+	if f.single && len(t.text.versions) > 0 {
+		f.only = t.text.versions[0]
+	}
+	return f
+}
+
 // group is the items of a submission that share a prompt. They run on one engine
 // while it has room, so that the prompt is read once.
 type group struct {
