rollout: an entry that cannot be sent to gets no further job until the next tick

A send that fails frees a place at its entry, which the planner fills with the next sample, whose send fails too, and so on through all samples that wait; each ranks all groups again. The loss of the connection, which would end this, waits in the mailbox meanwhile.

Ruled out: an endless loop (a sample is not tried twice within one message); a blocking call in the coordinator (none).

Change: an entry that a send to failed is left out until the next tick or its next connection.

--- a/rollout/assign.go
+++ b/rollout/assign.go
@@ -117,9 +117,16 @@
 	return 0
 }
 
+// free reports whether the entry takes another job. One that a message could not be
+// sent to gets none until the next tick: its connection has ended and the news is on
+// the way, and each job that is tried would only be planned again.
+func (p *Planner) free(e *entryPlan) bool {
+	return e.connected && !e.failing && e.jobs < p.o.MaxPerEntry
+}
+
 func (p *Planner) anyEntryFree() bool {
 	for _, e := range p.entries {
-		if e.connected && e.jobs < p.o.MaxPerEntry {
+		if p.free(e) {
 			return true
 		}
 	}
@@ -132,14 +139,14 @@
 	best := ""
 	for _, name := range sortedKeys(p.entries) {
 		e := p.entries[name]
-		if !e.connected || e.jobs >= p.o.MaxPerEntry || name == avoid {
+		if !p.free(e) || name == avoid {
 			continue
 		}
 		if best == "" || e.jobs < p.entries[best].jobs {
 			best = name
 		}
 	}
-	if e := p.entries[avoid]; best == "" && e != nil && e.connected && e.jobs < p.o.MaxPerEntry {
+	if e := p.entries[avoid]; best == "" && e != nil && p.free(e) {
 		return avoid
 	}
 	return best
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -118,6 +118,7 @@
 
 type entryPlan struct {
 	connected bool
+	failing   bool      // a send to it failed since the last tick
 	reassign  time.Time // when a disconnected entry loses its jobs
 	jobs      int       // that are not idle
 }
@@ -176,6 +177,9 @@
 	if !p.leading {
 		return
 	}
+	for _, e := range p.entries {
+		e.failing = false
+	}
 	p.expire(now)
 	if p.o.Policies.CancelTooOld {
 		p.cancelTooOld(now)
--- a/rollout/planner_test.go
+++ b/rollout/planner_test.go
@@ -312,3 +312,43 @@
 	r.p.o.Policies.FreshStart = false
 	is.Equal(r.p.startVersion(r.now, "abay"), uint64(4))
 }
+
+// Pattern: an entry's connection has ended, the planner does not know it yet, and a
+// thousand samples wait for entries.
+func TestFailedSendsDoNotPlanEverySampleAgain(t *testing.T) {
+	is := is.New(t)
+	const perEntry = 16
+	r := newPlannerRun(PlannerOptions{MaxInFlight: 64, MaxPerEntry: perEntry, Trainer: func(string) (TrainerPlan, bool) {
+		return TrainerPlan{Share: 1, Deadline: time.Minute}, true
+	}})
+	v := testView("one", "two", "three", "four")
+	for i := range v.Trainers {
+		step := &v.Trainers[i].Steps[0]
+		step.GroupSize, step.Groups = 8, nil
+		for g := range 32 {
+			step.Groups = append(step.Groups, GroupView{Group: g, Prompt: fmt.Sprint(g)})
+		}
+	}
+	for _, e := range []string{"gone", "here"} {
+		r.step(EntryUp{e})
+	}
+	r.step(LeadChanged{true})
+	r.step(ViewChanged{v})
+	failed := func() int {
+		n := 0
+		queue := r.p.Step(r.now, Tick{})
+		for ; len(queue) > 0; queue = queue[1:] {
+			if s, ok := queue[0].(Send); ok && s.Job != "" && s.Entry == "gone" {
+				n++
+				queue = append(queue, r.p.Step(r.now, SendFailed{Entry: s.Entry, Job: s.Job})...)
+			}
+		}
+		return n
+	}
+	r.now = r.now.Add(adoptWait)
+	first := failed()
+	is.True(first > 0 && first <= perEntry)
+	r.now = r.now.Add(retryMax)
+	again := failed()
+	is.True(again > 0 && again <= perEntry) // it is tried again after a tick
+}
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -15,7 +15,7 @@
 		e = &entryPlan{}
 		p.entries[name] = e
 	}
-	e.connected = true
+	e.connected, e.failing = true, false
 	if !p.leading {
 		return
 	}
@@ -206,6 +206,9 @@
 }
 
 func (p *Planner) sendFailed(now time.Time, e SendFailed) {
+	if entry := p.entries[e.Entry]; entry != nil {
+		entry.failing = true
+	}
 	j := p.jobs[e.Job]
 	if j == nil || j.entry != e.Entry {
 		return
