forward: a request whose caller has left says so

Ruled out: the route's timeout (1,248 ms were left).

Change: the reason tells a caller that has left from a deadline that has passed. A comment on silent connections in upstream names what bounds unacknowledged bytes.

The test of a caller that leaves asks for the reason.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -285,11 +285,19 @@
 				hedge.Reset(u.hedgeDelay())
 			}
 		case <-ctx.Done():
-			return Result{Outcome: OutcomeUnknown, Reason: "no answer in time"}
+			return Result{Outcome: OutcomeUnknown, Reason: endOf(ctx)}
 		}
 	}
 }
 
+// endOf says why a request that is still open ends.
+func endOf(ctx context.Context) string {
+	if ctx.Err() == context.Canceled {
+		return "the caller has left"
+	}
+	return "no answer in time"
+}
+
 func (u *run) hedgeDelay() time.Duration {
 	if u.r.Patient {
 		return max(hedgeLeast, u.r.Route.Goal)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -262,9 +262,10 @@
 			close(gone)
 		}
 	}})
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	newForwarder(a).Do(ctx, request("r", false, time.Second, 3*time.Second))
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	result := newForwarder(a).Do(ctx, request("r", false, time.Second, 3*time.Second))
+	is.Equal(result.Reason, "the caller has left") // not the target's fault
 	select {
 	case <-gone:
 	case <-time.After(time.Second):
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -94,7 +94,7 @@
 	case s.begun && (ctx.Err() != nil || !s.r.Route.Repeatable):
 		return Result{Outcome: OutcomeCut, Reason: reasonOf(a), Target: a.target.ID}, true
 	case ctx.Err() != nil:
-		return Result{Outcome: OutcomeUnknown, Reason: "no answer in time", Target: a.target.ID}, true
+		return Result{Outcome: OutcomeUnknown, Reason: endOf(ctx), Target: a.target.ID}, true
 	}
 	end, ok := s.finish(a)
 	if s.begun {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -23,8 +23,9 @@
 	idleLimit = 20 * time.Second
 	// maxBody bounds a response that is read whole.
 	maxBody = 32 << 20
-	// keepAliveIdle, keepAliveInterval and keepAliveCount find a connection that
-	// went silent within 2 s; userTimeout does so for unacknowledged bytes.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find an idle connection that
+	// went silent within 2 s. Probes wait while bytes are unacknowledged: then the
+	// request's deadline, a second target or its reader's own limit ends the wait.
 	keepAliveIdle     = 1 * time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
