merlinhalld: the test of changed settings waits for each event

The test took a second tick for proof that the first was handled, but the second one was handled while the file was already written again, and its change was then taken twice: by that tick and by the signal. The program does what it should: it reads the settings once more.

Ruled out: the watch of the file (its own test has no goroutine).

Change: the test lets the loop end after each group of events, so that all are handled before the file changes. What it asks for is the same.

No code of the program changed.

--- a/cmd/merlinhalld/hosted_test.go
+++ b/cmd/merlinhalld/hosted_test.go
@@ -20,23 +20,30 @@
 	is.NoErr(os.WriteFile(path, []byte("first"), 0o600))
 	watch := settings.NewWatch(path)
 	signals, ticks := make(chan os.Signal), make(chan time.Time)
-	reloads := make(chan struct{}, 10)
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		followSettings(signals, ticks, watch, func() { reloads <- struct{}{} })
-	}()
-	// A second tick is received only after the first one was handled.
-	tick := func() { ticks <- time.Now(); ticks <- time.Now() }
-	tick()
-	is.Equal(len(reloads), 0)
+	reloads := 0
+	// follow lets the process handle events and then stop, so that all are handled
+	// when it returns.
+	follow := func(events ...func()) {
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			followSettings(signals, ticks, watch, func() { reloads++ })
+		}()
+		for _, event := range events {
+			event()
+		}
+		signals <- syscall.SIGTERM
+		<-stopped
+	}
+	tick := func() { ticks <- time.Now() }
+	hangUp := func() { signals <- syscall.SIGHUP }
+
+	follow(tick)
+	is.Equal(reloads, 0)
 	is.NoErr(os.WriteFile(path, []byte("the second"), 0o600))
-	tick()
-	is.Equal(len(reloads), 1)
+	follow(tick, tick)
+	is.Equal(reloads, 1)
 	is.NoErr(os.WriteFile(path, []byte("the third one"), 0o600))
-	signals <- syscall.SIGHUP
-	tick()
-	is.Equal(len(reloads), 2)
-	signals <- syscall.SIGTERM
-	<-stopped
+	follow(hangUp, tick)
+	is.Equal(reloads, 2)
 }
