agent: tests wait for the first load report

The agent sends one a second and on a change; on a busy machine the test came first.

Change: the four conditions of that form ask for a report to be there, as their neighbours do; nothing that they check is dropped.

No code of the program changed.

--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -70,7 +70,7 @@
 	c.until("suspect report", func() bool {
 		return slices.ContainsFunc(c.loads, func(l *wire.Load) bool { return l.Suspect })
 	})
-	c.until("report of the successful probe", func() bool { return !c.loads[len(c.loads)-1].Suspect })
+	c.until("report of the successful probe", func() bool { return len(c.loads) > 0 && !c.loads[len(c.loads)-1].Suspect })
 }
 
 // Guards against an engine stream with a gap, a wrong count, no end or no sense that
@@ -162,7 +162,7 @@
 	back := &http.Server{Handler: service}
 	go func() { _ = back.Serve(l) }()
 	t.Cleanup(func() { _ = back.Close() })
-	c.until("report of the target as up", func() bool { return !c.loads[len(c.loads)-1].Down })
+	c.until("report of the target as up", func() bool { return len(c.loads) > 0 && !c.loads[len(c.loads)-1].Down })
 	c.send(call("c2", "POST", "/pay", ""))
 	is.Equal(c.answer("c2")[0].Status, 200)
 }
@@ -422,7 +422,7 @@
 	} else {
 		is.Equal(last, wire.EndBroken)
 	}
-	c.until("report of version 2", func() bool { return c.loads[len(c.loads)-1].Version == 2 })
+	c.until("report of version 2", func() bool { return len(c.loads) > 0 && c.loads[len(c.loads)-1].Version == 2 })
 	is.Equal(len(engine.Record().Orders), 1) // not ordered again
 }
 
@@ -502,7 +502,7 @@
 	eventually(t, "run", func() bool { return service.Record().Runs["call-c1"] == 1 })
 	drained := make(chan error, 1)
 	go func() { drained <- s.agent.Drain(context.Background()) }()
-	c.until("leaving report", func() bool { return c.loads[len(c.loads)-1].Leaving })
+	c.until("leaving report", func() bool { return len(c.loads) > 0 && c.loads[len(c.loads)-1].Leaving })
 	c.send(call("c2", "POST", "/pay", ""))
 	c.until("refusal", func() bool { return c.refused["c2"] != nil })
 	is.Equal(c.refused["c2"].Reason, wire.RefusedLeaving)
