storage: one way to go on in a new log file

Cause: copyLog repeated what rewrite does around its content: create, publish, count the generation. Ruled out: a difference that the copy needs (it closed no former file because there is none at the start).

Change: both give startLog what writes the begin of the file. No behaviour change.

--- a/storage/store.go
+++ b/storage/store.go
@@ -128,22 +128,10 @@
 
 // copyLog starts a new log file with the bytes of complete batches.
 func (s *Store) copyLog(b []byte) error {
-	name := logName(s.generation + 1)
-	f, err := s.fs.Create(name + tmpSuffix)
-	if err != nil {
-		return eris.Wrap(err, "storage")
-	}
-	s.file = f
-	s.buffer = b
-	if err := s.write(); err != nil {
-		return eris.Wrapf(err, "storage: %s", name)
-	}
-	s.buffer = nil
-	if err := s.publish(name); err != nil {
-		return err
-	}
-	s.generation++
-	return nil
+	return s.startLog(func() error {
+		s.buffer = b
+		return s.write()
+	})
 }
 
 func (s *Store) replay(rec record, r *consensus.Recovered) error {
@@ -305,6 +293,20 @@
 
 // rewrite starts a new log file with the current identity and state.
 func (s *Store) rewrite(entries []consensus.Entry) error {
+	return s.startLog(func() error {
+		s.batch = 0
+		s.begin()
+		s.add(recordIdentity, s.identity)
+		s.add(recordState, s.state)
+		for i := range entries {
+			s.add(recordEntry, &entries[i])
+		}
+		return s.end()
+	})
+}
+
+// startLog goes on in a new log file, whose begin write writes and syncs.
+func (s *Store) startLog(write func() error) error {
 	name := logName(s.generation + 1)
 	f, err := s.fs.Create(name + tmpSuffix)
 	if err != nil {
@@ -314,14 +316,7 @@
 		_ = s.file.Close()
 	}
 	s.file = f
-	s.batch = 0
-	s.begin()
-	s.add(recordIdentity, s.identity)
-	s.add(recordState, s.state)
-	for i := range entries {
-		s.add(recordEntry, &entries[i])
-	}
-	if err := s.end(); err != nil {
+	if err := write(); err != nil {
 		return eris.Wrapf(err, "storage: %s", name)
 	}
 	s.buffer = nil // many times the size of a batch
