forward: one form of outgoing requests and one end of attempts

Cause: streams built the header of a request and noted the end of an attempt with lines of their own, the same as those of other requests. Ruled out: a difference (only the header that a resumed stream begins with).

Change: both call outbound and end. No behaviour change.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -383,23 +383,33 @@
 }
 
 func (f *Forwarder) send(ctx context.Context, r *Request, t *wire.TargetEntry, left time.Duration, done chan<- *attempt) {
-	out := r.Request
-	out.Header = append(append([]wire.Header(nil), r.Header...), f.Protocol.Outbound(t.ID, left)...)
 	began := time.Now()
-	response, body, err := f.Pool.Do(ctx, directory.Address(t), &out)
 	a := &attempt{target: t}
-	if err != nil {
-		failure := &upstream.Failure{Err: err}
-		errors.As(err, &failure)
-		a.err = failure
-	} else {
+	response, body, err := f.Pool.Do(ctx, directory.Address(t), f.outbound(r, r.Header, t, left))
+	if err == nil {
 		a.take(f.Protocol.Verdict(response.StatusCode, response.Header), response, body)
 	}
-	f.release(ctx, t.ID, a, time.Since(began))
-	f.note(ctx, r, a, left, time.Since(began))
+	f.end(ctx, r, a, err, left, time.Since(began))
 	done <- a
 }
 
+// outbound returns the request as t gets it.
+func (f *Forwarder) outbound(r *Request, header []wire.Header, t *wire.TargetEntry, left time.Duration) *upstream.Request {
+	out := r.Request
+	out.Header = append(append([]wire.Header(nil), header...), f.Protocol.Outbound(t.ID, left)...)
+	return &out
+}
+
+// end notes how an attempt ended; err is set when it brought no response.
+func (f *Forwarder) end(ctx context.Context, r *Request, a *attempt, err error, left, took time.Duration) {
+	if err != nil {
+		a.err = &upstream.Failure{Err: err}
+		errors.As(err, &a.err)
+	}
+	f.release(ctx, a.target.ID, a, took)
+	f.note(ctx, r, a, left, took)
+}
+
 // release notes what an attempt showed of its target.
 func (f *Forwarder) release(ctx context.Context, id string, a *attempt, took time.Duration) {
 	f.mu.Lock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -124,18 +124,11 @@
 	if errors.Is(context.Cause(attemptCtx), errSilent) {
 		err = errSilent
 	}
-	if err != nil {
-		failure := &upstream.Failure{Err: err}
-		errors.As(err, &failure)
-		a.err = failure
-	}
-	s.f.release(ctx, t.ID, a, time.Since(began))
-	s.f.note(ctx, s.r, a, left, time.Since(began))
+	s.f.end(ctx, s.r, a, err, left, time.Since(began))
 	return a
 }
 
 func (s *stream) outbound(t *wire.TargetEntry, left time.Duration) *upstream.Request {
-	out := s.r.Request
 	header := s.r.Header
 	if s.last != "" {
 		header = s.f.Protocol.Resume(header, s.last)
@@ -143,8 +136,7 @@
 			s.f.Log.WithFields(logrus.Fields{"request": s.r.ID, "target": t.ID, "after": s.last}).Info("stream goes on at another target")
 		}
 	}
-	out.Header = append(append([]wire.Header(nil), header...), s.f.Protocol.Outbound(t.ID, left)...)
-	return &out
+	return s.f.outbound(s.r, header, t, left)
 }
 
 // receive reads a response to its end.
