batch: one search for running tasks

Cause: the tick, the keeping of all texts and the check for texts of one version each walked all jobs for running tasks. Ruled out: needing the first within the walk of the tick (a cancelled run ends by a message later).

Change: Runner.running. No behaviour change.

--- a/batch/orders.go
+++ b/batch/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -98,17 +99,9 @@
 // runsSingle reports whether the engine runs texts of the model that must have one
 // version only.
 func (r *Runner) runsSingle(e *engine, model string) bool {
-	for _, j := range r.jobs {
-		if j.sub.Model != model || !j.sub.SingleVersion {
-			continue
-		}
-		for _, t := range j.tasks {
-			if t.state == taskRunning && t.engine == e.id {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.running(), func(t *task) bool {
+		return t.engine == e.id && t.job.sub.Model == model && t.job.sub.SingleVersion
+	})
 }
 
 // order gives an engine the order to load a version. The number of orders that
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -347,18 +347,15 @@
 	if !r.leading {
 		return
 	}
-	var running []*task
 	count := make(map[taskState]int)
 	for _, j := range r.jobs {
 		for _, t := range j.tasks {
 			r.tickTask(now, t)
 			count[t.state]++
-			if t.state == taskRunning {
-				running = append(running, t)
-			}
 		}
 	}
 	r.metrics.states(count)
+	running := r.running()
 	r.pace(now, running)
 	r.saveTexts(now, running)
 	for _, t := range moves(now, running, r.engines, r.queue.tokenTime()) {
@@ -369,6 +366,19 @@
 	r.expire(now)
 }
 
+// running returns the tasks that run on engines.
+func (r *Runner) running() []*task {
+	var out []*task
+	for _, j := range r.jobs {
+		for _, t := range j.tasks {
+			if t.state == taskRunning {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
+
 func (r *Runner) tickTask(now time.Time, t *task) {
 	switch t.state {
 	case taskRunning:
--- a/batch/save.go
+++ b/batch/save.go
@@ -109,15 +109,7 @@
 
 func (r *Runner) keepAll(now time.Time, m keepMessage) {
 	if r.leading {
-		var running []*task
-		for _, j := range r.jobs {
-			for _, t := range j.tasks {
-				if t.state == taskRunning {
-					running = append(running, t)
-				}
-			}
-		}
-		r.keepTexts(now, running, 1)
+		r.keepTexts(now, r.running(), 1)
 	}
 	r.keeping = append(r.keeping, m.done)
 	r.endKeeping()
