agent: tests wait until a link is taken before they dial the next

It dials two links and takes the second for the newer one; the agent numbers links as it learns of them, and a dial returns before that. When the first came to it last, the repeated request arrived on an older link, which never takes over from a newer one, as it should.

Ruled out: an answer that is lost (the rule of the newest link is checked by the table's own tests, with that rule switched off as well).

Change: the two tests that dial two links at once wait for the report that the agent sends on each link that it takes. Their assertions stay.

No code of the program changed.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -67,7 +67,7 @@
 	service := standin.NewService(standin.ServiceOptions{Work: 50 * time.Millisecond})
 	s := startSite(t, KindService, service, nil)
 	s.world("5s", 0)
-	a, b := s.dial(), s.dial()
+	a, b := s.dialTaken(), s.dialTaken()
 	a.credit = 0
 	a.send(call("c1", "POST", "/pay", ""))
 	eventually(t, "run", func() bool { return service.Record().Runs["call-c1"] == 1 })
--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -570,7 +570,7 @@
 	const calls = 150
 	var lost sync.WaitGroup
 	for range 5 {
-		a, b := s.dial(), s.dial()
+		a, b := s.dialTaken(), s.dialTaken()
 		a.credit, b.credit = 0, 0
 		for range calls / 5 {
 			id := fmt.Sprint("c", rng.IntN(calls))
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -159,6 +159,15 @@
 	return c
 }
 
+// dialTaken is dial for a client whose link the agent must know to be older than the
+// next one: the agent reports its load on each link that it takes.
+func (s *site) dialTaken() *client {
+	s.t.Helper()
+	c := s.dial()
+	c.until("report on the new link", func() bool { return len(c.loads) > 0 })
+	return c
+}
+
 // connect gives c a new link to the agent.
 func (s *site) connect(c *client) {
 	s.t.Helper()
