consensus: a caught-up learner takes the place of a silent voter

Cause: a storage machine that is lost for good and replaced under another address stayed a voter until MemberTimeout (10 s), although its successor had the whole log within 0.6 s.

Ruled out: 10 s lowered to 3 s (a constant that a deployment can undercut, and it removes voters that have no successor); promoting first (with the silent voter the quorum may be larger than the number of those that answer).

Change: a voter that has been silent for ReplaceAfter, a quarter of catchUpS, is removed at any number of voters if a learner with the whole log waits, and the learner is promoted as soon as the removal has committed; further repairs follow each commit at once. A silent voter without a successor stays. MemberTimeout is as before.

--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -325,6 +325,9 @@
 		return
 	}
 	n.assertQuorum(index)
+	if n.commit < n.memberIndex && n.memberIndex <= index {
+		n.lead.repairAt = n.now // a repair may take several changes
+	}
 	n.setCommit(index)
 	n.lead.announceCommit = true
 	if !n.isMember(n.cfg.ID) && n.memberIndex <= n.commit {
--- a/consensus/openmembership.go
+++ b/consensus/openmembership.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // SetPeers sets the replicas that a node with open membership asks to be added, and
 // the ones that must not be members.
@@ -61,7 +64,7 @@
 	voters, able := 0, 0
 	for _, m := range n.members {
 		switch {
-		case !m.Learner && !n.shouldRemove(m):
+		case !m.Learner && !n.shouldRemove(m) && !n.silentFor(m, n.cfg.ReplaceAfter):
 			voters++
 			able++
 		case m.Learner && n.mayJoin(m.Name) && n.caughtUp(m.ID):
@@ -114,11 +117,30 @@
 	if slices.Contains(n.excluded, m.Name) {
 		return true
 	}
+	return n.silentFor(m, n.cfg.MemberTimeout)
+}
+
+// silentFor reports whether a member has not answered this leader for d.
+func (n *Node) silentFor(m Member, d time.Duration) bool {
 	p := n.lead.peers[m.ID]
-	if p == nil || n.now < n.lead.electedAt+n.cfg.MemberTimeout {
+	if p == nil || n.now < n.lead.electedAt+d {
 		return false
 	}
-	return !p.answered || n.now-p.echoedClock > n.cfg.MemberTimeout
+	return !p.answered || n.now-p.echoedClock > d
+}
+
+// replaceSilentVoter removes a voter that has not answered for ReplaceAfter, so that a
+// learner that has caught up can be promoted in its place. The voter is removed first: in
+// between, the voters that answer are a majority with or without it, while one more voter
+// next to the silent one could make the quorum larger than the number of those that answer.
+// A voter that only slept joins again with its log.
+func (n *Node) replaceSilentVoter() bool {
+	for _, m := range n.voters() {
+		if n.silentFor(m, n.cfg.ReplaceAfter) && n.removeMember(m) {
+			return true
+		}
+	}
+	return false
 }
 
 // recordRejoinRequest records the sender of a pre-vote that is not a member: it was
--- a/consensus/openmembership_test.go
+++ b/consensus/openmembership_test.go
@@ -1,7 +1,9 @@
 package consensus
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,10 +17,23 @@
 	down       map[string]bool
 	entryBytes map[string]int // sent to each
 	nextID     uint64
+	config     Config // of each replica, without its identity
+	events     []groupEvent
+}
+
+// groupEvent is something that happens at a given time of a run.
+type groupEvent struct {
+	at time.Duration
+	do func()
+}
+
+// at schedules do.
+func (g *openGroup) at(when time.Duration, do func()) {
+	g.events = append(g.events, groupEvent{when, do})
 }
 
 func newOpenGroup() *openGroup {
-	return &openGroup{nodes: make(map[string]*Node), down: make(map[string]bool), entryBytes: make(map[string]int), nextID: 1}
+	return &openGroup{config: Config{OpenMembership: true}, nodes: make(map[string]*Node), down: make(map[string]bool), entryBytes: make(map[string]int), nextID: 1}
 }
 
 // start adds a replica with an empty data directory.
@@ -29,9 +44,10 @@
 			peers = append(peers, s)
 		}
 	}
-	n := New(Config{
-		ID: g.nextID, Name: name, Peers: peers, Rand: rand.New(rand.NewPCG(g.nextID, 7)), OpenMembership: true, JoinOnly: joiner,
-	}, Recovered{}, g.now)
+	c := g.config
+	c.ID, c.Name, c.Peers, c.JoinOnly = g.nextID, name, peers, joiner
+	c.Rand = rand.New(rand.NewPCG(g.nextID, 7))
+	n := New(c, Recovered{}, g.now)
 	g.nextID++
 	g.nodes[name] = n
 	g.down[name] = false
@@ -41,9 +57,18 @@
 // run advances time by d.
 func (g *openGroup) run(d time.Duration) {
 	for end := g.now + d; g.now < end; g.now += 10 * time.Millisecond {
-		for name, n := range g.nodes {
+		due := g.events
+		g.events = nil
+		for _, e := range due {
+			if e.at <= g.now {
+				e.do()
+			} else {
+				g.events = append(g.events, e)
+			}
+		}
+		for _, name := range g.names() {
 			if !g.down[name] {
-				n.Step(g.now, Tick{})
+				g.nodes[name].Step(g.now, Tick{})
 			}
 		}
 		for range 4 {
@@ -54,10 +79,11 @@
 
 func (g *openGroup) deliver() {
 	var out []Message
-	for name, n := range g.nodes {
+	for _, name := range g.names() {
 		if g.down[name] {
 			continue
 		}
+		n := g.nodes[name]
 		for {
 			o, ok := n.Take()
 			if !ok {
@@ -78,13 +104,20 @@
 	}
 }
 
+// names returns the names of all replicas in a fixed order, so that a run is determined
+// by its seed.
+func (g *openGroup) names() []string { return slices.Sorted(maps.Keys(g.nodes)) }
+
+// leader returns the leader of the newest term among the replicas that run, or nil.
 func (g *openGroup) leader() *Node {
-	for name, n := range g.nodes {
-		if n.role == RoleLeader && !g.down[name] {
-			return n
+	var leader *Node
+	for _, name := range g.names() {
+		n := g.nodes[name]
+		if n.role == RoleLeader && !g.down[name] && (leader == nil || n.term > leader.term) {
+			leader = n
 		}
 	}
-	return nil
+	return leader
 }
 
 // voterNames returns the names of the leader's voters.
@@ -185,6 +218,34 @@
 	is.True(g.entryBytes["d:1"] <= 9<<20) // about the in-flight limit; heartbeats must not resend entries
 }
 
+// A voter sleeps and a learner holds the whole log.
+func TestCaughtUpLearnerTakesThePlaceOfASilentVoter(t *testing.T) {
+	is := is.New(t)
+	g := newBootstrappedGroup()
+	g.start("d:1", seedNames, true)
+	g.run(3 * time.Second)
+	silent := g.voterNames()[0]
+	if silent == g.leader().cfg.Name {
+		silent = g.voterNames()[1]
+	}
+	g.down[silent] = true
+	g.run(defaultReplaceAfter + time.Second)
+	is.True(!slices.Contains(g.voterNames(), silent))
+	is.Equal(len(g.voterNames()), 3)
+	g.down[silent] = false
+	g.run(5 * time.Second)
+	is.Equal(len(g.leader().members), 4) // it is a learner now
+	is.Equal(len(g.voterNames()), 3)
+}
+
+func TestSilentVoterWithoutASuccessorStays(t *testing.T) {
+	is := is.New(t)
+	g := newBootstrappedGroup()
+	g.down["c:1"] = true
+	g.run(30 * time.Second)
+	is.True(slices.Contains(g.voterNames(), "c:1"))
+}
+
 // Guards against losing the leader when a partition separates two of the four hosts
 // for seconds. With an even number of voters, neither half would have a majority.
 func TestCutIntoHalvesLeavesALeader(t *testing.T) {
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -190,11 +190,15 @@
 	// The group then has an odd number of voters, up to MaxVoters, so that a
 	// partition into two parts leaves a majority on one side; a replica that would
 	// make the number even stays a learner. A voter that has not answered for
-	// MemberTimeout is removed as long as MinVoters remain.
+	// MemberTimeout is removed as long as MinVoters remain. One that has not answered for
+	// ReplaceAfter is removed at any number of voters if a learner that has caught up can
+	// take its place. ReplaceAfter must be longer than Lease and leave most of the time
+	// after which a replacement of a lost host may be lost too.
 	OpenMembership bool
 	MaxVoters      int
 	MinVoters      int
 	MemberTimeout  time.Duration
+	ReplaceAfter   time.Duration
 	// JoinOnly prevents the replica from bootstrapping a new group.
 	JoinOnly        bool
 	RepairPeriod    time.Duration
@@ -239,6 +243,7 @@
 	defaultMinVoters = 3
 	// defaultMemberTimeout is longer than a restart with recovery takes.
 	defaultMemberTimeout = 10 * time.Second
+	defaultReplaceAfter  = time.Second
 )
 
 func (c *Config) setDefaults() {
@@ -255,6 +260,7 @@
 	setDefault(&c.MaxVoters, defaultMaxVoters)
 	setDefault(&c.MinVoters, defaultMinVoters)
 	setDefault(&c.MemberTimeout, defaultMemberTimeout)
+	setDefault(&c.ReplaceAfter, defaultReplaceAfter)
 }
 
 func setDefault[T comparable](p *T, value T) {
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -38,6 +38,11 @@
 // second loss while the first host is being replaced.
 const baseMaxVoters = 5
 
+// replaceAfterDivisor divides the time in which a lost host must be replaced to get the time
+// after which a voter counts as lost. The rest is for the election of a leader that was lost
+// with it and for the two membership changes that replace it.
+const replaceAfterDivisor = 4
+
 // electionScaleHalves returns the factor, in halves, by which the default lease and
 // election timeouts are multiplied; 2 keeps them unchanged. Deployments that tolerate the
 // loss of several hosts run on many small hosts, where a snapshot can use up the leader's
@@ -90,6 +95,7 @@
 			JoinOnly:       !s.FirstStart || !slices.Contains(s.Seeds, s.Links),
 			MaxVoters:      max(2*s.HostFaults+1, baseMaxVoters),
 			MinVoters:      2*s.HostFaults + 1,
+			ReplaceAfter:   s.CatchUpTime / replaceAfterDivisor,
 		},
 	})
 	if err != nil {
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -27,6 +27,9 @@
 	FirstStart bool
 	// HostFaults is the number of simultaneous losses of hosts with a disk to tolerate.
 	HostFaults int
+	// CatchUpTime is how long a host still counts as lost after it is back or its
+	// replacement has started. Another host may be lost then.
+	CatchUpTime time.Duration
 
 	MemoryBytes int64
 	// TargetList is the address of the platform's list of targets. TargetListRate is its
