--- a/replica/replica.go
+++ b/replica/replica.go
@@ -6,6 +6,7 @@
 	cryptorand "crypto/rand"
 	"encoding/binary"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,7 @@
 	// goroutine uses it.
 	flushQueued   bool
 	failureLogged bool // the error that stopped the replica has been logged
+	background    sync.WaitGroup
 }
 
 type (
@@ -192,14 +194,14 @@
 
 // runInBackground runs work on another goroutine and sends its result to the actor.
 func (r *Replica) runInBackground(work func() any) {
-	go func() {
+	r.background.Go(func() {
 		began := time.Now()
 		result := work()
 		r.log.WithField("ms", time.Since(began).Milliseconds()).Info("background snapshot has finished")
 		for r.actor.Offer(backgroundDone{result}) == actor.ErrFull {
 			time.Sleep(tickPeriod)
 		}
-	}()
+	})
 }
 
 // lateTickThreshold is the time between two ticks above which a leader logs a warning:
@@ -444,6 +446,7 @@
 // log end with ErrUnknownOutcome.
 func (r *Replica) Stop() {
 	r.actor.Stop()
+	r.background.Wait()
 	r.core.Close()
 }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -450,3 +450,25 @@
 	}
 	is.NoErr(follower.Handover(t.Context())) // nothing to hand over
 }
+
+// Guards against a snapshot that is still being written when the data directory has been
+// released, and perhaps removed.
+func TestStopWaitsForABackgroundSnapshot(t *testing.T) {
+	is := is.New(t)
+	r, err := Start(Options{
+		Name: "a", DataDir: t.TempDir(), Machine: &recorder{}, Observer: observe.New("error"), System: actor.NewSystem(),
+		Send: func(string, wire.Message) error { return nil },
+	})
+	is.NoErr(err)
+	var written atomic.Bool
+	r.runInBackground(func() any {
+		for !errors.Is(r.actor.Offer(tickMessage{}), actor.ErrStopped) {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond) // without the wait, Stop returns meanwhile
+		written.Store(true)
+		return nil
+	})
+	r.Stop()
+	is.True(written.Load())
+}
