batch: engines are assigned by what they can do, before the first version is named

Cause: only models with an announced version had engines. The first one named got all of them, which loaded its version and gave it up again one by one as others were named.

Change: a model has engines from its first step on. Engines that need a model get the one for which they are the fewest versions behind, the fastest first the one with the longest texts. The list of models for each engine, of which only the first was ever used, is gone.

--- /dev/null
+++ b/batch/assign.go
@@ -0,0 +1,143 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// sameLength is the ratio of the longest texts of two models up to which they have the
+	// same claim to fast engines.
+	sameLength = 1.5
+	// demandWeight is the weight of one submission in the moving averages of its model. It
+	// is low because each engine assigned to another model costs a load.
+	demandWeight = 0.2
+)
+
+// modelDemand is what the steps of a model ask for, as moving averages.
+type modelDemand struct {
+	tokens  float64 // size of a step, estimated output in tokens
+	longest float64 // estimated output of the largest item of a step, in tokens
+}
+
+// observe adds a submission whose items have the given estimated sizes.
+func (d *modelDemand) observe(sizes []int) {
+	tokens, longest := 0, 0
+	for _, s := range sizes {
+		tokens += s
+		longest = max(longest, s)
+	}
+	if tokens == 0 {
+		return
+	}
+	if d.tokens == 0 {
+		d.tokens, d.longest = float64(tokens), float64(longest)
+	}
+	d.tokens += demandWeight * (float64(tokens) - d.tokens)
+	d.longest += demandWeight * (float64(longest) - d.longest)
+}
+
+// assignModels assigns each engine the model that it keeps up to date, so that only some
+// of the engines load each version. An engine keeps its model from before as far as the
+// quotas allow. Others get the model for which they are the fewest versions behind, and the
+// fastest of them those with the longest texts.
+func assignModels(now time.Time, engines []*engine, demand map[string]modelDemand, newest map[string]uint64, before map[string]string) map[string]string {
+	out := make(map[string]string, len(engines))
+	if len(demand) == 0 || len(engines) == 0 {
+		return out
+	}
+	a := assignment{demand: demand, quota: engineQuotas(demand, len(engines)), newest: newest}
+	median := medianEventTime(engines)
+	byPace := slices.Clone(engines)
+	slices.SortStableFunc(byPace, func(x, y *engine) int { return cmp.Compare(x.pace(now, median), y.pace(now, median)) })
+	var rest []*engine
+	for _, e := range byPace {
+		if m := before[e.id]; a.quota[m] > 0 && hasModel(e, m) {
+			out[e.id] = m
+			a.quota[m]--
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	for _, e := range rest {
+		if m := a.choose(e); m != "" {
+			out[e.id] = m
+			a.quota[m]--
+		}
+	}
+	return out
+}
+
+type assignment struct {
+	demand map[string]modelDemand
+	quota  map[string]int // engines that each model still gets
+	newest map[string]uint64
+}
+
+// choose returns the model for an engine, or "" if it has none with a quota left.
+func (a *assignment) choose(e *engine) string {
+	best := ""
+	for _, m := range sortedModels(a.demand) {
+		if a.quota[m] > 0 && hasModel(e, m) && (best == "" || a.preferred(e, m, best)) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (a *assignment) preferred(e *engine, m, other string) bool {
+	if x, y := a.lag(e, m), a.lag(e, other); x != y {
+		return x < y
+	}
+	if x, y := a.demand[m].longest, a.demand[other].longest; max(x, y) > sameLength*min(x, y) {
+		return x > y
+	}
+	return a.quota[m] > a.quota[other]
+}
+
+func (a *assignment) lag(e *engine, m string) uint64 {
+	return a.newest[m] - min(a.newest[m], e.versions[m])
+}
+
+func hasModel(e *engine, model string) bool {
+	_, ok := e.versions[model]
+	return ok
+}
+
+func sortedModels(demand map[string]modelDemand) []string {
+	models := make([]string, 0, len(demand))
+	for m := range demand {
+		models = append(models, m)
+	}
+	slices.Sort(models)
+	return models
+}
+
+// engineQuotas distributes n engines over the models by demand, at least one to each.
+func engineQuotas(demand map[string]modelDemand, n int) map[string]int {
+	models := sortedModels(demand)
+	total := 0.0
+	for _, m := range models {
+		total += demand[m].tokens
+	}
+	share := make(map[string]float64, len(models)) // engines, not rounded
+	quota := make(map[string]int, len(models))
+	left := n
+	for _, m := range models {
+		share[m] = float64(n) / float64(len(models))
+		if total > 0 {
+			share[m] = float64(n) * demand[m].tokens / total
+		}
+		quota[m] = max(1, int(share[m]))
+		left -= quota[m]
+	}
+	// Engines left over by rounding go to the models that miss the largest part of one.
+	slices.SortStableFunc(models, func(x, y string) int {
+		return cmp.Compare(share[y]-float64(quota[y]), share[x]-float64(quota[x]))
+	})
+	for i := 0; left > 0; i, left = i+1, left-1 {
+		quota[models[i%len(models)]]++
+	}
+	return quota
+}
--- a/batch/loads.go
+++ b/batch/loads.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -52,110 +51,20 @@
 	version uint64
 }
 
-// modelsPerEngine is how many models an engine keeps up to date. With one, a step that
-// arrives while another step of its model is open waits although other engines are idle. A
-// load stops the runs of its own model only.
-const modelsPerEngine = 1
-
-// assignModels assigns engines to models in proportion to their demand, so that only some
-// of the engines load each version. The result lists the models that each engine keeps up
-// to date, most important first. An engine keeps its models from before as far as the
-// proportions allow; other engines get the model for which they are the fewest versions
-// behind.
-func assignModels(engines []*engine, demand map[string]float64, newest map[string]uint64, before map[string][]string) map[string][]string {
-	models := make([]string, 0, len(demand))
-	total := 0.0
-	for m, d := range demand {
-		models = append(models, m)
-		total += d
-	}
-	slices.Sort(models)
-	out := make(map[string][]string, len(engines))
-	if len(models) == 0 || len(engines) == 0 {
-		return out
-	}
-	for round := range min(modelsPerEngine, len(models)) {
-		assignRound(engines, models, engineQuotas(models, demand, total, len(engines)), newest, before, out, round)
-	}
-	return out
-}
-
-// assignRound assigns one model to each engine: the one with index round in its list.
-func assignRound(engines []*engine, models []string, quota map[string]int, newest map[string]uint64, before, out map[string][]string, round int) {
-	var candidates []assignmentCandidate
-	for _, e := range engines {
-		had := before[e.id]
-		if len(had) > round && quota[had[round]] > 0 && hasModel(e, had[round]) && !slices.Contains(out[e.id], had[round]) {
-			out[e.id] = append(out[e.id], had[round])
-			quota[had[round]]--
-			continue
-		}
-		for _, m := range models {
-			if hasModel(e, m) && !slices.Contains(out[e.id], m) {
-				candidates = append(candidates, assignmentCandidate{e.id, m, newest[m] - min(newest[m], e.versions[m])})
-			}
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b assignmentCandidate) int { return cmp.Compare(a.lag, b.lag) })
-	for _, c := range candidates {
-		if len(out[c.engine]) == round && quota[c.model] > 0 {
-			out[c.engine] = append(out[c.engine], c.model)
-			quota[c.model]--
-		}
-	}
-}
-
-// assignmentCandidate is a possible assignment of a model to an engine, which is lag
-// versions behind.
-type assignmentCandidate struct {
-	engine, model string
-	lag           uint64
-}
-
-func hasModel(e *engine, model string) bool {
-	_, ok := e.versions[model]
-	return ok
-}
-
-// engineQuotas distributes n engines over the models by demand, at least one to each
-// model.
-func engineQuotas(models []string, demand map[string]float64, total float64, n int) map[string]int {
-	quota := make(map[string]int, len(models))
-	left := n
-	for _, m := range models {
-		share := 1.0 / float64(len(models))
-		if total > 0 {
-			share = demand[m] / total
-		}
-		quota[m] = max(1, int(share*float64(n)))
-		left -= quota[m]
-	}
-	// Engines left over by rounding go to the models with the most demand per engine.
-	byDemand := slices.Clone(models)
-	slices.SortStableFunc(byDemand, func(a, b string) int {
-		return cmp.Compare(demand[b]/float64(quota[b]), demand[a]/float64(quota[a]))
-	})
-	for i := 0; left > 0; i, left = i+1, left-1 {
-		quota[byDemand[i%len(byDemand)]]++
-	}
-	return quota
-}
-
 // planLoads selects the orders to send now; only a few loads run at the same time. A step
 // may use the version before the one announced with it. The model with the smallest share
 // of its engines at that version or a newer one comes first, and of its engines the one
 // that is the most versions behind. Engines that are loading the model count as being at
 // that version.
-func planLoads(now time.Time, engines []*engine, assigned map[string][]string, newest map[string]uint64) []loadPlan {
+func planLoads(now time.Time, engines []*engine, assigned map[string]string, newest map[string]uint64) []loadPlan {
 	allowed := max(minConcurrentLoads, int(math.Round(loadShare*float64(len(engines)))))
 	all, usable := make(map[string]float64), make(map[string]float64)
 	var behind []loadPlan
 	for _, e := range engines {
-		for _, m := range assigned[e.id] {
-			all[m]++
-			if e.versions[m]+1 >= newest[m] || e.load != nil && e.load.model == m {
-				usable[m]++
-			}
+		m := assigned[e.id]
+		all[m]++
+		if e.versions[m]+1 >= newest[m] || e.load != nil && e.load.model == m {
+			usable[m]++
 		}
 		if e.load != nil {
 			allowed--
@@ -198,22 +107,13 @@
 	return l.engine.unusedSlots() < o.engine.unusedSlots()
 }
 
-// nextLoad returns the most urgent load of an engine, if it needs one.
-func nextLoad(now time.Time, e *engine, models []string, newest map[string]uint64) (best loadPlan, ok bool) {
-	if e.draining || now.Before(e.pausedUntil) {
+// nextLoad returns the load that an engine needs for its model, if any.
+func nextLoad(now time.Time, e *engine, model string, newest map[string]uint64) (loadPlan, bool) {
+	version, known := e.versions[model]
+	if e.draining || now.Before(e.pausedUntil) || !known || newest[model] <= version {
 		return loadPlan{}, false
 	}
-	for rank, m := range models {
-		version, known := e.versions[m]
-		if !known || newest[m] <= version || rank > 0 && newest[m]-version < 2 {
-			continue
-		}
-		l := loadPlan{e, m, newest[m]}
-		if !ok || l.lag() > best.lag() {
-			best, ok = l, true
-		}
-	}
-	return best, ok
+	return loadPlan{e, model, newest[model]}, true
 }
 
 func (l loadPlan) lag() uint64 { return l.version - l.engine.versions[l.model] }
--- a/batch/loads_test.go
+++ b/batch/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -20,12 +21,12 @@
 		modelEngine("c", map[string]uint64{"x": 29, "y": 1}),
 		modelEngine("d", map[string]uint64{"x": 2, "y": 8}),
 	}
-	assigned := assignModels(engines, map[string]float64{"x": 1, "y": 1}, newest, nil)
-	is.Equal(assigned["a"], []string{"y"})
-	is.Equal(assigned["b"], []string{"x"})
-	is.Equal(assigned["c"], []string{"x"})
-	is.Equal(assigned["d"], []string{"y"})
-	is.Equal(assignModels(engines, map[string]float64{"x": 1, "y": 1}, newest, assigned), assigned) // unchanged
+	assigned := assignModels(start, engines, map[string]modelDemand{"x": {1, 1}, "y": {1, 1}}, newest, nil)
+	is.Equal(assigned["a"], "y")
+	is.Equal(assigned["b"], "x")
+	is.Equal(assigned["c"], "x")
+	is.Equal(assigned["d"], "y")
+	is.Equal(assignModels(start, engines, map[string]modelDemand{"x": {1, 1}, "y": {1, 1}}, newest, assigned), assigned) // unchanged
 }
 
 func TestEnginesAreAssignedInProportionToDemand(t *testing.T) {
@@ -34,10 +35,10 @@
 	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 		engines = append(engines, modelEngine(id, map[string]uint64{"x": 1, "y": 1, "z": 1}))
 	}
-	assigned := assignModels(engines, map[string]float64{"x": 10, "y": 5, "z": 0.1}, map[string]uint64{"x": 1, "y": 1, "z": 1}, nil)
+	assigned := assignModels(start, engines, map[string]modelDemand{"x": {10, 1}, "y": {5, 1}, "z": {0.1, 1}}, map[string]uint64{"x": 1, "y": 1, "z": 1}, nil)
 	count := make(map[string]int)
 	for _, m := range assigned {
-		count[m[0]]++
+		count[m]++
 	}
 	is.Equal(count["z"], 1) // at least one engine
 	is.True(count["x"] > count["y"])
@@ -49,10 +50,10 @@
 func TestEnginesThatCannotServeTheNextStepLoadFirst(t *testing.T) {
 	is := is.New(t)
 	var engines []*engine
-	assigned := make(map[string][]string)
+	assigned := make(map[string]string)
 	for id, version := range map[string]uint64{"a": 5, "b": 4, "c": 3, "d": 2} {
 		engines = append(engines, modelEngine(id, map[string]uint64{"m": version}))
-		assigned[id] = []string{"m"}
+		assigned[id] = "m"
 	}
 	sortEngines(engines)
 	plans := planLoads(start, engines, assigned, map[string]uint64{"m": 5})
@@ -66,7 +67,7 @@
 // The model of which the smallest share of engines can serve the next step loads first.
 func TestModelWithTheSmallestShareOfUsableEnginesLoadsFirst(t *testing.T) {
 	is := is.New(t)
-	assigned := map[string][]string{"a": {"x"}, "b": {"x"}, "c": {"x"}, "d": {"y"}, "e": {"y"}}
+	assigned := map[string]string{"a": "x", "b": "x", "c": "x", "d": "y", "e": "y"}
 	engines := []*engine{
 		modelEngine("a", map[string]uint64{"x": 1}), modelEngine("b", map[string]uint64{"x": 1}),
 		modelEngine("c", map[string]uint64{"x": 9}), modelEngine("d", map[string]uint64{"y": 5}),
@@ -83,12 +84,12 @@
 func TestFullEnginesLoadFirst(t *testing.T) {
 	is := is.New(t)
 	var engines []*engine
-	assigned := make(map[string][]string)
+	assigned := make(map[string]string)
 	for i, id := range []string{"a", "b", "c", "d"} {
 		e := testEngine(id, 8, 4)
 		e.running = []int{0, 8, 3, 7}[i]
 		engines = append(engines, e)
-		assigned[id] = []string{"m"}
+		assigned[id] = "m"
 	}
 	var order []string
 	for _, l := range planLoads(start, engines, assigned, map[string]uint64{"m": 5}) {
@@ -96,3 +97,37 @@
 	}
 	is.Equal(order, []string{"b", "d"})
 }
+
+// One model's texts are long, the other's short, and the engines differ in speed.
+func TestModelWithTheLongestTextsGetsTheFastestEngines(t *testing.T) {
+	is := is.New(t)
+	engines := enginesAt(52*time.Millisecond, 37*time.Millisecond, 53*time.Millisecond, 38*time.Millisecond)
+	for _, e := range engines {
+		e.versions = map[string]uint64{"long": 1, "short": 1}
+	}
+	demand := map[string]modelDemand{"long": {tokens: 5, longest: 9000}, "short": {tokens: 5, longest: 3000}}
+	newest := map[string]uint64{"short": 2}
+	assigned := assignModels(start, engines, demand, newest, nil)
+	// The lag counts first: an engine that has the newest version of a model needs no load.
+	is.Equal(assigned, map[string]string{"b": "long", "d": "long", "a": "short", "c": "short"})
+	engines[1].versions["short"] = 2
+	engines[1].versions["long"] = 0
+	newest["long"] = 1
+	is.Equal(assignModels(start, engines, demand, newest, nil)["b"], "short")
+}
+
+// A model of which no version has been announced yet still needs engines: its first steps
+// are running, and others would load versions that its texts cannot use.
+func TestModelWithoutAnAnnouncedVersionKeepsItsEngines(t *testing.T) {
+	is := is.New(t)
+	var engines []*engine
+	for _, id := range []string{"a", "b", "c", "d"} {
+		engines = append(engines, modelEngine(id, map[string]uint64{"x": 1, "y": 1}))
+	}
+	demand := map[string]modelDemand{"x": {1, 1}, "y": {1, 1}}
+	count := make(map[string]int)
+	for _, m := range assignModels(start, engines, demand, map[string]uint64{"x": 2}, nil) {
+		count[m]++
+	}
+	is.Equal(count, map[string]int{"x": 2, "y": 2})
+}
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -64,41 +64,23 @@
 	if len(newest) == 0 || !r.claimOrders(now) {
 		return
 	}
-	r.assignedModels = assignModels(r.engines, r.demandByModel(newest), newest, r.assignedModels)
+	r.assignedModels = assignModels(now, r.engines, r.demand, newest, r.assignedModels)
 	for _, l := range planLoads(now, r.engines, r.assignedModels, newest) {
 		r.sendLoadOrder(now, l)
 	}
 }
 
-// demandByModel returns the demand of each model that has an announced version.
-func (r *Runner) demandByModel(newest map[string]uint64) map[string]float64 {
-	demand := make(map[string]float64, len(newest))
-	for model := range newest {
-		demand[model] = max(1, r.demand[model])
-	}
-	return demand
-}
-
-// updateDemand adds the size of a submission to the moving average of its model.
+// updateDemand adds a submission to the demand of its model.
 func (r *Runner) updateDemand(sub *ledger.Submission) {
-	size := 0
+	sizes := make([]int, 0, len(sub.Items))
 	for i := range sub.Items {
-		size += sizeOf(sub.Items[i])
+		sizes = append(sizes, sizeOf(sub.Items[i]))
 	}
-	if size == 0 {
-		return
-	}
-	before := r.demand[sub.Model]
-	if before == 0 {
-		before = float64(size)
-	}
-	r.demand[sub.Model] = before + demandWeight*(float64(size)-before)
+	d := r.demand[sub.Model]
+	d.observe(sizes)
+	r.demand[sub.Model] = d
 }
 
-// demandWeight is the weight of one submission in the demand of its model. It is low
-// because each engine assigned to another model costs a load.
-const demandWeight = 0.2
-
 // runsSingleVersion reports whether the engine runs texts of the model that must have a
 // single weight version.
 func (r *Runner) runsSingleVersion(e *engine, model string) bool {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -103,13 +103,12 @@
 	queue          queue
 	partial        *partials
 	engines        []*engine
-	assignedModels map[string][]string // models of each engine, see assignModels
-	// demand is the moving average of the size of a submission, in tokens, by model.
-	demand       map[string]float64
-	nextExpiry   time.Time
-	eventTimesAt time.Time // when the time per event was last sampled
-	savedAt      time.Time // when partial texts were last proposed to the ledger
-	pendingSaves int       // proposals of partial texts in progress
+	assignedModels map[string]string // model of each engine, see assignModels
+	demand         map[string]modelDemand
+	nextExpiry     time.Time
+	eventTimesAt   time.Time // when the time per event was last sampled
+	savedAt        time.Time // when partial texts were last proposed to the ledger
+	pendingSaves   int       // proposals of partial texts in progress
 	// flushWaiters are closed when no save of partial texts is in progress.
 	flushWaiters []chan struct{}
 }
@@ -138,7 +137,7 @@
 
 // Start starts the actor. It does nothing until Lead reports that this process leads.
 func Start(o Options) *Runner {
-	r := &Runner{o: o, log: o.Observer.Logger("batch"), assignedModels: make(map[string][]string), metrics: newMetrics(o.Observer.Registry)}
+	r := &Runner{o: o, log: o.Observer.Logger("batch"), assignedModels: make(map[string]string), metrics: newMetrics(o.Observer.Registry)}
 	r.takeover = takeover{maxWait: o.OrderHold, fencesChecked: o.FencesChecked, self: o.Process}
 	r.actor = o.System.Start("batch", mailboxCapacity, r)
 	o.Submissions.OnChange(func(c ledger.SubmissionChange) { r.offer(changeMessage{c}) })
@@ -222,8 +221,8 @@
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.pendingSaves = 0
 	r.leadSince, r.superseded, r.isHolder, r.claiming = now, false, false, false
-	r.engines, r.assignedModels, r.partial = nil, make(map[string][]string), newPartials()
-	r.demand = make(map[string]float64)
+	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
+	r.demand = make(map[string]modelDemand)
 	r.updateEngines(now, r.o.Directory.View())
 	for _, open := range r.o.Submissions.Open() {
 		r.addJob(open)
