batch: log each move and each assignment with its inputs

Cause: a run that was moved said only that the engine is slow, and an engine that changed its model said nothing. On call, neither rule can be told from logs.

Change: one line for each move (paces of both engines, events left, time saved) and for each engine that is assigned to another model (demand, longest text, pace, version). A move is a value with these inputs. A few moves a step at most, and an assignment only when it changes. No behaviour changes.

--- a/batch/move.go
+++ b/batch/move.go
@@ -18,10 +18,18 @@
 	minMoveSaving = 500 * time.Millisecond
 )
 
-// tasksToMove returns the running tasks that should be moved off their engine: another one
-// has a free slot for them and is expected to end the text so much earlier that the move
-// pays. The longest go first, as they hold up their step.
-func tasksToMove(now time.Time, tasks []*task, engines []*engine, l *lengths) []*task {
+// move takes a running task off its engine, because another one is expected to end the text
+// earlier by saving.
+type move struct {
+	task      *task
+	from, to  *engine
+	remaining int // expected events
+	saving    time.Duration
+}
+
+// planMoves returns the moves that pay, to engines with a free slot for the task. The
+// longest texts go first, as they hold up their step.
+func planMoves(now time.Time, tasks []*task, engines []*engine, l *lengths) []move {
 	m := mover{now: now, engines: make(map[string]*engine, len(engines)), free: make(map[string]int, len(engines))}
 	for _, e := range engines {
 		m.engines[e.id] = e
@@ -34,10 +42,10 @@
 		return t.state != taskRunning || t.moves >= maxMoves || e == nil || !e.paceKnown(now)
 	})
 	slices.SortStableFunc(candidates, func(a, b *task) int { return cmp.Compare(l.remainingEvents(b), l.remainingEvents(a)) })
-	var out []*task
+	var out []move
 	for _, t := range candidates {
-		if m.move(t, time.Duration(l.remainingEvents(t))) {
-			out = append(out, t)
+		if found, ok := m.find(t, l.remainingEvents(t)); ok {
+			out = append(out, found)
 		}
 	}
 	return out
@@ -49,18 +57,29 @@
 	free    map[string]int // free slots of engines whose time per event is known
 }
 
-// move takes a slot of the fastest engine for a task if the move pays.
-func (m *mover) move(t *task, remaining time.Duration) bool {
+// find returns the move of a task to the fastest engine, whose slot it takes, if that pays.
+func (m *mover) find(t *task, remaining int) (found move, ok bool) {
 	from := m.engines[t.engine]
-	var to *engine
-	for _, e := range m.engines {
-		if m.free[e.id] > 0 && e.canServe(t) && (to == nil || e.eventTime < to.eventTime) {
-			to = e
-		}
+	to := m.fastest(t)
+	if to == nil || float64(from.eventTime) < minMovePace*float64(to.eventTime) {
+		return move{}, false
 	}
-	if to == nil || float64(from.eventTime) < minMovePace*float64(to.eventTime) || remaining*(from.eventTime-to.eventTime) < minMoveSaving {
-		return false
+	saving := time.Duration(remaining) * (from.eventTime - to.eventTime)
+	if saving < minMoveSaving {
+		return move{}, false
 	}
 	m.free[to.id]--
-	return true
+	return move{t, from, to, remaining, saving}, true
+}
+
+// fastest returns the fastest engine with a free slot for the task, or nil.
+func (m *mover) fastest(t *task) *engine {
+	var best *engine
+	for id, free := range m.free {
+		e := m.engines[id]
+		if free > 0 && e.canServe(t) && (best == nil || e.eventTime < best.eventTime || e.eventTime == best.eventTime && e.id < best.id) {
+			best = e
+		}
+	}
+	return best
 }
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -64,12 +64,25 @@
 	if len(newest) == 0 || !r.claimOrders(now) {
 		return
 	}
-	r.assignedModels = assignModels(now, r.engines, r.demand, newest, r.assignedModels)
+	r.assign(assignModels(now, r.engines, r.demand, newest, r.assignedModels))
 	for _, l := range planLoads(now, r.engines, r.assignedModels, newest) {
 		r.sendLoadOrder(now, l)
 	}
 }
 
+// assign puts an assignment of models to engines into force and logs what it changes.
+func (r *Runner) assign(models map[string]string) {
+	for _, e := range r.engines {
+		if m := models[e.id]; m != r.assignedModels[e.id] {
+			r.log.WithFields(logrus.Fields{
+				"engine": e.id, "model": m, "before": r.assignedModels[e.id], "version": e.versions[m],
+				"event_us": e.eventTime.Microseconds(), "demand_tokens": int(r.demand[m].tokens), "longest_tokens": int(r.demand[m].longest),
+			}).Info("engine is assigned to a model")
+		}
+	}
+	r.assignedModels = models
+}
+
 // updateDemand adds a submission to the demand of its model.
 func (r *Runner) updateDemand(sub *ledger.Submission) {
 	sizes := make([]int, 0, len(sub.Items))
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -113,7 +113,7 @@
 	out := plan(start, pending(j).tasks, engines, &lengths{})
 	is.True(out[0].engine.id != "a")
 	running := &task{job: j, group: j.tasks["k-0-0"].group, state: taskRunning, engine: "a", size: 6000}
-	moved := func() int { return len(tasksToMove(start, []*task{running}, engines, &lengths{})) }
+	moved := func() int { return len(planMoves(start, []*task{running}, engines, &lengths{})) }
 	is.Equal(moved(), 1)
 	running.size = 200
 	is.Equal(moved(), 0) // the time saved is not worth a move
@@ -141,9 +141,9 @@
 	j := testJob("k", start, 1, []int{6000, 6000})
 	one, other := j.tasks["k-0-0"], j.tasks["k-0-1"]
 	one.state, one.engine, other.state, other.engine = taskRunning, "a", taskRunning, "a"
-	is.Equal(len(tasksToMove(start, []*task{one, other}, engines, &lengths{})), 0)
+	is.Equal(len(planMoves(start, []*task{one, other}, engines, &lengths{})), 0)
 	engines[1].running-- // a free slot for one
-	is.Equal(len(tasksToMove(start, []*task{one, other}, engines, &lengths{})), 1)
+	is.Equal(len(planMoves(start, []*task{one, other}, engines, &lengths{})), 1)
 }
 
 // An engine was slow for some seconds, lost its runs to others, and is fast again.
@@ -218,8 +218,11 @@
 	long.state, long.engine, short.state, short.engine = taskRunning, "a", taskRunning, "a"
 	onFast.state, onFast.engine = taskRunning, "b"
 	running := []*task{short, long, onFast}
-	is.Equal(tasksToMove(start, running, enginesAt(52*time.Millisecond, 37*time.Millisecond), &lengths{}), []*task{long})
-	is.Equal(len(tasksToMove(start, running, enginesAt(41*time.Millisecond, 37*time.Millisecond), &lengths{})), 0) // no more than samples of equal engines differ
+	moves := planMoves(start, running, enginesAt(52*time.Millisecond, 37*time.Millisecond), &lengths{})
+	is.Equal(len(moves), 1)
+	is.Equal(moves[0].task, long)
+	is.Equal(moves[0].to.id, "b")
+	is.Equal(len(planMoves(start, running, enginesAt(41*time.Millisecond, 37*time.Millisecond), &lengths{})), 0) // no more than samples of equal engines differ
 }
 
 // Estimates are too high by a factor of three on average, and some texts outlive theirs.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -357,14 +357,24 @@
 	running := r.running()
 	r.sampleEventTimes(now, running)
 	r.saveDueTexts(now, running)
-	for _, t := range tasksToMove(now, running, r.engines, &r.queue.lengths) {
-		t.moves++
-		r.cancelRun(t, "the engine is slow")
-		t.group.unassign(t.engine)
+	for _, m := range planMoves(now, running, r.engines, &r.queue.lengths) {
+		r.move(m)
 	}
 	r.expire(now)
 }
 
+// move cancels a run that another engine is expected to end earlier. The task goes on from
+// the queue, after the last event of its text.
+func (r *Runner) move(m move) {
+	m.task.moves++
+	r.log.WithFields(logrus.Fields{
+		"submission": m.task.job.sub.ID, "item": m.task.item.ID, "engine": m.from.id, "event_us": m.from.eventTime.Microseconds(),
+		"faster": m.to.id, "faster_event_us": m.to.eventTime.Microseconds(), "events_left": m.remaining, "saves_ms": m.saving.Milliseconds(),
+	}).Info("item moves to a faster engine")
+	r.cancelRun(m.task, "another engine is faster")
+	m.task.group.unassign(m.from.id)
+}
+
 // running returns the tasks that run on engines.
 func (r *Runner) running() []*task {
 	var out []*task
