propagate: one type for what a process knows of the leader

Cause: hub and control each had a copy of the context that ends when another process leads.

Change: propagate.Leader holds the leader and gives that context; both use it. No behaviour changes.

--- a/control/calls.go
+++ b/control/calls.go
@@ -76,7 +76,7 @@
 	}
 	forwarded := *call
 	forwarded.Hops++
-	ctx, cancel := c.whileLeads(ctx, st.Leader)
+	ctx, cancel := c.leader.UntilOther(ctx, st.Leader)
 	defer cancel()
 	reply, err := c.calls.Do(ctx, peer, &forwarded)
 	if err != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -104,17 +104,15 @@
 	calls     *propagate.Calls
 	callSlots chan struct{}
 	admin     *adminAPI
+	leader    propagate.Leader // as of the last check
 
 	mu        sync.Mutex
 	handlers  map[string]Handler
 	listeners []func(leading bool, term uint64)
 	leading   bool
 	term      uint64
-	leader    string    // as of the last check
 	leaderAt  time.Time // when a leader was known last, or the start
-	// leaderChanged is closed when leader changes.
-	leaderChanged chan struct{}
-	subtrees      map[string]subtreeReport
+	subtrees  map[string]subtreeReport
 
 	runCtx context.Context
 	cancel context.CancelFunc
@@ -145,10 +143,8 @@
 		handlers:  make(map[string]Handler),
 		subtrees:  make(map[string]subtreeReport),
 		leaderAt:  time.Now(),
-
-		leaderChanged: make(chan struct{}),
-		runCtx:        runCtx,
-		cancel:        cancel,
+		runCtx:    runCtx,
+		cancel:    cancel,
 	}
 	c.parent = propagate.NewParent(propagate.ParentOptions{System: o.System, Fresh: c.hasLeader})
 	o.Machine.OnClusterState(c.parent.Publish)
@@ -261,9 +257,12 @@
 	c.mu.Lock()
 	changed := st.Leading != c.leading || (st.Leading && st.Term != c.term)
 	c.leading, c.term = st.Leading, st.Term
-	c.noteLeader(time.Now(), st.Leader)
+	if st.Leader != "" {
+		c.leaderAt = time.Now()
+	}
 	listeners := c.listeners
 	c.mu.Unlock()
+	c.leader.Set(st.Leader)
 	if !changed {
 		return
 	}
@@ -272,18 +271,6 @@
 	}
 }
 
-// noteLeader records the leader that this replica knows, or "". The caller holds c.mu.
-func (c *Control) noteLeader(now time.Time, leader string) {
-	if leader != "" {
-		c.leaderAt = now
-	}
-	if leader != c.leader {
-		c.leader = leader
-		close(c.leaderChanged)
-		c.leaderChanged = make(chan struct{})
-	}
-}
-
 // cutOff reports whether a call that began at the given time must not wait any longer,
 // because this replica has not known a leader for leaderlessLimit.
 func (c *Control) cutOff(now, began time.Time) bool {
@@ -292,33 +279,6 @@
 	return now.Sub(c.leaderAt) > leaderlessLimit && now.Sub(began) > leaderlessWait
 }
 
-// whileLeads returns a context that also ends when this replica no longer takes the given
-// one for the leader.
-func (c *Control) whileLeads(ctx context.Context, expected string) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	c.mu.Lock()
-	changed := c.leaderChanged
-	c.mu.Unlock()
-	go func() {
-		defer cancel()
-		for {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-				return
-			}
-			c.mu.Lock()
-			leader := c.leader
-			changed = c.leaderChanged
-			c.mu.Unlock()
-			if leader != expected {
-				return
-			}
-		}
-	}()
-	return ctx, cancel
-}
-
 // Parent returns the propagation parent that serves this replica's subscribers.
 func (c *Control) Parent() *propagate.Parent { return c.parent }
 
--- a/hub/client.go
+++ b/hub/client.go
@@ -58,16 +58,15 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	leader propagate.Leader
 
-	mu     sync.Mutex
-	conns  map[string]*link.Conn // latest link to each address
-	links  *linkSet
-	leader string
-	// leaderTerm is the term of leader. leaderChanged is closed when leader changes.
-	leaderTerm    uint64
-	leaderChanged chan struct{}
-	members       []string
-	nextConn      int // round-robin position for attempts that don't go to the leader
+	mu    sync.Mutex
+	conns map[string]*link.Conn // latest link to each address
+	links *linkSet
+	// leaderTerm is the term of leader.
+	leaderTerm uint64
+	members    []string
+	nextConn   int // round-robin position for attempts that don't go to the leader
 }
 
 // ClientKinds lists the message kinds that a Client handles.
@@ -78,7 +77,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		opts: o, cache: newManifestCache(o.DataDir, o.Log), calls: propagate.NewCalls(), ctx: ctx, cancel: cancel,
-		conns: make(map[string]*link.Conn), links: newLinkSet(o.Dial), leaderChanged: make(chan struct{}),
+		conns: make(map[string]*link.Conn), links: newLinkSet(o.Dial),
 	}
 }
 
@@ -183,40 +182,7 @@
 		return
 	}
 	c.leaderTerm = term
-	if leader == c.leader {
-		return
-	}
-	c.leader = leader
-	close(c.leaderChanged)
-	c.leaderChanged = make(chan struct{})
-}
-
-// untilLeaderChanges returns a context that also ends when another process than the given
-// one becomes the leader. A call that still waits for the former leader then goes to the
-// new one at once.
-func (c *Client) untilLeaderChanges(ctx context.Context, process string) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	c.mu.Lock()
-	changed := c.leaderChanged
-	c.mu.Unlock()
-	go func() {
-		for {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-				return
-			}
-			c.mu.Lock()
-			leads := c.leader == process
-			changed = c.leaderChanged
-			c.mu.Unlock()
-			if !leads {
-				cancel()
-				return
-			}
-		}
-	}()
-	return ctx, cancel
+	c.leader.Set(leader)
 }
 
 func (c *Client) dial(addresses []string) {
@@ -256,7 +222,7 @@
 func (c *Client) pickConn(attempt int) *link.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn := c.conns[c.leader]; conn != nil && attempt == 0 {
+	if conn := c.conns[c.leader.Process()]; conn != nil && attempt == 0 {
 		return conn
 	}
 	names := make([]string, 0, len(c.conns))
@@ -314,7 +280,7 @@
 func (c *Client) callOnce(ctx context.Context, conn *link.Conn, call *wire.Call, wait time.Duration) *wire.Reply {
 	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
 	defer cancel()
-	ctx, stop := c.untilLeaderChanges(ctx, conn.Peer().Process)
+	ctx, stop := c.leader.UntilOther(ctx, conn.Peer().Process)
 	defer stop()
 	reply, err := c.calls.Do(ctx, conn, call)
 	if err != nil {
--- a/hub/client_test.go
+++ b/hub/client_test.go
@@ -1,7 +1,6 @@
 package hub
 
 import (
-	"context"
 	"testing"
 
 	"github.com/matryer/is"
@@ -34,23 +33,6 @@
 		{group("c", 6), "c"},
 	} {
 		c.lead(step.update)
-		is.Equal(c.leader, step.want)
+		is.Equal(c.leader.Process(), step.want)
 	}
 }
-
-// The leader freezes while trainers wait for results there. Their calls must go to the next
-// leader as soon as it is known.
-func TestCallsLeaveAFormerLeader(t *testing.T) {
-	is := is.New(t)
-	c := NewClient(ClientOptions{})
-	c.lead(group("a", 1))
-	toLeader, stop := c.untilLeaderChanges(context.Background(), "a")
-	defer stop()
-	toNext, stopNext := c.untilLeaderChanges(context.Background(), "b")
-	defer stopNext()
-	c.lead(group("a", 2)) // led again
-	is.NoErr(toLeader.Err())
-	c.lead(group("b", 3))
-	<-toLeader.Done()
-	is.NoErr(toNext.Err()) // the call is already with the new leader
-}
