batch: a decision round looks only at engines with free slots

A round over 768 waiting items and 49 engines took 0.92 ms, after each message, and the planning of moves 0.87 ms in each tick.

Change: placement and moves look at engines with free slots only, with their pace computed once; moves end at once if no engine is faster by enough; engines are assigned once a tick.

--- a/batch/move.go
+++ b/batch/move.go
@@ -29,57 +29,53 @@
 
 // planMoves returns the moves that pay, to engines with a free slot for the task. The
 // longest texts go first, as they hold up their step.
-func planMoves(now time.Time, tasks []*task, engines []*engine, l *lengths) []move {
-	m := mover{now: now, engines: make(map[string]*engine, len(engines)), free: make(map[string]int, len(engines))}
+func planMoves(now time.Time, tasks []*task, engines []*engine, l *lengths) []*move {
+	m := mover{free: make(map[*engine]int)}
+	known := make(map[string]*engine, len(engines))
 	for _, e := range engines {
-		m.engines[e.id] = e
-		if e.paceKnown(now) {
-			m.free[e.id] = e.freeSlots(now)
+		if !e.paceKnown(now) {
+			continue
+		}
+		known[e.id] = e
+		if free := e.freeSlots(now); free > 0 {
+			m.targets = append(m.targets, e)
+			m.free[e] = free
 		}
 	}
-	candidates := slices.DeleteFunc(slices.Clone(tasks), func(t *task) bool {
-		e := m.engines[t.engine]
-		return t.state != taskRunning || t.moves >= maxMoves || e == nil || !e.paceKnown(now)
-	})
-	slices.SortStableFunc(candidates, func(a, b *task) int { return cmp.Compare(l.remainingEvents(b), l.remainingEvents(a)) })
-	var out []move
-	for _, t := range candidates {
-		if found, ok := m.find(t, l.remainingEvents(t)); ok {
-			out = append(out, found)
+	slices.SortStableFunc(m.targets, func(a, b *engine) int { return cmp.Compare(a.eventTime, b.eventTime) })
+	var candidates []*move
+	for _, t := range tasks {
+		e := known[t.engine]
+		if t.state == taskRunning && t.moves < maxMoves && e != nil && m.maySave(e) {
+			candidates = append(candidates, &move{task: t, from: e, remaining: l.remainingEvents(t)})
 		}
 	}
-	return out
+	slices.SortStableFunc(candidates, func(a, b *move) int { return cmp.Compare(b.remaining, a.remaining) })
+	return slices.DeleteFunc(candidates, func(c *move) bool { return !m.find(c) })
 }
 
 type mover struct {
-	now     time.Time
-	engines map[string]*engine
-	free    map[string]int // free slots of engines whose time per event is known
+	targets []*engine // with free slots, the fastest first
+	free    map[*engine]int
 }
 
-// find returns the move of a task to the fastest engine, whose slot it takes, if that pays.
-func (m *mover) find(t *task, remaining int) (found move, ok bool) {
-	from := m.engines[t.engine]
-	to := m.fastest(t)
-	if to == nil || float64(from.eventTime) < minMovePace*float64(to.eventTime) {
-		return move{}, false
-	}
-	saving := time.Duration(remaining) * (from.eventTime - to.eventTime)
-	if saving < minMoveSaving {
-		return move{}, false
-	}
-	m.free[to.id]--
-	return move{t, from, to, remaining, saving}, true
+// maySave reports whether a text could move away from an engine.
+func (m *mover) maySave(from *engine) bool {
+	return len(m.targets) > 0 && float64(from.eventTime) >= minMovePace*float64(m.targets[0].eventTime)
 }
 
-// fastest returns the fastest engine with a free slot for the task, or nil.
-func (m *mover) fastest(t *task) *engine {
-	var best *engine
-	for id, free := range m.free {
-		e := m.engines[id]
-		if free > 0 && e.canServe(t) && (best == nil || e.eventTime < best.eventTime || e.eventTime == best.eventTime && e.id < best.id) {
-			best = e
-		}
+// find takes a slot of the fastest engine for the task of c and reports whether the move
+// there pays.
+func (m *mover) find(c *move) bool {
+	at := slices.IndexFunc(m.targets, func(e *engine) bool { return m.free[e] > 0 && e.canServe(c.task) })
+	if at < 0 {
+		return false
+	}
+	c.to = m.targets[at]
+	c.saving = time.Duration(c.remaining) * (c.from.eventTime - c.to.eventTime)
+	if float64(c.from.eventTime) < minMovePace*float64(c.to.eventTime) || c.saving < minMoveSaving {
+		return false
 	}
-	return best
+	m.free[c.to]--
+	return true
 }
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -64,7 +64,10 @@
 	if len(newest) == 0 || !r.claimOrders(now) {
 		return
 	}
-	r.assign(assignModels(now, r.engines, r.demand, newest, r.assignedModels))
+	if now.Sub(r.assignedAt) >= tickInterval {
+		r.assignedAt = now
+		r.assign(assignModels(now, r.engines, r.demand, newest, r.assignedModels))
+	}
 	for _, l := range planLoads(now, r.engines, r.assignedModels, newest) {
 		r.sendLoadOrder(now, l)
 	}
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -82,31 +82,35 @@
 // plan selects the tasks to start now. pending must be in queue order and engines in a
 // fixed order. The only state that it changes is the engine of each group.
 func plan(now time.Time, pending []*task, engines []*engine, l *lengths) []placement {
-	free := make(map[string]int, len(engines))
+	p := &planner{lengths: l}
+	median := medianEventTime(engines)
 	total := 0
 	for _, e := range engines {
-		free[e.id] = e.freeSlots(now)
-		total += free[e.id]
-	}
-	if total == 0 {
-		return nil
+		if free := e.freeSlots(now); free > 0 {
+			p.open = append(p.open, &openEngine{engine: e, free: free, pace: e.pace(now, median)})
+			total += free
+		}
 	}
-	p := &planner{now: now, engines: engines, free: free, median: medianEventTime(engines), lengths: l}
 	for _, t := range pending {
+		if total == 0 {
+			break
+		}
 		if !now.Before(t.retryAt) && p.place(t) {
-			if total--; total == 0 {
-				break
-			}
+			total--
 		}
 	}
 	return p.out
 }
 
+// openEngine is an engine that had free slots when planning began.
+type openEngine struct {
+	*engine
+	free int
+	pace time.Duration // expected time per event
+}
+
 type planner struct {
-	now     time.Time
-	engines []*engine
-	free    map[string]int
-	median  time.Duration
+	open    []*openEngine
 	lengths *lengths
 	out     []placement
 }
@@ -119,8 +123,8 @@
 	if t.group.engine == "" {
 		t.group.engine = e.id
 	}
-	p.free[e.id]--
-	p.out = append(p.out, placement{t, e, reason})
+	e.free--
+	p.out = append(p.out, placement{t, e.engine, reason})
 	return true
 }
 
@@ -128,25 +132,27 @@
 // slow as its last text, so a long text goes to one of the fastest engines, and to the one
 // with the largest share of free slots of these. A short text goes to the engine of its
 // group, which has processed the prompt, or to the one with the largest share of free slots.
-func (p *planner) choose(t *task) (*engine, string) {
+func (p *planner) choose(t *task) (*openEngine, string) {
 	able := p.able(t)
 	if len(able) == 0 {
 		return nil, ""
 	}
 	if short := p.endingSoon(t, able); len(short) > 0 {
-		if e := engineByID(short, t.group.engine); e != nil {
-			return e, "group"
+		for _, e := range short {
+			if e.id == t.group.engine {
+				return e, "group"
+			}
 		}
-		return p.freest(t, short), "least loaded"
+		return freest(t, short), "least loaded"
 	}
-	return p.freest(t, p.within(able, samePace)), "fastest"
+	return freest(t, within(able, samePace)), "fastest"
 }
 
 // able returns the engines that can serve the task and have a free slot.
-func (p *planner) able(t *task) []*engine {
-	var able []*engine
-	for _, e := range p.engines {
-		if p.free[e.id] > 0 && e.canServe(t) {
+func (p *planner) able(t *task) []*openEngine {
+	var able []*openEngine
+	for _, e := range p.open {
+		if e.free > 0 && e.canServe(t) {
 			able = append(able, e)
 		}
 	}
@@ -155,46 +161,37 @@
 
 // endingSoon returns the engines on which the task is expected to take less than a small
 // part of the time in which its step is due.
-func (p *planner) endingSoon(t *task, engines []*engine) []*engine {
+func (p *planner) endingSoon(t *task, engines []*openEngine) []*openEngine {
 	left := time.Duration(p.lengths.remainingEvents(t))
-	return slices.DeleteFunc(p.within(engines, slowFactor), func(e *engine) bool {
-		return left*e.pace(p.now, p.median) >= t.job.sub.Due/shortTextDivisor
+	return slices.DeleteFunc(within(engines, slowFactor), func(e *openEngine) bool {
+		return left*e.pace >= t.job.sub.Due/shortTextDivisor
 	})
 }
 
 // within returns the engines whose time per event is up to factor times the least one.
-func (p *planner) within(engines []*engine, factor float64) []*engine {
-	least := engines[0].pace(p.now, p.median)
+func within(engines []*openEngine, factor float64) []*openEngine {
+	least := engines[0].pace
 	for _, e := range engines {
-		least = min(least, e.pace(p.now, p.median))
+		least = min(least, e.pace)
 	}
-	return slices.DeleteFunc(slices.Clone(engines), func(e *engine) bool {
-		return float64(e.pace(p.now, p.median)) > factor*float64(least)
+	return slices.DeleteFunc(slices.Clone(engines), func(e *openEngine) bool {
+		return float64(e.pace) > factor*float64(least)
 	})
 }
 
 // freest returns the engine with the largest share of free slots.
-func (p *planner) freest(t *task, engines []*engine) *engine {
+func freest(t *task, engines []*openEngine) *openEngine {
 	best := engines[0]
 	for _, e := range engines[1:] {
-		fa, fb := p.free[e.id]*best.slots, p.free[best.id]*e.slots
+		a, b := e.free*best.slots, best.free*e.slots
 		// Prefer the newer version: only engines assigned to the model load its new versions.
-		if fa > fb || fa == fb && e.versions[t.job.sub.Model] > best.versions[t.job.sub.Model] {
+		if a > b || a == b && e.versions[t.job.sub.Model] > best.versions[t.job.sub.Model] {
 			best = e
 		}
 	}
 	return best
 }
 
-func engineByID(engines []*engine, id string) *engine {
-	for _, e := range engines {
-		if e.id == id {
-			return e
-		}
-	}
-	return nil
-}
-
 // sortEngines sorts engines by id, the order that plan expects.
 func sortEngines(engines []*engine) {
 	slices.SortFunc(engines, func(a, b *engine) int { return cmp.Compare(a.id, b.id) })
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -238,3 +240,47 @@
 	j.tasks["k-0-0"].text.partsEvents = 60
 	is.Equal(l.remainingEvents(j.tasks["k-0-0"]), 30)
 }
+
+// busyDeployment returns 49 engines, 40 of them full, and six steps of 192 tasks.
+func busyDeployment() (engines []*engine, waiting *queue, running []*task) {
+	var jobs []*job
+	for i := range 6 {
+		sizes := make([][]int, 24)
+		for g := range sizes {
+			sizes[g] = []int{400, 900, 1200, 600, 700, 9000, 500, 800}
+		}
+		jobs = append(jobs, testJob(string(rune('a'+i)), start, 20, sizes...))
+	}
+	for i := range 49 {
+		e := testEngine(string(rune('A'+i)), 8, 1)
+		for range 5 {
+			e.observeEventTime(start, time.Duration(36+i%10)*time.Millisecond)
+		}
+		if i < 40 {
+			e.running = 8
+		} else {
+			e.versions["m"] = 0 // loads
+		}
+		engines = append(engines, e)
+	}
+	for i, t := range slices.Concat(slices.Collect(maps.Values(jobs[0].tasks)), slices.Collect(maps.Values(jobs[1].tasks))) {
+		t.state, t.engine, t.run = taskRunning, engines[i%40].id, &run{}
+		running = append(running, t)
+	}
+	return engines, pending(jobs[2:]...), running
+}
+
+// Work of one decision round of the leader with many waiting tasks.
+func BenchmarkPlan(b *testing.B) {
+	engines, q, _ := busyDeployment()
+	for b.Loop() {
+		plan(start, q.tasks, engines, &q.lengths)
+	}
+}
+
+func BenchmarkPlanMoves(b *testing.B) {
+	engines, q, running := busyDeployment()
+	for b.Loop() {
+		planMoves(start, running, engines, &q.lengths)
+	}
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -104,6 +104,7 @@
 	partial        *partials
 	engines        []*engine
 	assignedModels map[string]string // model of each engine, see assignModels
+	assignedAt     time.Time         // when engines were last assigned
 	demand         map[string]modelDemand
 	nextExpiry     time.Time
 	eventTimesAt   time.Time // when the time per event was last sampled
@@ -221,6 +222,7 @@
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.pendingSaves = 0
 	r.leadSince, r.superseded, r.isHolder, r.claiming = now, false, false, false
+	r.assignedAt = time.Time{}
 	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
 	r.demand = make(map[string]modelDemand)
 	r.updateEngines(now, r.o.Directory.View())
@@ -365,7 +367,7 @@
 
 // move cancels a run that another engine is expected to end earlier. The task goes on from
 // the queue, after the last event of its text.
-func (r *Runner) move(m move) {
+func (r *Runner) move(m *move) {
 	m.task.moves++
 	r.log.WithFields(logrus.Fields{
 		"submission": m.task.job.sub.ID, "item": m.task.item.ID, "engine": m.from.id, "event_us": m.from.eventTime.Microseconds(),
