batch: a version that is named before the first step is loaded

Since engines are assigned by the steps seen, a model without steps had none, so a version named before the first step was never loaded.

Change: a model with a named version counts with the least demand until it has a step.

--- a/batch/assign.go
+++ b/batch/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -38,12 +39,26 @@
 	d.longest += demandWeight * (float64(longest) - d.longest)
 }
 
+// withNamed returns the demand of all models that have steps or a named version, which is
+// loaded also before the first step.
+func withNamed(demand map[string]modelDemand, newest map[string]uint64) map[string]modelDemand {
+	out := make(map[string]modelDemand, len(demand)+len(newest))
+	maps.Copy(out, demand)
+	for m := range newest {
+		if _, ok := out[m]; !ok {
+			out[m] = modelDemand{tokens: 1}
+		}
+	}
+	return out
+}
+
 // assignModels assigns each engine the model that it keeps up to date, so that only some
 // of the engines load each version. An engine keeps its model from before as far as the
 // quotas allow. Others get the model for which they are the fewest versions behind, and the
 // fastest of them those with the longest texts.
 func assignModels(now time.Time, engines []*engine, demand map[string]modelDemand, newest map[string]uint64, before map[string]string) map[string]string {
 	out := make(map[string]string, len(engines))
+	demand = withNamed(demand, newest)
 	if len(demand) == 0 || len(engines) == 0 {
 		return out
 	}
--- a/batch/loads_test.go
+++ b/batch/loads_test.go
@@ -116,6 +116,19 @@
 	is.Equal(assignModels(start, engines, demand, newest, nil)["b"], "short")
 }
 
+// A trainer names a version before its first step.
+func TestModelWithoutAStepGetsAnEngine(t *testing.T) {
+	is := is.New(t)
+	engines := []*engine{modelEngine("a", map[string]uint64{"x": 1, "y": 1}), modelEngine("b", map[string]uint64{"x": 1, "y": 1})}
+	newest := map[string]uint64{"y": 2}
+	is.Equal(assignModels(start, engines, map[string]modelDemand{}, newest, nil), map[string]string{"a": "y", "b": "y"})
+	count := make(map[string]int)
+	for _, m := range assignModels(start, engines, map[string]modelDemand{"x": {tokens: 5000, longest: 900}}, newest, nil) {
+		count[m]++
+	}
+	is.Equal(count, map[string]int{"x": 1, "y": 1})
+}
+
 // A model of which no version has been announced yet still needs engines: its first steps
 // are running, and others would load versions that its texts cannot use.
 func TestModelWithoutAnAnnouncedVersionKeepsItsEngines(t *testing.T) {
