batch: a run on its way to another engine is not moved again

Change: planMoves leaves cancelled runs out; TestLongTextMovesToAFasterEngineWhenThatPays checks it.

--- a/batch/move.go
+++ b/batch/move.go
@@ -46,7 +46,7 @@
 	var candidates []*move
 	for _, t := range tasks {
 		e := known[t.engine]
-		if t.state == taskRunning && t.moves < maxMoves && e != nil && m.maySave(e) {
+		if t.state == taskRunning && !t.cancelled() && t.moves < maxMoves && e != nil && m.maySave(e) {
 			candidates = append(candidates, &move{task: t, from: e, remaining: l.remainingEvents(t)})
 		}
 	}
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -224,6 +224,9 @@
 	is.Equal(len(moves), 1)
 	is.Equal(moves[0].task, long)
 	is.Equal(moves[0].to.id, "b")
+	long.run = &run{cancelReason: "another engine is faster"}
+	is.Equal(len(planMoves(start, running, enginesAt(52*time.Millisecond, 37*time.Millisecond), &lengths{})), 0) // it is on its way
+	long.run = nil
 	is.Equal(len(planMoves(start, running, enginesAt(41*time.Millisecond, 37*time.Millisecond), &lengths{})), 0) // no more than samples of equal engines differ
 }
 
--- a/batch/task.go
+++ b/batch/task.go
@@ -52,6 +52,9 @@
 	saving         bool           // a proposal of partial text is in progress
 }
 
+// cancelled reports whether the current run was cancelled and has not ended yet.
+func (t *task) cancelled() bool { return t.run != nil && t.run.cancelReason != "" }
+
 // versionRule returns the rule for the weight versions that may continue the text of the
 // task.
 func (t *task) versionRule() versionRule {
