demo: what trainers report decides the run

Cause: readers found that violations which trainers report are printed and do not fail the run, and that an empty trainer report passes. The second was worse than told: the check returned no error and left out the trainers after it (eris.Wrapf of a nil error).

Change: reported violations and trainers without samples fail the run, a missing report is an error.

--- a/batch/pace.go
+++ b/batch/pace.go
@@ -86,7 +86,7 @@
 	l.events = l.events*keep + float64(events)
 }
 
-// events returns the expected number of events of a text of the given estimated size.
+// eventsOf returns the expected number of events of a text of the given estimated size.
 func (l *lengths) eventsOf(size int) int {
 	if l.tokens == 0 || l.events == 0 {
 		return size / defaultTokensPerEvent
--- a/demo/checker.go
+++ b/demo/checker.go
@@ -36,6 +36,10 @@
 	// WorkAfterDrain counts requests that reached a drained target more than
 	// drainLimitMs after the drain.
 	WorkAfterDrain int `json:"work_after_drain"`
+	// TrainerViolations counts what trainers themselves reported, IdleTrainers the trainers
+	// that received no sample.
+	TrainerViolations int `json:"trainer_violations"`
+	IdleTrainers      int `json:"trainers_without_samples"`
 }
 
 // drainLimitMs is the time after which a draining target must receive no new requests.
@@ -48,7 +52,7 @@
 // be meaningful.
 func (r Report) Passed() bool {
 	violationCount := r.RequestsLost + r.RequestsDoubled + r.RequestsWrongAnswer + r.NotRunButRan +
-		r.WorkAfterDrain + r.SamplesDoubled + r.SamplesLost + r.SamplesOverBound + r.SamplesWrongVersion + r.ConfigReverts
+		r.WorkAfterDrain + r.SamplesDoubled + r.SamplesLost + r.SamplesOverBound + r.SamplesWrongVersion + r.ConfigReverts + r.TrainerViolations + r.IdleTrainers
 	return violationCount == 0 && r.ConfigInForceMaxS <= inForceLimitS && r.RequestsDone > 0 && r.SamplesDelivered > 0 && r.WeightVersions >= 3
 }
 
@@ -216,9 +220,12 @@
 	var staleness, samples uint64
 	for _, t := range trainers {
 		reports, err := standin.ReadLines[standin.TrainerReport](c.recordPath("trainer-" + t.name))
-		if err != nil || len(reports) == 0 {
+		if err != nil {
 			return eris.Wrapf(err, "report of trainer %s", t.name)
 		}
+		if len(reports) == 0 {
+			return eris.Errorf("trainer %s has written no report", t.name)
+		}
 		r := reports[len(reports)-1]
 		idle += r.IdleSeconds
 		total += r.TotalSeconds
@@ -270,7 +277,12 @@
 			c.addViolation("trainer %s received %d of %d samples of step %d", r.Name, n, samplesPerStep, step)
 		}
 	}
+	if len(r.ReceivedSamples) == 0 {
+		c.report.IdleTrainers++
+		c.addViolation("trainer %s received no samples", r.Name)
+	}
 	for _, v := range r.Violations {
+		c.report.TrainerViolations++
 		c.addViolation("trainer %s: %s", r.Name, v)
 	}
 }
--- a/demo/checker_test.go
+++ b/demo/checker_test.go
@@ -15,7 +15,8 @@
 	calls    []standin.CallRecord
 	service  []standin.JournalLine
 	engine   []standin.JournalLine
-	report   standin.TrainerReport
+	report   standin.TrainerReport // of the trainer approver
+	auditor  standin.TrainerReport
 	observed []Observation
 	accepted []AcceptRecord
 	drained  []DrainRecord
@@ -43,6 +44,7 @@
 			{Event: standin.JournalToken, Request: 1, Index: 1, Version: 3},
 		},
 		report:   standin.TrainerReport{Name: "approver", Steps: 3, TotalSeconds: 10, ReceivedSamples: []standin.TrainerSample{sample}},
+		auditor:  standin.TrainerReport{Name: "auditor", Steps: 3, TotalSeconds: 10, ReceivedSamples: []standin.TrainerSample{sample}},
 		observed: []Observation{{At: 1000, Process: "entry-1", Version: 1}, {At: 1500, Process: "entry-1", Version: 2}},
 		accepted: []AcceptRecord{{At: 1100, Version: 2}},
 		drained:  []DrainRecord{{At: 10, Target: "budget-svc-0"}},
@@ -50,6 +52,17 @@
 }
 
 func (r *run) check(t *testing.T) Report {
+	t.Helper()
+	dir := r.write(t)
+	report, _, err := Check(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// write writes the records and returns their directory.
+func (r *run) write(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
 	if err := os.Mkdir(dir+"/record", 0o755); err != nil {
@@ -62,15 +75,11 @@
 	writeLines(t, dir, "policy-lm-0", r.engine)
 	writeLines(t, dir, "caller-x", r.calls)
 	writeLines(t, dir, "trainer-approver", []standin.TrainerReport{r.report})
-	writeLines(t, dir, "trainer-auditor", []standin.TrainerReport{{Name: "auditor"}})
+	writeLines(t, dir, "trainer-auditor", []standin.TrainerReport{r.auditor})
 	writeLines(t, dir, "sightings", r.observed)
 	writeLines(t, dir, "accepted", r.accepted)
 	writeLines(t, dir, "drained", r.drained)
-	report, _, err := Check(dir)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return report
+	return dir
 }
 
 func writeLines[T any](t *testing.T, dir, name string, lines []T) {
@@ -97,6 +106,16 @@
 	is.Equal(report.StalenessMax, uint64(1))
 }
 
+// Guards against a trainer that ended before it wrote its report, after which the checks of
+// the others were left out.
+func TestTrainerWithoutAReportIsAnError(t *testing.T) {
+	is := is.New(t)
+	dir := passingRun().write(t)
+	writeLines[standin.TrainerReport](t, dir, "trainer-"+trainers[0].name, nil)
+	_, _, err := Check(dir)
+	is.True(err != nil)
+}
+
 // Guards against a demo that passes although a guarantee was violated. Each case
 // violates one guarantee.
 func TestViolationsAreReported(t *testing.T) {
@@ -126,6 +145,14 @@
 			func(r *run) { r.calls[2].Outcome = standin.OutcomeNotRun },
 			func(r Report) int { return r.NotRunButRan },
 		},
+		"violation that a trainer reports": {
+			func(r *run) { r.report.Violations = []string{"group 1 of step 1 has 3 samples, not 4"} },
+			func(r Report) int { return r.TrainerViolations },
+		},
+		"trainer without samples": {
+			func(r *run) { r.auditor = standin.TrainerReport{Name: "auditor"} },
+			func(r Report) int { return r.IdleTrainers },
+		},
 		"doubled sample": {
 			func(r *run) {
 				r.report.ReceivedSamples = append(r.report.ReceivedSamples, r.report.ReceivedSamples[0])
