batch: an order is sent only by a process that still leads

Ruled out: a late copy by the platform (the sender names its token, and the time fits the end of the freeze); two leaders at once (leases did not overlap).

Change: between the report and the order the process confirms by its lease, whose clock goes on while the host is suspended, that it leads in the order's term. The outcome of an order that was not sent is logged as not_sent. Test: TestOrderIsNotSentAfterTheLeadershipHasEnded.

--- a/batch/generate.go
+++ b/batch/generate.go
@@ -74,7 +74,8 @@
 	LoadBusy       LoadAnswer = "busy"       // another order is in progress or was accepted first, or no report arrived
 	LoadSuperseded LoadAnswer = "superseded" // the engine has seen a higher fencing token
 	LoadRejected   LoadAnswer = "rejected"
-	LoadUnknown    LoadAnswer = "unknown" // the order may take effect, now or later
+	LoadUnknown    LoadAnswer = "unknown"  // the order may take effect, now or later
+	LoadNotSent    LoadAnswer = "not_sent" // this process no longer leads
 )
 
 // runOutcome is how a run ended.
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -117,21 +117,31 @@
 	o := LoadOrder{Model: l.model, Version: l.version, Holder: r.o.Name, Fence: r.term, KeepRuns: !e.load.drainsRuns}
 	current, ctx := e.load, r.ctx
 	go func() {
-		reportCtx, cancel := context.WithTimeout(ctx, engineCallTimeout)
-		report, err := r.o.Protocol.Report(reportCtx, to)
-		cancel()
-		if err != nil || report.Busy {
-			r.deliver(ctx, orderEnd{e, current, LoadBusy, 0})
-			return
-		}
-		o.Orders = report.Orders
-		orderCtx, cancel := context.WithTimeout(ctx, engineCallTimeout)
-		answer := r.o.Protocol.Load(orderCtx, to, o)
-		cancel()
-		r.deliver(ctx, orderEnd{e, current, answer, report.Orders})
+		answer, orders := r.orderLoad(ctx, to, o)
+		r.deliver(ctx, orderEnd{e, current, answer, orders})
 	}()
 }
 
+// orderLoad sends an order with the number of orders that the engine has accepted, which it
+// returns. It confirms just before that this process still leads in the term of the order:
+// the host may have been suspended while the report was awaited, and a newer leader may have
+// sent orders since.
+func (r *Runner) orderLoad(ctx context.Context, to upstream.Address, o LoadOrder) (answer LoadAnswer, orders uint64) {
+	reportCtx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+	defer cancel()
+	report, err := r.o.Protocol.Report(reportCtx, to)
+	if err != nil || report.Busy {
+		return LoadBusy, 0
+	}
+	o.Orders = report.Orders
+	orderCtx, cancelOrder := context.WithTimeout(ctx, engineCallTimeout)
+	defer cancelOrder()
+	if term, err := r.o.Leads(orderCtx); err != nil || term != o.Fence {
+		return LoadNotSent, report.Orders
+	}
+	return r.o.Protocol.Load(orderCtx, to, o), report.Orders
+}
+
 func (r *Runner) handleOrderEnd(now time.Time, m orderEnd) {
 	e := m.engine
 	r.metrics.orders.WithLabelValues(string(m.answer)).Inc()
--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"context"
 	"errors"
 	"io"
 	"strings"
@@ -9,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+
+	"merlinhall/upstream"
 )
 
 func quietRunner(engines ...*engine) *Runner {
@@ -123,3 +126,49 @@
 	is.Equal(task.text.length(), 0)
 	is.True(e.canServe(task))
 }
+
+// orderProtocol answers reports and records the orders sent.
+type orderProtocol struct {
+	Protocol
+	sent []LoadOrder
+}
+
+func (*orderProtocol) Report(context.Context, upstream.Address) (Report, error) {
+	return Report{Orders: 4}, nil
+}
+
+func (p *orderProtocol) Load(_ context.Context, _ upstream.Address, o LoadOrder) LoadAnswer {
+	p.sent = append(p.sent, o)
+	return LoadAccepted
+}
+
+// A leader is suspended while it waits for an engine's report. When it goes on, another one
+// has sent orders with a higher fencing token.
+func TestOrderIsNotSentAfterTheLeadershipHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		term   uint64
+		err    error
+		answer LoadAnswer
+		sent   int
+	}{
+		{"leads", 3, nil, LoadAccepted, 1},
+		{"does not lead", 0, errors.New("no leader is known"), LoadNotSent, 0},
+		{"leads again in a newer term", 5, nil, LoadNotSent, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &orderProtocol{}
+			r := quietRunner()
+			r.o.Protocol = p
+			r.o.Leads = func(context.Context) (uint64, error) { return c.term, c.err }
+			answer, orders := r.orderLoad(context.Background(), upstream.Address{}, LoadOrder{Fence: 3})
+			is.Equal(answer, c.answer)
+			is.Equal(orders, uint64(4))
+			is.Equal(len(p.sent), c.sent)
+			for _, o := range p.sent {
+				is.Equal(o.Orders, uint64(4))
+			}
+		})
+	}
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -67,6 +67,9 @@
 	Holder  *ledger.Holder
 	// ProposeHolder commits a command of the holder slice.
 	ProposeHolder func(ctx context.Context, body []byte) error
+	// Leads returns the term in which this process leads, confirmed by the leader's lease
+	// after the call. Errors mean that it may not lead.
+	Leads func(ctx context.Context) (term uint64, err error)
 	// ProcessGone reports whether the given run of a control process has ended or does not
 	// answer this leader.
 	ProcessGone func(process, boot string) bool
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -128,6 +128,10 @@
 		Directory: d.targets, Pool: d.pool, Forwarder: d.forward, Protocol: platform.Protocol{Pool: d.pool},
 		Propose: propose(submissions.Name()), Holder: holder, ProposeHolder: propose(holder.Name()),
 		Boot: d.hello.Boot,
+		Leads: func(ctx context.Context) (uint64, error) {
+			term, _, err := r.ConfirmByLease(ctx)
+			return term, err
+		},
 		ProcessGone: func(process, boot string) bool {
 			return slices.Contains(r.Status().Silent, process) || peers.restarted(process, boot)
 		},
