upstream: a repeated request uses another connection

A repeated reward call has the id of the first one; on the same connection a second response to the first attempt, which arrives after the repetition was sent, is taken for its response.

Ruled out: a response with another id (checked), one that arrives on an idle connection (it closes the connection).

Change: a connection whose last request had the same id is closed instead of reused. Test: TestRepeatedRequestUsesAnotherConnection, red before.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -43,6 +43,7 @@
 	// the target announces no idle timeout.
 	idleUntil time.Time
 	idleSince time.Time
+	lastID    string // of the last request
 }
 
 type pendingRequest struct {
@@ -145,6 +146,7 @@
 		return nil, nil, false, errIdleClosed
 	}
 	stop := context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
+	c.lastID = r.ID
 	c.pending <- w
 	if err := c.write(r); err != nil {
 		stop()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -127,7 +127,7 @@
 // Open sends a request and returns the response once its header has arrived. Errors
 // are of type *Failure. ctx limits the entire exchange, including the body.
 func (p *Pool) Open(ctx context.Context, to Address, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, to)
+	c, err := p.acquire(ctx, to, r.ID)
 	if err != nil {
 		return nil, &Failure{NotSent: true, Err: err}
 	}
@@ -153,14 +153,17 @@
 	return response.Response, b, err
 }
 
-func (p *Pool) acquire(ctx context.Context, to Address) (*conn, error) {
+// acquire returns an idle connection or a new one. A request that is repeated gets another
+// connection than the one before: the target may send a second response to it, which could
+// not be told from the response to the repetition.
+func (p *Pool) acquire(ctx context.Context, to Address, id string) (*conn, error) {
 	now := time.Now()
 	for {
 		c := p.pop(to)
 		if c == nil {
 			break
 		}
-		if !c.isClosed() && c.reusable(now) {
+		if !c.isClosed() && c.reusable(now) && (id == "" || c.lastID != id) {
 			c.reused = true
 			p.Reused()
 			return c, nil
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -215,3 +215,21 @@
 	}
 	is.Equal(len(used), 4)
 }
+
+// A target may answer a request twice. On the same connection the second response to the
+// first attempt would be taken for the response to a repetition, which has the same id.
+func TestRepeatedRequestUsesAnotherConnection(t *testing.T) {
+	is := is.New(t)
+	to, accepted := serve(t, func(w io.Writer, r *http.Request, _ int) bool {
+		return write(w, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno")
+	})
+	p := newTestPool()
+	for range 2 {
+		_, _, err := p.Do(context.Background(), to, post("1"))
+		is.NoErr(err)
+	}
+	is.Equal(len(accepted), 2)
+	_, _, err := p.Do(context.Background(), to, post("2"))
+	is.NoErr(err)
+	is.Equal(len(accepted), 2) // another request uses an open one
+}
