directory, platform: a target that says it is leaving gets no more requests

Ruled out: reading it where responses are evaluated. Forwarded requests, streams, runs, reports and orders each read responses in their own place; the pool reads all headers once.

Change: upstream.Pool reports the header of each response; the process marks the target in its directory, where it counts as draining until it starts again (another start time) or is gone from the list for 30 s.

--- a/batch/runs.go
+++ b/batch/runs.go
@@ -17,8 +17,8 @@
 func (r *Runner) begin(now time.Time, p placement) {
 	t, e := p.task, p.engine
 	table := r.o.Manifests.Table()
-	if table == nil {
-		return
+	if table == nil || !r.o.Directory.View().Accepts(e.id) {
+		return // the view of the targets may be newer than the last message about it
 	}
 	route := table.Find(t.job.sub.Host, t.item.Path)
 	if route == nil || !slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == r.serviceOf(e) }) {
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -81,6 +81,7 @@
 	d.poller = directory.NewPoller(&platform.List{Address: s.TargetList, Client: &http.Client{}}, d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward")}
 	d.hello = wire.Hello{Process: s.Name, Zone: s.Zone, Boot: newBootID(), Host: s.Name, Roles: []wire.Role{wire.RoleEntry}}
+	d.pool.OnResponse = d.noteLeaving
 	d.registerConnectionMetrics()
 	d.stops = append(d.stops, d.sweepPool())
 	if err := d.start(); err != nil {
@@ -96,6 +97,14 @@
 	return d, nil
 }
 
+// noteLeaving marks the target of a response as leaving if the response says so, so that no
+// request is sent to it any more, whatever the list of targets says.
+func (d *HostedDaemon) noteLeaving(to upstream.Address, h http.Header) {
+	if platform.Leaving(h) && d.targets.MarkLeaving(time.Now(), to.ID) {
+		d.log.WithFields(logrus.Fields{"target": to.ID, "targets_age_ms": d.targets.Age(time.Now()).Milliseconds()}).Info("target says that it is leaving")
+	}
+}
+
 func (d *HostedDaemon) start() error {
 	admin := http.NewServeMux()
 	d.observer.Attach(admin)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,9 +1,10 @@
 // Package directory holds a process's view of the targets: their addresses, which of
-// them are draining, and the age of the view.
+// them are leaving, and the age of the view.
 package directory
 
 import (
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,12 @@
 	return v
 }
 
+// Accepts reports whether new work may go to the target: it is listed and is not leaving.
+func (v *View) Accepts(id string) bool {
+	t := v.byID[id]
+	return t != nil && !t.Draining
+}
+
 // Address returns the address and identity of t for its connections.
 func Address(t *wire.TargetEntry) upstream.Address {
 	return upstream.Address{HostPort: t.Address, ID: t.ID}
@@ -54,12 +61,13 @@
 	confirmedAt time.Time
 	term        uint64
 	sequence    uint64
+	leaving     map[string]leavingTarget // by id
 	listeners   []func(*View)
 }
 
 // New returns a directory without targets.
 func New() *Directory {
-	d := &Directory{}
+	d := &Directory{leaving: make(map[string]leavingTarget)}
 	d.view.Store(newView(nil))
 	return d
 }
@@ -96,7 +104,7 @@
 	d.confirmedAt = readAt
 	// The next update from a control leader must contain the full list.
 	d.term, d.sequence = 0, 0
-	return d.store(targets)
+	return d.store(readAt, targets)
 }
 
 // ApplyUpdate applies an update from a control leader and ignores one of an older term
@@ -120,11 +128,69 @@
 		return true
 	}
 	d.confirmedAt, d.term, d.sequence = readAt, u.Term, u.Sequence
-	d.store(u.Targets)
+	d.store(now, u.Targets)
+	return true
+}
+
+// leavingMemory is how long a leaving target is remembered after it was last listed. The
+// list may omit a target for a moment.
+const leavingMemory = 30 * time.Second
+
+// leavingTarget is a target that said itself that it is leaving. The list shows that later.
+type leavingTarget struct {
+	startedMs int64     // identifies the run of the target that is leaving
+	listedAt  time.Time // when the list last contained it
+}
+
+// MarkLeaving notes that a target itself said that it is leaving. From now on it counts as
+// draining, whatever the list says, until it starts again. It reports whether that was new.
+// A target that is not listed gets no work and is not marked.
+func (d *Directory) MarkLeaving(now time.Time, id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.view.Load().byID[id]
+	if t == nil {
+		return false
+	}
+	if m, ok := d.leaving[id]; ok && m.startedMs == t.StartedMs {
+		return false
+	}
+	d.leaving[id] = leavingTarget{startedMs: t.StartedMs, listedAt: now}
+	if !t.Draining {
+		d.store(now, d.view.Load().Targets)
+	}
 	return true
 }
 
-func (d *Directory) store(targets []wire.TargetEntry) bool {
+// withLeaving returns the targets with those that said that they are leaving marked as
+// draining.
+func (d *Directory) withLeaving(now time.Time, targets []wire.TargetEntry) []wire.TargetEntry {
+	if len(d.leaving) == 0 {
+		return targets
+	}
+	out := slices.Clone(targets)
+	for i := range out {
+		m, ok := d.leaving[out[i].ID]
+		switch {
+		case !ok:
+		case m.startedMs != out[i].StartedMs:
+			delete(d.leaving, out[i].ID)
+		default:
+			m.listedAt = now
+			d.leaving[out[i].ID] = m
+			out[i].Draining = true
+		}
+	}
+	for id, m := range d.leaving {
+		if now.Sub(m.listedAt) > leavingMemory {
+			delete(d.leaving, id)
+		}
+	}
+	return out
+}
+
+func (d *Directory) store(now time.Time, targets []wire.TargetEntry) bool {
+	targets = d.withLeaving(now, targets)
 	if reflect.DeepEqual(d.view.Load().Targets, targets) {
 		return false
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -85,3 +87,84 @@
 	d.Replace(now.Add(2*time.Second), entries("b"))
 	is.Equal(calls, 2)
 }
+
+// A release, or targets that are emptied while the list is slow: the target's own word
+// counts from the response on, and ends with its run.
+func TestTargetThatSaysItIsLeavingGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	list := entries("a", "b")
+	list[0].StartedMs = 7
+	d.Replace(now, list)
+	changes := 0
+	d.OnChange(func(*View) { changes++ })
+	is.True(d.MarkLeaving(now, "a"))
+	is.True(!d.MarkLeaving(now, "a"))
+	is.True(!d.MarkLeaving(now, "unknown"))
+	is.Equal(ids(d), []string{"b"})
+	is.True(!d.View().Accepts("a"))
+	is.True(d.View().Accepts("b"))
+	is.Equal(changes, 1)
+	is.True(!d.Replace(now.Add(time.Second), list)) // the list still calls it ready
+	is.Equal(ids(d), []string{"b"})
+	is.True(d.ApplyUpdate(now.Add(2*time.Second), &wire.TargetUpdate{Term: 3, Sequence: 1, Changed: true, Targets: list}))
+	is.Equal(ids(d), []string{"b"})
+	again := entries("a", "b")
+	again[0].StartedMs = 9 // it has started again under its id
+	d.Replace(now.Add(3*time.Second), again)
+	is.Equal(ids(d), []string{"a", "b"})
+	is.True(d.View().Accepts("a"))
+}
+
+// Random orders of responses, lists, updates and restarts: a target that said that it is
+// leaving is never ready in the same run, and one that never said so always is.
+func TestLeavingTargetsInRandomOrders(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		d := New()
+		started := map[string]int64{"a": 1, "b": 1, "c": 1}
+		said := make(map[string]bool)
+		at, sequence := now, uint64(0)
+		list := func() []wire.TargetEntry {
+			out := entries("a", "b", "c")
+			for i := range out {
+				out[i].StartedMs = started[out[i].ID]
+			}
+			return out
+		}
+		d.Replace(at, list())
+		for range 40 {
+			id := string(rune('a' + rng.IntN(3)))
+			at = at.Add(time.Duration(rng.IntN(4000)-500) * time.Millisecond) // the clock may be set back
+			switch rng.IntN(5) {
+			case 0:
+				d.MarkLeaving(at, id)
+				said[id] = true
+			case 1:
+				d.Replace(at, list())
+			case 2:
+				sequence++
+				d.ApplyUpdate(at, &wire.TargetUpdate{Term: 1 + sequence/5, Sequence: sequence, Changed: true, Targets: list()})
+			case 3:
+				started[id]++
+				said[id] = false
+				d = newerView(d, &at, list())
+			default:
+				short := slices.DeleteFunc(list(), func(e wire.TargetEntry) bool { return e.ID == id })
+				d.Replace(at, short)
+				d = newerView(d, &at, list())
+			}
+			for _, e := range d.View().Targets {
+				is.Equal(d.View().Accepts(e.ID), !said[e.ID])
+			}
+		}
+	}
+}
+
+// newerView replaces the view by a list that is newer than any before.
+func newerView(d *Directory, at *time.Time, list []wire.TargetEntry) *Directory {
+	*at = at.Add(5 * time.Second)
+	d.Replace(*at, list)
+	return d
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -73,6 +73,8 @@
 	mu     sync.Mutex
 	idle   map[Address][]*conn
 
+	// OnResponse is called with the header of each response, before its body is read.
+	OnResponse func(to Address, h http.Header)
 	// Opened and Reused are called for each opened and reused connection.
 	Opened, Reused func()
 }
@@ -82,6 +84,7 @@
 	return &Pool{
 		SameRequest: sameRequest,
 		idle:        make(map[Address][]*conn),
+		OnResponse:  func(Address, http.Header) {},
 		Opened:      func() {},
 		Reused:      func() {},
 		dialer: net.Dialer{
@@ -140,6 +143,7 @@
 		done(false)
 		return nil, &Failure{Err: eris.New("upstream: the response belongs to another request")}
 	}
+	p.OnResponse(to, response.Header)
 	return &Response{Response: response, pool: p, to: to, conn: c, done: done}, nil
 }
 
