--- a/batch/engines.go
+++ b/batch/engines.go
@@ -72,12 +72,11 @@
 	}
 	for _, j := range r.jobs {
 		for _, t := range j.tasks {
-			if t.run == nil {
+			if t.run == nil || !t.run.reading || t.cancelled() {
 				continue
 			}
 			if e := current[t.run.engine]; e == nil || e.startedMs != t.run.engineStartedMs {
-				t.run.cancelReason = "the engine is gone or has restarted"
-				t.run.cancel()
+				r.cancelRun(t, "the engine is gone or has restarted")
 			}
 		}
 	}
--- /dev/null
+++ b/batch/fleet.go
@@ -0,0 +1,335 @@
+package batch
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/carrier"
+	"merlinhall/link"
+	"merlinhall/wire"
+)
+
+const (
+	// orderInterval is how often a carrier gets orders although there is nothing to order,
+	// so that it knows that its runs are still wanted.
+	orderInterval = 250 * time.Millisecond
+	// carrierSuspectAfter is the time without a report after which a carrier gets no new
+	// runs; it reports at least each 250 ms.
+	carrierSuspectAfter = 600 * time.Millisecond
+	// carrierLostAfter is the time without a report after which a carrier's runs go on
+	// elsewhere.
+	carrierLostAfter = 1100 * time.Millisecond
+	// otherZoneRuns is the number of additional runs that a carrier in the engine's
+	// availability zone may have before one in another zone is preferred.
+	otherZoneRuns = 8
+	// adoptionWait is how long a new leader waits for the inventories of all carriers before
+	// it plans.
+	adoptionWait = 400 * time.Millisecond
+)
+
+// carrierView is what the leader knows of a carrier.
+type carrierView struct {
+	process string
+	zone    string
+	local   bool // it is in the leader's own process
+	link    carrier.Sender
+	// synced is set once the carrier has sent an inventory over the link.
+	synced     bool
+	down       bool // the link has ended and there is no other one
+	stopping   bool
+	reportedAt time.Time // when the last report arrived
+	echo       int64     // its clock in that report
+	seen       uint64    // the last orders that it had handled then
+	sequence   uint64    // of the last orders sent
+	sentAt     time.Time
+	runs       map[uint64]*run
+	orders     carrier.Orders // not yet sent
+}
+
+// usable reports whether the carrier may get new runs.
+func (c *carrierView) usable(now time.Time) bool {
+	return c.synced && !c.stopping && now.Sub(c.reportedAt) <= carrierSuspectAfter
+}
+
+// chooseCarrier returns the carrier for a run on an engine in the given zone: the one with
+// the fewest runs, in the engine's zone if there is not much difference. The leader's own
+// process decides for all others and is the last choice. It returns nil if none is usable.
+func chooseCarrier(now time.Time, carriers []*carrierView, zone string) *carrierView {
+	var best *carrierView
+	bestCost := 0
+	for _, c := range carriers {
+		if !c.usable(now) {
+			continue
+		}
+		cost := len(c.runs)
+		if zone != "" && c.zone != zone {
+			cost += otherZoneRuns
+		}
+		if best == nil || best.local && !c.local || best.local == c.local && cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best
+}
+
+// carrierLinks holds the links to the other control processes. The Runner looks at it in
+// each tick, so that no message about a link can be lost.
+type carrierLinks struct {
+	r  *Runner
+	mu sync.Mutex
+	// byProcess has the open links, the newest last. Two control processes may have two.
+	byProcess map[string][]*link.Conn
+}
+
+// Up implements link.Events.
+func (l *carrierLinks) Up(c *link.Conn) {
+	if !slices.Contains(c.Peer().Roles, wire.RoleControl) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byProcess[c.Peer().Process] = append(l.byProcess[c.Peer().Process], c)
+}
+
+// Down implements link.Events.
+func (l *carrierLinks) Down(c *link.Conn, _ error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := c.Peer().Process
+	l.byProcess[p] = slices.DeleteFunc(l.byProcess[p], func(o *link.Conn) bool { return o == c })
+	if len(l.byProcess[p]) == 0 {
+		delete(l.byProcess, p)
+	}
+}
+
+// Message implements link.Events for carrier.KindReport.
+func (l *carrierLinks) Message(c *link.Conn, m wire.Message) {
+	if report, ok := m.(*carrier.Report); ok {
+		if err := l.r.actor.Offer(reportMessage{c, report}); err != nil {
+			c.Close(err) // the inventory on the next link contains what was lost
+		}
+	}
+}
+
+// newest returns the newest link to each process.
+func (l *carrierLinks) newest() map[string]*link.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]*link.Conn, len(l.byProcess))
+	for p, list := range l.byProcess {
+		out[p] = list[len(list)-1]
+	}
+	return out
+}
+
+// Carriers returns the handler of the links to carriers and of their reports.
+func (r *Runner) Carriers() link.Events { return r.links }
+
+// reportMessage is a report of a carrier and the link over which it came.
+type reportMessage struct {
+	from   carrier.Sender
+	report *carrier.Report
+}
+
+// localLink connects the Runner with the carrier of its own process.
+type localLink struct{ r *Runner }
+
+// Send implements carrier.Sender.
+func (l *localLink) Send(m wire.Message) error {
+	switch m := m.(type) {
+	case *carrier.Orders:
+		return l.r.o.Carrier.Handle(l, m)
+	case *carrier.Report:
+		return l.r.actor.Offer(reportMessage{l, m})
+	}
+	return nil
+}
+
+// updateCarriers follows the links: a carrier with another link than before is asked for an
+// inventory, and the runs of one that is silent go on elsewhere.
+func (r *Runner) updateCarriers(now time.Time) {
+	newest := r.links.newest()
+	r.useLink(now, r.o.Process, r.o.Zone, r.local)
+	for process, conn := range newest {
+		r.useLink(now, process, conn.Peer().Zone, conn)
+	}
+	r.carriers = slices.DeleteFunc(r.carriers, func(c *carrierView) bool {
+		if c.down = !c.local && newest[c.process] == nil; c.down {
+			c.synced = false
+		}
+		if now.Sub(c.reportedAt) <= carrierLostAfter {
+			return false
+		}
+		if len(c.runs) > 0 {
+			r.loseRuns(now, c)
+		}
+		c.synced = c.synced && c.local
+		return !c.local && newest[c.process] == nil
+	})
+}
+
+// useLink makes a link that of a carrier and asks for an inventory over it.
+func (r *Runner) useLink(now time.Time, process, zone string, l carrier.Sender) {
+	i := slices.IndexFunc(r.carriers, func(c *carrierView) bool { return c.process == process })
+	if i < 0 {
+		i = len(r.carriers)
+		r.carriers = append(r.carriers, &carrierView{process: process, local: process == r.o.Process, runs: make(map[uint64]*run), reportedAt: now})
+		slices.SortFunc(r.carriers, func(a, b *carrierView) int {
+			if a.process < b.process {
+				return -1
+			}
+			return 1
+		})
+		i = slices.IndexFunc(r.carriers, func(c *carrierView) bool { return c.process == process })
+	}
+	c := r.carriers[i]
+	if c.link == l {
+		return
+	}
+	c.link, c.zone, c.synced, c.echo = l, zone, false, 0
+	c.orders = carrier.Orders{Inventory: true}
+	r.sendOrders(now, c)
+}
+
+// flushOrders sends the orders collected for each carrier.
+func (r *Runner) flushOrders(now time.Time) {
+	for _, c := range r.carriers {
+		o := &c.orders
+		if len(o.Starts) > 0 || len(o.Cancels) > 0 || len(o.Done) > 0 || now.Sub(c.sentAt) >= orderInterval {
+			r.sendOrders(now, c)
+		}
+	}
+}
+
+// sendOrders sends the collected orders to a carrier. If that fails, it is asked for an
+// inventory, which shows what it did not get.
+func (r *Runner) sendOrders(now time.Time, c *carrierView) {
+	if c.down {
+		return
+	}
+	if !c.synced && !c.orders.Inventory {
+		if now.Sub(c.sentAt) < orderInterval {
+			return
+		}
+		c.orders = carrier.Orders{Inventory: true} // the former request may be lost
+	}
+	c.sequence++
+	orders := c.orders
+	orders.Term, orders.Sequence, orders.Echo = r.term, c.sequence, c.echo
+	c.orders, c.sentAt = carrier.Orders{}, now
+	if err := c.link.Send(&orders); err != nil {
+		r.log.WithFields(logrus.Fields{"carrier": c.process, "starts": len(orders.Starts)}).Infof("orders could not be sent: %v", err)
+		c.synced = false
+	}
+}
+
+// handleReport takes the report of a carrier.
+func (r *Runner) handleReport(now time.Time, m reportMessage) {
+	i := slices.IndexFunc(r.carriers, func(c *carrierView) bool { return c.link == m.from })
+	if i < 0 || m.report.Term != r.term {
+		return // of another leader, or over a former link
+	}
+	c := r.carriers[i]
+	if !c.synced && !m.report.Inventory {
+		return
+	}
+	c.reportedAt, c.echo, c.seen = now, max(c.echo, m.report.Clock), m.report.Seen
+	if m.report.Stopping && !c.stopping {
+		r.log.WithField("carrier", c.process).Info("carrier stops")
+	}
+	c.stopping = m.report.Stopping
+	if m.report.Inventory {
+		r.takeInventory(now, c, m.report)
+	}
+	for i := range m.report.Runs {
+		r.handleProgress(now, c, &m.report.Runs[i])
+	}
+}
+
+// takeInventory compares the runs that a carrier has with those that it should have. Runs
+// that nobody else has are taken over; those that it never got are started again.
+func (r *Runner) takeInventory(now time.Time, c *carrierView, m *carrier.Report) {
+	c.synced = true
+	has := make(map[uint64]bool, len(m.Runs))
+	adopted := 0
+	for i := range m.Runs {
+		p := &m.Runs[i]
+		has[p.Attempt] = true
+		if c.runs[p.Attempt] == nil && r.adopt(now, c, p) {
+			adopted++
+		}
+	}
+	if adopted > 0 {
+		r.queue.prune()
+	}
+	for attempt, run := range c.runs {
+		if !has[attempt] && run.sequence <= m.Seen {
+			r.endRun(now, run, runEnd{outcome: carrier.Lost, reason: "the carrier does not have the run"})
+		}
+	}
+	r.log.WithFields(logrus.Fields{
+		"carrier": c.process, "zone": c.zone, "runs": len(m.Runs), "adopted": adopted, "since_ms": now.Sub(r.leadSince).Milliseconds(),
+	}).Info("carrier has sent its inventory")
+}
+
+// adopt takes over a run that this leader did not start, if its task has none. It reports
+// whether it did.
+func (r *Runner) adopt(now time.Time, c *carrierView, p *carrier.Progress) bool {
+	id := p.Identity
+	if id == nil || id.Engine == "" {
+		return false // a reward call without its text
+	}
+	j := r.job(id.Submission)
+	if j == nil {
+		return false
+	}
+	t := j.tasks[id.Item]
+	if t == nil || t.state != taskPending || p.Events < t.text.length() {
+		return false
+	}
+	if p.State == carrier.Ended && p.Outcome != carrier.Complete {
+		return false
+	}
+	began := now.Add(-time.Duration(id.AgeMs) * time.Millisecond)
+	t.run = &run{task: t, attempt: p.Attempt, carrier: c, engine: id.Engine, engineStartedMs: id.EngineStartedMs, began: began, placementReason: "adopted", reading: true, sequence: c.sequence}
+	t.state, t.engine = taskRunning, id.Engine
+	t.runs++
+	if t.firstRunAt.IsZero() {
+		t.firstRunAt = began
+	}
+	c.runs[p.Attempt] = t.run
+	if e := r.engine(id.Engine); e != nil && e.startedMs == id.EngineStartedMs {
+		e.running++
+	}
+	if t.group.engine == "" {
+		t.group.engine = id.Engine
+	}
+	return true
+}
+
+// loseRuns gives up the runs of a carrier that does not answer.
+func (r *Runner) loseRuns(now time.Time, c *carrierView) {
+	r.log.WithFields(logrus.Fields{
+		"carrier": c.process, "runs": len(c.runs), "silent_ms": now.Sub(c.reportedAt).Milliseconds(),
+	}).Warn("carrier is silent; its runs go on elsewhere")
+	for _, run := range c.runs {
+		r.endRun(now, run, runEnd{outcome: carrier.Lost, reason: "the carrier is silent"})
+	}
+	c.synced = false
+}
+
+// adopting reports whether planning waits for the inventories of the carriers.
+func (r *Runner) adopting(now time.Time) bool {
+	if r.adopted || now.Sub(r.leadSince) >= adoptionWait {
+		if !r.adopted {
+			r.log.WithField("ms", now.Sub(r.leadSince).Milliseconds()).Info("not all carriers have sent an inventory; planning begins")
+		}
+		r.adopted = true
+		return false
+	}
+	r.adopted = !slices.ContainsFunc(r.carriers, func(c *carrierView) bool { return !c.synced })
+	return !r.adopted
+}
--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"io"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/carrier"
 	"merlinhall/upstream"
 )
 
@@ -47,21 +47,6 @@
 	is.True(e.load != nil)
 }
 
-type versionField struct{ Protocol }
-
-func (versionField) VersionField() string { return "version" }
-
-func TestReaderTellsOfEachChangeOfTheVersion(t *testing.T) {
-	is := is.New(t)
-	var seen []uint64
-	r := &run{began: time.Now(), onVersionChange: func(v uint64) { seen = append(seen, v) }}
-	reader := textReader{p: versionField{}, next: 1, version: 4, end: &runEnd{run: r}}
-	is.NoErr(reader.read(strings.NewReader("id: 1\ndata: a\n\nversion: 5\nid: 2\ndata: b\n\nversion: 5\nid: 3\ndata: c\n\n")))
-	is.Equal(seen, []uint64{5})
-	_, versions := r.take()
-	is.Equal(versions, []uint64{4, 5})
-}
-
 // Guards against a late step without a log line or metric that shows it.
 func TestJobReportsWhenTheWantedGroupsAreComplete(t *testing.T) {
 	is := is.New(t)
@@ -73,24 +58,6 @@
 	is.Equal(len(j.tasks), 0)
 }
 
-// Guards against a text that must have a single weight version but continues under
-// another.
-func TestTextOfOneVersionEndsWhenItsEngineTakesAnother(t *testing.T) {
-	is := is.New(t)
-	const events = "id: 1\ndata: a\n\nversion: 5\nid: 2\ndata: b\n\n"
-	r := &run{began: time.Now(), onVersionChange: func(uint64) {}}
-	reader := textReader{p: versionField{}, next: 1, version: 4, rule: versionRule{single: true}, end: &runEnd{run: r}}
-	is.True(errors.Is(reader.read(strings.NewReader(events)), errVersionNotAllowed))
-	kept, versions := r.take()
-	is.Equal(len(kept), 1)
-	is.Equal(versions, []uint64{4})
-
-	r = &run{began: time.Now(), onVersionChange: func(uint64) {}} // continues after events of version 3
-	reader = textReader{p: versionField{}, next: 1, version: 4, rule: versionRule{single: true, only: 3}, end: &runEnd{run: r}}
-	is.True(errors.Is(reader.read(strings.NewReader(events)), errVersionNotAllowed))
-	is.Equal(r.buffered(), 0)
-}
-
 func TestEngineEndsRunsOfOneVersionBeforeALoad(t *testing.T) {
 	is := is.New(t)
 	e := testEngine("a", 4, 4)
@@ -116,7 +83,7 @@
 	j := testJob("k", start, 1, []int{600})
 	j.sub.SingleVersion = true
 	task := j.tasks["k-0-0"]
-	task.text = text{events: [][]byte{[]byte("a")}, versions: []uint64{4}}
+	task.text = text{Text: carrier.Text{Events: 1, Versions: []uint64{4}}}
 	other := testEngine("b", 4, 4)
 	r := quietRunner(e, other)
 	r.dropUnservableText(task)
--- a/batch/pace.go
+++ b/batch/pace.go
@@ -100,7 +100,7 @@
 func (l *lengths) remainingEvents(t *task) int {
 	has := t.text.length()
 	if t.run != nil {
-		has += t.run.buffered()
+		has = max(has, t.run.events)
 	}
 	return max(l.eventsOf(t.size)-has, has/2, 1)
 }
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -39,13 +39,7 @@
 		return
 	}
 	p.drop(item)
-	kept := &partialText{text: t, complete: complete, storedAt: now}
-	for _, e := range t.events {
-		kept.size += len(e)
-	}
-	for _, part := range t.parts {
-		kept.size += len(part)
-	}
+	kept := &partialText{text: t, complete: complete, storedAt: now, size: t.size()}
 	p.texts[item] = kept
 	p.order = append(p.order, item)
 	p.size += kept.size
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -66,8 +66,8 @@
 	if !ok || version < t.job.sub.MinVersion {
 		return false
 	}
-	if t.job.sub.SingleVersion && len(t.text.versions) > 0 {
-		return slices.Contains(t.text.versions, version)
+	if t.job.sub.SingleVersion && len(t.text.Versions) > 0 {
+		return slices.Contains(t.text.Versions, version)
 	}
 	return true
 }
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -119,7 +119,7 @@
 	is.Equal(moved(), 1)
 	running.size = 200
 	is.Equal(moved(), 0) // the time saved is not worth a move
-	running.text.partsEvents = 100
+	running.text.Events = 100
 	is.Equal(moved(), 1) // longer than estimated, so it is expected to continue for long
 	running.moves = maxMoves
 	is.Equal(moved(), 0)
@@ -177,7 +177,7 @@
 	j := testJob("k", start, 1, []int{600})
 	j.sub.SingleVersion = true
 	task := j.tasks["k-0-0"]
-	task.text.versions = []uint64{2}
+	task.text.Versions = []uint64{2}
 	is.True(!testEngine("a", 1, 3).canServe(task))
 	is.True(testEngine("a", 1, 2).canServe(task))
 }
@@ -240,7 +240,7 @@
 	}
 	is.Equal(l.eventsOf(1800), 10)
 	j := testJob("k", start, 1, []int{1800})
-	j.tasks["k-0-0"].text.partsEvents = 60
+	j.tasks["k-0-0"].text.Events = 60
 	is.Equal(l.remainingEvents(j.tasks["k-0-0"]), 30)
 }
 
--- a/batch/results.go
+++ b/batch/results.go
@@ -3,135 +3,208 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"merlinhall/forward"
 	"merlinhall/ledger"
-	"merlinhall/routes"
-	"merlinhall/upstream"
 )
 
-// score has a complete text scored. Without a reward call it records the result at once.
-func (r *Runner) score(t *task) {
-	t.state = taskScoring
-	if t.item.Reward == nil {
-		r.record(t, r.result(t, ""), "")
-		return
-	}
-	leadCtx := r.ctx
-	go func() { r.deliver(leadCtx, r.callReward(leadCtx, t)) }()
-}
+const (
+	// saveInterval is how often the partial texts of running items are saved in the
+	// ledger. Carriers keep them meanwhile; a save is for the loss of a carrier and the
+	// leader, or of all processes, at the same time.
+	saveInterval = time.Second
+	// minSaveEvents is the number of new events from which a text is saved.
+	minSaveEvents = 15
+	// maxProposals bounds the additions that wait for the log at the same time. What comes
+	// meanwhile goes into the next ones.
+	maxProposals = 2
+	// maxAdditionItems and maxAdditionBytes bound one proposal.
+	maxAdditionItems = 256
+	maxAdditionBytes = 512 << 10
+	// proposeRetryDelay is the wait after a proposal that failed.
+	proposeRetryDelay = 200 * time.Millisecond
+)
 
-// result returns the result of a complete text. While a proposal of partial text is in
-// progress, it is unknown how much of the text the ledger has, so the result contains all
-// of it.
-func (r *Runner) result(t *task, score string) ledger.Result {
-	known := t.text
-	known.inLedger = known.inLedger && !t.saving
-	return known.result(t.item.ID, score)
+// additions collects results and partial texts for the ledger, so that one entry of the log
+// has those of many runs.
+type additions struct {
+	results  []*task // with a result that is not proposed
+	saves    []*task // with a text that is to be saved
+	inFlight int     // number of proposals
+	retryAt  time.Time
 }
 
-// rewardTimeout bounds a reward call whose route allows more.
-const rewardTimeout = 3 * time.Second
-
-// callReward sends the reward call of a task and returns the outcome.
-func (r *Runner) callReward(ctx context.Context, t *task) scoreEnd {
-	reward := t.item.Reward
-	end := scoreEnd{task: t}
-	table := r.o.Manifests.Table()
-	var route *routes.Route
-	if table != nil {
-		route = table.Find(reward.Host, reward.Path)
-	}
-	if route == nil {
-		end.reason = "no route to the reward service"
-		return end
-	}
-	result := r.o.Forwarder.Do(ctx, &forward.Request{
-		Request: upstream.Request{
-			ID: reward.ID, Method: http.MethodPost, URI: reward.Path, Host: reward.Host, Body: reward.Body,
-			Header: r.o.Protocol.RewardHeaders(reward.ID),
-		},
-		Route:      route,
-		Background: true,
-		Deadline:   time.Now().Add(min(route.Timeout, rewardTimeout)),
-	})
-	end.failures, end.maxFailures, end.reason = result.Failures, max(1, route.MaxAttempts), result.Reason
-	if result.Outcome == forward.OutcomeAnswered && result.Status >= 200 && result.Status < 300 {
-		end.score = r.o.Protocol.Score(result.Header)
-	} else if result.Outcome == forward.OutcomeAnswered {
-		end.reason = http.StatusText(result.Status)
-	}
-	return end
+// addEnd is a proposal of additions that has ended.
+type addEnd struct {
+	results []*task
+	saves   []*task
+	parts   []ledger.Progress // of saves
+	err     error
 }
 
-func (r *Runner) handleScoreEnd(now time.Time, m scoreEnd) {
-	t := m.task
-	if r.job(t.job.sub.ID) != t.job || t.state != taskScoring {
-		return
-	}
-	if m.score != "" {
-		r.record(t, r.result(t, m.score), "")
-		return
+// scoreWhole has a complete text from an earlier submission or leader scored.
+func (r *Runner) scoreWhole(t *task) { t.state, t.whole = taskScoring, true }
+
+// record has the result of a task proposed to the ledger.
+func (r *Runner) record(t *task, result ledger.Result, why string) {
+	t.state, t.result = taskRecording, &result
+	if why != "" {
+		r.log.WithFields(logrus.Fields{"submission": t.job.sub.ID, "item": t.item.ID}).Info("item is given up: " + why)
 	}
-	t.rewardFailures += m.failures
-	r.log.WithFields(logrus.Fields{
-		"submission": t.job.sub.ID, "item": t.item.ID, "failures": t.rewardFailures, "reason": m.reason,
-	}).Info("reward call has no score")
-	if m.maxFailures > 0 && t.rewardFailures >= m.maxFailures {
-		r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the reward call failed too often")
+	r.additions.results = append(r.additions.results, t)
+}
+
+// saveDueTexts saves, once per saveInterval, the texts of running items that have at least
+// minSaveEvents unsaved events. The result of an item then contains only the events after
+// the saved ones.
+func (r *Runner) saveDueTexts(now time.Time, running []*task) {
+	if now.Sub(r.savedAt) < saveInterval {
 		return
 	}
-	t.retryAt = now.Add(rewardRetryDelay)
+	r.saveGrownTexts(now, running, minSaveEvents)
 }
 
-// rewardRetryDelay is the wait before a reward call that returned no score, or a failed
-// proposal of a result, is repeated.
-const rewardRetryDelay = 200 * time.Millisecond
+// saveGrownTexts saves the texts of the tasks that have at least the given number of
+// unsaved events and no save in progress.
+func (r *Runner) saveGrownTexts(now time.Time, running []*task, least int) {
+	r.savedAt = now
+	for _, t := range running {
+		if !t.saving && t.text.unsavedEvents() >= least {
+			t.saving = true
+			r.additions.saves = append(r.additions.saves, t)
+		}
+	}
+}
 
-// record proposes the result of a task to the ledger.
-func (r *Runner) record(t *task, result ledger.Result, why string) {
-	t.state = taskRecording
-	t.result = &result
-	if why != "" {
-		r.log.WithFields(logrus.Fields{"submission": t.job.sub.ID, "item": t.item.ID}).Info("item is given up: " + why)
+// propose proposes what has been collected.
+func (r *Runner) propose(now time.Time) {
+	a := &r.additions
+	if len(a.results)+len(a.saves) == 0 || a.inFlight >= maxProposals || now.Before(a.retryAt) {
+		return
 	}
-	body, err := ledger.RecordCommand(t.job.sub.ID, result)
+	end, list := r.nextAdditions()
+	if len(list) == 0 {
+		return
+	}
+	body, err := ledger.AddCommand(list)
 	if err != nil {
-		r.log.WithField("item", t.item.ID).Errorf("cannot encode result: %v", err)
+		r.log.Errorf("cannot encode additions to the ledger: %v", err)
+		end.err = err
+		r.handleAddEnd(now, end)
 		return
 	}
+	a.inFlight++
 	leadCtx := r.ctx
 	go func() {
 		ctx, cancel := context.WithTimeout(leadCtx, proposeTimeout)
 		defer cancel()
-		err := r.o.Propose(ctx, body)
-		r.deliver(leadCtx, recordEnd{t, err})
+		end.err = r.o.Propose(ctx, body)
+		r.deliver(leadCtx, end)
 	}()
 }
 
-func (r *Runner) handleRecordEnd(now time.Time, m recordEnd) {
-	t := m.task
-	j := r.job(t.job.sub.ID)
-	if j != t.job || t.state != taskRecording {
-		return
+// nextAdditions takes the next results and saves, results first, up to the bounds of one
+// proposal.
+func (r *Runner) nextAdditions() (addEnd, []ledger.Addition) {
+	a, end := &r.additions, addEnd{}
+	var list []ledger.Addition
+	bySubmission := make(map[string]int)
+	size, items := 0, 0
+	addition := func(t *task) *ledger.Addition {
+		i, ok := bySubmission[t.job.sub.ID]
+		if !ok {
+			i = len(list)
+			bySubmission[t.job.sub.ID] = i
+			list = append(list, ledger.Addition{Submission: t.job.sub.ID})
+		}
+		return &list[i]
 	}
-	if m.err != nil {
-		if errors.Is(m.err, ledger.ErrTextMissing) {
-			t.text.inLedger = false
-			complete := t.text.result(t.item.ID, t.result.Score)
-			t.result = &complete
+	full := func() bool { return items >= maxAdditionItems || size >= maxAdditionBytes }
+	for len(a.results) > 0 && !full() {
+		t := a.results[0]
+		a.results = a.results[1:]
+		if t.job.closed {
+			continue
 		}
-		r.log.WithFields(logrus.Fields{"submission": j.sub.ID, "item": t.item.ID}).Warnf("result was not recorded, proposing it again: %v", m.err)
-		t.retryAt = now.Add(rewardRetryDelay)
-		t.proposeAgain = true
-		return
+		result := *t.result
+		if !result.Failed && t.saving {
+			// It is not known yet how much of the text the ledger has.
+			whole := t.text
+			whole.forgetSaved()
+			result = whole.result(t.item.ID, result.Score)
+		}
+		add := addition(t)
+		add.Results = append(add.Results, result)
+		end.results = append(end.results, t)
+		size, items = size+t.text.size(), items+1
 	}
+	for len(a.saves) > 0 && !full() {
+		t := a.saves[0]
+		a.saves = a.saves[1:]
+		if t.job.closed || t.state == taskRecording {
+			t.saving = false
+			continue
+		}
+		part := t.text.progress(t.item.ID)
+		add := addition(t)
+		add.Progress = append(add.Progress, part)
+		end.saves, end.parts = append(end.saves, t), append(end.parts, part)
+		size, items = size+t.text.size(), items+1
+	}
+	return end, list
+}
+
+// handleAddEnd takes the end of a proposal. After one that failed it is unknown what the
+// ledger has, so the texts are proposed again as a whole.
+func (r *Runner) handleAddEnd(now time.Time, m addEnd) {
+	r.additions.inFlight = max(0, r.additions.inFlight-1)
+	var missing *ledger.MissingTextError
+	failed := m.err != nil && !errors.As(m.err, &missing)
+	for i, t := range m.saves {
+		t.saving = false
+		if failed {
+			t.text.forgetSaved()
+			continue
+		}
+		t.text.markSaved(&m.parts[i])
+	}
+	again := 0
+	for _, t := range m.results {
+		if t.job.closed || t.state != taskRecording {
+			continue
+		}
+		if failed || missing != nil && slices.Contains(missing.Items, t.item.ID) {
+			again++
+			t.text.forgetSaved()
+			if !t.result.Failed {
+				result := t.text.result(t.item.ID, t.result.Score)
+				t.result = &result
+			}
+			r.additions.results = append(r.additions.results, t)
+			continue
+		}
+		r.finishTask(now, t)
+	}
+	if m.err != nil {
+		r.log.WithFields(logrus.Fields{"results": again, "saves": len(m.saves)}).Warnf("additions to the ledger failed, proposing them again: %v", m.err)
+	}
+	if failed {
+		r.additions.retryAt = now.Add(proposeRetryDelay)
+	}
+	r.finishFlush()
+}
+
+// finishTask takes a task whose result is recorded off its job.
+func (r *Runner) finishTask(now time.Time, t *task) {
+	j := t.job
 	r.metrics.observeRecorded(t, now)
 	r.logRecorded(t, now)
+	if t.run != nil {
+		r.detach(t.run)
+	}
 	if j.markRecorded(t) {
 		took := now.Sub(j.since)
 		r.metrics.steps.Observe(took.Seconds())
@@ -144,16 +217,55 @@
 	}
 }
 
+// flushMessage requests that all partial texts are saved. done is closed when no proposal is
+// in progress any more.
+type flushMessage struct{ done chan struct{} }
+
+// FlushTexts saves the partial texts of all running items before the leadership ends. If a
+// save of a text is already in progress, later events of that text are not saved. It returns
+// when all proposals have ended, successfully or not, or when ctx ends.
+func (r *Runner) FlushTexts(ctx context.Context) {
+	m := flushMessage{make(chan struct{})}
+	if err := r.actor.Offer(m); err != nil {
+		r.log.Infof("cannot save partial texts before the leadership ends: %v", err)
+		return
+	}
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) handleFlush(now time.Time, m flushMessage) {
+	if r.leading {
+		r.saveGrownTexts(now, r.running(), 1)
+		r.propose(now)
+	}
+	r.flushWaiters = append(r.flushWaiters, m.done)
+	r.finishFlush()
+}
+
+// finishFlush closes the channels of all flushes once no proposal is in progress.
+func (r *Runner) finishFlush() {
+	if r.additions.inFlight > 0 {
+		return
+	}
+	for _, done := range r.flushWaiters {
+		close(done)
+	}
+	r.flushWaiters = nil
+}
+
 // logUnfinished logs the progress of an item without a result when its submission closes.
 func (r *Runner) logUnfinished(t *task, now time.Time, why string) {
 	fields := logrus.Fields{
 		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "state": t.state.String(),
 		"events": t.text.length(), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
-		"reward_failures": t.rewardFailures, "age_ms": now.Sub(t.job.since).Milliseconds(),
+		"age_ms": now.Sub(t.job.since).Milliseconds(),
 	}
 	if t.run != nil {
 		fields["run_ms"] = now.Sub(t.run.began).Milliseconds()
-		fields["run_events"] = t.run.count.Load()
+		fields["run_events"] = t.run.events
 		fields["idle_ms"] = t.run.idle(now).Milliseconds()
 	}
 	r.log.WithFields(fields).Info("item is left: " + why)
@@ -168,7 +280,7 @@
 	}
 	r.log.WithFields(logrus.Fields{
 		"submission": t.job.sub.ID, "item": t.item.ID, "group": t.group.name, "engine": t.engine, "failed": t.result.Failed,
-		"versions": t.text.versions, "events": t.text.length(), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
+		"versions": t.text.Versions, "events": t.text.length(), "runs": t.runs, "moves": t.moves, "size": t.size, "urgent": t.group.urgent,
 		"begun_ms": since(t.firstRunAt), "text_ms": since(t.textCompleteAt), "listed_ms": since(now),
 	}).Info("item is listed")
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -8,11 +8,11 @@
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/actor"
+	"merlinhall/carrier"
 	"merlinhall/directory"
-	"merlinhall/forward"
 	"merlinhall/ledger"
+	"merlinhall/link"
 	"merlinhall/observe"
-	"merlinhall/upstream"
 )
 
 const (
@@ -59,9 +59,9 @@
 	Versions    *ledger.Versions
 	Manifests   *ledger.Manifests
 	Directory   *directory.Directory
-	Pool        *upstream.Pool
-	Forwarder   *forward.Forwarder
 	Protocol    Protocol
+	Zone        string           // of this process
+	Carrier     *carrier.Carrier // of this process
 	// Propose commits a command of the submissions slice.
 	Propose func(ctx context.Context, body []byte) error
 	Holder  *ledger.Holder
@@ -102,6 +102,16 @@
 	ctx        context.Context // cancelled when the leadership ends
 	stop       context.CancelFunc
 
+	links    *carrierLinks
+	local    carrier.Sender // link to the carrier of this process
+	carriers []*carrierView // by process
+	adopted  bool           // the runs that carriers had when this process became leader are known
+	attempts uint64         // number of attempts started in this term
+
+	scheduledAt      time.Time // when tasks were last planned
+	scheduleDeferred bool      // another planning has been asked for
+	additions        additions
+
 	jobs           []*job // oldest first
 	queue          queue
 	partial        *partials
@@ -112,8 +122,7 @@
 	nextExpiry     time.Time
 	eventTimesAt   time.Time // when the time per event was last sampled
 	savedAt        time.Time // when partial texts were last proposed to the ledger
-	pendingSaves   int       // proposals of partial texts in progress
-	// flushWaiters are closed when no save of partial texts is in progress.
+	// flushWaiters are closed when no proposal is in progress.
 	flushWaiters []chan struct{}
 }
 
@@ -126,22 +135,13 @@
 	viewMessage   struct{ view *directory.View }
 	tickMessage   struct{}
 	wakeMessage   struct{}
-	scoreEnd      struct {
-		task        *task
-		score       string
-		failures    int
-		maxFailures int // number of failures after which the item has failed
-		reason      string
-	}
-	recordEnd struct {
-		task *task
-		err  error
-	}
 )
 
 // Start starts the actor. It does nothing until Lead reports that this process leads.
 func Start(o Options) *Runner {
 	r := &Runner{o: o, log: o.Observer.Logger("batch"), assignedModels: make(map[string]string), metrics: newMetrics(o.Observer.Registry)}
+	r.links = &carrierLinks{r: r, byProcess: make(map[string][]*link.Conn)}
+	r.local = &localLink{r}
 	r.takeover = takeover{maxWait: o.OrderHold, fencesChecked: o.FencesChecked, self: o.Process}
 	r.actor = o.System.Start("batch", mailboxCapacity, r)
 	o.Submissions.OnChange(func(c ledger.SubmissionChange) { r.offer(changeMessage{c}) })
@@ -183,20 +183,16 @@
 		r.handleChange(m.change)
 	case viewMessage:
 		r.updateEngines(now, m.view)
-	case runEnd:
-		r.handleRunEnd(now, m)
-	case scoreEnd:
-		r.handleScoreEnd(now, m)
-	case recordEnd:
-		r.handleRecordEnd(now, m)
+	case reportMessage:
+		if r.leading {
+			r.handleReport(now, m)
+		}
+	case addEnd:
+		r.handleAddEnd(now, m)
 	case holderEnd:
 		r.handleHolderEnd(m)
 	case flushMessage:
 		r.handleFlush(now, m)
-	case saveEnd:
-		r.handleSaveEnd(m)
-	case versionSeen:
-		r.handleVersionSeen(now, m)
 	case reportEnd:
 		r.handleReportEnd(now, m)
 	case orderEnd:
@@ -206,6 +202,8 @@
 	}
 	if r.leading {
 		r.schedule(now)
+		r.propose(now)
+		r.flushOrders(now)
 	}
 }
 
@@ -213,9 +211,6 @@
 	if r.leading {
 		r.stop()
 		r.jobs, r.queue = nil, queue{perToken: r.queue.perToken, lengths: r.queue.lengths}
-		for _, e := range r.engines {
-			e.running, e.load = 0, nil
-		}
 	}
 	r.leading, r.term = m.leading, m.term
 	if !m.leading {
@@ -223,7 +218,7 @@
 		return
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.pendingSaves = 0
+	r.additions, r.attempts, r.adopted, r.carriers = additions{}, 0, false, nil
 	r.leadSince, r.superseded, r.isHolder, r.claiming = now, false, false, false
 	r.assignedAt = time.Time{}
 	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
@@ -232,7 +227,8 @@
 	for _, open := range r.o.Submissions.Open() {
 		r.addJob(open)
 	}
-	r.log.WithFields(logrus.Fields{"term": m.term, "open": len(r.jobs), "engines": len(r.engines)}).Info("leads")
+	r.updateCarriers(now)
+	r.log.WithFields(logrus.Fields{"term": m.term, "open": len(r.jobs), "engines": len(r.engines), "carriers": len(r.carriers)}).Info("leads")
 }
 
 func (r *Runner) addJob(open ledger.Open) {
@@ -244,8 +240,8 @@
 	r.updateDemand(open.Submission)
 	for _, t := range j.tasks {
 		if earlier, ok := r.o.Submissions.Finished(t.item.ID); ok && r.reusable(t, earlier) {
-			t.text = text{parts: earlier.Parts, versions: earlier.Versions}
-			r.score(t)
+			t.text = text{Text: carrier.Text{Parts: earlier.Parts, Versions: earlier.Versions}}
+			r.scoreWhole(t)
 			continue
 		}
 		r.resumeText(t)
@@ -271,16 +267,16 @@
 	}
 	t.text = p.text
 	r.log.WithFields(logrus.Fields{
-		"submission": t.job.sub.ID, "item": t.item.ID, "events": t.text.length(), "versions": t.text.versions, "complete": p.complete,
+		"submission": t.job.sub.ID, "item": t.item.ID, "events": t.text.length(), "versions": t.text.Versions, "complete": p.complete,
 	}).Info("item goes on with an earlier text")
 	if p.complete {
-		r.score(t)
+		r.scoreWhole(t)
 	}
 }
 
 // reusable reports whether the task allows the text of an earlier submission.
 func (r *Runner) reusable(t *task, earlier ledger.Result) bool {
-	text := text{versions: earlier.Versions}
+	text := text{Text: carrier.Text{Versions: earlier.Versions}}
 	return text.fits(t.job.sub)
 }
 
@@ -321,12 +317,15 @@
 	now := time.Now()
 	for _, t := range j.tasks {
 		r.logUnfinished(t, now, why)
-		if t.run != nil {
-			t.run.cancelReason = why
-			t.run.cancel()
+		if t.run != nil && t.run.reading {
+			r.cancelRun(t, why)
 			continue
 		}
-		r.partial.put(now, t.item.ID, t.text, t.state == taskScoring)
+		r.partial.put(now, t.item.ID, t.text, t.whole)
+		if t.run != nil {
+			r.cancelRun(t, why)
+			r.detach(t.run)
+		}
 	}
 	j.closed = true
 	r.queue.prune()
@@ -334,8 +333,24 @@
 	r.log.WithFields(logrus.Fields{"submission": id, "left": len(j.tasks)}).Info("submission is closed: " + why)
 }
 
+// scheduleInterval is the least time between two plans. Reports come in bursts, and a plan
+// looks at all engines with free slots.
+const scheduleInterval = 10 * time.Millisecond
+
 // schedule starts the tasks and sends the orders that are possible now.
 func (r *Runner) schedule(now time.Time) {
+	if r.scheduleDeferred && now.Before(r.scheduledAt.Add(scheduleInterval)) {
+		return
+	}
+	if wait := scheduleInterval - now.Sub(r.scheduledAt); wait > 0 {
+		r.scheduleDeferred = true
+		time.AfterFunc(wait, func() { r.offer(wakeMessage{}) })
+		return
+	}
+	r.scheduledAt, r.scheduleDeferred = now, false
+	if r.adopting(now) {
+		return
+	}
 	placements := plan(now, r.queue.tasks, r.engines, &r.queue.lengths)
 	for _, p := range placements {
 		r.begin(now, p)
@@ -351,6 +366,7 @@
 	if !r.leading {
 		return
 	}
+	r.updateCarriers(now)
 	count := make(map[taskState]int)
 	for _, j := range r.jobs {
 		for _, t := range j.tasks {
@@ -396,7 +412,7 @@
 func (r *Runner) tickTask(now time.Time, t *task) {
 	switch t.state {
 	case taskRunning:
-		if limit := r.silenceLimitOf(t); t.run != nil && !t.cancelled() && t.run.idle(now) > limit {
+		if limit := r.silenceLimitOf(now, t); t.run != nil && !t.cancelled() && t.run.idle(now) > limit {
 			if e := r.engine(t.engine); e != nil {
 				e.pausedUntil = now.Add(pauseSilent)
 			}
@@ -404,14 +420,10 @@
 			t.group.unassign(t.engine)
 		}
 	case taskScoring:
-		if !t.retryAt.IsZero() && !now.Before(t.retryAt) {
-			t.retryAt = time.Time{}
-			r.score(t)
-		}
-	case taskRecording:
-		if t.proposeAgain && !now.Before(t.retryAt) {
-			t.proposeAgain = false
-			r.record(t, *t.result, "")
+		if t.run == nil && t.item.Reward == nil {
+			r.record(t, t.text.result(t.item.ID, ""), "")
+		} else if t.run == nil {
+			r.startScoring(now, t)
 		}
 	case taskPending:
 		r.dropUnservableText(t)
@@ -425,10 +437,10 @@
 // has that version any more, because no run could continue it. The item starts again from
 // its prompt.
 func (r *Runner) dropUnservableText(t *task) {
-	if !t.job.sub.SingleVersion || len(t.text.versions) == 0 || len(r.engines) == 0 {
+	if !t.job.sub.SingleVersion || len(t.text.Versions) == 0 || len(r.engines) == 0 {
 		return
 	}
-	version, model := t.text.versions[0], t.job.sub.Model
+	version, model := t.text.Versions[0], t.job.sub.Model
 	if slices.ContainsFunc(r.engines, func(e *engine) bool { return e.versions[model] == version && !e.draining }) {
 		return
 	}
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -1,149 +1,305 @@
 package batch
 
 import (
-	"context"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/carrier"
 	"merlinhall/ledger"
 	"merlinhall/routes"
-	"merlinhall/upstream"
 )
 
-// begin starts a run of a task on the engine chosen for it.
-func (r *Runner) begin(now time.Time, p placement) {
+// run is the leader's view of an attempt to generate the text of an item, or, without an
+// engine, to have it scored.
+type run struct {
+	task            *task
+	attempt         uint64
+	carrier         *carrierView
+	sequence        uint64 // of the orders with which it was started
+	engine          string
+	engineStartedMs int64
+	began           time.Time
+	reading         bool   // the engine generates, and so has a slot less
+	placementReason string // why it runs on this engine
+	cancelReason    string // set when the leader cancels the run
+	events          int    // of the whole text, as last reported
+	lastEventAt     time.Time
+	version         uint64 // that the engine named last
+	// The values of events and lastEventAt at the last call of sampleEventTimes.
+	sampledEvents int
+	sampledAt     time.Time
+}
+
+// idle returns the time since the run's last event, or since its start.
+func (r *run) idle(now time.Time) time.Duration {
+	if r.lastEventAt.After(r.began) {
+		return now.Sub(r.lastEventAt)
+	}
+	return now.Sub(r.began)
+}
+
+// runEnd is the end of an attempt.
+type runEnd struct {
+	outcome carrier.Outcome
+	reached bool // the engine answered the request
+	reason  string
+}
+
+// begin starts a run of a task on the engine chosen for it. It reports whether it did.
+func (r *Runner) begin(now time.Time, p placement) bool {
 	t, e := p.task, p.engine
-	table := r.o.Manifests.Table()
-	if table == nil || !r.o.Directory.View().Accepts(e.id) {
-		return // the view of the targets may be newer than the last message about it
+	target := r.o.Directory.View().Target(e.id)
+	if !r.o.Directory.View().Accepts(e.id) || r.o.Submissions.Closed(t.job.sub.ID) {
+		return false // both may be newer than the last message about them
 	}
-	route := table.Find(t.job.sub.Host, t.item.Path)
-	if route == nil || !slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == r.serviceOf(e) }) {
+	if !r.allowed(t, target.Service) {
 		t.retryAt = now.Add(failedRetryDelay)
-		return
+		return false
 	}
-	ctx, cancel := context.WithCancel(r.ctx)
-	lastEvent := t.text.length()
-	version := e.versions[t.job.sub.Model]
-	run := &run{task: t, engine: e.id, engineStartedMs: e.startedMs, began: now, cancel: cancel, version: version, placementReason: p.reason}
-	leadCtx, model := r.ctx, t.job.sub.Model
-	run.onVersionChange = func(v uint64) { r.deliver(leadCtx, versionSeen{e, run.engineStartedMs, model, v}) }
-	t.state, t.engine, t.run = taskRunning, e.id, run
+	c := chooseCarrier(now, r.carriers, target.Zone)
+	if c == nil {
+		return false
+	}
+	run := r.newRun(now, t, c)
+	run.engine, run.engineStartedMs, run.placementReason, run.reading = e.id, e.startedMs, p.reason, true
+	run.version = e.versions[t.job.sub.Model]
+	t.state, t.engine = taskRunning, e.id
 	t.runs++
 	if t.firstRunAt.IsZero() {
 		t.firstRunAt = now
 	}
 	e.running++
-	request := &upstream.Request{
-		ID:     t.item.ID,
-		Method: http.MethodPost,
-		URI:    t.item.Path,
-		Host:   t.job.sub.Host,
-		Header: slices.Concat(t.item.Headers, r.o.Protocol.ItemHeaders(t.item.ID, e.id, version, lastEvent)),
-		Body:   t.item.Body,
-	}
-	to := upstream.Address{HostPort: e.address, ID: e.id}
-	rule := t.versionRule()
-	go func() {
-		end := generate(ctx, r.o.Pool, r.o.Protocol, to, request, run, lastEvent+1, rule)
-		cancel()
-		r.deliver(leadCtx, end)
-	}()
-}
-
-// handleRunEnd adds the events of a run that has ended to the text and decides how the
-// task continues.
-func (r *Runner) handleRunEnd(now time.Time, m runEnd) {
-	t := m.run.task
-	e := r.engine(m.run.engine)
-	if t.run != m.run {
-		return // not the task's current run
-	}
-	t.run = nil
-	if e != nil && e.startedMs == m.run.engineStartedMs {
+	c.orders.Starts = append(c.orders.Starts, carrier.Start{
+		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Engine: e.id, Address: e.address, EngineStartedMs: e.startedMs,
+		Path: t.item.Path, Host: t.job.sub.Host, Headers: t.item.Headers, Body: t.item.Body, Version: run.version,
+		OldestVersion: t.job.sub.MinVersion, SingleVersion: t.job.sub.SingleVersion, Text: t.text.Text, Reward: t.item.Reward,
+	})
+	return true
+}
+
+// allowed reports whether the routes in force let the item of a task go to a service.
+func (r *Runner) allowed(t *task, service string) bool {
+	table := r.o.Manifests.Table()
+	if table == nil {
+		return false
+	}
+	route := table.Find(t.job.sub.Host, t.item.Path)
+	return route != nil && slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == service })
+}
+
+// newRun registers an attempt of a task with a carrier. Attempts of later leaders have
+// higher numbers.
+func (r *Runner) newRun(now time.Time, t *task, c *carrierView) *run {
+	r.attempts++
+	run := &run{task: t, attempt: r.term<<attemptBits | r.attempts, carrier: c, began: now, events: t.text.length(), sequence: c.sequence + 1}
+	t.run = run
+	c.runs[run.attempt] = run
+	return run
+}
+
+// attemptBits is the number of bits of an attempt's number that count within a term.
+const attemptBits = 32
+
+// startScoring has a complete text scored whose run has ended without a score.
+func (r *Runner) startScoring(now time.Time, t *task) {
+	c := chooseCarrier(now, r.carriers, "")
+	if c == nil || r.adopting(now) {
+		return // the next tick tries again
+	}
+	run := r.newRun(now, t, c)
+	c.orders.Starts = append(c.orders.Starts, carrier.Start{
+		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Reward: t.item.Reward,
+	})
+}
+
+// handleProgress takes what a carrier reports of an attempt.
+func (r *Runner) handleProgress(now time.Time, c *carrierView, p *carrier.Progress) {
+	run := c.runs[p.Attempt]
+	if run == nil {
+		// Its task goes on elsewhere, or is no longer wanted.
+		if p.State == carrier.Ended {
+			c.orders.Done = append(c.orders.Done, p.Attempt)
+		} else {
+			c.orders.Cancels = append(c.orders.Cancels, p.Attempt)
+		}
+		return
+	}
+	t := run.task
+	if p.Events > run.events {
+		run.lastEventAt = now.Add(-time.Duration(p.IdleMs) * time.Millisecond)
+	}
+	run.events = p.Events
+	if p.Text != nil && run.engine != "" && !t.text.take(p.Text, p.From) {
+		r.log.WithFields(logrus.Fields{
+			"submission": t.job.sub.ID, "item": t.item.ID, "carrier": c.process, "from": p.From, "events": t.text.length(),
+		}).Warn("a text does not continue the one before; the carrier is asked for all of it")
+		c.synced = false
+		return
+	}
+	r.seeVersion(now, run, p.Version)
+	switch p.State {
+	case carrier.Scoring:
+		r.finishText(now, run)
+	case carrier.Ended:
+		if p.Outcome == carrier.Complete {
+			r.finishText(now, run)
+			r.finishScore(now, run, p)
+			return
+		}
+		r.endRun(now, run, runEnd{p.Outcome, p.Reached, p.Reason})
+	}
+}
+
+// seeVersion takes the weight version that an engine named last in a run.
+func (r *Runner) seeVersion(now time.Time, run *run, version uint64) {
+	if version == 0 || version == run.version && run.events == 0 {
+		return
+	}
+	e := r.engine(run.engine)
+	if e == nil || e.startedMs != run.engineStartedMs {
+		return
+	}
+	e.connectFailures = 0
+	if version != run.version {
+		run.version = version
+		r.handleVersionSeen(now, versionSeen{e, run.engineStartedMs, run.task.job.sub.Model, version})
+	}
+}
+
+// finishText notes that the text of a run is complete. Its reward call goes on.
+func (r *Runner) finishText(now time.Time, run *run) {
+	t := run.task
+	if !run.reading {
+		return
+	}
+	r.leaveEngine(now, run, runEnd{outcome: carrier.Complete, reached: true})
+	t.whole, t.textCompleteAt = true, now
+	r.queue.observeTokenTime(t.size, t.runTime)
+	r.queue.lengths.observe(t.size, t.text.length())
+	if t.state == taskRunning {
+		t.state = taskScoring
+	}
+}
+
+// leaveEngine takes a run off its engine.
+func (r *Runner) leaveEngine(now time.Time, run *run, end runEnd) {
+	if !run.reading {
+		return
+	}
+	run.reading = false
+	if e := r.engine(run.engine); e != nil && e.startedMs == run.engineStartedMs {
 		e.running--
-		r.updateEngine(now, e, m)
+		r.updateEngine(now, e, run, end)
+	}
+	t := run.task
+	if run.events > 0 {
+		t.runTime += now.Sub(run.began)
+	}
+	if end.outcome != carrier.Complete {
+		t.group.unassign(run.engine)
+	}
+	r.metrics.runs.WithLabelValues(string(end.outcome)).Inc()
+	r.logRun(now, run, end)
+}
+
+// detach removes an attempt that needs nothing more from its carrier.
+func (r *Runner) detach(run *run) {
+	if run.carrier.runs[run.attempt] == run {
+		delete(run.carrier.runs, run.attempt)
+		run.carrier.orders.Done = append(run.carrier.orders.Done, run.attempt)
+	}
+	if run.task.run == run {
+		run.task.run = nil
 	}
-	if m.run.count.Load() > 0 {
-		t.runTime += now.Sub(m.run.began)
+}
+
+// finishScore takes the end of a run with a complete text.
+func (r *Runner) finishScore(now time.Time, run *run, p *carrier.Progress) {
+	t := run.task
+	if t.job.closed {
+		r.partial.put(now, t.item.ID, t.text, true)
+		r.detach(run)
+		return
+	}
+	if t.state != taskScoring {
+		return // its result is being recorded; the carrier keeps the text until it is
+	}
+	switch {
+	case p.RewardFailed:
+		r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the reward call failed too often")
+	case p.Score != "" || t.item.Reward == nil:
+		r.log.WithFields(logrus.Fields{
+			"submission": t.job.sub.ID, "item": t.item.ID, "attempt": run.attempt, "carrier": run.carrier.process, "term": r.term, "score": p.Score,
+		}).Debug("text is scored")
+		r.record(t, t.text.result(t.item.ID, p.Score), "")
+	default:
+		r.detach(run) // the next tick has it scored by another carrier
 	}
-	t.text.add(m.run.take())
-	if r.job(t.job.sub.ID) != t.job {
-		r.partial.put(now, t.item.ID, t.text, m.outcome == runComplete)
+}
+
+// endRun takes the end of an attempt without a complete text or score and decides how its
+// task goes on.
+func (r *Runner) endRun(now time.Time, run *run, end runEnd) {
+	t := run.task
+	reading := run.reading
+	r.leaveEngine(now, run, end)
+	r.detach(run)
+	if t.job.closed {
+		r.partial.put(now, t.item.ID, t.text, t.whole)
 		return
 	}
-	r.metrics.runs.WithLabelValues(string(m.outcome)).Inc()
-	r.logRun(now, m)
-	if m.outcome != runComplete {
-		t.group.unassign(m.run.engine)
-	}
-	switch m.outcome {
-	case runComplete:
-		t.textCompleteAt = now
-		r.queue.observeTokenTime(t.size, t.runTime)
-		r.queue.lengths.observe(t.size, t.text.length())
-		r.score(t)
-	case runImpossible:
+	if !reading || t.state != taskRunning {
+		return // a complete text is scored by another carrier
+	}
+	switch end.outcome {
+	case carrier.Impossible:
 		r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine rejected it and a retry cannot succeed")
-	case runFailed:
+		return
+	case carrier.Failed:
 		t.failures++
 		if t.failures >= max(1, t.job.sub.MaxAttempts) {
 			r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine failed too often")
 			return
 		}
-		t.state, t.retryAt = taskPending, now.Add(failedRetryDelay)
-		r.queue.add(t)
-	default:
-		t.state = taskPending
-		r.queue.add(t)
+		t.retryAt = now.Add(failedRetryDelay)
 	}
+	t.state = taskPending
+	r.queue.add(t)
 }
 
-func (r *Runner) logRun(now time.Time, m runEnd) {
-	t := m.run.task
+func (r *Runner) logRun(now time.Time, run *run, end runEnd) {
+	t := run.task
 	entry := r.log.WithFields(logrus.Fields{
-		"submission": t.job.sub.ID, "item": t.item.ID, "engine": m.run.engine, "outcome": m.outcome,
-		"chosen": m.run.placementReason, "events": t.text.length(), "version": m.latestVersion, "ms": now.Sub(m.run.began).Milliseconds(),
+		"submission": t.job.sub.ID, "item": t.item.ID, "attempt": run.attempt, "carrier": run.carrier.process, "engine": run.engine, "outcome": end.outcome,
+		"chosen": run.placementReason, "events": run.events, "version": run.version, "ms": now.Sub(run.began).Milliseconds(),
 	})
-	if m.outcome == runComplete {
+	if end.outcome == carrier.Complete {
 		entry.Debug("run ended")
 		return
 	}
-	entry.WithFields(logrus.Fields{"why": m.run.cancelReason, "error": errorText(m.err)}).Info("run ended early")
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+	entry.WithFields(logrus.Fields{"why": run.cancelReason, "error": end.reason}).Info("run ended early")
 }
 
 // updateEngine updates the state of an engine from the outcome of a run.
-func (r *Runner) updateEngine(now time.Time, e *engine, m runEnd) {
-	if m.reached {
+func (r *Runner) updateEngine(now time.Time, e *engine, run *run, end runEnd) {
+	if end.reached {
 		e.connectFailures = 0
 	}
-	if model := m.run.task.job.sub.Model; m.latestVersion != 0 && (e.load == nil || e.load.model != model) {
-		e.versions[m.run.task.job.sub.Model] = m.latestVersion
-		e.versionsReportedAt = now
-	}
-	switch m.outcome {
-	case runNotRun:
-		if !m.reached {
+	switch end.outcome {
+	case carrier.NotRun:
+		if !end.reached {
 			e.connectFailures++
 			e.pausedUntil = now.Add(min(pauseUnreached<<min(e.connectFailures-1, 8), maxPauseUnreached))
 			return
 		}
 		e.pausedUntil = now.Add(pauseRefused)
-	case runMisdirected, runVersionNotAllowed:
+	case carrier.Misdirected, carrier.VersionNotAllowed:
 		e.pausedUntil = now.Add(pauseBroken)
 		r.requestReport(now, e)
-	case runBroken:
-		if m.run.cancelReason == "" {
+	case carrier.Broken:
+		if run.cancelReason == "" {
 			e.pausedUntil = now.Add(pauseBroken)
 		}
 	}
@@ -155,32 +311,38 @@
 	if now.Sub(r.eventTimesAt) < eventTimeInterval {
 		return
 	}
-	passed := now.Sub(r.eventTimesAt)
 	r.eventTimesAt = now
 	for _, t := range running {
-		n := t.run.count.Load()
-		before := t.run.sampledCount
-		t.run.sampledCount = n
+		if t.run == nil {
+			continue
+		}
+		events, at := t.run.sampledEvents, t.run.sampledAt
+		t.run.sampledEvents, t.run.sampledAt = t.run.events, t.run.lastEventAt
 		e := r.engine(t.engine)
-		if before == 0 || e == nil || e.load != nil {
+		if at.IsZero() || e == nil || e.load != nil {
 			continue
 		}
-		e.observeEventTime(now, passed/time.Duration(max(1, n-before)))
+		if n := t.run.events - events; n > 0 {
+			e.observeEventTime(now, t.run.lastEventAt.Sub(at)/time.Duration(n))
+		} else if idle := t.run.idle(now); idle > eventTimeInterval {
+			e.observeEventTime(now, idle)
+		}
 	}
 }
 
 // silenceLimitOf returns how long the task's run may be without an event. It is longer
 // while the engine loads weights and for silenceLimit after its versions were last
 // reported, so that a run stopped by a load has time to continue.
-func (r *Runner) silenceLimitOf(t *task) time.Duration {
+func (r *Runner) silenceLimitOf(now time.Time, t *task) time.Duration {
 	e := r.engine(t.engine)
-	if e != nil && (e.load != nil || time.Since(e.versionsReportedAt) < silenceLimit) {
+	if e != nil && (e.load != nil || now.Sub(e.versionsReportedAt) < silenceLimit) {
 		return silenceLimitInLoad
 	}
 	return silenceLimit
 }
 
+// cancelRun has the run of a task ended. The task goes on when its carrier says that it has.
 func (r *Runner) cancelRun(t *task, why string) {
 	t.run.cancelReason = why
-	t.run.cancel()
+	t.run.carrier.orders.Cancels = append(t.run.carrier.orders.Cancels, t.run.attempt)
 }
--- a/batch/task.go
+++ b/batch/task.go
@@ -17,8 +17,8 @@
 const (
 	taskPending taskState = iota
 	taskRunning
-	taskScoring
-	taskRecording // a result was proposed to the ledger
+	taskScoring   // its text is complete
+	taskRecording // its result is proposed to the ledger
 )
 
 func (s taskState) String() string {
@@ -36,35 +36,22 @@
 	engine         string // on which it runs or last ran
 	run            *run
 	text           text
-	failures       int // runs for which an engine answered with a failure
-	moves          int // runs that were moved off a slow engine
+	whole          bool // the text is complete
+	failures       int  // runs for which an engine answered with a failure
+	moves          int  // runs that were moved off a slow engine
 	runs           int
 	firstRunAt     time.Time
 	runTime        time.Duration // of the runs that added to the text
 	startBy        time.Time     // latest start, see queue.latestStart
 	textCompleteAt time.Time
-	retryAt        time.Time // no retry before this time
-	// rewardFailures counts the runs of reward calls for which the reward service returned a
-	// failure.
-	rewardFailures int
-	result         *ledger.Result // set once it has been proposed to the ledger
-	proposeAgain   bool           // the last proposal of the result failed
+	retryAt        time.Time      // no retry before this time
+	result         *ledger.Result // set once it is to be proposed to the ledger
 	saving         bool           // a proposal of partial text is in progress
 }
 
 // cancelled reports whether the current run was cancelled and has not ended yet.
 func (t *task) cancelled() bool { return t.run != nil && t.run.cancelReason != "" }
 
-// versionRule returns the rule for the weight versions that may continue the text of the
-// task.
-func (t *task) versionRule() versionRule {
-	rule := versionRule{oldest: t.job.sub.MinVersion, single: t.job.sub.SingleVersion}
-	if rule.single && len(t.text.versions) > 0 {
-		rule.only = t.text.versions[0]
-	}
-	return rule
-}
-
 // group is the items of a submission that share a prompt. They run on the same engine
 // while it has free slots, so that the prompt is processed once.
 type group struct {
--- a/batch/text.go
+++ b/batch/text.go
@@ -1,86 +1,92 @@
 package batch
 
 import (
-	"bytes"
 	"slices"
 
+	"merlinhall/carrier"
 	"merlinhall/ledger"
 )
 
 // text is what has been generated so far for an item. A run on any engine can continue it.
 type text struct {
-	parts       [][]byte // compressed, the first partsEvents events
-	partsEvents int
-	events      [][]byte // later events
-	versions    []uint64 // weight versions that generated the text
-	// inLedger is set when the ledger is known to have the parts. It has no later events,
-	// unless a proposal of them is in progress.
-	inLedger bool
+	carrier.Text
+	// The ledger is known to have the first savedParts parts with savedEvents events.
+	savedParts, savedEvents int
 }
 
 // length returns the number of events.
-func (t *text) length() int { return t.partsEvents + len(t.events) }
+func (t *text) length() int { return t.Events }
 
-// add appends events and adds the weight versions of their run.
-func (t *text) add(events [][]byte, versions []uint64) {
-	t.events = append(t.events, events...)
-	for _, v := range versions {
-		if !slices.Contains(t.versions, v) {
-			t.versions = append(t.versions, v)
-		}
+// unsavedEvents returns the number of events that the ledger is not known to have.
+func (t *text) unsavedEvents() int { return t.Events - t.savedEvents }
+
+// take adds a part that a carrier handed in, which continues the text after from events or,
+// with from 0, replaces it. It reports false if the part does not fit.
+func (t *text) take(part *carrier.Text, from int) bool {
+	if from == 0 {
+		*t = text{Text: *part}
+		return true
+	}
+	if from != t.Events || part.Lineage != t.Lineage {
+		return false
 	}
+	t.Parts = append(slices.Clone(t.Parts), part.Parts...)
+	t.Events += part.Events
+	t.Versions = part.Versions
+	return true
 }
 
 // fits reports whether a submission allows the weight versions of the text. It returns
 // false for a text without versions.
 func (t *text) fits(sub *ledger.Submission) bool {
-	if len(t.versions) == 0 || slices.Min(t.versions) < sub.MinVersion {
+	if len(t.Versions) == 0 || slices.Min(t.Versions) < sub.MinVersion {
 		return false
 	}
-	return !sub.SingleVersion || len(t.versions) == 1
+	return !sub.SingleVersion || len(t.Versions) == 1
 }
 
-// textFromPartial returns the partial text that the ledger has of an item.
-func textFromPartial(p ledger.Partial) text {
-	return text{parts: p.Parts, partsEvents: p.Events, versions: p.Versions, inLedger: true}
+// size returns the compressed size in bytes.
+func (t *text) size() int {
+	n := 0
+	for _, part := range t.Parts {
+		n += len(part)
+	}
+	return n
 }
 
-// unsaved returns the compressed parts that the ledger does not have, and the number of
-// events before them.
-func (t *text) unsaved() (parts [][]byte, eventsBefore int) {
-	if t.inLedger {
-		eventsBefore = t.partsEvents
-	} else {
-		parts = slices.Clone(t.parts)
-	}
-	if len(t.events) > 0 {
-		parts = append(parts, ledger.Pack(bytes.Join(t.events, []byte("\n"))))
+// textFromPartial returns the partial text that the ledger has of an item.
+func textFromPartial(p ledger.Partial) text {
+	return text{
+		Text:       carrier.Text{Parts: p.Parts, Events: p.Events, Versions: p.Versions, Lineage: p.Lineage},
+		savedParts: len(p.Parts), savedEvents: p.Events,
 	}
-	return parts, eventsBefore
 }
 
 // result returns the result of an item with this text, without the events that the ledger
 // already has.
 func (t *text) result(item, score string) ledger.Result {
-	parts, eventsBefore := t.unsaved()
-	return ledger.Result{Item: item, PartialEvents: eventsBefore, Parts: parts, Versions: t.versions, Score: score}
+	return ledger.Result{
+		Item: item, PartialEvents: t.savedEvents, Lineage: t.Lineage, Parts: t.Parts[t.savedParts:], Versions: t.Versions, Score: score,
+	}
 }
 
 // progress returns the part of the text that the ledger does not have.
 func (t *text) progress(item string) ledger.Progress {
-	parts, eventsBefore := t.unsaved()
-	return ledger.Progress{Item: item, EventsBefore: eventsBefore, Events: t.length() - eventsBefore, Parts: parts, Versions: slices.Clone(t.versions)}
+	return ledger.Progress{
+		Item: item, EventsBefore: t.savedEvents, Events: t.unsavedEvents(), Lineage: t.Lineage,
+		Parts: slices.Clone(t.Parts[t.savedParts:]), Versions: slices.Clone(t.Versions),
+	}
 }
 
-// markSaved notes that the ledger has stored p, which progress returned. Events may have
-// been added since.
+// markSaved notes that the ledger has stored p, which progress returned. The text may have
+// grown since; if it was replaced, nothing of it is saved.
 func (t *text) markSaved(p *ledger.Progress) {
-	base := p.EventsBefore + p.Events
-	if p.EventsBefore > 0 {
-		t.parts = append(slices.Clone(t.parts), p.Parts...)
-	} else {
-		t.parts = p.Parts
+	if p.Lineage != t.Lineage || p.EventsBefore != t.savedEvents || p.EventsBefore+p.Events > t.Events {
+		return
 	}
-	t.events = slices.Clone(t.events[base-t.partsEvents:])
-	t.partsEvents, t.inLedger = base, true
+	t.savedParts += len(p.Parts)
+	t.savedEvents += p.Events
 }
+
+// forgetSaved makes the next save or result contain the whole text.
+func (t *text) forgetSaved() { t.savedParts, t.savedEvents = 0, 0 }
--- /dev/null
+++ b/carrier/carrier.go
@@ -0,0 +1,419 @@
+// Package carrier performs the runs of items for the control leader. Every control process
+// is a carrier: it reads the texts that engines generate, keeps them, has them scored and
+// hands them in. It begins nothing by itself, and it goes on when the leader changes: a new
+// leader asks each carrier what it has and takes that over.
+package carrier
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/actor"
+	"merlinhall/boottime"
+	"merlinhall/directory"
+	"merlinhall/forward"
+	"merlinhall/ledger"
+	"merlinhall/link"
+	"merlinhall/observe"
+	"merlinhall/routes"
+	"merlinhall/upstream"
+	"merlinhall/wire"
+)
+
+const (
+	// mailboxCapacity bounds queued messages; a run has one at a time.
+	mailboxCapacity = 4096
+	// tickInterval is how often ended runs are reported.
+	tickInterval = 50 * time.Millisecond
+	// reportInterval is how often the leader gets a report without news.
+	reportInterval = 250 * time.Millisecond
+	// handInInterval is how often the text of a run that goes on is handed in, from
+	// minHandInEvents new events on. What was not handed in is generated again if the
+	// carrier is lost; most texts are complete with fewer events.
+	handInInterval  = time.Second
+	minHandInEvents = 15
+	// rewardRetryDelay is the wait before a reward call that returned no score is repeated.
+	rewardRetryDelay = 200 * time.Millisecond
+	// orphanLimit is how long runs go on without a leader, and how long their texts are kept.
+	orphanLimit = 20 * time.Second
+	// defaultCancelTime is used when the settings have no bound.
+	defaultCancelTime = 3 * time.Second
+)
+
+// Sender sends messages to a leader. *link.Conn implements it.
+type Sender interface {
+	Send(m wire.Message) error
+}
+
+// Options configures a Carrier.
+type Options struct {
+	Pool      *upstream.Pool
+	Forwarder *forward.Forwarder
+	Directory *directory.Directory
+	Protocol  Protocol
+	// Routes returns the routes in force, or nil before the first manifest.
+	Routes func() *routes.Table
+	// CancelTime is the time after the end of a submission from which none of its requests
+	// may reach a target. 0 stands for the default.
+	CancelTime time.Duration
+	Clock      func() time.Duration // nil stands for boottime.Now
+	System     *actor.System
+	Observer   *observe.Observer
+}
+
+// Carrier is the actor.
+type Carrier struct {
+	o       Options
+	log     *logrus.Entry
+	actor   *actor.Actor
+	metrics *metrics
+	ctx     context.Context
+	stop    context.CancelFunc
+
+	leader     Sender // nil until a leader has asked for an inventory
+	term       uint64
+	seen       uint64        // Sequence of the last orders
+	decidedAt  time.Duration // the leader's decisions are at least as new as this
+	reportedAt time.Duration
+	runs       map[uint64]*run
+	stopping   bool
+	drained    []chan struct{} // closed once no run reads
+}
+
+type (
+	tickMessage   struct{}
+	ordersMessage struct {
+		from   Sender
+		orders *Orders
+	}
+	downMessage  struct{ from Sender }
+	drainMessage struct{ done chan struct{} }
+	readEnded    struct {
+		run *run
+		end readEnd
+	}
+	rewardEnded struct {
+		run *run
+		end rewardEnd
+	}
+)
+
+// StartCarrier starts the actor.
+func StartCarrier(o Options) *Carrier {
+	if o.Clock == nil {
+		o.Clock = boottime.Now
+	}
+	if o.CancelTime == 0 {
+		o.CancelTime = defaultCancelTime
+	}
+	c := newCarrier(o)
+	c.metrics = newMetrics(o.Observer.Registry)
+	c.actor = o.System.Start("carrier", mailboxCapacity, c)
+	c.actor.NewTicker(tickInterval, tickMessage{}).Start()
+	return c
+}
+
+func newCarrier(o Options) *Carrier {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Carrier{o: o, log: o.Observer.Logger("carrier"), ctx: ctx, stop: cancel, runs: make(map[uint64]*run)}
+}
+
+// Stop ends all runs.
+func (c *Carrier) Stop() { c.stop() }
+
+// Up implements link.Events.
+func (c *Carrier) Up(*link.Conn) {}
+
+// Message implements link.Events for KindOrders.
+func (c *Carrier) Message(from *link.Conn, m wire.Message) {
+	if orders, ok := m.(*Orders); ok {
+		if err := c.Handle(from, orders); err != nil {
+			// The leader asks for an inventory on the next link and so learns what was lost.
+			from.Close(err)
+		}
+	}
+}
+
+// Down implements link.Events.
+func (c *Carrier) Down(from *link.Conn, _ error) { c.deliver(downMessage{from}) }
+
+// Handle takes orders from a leader. Errors mean that they were not taken.
+func (c *Carrier) Handle(from Sender, orders *Orders) error {
+	return c.actor.Offer(ordersMessage{from, orders})
+}
+
+// deliver sends a message that must not be lost, and retries until the carrier stops.
+func (c *Carrier) deliver(msg any) {
+	for c.actor.Offer(msg) == actor.ErrFull {
+		select {
+		case <-time.After(tickInterval):
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// Drain refuses new runs, ends those that read, so that their texts go on elsewhere, and
+// returns when the leader has been sent them or ctx ends.
+func (c *Carrier) Drain(ctx context.Context) {
+	m := drainMessage{make(chan struct{})}
+	c.deliver(m)
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	}
+}
+
+// Receive implements actor.Handler.
+func (c *Carrier) Receive(msg any) {
+	now := c.o.Clock()
+	switch m := msg.(type) {
+	case ordersMessage:
+		c.handleOrders(now, m.from, m.orders)
+	case downMessage:
+		if c.leader == m.from {
+			c.leader = nil
+		}
+	case readEnded:
+		c.metrics.runs.WithLabelValues(string(m.end.outcome)).Inc()
+		m.run.finishReading(m.end)
+		c.startReward(now, m.run)
+	case rewardEnded:
+		c.finishReward(now, m.run, m.end)
+	case drainMessage:
+		c.stopping = true
+		c.drained = append(c.drained, m.done)
+		for _, r := range c.runs {
+			r.abort("the carrier stops")
+		}
+	case tickMessage:
+		c.tick(now)
+	}
+}
+
+// handleOrders carries out what a leader wants, unless a newer leader is known.
+func (c *Carrier) handleOrders(now time.Duration, from Sender, m *Orders) {
+	if m.Term < c.term {
+		c.log.WithFields(logrus.Fields{"term": m.Term, "newest_term": c.term}).Info("orders of a former leader are ignored")
+		return
+	}
+	if m.Inventory && (from != c.leader || m.Term != c.term) {
+		c.follow(from, m.Term)
+	}
+	if from != c.leader || m.Term != c.term {
+		return // the leader asks for an inventory first
+	}
+	c.seen = m.Sequence
+	if m.Echo > 0 {
+		c.decidedAt = max(c.decidedAt, time.Duration(m.Echo))
+	}
+	for _, attempt := range m.Cancels {
+		if r := c.runs[attempt]; r != nil {
+			r.abort("cancelled by the leader")
+		}
+	}
+	for _, attempt := range m.Done {
+		if r := c.runs[attempt]; r != nil && r.state == Ended {
+			delete(c.runs, attempt)
+		}
+	}
+	for i := range m.Starts {
+		c.begin(now, &m.Starts[i])
+	}
+	if m.Inventory {
+		c.report(now, true)
+	}
+}
+
+// follow takes orders from another leader, or from the same one over another link. It has
+// none of the texts yet.
+func (c *Carrier) follow(from Sender, term uint64) {
+	c.log.WithFields(logrus.Fields{"term": term, "before": c.term, "runs": len(c.runs)}).Info("takes orders from a leader")
+	c.leader, c.term = from, term
+	for _, r := range c.runs {
+		r.forgetHanded()
+	}
+}
+
+// refusal returns why an attempt is not begun, or "". The order may have waited on the way
+// or in a queue, and the submission may have ended or the engine begun to leave since.
+func (c *Carrier) refusal(now time.Duration, s *Start) string {
+	switch t := c.o.Directory.View().Target(s.Engine); {
+	case c.stopping:
+		return "the carrier stops"
+	case now-c.decidedAt > c.o.CancelTime/2:
+		return "the order is too old"
+	case s.Engine != "" && t != nil && t.Draining:
+		return "the engine is leaving"
+	case s.Engine != "" && t != nil && t.StartedMs != s.EngineStartedMs && t.StartedMs != 0 && s.EngineStartedMs != 0:
+		return "the engine has restarted"
+	}
+	return ""
+}
+
+// begin starts an attempt.
+func (c *Carrier) begin(now time.Duration, s *Start) {
+	if c.runs[s.Attempt] != nil {
+		return
+	}
+	r := newRun(*s, c.o.Clock)
+	c.runs[s.Attempt] = r
+	if why := c.refusal(now, s); why != "" {
+		r.state, r.why, r.end = Ended, why, readEnd{outcome: NotStarted}
+		c.log.WithFields(logrus.Fields{
+			"submission": s.Submission, "item": s.Item, "attempt": s.Attempt, "engine": s.Engine, "order_age_ms": (now - c.decidedAt).Milliseconds(),
+		}).Info("attempt is refused: " + why)
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	r.cancel = cancel
+	if s.Engine == "" {
+		r.finishReading(readEnd{outcome: Complete, reached: true})
+		c.startReward(now, r)
+		return
+	}
+	to := upstream.Address{HostPort: s.Address, ID: s.Engine}
+	request, rule := r.request(c.o.Protocol), s.versions()
+	go func() {
+		end := generate(ctx, c.o.Pool, c.o.Protocol, to, request, r, s.Text.Events+1, rule)
+		cancel()
+		c.deliver(readEnded{r, end})
+	}()
+}
+
+// rewardEnd is the outcome of a reward call.
+type rewardEnd struct {
+	score       string
+	failures    int
+	maxFailures int // number of failures after which the item has failed
+	reason      string
+	target      string
+	status      int
+}
+
+// rewardTimeout bounds a reward call whose route allows more.
+const rewardTimeout = 3 * time.Second
+
+func (c *Carrier) startReward(now time.Duration, r *run) {
+	// Half of the time is left for the request to reach its target.
+	if !r.rewardDue(now, c.decidedAt, c.o.CancelTime*2/3) {
+		return
+	}
+	r.rewardPending = true
+	ctx, cancel := context.WithCancel(c.ctx)
+	r.cancel = cancel
+	go func() {
+		end := c.callReward(ctx, r.start.Reward)
+		cancel()
+		c.deliver(rewardEnded{r, end})
+	}()
+}
+
+// callReward sends the reward call of a text and returns the outcome.
+func (c *Carrier) callReward(ctx context.Context, reward *ledger.Reward) rewardEnd {
+	var route *routes.Route
+	if table := c.o.Routes(); table != nil {
+		route = table.Find(reward.Host, reward.Path)
+	}
+	if route == nil {
+		return rewardEnd{reason: "no route to the reward service"}
+	}
+	result := c.o.Forwarder.Do(ctx, &forward.Request{
+		Request: upstream.Request{
+			ID: reward.ID, Method: http.MethodPost, URI: reward.Path, Host: reward.Host, Body: reward.Body,
+			Header: c.o.Protocol.RewardHeaders(reward.ID),
+		},
+		Route:      route,
+		Background: true,
+		Deadline:   time.Now().Add(min(route.Timeout, rewardTimeout)),
+	})
+	end := rewardEnd{failures: result.Failures, maxFailures: max(1, route.MaxAttempts), reason: result.Reason, target: result.Target, status: result.Status}
+	if result.Outcome == forward.OutcomeAnswered && result.Status >= 200 && result.Status < 300 {
+		end.score = c.o.Protocol.Score(result.Header)
+	} else if result.Outcome == forward.OutcomeAnswered {
+		end.reason = http.StatusText(result.Status)
+	}
+	return end
+}
+
+func (c *Carrier) finishReward(now time.Duration, r *run, end rewardEnd) {
+	r.finishReward(now, end)
+	fields := logrus.Fields{
+		"submission": r.start.Submission, "item": r.start.Item, "attempt": r.start.Attempt, "reward": r.start.Reward.ID, "target": end.target,
+		"status": end.status, "term": c.term, "score": end.score, "failures": r.rewardFailures,
+	}
+	if end.score != "" {
+		c.log.WithFields(fields).Debug("reward call has a score")
+		return
+	}
+	fields["reason"] = end.reason
+	c.log.WithFields(fields).Info("reward call has no score")
+}
+
+func (c *Carrier) tick(now time.Duration) {
+	reading, news := 0, false
+	for _, r := range c.runs {
+		c.startReward(now, r)
+		if r.state == Reading {
+			reading++
+		}
+		news = news || r.changed(now)
+	}
+	if news || now-c.reportedAt >= reportInterval {
+		c.report(now, false)
+	}
+	if reading == 0 {
+		for _, done := range c.drained {
+			close(done)
+		}
+		c.drained = nil
+	}
+	if now-c.decidedAt > orphanLimit && len(c.runs) > 0 {
+		c.dropOrphans()
+	}
+}
+
+// dropOrphans ends all runs: no leader has wanted them for a long time.
+func (c *Carrier) dropOrphans() {
+	c.log.WithField("runs", len(c.runs)).Warn("runs are dropped: no leader has asked for them")
+	for _, r := range c.runs {
+		r.abort("no leader")
+	}
+	clear(c.runs)
+}
+
+// report sends the leader a report of the runs that changed, of all that go on if it is
+// due, or of all with their identity.
+func (c *Carrier) report(now time.Duration, inventory bool) {
+	if c.leader == nil {
+		return
+	}
+	due := inventory || now-c.reportedAt >= reportInterval
+	m := &Report{Term: c.term, Clock: int64(now), Seen: c.seen, Inventory: inventory, Stopping: c.stopping}
+	for _, r := range c.runs {
+		if inventory || r.changed(now) || due && r.state == Reading {
+			m.Runs = append(m.Runs, r.progress(now, inventory))
+		}
+	}
+	slices.SortFunc(m.Runs, func(a, b Progress) int { return int(int64(a.Attempt - b.Attempt)) })
+	if due {
+		c.reportedAt = now
+	}
+	if err := c.leader.Send(m); err != nil {
+		c.log.Infof("a report could not be sent: %v", err)
+		c.unfollow(err)
+	}
+}
+
+// unfollow gives up the link to the leader after a failed report, so that the leader asks
+// for an inventory on the next one.
+func (c *Carrier) unfollow(reason error) {
+	if conn, ok := c.leader.(*link.Conn); ok {
+		conn.Close(reason)
+	}
+	c.leader = nil
+}
--- /dev/null
+++ b/carrier/run.go
@@ -0,0 +1,213 @@
+package carrier
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"merlinhall/ledger"
+	"merlinhall/upstream"
+)
+
+// run is one attempt on the carrier. Its text grows on the goroutine that reads the
+// engine's response; everything else belongs to the actor.
+type run struct {
+	start  Start
+	cancel context.CancelFunc
+	began  time.Duration
+	state  State
+	end    readEnd
+	score  string
+	// rewardFailures counts the runs of the reward call that ended with a failure.
+	rewardFailures int
+	rewardFailed   bool          // the reward call failed too often
+	rewardPending  bool          // a reward call is in progress
+	rewardAt       time.Duration // no reward call before this time
+	why            string        // why it was cancelled
+
+	text         Text // without the events in fresh
+	handedParts  int  // number of parts of text that the leader has
+	handedEvents int  // events in them
+	handedAt     time.Duration
+
+	reportedState   State
+	reportedVersion uint64
+
+	mu          sync.Mutex
+	fresh       [][]byte // events after text
+	versions    []uint64 // weight versions of the text
+	events      int
+	lastEventAt time.Duration
+	version     uint64 // that the engine named last
+	clock       func() time.Duration
+}
+
+func newRun(s Start, clock func() time.Duration) *run {
+	now := clock()
+	return &run{
+		start: s, began: now, lastEventAt: now, handedAt: now, clock: clock, text: s.Text, events: s.Text.Events, versions: slices.Clone(s.Text.Versions),
+		handedParts: len(s.Text.Parts), handedEvents: s.Text.Events, reportedState: Reading,
+	}
+}
+
+// add implements generated.
+func (r *run) add(event []byte, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fresh = append(r.fresh, event)
+	if !slices.Contains(r.versions, version) {
+		r.versions = append(r.versions, version)
+	}
+	r.events++
+	r.lastEventAt = r.clock()
+}
+
+// versionChanged implements generated.
+func (r *run) versionChanged(version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = version
+}
+
+// counts returns the number of events, the time since the last one, and the version that
+// the engine named last.
+func (r *run) counts(now time.Duration) (events int, idle time.Duration, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events, now - r.lastEventAt, r.version
+}
+
+// pack moves the fresh events into the compressed text.
+func (r *run) pack() {
+	r.mu.Lock()
+	fresh := r.fresh
+	r.fresh = nil
+	r.text.Versions = slices.Clone(r.versions)
+	r.mu.Unlock()
+	if len(fresh) == 0 {
+		return
+	}
+	if r.text.Events == 0 {
+		r.text.Lineage = r.start.Attempt
+	}
+	r.text.Parts = append(slices.Clone(r.text.Parts), ledger.Pack(bytes.Join(fresh, []byte("\n"))))
+	r.text.Events += len(fresh)
+}
+
+// forgetHanded makes the next hand-in contain the whole text, for another leader.
+func (r *run) forgetHanded() { r.handedParts, r.handedEvents, r.reportedVersion = 0, 0, 0 }
+
+// handIn returns the part of the text that the leader does not have, and the number of
+// events before it. It is nil if there is none.
+func (r *run) handIn(now time.Duration) (text *Text, from int) {
+	r.pack()
+	r.handedAt = now
+	if r.handedParts == len(r.text.Parts) {
+		return nil, 0
+	}
+	from = r.handedEvents
+	text = &Text{Parts: r.text.Parts[r.handedParts:], Events: r.text.Events - from, Versions: r.text.Versions, Lineage: r.text.Lineage}
+	r.handedParts, r.handedEvents = len(r.text.Parts), r.text.Events
+	return text, from
+}
+
+// handInDue reports whether enough events are new for a hand-in.
+func (r *run) handInDue(now time.Duration) bool {
+	events, _, _ := r.counts(now)
+	return r.state == Reading && now-r.handedAt >= handInInterval && events-r.handedEvents >= minHandInEvents
+}
+
+// changed reports whether the leader should learn of the run at once.
+func (r *run) changed(now time.Duration) bool {
+	_, _, version := r.counts(now)
+	return r.state != r.reportedState || version != r.reportedVersion
+}
+
+// progress returns what the leader is told of the run.
+func (r *run) progress(now time.Duration, inventory bool) Progress {
+	events, idle, version := r.counts(now)
+	p := Progress{Attempt: r.start.Attempt, State: r.state, Events: events, IdleMs: int(idle.Milliseconds()), Version: version}
+	if r.state != Reading || r.handInDue(now) {
+		p.Text, p.From = r.handIn(now)
+	}
+	if r.state == Ended {
+		p.Outcome, p.Reached, p.Score, p.RewardFailed, p.Reason = r.end.outcome, r.end.reached, r.score, r.rewardFailed, r.why
+		if r.end.err != nil && p.Reason == "" {
+			p.Reason = r.end.err.Error()
+		}
+	}
+	if inventory {
+		p.Identity = &Identity{
+			Submission: r.start.Submission, Item: r.start.Item, Engine: r.start.Engine, EngineStartedMs: r.start.EngineStartedMs, AgeMs: (now - r.began).Milliseconds(),
+		}
+	}
+	r.reportedState, r.reportedVersion = r.state, version
+	return p
+}
+
+// finishReading takes the end of the engine's response.
+func (r *run) finishReading(end readEnd) {
+	r.end = end
+	r.pack()
+	r.state = Ended
+	if end.outcome == Complete && r.start.Reward != nil && r.why == "" {
+		r.state = Scoring
+	}
+}
+
+// rewardDue reports whether a reward call should begin. decidedAt is the time of the
+// leader's last known decision that the item is wanted.
+func (r *run) rewardDue(now, decidedAt, limit time.Duration) bool {
+	return r.state == Scoring && !r.rewardPending && now >= r.rewardAt && now-decidedAt <= limit
+}
+
+// finishReward takes the end of a reward call.
+func (r *run) finishReward(now time.Duration, e rewardEnd) {
+	r.rewardPending = false
+	if r.state != Scoring {
+		return
+	}
+	r.rewardFailures += e.failures
+	switch {
+	case e.score != "":
+		r.score, r.state = e.score, Ended
+	case e.maxFailures > 0 && r.rewardFailures >= e.maxFailures:
+		r.rewardFailed, r.state, r.why = true, Ended, e.reason
+	default:
+		r.rewardAt = now + rewardRetryDelay
+	}
+}
+
+// abort ends the run early.
+func (r *run) abort(why string) {
+	if r.state == Ended || r.why != "" {
+		return
+	}
+	r.why = why
+	if r.cancel != nil {
+		r.cancel()
+	}
+	if r.state == Scoring {
+		r.state = Ended
+	}
+}
+
+// request returns the request of the item.
+func (r *run) request(p Protocol) *upstream.Request {
+	s := &r.start
+	return &upstream.Request{
+		ID: s.Item, Method: "POST", URI: s.Path, Host: s.Host, Body: s.Body,
+		Header: slices.Concat(s.Headers, p.ItemHeaders(s.Item, s.Engine, s.Version, s.Text.Events)),
+	}
+}
+
+// versions returns the rule for the weight versions of the text's further events.
+func (s *Start) versions() versionRule {
+	rule := versionRule{oldest: s.OldestVersion, single: s.SingleVersion}
+	if rule.single && len(s.Text.Versions) > 0 {
+		rule.only = s.Text.Versions[0]
+	}
+	return rule
+}
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"merlinhall/batch"
+	"merlinhall/carrier"
 	"merlinhall/consensus"
 	"merlinhall/control"
 	"merlinhall/hub"
@@ -18,6 +19,7 @@
 	"merlinhall/link"
 	"merlinhall/platform"
 	"merlinhall/replica"
+	"merlinhall/routes"
 	"merlinhall/settings"
 	"merlinhall/wire"
 )
@@ -123,9 +125,20 @@
 			return err
 		}
 	}
+	carried := carrier.StartCarrier(carrier.Options{
+		Pool: d.pool, Forwarder: d.forward, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, CancelTime: s.CancelTime,
+		Routes: func() *routes.Table {
+			if h := hubRef.Load(); h != nil {
+				return h.Routes()
+			}
+			return manifests.Table()
+		},
+		System: d.system, Observer: d.observer,
+	})
+	d.stops = append(d.stops, carried.Stop)
 	runner := batch.Start(batch.Options{
-		Name: s.Name, Process: s.Links, Submissions: submissions, Versions: versions, Manifests: manifests,
-		Directory: d.targets, Pool: d.pool, Forwarder: d.forward, Protocol: platform.Protocol{Pool: d.pool},
+		Name: s.Name, Process: s.Links, Zone: s.Zone, Submissions: submissions, Versions: versions, Manifests: manifests,
+		Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Carrier: carried,
 		Propose: propose(submissions.Name()), Holder: holder, ProposeHolder: propose(holder.Name()),
 		Boot: d.hello.Boot,
 		Leads: func(ctx context.Context) (uint64, error) {
@@ -139,6 +152,7 @@
 	})
 	c.OnLeader(runner.Lead)
 	d.handOver = func(ctx context.Context) {
+		carried.Drain(ctx)
 		runner.FlushTexts(ctx)
 		if err := r.Handover(ctx); err != nil {
 			d.log.Infof("cannot hand over the leadership: %v", err)
@@ -147,13 +161,15 @@
 	d.mux.Handle(peers)
 	d.mux.Handle(r, wire.KindConsensus)
 	d.mux.Handle(c, control.Kinds...)
+	d.mux.Handle(carried, carrier.KindOrders)
+	d.mux.Handle(runner.Carriers(), carrier.KindReport)
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts,
 		Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: d.dial,
 	})
 	hubRef.Store(h)
-	d.mux.Handle(h, wire.KindMembershipUpdate)
+	d.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
 	h.Start()
 	d.stops = append(d.stops, h.Stop)
 	d.setSeeds = append(d.setSeeds, h.SetSeeds)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -61,6 +62,7 @@
 	group         wire.MembershipUpdate
 	controlLinks  map[*link.Conn]bool // links to other control processes
 	manifest      *wire.RouteUpdate
+	table         atomic.Pointer[routes.Table]
 	targets       wire.TargetUpdate
 	leading       bool
 	term          uint64
@@ -84,6 +86,9 @@
 	// The cached manifest was in force, so entries may use it before a leader is
 	// elected.
 	h.manifest = h.cache.load()
+	if h.manifest != nil {
+		h.applyRoutes(h.manifest)
+	}
 	o.Manifests.OnChange(h.publishManifest)
 	o.Directory.OnChange(func(v *directory.View) { h.publishTargets(v.Targets) })
 	o.Control.OnLeader(h.setLeading)
@@ -107,8 +112,8 @@
 	h.links.update(nil, "")
 }
 
-// Up implements link.Events. It sends the group to the peer and, unless that is a control
-// process, also the manifest and, while this process leads, the targets.
+// Up implements link.Events. It sends the peer the group, the manifest and, while this
+// process leads, the targets.
 func (h *Hub) Up(c *link.Conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -116,10 +121,9 @@
 	if slices.Contains(hello.Roles, wire.RoleControl) {
 		h.hostByAddress[hello.Process] = hello.Host
 		h.controlLinks[c] = true
-		h.send(c, h.groupCopy())
-		return
+	} else {
+		h.entryLinks[c] = true
 	}
-	h.entryLinks[c] = true
 	h.send(c, h.groupCopy())
 	if h.manifest != nil {
 		h.send(c, h.manifest)
@@ -141,12 +145,60 @@
 	h.opts.Log.WithFields(logrus.Fields{"peer": c.Peer().Process, "entry": entry, "reason": reason.Error()}).Info("link is lost")
 }
 
-// Message implements link.Events for wire.KindMembershipUpdate, with which another control
-// process announces the members of the group. A process that is not yet a member needs
-// them to request admission and to forward calls.
+// Message implements link.Events for updates from other control processes. A process that
+// is outside the group needs all of them, and any carrier needs the targets.
 func (h *Hub) Message(_ *link.Conn, m wire.Message) {
-	u, ok := m.(*wire.MembershipUpdate)
-	if !ok || len(u.Members) == 0 || h.opts.Replica.Status().Role != consensus.RoleFresh {
+	switch m := m.(type) {
+	case *wire.MembershipUpdate:
+		h.applyGroup(m)
+	case *wire.RouteUpdate:
+		h.applyRoutes(m)
+	case *wire.TargetUpdate:
+		h.applyTargets(m)
+	}
+}
+
+// applyRoutes puts a manifest into force for this process's own requests.
+func (h *Hub) applyRoutes(u *wire.RouteUpdate) {
+	if t := h.table.Load(); t != nil && t.Manifest().Version >= u.Version {
+		return
+	}
+	next := new(routes.Manifest)
+	if err := wire.Unmarshal(u.Manifest, next); err != nil {
+		h.opts.Log.Errorf("decoding manifest %d failed: %v", u.Version, err)
+		return
+	}
+	h.useRoutes(next)
+}
+
+// useRoutes keeps the newest manifest that this process knows.
+func (h *Hub) useRoutes(m *routes.Manifest) {
+	table := routes.NewTable(m)
+	for {
+		before := h.table.Load()
+		if before != nil && before.Manifest().Version >= m.Version || h.table.CompareAndSwap(before, table) {
+			return
+		}
+	}
+}
+
+// Routes returns the newest manifest's routes, or nil before the first one.
+func (h *Hub) Routes() *routes.Table { return h.table.Load() }
+
+// applyTargets takes the target list of the leader. The leader itself reads the platform's.
+func (h *Hub) applyTargets(u *wire.TargetUpdate) {
+	h.mu.Lock()
+	leading := h.leading
+	h.mu.Unlock()
+	if !leading {
+		h.opts.Directory.ApplyUpdate(time.Now(), u)
+	}
+}
+
+// applyGroup takes the members of the group. A process that is not yet one needs them to
+// request admission and to forward calls.
+func (h *Hub) applyGroup(u *wire.MembershipUpdate) {
+	if len(u.Members) == 0 || h.opts.Replica.Status().Role != consensus.RoleFresh {
 		return
 	}
 	h.mu.Lock()
@@ -178,13 +230,17 @@
 	}
 }
 
+// broadcast sends m to all entries and to the other control processes.
 func (h *Hub) broadcast(m wire.Message) {
-	for c := range h.entryLinks {
-		h.send(c, m)
+	for _, links := range []map[*link.Conn]bool{h.entryLinks, h.controlLinks} {
+		for c := range links {
+			h.send(c, m)
+		}
 	}
 }
 
 func (h *Hub) publishManifest(m *routes.Manifest) {
+	h.useRoutes(m)
 	sent := *m
 	sent.Raw = nil
 	body, err := wire.Marshal(&sent)
@@ -257,7 +313,7 @@
 		changed := h.opts.Directory.Replace(readAt, targets)
 		switch {
 		case first && !changed:
-			h.publishTargets(targets)
+			h.publishTargets(h.opts.Directory.View().Targets)
 		case !changed:
 			h.confirmTargets()
 		}
@@ -293,9 +349,6 @@
 		h.group = next
 		sent := next
 		h.broadcast(&sent)
-		for c := range h.controlLinks {
-			h.send(c, &sent)
-		}
 	}
 	h.mu.Unlock()
 	if len(next.Members) > 0 {
--- a/ledger/partial.go
+++ b/ledger/partial.go
@@ -16,6 +16,9 @@
 	Events       int      `cbor:"3,keyasint"` // number of events in Parts
 	Parts        [][]byte `cbor:"4,keyasint"` // compressed
 	Versions     []uint64 `cbor:"5,keyasint"` // of the complete text so far
+	// Lineage identifies the text. Parts of one lineage never follow those of another,
+	// whatever their number of events.
+	Lineage uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Partial is the text generated so far of an item without a result.
@@ -24,6 +27,7 @@
 	Events        int      `cbor:"2,keyasint"`
 	Parts         [][]byte `cbor:"3,keyasint"` // compressed
 	Versions      []uint64 `cbor:"4,keyasint"`
+	Lineage       uint64   `cbor:"5,keyasint,omitempty"`
 }
 
 // addProgress adds parts to partial texts. A part that does not directly follow the known
@@ -40,10 +44,11 @@
 		old := s.partial[p.Item]
 		switch {
 		case p.EventsBefore == 0:
-			s.partial[p.Item] = &Partial{ForSubmission: submission, Events: p.Events, Parts: p.Parts, Versions: p.Versions}
-		case old != nil && old.Events == p.EventsBefore:
+			s.partial[p.Item] = &Partial{ForSubmission: submission, Events: p.Events, Parts: p.Parts, Versions: p.Versions, Lineage: p.Lineage}
+		case old != nil && old.Events == p.EventsBefore && old.Lineage == p.Lineage:
 			s.partial[p.Item] = &Partial{
-				ForSubmission: submission, Events: p.EventsBefore + p.Events, Parts: append(slices.Clone(old.Parts), p.Parts...), Versions: p.Versions,
+				ForSubmission: submission, Events: p.EventsBefore + p.Events, Parts: append(slices.Clone(old.Parts), p.Parts...),
+				Versions: p.Versions, Lineage: p.Lineage,
 			}
 		}
 	}
@@ -56,7 +61,7 @@
 		return true
 	}
 	p := s.partial[r.Item]
-	if p == nil || p.Events != r.PartialEvents {
+	if p == nil || p.Events != r.PartialEvents || p.Lineage != r.Lineage {
 		return false
 	}
 	r.Parts = append(slices.Clone(p.Parts), r.Parts...)
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -79,6 +79,15 @@
 	return s.byID[id] != nil
 }
 
+// Closed reports whether the submission has ended or is unknown, so that none of its items
+// may run.
+func (s *Submissions) Closed(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.byID[id]
+	return state == nil || state.Ended
+}
+
 // Finished returns the result of an item whose text was completed in any known submission.
 func (s *Submissions) Finished(item string) (Result, bool) {
 	s.mu.Lock()
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -5,6 +5,7 @@
 package ledger
 
 import (
+	"fmt"
 	"maps"
 	"sort"
 	"sync"
@@ -66,6 +67,8 @@
 	// PartialEvents is the number of events that the ledger already has of the text. Parts
 	// contains those after them. It is set in commands only.
 	PartialEvents int `cbor:"6,keyasint,omitempty"`
+	// Lineage is that of the partial text which Parts continue. It is set in commands only.
+	Lineage uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // submissionsCommand is the body of a command. Exactly one operation is set.
@@ -76,6 +79,14 @@
 	Progress      []Progress  `cbor:"6,keyasint,omitempty"`
 	End           string      `cbor:"4,keyasint,omitempty"`
 	Forget        []string    `cbor:"5,keyasint,omitempty"`
+	Additions     []Addition  `cbor:"7,keyasint,omitempty"`
+}
+
+// Addition is what one command adds to one submission.
+type Addition struct {
+	Submission string     `cbor:"1,keyasint"`
+	Results    []Result   `cbor:"2,keyasint,omitempty"`
+	Progress   []Progress `cbor:"3,keyasint,omitempty"`
 }
 
 // submissionState is a submission with its results.
@@ -147,6 +158,18 @@
 // text.
 var ErrTextMissing = eris.New("ledger: the partial text that the result continues is missing")
 
+// MissingTextError names the items whose results were not recorded for ErrTextMissing, which
+// it wraps. All others of the command were.
+type MissingTextError struct{ Items []string }
+
+// Error implements error.
+func (e *MissingTextError) Error() string {
+	return fmt.Sprintf("%v, %d items", ErrTextMissing, len(e.Items))
+}
+
+// Unwrap returns ErrTextMissing.
+func (*MissingTextError) Unwrap() error { return ErrTextMissing }
+
 // Apply implements control.Slice. The result is nil or an error.
 func (s *Submissions) Apply(index, _ uint64, body []byte) any {
 	var c submissionsCommand
@@ -154,11 +177,13 @@
 		return eris.Wrap(err, "ledger: submissions")
 	}
 	s.mu.Lock()
-	change, err := s.apply(index, &c)
+	changes, err := s.apply(index, &c)
 	notify := s.onChange
 	s.mu.Unlock()
-	if change != nil && notify != nil {
-		notify(*change)
+	if notify != nil {
+		for _, change := range changes {
+			notify(change)
+		}
 	}
 	if err != nil {
 		return err
@@ -166,13 +191,14 @@
 	return nil
 }
 
-func (s *Submissions) apply(index uint64, c *submissionsCommand) (*SubmissionChange, error) {
+func (s *Submissions) apply(index uint64, c *submissionsCommand) ([]SubmissionChange, error) {
 	switch {
 	case c.Accept != nil:
 		return s.accept(index, c.Accept), nil
-	case c.ForSubmission != "":
-		s.addProgress(c.ForSubmission, c.Progress)
-		return s.record(c.ForSubmission, c.Results)
+	case len(c.Additions) > 0:
+		return s.add(c.Additions)
+	case c.ForSubmission != "": // written by versions before Additions
+		return s.add([]Addition{{c.ForSubmission, c.Results, c.Progress}})
 	case c.End != "":
 		return s.end(c.End), nil
 	}
@@ -182,33 +208,50 @@
 	return nil, nil
 }
 
-func (s *Submissions) accept(index uint64, sub *Submission) *SubmissionChange {
+// add applies additions in order. Those that it can't apply stop no others.
+func (s *Submissions) add(list []Addition) (changes []SubmissionChange, err error) {
+	var missing []string
+	for _, a := range list {
+		s.addProgress(a.Submission, a.Progress)
+		added, without := s.record(a.Submission, a.Results)
+		if added {
+			changes = append(changes, SubmissionChange{Recorded: a.Submission})
+		}
+		missing = append(missing, without...)
+	}
+	if len(missing) > 0 {
+		return changes, &MissingTextError{missing}
+	}
+	return changes, nil
+}
+
+func (s *Submissions) accept(index uint64, sub *Submission) []SubmissionChange {
 	if s.byID[sub.ID] != nil {
 		return nil
 	}
 	state := &submissionState{Submission: *sub, Order: index}
 	state.buildIndex()
 	s.byID[sub.ID] = state
-	return &SubmissionChange{Accepted: &state.Submission}
+	return []SubmissionChange{{Accepted: &state.Submission}}
 }
 
 // record appends results. An item that already has a result keeps it and its position.
-func (s *Submissions) record(id string, results []Result) (change *SubmissionChange, err error) {
+// missing lists the items whose results continue a text that the ledger does not have.
+func (s *Submissions) record(id string, results []Result) (added bool, missing []string) {
 	state := s.byID[id]
 	if state == nil || state.Ended {
-		return nil, nil
+		return false, nil
 	}
-	added := false
 	for _, r := range results {
 		_, known := state.itemIndex[r.Item]
 		if _, recorded := state.resultIndex[r.Item]; recorded || !known {
 			continue
 		}
 		if !s.prependPartial(&r) {
-			err = ErrTextMissing
+			missing = append(missing, r.Item)
 			continue
 		}
-		r.PartialEvents = 0
+		r.PartialEvents, r.Lineage = 0, 0
 		delete(s.partial, r.Item)
 		state.resultIndex[r.Item] = len(state.Results)
 		state.Results = append(state.Results, r)
@@ -217,16 +260,15 @@
 			s.finished[r.Item] = r
 		}
 	}
-	if !added {
-		return nil, err
+	if added {
+		state.notifyReaders()
 	}
-	state.notifyReaders()
-	return &SubmissionChange{Recorded: id}, err
+	return added, missing
 }
 
 // end closes a submission. It keeps the results and drops the request bodies, which can no
 // longer be requested.
-func (s *Submissions) end(id string) *SubmissionChange {
+func (s *Submissions) end(id string) []SubmissionChange {
 	state := s.byID[id]
 	if state == nil || state.Ended {
 		return nil
@@ -240,7 +282,7 @@
 	}
 	state.Submission.Items = items
 	state.notifyReaders()
-	return &SubmissionChange{Ended: id}
+	return []SubmissionChange{{Ended: id}}
 }
 
 // forget removes a submission with its results and partial texts.
@@ -362,14 +404,19 @@
 	return wire.Marshal(&submissionsCommand{Accept: sub})
 }
 
-// RecordCommand returns the command that records results.
+// RecordCommand returns the command that records results of one submission.
 func RecordCommand(submission string, results ...Result) ([]byte, error) {
-	return wire.Marshal(&submissionsCommand{ForSubmission: submission, Results: results})
+	return AddCommand([]Addition{{Submission: submission, Results: results}})
 }
 
-// ProgressCommand returns the command that adds to partial texts.
+// ProgressCommand returns the command that adds to partial texts of one submission.
 func ProgressCommand(submission string, list []Progress) ([]byte, error) {
-	return wire.Marshal(&submissionsCommand{ForSubmission: submission, Progress: list})
+	return AddCommand([]Addition{{Submission: submission, Progress: list}})
+}
+
+// AddCommand returns the command that makes additions to several submissions.
+func AddCommand(list []Addition) ([]byte, error) {
+	return wire.Marshal(&submissionsCommand{Additions: list})
 }
 
 // EndCommand returns the command that ends a submission.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -12,9 +12,9 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"merlinhall/actor"
+	"merlinhall/boottime"
 	"merlinhall/consensus"
 	"merlinhall/link"
 	"merlinhall/observe"
@@ -164,11 +164,7 @@
 // now returns the time since the replica started. The clock keeps running while the
 // host is suspended, so that a resumed leader sees that its lease has expired.
 func (r *Replica) now() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		actor.Invariant(false, "replica: failed to read CLOCK_BOOTTIME: %v", err)
-	}
-	return time.Duration(t.Nano()) - r.start
+	return boottime.Now() - r.start
 }
 
 // ready is the readiness check: it returns nil when the leader is known and the
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -42,6 +42,9 @@
 	OrderHoldTime time.Duration
 	// FencesChecked is set if targets refuse orders with an outdated fencing token.
 	FencesChecked bool
+	// CancelTime is the time after the end of a submission from which none of its requests
+	// may reach a target.
+	CancelTime time.Duration
 	// ResultRetention is how long results stay readable after their submission.
 	ResultRetention time.Duration
 	// StopGrace is the time between the request to stop and forced termination.
