hub: a change of seeds leaves the links to the group's members

Change: a process outside the group keeps what members reported, ignores reports of an older term, dials those members whatever the seeds are, and passes the report on.

--- a/actor/actor.go
+++ b/actor/actor.go
@@ -31,6 +31,12 @@
 	Receive(msg any)
 }
 
+// Mailbox takes messages for an actor. *Actor implements it.
+type Mailbox interface {
+	// Offer queues msg without waiting. The error is ErrFull or ErrStopped.
+	Offer(msg any) error
+}
+
 // HandlerFunc adapts a function to Handler.
 type HandlerFunc func(msg any)
 
--- a/batch/fleet.go
+++ b/batch/fleet.go
@@ -28,6 +28,8 @@
 	// adoptionWait is how long a new leader waits for the inventories of all carriers before
 	// it plans.
 	adoptionWait = 400 * time.Millisecond
+	// shortAdoptionWait is how long it waits for the last few; it is many round trips.
+	shortAdoptionWait = 100 * time.Millisecond
 )
 
 // carrierView is what the leader knows of a carrier.
@@ -75,6 +77,12 @@
 	return best
 }
 
+// peerLink is a link to another control process.
+type peerLink struct {
+	carrier.Sender
+	zone string
+}
+
 // carrierLinks holds the links to the other control processes. The Runner looks at it in
 // each tick, so that no message about a link can be lost.
 type carrierLinks struct {
@@ -108,23 +116,29 @@
 // Message implements link.Events for carrier.KindReport.
 func (l *carrierLinks) Message(c *link.Conn, m wire.Message) {
 	if report, ok := m.(*carrier.Report); ok {
-		if err := l.r.actor.Offer(reportMessage{c, report}); err != nil {
+		if err := l.r.Report(c, report); err != nil {
 			c.Close(err) // the inventory on the next link contains what was lost
 		}
 	}
 }
 
 // newest returns the newest link to each process.
-func (l *carrierLinks) newest() map[string]*link.Conn {
+func (l *carrierLinks) newest() map[string]peerLink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]*link.Conn, len(l.byProcess))
+	out := make(map[string]peerLink, len(l.byProcess))
 	for p, list := range l.byProcess {
-		out[p] = list[len(list)-1]
+		c := list[len(list)-1]
+		out[p] = peerLink{c, c.Peer().Zone}
 	}
 	return out
 }
 
+// Report takes the report of a carrier. Errors mean that it was not taken.
+func (r *Runner) Report(from carrier.Sender, report *carrier.Report) error {
+	return r.actor.Offer(reportMessage{from, report})
+}
+
 // Carriers returns the handler of the links to carriers and of their reports.
 func (r *Runner) Carriers() link.Events { return r.links }
 
@@ -143,7 +157,7 @@
 	case *carrier.Orders:
 		return l.r.o.Carrier.Handle(l, m)
 	case *carrier.Report:
-		return l.r.actor.Offer(reportMessage{l, m})
+		return l.r.Report(l, m)
 	}
 	return nil
 }
@@ -151,13 +165,13 @@
 // updateCarriers follows the links: a carrier with another link than before is asked for an
 // inventory, and the runs of one that is silent go on elsewhere.
 func (r *Runner) updateCarriers(now time.Time) {
-	newest := r.links.newest()
+	newest := r.newestLinks()
 	r.useLink(now, r.o.Process, r.o.Zone, r.local)
-	for process, conn := range newest {
-		r.useLink(now, process, conn.Peer().Zone, conn)
+	for process, l := range newest {
+		r.useLink(now, process, l.zone, l.Sender)
 	}
 	r.carriers = slices.DeleteFunc(r.carriers, func(c *carrierView) bool {
-		if c.down = !c.local && newest[c.process] == nil; c.down {
+		if c.down = !c.local && newest[c.process].Sender == nil; c.down {
 			c.synced = false
 		}
 		if now.Sub(c.reportedAt) <= carrierLostAfter {
@@ -167,7 +181,7 @@
 			r.loseRuns(now, c)
 		}
 		c.synced = c.synced && c.local
-		return !c.local && newest[c.process] == nil
+		return c.down
 	})
 }
 
@@ -321,15 +335,23 @@
 	c.synced = false
 }
 
-// adopting reports whether planning waits for the inventories of the carriers.
+// adopting reports whether planning waits for the inventories of the carriers. As many as may
+// be lost at the same time, such as the host of the former leader, are not waited for for
+// long.
 func (r *Runner) adopting(now time.Time) bool {
-	if r.adopted || now.Sub(r.leadSince) >= adoptionWait {
-		if !r.adopted {
-			r.log.WithField("ms", now.Sub(r.leadSince).Milliseconds()).Info("not all carriers have sent an inventory; planning begins")
-		}
-		r.adopted = true
+	if r.adopted {
 		return false
 	}
-	r.adopted = !slices.ContainsFunc(r.carriers, func(c *carrierView) bool { return !c.synced })
+	missing := 0
+	for _, c := range r.carriers {
+		if !c.synced {
+			missing++
+		}
+	}
+	since := now.Sub(r.leadSince)
+	r.adopted = missing == 0 || since >= adoptionWait || since >= shortAdoptionWait && missing <= max(1, r.o.HostFaults)
+	if r.adopted {
+		r.log.WithFields(logrus.Fields{"ms": since.Milliseconds(), "carriers": len(r.carriers), "missing": missing}).Info("planning begins")
+	}
 	return !r.adopted
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -78,6 +78,8 @@
 	// means that the engines refuse orders with an outdated fencing token.
 	OrderHold     time.Duration
 	FencesChecked bool
+	// HostFaults is the number of hosts that may be lost at the same time.
+	HostFaults int
 	// KeepResults is how long results stay readable after the submission.
 	KeepResults time.Duration
 	System      *actor.System
@@ -88,7 +90,7 @@
 type Runner struct {
 	o       Options
 	log     *logrus.Entry
-	actor   *actor.Actor
+	actor   actor.Mailbox
 	metrics *metrics
 
 	leading   bool
@@ -102,11 +104,13 @@
 	ctx        context.Context // cancelled when the leadership ends
 	stop       context.CancelFunc
 
-	links    *carrierLinks
-	local    carrier.Sender // link to the carrier of this process
-	carriers []*carrierView // by process
-	adopted  bool           // the runs that carriers had when this process became leader are known
-	attempts uint64         // number of attempts started in this term
+	links *carrierLinks
+	// newestLinks returns the newest link to each control process.
+	newestLinks func() map[string]peerLink
+	local       carrier.Sender // link to the carrier of this process
+	carriers    []*carrierView // by process
+	adopted     bool           // the runs that carriers had when this process became leader are known
+	attempts    uint64         // number of attempts started in this term
 
 	scheduledAt      time.Time // when tasks were last planned
 	scheduleDeferred bool      // another planning has been asked for
@@ -139,18 +143,30 @@
 
 // Start starts the actor. It does nothing until Lead reports that this process leads.
 func Start(o Options) *Runner {
+	r := newRunner(o)
+	a := o.System.Start("batch", mailboxCapacity, r)
+	r.actor = a
+	r.follow()
+	a.NewTicker(tickInterval, tickMessage{}).Start()
+	return r
+}
+
+func newRunner(o Options) *Runner {
 	r := &Runner{o: o, log: o.Observer.Logger("batch"), assignedModels: make(map[string]string), metrics: newMetrics(o.Observer.Registry)}
 	r.links = &carrierLinks{r: r, byProcess: make(map[string][]*link.Conn)}
+	r.newestLinks = r.links.newest
 	r.local = &localLink{r}
 	r.takeover = takeover{maxWait: o.OrderHold, fencesChecked: o.FencesChecked, self: o.Process}
-	r.actor = o.System.Start("batch", mailboxCapacity, r)
-	o.Submissions.OnChange(func(c ledger.SubmissionChange) { r.offer(changeMessage{c}) })
-	o.Versions.OnChange(func() { r.offer(wakeMessage{}) })
-	o.Directory.OnChange(func(v *directory.View) { r.offer(viewMessage{v}) })
-	r.actor.NewTicker(tickInterval, tickMessage{}).Start()
 	return r
 }
 
+// follow has the actor told of each change of what it depends on.
+func (r *Runner) follow() {
+	r.o.Submissions.OnChange(func(c ledger.SubmissionChange) { r.offer(changeMessage{c}) })
+	r.o.Versions.OnChange(func() { r.offer(wakeMessage{}) })
+	r.o.Directory.OnChange(func(v *directory.View) { r.offer(viewMessage{v}) })
+}
+
 // Lead tells the actor whether this process leads, and in which term.
 func (r *Runner) Lead(leading bool, term uint64) { r.offer(leadMessage{leading, term}) }
 
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -27,8 +27,8 @@
 const (
 	// mailboxCapacity bounds queued messages; a run has one at a time.
 	mailboxCapacity = 4096
-	// tickInterval is how often ended runs are reported.
-	tickInterval = 50 * time.Millisecond
+	// TickInterval is how often ended runs are reported.
+	TickInterval = 50 * time.Millisecond
 	// reportInterval is how often the leader gets a report without news.
 	reportInterval = 250 * time.Millisecond
 	// handInInterval is how often the text of a run that goes on is handed in, from
@@ -69,7 +69,7 @@
 type Carrier struct {
 	o       Options
 	log     *logrus.Entry
-	actor   *actor.Actor
+	actor   actor.Mailbox
 	metrics *metrics
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -85,7 +85,8 @@
 }
 
 type (
-	tickMessage   struct{}
+	// Tick makes the carrier report what is due.
+	Tick          struct{}
 	ordersMessage struct {
 		from   Sender
 		orders *Orders
@@ -104,24 +105,31 @@
 
 // StartCarrier starts the actor.
 func StartCarrier(o Options) *Carrier {
+	c := New(o)
+	a := o.System.Start("carrier", mailboxCapacity, c)
+	c.UseMailbox(a)
+	a.NewTicker(TickInterval, Tick{}).Start()
+	return c
+}
+
+// New returns a carrier that does nothing until its mailbox is set and its messages are
+// passed to Receive, a Tick each TickInterval.
+func New(o Options) *Carrier {
 	if o.Clock == nil {
 		o.Clock = boottime.Now
 	}
 	if o.CancelTime == 0 {
 		o.CancelTime = defaultCancelTime
 	}
-	c := newCarrier(o)
-	c.metrics = newMetrics(o.Observer.Registry)
-	c.actor = o.System.Start("carrier", mailboxCapacity, c)
-	c.actor.NewTicker(tickInterval, tickMessage{}).Start()
-	return c
-}
-
-func newCarrier(o Options) *Carrier {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Carrier{o: o, log: o.Observer.Logger("carrier"), ctx: ctx, stop: cancel, runs: make(map[uint64]*run)}
+	return &Carrier{
+		o: o, log: o.Observer.Logger("carrier"), metrics: newMetrics(o.Observer.Registry), ctx: ctx, stop: cancel, runs: make(map[uint64]*run),
+	}
 }
 
+// UseMailbox sets the mailbox from which messages are passed to Receive.
+func (c *Carrier) UseMailbox(m actor.Mailbox) { c.actor = m }
+
 // Stop ends all runs.
 func (c *Carrier) Stop() { c.stop() }
 
@@ -139,7 +147,10 @@
 }
 
 // Down implements link.Events.
-func (c *Carrier) Down(from *link.Conn, _ error) { c.deliver(downMessage{from}) }
+func (c *Carrier) Down(from *link.Conn, _ error) { c.Lost(from) }
+
+// Lost notes that a link to a leader has ended.
+func (c *Carrier) Lost(from Sender) { c.deliver(downMessage{from}) }
 
 // Handle takes orders from a leader. Errors mean that they were not taken.
 func (c *Carrier) Handle(from Sender, orders *Orders) error {
@@ -150,7 +161,7 @@
 func (c *Carrier) deliver(msg any) {
 	for c.actor.Offer(msg) == actor.ErrFull {
 		select {
-		case <-time.After(tickInterval):
+		case <-time.After(TickInterval):
 		case <-c.ctx.Done():
 			return
 		}
@@ -190,7 +201,7 @@
 		for _, r := range c.runs {
 			r.abort("the carrier stops")
 		}
-	case tickMessage:
+	case Tick:
 		c.tick(now)
 	}
 }
@@ -201,7 +212,7 @@
 		c.log.WithFields(logrus.Fields{"term": m.Term, "newest_term": c.term}).Info("orders of a former leader are ignored")
 		return
 	}
-	if m.Inventory && (from != c.leader || m.Term != c.term) {
+	if m.Inventory {
 		c.follow(from, m.Term)
 	}
 	if from != c.leader || m.Term != c.term {
@@ -229,10 +240,12 @@
 	}
 }
 
-// follow takes orders from another leader, or from the same one over another link. It has
-// none of the texts yet.
+// follow takes orders from a leader that asks for an inventory. It is not known which of the
+// texts it has.
 func (c *Carrier) follow(from Sender, term uint64) {
-	c.log.WithFields(logrus.Fields{"term": term, "before": c.term, "runs": len(c.runs)}).Info("takes orders from a leader")
+	if from != c.leader || term != c.term {
+		c.log.WithFields(logrus.Fields{"term": term, "before": c.term, "runs": len(c.runs)}).Info("takes orders from a leader")
+	}
 	c.leader, c.term = from, term
 	for _, r := range c.runs {
 		r.forgetHanded()
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -66,9 +66,8 @@
 	targets       wire.TargetUpdate
 	leading       bool
 	term          uint64
-	// reportedLeader is the leader reported by group members while this process is
-	// not a member.
-	reportedLeader string
+	// reported is the group as members reported it while this process is not one.
+	reported wire.MembershipUpdate
 }
 
 // New returns a hub. Its background work begins with Start.
@@ -202,8 +201,19 @@
 		return
 	}
 	h.mu.Lock()
-	if u.Leader != "" {
-		h.reportedLeader = u.Leader
+	if u.Term < h.reported.Term {
+		h.mu.Unlock()
+		return // from a process that is cut off
+	}
+	changed := !slices.Equal(h.reported.Members, u.Members) || h.reported.Leader != u.Leader
+	leader := h.reported.Leader
+	h.reported = *u
+	if u.Leader == "" {
+		h.reported.Leader = leader
+	}
+	if changed {
+		// A process that knows only this one learns the members from it.
+		h.broadcast(h.groupCopy())
 	}
 	h.mu.Unlock()
 	h.dial(u.Members)
@@ -215,11 +225,15 @@
 func (h *Hub) Leader() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.reportedLeader
+	return h.reported.Leader
 }
 
+// groupCopy returns the group as this process knows it.
 func (h *Hub) groupCopy() *wire.MembershipUpdate {
 	u := h.group
+	if len(u.Members) == 0 {
+		u = h.reported
+	}
 	return &u
 }
 
@@ -395,7 +409,7 @@
 func (h *Hub) SetSeeds(seeds []string) {
 	h.mu.Lock()
 	h.opts.Seeds = seeds
-	members := h.group.Members
+	members := h.groupCopy().Members
 	h.mu.Unlock()
 	h.dial(members)
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -69,9 +69,11 @@
 	// id. A late response to another request may arrive first.
 	SameRequest func(id string, header http.Header) bool
 
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[Address][]*conn
+	// Dial opens a connection to an address.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[Address][]*conn
 
 	// OnResponse is called with the header of each response, before its body is read.
 	OnResponse func(to Address, h http.Header)
@@ -81,18 +83,19 @@
 
 // NewPool returns an empty pool.
 func NewPool(sameRequest func(id string, header http.Header) bool) *Pool {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
 	return &Pool{
 		SameRequest: sameRequest,
+		Dial:        dialer.DialContext,
 		idle:        make(map[Address][]*conn),
 		OnResponse:  func(Address, http.Header) {},
 		Opened:      func() {},
 		Reused:      func() {},
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-			},
-		},
 	}
 }
 
@@ -174,7 +177,7 @@
 		}
 		c.close(errIdleClosed)
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", to.HostPort)
+	nc, err := p.Dial(ctx, "tcp", to.HostPort)
 	if err != nil {
 		return nil, eris.Wrap(err, "upstream: connect")
 	}
