hub, consensus: a host may be emptied while hosts outside the group can take its place

Cause: a retirement was refused with 'too few hosts would remain' while 12 storage hosts stood, because only members of the group were counted; and in a full group no successor could join, since the member that is to leave took up its room.

Change: hosts with a link count as remaining; an excluded member leaves room for its successor, which is promoted before the excluded voter is removed.

Test: consensus.TestExcludedVoterIsReplacedFromOutsideAFullGroup fails on the code before (a:1 stays a voter).

--- a/consensus/openmembership.go
+++ b/consensus/openmembership.go
@@ -35,7 +35,8 @@
 }
 
 // hasRoom reports whether a replica of that name may be added: with open membership, if
-// it replaces a member of the same name or fewer than MaxVoters members respond.
+// it replaces a member of the same name or fewer than MaxVoters members respond that may
+// stay.
 func (n *Node) hasRoom(name string) bool {
 	if !n.cfg.OpenMembership {
 		return true
@@ -45,7 +46,7 @@
 		if m.Name == name {
 			return true
 		}
-		if n.responds(m.ID) {
+		if n.responds(m.ID) && !slices.Contains(n.excluded, m.Name) {
 			responding++
 		}
 	}
--- a/consensus/openmembership_test.go
+++ b/consensus/openmembership_test.go
@@ -202,6 +202,26 @@
 	}
 }
 
+// A host is to be emptied while the group has as many members as it may have, and all of
+// them are needed: a host outside takes its place first.
+func TestExcludedVoterIsReplacedFromOutsideAFullGroup(t *testing.T) {
+	is := is.New(t)
+	g := newOpenGroup()
+	g.config.MinVoters, g.config.MaxVoters = 3, 3
+	for _, name := range seedNames {
+		g.start(name, seedNames, false)
+	}
+	g.run(2 * time.Second)
+	g.start("d:1", seedNames, true)
+	g.run(3 * time.Second)
+	is.Equal(g.voterNames(), seedNames)
+	for _, n := range g.nodes {
+		n.Step(g.now, SetPeers{Names: append([]string{"d:1"}, seedNames...), Excluded: []string{"a:1"}})
+	}
+	g.run(5 * time.Second)
+	is.Equal(slices.Sorted(slices.Values(g.voterNames())), []string{"b:1", "c:1", "d:1"})
+}
+
 func TestEntriesSentToUnresponsiveLearnerAreBounded(t *testing.T) {
 	is := is.New(t)
 	g := newBootstrappedGroup()
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -210,18 +212,27 @@
 	return ""
 }
 
-// tooFewWithout reports whether too few members would remain to tolerate HostFaults
-// failures if the process at the address left, as well as those on retired hosts.
+// tooFewWithout reports whether too few hosts would remain to tolerate HostFaults failures
+// if the process at the address left, as well as those on retired hosts. Hosts outside the
+// group count: one of them takes the place of a member that leaves, before it leaves.
 func (h *Hub) tooFewWithout(address string) bool {
-	retired := make(map[string]bool)
-	for _, a := range h.retiredAddresses() {
-		retired[a] = true
-	}
-	left := 0
+	retired := h.retiredAddresses()
+	remaining := h.controlProcesses()
 	for _, m := range h.opts.Replica.Status().Members {
-		if m.Name != address && !retired[m.Name] {
-			left++
-		}
+		remaining[m.Name] = true
+	}
+	maps.DeleteFunc(remaining, func(a string, _ bool) bool { return a == address || slices.Contains(retired, a) })
+	return len(remaining) < 2*h.opts.HostFaults+1
+}
+
+// controlProcesses returns the addresses of the control processes with which this process
+// has a link, and its own.
+func (h *Hub) controlProcesses() map[string]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]bool{h.opts.Address: true}
+	for c := range h.controlLinks {
+		out[c.Peer().Process] = true
 	}
-	return left < 2*h.opts.HostFaults+1
+	return out
 }
