batch: the leader learns from carriers that an engine is leaving

Cause: platform.TestTargetsThatSayTheyLeaveGetNoMoreRequests failed in 7 of 7 runs on carriers: a carrier had seen Server-Leaving and refused the engine, the leader, whose list still called it ready, chose it again each 50 ms until the test ended. On the platform the list shows it within a second or two; while the list is cut off it does not.

Change: carriers report it with the run, the leader marks the engine and passes it on with the list.

--- a/batch/fleet.go
+++ b/batch/fleet.go
@@ -47,6 +47,7 @@
 	down       bool // the link has ended and there is no other one
 	downAt     time.Time
 	stopping   bool
+	leaving    bool      // its host is to be emptied
 	reportedAt time.Time // when the last report arrived
 	echo       int64     // its clock in that report
 	seen       uint64    // the last orders that it had handled then
@@ -58,7 +59,7 @@
 
 // usable reports whether the carrier may get new runs.
 func (c *carrierView) usable(now time.Time) bool {
-	return c.synced && !c.stopping && now.Sub(c.reportedAt) <= carrierSuspectAfter
+	return c.synced && !c.stopping && !c.leaving && now.Sub(c.reportedAt) <= carrierSuspectAfter
 }
 
 // chooseCarrier returns the carrier for a run on an engine in the given zone: the one with
@@ -176,6 +177,9 @@
 		r.useLink(now, process, l.zone, l.Sender)
 	}
 	r.carriers = slices.DeleteFunc(r.carriers, func(c *carrierView) bool {
+		if !c.leaving && r.o.Retired(c.process) {
+			r.releaseCarrier(c)
+		}
 		wasDown := c.down
 		if c.down = !c.local && newest[c.process].Sender == nil; c.down {
 			c.synced = false
@@ -194,6 +198,17 @@
 	})
 }
 
+// releaseCarrier moves the runs off a carrier whose host is to be emptied.
+func (r *Runner) releaseCarrier(c *carrierView) {
+	c.leaving = true
+	r.log.WithFields(logrus.Fields{"carrier": c.process, "runs": len(c.runs)}).Info("carrier's host is to be emptied; its runs go on elsewhere")
+	for _, run := range c.runs {
+		if run.reading && run.task.run == run && run.cancelReason == "" {
+			r.cancelRun(run.task, "the carrier's host is to be emptied")
+		}
+	}
+}
+
 // useLink makes a link that of a carrier and asks for an inventory over it.
 func (r *Runner) useLink(now time.Time, process, zone string, l carrier.Sender) {
 	i := slices.IndexFunc(r.carriers, func(c *carrierView) bool { return c.process == process })
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -126,6 +126,9 @@
 		}
 		return
 	}
+	if p.EngineLeaves {
+		r.noteLeaving(now, run)
+	}
 	t := run.task
 	if p.Events > run.events {
 		run.lastEventAt = now.Add(-time.Duration(p.IdleMs) * time.Millisecond)
@@ -152,6 +155,18 @@
 	}
 }
 
+// noteLeaving takes a carrier's word that an engine is leaving. The list may show it later,
+// and only the carriers whose runs were there know it.
+func (r *Runner) noteLeaving(now time.Time, run *run) {
+	e := r.engine(run.engine)
+	if e == nil || e.draining || e.startedMs != run.engineStartedMs {
+		return
+	}
+	e.draining = true
+	r.o.Directory.MarkLeaving(now, e.id)
+	r.log.WithFields(logrus.Fields{"engine": e.id, "carrier": run.carrier.process, "attempt": run.attempt}).Info("a carrier says that an engine is leaving")
+}
+
 // seeVersion takes the weight version that an engine named last in a run.
 func (r *Runner) seeVersion(now time.Time, run *run, version uint64) {
 	if version == 0 || version == run.version && run.events == 0 {
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -255,18 +255,24 @@
 // refusal returns why an attempt is not begun, or "". The order may have waited on the way
 // or in a queue, and the submission may have ended or the engine begun to leave since.
 func (c *Carrier) refusal(now time.Duration, s *Start) string {
-	switch t := c.o.Directory.View().Target(s.Engine); {
+	switch {
 	case c.stopping:
 		return "the carrier stops"
 	case now-c.decidedAt > c.o.CancelTime/2:
 		return "the order is too old"
-	case s.Engine != "" && t != nil && t.Draining && t.StartedMs == s.EngineStartedMs:
-		// An engine that has started again since is another one; this view is older then.
+	case c.engineLeaves(s):
 		return "the engine is leaving"
 	}
 	return ""
 }
 
+// engineLeaves reports whether the engine of an attempt is leaving. An engine that has
+// started again is another one; this carrier's view is older then.
+func (c *Carrier) engineLeaves(s *Start) bool {
+	t := c.o.Directory.View().Target(s.Engine)
+	return t != nil && t.Draining && t.StartedMs == s.EngineStartedMs
+}
+
 // begin starts an attempt.
 func (c *Carrier) begin(now time.Duration, s *Start) {
 	if c.runs[s.Attempt] != nil {
@@ -408,7 +414,9 @@
 	m := &Report{Term: c.term, Clock: int64(now), Seen: c.seen, Inventory: inventory, Stopping: c.stopping}
 	for _, r := range c.runs {
 		if inventory || r.changed(now) || due && r.state == Reading {
-			m.Runs = append(m.Runs, r.progress(now, inventory))
+			p := r.progress(now, inventory)
+			p.EngineLeaves = c.engineLeaves(&r.start)
+			m.Runs = append(m.Runs, p)
 		}
 	}
 	slices.SortFunc(m.Runs, func(a, b Progress) int { return int(int64(a.Attempt - b.Attempt)) })
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -109,6 +109,10 @@
 	From int   `cbor:"6,keyasint,omitempty"`
 	Text *Text `cbor:"7,keyasint,omitempty"`
 
+	// EngineLeaves is set when the carrier knows that the engine is leaving, from the list or
+	// from the engine itself.
+	EngineLeaves bool `cbor:"14,keyasint,omitempty"`
+
 	// The fields below are set when the attempt has ended.
 	Outcome Outcome `cbor:"8,keyasint,omitempty"`
 	Reached bool    `cbor:"9,keyasint,omitempty"` // the engine answered
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -148,7 +148,12 @@
 		ProcessGone: func(process, boot string) bool {
 			return slices.Contains(r.Status().Silent, process) || peers.restarted(process, boot)
 		},
-		OrderHold: s.OrderHoldTime + orderHoldMargin, FencesChecked: s.FencesChecked, HostFaults: s.HostFaults, KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
+		OrderHold: s.OrderHoldTime + orderHoldMargin, FencesChecked: s.FencesChecked, HostFaults: s.HostFaults,
+		Retired: func(process string) bool {
+			h := hubRef.Load()
+			return h != nil && h.Retired(process)
+		},
+		KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
 	d.handOver = func(ctx context.Context) {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -397,6 +397,9 @@
 	return out
 }
 
+// Retired reports whether the host of the control process at an address is to be emptied.
+func (h *Hub) Retired(address string) bool { return slices.Contains(h.retiredAddresses(), address) }
+
 // dial maintains links to the given addresses and the seeds, and closes those it opened
 // to other addresses. Links opened by former members end when those processes stop.
 func (h *Hub) dial(addresses []string) {
