--- /dev/null
+++ b/carrier/carrier_test.go
@@ -0,0 +1,149 @@
+package carrier
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"merlinhall/directory"
+	"merlinhall/ledger"
+	"merlinhall/observe"
+	"merlinhall/routes"
+	"merlinhall/wire"
+)
+
+// testLink records what a carrier sends to a leader.
+type testLink struct{ reports []*Report }
+
+// Send implements Sender.
+func (l *testLink) Send(m wire.Message) error {
+	l.reports = append(l.reports, m.(*Report))
+	return nil
+}
+
+func (l *testLink) last() *Report { return l.reports[len(l.reports)-1] }
+
+// testCarrier returns a carrier with a clock that the test sets. Its runs reach no engine.
+func testCarrier() (c *Carrier, clock *time.Duration) {
+	clock = new(time.Duration)
+	*clock = time.Hour
+	observer := observe.New("panic")
+	observer.Log.SetOutput(io.Discard)
+	c = New(Options{
+		Directory: directory.New(), Routes: func() *routes.Table { return nil }, CancelTime: 3 * time.Second,
+		Clock: func() time.Duration { return *clock }, Observer: observer,
+	})
+	return c, clock
+}
+
+// given is an attempt that runs, as if its engine had answered.
+func given(c *Carrier, attempt uint64, reward *ledger.Reward) *run {
+	r := newRun(Start{Attempt: attempt, Submission: "s", Item: "i", Engine: "e", Reward: reward}, c.o.Clock)
+	c.runs[attempt] = r
+	return r
+}
+
+func (c *Carrier) orders(from Sender, o Orders) { c.handleOrders(c.o.Clock(), from, &o) }
+
+// Orders that waited on a link or in a frozen process: the submission may have ended since.
+func TestOldOrdersBeginNothing(t *testing.T) {
+	is := is.New(t)
+	c, clock := testCarrier()
+	l := &testLink{}
+	c.orders(l, Orders{Term: 1, Sequence: 1, Inventory: true})
+	is.True(l.last().Inventory)
+	echo := l.last().Clock
+	*clock += 2 * time.Second
+	c.orders(l, Orders{Term: 1, Sequence: 2, Echo: echo, Starts: []Start{{Attempt: 7, Item: "i", Engine: "e"}}})
+	c.tick(*clock)
+	is.Equal(len(l.last().Runs), 1)
+	is.Equal(l.last().Runs[0].Outcome, NotStarted)
+	is.Equal(l.last().Runs[0].Reason, "the order is too old")
+	is.Equal(l.last().Seen, uint64(2))
+}
+
+// A former leader does not know yet that another one has been elected.
+func TestFormerLeaderIsIgnored(t *testing.T) {
+	is := is.New(t)
+	c, _ := testCarrier()
+	former, leader := &testLink{}, &testLink{}
+	c.orders(former, Orders{Term: 1, Inventory: true})
+	given(c, 7, nil)
+	c.orders(leader, Orders{Term: 2, Inventory: true})
+	is.Equal(len(leader.last().Runs), 1)
+	is.Equal(*leader.last().Runs[0].Identity, Identity{Submission: "s", Item: "i", Engine: "e"})
+	sent := len(former.reports)
+	c.orders(former, Orders{Term: 1, Cancels: []uint64{7}})
+	c.orders(former, Orders{Term: 1, Inventory: true})
+	is.Equal(c.runs[7].why, "")
+	is.Equal(len(former.reports), sent)
+	c.orders(leader, Orders{Term: 2, Cancels: []uint64{7}})
+	is.Equal(c.runs[7].why, "cancelled by the leader")
+}
+
+// A leader is lost after it has been handed a part of a text. The next one gets all of it.
+func TestNextLeaderGetsTheWholeText(t *testing.T) {
+	is := is.New(t)
+	c, clock := testCarrier()
+	first, next := &testLink{}, &testLink{}
+	c.orders(first, Orders{Term: 1, Inventory: true, Echo: int64(*clock)})
+	r := given(c, 7, nil)
+	for range minHandInEvents {
+		r.add([]byte("x"), 4)
+	}
+	*clock += handInInterval
+	c.tick(*clock)
+	is.Equal(first.last().Runs[0].Text.Events, minHandInEvents)
+	r.add([]byte("y"), 5)
+	c.orders(next, Orders{Term: 2, Inventory: true})
+	*clock += handInInterval
+	c.tick(*clock)
+	p := next.last().Runs[0]
+	is.Equal(p.From, 0)
+	is.Equal(p.Text.Events, minHandInEvents+1)
+	is.Equal(p.Text.Versions, []uint64{4, 5})
+	is.Equal(p.Text.Lineage, uint64(7))
+}
+
+// A complete text is kept until the leader needs it no more, however often leaders change.
+func TestEndedRunsAreKeptUntilDone(t *testing.T) {
+	is := is.New(t)
+	c, clock := testCarrier()
+	l := &testLink{}
+	c.orders(l, Orders{Term: 1, Inventory: true})
+	r := given(c, 7, nil)
+	r.add([]byte("x"), 4)
+	c.Receive(readEnded{r, readEnd{outcome: Complete, reached: true}})
+	for term := range uint64(3) {
+		next := &testLink{}
+		c.orders(next, Orders{Term: term + 2, Inventory: true})
+		is.Equal(next.last().Runs[0].Outcome, Complete)
+		is.Equal(next.last().Runs[0].Text.Events, 1)
+		l = next
+	}
+	c.orders(l, Orders{Term: 4, Done: []uint64{7}})
+	is.Equal(len(c.runs), 0)
+	given(c, 8, nil)
+	*clock += orphanLimit + time.Second
+	c.tick(*clock)
+	is.Equal(len(c.runs), 0) // no leader has asked for it
+}
+
+// No reward is called for an item whose submission may have ended: the leader is silent.
+func TestRewardWaitsForALeader(t *testing.T) {
+	is := is.New(t)
+	c, clock := testCarrier()
+	l := &testLink{}
+	c.orders(l, Orders{Term: 1, Inventory: true})
+	c.orders(l, Orders{Term: 1, Echo: int64(*clock)})
+	r := given(c, 7, &ledger.Reward{ID: "w"})
+	r.finishReading(readEnd{outcome: Complete, reached: true})
+	limit := c.o.CancelTime * 2 / 3
+	is.True(r.rewardDue(*clock, c.decidedAt, limit))
+	*clock += limit + time.Millisecond
+	is.True(!r.rewardDue(*clock, c.decidedAt, limit))
+	c.orders(l, Orders{Term: 1, Echo: int64(*clock)})
+	is.True(r.rewardDue(*clock, c.decidedAt, limit))
+}
--- a/ledger/submissions_test.go
+++ b/ledger/submissions_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"merlinhall/wire"
 )
 
 // testLog applies commands to a slice with increasing log indexes.
@@ -183,3 +185,51 @@
 	page, _, _ = l.slice.Page("s", 1, 10)
 	is.Equal(page.Next, 2)
 }
+
+// A save whose outcome is unknown commits late, when the item has begun again and has the
+// same number of events: parts of different texts are never joined.
+func TestPartsOfDifferentTextsAreNotJoined(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("s", 1))))
+	save := func(lineage uint64, before int, text string) {
+		is.NoErr(l.apply(ProgressCommand("s", []Progress{{Item: "s-0", Lineage: lineage, EventsBefore: before, Events: 1, Parts: [][]byte{Pack([]byte(text))}}})))
+	}
+	save(1, 0, "first")
+	save(2, 1, "of another text")
+	p, _ := l.slice.Partial("s-0")
+	is.Equal(p.Events, 1)
+	result := Result{Item: "s-0", PartialEvents: 1, Lineage: 2, Parts: [][]byte{Pack([]byte("rest"))}}
+	var missing *MissingTextError
+	is.True(errors.As(l.apply(RecordCommand("s", result)), &missing))
+	is.Equal(missing.Items, []string{"s-0"})
+	result.Lineage = 1
+	is.NoErr(l.apply(RecordCommand("s", result)))
+	is.Equal(texts(t, l.slice, "s"), []string{"s-0=first\nrest"})
+}
+
+// One entry of the log has results of many items; one that can't be recorded stops no other.
+func TestAdditionsToSeveralSubmissions(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("a", 2))))
+	is.NoErr(l.apply(AcceptCommand(submission("b", 1))))
+	text := [][]byte{Pack([]byte("x"))}
+	err := l.apply(AddCommand([]Addition{
+		{Submission: "a", Results: []Result{{Item: "a-0", Parts: text}, {Item: "a-1", PartialEvents: 3, Parts: text}}},
+		{Submission: "unknown", Results: []Result{{Item: "c"}}},
+		{Submission: "b", Results: []Result{{Item: "b-0", Parts: text}}},
+	}))
+	is.True(errors.Is(err, ErrTextMissing))
+	is.Equal(texts(t, l.slice, "a"), []string{"a-0=x"})
+	is.Equal(texts(t, l.slice, "b"), []string{"b-0=x"})
+}
+
+// A log that was written before additions to several submissions can be read.
+func TestCommandsOfEarlierVersionsAreApplied(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	is.NoErr(l.apply(AcceptCommand(submission("s", 1))))
+	is.NoErr(l.apply(wire.Marshal(&submissionsCommand{ForSubmission: "s", Results: []Result{{Item: "s-0", Parts: [][]byte{Pack([]byte("x"))}}}})))
+	is.Equal(texts(t, l.slice, "s"), []string{"s-0=x"})
+}
