--- a/batch/engines.go
+++ b/batch/engines.go
@@ -90,10 +90,3 @@
 	}
 	return nil
 }
-
-func (r *Runner) serviceOf(e *engine) string {
-	if t := r.o.Directory.View().Target(e.id); t != nil {
-		return t.Service
-	}
-	return ""
-}
--- a/batch/fleet.go
+++ b/batch/fleet.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -211,17 +212,10 @@
 
 // useLink makes a link that of a carrier and asks for an inventory over it.
 func (r *Runner) useLink(now time.Time, process, zone string, l carrier.Sender) {
-	i := slices.IndexFunc(r.carriers, func(c *carrierView) bool { return c.process == process })
-	if i < 0 {
-		i = len(r.carriers)
-		r.carriers = append(r.carriers, &carrierView{process: process, local: process == r.o.Process, runs: make(map[uint64]*run), reportedAt: now})
-		slices.SortFunc(r.carriers, func(a, b *carrierView) int {
-			if a.process < b.process {
-				return -1
-			}
-			return 1
-		})
-		i = slices.IndexFunc(r.carriers, func(c *carrierView) bool { return c.process == process })
+	i, known := slices.BinarySearchFunc(r.carriers, process, func(c *carrierView, name string) int { return cmp.Compare(c.process, name) })
+	if !known {
+		c := &carrierView{process: process, local: process == r.o.Process, runs: make(map[uint64]*run), reportedAt: now}
+		r.carriers = slices.Insert(r.carriers, i, c)
 	}
 	c := r.carriers[i]
 	if c.link == l {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// mailboxCapacity bounds queued messages; a running item has a few at a time.
+	// mailboxCapacity bounds queued messages; a carrier sends up to 20 reports a second.
 	mailboxCapacity = 16384
 	// tickInterval is how often runs without events, loads and overdue items are checked.
 	tickInterval = 50 * time.Millisecond
@@ -88,7 +88,7 @@
 	Observer    *observe.Observer
 }
 
-// Runner is the actor that runs the items of open submissions while this process leads.
+// Runner is the actor that has the items of open submissions run while this process leads.
 type Runner struct {
 	o       Options
 	log     *logrus.Entry
--- a/batch/simulation_test.go
+++ b/batch/simulation_test.go
@@ -72,13 +72,11 @@
 )
 
 type world struct {
-	t       *testing.T
-	plant   plant
-	began   time.Time
-	ctx     context.Context
-	cancel  context.CancelFunc
-	service string // address of the reward service
-
+	t          *testing.T
+	plant      plant
+	began      time.Time
+	ctx        context.Context
+	cancel     context.CancelFunc
 	mu         sync.Mutex
 	rng        *rand.Rand
 	procs      []*simProcess
@@ -210,7 +208,7 @@
 	manifests := ledger.NewManifests()
 	body, err := wire.Marshal(manifest)
 	if err != nil {
-		w.t.Fatal(err)
+		w.violate("the manifest can't be encoded: %v", err)
 	}
 	manifests.Apply(1, 1, body)
 	observer := observe.New(simLogLevel)
@@ -653,7 +651,8 @@
 	sub := &ledger.Submission{ID: id, Host: "h", Path: "/b/" + id, Model: "m", MinVersion: 1, WantedGroups: 2, Items: items, MaxAttempts: 3, Due: 4 * time.Second}
 	body, err := ledger.AcceptCommand(sub)
 	if err != nil {
-		w.t.Fatal(err)
+		w.violate("a submission can't be encoded: %v", err)
+		return
 	}
 	w.commit(body)
 }
@@ -708,7 +707,8 @@
 		if step%2 == 0 {
 			body, err := ledger.EndCommand(id)
 			if err != nil {
-				w.t.Fatal(err)
+				w.violate("an end can't be encoded: %v", err)
+				return
 			}
 			w.commit(body)
 			w.mu.Lock()
@@ -902,7 +902,7 @@
 func simulate(t *testing.T, seed uint64, p plant) (violations []string) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			t: t, plant: p, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 77)), service: "reward", runs: make(map[string]*simRun),
+			t: t, plant: p, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 77)), runs: make(map[string]*simRun),
 			scores: make(map[string]time.Time), scoreOf: make(map[string]string), endedAt: make(map[string]time.Time), itemIn: make(map[string][]string),
 		}
 		w.ctx, w.cancel = context.WithCancel(t.Context())
--- a/batch/task.go
+++ b/batch/task.go
@@ -1,6 +1,7 @@
-// Package batch runs the items of batch submissions on engines. It plans which item runs
-// on which engine, keeps the text that each run generates, has complete texts scored and
-// records the results in the ledger. Its Runner is an actor of the control leader.
+// Package batch decides how the items of batch submissions are run. It plans which item
+// runs on which engine and by which carrier, when runs move and engines load weights, and
+// records the results in the ledger. Its Runner is an actor of the control leader; package
+// carrier performs the runs.
 package batch
 
 import (
