--- a/batch/simulation_test.go
+++ b/batch/simulation_test.go
@@ -63,8 +63,6 @@
 
 const (
 	plantNothing plant = ""
-	// plantNoLineage makes texts that are joined be matched by their number of events only.
-	plantNoLineage plant = "no lineage"
 	// plantNoTerms makes carriers obey a former leader, and leaders take reports for another.
 	plantNoTerms plant = "no terms"
 	// plantFreshOrders makes all orders look as if they had just been decided.
@@ -357,10 +355,6 @@
 			if o.Echo > 0 {
 				o.Echo = int64(time.Since(w.began) + time.Hour)
 			}
-		case plantNoLineage:
-			for i := range o.Starts {
-				o.Starts[i].Text.Lineage = 0
-			}
 		}
 		_ = to.carrier.Handle(l.back, o)
 	})
@@ -369,13 +363,6 @@
 		if w.plant == plantNoTerms {
 			r.Term = from.runnerTerm()
 		}
-		if w.plant == plantNoLineage {
-			for i := range r.Runs {
-				if r.Runs[i].Text != nil {
-					r.Runs[i].Text.Lineage = 0
-				}
-			}
-		}
 		_ = from.runner.Report(l, r)
 	})
 	return l
@@ -962,7 +949,7 @@
 	if *simPlanted == 0 {
 		t.Skip("played by make sim")
 	}
-	for _, p := range []plant{plantNoLineage, plantNoTerms, plantFreshOrders} {
+	for _, p := range []plant{plantNoTerms, plantFreshOrders} {
 		t.Run(string(p), func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(*simPlanted) {
