forward, carrier, batch, trace: each failure of a reward call in the logs

What was missing: an item was listed as failed too early, and from its id the logs could not tell which responses had been counted: "reward call has no score" named the last target and status and a number.

Change: the line now has the end of each attempt (target, outcome, status, time, how many requests the connection had carried, whether the response named its request, whether it was counted), the bound and the manifest it comes from; "engine answered with an error" has the same of an engine; "item is given up" has failures, bound, age and time to live. merlinhall_carrier_errors_total counts error responses by call, status and whether they counted. merlinhall trace follows an item to the lines of its reward call, and explains them: it looked for a line that no process writes any more.

--- a/batch/results.go
+++ b/batch/results.go
@@ -49,14 +49,24 @@
 func (r *Runner) scoreWhole(t *task) { t.state, t.whole = taskScoring, true }
 
 // record has the result of a task proposed to the ledger.
-func (r *Runner) record(t *task, result ledger.Result, why string) {
+func (r *Runner) record(t *task, result ledger.Result) {
 	t.state, t.result = taskRecording, &result
-	if why != "" {
-		r.log.WithFields(logrus.Fields{"submission": t.job.sub.ID, "item": t.item.ID}).Info("item is given up: " + why)
-	}
 	r.additions.results = append(r.additions.results, t)
 }
 
+// giveUp records a task as failed.
+func (r *Runner) giveUp(now time.Time, t *task, why string) {
+	fields := logrus.Fields{
+		"submission": t.job.sub.ID, "item": t.item.ID, "failures": t.failures, "max_failures": t.maxFailures(),
+		"age_ms": now.Sub(t.job.since).Milliseconds(), "ttl_ms": t.job.sub.ItemTTL.Milliseconds(), "term": r.term,
+	}
+	if t.run != nil {
+		fields["attempt"], fields["carrier"] = t.run.attempt, t.run.carrier.process
+	}
+	r.log.WithFields(fields).Info("item is given up: " + why)
+	r.record(t, ledger.Result{Item: t.item.ID, Failed: true})
+}
+
 // saveDueTexts saves, once per saveInterval, the texts of running items that have at least
 // minSaveEvents unsaved events. The result of an item then contains only the events after
 // the saved ones.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -494,14 +494,14 @@
 		}
 	case taskScoring:
 		if t.run == nil && t.item.Reward == nil {
-			r.record(t, t.text.result(t.item.ID, ""), "")
+			r.record(t, t.text.result(t.item.ID, ""))
 		} else if t.run == nil {
 			r.startScoring(now, t)
 		}
 	case taskPending:
 		r.dropUnservableText(t)
 		if !t.job.giveUpAt.IsZero() && now.After(t.job.giveUpAt) {
-			r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the item TTL has expired")
+			r.giveUp(now, t, "the item TTL has expired")
 		}
 	}
 }
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/carrier"
-	"merlinhall/ledger"
 	"merlinhall/routes"
 )
 
@@ -243,12 +242,12 @@
 	}
 	switch {
 	case p.RewardFailed:
-		r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the reward call failed too often")
+		r.giveUp(now, t, "the reward call failed too often")
 	case p.Score != "" || t.item.Reward == nil:
 		r.log.WithFields(logrus.Fields{
 			"submission": t.job.sub.ID, "item": t.item.ID, "attempt": run.attempt, "carrier": run.carrier.process, "term": r.term, "score": p.Score,
 		}).Debug("text is scored")
-		r.record(t, t.text.result(t.item.ID, p.Score), "")
+		r.record(t, t.text.result(t.item.ID, p.Score))
 	default:
 		r.detach(run) // the next tick has it scored by another carrier
 	}
@@ -270,12 +269,12 @@
 	}
 	switch end.outcome {
 	case carrier.Impossible:
-		r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine rejected it and a retry cannot succeed")
+		r.giveUp(now, t, "the engine rejected it and a retry cannot succeed")
 		return
 	case carrier.Failed:
 		t.failures++
-		if t.failures >= max(1, t.job.sub.MaxAttempts) {
-			r.record(t, ledger.Result{Item: t.item.ID, Failed: true}, "the engine failed too often")
+		if t.failures >= t.maxFailures() {
+			r.giveUp(now, t, "the engine failed too often")
 			return
 		}
 		t.retryAt = now.Add(failedRetryDelay)
@@ -296,7 +295,9 @@
 		entry.Debug("run ended")
 		return
 	}
-	entry.WithFields(logrus.Fields{"why": run.cancelReason, "error": end.reason}).Info("run ended early")
+	entry.WithFields(logrus.Fields{
+		"why": run.cancelReason, "error": end.reason, "failures_before": t.failures, "max_failures": t.maxFailures(),
+	}).Info("run ended early")
 }
 
 // updateEngine updates the state of an engine from the outcome of a run.
--- a/batch/task.go
+++ b/batch/task.go
@@ -50,6 +50,9 @@
 	saving         bool           // a proposal of partial text is in progress
 }
 
+// maxFailures returns the number of failed runs after which the item is given up.
+func (t *task) maxFailures() int { return max(1, t.job.sub.MaxAttempts) }
+
 // cancelled reports whether the current run was cancelled and has not ended yet.
 func (t *task) cancelled() bool { return t.run != nil && t.run.cancelReason != "" }
 
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"merlinhall/actor"
 	"merlinhall/boottime"
 	"merlinhall/directory"
+	"merlinhall/forward"
 	"merlinhall/link"
 	"merlinhall/observe"
 	"merlinhall/upstream"
@@ -192,6 +194,7 @@
 		}
 	case readEnded:
 		c.metrics.runs.WithLabelValues(string(m.end.Outcome)).Inc()
+		c.recordError(m.run, m.end)
 		m.run.finishReading(m.end)
 		c.startReward(now, m.run)
 	case rewardEnded:
@@ -319,6 +322,17 @@
 	})
 }
 
+// recordError logs and counts an error response of an engine.
+func (c *Carrier) recordError(r *run, end ReadEnd) {
+	if end.Error.Status == 0 {
+		return
+	}
+	c.metrics.countErrors("engine", []forward.AttemptEnd{end.Error})
+	c.log.WithFields(logrus.Fields{
+		"submission": r.start.Submission, "item": r.start.Item, "attempt": r.start.Attempt, "term": c.term, "outcome": end.Outcome, "response": end.Error.String(),
+	}).Info("engine answered with an error")
+}
+
 func (c *Carrier) startReward(now time.Duration, r *run) {
 	if !r.rewardDue(now) || !c.rewardWanted() {
 		return
@@ -347,7 +361,9 @@
 		c.log.WithFields(fields).Debug("reward call has a score")
 		return
 	}
-	fields["reason"] = end.Reason
+	c.metrics.countErrors("reward", end.Attempts)
+	fields["reason"], fields["attempts"] = end.Reason, fmt.Sprint(end.Attempts)
+	fields["max_failures"], fields["manifest"] = end.MaxFailures, end.Manifest
 	c.log.WithFields(fields).Info("reward call has no score")
 }
 
--- a/carrier/reader.go
+++ b/carrier/reader.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -48,11 +49,13 @@
 	Outcome Outcome
 	Reached bool // the engine answered the request
 	Err     error
+	Error   forward.AttemptEnd // set if the engine answered with an error
 }
 
 // generate sends an item to an engine and reads the events of its text from the event with
 // the number first on.
 func generate(ctx context.Context, pool *upstream.Pool, p Protocol, to upstream.Address, request *upstream.Request, out Generated, first int, rule VersionRule) ReadEnd {
+	began := time.Now()
 	response, err := pool.Open(ctx, to, request)
 	if err != nil {
 		end := ReadEnd{Outcome: Broken, Err: err}
@@ -72,6 +75,10 @@
 		response.Close(err == nil)
 		end.Outcome = failureOf(p, response.Response)
 		end.Err = eris.Errorf("status %d", response.StatusCode)
+		end.Error = forward.AttemptEnd{
+			Target: to.ID, Outcome: string(end.Outcome), Status: response.StatusCode, Took: time.Since(began), Origin: response.Origin,
+			Counted: end.Outcome == Failed || end.Outcome == Impossible,
+		}
 		return end
 	}
 	reader := textReader{p: p, next: first, version: version, rule: rule, out: out}
--- a/carrier/targets.go
+++ b/carrier/targets.go
@@ -38,10 +38,12 @@
 type RewardEnd struct {
 	Score       string
 	Failures    int
-	MaxFailures int // number of failures after which the item has failed
+	MaxFailures int    // number of failures after which the item has failed
+	Manifest    uint64 // version of the manifest that MaxFailures comes from
 	Reason      string
 	Target      string
 	Status      int
+	Attempts    []forward.AttemptEnd
 }
 
 // rewardTimeout bounds a reward call whose route allows more.
@@ -50,7 +52,8 @@
 // Score implements Targets.
 func (t HTTPTargets) Score(ctx context.Context, reward *ledger.Reward, wanted func() bool) RewardEnd {
 	var route *routes.Route
-	if table := t.Routes(); table != nil {
+	table := t.Routes()
+	if table != nil {
 		route = table.Find(reward.Host, reward.Path)
 	}
 	if route == nil {
@@ -66,7 +69,10 @@
 		Wanted:     wanted,
 		Deadline:   time.Now().Add(min(route.Timeout, rewardTimeout)),
 	})
-	end := RewardEnd{Failures: result.Failures, MaxFailures: max(1, route.MaxAttempts), Reason: result.Reason, Target: result.Target, Status: result.Status}
+	end := RewardEnd{
+		Failures: result.Failures, MaxFailures: max(1, route.MaxAttempts), Manifest: table.Manifest().Version,
+		Reason: result.Reason, Target: result.Target, Status: result.Status, Attempts: result.Ends,
+	}
 	if result.Outcome == forward.OutcomeAnswered && result.Status >= 200 && result.Status < 300 {
 		end.Score = t.Protocol.Score(result.Header)
 	} else if result.Outcome == forward.OutcomeAnswered {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -108,6 +109,35 @@
 	Attempts   int
 	// Failures counts the runs for which a target returned a failure.
 	Failures int
+	// Ends are the ends of the attempts that ended before the request did.
+	Ends []AttemptEnd
+}
+
+// AttemptEnd says how one attempt ended.
+type AttemptEnd struct {
+	Target  string
+	Outcome string // a Verdict, or "broken", "cancelled" or "not_sent" without a response
+	Status  int    // status code of the response, 0 without one
+	Reason  string // set without a response
+	Took    time.Duration
+	Origin  upstream.Origin
+	Counted bool // as a failed run
+}
+
+// String implements fmt.Stringer.
+func (e AttemptEnd) String() string {
+	out := fmt.Sprintf("%s: %s after %d ms", e.Target, e.Outcome, e.Took.Milliseconds())
+	if e.Status == 0 {
+		return out + " (" + e.Reason + ")"
+	}
+	out = fmt.Sprintf("%s, status %d, request %d of the connection", out, e.Status, e.Origin.Requests)
+	if !e.Origin.Named {
+		out += ", without id"
+	}
+	if e.Counted {
+		out += ", counted"
+	}
+	return out
 }
 
 // Forwarder forwards requests to targets. It is safe for concurrent use.
@@ -139,25 +169,28 @@
 // recordAttempt records an attempt in the metrics and logs it unless it returned the
 // final response.
 func (f *Forwarder) recordAttempt(ctx context.Context, r *Request, a *attempt, left, took time.Duration) {
-	outcome, reason := a.verdict.String(), ""
+	a.end = AttemptEnd{
+		Target: a.target.ID, Outcome: a.verdict.String(), Status: a.result.Status, Took: took, Origin: a.origin,
+		Counted: a.err == nil && a.verdict == FailedRun,
+	}
 	if a.err != nil {
-		outcome, reason = "broken", a.err.Error()
+		a.end.Outcome, a.end.Reason = "broken", a.err.Error()
 		switch {
 		case ctx.Err() == context.Canceled:
-			outcome = "cancelled" // another attempt answered, or the client disconnected
+			a.end.Outcome = "cancelled" // another attempt answered, or the client disconnected
 		case a.err.NotSent:
-			outcome = "not_sent"
+			a.end.Outcome = "not_sent"
 		}
 	}
 	if f.attempts != nil {
-		f.attempts.WithLabelValues(outcome).Observe(took.Seconds())
+		f.attempts.WithLabelValues(a.end.Outcome).Observe(took.Seconds())
 	}
 	if f.Log == nil || a.err == nil && a.verdict == Answered {
 		return
 	}
 	f.Log.WithFields(logrus.Fields{
-		"request": r.ID, "target": a.target.ID, "outcome": outcome, "reason": reason, "status": a.result.Status,
-		"left_ms": left.Milliseconds(), "ms": took.Milliseconds(),
+		"request": r.ID, "target": a.target.ID, "outcome": a.end.Outcome, "reason": a.end.Reason, "status": a.end.Status,
+		"left_ms": left.Milliseconds(), "ms": took.Milliseconds(), "conn_requests": a.origin.Requests, "named": a.origin.Named,
 	}).Info("attempt ended")
 }
 
@@ -198,15 +231,17 @@
 type attempt struct {
 	target  *wire.TargetEntry
 	verdict Verdict
+	origin  upstream.Origin // of the response
 	result  Result
 	err     *upstream.Failure
+	end     AttemptEnd
 }
 
 var errMalformed = eris.New("forward: the response is no answer of the protocol")
 
 // setResponse stores a response whose body was read completely.
-func (a *attempt) setResponse(verdict Verdict, response *http.Response, body []byte) {
-	a.verdict = verdict
+func (a *attempt) setResponse(verdict Verdict, response *upstream.Response, body []byte) {
+	a.verdict, a.origin = verdict, response.Origin
 	a.result = Result{
 		Outcome: OutcomeAnswered, Status: response.StatusCode, Header: response.Header, Body: body, Target: a.target.ID,
 	}
@@ -227,6 +262,7 @@
 	cancels      []context.CancelFunc
 	lastFailure  *attempt // the latest attempt whose response reported a failed run
 	failures     int
+	ends         []AttemptEnd
 }
 
 // Do forwards r and returns its result, at the deadline of r at the latest.
@@ -239,7 +275,7 @@
 		c()
 	}
 	result.Attempts = u.possibleRuns + u.refused
-	result.Failures = u.failures
+	result.Failures, result.Ends = u.failures, u.ends
 	return result
 }
 
@@ -298,6 +334,7 @@
 // handleAttempt evaluates a finished attempt. It returns the result of the request and
 // true when no further attempt is needed.
 func (u *requestState) handleAttempt(a *attempt) (Result, bool) {
+	u.ends = append(u.ends, a.end)
 	switch {
 	case a.err != nil && a.err.NotSent, a.err == nil && (a.verdict == NotRun || a.verdict == Misdirected):
 		u.possibleRuns--
@@ -384,7 +421,7 @@
 	refused := observeSending(r, out)
 	var err error
 	failure := f.Guard.Run(logrus.Fields{"request": r.ID, "target": t.ID}, func() {
-		var response *http.Response
+		var response *upstream.Response
 		var body []byte
 		if response, body, err = f.Pool.Do(ctx, directory.Address(t), out); err == nil {
 			a.setResponse(f.Protocol.Verdict(response.StatusCode, response.Header), response, body)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -161,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		a.setResponse(verdict, response.Response, body)
+		a.setResponse(verdict, response, body)
 		if s.begun && a.err == nil && verdict == Answered {
 			a.verdict = FailedRun // the request was for the rest of a stream
 		}
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -142,8 +142,11 @@
 				why = l.field("error")
 			}
 			parts = append(parts, fmt.Sprintf("engine %s: %s after %s ms (%s)", l.field("engine"), l.field("outcome"), l.field("ms"), why))
-		case "batch: reward call has no score":
-			parts = append(parts, "no score: "+l.field("reason"))
+		case "carrier: reward call has no score":
+			parts = append(parts, fmt.Sprintf("no score: %s, %s of %s failures by manifest %s %s",
+				l.field("reason"), l.field("failures"), l.field("max_failures"), l.field("manifest"), l.field("attempts")))
+		case "carrier: engine answered with an error":
+			parts = append(parts, "engine "+l.field("response"))
 		}
 	}
 	if len(parts) == 0 {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -163,12 +163,7 @@
 // or zero if unknown.
 func (l *Log) AccountOf(id string, at time.Time) Account {
 	a := Account{ID: id}
-	var own []*Line
-	for _, line := range l.Lines {
-		if line.mentions(id) {
-			own = append(own, line)
-		}
-	}
+	own := l.linesOf(id)
 	a.Lines = append(a.Lines, own...)
 	switch {
 	case len(own) > 0:
@@ -187,6 +182,23 @@
 	return a
 }
 
+// linesOf returns the lines with an id and, for an item, those about its reward call.
+func (l *Log) linesOf(id string) []*Line {
+	rewards := make(map[string]bool)
+	for _, line := range l.Lines {
+		if reward := line.field("reward"); reward != "" && line.field("item") == id {
+			rewards[reward] = true
+		}
+	}
+	var own []*Line
+	for _, line := range l.Lines {
+		if line.mentions(id) || rewards[line.field("request")] {
+			own = append(own, line)
+		}
+	}
+	return own
+}
+
 // contextLines returns the state changes near the time of own: those of the hosts of own,
 // and those of control leaders on all hosts.
 func (l *Log) contextLines(own []*Line) []*Line {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -38,7 +38,7 @@
 	closed      chan struct{}
 	once        sync.Once
 	closeReason error
-	reused      bool
+	requests    int // sent on it
 	// idleUntil is the time after which an idle connection is not reused, or zero if
 	// the target announces no idle timeout.
 	idleUntil time.Time
@@ -147,6 +147,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
 	c.lastID = r.ID
+	c.requests++
 	c.pending <- w
 	if err := c.write(r); err != nil {
 		stop()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -102,9 +102,16 @@
 	}
 }
 
+// Origin says on which connection a response came and whether it names its request.
+type Origin struct {
+	Requests int  // sent on the connection so far, 1 on a new one
+	Named    bool // the response has the id of its request
+}
+
 // Response is a response whose body has not been read. Close must be called.
 type Response struct {
 	*http.Response
+	Origin
 	pool *Pool
 	to   Address
 	conn *conn
@@ -145,12 +152,14 @@
 	if err != nil {
 		return nil, &Failure{NotSent: !sent, Err: err}
 	}
-	if err := r.checkID(p.RequestID(response.Header), c.reused); err != nil {
+	got := p.RequestID(response.Header)
+	if err := r.checkID(got, c.requests > 1); err != nil {
 		done(false)
 		return nil, &Failure{Err: err}
 	}
 	p.OnResponse(to, response.Header)
-	return &Response{Response: response, pool: p, to: to, conn: c, done: done}, nil
+	origin := Origin{Requests: c.requests, Named: got == r.ID}
+	return &Response{Response: response, Origin: origin, pool: p, to: to, conn: c, done: done}, nil
 }
 
 var (
@@ -175,13 +184,13 @@
 }
 
 // Do sends a request and reads the complete response. Errors are of type *Failure.
-func (p *Pool) Do(ctx context.Context, to Address, r *Request) (*http.Response, []byte, error) {
+func (p *Pool) Do(ctx context.Context, to Address, r *Request) (*Response, []byte, error) {
 	response, err := p.Open(ctx, to, r)
 	if err != nil {
 		return nil, nil, err
 	}
 	b, err := response.ReadAll()
-	return response.Response, b, err
+	return response, b, err
 }
 
 // acquire returns an idle connection or a new one. A request that is repeated gets another
@@ -195,7 +204,6 @@
 			break
 		}
 		if !c.isClosed() && c.reusable(now) && (id == "" || c.lastID != id) {
-			c.reused = true
 			p.Reused()
 			return c, nil
 		}
