forward, carrier, batch: only an answer that a run has failed counts as a failed run

Cause: a fault of classification. Responses had two classes of errors, "not run" and "failed run", and every status from 500 on that did not say "not run" went into the second. A reward call that got three answers of 500 and one of 504 was given up after three failures. On engines any error but 422 counted.

Change: a verdict and an outcome of their own ("unfinished"). Plain requests treat it as before: another target, and the last error if none is left. Only a failed run is counted, and only if the response names its request: one without an id may answer another request, also on a new connection. An item whose runs end unfinished waits 0.05 to 1.6 s, the engine gets no new run for 0.1 s as after a refusal; neither is given up for it before the item's time to live.

Why it works: the count now has only what the rule counts, so it is never above the number of answers of 500 that targets have given to the call.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -41,6 +41,9 @@
 	pauseSilent = 2 * time.Second
 	// failedRetryDelay is the wait before a failed item runs again.
 	failedRetryDelay = 50 * time.Millisecond
+	// maxRetryDoublings bounds the wait of an item whose runs end with errors that are no
+	// failed runs to 1.6 s. Such an item is not given up before its time to live.
+	maxRetryDoublings = 5
 	// proposeTimeout bounds the wait for a proposal to the ledger.
 	proposeTimeout = 3 * time.Second
 	// retentionMargin is added to the time for which results must stay readable.
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -278,6 +278,9 @@
 			return
 		}
 		t.retryAt = now.Add(failedRetryDelay)
+	case carrier.Unfinished:
+		t.retryAt = now.Add(failedRetryDelay << min(t.unfinished, maxRetryDoublings))
+		t.unfinished++
 	case carrier.NotStarted:
 		t.retryAt = now.Add(failedRetryDelay) // the reason may last
 	}
@@ -313,6 +316,8 @@
 			return
 		}
 		e.pausedUntil = now.Add(pauseRefused)
+	case carrier.Unfinished:
+		e.pausedUntil = now.Add(pauseRefused)
 	case carrier.Misdirected, carrier.VersionNotAllowed:
 		e.pausedUntil = now.Add(pauseBroken)
 		r.requestReport(now, e)
--- a/batch/task.go
+++ b/batch/task.go
@@ -38,7 +38,8 @@
 	run            *run
 	text           text
 	whole          bool // the text is complete
-	failures       int  // runs for which an engine answered with a failure
+	failures       int  // runs of which an engine said that they have failed
+	unfinished     int  // runs that ended with another error
 	moves          int  // runs that were moved off a slow engine
 	runs           int
 	firstRunAt     time.Time
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -78,7 +78,8 @@
 	NotStarted  Outcome = "not_started" // refused by the carrier
 	NotRun      Outcome = "not_run"     // not sent, or refused by the engine for now
 	Misdirected Outcome = "wrong_place" // refused: wrong engine or weight version
-	Failed      Outcome = "failed"      // any other error status
+	Failed      Outcome = "failed"      // the engine says that the run has failed
+	Unfinished  Outcome = "unfinished"  // any other error, which does not say so
 	Impossible  Outcome = "impossible"  // rejected with status 422; a retry cannot succeed
 	Broken      Outcome = "broken"      // interrupted before the text was complete
 	// VersionNotAllowed is the outcome when the engine generates with a weight version
--- a/carrier/reader.go
+++ b/carrier/reader.go
@@ -73,7 +73,7 @@
 	if response.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxFailureBodyBytes))
 		response.Close(err == nil)
-		end.Outcome = failureOf(p, response.Response)
+		end.Outcome = failureOf(p, response)
 		end.Err = eris.Errorf("status %d", response.StatusCode)
 		end.Error = forward.AttemptEnd{
 			Target: to.ID, Outcome: string(end.Outcome), Status: response.StatusCode, Took: time.Since(began), Origin: response.Origin,
@@ -100,17 +100,21 @@
 // connection can be reused.
 const maxFailureBodyBytes = 64 << 10
 
-func failureOf(p Protocol, response *http.Response) Outcome {
-	switch p.Verdict(response.StatusCode, response.Header) {
-	case forward.NotRun:
+func failureOf(p Protocol, response *upstream.Response) Outcome {
+	verdict := p.Verdict(response.StatusCode, response.Header)
+	switch {
+	case verdict == forward.NotRun:
 		return NotRun
-	case forward.Misdirected:
+	case verdict == forward.Misdirected:
 		return Misdirected
-	}
-	if response.StatusCode == http.StatusUnprocessableEntity {
+	case !response.Named:
+		return Unfinished
+	case verdict == forward.FailedRun:
+		return Failed
+	case response.StatusCode == http.StatusUnprocessableEntity:
 		return Impossible
 	}
-	return Failed
+	return Unfinished
 }
 
 var errVersionNotAllowed = eris.New("carrier: the engine generates with a weight version that the submission does not allow")
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -51,13 +51,14 @@
 const (
 	Answered    Verdict = iota // final response of the target
 	FailedRun                  // the request ran and failed
+	Unfinished                 // an error that does not say so, such as a time limit; the request may have run
 	NotRun                     // the target refused to run the request
 	Misdirected                // another target now has the address; the request did not run
 	Malformed                  // not a valid response of the protocol; the request may have run
 )
 
 func (v Verdict) String() string {
-	return [...]string{"answered", "failed", "not_run", "wrong_place", "garbled"}[v]
+	return [...]string{"answered", "failed", "unfinished", "not_run", "wrong_place", "garbled"}[v]
 }
 
 // Protocol defines the platform-specific headers of requests and responses.
@@ -107,7 +108,7 @@
 	Reason     string
 	RetryAfter time.Duration // set with OutcomeNotRun
 	Attempts   int
-	// Failures counts the runs for which a target returned a failure.
+	// Failures counts the runs of which targets said that they have failed.
 	Failures int
 	// Ends are the ends of the attempts that ended before the request did.
 	Ends []AttemptEnd
@@ -171,7 +172,7 @@
 func (f *Forwarder) recordAttempt(ctx context.Context, r *Request, a *attempt, left, took time.Duration) {
 	a.end = AttemptEnd{
 		Target: a.target.ID, Outcome: a.verdict.String(), Status: a.result.Status, Took: took, Origin: a.origin,
-		Counted: a.err == nil && a.verdict == FailedRun,
+		Counted: a.failedRun(),
 	}
 	if a.err != nil {
 		a.end.Outcome, a.end.Reason = "broken", a.err.Error()
@@ -237,6 +238,12 @@
 	end     AttemptEnd
 }
 
+// failedRun reports whether the target said that this request has run and failed. A response
+// without the request's id may be that to another one.
+func (a *attempt) failedRun() bool {
+	return a.err == nil && a.verdict == FailedRun && a.origin.Named
+}
+
 var errMalformed = eris.New("forward: the response is no answer of the protocol")
 
 // setResponse stores a response whose body was read completely.
@@ -260,7 +267,7 @@
 	possibleRuns int // attempts that may have run
 	refused      int
 	cancels      []context.CancelFunc
-	lastFailure  *attempt // the latest attempt whose response reported a failed run
+	lastFailure  *attempt // the latest attempt that ended with an error of the target
 	failures     int
 	ends         []AttemptEnd
 }
@@ -345,8 +352,10 @@
 			return Result{Outcome: OutcomeUnknown, Reason: a.err.Error(), Target: a.target.ID}, true
 		}
 		return Result{}, false
-	case a.verdict == FailedRun:
-		u.failures++
+	case a.verdict == FailedRun, a.verdict == Unfinished:
+		if a.failedRun() {
+			u.failures++
+		}
 		u.lastFailure = a
 		return a.result, !u.r.Route.Repeatable
 	}
