carrier: an item is given up by the larger of two bounds

What callers would see: an item listed as failed too early, or never.

Cause: the failures of a reward call were held against the maximum of attempts of the call's route in the manifest that the carrier had at that moment.

Change: the leader sends the bound of the submission's route with each start; the carrier takes the larger of it and of all that the call's route has allowed during the run. Failures still end the call only when one has been counted.

Evidence: TestRewardCallMayFailAsOftenAsEitherRouteAllows, of which "submission's route allows more" and "a later manifest allows less" failed before.

--- a/batch/runs.go
+++ b/batch/runs.go
@@ -74,7 +74,7 @@
 	c.orders.Starts = append(c.orders.Starts, carrier.Start{
 		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Engine: e.id, Address: e.address, EngineStartedMs: e.startedMs,
 		Path: t.item.Path, Host: t.job.sub.Host, Headers: t.item.Headers, Body: t.item.Body, Version: run.version,
-		OldestVersion: t.job.sub.MinVersion, SingleVersion: t.job.sub.SingleVersion, Text: t.text.Text, Reward: t.item.Reward,
+		OldestVersion: t.job.sub.MinVersion, SingleVersion: t.job.sub.SingleVersion, Text: t.text.Text, Reward: t.item.Reward, MaxFailures: t.maxFailures(),
 	})
 }
 
@@ -109,7 +109,7 @@
 	}
 	run := r.newRun(now, t, c)
 	c.orders.Starts = append(c.orders.Starts, carrier.Start{
-		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Reward: t.item.Reward,
+		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Reward: t.item.Reward, MaxFailures: t.maxFailures(),
 	})
 }
 
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -363,7 +363,7 @@
 	}
 	c.metrics.countErrors("reward", end.Attempts)
 	fields["reason"], fields["attempts"] = end.Reason, fmt.Sprint(end.Attempts)
-	fields["max_failures"], fields["manifest"] = end.MaxFailures, end.Manifest
+	fields["max_failures"], fields["manifest"] = r.maxRewardFailures, end.Manifest
 	c.log.WithFields(fields).Info("reward call has no score")
 }
 
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -205,3 +205,34 @@
 type testHeaders struct{ Protocol }
 
 func (testHeaders) ItemHeaders(string, string, uint64, int) []wire.Header { return nil }
+
+// Guards against an item that is given up too early: the number of failed runs that its
+// reward call may have is the most that its submission's route or the call's own allows, also
+// if a later manifest allows less.
+func TestRewardCallMayFailAsOftenAsEitherRouteAllows(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		submission int
+		calls      []RewardEnd
+		given      bool
+	}{
+		{"submission's route allows more", 3, []RewardEnd{{Failures: 2, MaxFailures: 2}}, false},
+		{"call's route allows more", 2, []RewardEnd{{Failures: 3, MaxFailures: 4}}, false},
+		{"a later manifest allows less", 1, []RewardEnd{{Failures: 2, MaxFailures: 4}, {Failures: 1, MaxFailures: 1}}, false},
+		{"no route to the reward service", 1, []RewardEnd{{}}, false},
+		{"an end without a failure", 1, []RewardEnd{{MaxFailures: 1}}, false},
+		{"as often as both allow", 3, []RewardEnd{{Failures: 2, MaxFailures: 4}, {Failures: 2, MaxFailures: 4}}, true},
+		{"a leader of the former version", 0, []RewardEnd{{Failures: 2, MaxFailures: 2}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			carrier, clock := testCarrier()
+			r := newRun(Start{Attempt: 7, Item: "i", Engine: "e", Reward: &ledger.Reward{ID: "r"}, MaxFailures: c.submission}, carrier.o.Clock)
+			r.state = Scoring
+			for _, end := range c.calls {
+				carrier.finishReward(*clock, r, end)
+			}
+			is.Equal(r.rewardFailed, c.given)
+		})
+	}
+}
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -43,6 +43,9 @@
 	SingleVersion   bool           `cbor:"13,keyasint,omitempty"`
 	Text            Text           `cbor:"14,keyasint"` // generated before
 	Reward          *ledger.Reward `cbor:"15,keyasint,omitempty"`
+	// MaxFailures is the number of failed runs after which the submission's route lets the
+	// item be given up. Leaders of former versions do not set it.
+	MaxFailures int `cbor:"16,keyasint,omitempty"`
 }
 
 // Text is what has been generated of an item.
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -22,10 +22,13 @@
 	score  string
 	// rewardFailures counts the runs of the reward call that ended with a failure.
 	rewardFailures int
-	rewardFailed   bool          // the reward call failed too often
-	rewardPending  bool          // a reward call is in progress
-	rewardAt       time.Duration // no reward call before this time
-	why            string        // why it was cancelled
+	// maxRewardFailures is the number of them after which the item is given up: the most
+	// that the submission's route, or the reward call's in any manifest since, allows.
+	maxRewardFailures int
+	rewardFailed      bool          // the reward call failed too often
+	rewardPending     bool          // a reward call is in progress
+	rewardAt          time.Duration // no reward call before this time
+	why               string        // why it was cancelled
 
 	text          Text   // without the events in fresh
 	handedParts   int    // number of parts of text that the leader has
@@ -50,6 +53,7 @@
 	return &run{
 		start: s, began: now, lastEventAt: now, handedAt: now, clock: clock, text: s.Text, events: s.Text.Events, versions: slices.Clone(s.Text.Versions),
 		handedParts: len(s.Text.Parts), handedEvents: s.Text.Events, handedLineage: s.Text.Lineage, reportedState: Reading,
+		maxRewardFailures: s.MaxFailures,
 	}
 }
 
@@ -170,10 +174,11 @@
 		return
 	}
 	r.rewardFailures += e.Failures
+	r.maxRewardFailures = max(r.maxRewardFailures, e.MaxFailures)
 	switch {
 	case e.Score != "":
 		r.score, r.state = e.Score, Ended
-	case e.MaxFailures > 0 && r.rewardFailures >= e.MaxFailures:
+	case e.Failures > 0 && r.rewardFailures >= r.maxRewardFailures:
 		r.rewardFailed, r.state, r.why = true, Ended, e.Reason
 	default:
 		r.rewardAt = now + rewardRetryDelay
--- a/carrier/targets.go
+++ b/carrier/targets.go
@@ -38,7 +38,7 @@
 type RewardEnd struct {
 	Score       string
 	Failures    int
-	MaxFailures int    // number of failures after which the item has failed
+	MaxFailures int    // number of failures after which the route of the call lets the item be given up
 	Manifest    uint64 // version of the manifest that MaxFailures comes from
 	Reason      string
 	Target      string
