carrier: a reward call that is rejected at once is repeated after growing waits

What would be seen: a reward service that answers 404, 422 or 502 at once gets each call again every 0.2 s, with hundreds of items for as long as their submission is open. Since an error that is no failed run does not end the call any more, 502 joins them.

Change: the wait doubles after each such answer, to 1.6 s at most. Refusals and calls without an answer are repeated as before: those targets may be free a moment later.

Evidence: TestRejectedRewardCallsAreRepeatedLessOften failed before (0.2 s each time).

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -39,6 +39,9 @@
 	minHandInEvents = 8
 	// rewardRetryDelay is the wait before a reward call that returned no score is repeated.
 	rewardRetryDelay = 200 * time.Millisecond
+	// maxRewardDoublings bounds the wait to 1.6 s. It doubles after each error response that is
+	// no failed run: such a call is repeated until its item is no longer wanted.
+	maxRewardDoublings = 3
 	// orphanLimit is how long runs go on without a leader, and how long their texts are kept.
 	orphanLimit = 20 * time.Second
 	// defaultCancelTime is used when the settings have no bound.
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -236,3 +236,24 @@
 		})
 	}
 }
+
+// Guards against a storm of reward calls: a service that rejects a call at once gets it again
+// after growing waits, and an overloaded one, which refuses it, as soon as before.
+func TestRejectedRewardCallsAreRepeatedLessOften(t *testing.T) {
+	is := is.New(t)
+	carrier, clock := testCarrier()
+	r := newRun(Start{Attempt: 7, Item: "i", Engine: "e", Reward: &ledger.Reward{ID: "r"}}, carrier.o.Clock)
+	r.state = Scoring
+	var waits []time.Duration
+	for range 6 {
+		carrier.finishReward(*clock, r, RewardEnd{Status: 404, MaxFailures: 4})
+		waits = append(waits, r.rewardAt-*clock)
+		*clock = r.rewardAt
+	}
+	is.Equal(waits, []time.Duration{
+		200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 1600 * time.Millisecond, 1600 * time.Millisecond,
+	})
+	is.True(!r.rewardFailed)
+	carrier.finishReward(*clock, r, RewardEnd{MaxFailures: 4, Reason: "no target took the request"})
+	is.Equal(r.rewardAt-*clock, 200*time.Millisecond)
+}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -25,6 +25,7 @@
 	// maxRewardFailures is the number of them after which the item is given up: the most
 	// that the submission's route, or the reward call's in any manifest since, allows.
 	maxRewardFailures int
+	rewardErrors      int           // reward calls that ended with another error response
 	rewardFailed      bool          // the reward call failed too often
 	rewardPending     bool          // a reward call is in progress
 	rewardAt          time.Duration // no reward call before this time
@@ -180,6 +181,9 @@
 		r.score, r.state = e.Score, Ended
 	case e.Failures > 0 && r.rewardFailures >= r.maxRewardFailures:
 		r.rewardFailed, r.state, r.why = true, Ended, e.Reason
+	case e.Status != 0 && e.Failures == 0:
+		r.rewardAt = now + rewardRetryDelay<<min(r.rewardErrors, maxRewardDoublings)
+		r.rewardErrors++
 	default:
 		r.rewardAt = now + rewardRetryDelay
 	}
