batch: an item whose reward call gets no score is given up at its time to live

What callers would see: a step that waits for an item until the trainer closes it.

Cause: only items that wait for an engine were looked at when their time to live had passed. One with a whole text and a reward service that never answers, or answers with errors that are no failed runs, stayed open for as long as its submission.

Change: items without a score are given up then too.

--- a/batch/missed_test.go
+++ b/batch/missed_test.go
@@ -29,13 +29,10 @@
 	return nil
 }
 
-// Guards against a burst that fills the mailbox and leaves a leader that never begins, one
-// that never stops, or submissions that nobody works on or that run on after their end.
-func TestDroppedMessagesAreMadeUpFor(t *testing.T) {
-	is := is.New(t)
+// testRunner returns a runner without a mailbox that starts no goroutines.
+func testRunner(submissions *ledger.Submissions) *Runner {
 	observer := observe.New("panic")
 	observer.Log.SetOutput(io.Discard)
-	submissions := ledger.NewSubmissions()
 	r := newRunner(Options{
 		Name: "a", Process: "a", Submissions: submissions, Versions: ledger.NewVersions(), Manifests: ledger.NewManifests(nil),
 		Directory: directory.New(), Duty: noDuty{}, Retired: func() []string { return nil }, LeaseHeld: func(uint64) bool { return true },
@@ -43,6 +40,15 @@
 	})
 	r.newestLinks = func() map[string]peerLink { return nil }
 	r.local = discardLink{}
+	return r
+}
+
+// Guards against a burst that fills the mailbox and leaves a leader that never begins, one
+// that never stops, or submissions that nobody works on or that run on after their end.
+func TestDroppedMessagesAreMadeUpFor(t *testing.T) {
+	is := is.New(t)
+	submissions := ledger.NewSubmissions()
+	r := testRunner(submissions)
 	box := &fullMailbox{r: r}
 	r.actor = box
 	r.follow()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -496,14 +496,17 @@
 			t.group.unassign(t.engine)
 		}
 	case taskScoring:
-		if t.run == nil && t.item.Reward == nil {
+		switch {
+		case t.run == nil && t.item.Reward == nil:
 			r.record(t, t.text.result(t.item.ID, ""))
-		} else if t.run == nil {
+		case t.job.expired(now):
+			r.giveUp(now, t, "the item TTL has expired before its reward call had a score")
+		case t.run == nil:
 			r.startScoring(now, t)
 		}
 	case taskPending:
 		r.dropUnservableText(t)
-		if !t.job.giveUpAt.IsZero() && now.After(t.job.giveUpAt) {
+		if t.job.expired(now) {
 			r.giveUp(now, t, "the item TTL has expired")
 		}
 	}
--- a/batch/task.go
+++ b/batch/task.go
@@ -84,7 +84,7 @@
 	sub      *ledger.Submission
 	since    time.Time
 	due      time.Time
-	giveUpAt time.Time // items still pending then are recorded as failed
+	giveUpAt time.Time // items that are pending or without a score then are recorded as failed
 	groups   map[string]*group
 	tasks    map[string]*task
 	order    []*task // tasks in the order of the submission
@@ -93,6 +93,9 @@
 	completeGroups int
 }
 
+// expired reports whether the time to live of the job's items has passed.
+func (j *job) expired(now time.Time) bool { return !j.giveUpAt.IsZero() && now.After(j.giveUpAt) }
+
 // markRecorded notes that the result of a task is recorded. It reports whether this
 // gives the trainer as many complete groups as it waits for.
 func (j *job) markRecorded(t *task) bool {
