trace: numbers of attempts are printed whole

What an operator saw: attempt=4.294967563e+09, of which no other line can be found, and the attempts of a reward call in one run of text. Cause: numbers of JSON were printed in the shortest form. Change: whole numbers; attempts are separated by semicolons; the failures of runs on engines are named so, as the reward call has its own bound.

--- a/batch/results.go
+++ b/batch/results.go
@@ -57,7 +57,7 @@
 // giveUp records a task as failed.
 func (r *Runner) giveUp(now time.Time, t *task, why string) {
 	fields := logrus.Fields{
-		"submission": t.job.sub.ID, "item": t.item.ID, "failures": t.failures, "max_failures": t.maxFailures(),
+		"submission": t.job.sub.ID, "item": t.item.ID, "engine_failures": t.failures, "max_engine_failures": t.maxFailures(),
 		"age_ms": now.Sub(t.job.since).Milliseconds(), "ttl_ms": t.job.sub.ItemTTL.Milliseconds(), "term": r.term,
 	}
 	if t.run != nil {
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -7,9 +7,9 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -365,11 +365,20 @@
 		return
 	}
 	c.metrics.countErrors("reward", end.Attempts)
-	fields["reason"], fields["attempts"] = end.Reason, fmt.Sprint(end.Attempts)
+	fields["reason"], fields["attempts"] = end.Reason, describe(end.Attempts)
 	fields["max_failures"], fields["manifest"] = r.maxRewardFailures, end.Manifest
 	c.log.WithFields(fields).Info("reward call has no score")
 }
 
+// describe returns the ends of attempts as one text for the log.
+func describe(ends []forward.AttemptEnd) string {
+	list := make([]string, 0, len(ends))
+	for _, e := range ends {
+		list = append(list, e.String())
+	}
+	return strings.Join(list, "; ")
+}
+
 func (c *Carrier) tick(now time.Duration) {
 	reading, news := 0, false
 	for _, r := range c.inOrder() {
--- a/cli/trace.go
+++ b/cli/trace.go
@@ -116,7 +116,7 @@
 		}
 		slices.Sort(names)
 		for _, name := range names {
-			fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+			fmt.Fprintf(&b, " %s=%s", name, l.Field(name))
 		}
 		b.WriteByte('\n')
 	}
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -62,10 +62,10 @@
 	for _, line := range l.Lines {
 		if line.Host == sent.Host && line.position > sent.position && isStart(line) {
 			return fmt.Sprintf("Outcome unknown: %s ended while target %s had the request, and started again %v after sending it.",
-				sent.Host, sent.field("target"), line.At.Sub(sent.At).Round(time.Millisecond))
+				sent.Host, sent.Field("target"), line.At.Sub(sent.At).Round(time.Millisecond))
 		}
 	}
-	return fmt.Sprintf("No line reports its end; %s sent it to target %s at %s.", sent.Host, sent.field("target"), sent.At.Format(timeFormat))
+	return fmt.Sprintf("No line reports its end; %s sent it to target %s at %s.", sent.Host, sent.Field("target"), sent.At.Format(timeFormat))
 }
 
 // lastWithPrefix returns the last line whose text has the prefix, or nil.
@@ -80,31 +80,31 @@
 
 func requestCause(own []*Line) string {
 	if l := lastWithPrefix(own, "gateway: route ended"); l != nil {
-		if l.field("outcome") == "no_route" {
-			return fmt.Sprintf("Not found: version %s of the manifest at %s has no route for %s%s.", l.field("version"), l.Host, l.field("authority"), l.field("path"))
+		if l.Field("outcome") == "no_route" {
+			return fmt.Sprintf("Not found: version %s of the manifest at %s has no route for %s%s.", l.Field("version"), l.Host, l.Field("authority"), l.Field("path"))
 		}
-		return fmt.Sprintf("Refused, not run: %s had no manifest yet; it told the caller to retry after %s ms.", l.Host, l.field("retry_after_ms"))
+		return fmt.Sprintf("Refused, not run: %s had no manifest yet; it told the caller to retry after %s ms.", l.Host, l.Field("retry_after_ms"))
 	}
 	l := lastWithPrefix(own, "gateway: forward ended")
 	if l == nil {
 		return ""
 	}
 	attempts := attemptSummary(own)
-	switch l.field("outcome") {
+	switch l.Field("outcome") {
 	case "not_run":
-		return fmt.Sprintf("Refused, not run, after %s ms: %s%s; the caller may retry after %s ms.", l.field("ms"), l.field("reason"), attempts, l.field("retry_after_ms"))
+		return fmt.Sprintf("Refused, not run, after %s ms: %s%s; the caller may retry after %s ms.", l.Field("ms"), l.Field("reason"), attempts, l.Field("retry_after_ms"))
 	case "unknown":
-		return fmt.Sprintf("Outcome unknown after %s ms: %s%s.", l.field("ms"), l.field("reason"), attempts)
+		return fmt.Sprintf("Outcome unknown after %s ms: %s%s.", l.Field("ms"), l.Field("reason"), attempts)
 	}
-	return fmt.Sprintf("Answered with status %s by target %s after %s ms and %s attempts%s.", l.field("status"), l.field("target"), l.field("ms"), l.field("attempts"), attempts)
+	return fmt.Sprintf("Answered with status %s by target %s after %s ms and %s attempts%s.", l.Field("status"), l.Field("target"), l.Field("ms"), l.Field("attempts"), attempts)
 }
 
 func attemptSummary(own []*Line) string {
 	var parts []string
 	for _, l := range own {
 		if l.Text == "forward: attempt ended" {
-			part := fmt.Sprintf("target %s: %s after %s ms", l.field("target"), l.field("outcome"), l.field("ms"))
-			if reason := l.field("reason"); reason != "" {
+			part := fmt.Sprintf("target %s: %s after %s ms", l.Field("target"), l.Field("outcome"), l.Field("ms"))
+			if reason := l.Field("reason"); reason != "" {
 				part += " (" + reason + ")"
 			}
 			parts = append(parts, part)
@@ -117,17 +117,17 @@
 }
 
 func itemCause(id string, own []*Line) string {
-	isItem := func(l *Line) bool { return l != nil && l.field("item") == id }
+	isItem := func(l *Line) bool { return l != nil && l.Field("item") == id }
 	if l := lastWithPrefix(own, "batch: item is given up"); isItem(l) {
 		return fmt.Sprintf("Failed: %s%s.", strings.TrimPrefix(l.Text, "batch: item is given up: "), runSummary(own))
 	}
 	if l := lastWithPrefix(own, "batch: item is listed"); isItem(l) {
 		return fmt.Sprintf("Result recorded in the ledger %s ms after its submission (began after %s ms, text complete after %s ms, %s runs, %s moves)%s.",
-			l.field("listed_ms"), l.field("begun_ms"), l.field("text_ms"), l.field("runs"), l.field("moves"), runSummary(own))
+			l.Field("listed_ms"), l.Field("begun_ms"), l.Field("text_ms"), l.Field("runs"), l.Field("moves"), runSummary(own))
 	}
 	if l := lastWithPrefix(own, "batch: item is left"); isItem(l) {
 		return fmt.Sprintf("Left without a result when its submission closed (%s) after %s ms: it was %s with %s events kept%s.",
-			strings.TrimPrefix(l.Text, "batch: item is left: "), l.field("age_ms"), l.field("state"), l.field("events"), runSummary(own))
+			strings.TrimPrefix(l.Text, "batch: item is left: "), l.Field("age_ms"), l.Field("state"), l.Field("events"), runSummary(own))
 	}
 	return ""
 }
@@ -137,16 +137,16 @@
 	for _, l := range own {
 		switch l.Text {
 		case "batch: run ended early":
-			why := l.field("why")
+			why := l.Field("why")
 			if why == "" {
-				why = l.field("error")
+				why = l.Field("error")
 			}
-			parts = append(parts, fmt.Sprintf("engine %s: %s after %s ms (%s)", l.field("engine"), l.field("outcome"), l.field("ms"), why))
+			parts = append(parts, fmt.Sprintf("engine %s: %s after %s ms (%s)", l.Field("engine"), l.Field("outcome"), l.Field("ms"), why))
 		case "carrier: reward call has no score":
-			parts = append(parts, fmt.Sprintf("no score: %s, %s of %s failures by manifest %s %s",
-				l.field("reason"), l.field("failures"), l.field("max_failures"), l.field("manifest"), l.field("attempts")))
+			parts = append(parts, fmt.Sprintf("no score: %s, %s of %s failures by manifest %s (%s)",
+				l.Field("reason"), l.Field("failures"), l.Field("max_failures"), l.Field("manifest"), l.Field("attempts")))
 		case "carrier: engine answered with an error":
-			parts = append(parts, "engine "+l.field("response"))
+			parts = append(parts, "engine "+l.Field("response"))
 		}
 	}
 	if len(parts) == 0 {
@@ -160,13 +160,13 @@
 	listed, failed, left := 0, 0, 0
 	var slowest *Line
 	for _, l := range own {
-		if l.field("submission") != id {
+		if l.Field("submission") != id {
 			continue
 		}
 		switch {
 		case l.Text == "batch: item is listed":
 			listed++
-			if l.field("failed") == "true" {
+			if l.Field("failed") == "true" {
 				failed++
 			}
 			if slowest == nil || numberField(l, "listed_ms") > numberField(slowest, "listed_ms") {
@@ -186,7 +186,7 @@
 	}
 	if slowest != nil {
 		out += fmt.Sprintf(". The slowest item, %s, was recorded after %s ms: it began after %s ms and its text was complete after %s ms",
-			slowest.field("item"), slowest.field("listed_ms"), slowest.field("begun_ms"), slowest.field("text_ms"))
+			slowest.Field("item"), slowest.Field("listed_ms"), slowest.Field("begun_ms"), slowest.Field("text_ms"))
 	}
 	return out + "."
 }
--- a/trace/steps.go
+++ b/trace/steps.go
@@ -53,12 +53,12 @@
 		case line.Text == lineLeads:
 			leads = append(leads, line.At)
 		case line.Text == lineSubmissionStarted:
-			id := line.field("submission")
+			id := line.Field("submission")
 			steps[id] = &Step{
-				Submission: id, Model: line.field("model"), Step: int(line.number("step")), Asked: line.At, Whole: -1, Closed: -1,
+				Submission: id, Model: line.Field("model"), Step: int(line.number("step")), Asked: line.At, Whole: -1, Closed: -1,
 			}
 		default:
-			if s := steps[line.field("submission")]; s != nil {
+			if s := steps[line.Field("submission")]; s != nil {
 				s.add(line)
 			}
 		}
@@ -84,7 +84,7 @@
 	case line.Text == lineItemListed && s.Whole < 0:
 		begun, text, listed := line.milliseconds("begun_ms"), line.milliseconds("text_ms"), line.milliseconds("listed_ms")
 		s.Last = LastText{
-			Item: line.field("item"), Engine: line.field("engine"), Events: int(line.number("events")), Runs: int(line.number("runs")),
+			Item: line.Field("item"), Engine: line.Field("engine"), Events: int(line.number("events")), Runs: int(line.number("runs")),
 			Begun: begun, Generated: text - begun, Listed: listed - text,
 		}
 	case line.Text == lineStepWhole && s.Whole < 0:
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,13 +27,15 @@
 	position int // line number in its source
 }
 
-// field returns a field as text, or "" if it is missing.
-func (l *Line) field(name string) string {
+// Field returns a field as text, or "" if it is missing.
+func (l *Line) Field(name string) string {
 	switch v := l.Fields[name].(type) {
 	case nil:
 		return ""
 	case string:
 		return v
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64) // numbers of attempts are above 2^32
 	default:
 		return fmt.Sprint(v)
 	}
@@ -78,7 +81,7 @@
 	if host, ok := fields["host"].(string); ok {
 		line.Host = host
 	}
-	if t, err := time.Parse(time.RFC3339Nano, line.field("time")); err == nil {
+	if t, err := time.Parse(time.RFC3339Nano, line.Field("time")); err == nil {
 		line.At = t
 	}
 	if message == "observe: lines were left out" {
@@ -103,7 +106,7 @@
 var idFields = []string{"request", "submission", "item", "group"}
 
 func (l *Line) mentions(id string) bool {
-	return slices.ContainsFunc(idFields, func(name string) bool { return l.field(name) == id })
+	return slices.ContainsFunc(idFields, func(name string) bool { return l.Field(name) == id })
 }
 
 const (
@@ -186,13 +189,13 @@
 func (l *Log) linesOf(id string) []*Line {
 	rewards := make(map[string]bool)
 	for _, line := range l.Lines {
-		if reward := line.field("reward"); reward != "" && line.field("item") == id {
+		if reward := line.Field("reward"); reward != "" && line.Field("item") == id {
 			rewards[reward] = true
 		}
 	}
 	var own []*Line
 	for _, line := range l.Lines {
-		if line.mentions(id) || rewards[line.field("request")] {
+		if line.mentions(id) || rewards[line.Field("request")] {
 			own = append(own, line)
 		}
 	}
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -23,7 +23,7 @@
   39.00 store-1 {"host":"store-1","msg":"batch: leads","term":4,"time":"2026-05-05T01:54:28.000Z"}
   39.00 store-1 {"engine":"i-9","error":"EOF","host":"store-1","item":"it","msg":"batch: run ended early","ms":700,"outcome":"broken","submission":"sub","time":"2026-05-05T01:54:28.700Z","why":""}
   39.00 store-1 {"host":"store-1","ms":30,"msg":"forward: attempt ended","outcome":"failed","request":"rw","status":500,"target":"i-5","time":"2026-05-05T01:54:28.999Z"}
-  39.00 store-1 {"host":"store-1","item":"it","reward":"rw","msg":"carrier: reward call has no score","reason":"Internal Server Error","failures":4,"max_failures":4,"manifest":7,"attempts":"[i-5: failed after 30 ms, status 500, request 3 of the connection, counted]","submission":"sub","time":"2026-05-05T01:54:29.000Z"}
+  39.00 store-1 {"host":"store-1","item":"it","reward":"rw","msg":"carrier: reward call has no score","reason":"Internal Server Error","failures":4,"max_failures":4,"manifest":7,"attempts":"i-5: failed after 30 ms, status 500, request 3 of the connection, counted","submission":"sub","time":"2026-05-05T01:54:29.000Z"}
   39.00 store-1 {"host":"store-1","item":"it","msg":"batch: item is given up: the reward call failed too often","submission":"sub","time":"2026-05-05T01:54:29.001Z"}
   39.00 store-1 {"begun_ms":5,"failed":false,"host":"store-1","item":"ok","listed_ms":2100,"moves":0,"msg":"batch: item is listed","runs":1,"submission":"sub","text_ms":2000,"time":"2026-05-05T01:54:29.100Z"}
   39.00 store-1 {"host":"store-1","item":"slow","age_ms":12000,"events":90,"msg":"batch: item is left: ended by the client","state":"running","submission":"sub","time":"2026-05-05T01:54:40.000Z"}
@@ -46,7 +46,7 @@
 		"early":   "Refused, not run: edge-2 had no manifest yet; it told the caller to retry after 300 ms.",
 		"full":    "Refused, not run, after 9 ms: no target took the request [target i-1: not_run after 2 ms; target i-2: not_sent after 3 ms (connection refused)]; the caller may retry after 250 ms.",
 		"lost":    "Outcome unknown after 41 ms: EOF [target i-3: broken after 40 ms (EOF)].",
-		"it":      "Failed: the reward call failed too often [engine i-9: broken after 700 ms (EOF); no score: Internal Server Error, 4 of 4 failures by manifest 7 [i-5: failed after 30 ms, status 500, request 3 of the connection, counted]].",
+		"it":      "Failed: the reward call failed too often [engine i-9: broken after 700 ms (EOF); no score: Internal Server Error, 4 of 4 failures by manifest 7 (i-5: failed after 30 ms, status 500, request 3 of the connection, counted)].",
 		"ok":      "Result recorded in the ledger 2100 ms after its submission (began after 5 ms, text complete after 2000 ms, 1 runs, 0 moves).",
 		"slow":    "Left without a result when its submission closed (ended by the client) after 12000 ms: it was running with 90 events kept.",
 		"sub":     "1 results were recorded in the ledger, 0 of them failed; 1 items were left without a result when it was closed: ended by the client. The slowest item, ok, was recorded after 2100 ms: it began after 5 ms and its text was complete after 2000 ms.",
