upstream: a request never returns to a connection that carried it

What callers would see: of requests A, B, A on one connection, a late copy of the answer to the first A counted as that of the second. A failure counted twice, so that a reward call or an item could be given up one run too early, and a success was that of the former run.

Cause: a connection knew the last id only. An item and a reward call keep their id over all attempts.

Evidence: TestRequestNeverReturnsToAConnectionThatCarriedIt, a server that sends the first answer again as the second A comes; before: status 500 of the first run, and the text of the first run.

Change: a connection remembers a 64-bit hash of each id that it carried, and is closed after 256 requests, so that this takes 2 KB at most. One that must not carry a request stays in the pool for others; it was closed before. Two ids with the same hash cost a connection.

Tests: two tests sent the same id twice and so got a second connection for the id alone, also without what they check. They now send two ids. pop takes the id in TestConnectionsOfABurstTakeTurns.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -38,12 +38,11 @@
 	closed      chan struct{}
 	once        sync.Once
 	closeReason error
-	requests    int // sent on it
+	carried     []uint64 // hashes of the ids of all requests sent on it
 	// idleUntil is the time after which an idle connection is not reused, or zero if
 	// the target announces no idle timeout.
 	idleUntil time.Time
 	idleSince time.Time
-	lastID    string // of the last request
 }
 
 type pendingRequest struct {
@@ -135,8 +134,8 @@
 
 // exchange sends the request and waits for the header of the response. done must be
 // called when the body is no longer needed. sent reports whether a byte of the request
-// may have reached the target.
-func (c *conn) exchange(ctx context.Context, r *Request) (response *http.Response, done func(keep bool), sent bool, err error) {
+// may have reached the target. id is the hash of the request's id.
+func (c *conn) exchange(ctx context.Context, r *Request, id uint64) (response *http.Response, done func(keep bool), sent bool, err error) {
 	w := pendingRequest{
 		request:  &http.Request{Method: r.Method},
 		header:   make(chan headerResult, 1),
@@ -146,8 +145,7 @@
 		return nil, nil, false, errIdleClosed
 	}
 	stop := context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
-	c.lastID = r.ID
-	c.requests++
+	c.carried = append(c.carried, id)
 	c.pending <- w
 	if err := c.write(r); err != nil {
 		stop()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,10 @@
 	keepAliveIdle     = 1 * time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
+	// maxConnRequests is the number of requests after which a connection is closed. It
+	// bounds the ids that a connection remembers to half the size of its read buffer, and
+	// costs a new connection for one in 256 requests at most.
+	maxConnRequests = 256
 )
 
 // Request is an HTTP request to a target.
@@ -77,6 +83,7 @@
 
 	mu   sync.Mutex
 	idle map[Address][]*conn
+	seed maphash.Seed // of the hashes of ids
 
 	// OnResponse is called with the header of each response, before its body is read.
 	OnResponse func(to Address, h http.Header)
@@ -96,6 +103,7 @@
 		RequestID:  requestID,
 		Dial:       dialer.DialContext,
 		idle:       make(map[Address][]*conn),
+		seed:       maphash.MakeSeed(),
 		OnResponse: func(Address, http.Header) {},
 		Opened:     func() {},
 		Reused:     func() {},
@@ -119,10 +127,12 @@
 }
 
 // Close returns the connection to the pool if complete is set, that is, if the body
-// was read to its end, the response allows reuse, and nothing follows it, such as a second
-// copy. Otherwise it closes the connection, which cancels a request that is still running.
+// was read to its end, the response allows reuse, nothing follows it, such as a second copy,
+// and the connection has not carried maxConnRequests. Otherwise it closes the connection,
+// which cancels a request that is still running.
 func (r *Response) Close(complete bool) {
 	keep := complete && r.conn.recordIdle(r.Response, time.Now()) && r.conn.reader.Buffered() == 0
+	keep = keep && len(r.conn.carried) < maxConnRequests
 	r.done(keep)
 	if keep {
 		r.pool.put(r.to, r.conn)
@@ -143,22 +153,23 @@
 // Open sends a request and returns the response once its header has arrived. Errors
 // are of type *Failure. ctx limits the entire exchange, including the body.
 func (p *Pool) Open(ctx context.Context, to Address, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, to, r.ID)
+	id := p.hash(r.ID)
+	c, err := p.acquire(ctx, to, id)
 	if err != nil {
 		return nil, &Failure{NotSent: true, Err: err}
 	}
 	r.writeDeadline, _ = ctx.Deadline()
-	response, done, sent, err := c.exchange(ctx, r)
+	response, done, sent, err := c.exchange(ctx, r, id)
 	if err != nil {
 		return nil, &Failure{NotSent: !sent, Err: err}
 	}
 	got := p.RequestID(response.Header)
-	if err := r.checkID(got, c.requests > 1); err != nil {
+	if err := r.checkID(got, len(c.carried) > 1); err != nil {
 		done(false)
 		return nil, &Failure{Err: err}
 	}
 	p.OnResponse(to, response.Header)
-	origin := Origin{Requests: c.requests, Named: got == r.ID}
+	origin := Origin{Requests: len(c.carried), Named: got == r.ID}
 	return &Response{Response: response, Origin: origin, pool: p, to: to, conn: c, done: done}, nil
 }
 
@@ -193,21 +204,17 @@
 	return response, b, err
 }
 
-// acquire returns an idle connection or a new one. A request that is repeated gets another
-// connection than the one before: the target may send a second response to it, which could
-// not be told from the response to the repetition.
-func (p *Pool) acquire(ctx context.Context, to Address, id string) (*conn, error) {
-	now := time.Now()
-	for {
-		c := p.pop(to)
-		if c == nil {
-			break
-		}
-		if !c.isClosed() && c.reusable(now) && (id == "" || c.lastID != id) {
-			p.Reused()
-			return c, nil
-		}
-		c.close(errIdleClosed)
+// hash returns the hash of a request's id. If two ids have the same one, a request gets a new
+// connection where it could have used another.
+func (p *Pool) hash(id string) uint64 { return maphash.String(p.seed, id) }
+
+// acquire returns an idle connection or a new one. A request never goes over a connection
+// that has carried its id before: the target may send a second response to the earlier
+// request at any later time, which could not be told from the response to the repetition.
+func (p *Pool) acquire(ctx context.Context, to Address, id uint64) (*conn, error) {
+	if c := p.pop(to, id, time.Now()); c != nil {
+		p.Reused()
+		return c, nil
 	}
 	nc, err := p.Dial(ctx, "tcp", to.HostPort)
 	if err != nil {
@@ -224,18 +231,28 @@
 	return now.Sub(c.idleSince) < defaultIdleTimeout
 }
 
-// pop removes and returns the least recently used idle connection. Requests come in
-// bursts some seconds apart: taking connections in turn keeps all those of a burst in
-// use, while preferring the latest one would let the others expire between bursts.
-func (p *Pool) pop(to Address) *conn {
+// pop removes and returns the least recently used idle connection that has not carried the
+// id. The others stay for other requests. Requests come in bursts some seconds apart: taking
+// connections in turn keeps all those of a burst in use, while preferring the latest one would
+// let the others expire between bursts.
+func (p *Pool) pop(to Address, id uint64, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[to]
-	if len(list) == 0 {
+	list := slices.DeleteFunc(p.idle[to], func(c *conn) bool {
+		usable := !c.isClosed() && c.reusable(now)
+		if !usable {
+			c.close(errIdleClosed)
+		}
+		return !usable
+	})
+	p.idle[to] = list
+	i := slices.IndexFunc(list, func(c *conn) bool { return !slices.Contains(c.carried, id) })
+	if i < 0 {
 		return nil
 	}
-	p.idle[to] = list[1:]
-	return list[0]
+	c := list[i]
+	p.idle[to] = slices.Delete(list, i, i+1)
+	return c
 }
 
 // HasIdleConn reports whether an open idle connection to the target is available. It
