batch, platform, upstream: a copy of an earlier answer ends no duty and loads no version

What it would do: engines' answers to orders do not name them. On a connection used before, a late second copy of the report that precedes each order, or of the 200 of an earlier order, passed as "the version is there" though the engine still had to load or had refused; a copy of a 412 from an earlier term passed as "superseded", and the leader sent no order and no usage report for the rest of its term.

Change: these two answers on a connection used before are "unconfirmed", and the order is sent again on a new connection if this process still leads in its term. Both have the same precondition, so the engine accepts one of them; a 409 to the second leaves the outcome unknown.

Harmless as they are: a wrong 202 is followed by reports until the version is there or the load has timed out; after a wrong 409 or 400 the engine pauses for 0.5 s and reports whether it is busy before the next order.

--- a/batch/orders.go
+++ b/batch/orders.go
@@ -150,10 +150,26 @@
 	o.Orders = report.Orders
 	orderCtx, cancelOrder := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancelOrder()
-	if term, err := r.o.Leads(orderCtx); err != nil || term != o.Fence {
-		return LoadNotSent, report.Orders
+	answer = r.orderOnce(orderCtx, to, o)
+	if answer != LoadUnconfirmed {
+		return answer, report.Orders
 	}
-	return r.o.Protocol.Load(orderCtx, to, o), report.Orders
+	// The engine accepts one of the two orders at most, as both have the same number of
+	// accepted orders.
+	o.Confirm = true
+	answer = r.orderOnce(orderCtx, to, o)
+	if answer == LoadBusy || answer == LoadNotSent {
+		answer = LoadUnknown // it may have accepted the first one
+	}
+	return answer, report.Orders
+}
+
+// orderOnce sends an order if this process still leads in its term.
+func (r *Runner) orderOnce(ctx context.Context, to upstream.Address, o LoadOrder) LoadAnswer {
+	if term, err := r.o.Leads(ctx); err != nil || term != o.Fence {
+		return LoadNotSent
+	}
+	return r.o.Protocol.Load(ctx, to, o)
 }
 
 func (r *Runner) handleOrderEnd(now time.Time, m orderEnd) {
--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -109,6 +109,55 @@
 	return LoadAccepted
 }
 
+// answeringProtocol answers orders in turn with answers, and calls ordered at each.
+type answeringProtocol struct {
+	orderProtocol
+	answers []LoadAnswer
+	ordered func()
+}
+
+func (p *answeringProtocol) Load(ctx context.Context, to upstream.Address, o LoadOrder) LoadAnswer {
+	p.orderProtocol.Load(ctx, to, o)
+	p.ordered()
+	return p.answers[len(p.sent)-1]
+}
+
+// An answer that may be a second copy of an earlier one must neither end the duty of this
+// process nor show that an engine has a version.
+func TestOrderIsRepeatedIfItsAnswerMayBeThatToAnEarlierCall(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answers []LoadAnswer
+		term    uint64 // after the first answer
+		answer  LoadAnswer
+		sent    int
+	}{
+		{"certain", []LoadAnswer{LoadSuperseded}, 3, LoadSuperseded, 1},
+		{"superseded", []LoadAnswer{LoadUnconfirmed, LoadSuperseded}, 3, LoadSuperseded, 2},
+		{"up to date", []LoadAnswer{LoadUnconfirmed, LoadUpToDate}, 3, LoadUpToDate, 2},
+		{"accepted now", []LoadAnswer{LoadUnconfirmed, LoadAccepted}, 3, LoadAccepted, 2},
+		{"accepted before", []LoadAnswer{LoadUnconfirmed, LoadBusy}, 3, LoadUnknown, 2},
+		{"no answer", []LoadAnswer{LoadUnconfirmed, LoadUnknown}, 3, LoadUnknown, 2},
+		{"no longer leads", []LoadAnswer{LoadUnconfirmed}, 4, LoadUnknown, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			term := uint64(3)
+			p := &answeringProtocol{answers: c.answers, ordered: func() { term = c.term }}
+			r := quietRunner()
+			r.o.Protocol = p
+			r.o.Leads = func(context.Context) (uint64, error) { return term, nil }
+			answer, _ := r.orderLoad(context.Background(), upstream.Address{}, LoadOrder{Fence: 3})
+			is.Equal(answer, c.answer)
+			is.Equal(len(p.sent), c.sent)
+			for i, o := range p.sent {
+				is.Equal(o.Confirm, i > 0)
+				is.Equal(o.Orders, uint64(4)) // the engine accepts one of them at most
+			}
+		})
+	}
+}
+
 // A leader is suspended while it waits for an engine's report. When it goes on, another one
 // has sent orders with a higher fencing token.
 func TestOrderIsNotSentAfterTheLeadershipHasEnded(t *testing.T) {
--- a/batch/protocol.go
+++ b/batch/protocol.go
@@ -34,6 +34,8 @@
 	Orders uint64
 	// KeepRuns lets running requests continue under the new version.
 	KeepRuns bool
+	// Confirm asks for an answer that is certainly the one to this order.
+	Confirm bool
 }
 
 // LoadAnswer is the outcome of a LoadOrder.
@@ -48,4 +50,7 @@
 	LoadRejected   LoadAnswer = "rejected"
 	LoadUnknown    LoadAnswer = "unknown"  // the order may take effect, now or later
 	LoadNotSent    LoadAnswer = "not_sent" // this process no longer leads
+	// LoadUnconfirmed is LoadUpToDate or LoadSuperseded, but it may be the answer to an
+	// earlier call. The order may take effect.
+	LoadUnconfirmed LoadAnswer = "unconfirmed"
 )
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -47,6 +47,9 @@
 	Body   []byte
 	// Unnamed is set if the target's responses to the request never name it.
 	Unnamed bool
+	// NewConn sends the request on a new connection, where no response to an earlier one
+	// can arrive.
+	NewConn bool
 	// OnSent, if set, is called once all of the request has been written.
 	OnSent func()
 
@@ -154,7 +157,7 @@
 // are of type *Failure. ctx limits the entire exchange, including the body.
 func (p *Pool) Open(ctx context.Context, to Address, r *Request) (*Response, error) {
 	id := p.hash(r.ID)
-	c, err := p.acquire(ctx, to, id)
+	c, err := p.acquire(ctx, to, r, id)
 	if err != nil {
 		return nil, &Failure{NotSent: true, Err: err}
 	}
@@ -211,10 +214,12 @@
 // acquire returns an idle connection or a new one. A request never goes over a connection
 // that has carried its id before: the target may send a second response to the earlier
 // request at any later time, which could not be told from the response to the repetition.
-func (p *Pool) acquire(ctx context.Context, to Address, id uint64) (*conn, error) {
-	if c := p.pop(to, id, time.Now()); c != nil {
-		p.Reused()
-		return c, nil
+func (p *Pool) acquire(ctx context.Context, to Address, r *Request, id uint64) (*conn, error) {
+	if !r.NewConn {
+		if c := p.pop(to, id, time.Now()); c != nil {
+			p.Reused()
+			return c, nil
+		}
 	}
 	nc, err := p.Dial(ctx, "tcp", to.HostPort)
 	if err != nil {
