upstream: the head of a response is limited

What callers would see: entries and carriers end with out of memory when a target in trouble sends a head without end; until the deadline of the request such a target is read as fast as it sends.

Cause: http.ReadResponse limits neither a line nor the head, and informational responses were skipped without a count.

Change: the reader below the buffer of a connection returns at most 64 KB for a head, with the informational responses before it, of which there may be 16. A broken limit is an error (the request may have run) and closes the connection at once. Errors of http.ReadResponse quote the line that they cannot parse: their text is cut at 256 bytes, since it goes into a log line and to the client. An error while the request is still being written is the reader's, if that closed the connection.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -21,18 +21,49 @@
 	// takes a single write.
 	writeBufferBytes = 4 << 10
 	readBufferBytes  = 4 << 10
+	// maxHeadBytes limits what is read for the head of a response, with the informational
+	// responses before it: http.ReadResponse limits neither a line nor the head. It is the
+	// size of a request header that our own servers accept by default.
+	maxHeadBytes = 64 << 10
+	// maxInformational limits the number of informational responses before a response.
+	maxInformational = 16
 )
 
 var (
 	errIdleClosed  = eris.New("upstream: the idle connection was closed")
 	errUnsolicited = eris.New("upstream: the target sent bytes that answer no request")
+
+	errHeadTooLong   = eris.Errorf("upstream: the head of the response is longer than %d bytes", maxHeadBytes)
+	errInformational = eris.Errorf("upstream: the target sent more than %d informational responses", maxInformational)
 )
 
+// headReader is the reader below the buffer of a connection. While the head of a response
+// is read, it fails after left bytes.
+type headReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.r.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
 // conn is one connection. Its readLoop goroutine owns the reader except while the caller
 // reads a response body, so that a close by the target or unsolicited bytes on an idle
 // connection are detected immediately.
 type conn struct {
 	net         net.Conn
+	head        *headReader // below reader
 	reader      *bufio.Reader
 	pending     chan pendingRequest // the request whose response is read next
 	closed      chan struct{}
@@ -60,9 +91,11 @@
 }
 
 func newConn(c net.Conn) *conn {
+	head := &headReader{r: c}
 	uc := &conn{
 		net:     c,
-		reader:  bufio.NewReaderSize(c, readBufferBytes),
+		head:    head,
+		reader:  bufio.NewReaderSize(head, readBufferBytes),
 		pending: make(chan pendingRequest, 1),
 		closed:  make(chan struct{}),
 	}
@@ -106,10 +139,12 @@
 			w.header <- headerResult{err: err}
 			return
 		}
-		response, err := readResponse(c.reader, w.request)
-		w.header <- headerResult{response, err}
+		response, err := c.readResponse(w.request)
 		if err != nil {
 			c.close(err)
+		}
+		w.header <- headerResult{response, err}
+		if err != nil {
 			return
 		}
 		select {
@@ -123,14 +158,31 @@
 	}
 }
 
-// readResponse skips informational responses.
-func readResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(r, request)
-		if err != nil || response.StatusCode >= 200 {
-			return response, err
+// readResponse reads the head of a response and skips informational ones.
+func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
+	c.head.limited, c.head.left = true, maxHeadBytes
+	defer func() { c.head.limited = false }()
+	for range maxInformational + 1 {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, shortened(err)
 		}
+		if response.StatusCode >= 200 {
+			return response, nil
+		}
+	}
+	return nil, errInformational
+}
+
+// maxErrorBytes limits the text of an error that goes into logs and to the client.
+// http.ReadResponse quotes the whole line that it cannot parse.
+const maxErrorBytes = 256
+
+func shortened(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return eris.Errorf("upstream: %s ...", text[:maxErrorBytes])
 	}
+	return err
 }
 
 // exchange sends the request and waits for the header of the response. done must be
@@ -152,7 +204,8 @@
 	if err := c.write(r); err != nil {
 		stop()
 		c.close(err)
-		return nil, nil, true, err
+		// The reader may have closed the connection for a reason of its own.
+		return nil, nil, true, c.contextError(ctx, c.closeReason)
 	}
 	if r.OnSent != nil {
 		r.OnSent()
