upstream, memory: the bodies of all responses share a budget

What callers would see: a process ends with out of memory when several targets in trouble send bodies without end at the same time, or several sound ones large bodies.

Cause: a body was read up to 32 MB with io.ReadAll, as many at once as requests are in flight; growing takes 3 times that.

Change: package memory has a budget for a process, a quarter of its host's memory, and leases of it. The buffer of a body grows with what has arrived (a declared length alone takes nothing) and fails with "the budget for message bodies is used up" when the others hold the rest. It does not wait: bodies read in part would wait for each other until their deadlines. The first 64 KB of each body are not counted, so that small bodies pass while large ones use the budget. Such a failure is an attempt that may have run, closes the connection, and is logged with the attempt. Metric merlinhall_body_bytes.

Safe before, and shown now: chunk size lines and extensions (net/http limits the line to its buffer of 4 KB), trailers (it looks for their end in the same buffer), a declared length above the limit. Chunks of a byte end at the deadline with 10 MB before; they are sound.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -15,6 +15,7 @@
 	"merlinhall/directory"
 	"merlinhall/forward"
 	"merlinhall/link"
+	"merlinhall/memory"
 	"merlinhall/observe"
 	"merlinhall/platform"
 	"merlinhall/server"
@@ -27,6 +28,11 @@
 	// memoryLimitShare is the Go memory limit as a share of the host's memory; the rest
 	// covers thread stacks, sockets and the C library.
 	memoryLimitShare = 0.7
+	// bodyMemoryDivisor divides the host's memory to get the budget for message bodies from
+	// outside. The rest is for the state (a control process peaked at 138 MB,
+	// docs/deployment-platform.md) and for the copies that a growing body leaves to the
+	// garbage collector.
+	bodyMemoryDivisor = 4
 	// gcPercent is below the default of 100 to save memory; processor time is not scarce.
 	gcPercent = 50
 	// readyGrace is how long a stopping process still accepts connections: the platform
@@ -50,7 +56,8 @@
 	system        *actor.System
 	client        *http.Client // dials links
 	hello         wire.Hello
-	mux           link.Mux // handles messages of all links
+	mux           link.Mux       // handles messages of all links
+	bodies        *memory.Budget // for message bodies from clients and targets
 	pool          *upstream.Pool
 	targets       *directory.Directory
 	poller        *directory.Poller
@@ -76,7 +83,9 @@
 		client:   link.NewHTTPClient(nil),
 		targets:  directory.New(),
 		pool:     upstream.NewPool(platform.RequestID),
+		bodies:   memory.NewBudget(s.MemoryBytes / bodyMemoryDivisor),
 	}
+	d.pool.Memory = d.bodies
 	d.log = d.observer.Logger("daemon")
 	d.poller = directory.NewPoller(&platform.List{Address: s.TargetList, Client: &http.Client{}}, d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward"), Guard: d.observer.Guard("forward")}
@@ -138,8 +147,8 @@
 	return link.StartDialer(d.client, "ws", address, d.hello, link.Guarded(&d.mux, d.observer.Guard("links"))).Stop
 }
 
-// registerConnectionMetrics registers the metrics of connections to targets and of the
-// age of the list of targets.
+// registerConnectionMetrics registers the metrics of connections to targets, of the age of
+// the list of targets and of the memory of bodies.
 func (d *HostedDaemon) registerConnectionMetrics() {
 	connections := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "merlinhall_target_connections_total", Help: "Connections to targets, by whether they were opened or reused.",
@@ -147,7 +156,10 @@
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "merlinhall_targets_age_seconds", Help: "Time since the view of the targets was last confirmed.",
 	}, func() float64 { return d.targets.Age(time.Now()).Seconds() })
-	d.observer.Registry.MustRegister(connections, age, d.forward.Metrics())
+	bodies := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "merlinhall_body_bytes", Help: "Memory held by large message bodies of clients and targets.",
+	}, func() float64 { return float64(d.bodies.Used()) })
+	d.observer.Registry.MustRegister(connections, age, bodies, d.forward.Metrics())
 	d.pool.Opened = connections.WithLabelValues("opened").Inc
 	d.pool.Reused = connections.WithLabelValues("reused").Inc
 }
--- /dev/null
+++ b/memory/memory.go
@@ -0,0 +1,170 @@
+// Package memory bounds the memory that a process holds in message bodies from outside. The
+// limit of a single body alone does not: as many bodies are held at once as requests are in
+// flight.
+package memory
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// uncountedBytes of each body are outside the budget. Nearly all bodies are smaller,
+	// and must not fail because a few large ones use up the budget.
+	uncountedBytes = 64 << 10
+	// firstBytes is the first size of the buffer of a body without a declared length.
+	firstBytes = 4 << 10
+	// growth is the factor by which a buffer may exceed what has arrived of a body with a
+	// declared length. A length alone, without bytes, takes no memory.
+	growth = 8
+)
+
+// ErrExhausted means that the other requests hold all of the budget.
+var ErrExhausted = eris.New("memory: the budget for message bodies is used up")
+
+// Budget bounds the bytes that bodies hold at the same time. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of limit bytes.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+
+// Used returns the bytes that are held.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Lease returns a lease that holds nothing yet. Close must be called.
+func (b *Budget) Lease() *Lease { return &Lease{budget: b} }
+
+// Lease is the part of a budget that one request holds. It is safe for concurrent use.
+type Lease struct {
+	budget *Budget
+
+	mu     sync.Mutex
+	held   int64
+	closed bool
+}
+
+// take adds n bytes to what the lease holds, or returns ErrExhausted at once: requests that
+// waited for each other with bodies read in part would all wait until their deadlines.
+func (l *Lease) take(n int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return eris.New("memory: the request has ended")
+	}
+	if l.budget.used.Add(n) > l.budget.limit {
+		l.budget.used.Add(-n)
+		return ErrExhausted
+	}
+	l.held += n
+	return nil
+}
+
+func (l *Lease) give(n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.held -= n
+		l.budget.used.Add(-n)
+	}
+}
+
+// Close gives back all that the lease holds.
+func (l *Lease) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.closed = true
+		l.budget.used.Add(-l.held)
+	}
+}
+
+// ReadAll reads r, which must be limited, to its end. length is the declared length, or
+// negative if there is none. The lease holds the body until Close, or nothing of it after an
+// error.
+func (l *Lease) ReadAll(r io.Reader, length int64) ([]byte, error) {
+	b := l.Buffer()
+	first := int64(firstBytes)
+	if length >= 0 {
+		// The additional byte lets the reader report the end without another buffer.
+		first = min(length+1, uncountedBytes)
+	}
+	if err := b.reserve(first); err != nil {
+		return nil, err
+	}
+	for {
+		if len(b.Bytes) == cap(b.Bytes) {
+			size := int64(2 * len(b.Bytes))
+			if length >= int64(len(b.Bytes)) {
+				size = min(length+1, int64(growth*len(b.Bytes)))
+			}
+			if err := b.reserve(size); err != nil {
+				b.Release()
+				return nil, err
+			}
+		}
+		n, err := r.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
+		b.Bytes = b.Bytes[:len(b.Bytes)+n]
+		if err == io.EOF {
+			return b.Bytes, nil
+		}
+		if err != nil {
+			b.Release()
+			return nil, err
+		}
+	}
+}
+
+// Buffer is a growing buffer whose size is counted by a lease.
+type Buffer struct {
+	Bytes []byte
+	lease *Lease
+	held  int64
+}
+
+// Buffer returns an empty buffer.
+func (l *Lease) Buffer() *Buffer { return &Buffer{lease: l} }
+
+// Append appends p. After an error the buffer is as it was.
+func (b *Buffer) Append(p []byte) error {
+	if need := len(b.Bytes) + len(p); need > cap(b.Bytes) {
+		if err := b.reserve(int64(max(need, 2*cap(b.Bytes)))); err != nil {
+			return err
+		}
+	}
+	b.Bytes = append(b.Bytes, p...)
+	return nil
+}
+
+// Consume removes the first n bytes. A buffer that is empty then holds nothing.
+func (b *Buffer) Consume(n int) {
+	if n == len(b.Bytes) && b.held > 0 {
+		b.Release()
+		return
+	}
+	b.Bytes = append(b.Bytes[:0], b.Bytes[n:]...)
+}
+
+// reserve replaces the buffer by one of the given size. The copy that is left to the garbage
+// collector is not counted.
+func (b *Buffer) reserve(size int64) error {
+	if n := max(0, size-uncountedBytes) - b.held; n > 0 {
+		if err := b.lease.take(n); err != nil {
+			return err
+		}
+		b.held += n
+	}
+	b.Bytes = append(make([]byte, 0, size), b.Bytes...)
+	return nil
+}
+
+// Release gives back what the buffer holds and empties it.
+func (b *Buffer) Release() {
+	b.lease.give(b.held)
+	b.Bytes, b.held = nil, 0
+}
--- /dev/null
+++ b/memory/memory_test.go
@@ -0,0 +1,106 @@
+package memory
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+)
+
+// zeros is a reader without end.
+type zeros struct{ read int64 }
+
+func (z *zeros) Read(p []byte) (int, error) {
+	z.read += int64(len(p))
+	return len(p), nil
+}
+
+func TestBodiesAreReadWhole(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	b := NewBudget(8 << 20)
+	for range 100 {
+		l := b.Lease()
+		body := make([]byte, random.IntN(3*uncountedBytes))
+		for i := range body {
+			body[i] = byte(random.Uint32())
+		}
+		length := []int64{-1, int64(len(body)), 0, 1 << 40}[random.IntN(4)] // also lengths that are not true
+		got, err := l.ReadAll(iotest.HalfReader(bytes.NewReader(body)), length)
+		is.NoErr(err)
+		is.True(bytes.Equal(got, body))
+		is.True(b.Used() <= max(0, growth*int64(len(body))))
+		l.Close()
+		l.Close()
+		is.Equal(b.Used(), int64(0))
+	}
+}
+
+// A process must not hold more than the budget, however many bodies arrive at once, and what
+// a failed one took must be free for the next.
+func TestBodiesBeyondTheBudgetFail(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(4 << 20)
+	first, second := b.Lease(), b.Lease()
+	_, err := first.ReadAll(io.LimitReader(&zeros{}, 3<<20), 3<<20)
+	is.NoErr(err)
+	held := b.Used()
+	var without zeros
+	_, err = second.ReadAll(&without, -1)
+	is.True(errors.Is(err, ErrExhausted))
+	is.True(without.read <= 2<<20) // ends as soon as the budget is used up
+	is.Equal(b.Used(), held)
+	_, err = second.ReadAll(strings.NewReader(strings.Repeat("a", uncountedBytes-1)), -1)
+	is.NoErr(err) // a small body passes while large ones use the budget
+	first.Close()
+	_, err = second.ReadAll(io.LimitReader(&zeros{}, 3<<20), 3<<20)
+	is.NoErr(err)
+	second.Close()
+	is.Equal(b.Used(), int64(0))
+	_, err = second.ReadAll(io.LimitReader(&zeros{}, 3<<20), 3<<20)
+	is.True(err != nil) // an attempt that ends after its request holds nothing
+	is.Equal(b.Used(), int64(0))
+}
+
+// A body that breaks off gives back what it held.
+func TestBrokenBodyHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(4 << 20)
+	l := b.Lease()
+	broken := io.MultiReader(io.LimitReader(&zeros{}, 1<<20), iotest.ErrReader(io.ErrUnexpectedEOF))
+	_, err := l.ReadAll(broken, 2<<20)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.Equal(b.Used(), int64(0))
+}
+
+// The buffer of a stream holds no more than the event that is being received.
+func TestBufferOfAStream(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(1 << 20)
+	l := b.Lease()
+	buffer := l.Buffer()
+	chunk := make([]byte, 4<<10)
+	for range 64 {
+		is.NoErr(buffer.Append(chunk))
+	}
+	is.True(b.Used() > 0)
+	buffer.Consume(len(buffer.Bytes))
+	is.Equal(b.Used(), int64(0))
+	is.NoErr(buffer.Append([]byte("abc")))
+	buffer.Consume(1)
+	is.Equal(string(buffer.Bytes), "bc")
+	var err error
+	for err == nil {
+		err = buffer.Append(chunk)
+	}
+	is.True(errors.Is(err, ErrExhausted))
+	is.True(b.Used() <= 1<<20)
+	l.Close()
+	buffer.Release() // after the lease: counted once
+	is.Equal(b.Used(), int64(0))
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"merlinhall/memory"
 )
 
 const (
@@ -286,12 +288,13 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// readBody reads the body of a response, which may have up to limit bytes.
-func readBody(response *http.Response, limit int64) ([]byte, error) {
+// readBody reads the body of a response, which may have up to limit bytes, into memory of
+// the lease.
+func readBody(lease *memory.Lease, response *http.Response, limit int64) ([]byte, error) {
 	if n := response.ContentLength; n > limit {
 		return nil, eris.Errorf("upstream: the response has %d bytes, the limit is %d", n, limit)
 	}
-	b, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	b, err := lease.ReadAll(io.LimitReader(response.Body, limit+1), response.ContentLength)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"merlinhall/loopback"
+	"merlinhall/memory"
 )
 
 const (
@@ -84,3 +85,79 @@
 	is.True(end.Closed)
 	is.True(end.Took < testCloseTime)
 }
+
+// A target sends a body without end. Each of the requests in flight would take 32 MB.
+func TestBodyWithoutEnd(t *testing.T) {
+	const (
+		requests = 8
+		budget   = 8 << 20
+	)
+	for name, c := range map[string]struct{ first, again string }{
+		"without length":    {"HTTP/1.1 200 OK\r\n\r\n", "body "},
+		"length":            {"HTTP/1.1 200 OK\r\nContent-Length: 33000000\r\n\r\n", "body "},
+		"length over limit": {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n", "body "},
+		"chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("b", 0x1000) + "\r\n"},
+		"one chunk":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", "body "},
+		"chunk size line":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"chunk extension":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", "b"},
+		"trailer line":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: ", "b"},
+		"trailer fields":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "A: b\r\n"},
+		"error":             {"HTTP/1.1 500 Internal Server Error\r\n\r\n", "body "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := loopback.ServeEndless(t, c.first, c.again)
+			ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
+			defer cancel()
+			p := newTestPool()
+			p.Memory = memory.NewBudget(budget)
+			errs := make(chan error, requests)
+			allocated := loopback.Allocated(func() {
+				for range requests {
+					go func() {
+						_, _, err := p.Do(ctx, Address{HostPort: server.Address, ID: "t"}, post("1"))
+						errs <- err
+					}()
+				}
+				for range requests {
+					err := <-errs
+					var failure *Failure
+					is.True(errors.As(err, &failure))
+					is.True(!failure.NotSent) // it may have run
+					t.Log(err)
+				}
+			})
+			is.NoErr(ctx.Err()) // a limit ended them, not the deadline
+			is.Equal(p.Memory.Used(), int64(0))
+			var took time.Duration
+			for range requests {
+				end := server.Next(t)
+				is.True(end.Closed)
+				took = max(took, end.Took)
+			}
+			t.Logf("%d requests: %d KB allocated, closed after %v", requests, allocated>>10, took)
+			is.True(allocated < 8*budget) // including the copies made as buffers grow
+			is.True(took < testCloseTime)
+		})
+	}
+}
+
+// Chunks of a byte are slow to read and sound: the deadline or the limit ends them.
+func TestChunksOfAByteWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	server := loopback.ServeEndless(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n")
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	p := newTestPool()
+	p.Memory = memory.NewBudget(4 << 20)
+	allocated := loopback.Allocated(func() {
+		_, _, err := p.Do(ctx, Address{HostPort: server.Address, ID: "t"}, post("1"))
+		is.True(err != nil)
+	})
+	end := server.Next(t)
+	t.Logf("%d KB allocated, closed after %v", allocated>>10, end.Took)
+	is.Equal(p.Memory.Used(), int64(0))
+	is.True(allocated < 16<<20)
+	is.True(end.Closed)
+	is.True(end.Took < testCloseTime)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/memory"
 	"merlinhall/wire"
 )
 
@@ -23,6 +25,8 @@
 	defaultIdleTimeout = 20 * time.Second
 	// maxResponseBytes limits the body of a response that is read completely.
 	maxResponseBytes = 32 << 20
+	// defaultMemoryBytes bounds the bodies of all responses of a pool without a budget.
+	defaultMemoryBytes = 64 << 20
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a dead idle connection
 	// within 2 s. TCP sends no probes while data is unacknowledged. In that case the
 	// request's deadline, a hedged request or the reader's own timeout ends the wait.
@@ -43,6 +47,11 @@
 	Unnamed bool
 	// OnSent, if set, is called once all of the request has been written.
 	OnSent func()
+	// Lease, if set, holds the memory of the body of the response, and of those to other
+	// attempts. If nil, the memory is counted only while the body is read.
+	Lease *memory.Lease
+	// MaxResponseBytes limits the body of the response; 0 stands for the default.
+	MaxResponseBytes int64
 
 	writeDeadline time.Time
 }
@@ -75,6 +84,9 @@
 	// Dial opens a connection to an address.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// Memory is the budget for the bodies of responses.
+	Memory *memory.Budget
+
 	mu   sync.Mutex
 	idle map[Address][]*conn
 
@@ -95,6 +107,7 @@
 	return &Pool{
 		RequestID:  requestID,
 		Dial:       dialer.DialContext,
+		Memory:     memory.NewBudget(defaultMemoryBytes),
 		idle:       make(map[Address][]*conn),
 		OnResponse: func(Address, http.Header) {},
 		Opened:     func() {},
@@ -112,10 +125,11 @@
 type Response struct {
 	*http.Response
 	Origin
-	pool *Pool
-	to   Address
-	conn *conn
-	done func(keep bool)
+	request *Request
+	pool    *Pool
+	to      Address
+	conn    *conn
+	done    func(keep bool)
 }
 
 // Close returns the connection to the pool if complete is set, that is, if the body
@@ -132,7 +146,12 @@
 // ReadAll reads the complete body and closes the response. Errors are of type
 // *Failure.
 func (r *Response) ReadAll() ([]byte, error) {
-	b, err := readBody(r.Response, maxResponseBytes)
+	lease := r.request.Lease
+	if lease == nil {
+		lease = r.pool.Memory.Lease()
+		defer lease.Close()
+	}
+	b, err := readBody(lease, r.Response, cmp.Or(r.request.MaxResponseBytes, maxResponseBytes))
 	r.Close(err == nil)
 	if err != nil {
 		return nil, &Failure{Err: eris.Wrap(err, "upstream: read the response")}
@@ -159,7 +178,7 @@
 	}
 	p.OnResponse(to, response.Header)
 	origin := Origin{Requests: c.requests, Named: got == r.ID}
-	return &Response{Response: response, Origin: origin, pool: p, to: to, conn: c, done: done}, nil
+	return &Response{Response: response, Origin: origin, request: r, pool: p, to: to, conn: c, done: done}, nil
 }
 
 var (
