server, platform: no response waits for a body that nobody reads

What callers saw: a call without a use for its body (reads and ends of submissions, the operator's reads, retirements, readiness) whose head announces a body got no response until the body had arrived or the client closed. A manifest or weight version that trickles was read for as long as the client liked.

Cause: net/http reads up to 256 KB of an unread body before it sends the response, and the server limits only the time for the header. Only requests without a route had a deadline.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -135,7 +135,7 @@
 }
 
 func (d *HostedDaemon) serve(address string, handler http.Handler) error {
-	s, err := server.Start(address, d.observer.Guard("server").Handler(handler), nil)
+	s, err := server.Start(address, d.observer.Guard("server").Handler(server.LimitUnreadBodies(handler)), nil)
 	if err == nil {
 		d.servers = append(d.servers, s)
 	}
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -31,7 +31,7 @@
 	if err := d.serve(d.settings.Ready, platform.ReadyHandler(d.observer.Ready)); err != nil {
 		return err
 	}
-	s, err := server.Start(d.settings.Callers, d.observer.Guard("callers").Handler(d.callerHandler), nil)
+	s, err := server.Start(d.settings.Callers, d.observer.Guard("callers").Handler(server.LimitUnreadBodies(d.callerHandler)), nil)
 	if err != nil {
 		return err
 	}
