platform: the bodies of clients share the memory with those of targets

What callers would see: an entry ends with out of memory when several clients send bodies that are below maxBodyBytes (32 MB) each. The response's body came on top of it.

Cause: io.ReadAll for each request, without a bound over all.

Change: the body of a request and those of its responses are held by one lease of the process's budget (package memory) until the response has been written. A request whose body finds the budget used up is refused as not run (503, Retry-After 0.5 s), and the connection closed, so that its sender stops.

TestClientBodiesShareTheMemory (four clients with bodies of 28 MB, budget 64 MB) failed before: all four were held until the route's timeout (408). Now two are refused at once, small bodies pass meanwhile, and the memory is free again when the others have left. Tests of platform's clients, limits and streams, server, gateway and daemon pass with the race detector.

--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -21,7 +21,7 @@
 	if d.settings.UsageWindow > 0 {
 		meter = d.startMeter(true, client.ReportUsage)
 	}
-	d.callerHandler = &platform.CallerHandler{Gateway: gateway.New(client, d.forward, meter, d.observer)}
+	d.callerHandler = &platform.CallerHandler{Gateway: gateway.New(client, d.forward, meter, d.observer), Memory: d.bodies}
 	d.observer.AddReadyCheck("routes", func() error {
 		if client.Table() == nil {
 			return errNoRoutes
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,9 @@
 	// retryAfterNoControl is the Retry-After value when the control leader was not
 	// reached: the duration of an election.
 	retryAfterNoControl = 700 * time.Millisecond
+	// retryAfterNoMemory is the Retry-After value when the bodies of other requests use
+	// up the memory for bodies: most of them end within this time.
+	retryAfterNoMemory = 500 * time.Millisecond
 	// MaxPageBytes limits the size of the texts on one page of results.
 	MaxPageBytes = 900 << 10
 )
@@ -103,6 +106,9 @@
 // RejectBody records and returns the result of a request whose body could not be read.
 func (g *Gateway) RejectBody(id string, outcome Outcome, err error) *Result {
 	result := Result{Outcome: outcome, Reason: "body: " + err.Error()}
+	if outcome == NotRun {
+		result.RetryAfter = retryAfterNoMemory
+	}
 	g.record("read", id, time.Now(), result, nil)
 	return &result
 }
