admission, entry: a request that waits for a weight version keeps its place

Callers saw: a caller with requests that no engine could take yet (min version not loaded) had its other requests served after those of everybody else, and an accepted request was refused with "queue is full".

Change: admission.Queue keeps parked requests. The entry puts them back once a usable target may have the version, or when no target is usable.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -58,7 +58,8 @@
 
 	sequence         uint64
 	index            int
-	flow             *flow[T]
+	flow             *flow[T] // nil while the item is not in order of service
+	parked           bool
 	savedFinish      float64 // finishTag of the flow before Next, for Return
 	savedVirtualTime float64 // virtualTime of the queue before Next, for Return
 }
@@ -82,6 +83,7 @@
 	lastSweep   time.Time
 	length      int
 	queuedCost  float64
+	parked      []*Item[T]
 	sequence    uint64
 	fifo        bool // see SetFIFO
 }
@@ -119,9 +121,12 @@
 // use it as a baseline.
 func (q *Queue[T]) SetFIFO() { q.fifo = true }
 
-// Len returns the number of waiting requests.
+// Len returns the number of waiting requests without the parked ones.
 func (q *Queue[T]) Len() int { return q.length }
 
+// Parked returns the number of parked requests.
+func (q *Queue[T]) Parked() int { return len(q.parked) }
+
 // Lengths returns the number of waiting requests by flow name.
 func (q *Queue[T]) Lengths() map[string]int {
 	out := make(map[string]int, len(q.flows))
@@ -140,7 +145,7 @@
 	if wait := q.estimateWait(f); q.missesDeadline(now, wait, f, item) {
 		return &Refusal{ReasonDeadline, retryAfter(wait)}, nil
 	}
-	if q.length >= q.limit {
+	if q.length+len(q.parked) >= q.limit {
 		evicted = q.evict(f, item)
 		if evicted == nil {
 			return &Refusal{ReasonFull, retryAfter(q.rate.drainTime(q.queuedCost))}, nil
@@ -175,6 +180,34 @@
 	q.push(f, item)
 }
 
+// Park takes the item returned by the last call of Next out of the order of service until
+// Unpark, for example while no target has what it needs. Its caller is not charged, it
+// counts towards the limit of the queue, and Sweep still checks its deadline.
+func (q *Queue[T]) Park(item *Item[T]) {
+	f := q.flow(item.Caller)
+	f.finishTag, q.virtualTime = item.savedFinish, item.savedVirtualTime
+	item.parked = true
+	q.parked = append(q.parked, item)
+}
+
+// Unpark puts the parked items for which ready returns true back into the order of
+// service, at the positions that they had.
+func (q *Queue[T]) Unpark(ready func(value T) bool) {
+	q.parked = slices.DeleteFunc(q.parked, func(item *Item[T]) bool {
+		if !ready(item.Value) {
+			return false
+		}
+		item.parked = false
+		q.push(q.flow(item.Caller), item)
+		return true
+	})
+}
+
+func (q *Queue[T]) removeParked(item *Item[T]) {
+	item.parked = false
+	q.parked = slices.DeleteFunc(q.parked, func(p *Item[T]) bool { return p == item })
+}
+
 func (q *Queue[T]) push(f *flow[T], item *Item[T]) {
 	item.flow = f
 	heap.Push(&f.items, item)
@@ -183,8 +216,13 @@
 	q.length++
 }
 
-// Remove takes an item out of the queue. It returns false if the item is not queued.
+// Remove takes an item out of the queue. It returns false if the item is neither queued
+// nor parked.
 func (q *Queue[T]) Remove(item *Item[T]) bool {
+	if item.parked {
+		q.removeParked(item)
+		return true
+	}
 	if item.flow == nil {
 		return false
 	}
@@ -204,6 +242,12 @@
 	for _, name := range q.flowNames() {
 		out = q.sweepFlow(now, q.flows[name], out)
 	}
+	for _, item := range slices.Clone(q.parked) {
+		if q.missesDeadline(now, 0, q.flow(item.Caller), item) {
+			q.removeParked(item)
+			out = append(out, Dropped[T]{item, Refusal{ReasonDeadline, minRetryAfter}})
+		}
+	}
 	q.removeIdleFlows()
 	return out
 }
--- a/entry/cluster_state.go
+++ b/entry/cluster_state.go
@@ -64,15 +64,13 @@
 		if s.configured {
 			continue
 		}
+		s.queue.Unpark(func(*activeRequest) bool { return true })
 		for item := s.queue.Next(); item != nil; item = s.queue.Next() {
 			d.refuse(now, item.Value, admission.Refusal{Reason: "service was removed", RetryAfter: time.Second})
 		}
 		for _, req := range s.retries {
 			d.step(now, req, noTarget{detail: "service was removed", retryAfter: time.Second})
 		}
-		for _, item := range s.parked {
-			d.step(now, item.Value, noTarget{detail: "service was removed", retryAfter: time.Second})
-		}
 		s.targets = nil
 		delete(d.services, name)
 		delete(d.ready, s)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -79,7 +79,7 @@
 
 func (m *metrics) gauges(d *dispatcher) {
 	for name, s := range d.services {
-		m.queue.WithLabelValues(name).Set(float64(s.queue.Len() + len(s.retries) + len(s.parked)))
+		m.queue.WithLabelValues(name).Set(float64(s.queue.Len() + len(s.retries) + s.queue.Parked()))
 		m.inFlight.WithLabelValues(name).Set(float64(s.inFlight()))
 	}
 	m.links.Set(float64(d.entry.links.Load()))
@@ -184,7 +184,7 @@
 
 func (s *service) dump(now time.Time) dumpService {
 	out := dumpService{
-		Name: s.name, Queued: s.queue.Lengths(), Retrying: len(s.retries), Parked: len(s.parked), RatePerSec: s.rate.PerSecond(),
+		Name: s.name, Queued: s.queue.Lengths(), Retrying: len(s.retries), Parked: s.queue.Parked(), RatePerSec: s.rate.PerSecond(),
 	}
 	out.RecentCalls, out.RecentRetry = s.budget.Counts(now)
 	for _, t := range s.targets {
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		if reason == routing.ReasonVersion {
-			s.parked = append(s.parked, item)
+			s.queue.Park(item)
 			continue
 		}
 		s.queue.Return(item)
@@ -180,14 +180,13 @@
 	}
 }
 
-// unpark queues again the requests that were parked because no target had the weight
-// version they need.
+// unpark puts the requests that were parked for want of a weight version back into the
+// order of service once a target may have that version, or no target is usable at all,
+// which sweep then bounds.
 func (d *dispatcher) unpark(now time.Time, s *service) {
-	parked := s.parked
-	s.parked = nil
-	for _, item := range parked {
-		if req := item.Value; req.state.phase == phaseWaiting && req.item == item {
-			d.enqueue(now, req)
-		}
+	if s.queue.Parked() == 0 {
+		return
 	}
+	newest, usable := s.newestVersion(now)
+	s.queue.Unpark(func(req *activeRequest) bool { return !usable || newest >= req.minVersion })
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -31,10 +32,9 @@
 	rate        *admission.Rate
 	budget      *admission.RetryBudget
 	health      *routing.Health
-	retries     []*activeRequest                  // moved from a target; placed before the queue
-	parked      []*admission.Item[*activeRequest] // waiting for a weight version
-	lastUsable  time.Time                         // when a target was last usable (see sweep), or no request was waiting
-	turn        uint64                            // number of choices, for round robin
+	retries     []*activeRequest // moved from a target; placed before the queue
+	lastUsable  time.Time        // when a target was last usable (see sweep), or no request was waiting
+	turn        uint64           // number of choices, for round robin
 	scratch     []routing.Target
 	configured  bool // in the current configuration
 }
@@ -91,6 +91,23 @@
 	return s.targets[c.Index], c.Reason
 }
 
+// newestVersion returns the highest weight version of the usable targets, and whether
+// there are any. A target that has not reported its version may have any.
+func (s *service) newestVersion(now time.Time) (newest uint64, usable bool) {
+	for _, t := range s.targets {
+		r := t.routingTarget(now, s.health, s.maxInFlight)
+		if !r.Usable() {
+			continue
+		}
+		usable = true
+		if r.Version == 0 {
+			return math.MaxUint64, true
+		}
+		newest = max(newest, r.Version)
+	}
+	return newest, usable
+}
+
 // setSlots updates the number of requests that the service can run concurrently.
 func (s *service) setSlots(now time.Time) {
 	slots := 0
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -148,7 +148,7 @@
 	for i := range targets {
 		t := &targets[i]
 		switch {
-		case t.Unlinked || t.Leaving || t.Down || t.Ejected:
+		case !t.Usable():
 			continue
 		case t.Version != 0 && t.Version < r.MinVersion:
 			if reason == ReasonNone {
@@ -171,6 +171,9 @@
 	return fallback, reason
 }
 
+// Usable reports whether the target may take any requests.
+func (t *Target) Usable() bool { return !t.Unlinked && !t.Leaving && !t.Down && !t.Ejected }
+
 // atLimit reports whether the target may take no further request.
 func (t *Target) atLimit() bool {
 	// OtherEntriesLoad is an estimate, so fractions of a request are ignored.
