entry: a stop says what became of each request

Callers saw, when an entry ended with requests still running: status 499 and "the caller left", also for requests that no target ever had.

Change: an input of its own. A request without a target ends as not run with 503, one that a target has as unknown with 502, one whose answer has begun is cut off, each with the reason "this entry has stopped".

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -313,7 +313,7 @@
 func (d *dispatcher) onStop(now time.Time) {
 	d.stopped = true
 	for req := range d.requests {
-		d.step(now, req, callerGone{})
+		d.step(now, req, entryStopped{})
 	}
 	for _, t := range d.targets {
 		go t.dialer.Stop()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,7 +145,8 @@
 	return nil
 }
 
-// Stop closes all links. Requests that are still running end with OutcomeUnknown.
+// Stop closes all links. Requests that are still running end with OutcomeUnknown, those
+// that wait for a target with OutcomeNotRun.
 func (e *Entry) Stop() {
 	e.draining.Store(true)
 	e.offer(context.Background(), stopMessage{})
--- a/entry/history_test.go
+++ b/entry/history_test.go
@@ -128,7 +128,12 @@
 	s.list = append(s.list, q)
 	s.place(q, "")
 	if q.leaves {
-		s.after(s.upTo(3*time.Second), func() { s.step(q, callerGone{}) })
+		// Every other one of them ends with its entry instead.
+		var input any = callerGone{}
+		if i%2 == 0 {
+			input = entryStopped{}
+		}
+		s.after(s.upTo(3*time.Second), func() { s.step(q, input) })
 	}
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -65,7 +65,9 @@
 	// consumed reports a number of chunks that the caller consumed.
 	consumed   struct{ chunks uint64 }
 	callerGone struct{}
-	tick       struct{}
+	// entryStopped reports that this process ends.
+	entryStopped struct{}
+	tick         struct{}
 	// noTarget reports that no target will be assigned.
 	noTarget struct {
 		detail     string
@@ -208,6 +210,8 @@
 		return r.onConsumed(m)
 	case callerGone:
 		return r.onCallerGone()
+	case entryStopped:
+		return r.onEntryStopped()
 	case tick:
 		return r.onTick(now)
 	case noTarget:
--- a/entry/request_end.go
+++ b/entry/request_end.go
@@ -44,6 +44,16 @@
 	return append(r.cancelCurrent(), r.end(Result{Outcome: OutcomeUnknown, Status: statusCallerGone, Detail: "the caller left"})...)
 }
 
+// onEntryStopped ends a request that is left when the process ends. Without a target it
+// certainly did not run.
+func (r *requestState) onEntryStopped() []action {
+	actions := r.cancelCurrent()
+	if r.phase != phaseWaiting && !r.disabled.forgetMaybeRan {
+		r.maybeRan = true
+	}
+	return append(actions, r.giveUp("this entry has stopped", time.Second)...)
+}
+
 // cancelCurrent cancels the current attempt, if there is one.
 func (r *requestState) cancelCurrent() []action {
 	if r.phase == phaseWaiting {
