storage: a closed store is not a failed write

Change: ErrClosed. A write that had failed before Close is still reported as such.

Test: storage.TestSaveAfterCloseIsNoFailedWrite, failing before.

--- a/storage/store.go
+++ b/storage/store.go
@@ -24,6 +24,9 @@
 // on. The disk contents are then unknown, so no write is retried until a restart.
 var ErrFailed = eris.New("storage: an earlier write or sync failed")
 
+// ErrClosed is returned by Save after Close.
+var ErrClosed = eris.New("storage: the store is closed")
+
 // identity is the first record of a log file. A later one in the file, written when the
 // group changes, replaces it.
 type identity struct {
@@ -182,7 +185,8 @@
 func (s *Store) Syncs() uint64 { return s.syncs }
 
 // Save writes and syncs the part of out that must be persisted. An error wraps
-// ErrFailed, and every later call fails as well.
+// ErrFailed, and every later call fails as well. After Close, it is ErrClosed unless a
+// write had failed before.
 func (s *Store) Save(out *consensus.Output) error {
 	if s.failed != nil {
 		return s.failed
@@ -485,7 +489,7 @@
 		s.release = nil
 	}
 	if s.failed == nil {
-		s.failed = eris.Wrap(ErrFailed, "the store is closed")
+		s.failed = ErrClosed
 	}
 }
 
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -264,6 +264,26 @@
 	}
 }
 
+// Guards against a planned stop that reads as a failing disk, and against one that hides
+// that the disk had failed.
+func TestSaveAfterCloseIsNoFailedWrite(t *testing.T) {
+	is := is.New(t)
+	fs := &faultyDir{Dir: Dir(t.TempDir())}
+	s, _, err := Open(fs, fixedID)
+	is.NoErr(err)
+	s.Close()
+	err = s.Save(&consensus.Output{Append: []consensus.Entry{entry(1, 1, "a")}})
+	is.True(errors.Is(err, ErrClosed))
+	is.True(!errors.Is(err, ErrFailed))
+
+	s, _, err = Open(fs, fixedID)
+	is.NoErr(err)
+	fs.syncErr = syscall.EIO
+	is.True(errors.Is(s.Save(&consensus.Output{Append: []consensus.Entry{entry(1, 1, "a")}}), ErrFailed))
+	s.Close()
+	is.True(errors.Is(s.Save(&consensus.Output{Append: []consensus.Entry{entry(1, 1, "a")}}), ErrFailed))
+}
+
 // Guards against two processes that write to the same data directory.
 func TestLock(t *testing.T) {
 	is := is.New(t)
