consensus: learners that do not catch up leave their room to others

Ruled out: a bound for voters alone. Every host outside would become a learner, each of which costs the leader a copy of the log.

Change: a learner that lacks committed entries and has acknowledged nothing new for ReplaceAfter no longer counts; at most MaxVoters of those are kept. Groups without such a learner admit as before.

--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -60,6 +60,8 @@
 	echoedClock time.Duration // newest value of the leader's clock echoed by the member
 	round       uint64        // newest read round echoed by the member
 	transfer    *transfer     // snapshot transfer in progress, or nil
+	// progressAt is when it last had all committed entries or acknowledged more of the log.
+	progressAt time.Duration
 }
 
 // becomeLeader makes the replica the leader of the current term. It appends an entry
@@ -97,7 +99,7 @@
 		}
 		p := n.lead.peers[m.ID]
 		if p == nil {
-			p = &progress{next: n.log.last() + 1, probing: true}
+			p = &progress{next: n.log.last() + 1, probing: true, progressAt: n.now}
 		}
 		peers[m.ID] = p
 	}
@@ -291,6 +293,9 @@
 
 func (n *Node) handleMatch(m *Message, p *progress) {
 	actor.Invariant(m.Index <= n.log.last(), "replica %x acknowledges entry %d, but the log ends at %d", m.From, m.Index, n.log.last())
+	if m.Index > p.match || m.Index >= n.commit {
+		p.progressAt = n.now
+	}
 	p.match = max(p.match, m.Index)
 	if p.transfer != nil && p.match >= p.transfer.snapshot.Index {
 		p.transfer = nil
--- a/consensus/openmembership.go
+++ b/consensus/openmembership.go
@@ -35,22 +35,34 @@
 }
 
 // hasRoom reports whether a replica of that name may be added: with open membership, if
-// it replaces a member of the same name or fewer than MaxVoters members respond that may
-// stay.
+// it replaces a member of the same name or fewer than MaxVoters members respond that are
+// or may become lasting voters. Learners that do not catch up leave their room to others,
+// but each of them costs the leader messages, so their number is bounded, too.
 func (n *Node) hasRoom(name string) bool {
 	if !n.cfg.OpenMembership {
 		return true
 	}
-	responding := 0
+	responding, stalled := 0, 0
 	for _, m := range n.members {
 		if m.Name == name {
 			return true
 		}
-		if n.responds(m.ID) && !slices.Contains(n.excluded, m.Name) {
+		switch {
+		case !n.responds(m.ID) || slices.Contains(n.excluded, m.Name):
+		case n.stalled(m):
+			stalled++
+		default:
 			responding++
 		}
 	}
-	return responding < n.cfg.MaxVoters
+	return responding < n.cfg.MaxVoters && stalled < n.cfg.MaxVoters
+}
+
+// stalled reports whether a learner that responds lacks committed entries and has
+// acknowledged nothing new for ReplaceAfter.
+func (n *Node) stalled(m Member) bool {
+	p := n.lead.peers[m.ID]
+	return m.Learner && p != nil && p.match < n.commit && n.now > p.progressAt+n.cfg.ReplaceAfter
 }
 
 // oddVoterCount returns the number of voters that the group should have if able
--- a/consensus/openmembership_test.go
+++ b/consensus/openmembership_test.go
@@ -15,7 +15,8 @@
 	now        time.Duration
 	nodes      map[string]*Node
 	down       map[string]bool
-	entryBytes map[string]int // sent to each
+	stuck      map[string]bool // their log takes nothing in, but they answer
+	entryBytes map[string]int  // sent to each
 	nextID     uint64
 	config     Config // of each replica, without its identity
 	events     []groupEvent
@@ -33,7 +34,7 @@
 }
 
 func newOpenGroup() *openGroup {
-	return &openGroup{config: Config{OpenMembership: true}, nodes: make(map[string]*Node), down: make(map[string]bool), entryBytes: make(map[string]int), nextID: 1}
+	return &openGroup{config: Config{OpenMembership: true}, nodes: make(map[string]*Node), down: make(map[string]bool), stuck: make(map[string]bool), entryBytes: make(map[string]int), nextID: 1}
 }
 
 // start adds a replica with an empty data directory.
@@ -98,6 +99,9 @@
 		for _, e := range m.Entries {
 			g.entryBytes[m.ToName] += len(e.Data)
 		}
+		if g.stuck[m.ToName] && (len(m.Entries) > 0 || m.Kind == MsgSnapshot) {
+			continue
+		}
 		if n := g.nodes[m.ToName]; n != nil && !g.down[m.ToName] {
 			n.Step(g.now, Receive{m})
 		}
@@ -222,6 +226,42 @@
 	is.Equal(slices.Sorted(slices.Values(g.voterNames())), []string{"b:1", "c:1", "d:1"})
 }
 
+// Guards against learners that answer and never catch up, such as on a failing disk, and
+// keep out the host that could take the place of a lost voter.
+func TestLearnerThatDoesNotCatchUpLeavesItsRoom(t *testing.T) {
+	is := is.New(t)
+	g := newOpenGroup()
+	g.config.MinVoters, g.config.MaxVoters = 3, 3
+	for _, name := range seedNames {
+		g.start(name, seedNames, false)
+	}
+	g.run(2 * time.Second)
+	lost := g.voterNames()[0]
+	if lost == g.leader().cfg.Name {
+		lost = g.voterNames()[1]
+	}
+	g.down[lost] = true
+	g.stuck["d:1"] = true
+	g.start("d:1", seedNames, true)
+	g.run(3 * time.Second)
+	is.Equal(len(g.leader().members), 4) // d is a learner
+	g.start("e:1", seedNames, true)
+	g.run(5 * time.Second)
+	is.True(slices.Contains(g.voterNames(), "e:1"))
+	is.True(!slices.Contains(g.voterNames(), lost))
+	g.stuck["d:1"] = false
+	g.run(3 * time.Second)
+	is.Equal(len(g.voterNames()), 3) // d has caught up and is not needed
+	// Any number of them is not taken in.
+	for _, name := range []string{"f:1", "g:1", "h:1", "i:1", "j:1"} {
+		g.stuck[name] = true
+		g.start(name, seedNames, true)
+	}
+	g.run(20 * time.Second)
+	is.True(len(g.leader().members) <= 2*g.config.MaxVoters)
+	is.Equal(len(g.voterNames()), 3)
+}
+
 func TestEntriesSentToUnresponsiveLearnerAreBounded(t *testing.T) {
 	is := is.New(t)
 	g := newBootstrappedGroup()
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -68,6 +68,7 @@
 	if m.Offset != t.offset {
 		t.offset = m.Offset
 		t.sent = false
+		p.progressAt = n.now
 	}
 }
 
