daemon: a host that is entry and control has links of its own for each role

Cause: one Hello and one dispatcher of messages for the process. Both roles handle replies, routes, members and targets, and the later registration took all of them.

Change: each role has its links, with its own name, role and handlers.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -49,8 +49,7 @@
 	log           *logrus.Entry
 	system        *actor.System
 	client        *http.Client // dials links
-	hello         wire.Hello
-	mux           link.Mux // handles messages of all links
+	boot          string
 	pool          *upstream.Pool
 	targets       *directory.Directory
 	poller        *directory.Poller
@@ -80,7 +79,7 @@
 	d.log = d.observer.Logger("daemon")
 	d.poller = directory.NewPoller(&platform.List{Address: s.TargetList, Client: &http.Client{}}, d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward"), Guard: d.observer.Guard("forward")}
-	d.hello = wire.Hello{Process: s.Name, Zone: s.Zone, Boot: newBootID(), Host: s.Name, Roles: []wire.Role{wire.RoleEntry}, Level: wire.Level}
+	d.boot = newBootID()
 	d.pool.OnResponse = d.noteLeaving
 	d.registerConnectionMetrics()
 	d.stops = append(d.stops, d.sweepPool())
@@ -92,7 +91,7 @@
 	took := time.Since(processStart)
 	d.registerStartMetric(took)
 	d.log.WithFields(logrus.Fields{
-		"settings": s.Digest, "start_ms": took.Milliseconds(), "boot": d.hello.Boot, "entry": s.Entry, "control": s.Control, "seeds": s.Seeds, "founding": s.FirstStart,
+		"settings": s.Digest, "start_ms": took.Milliseconds(), "boot": d.boot, "entry": s.Entry, "control": s.Control, "seeds": s.Seeds, "founding": s.FirstStart,
 	}).Infof("%s has started", s.Name)
 	return d, nil
 }
@@ -133,11 +132,32 @@
 	return err
 }
 
+// links are the links of one role of the process. A host with both roles has two sets of
+// them, so that each role gets the answers to its own calls, and others see both.
+type links struct {
+	hello  wire.Hello
+	mux    link.Mux // handles the messages
+	client *http.Client
+	guard  *observe.Guard
+}
+
+func (d *HostedDaemon) newLinks(role wire.Role, process, address string) *links {
+	return &links{
+		hello: wire.Hello{
+			Process: process, Address: address, Zone: d.settings.Zone, Boot: d.boot, Host: d.settings.Name, Roles: []wire.Role{role}, Level: wire.Level,
+		},
+		client: d.client, guard: d.observer.Guard("links"),
+	}
+}
+
 // dial keeps a link to a control process open until the returned function is called.
-func (d *HostedDaemon) dial(address string) func() {
-	return link.StartDialer(d.client, "ws", address, d.hello, link.Guarded(&d.mux, d.observer.Guard("links"))).Stop
+func (l *links) dial(address string) func() {
+	return link.StartDialer(l.client, "ws", address, l.hello, link.Guarded(&l.mux, l.guard)).Stop
 }
 
+// accept returns the handler of links from other processes.
+func (l *links) accept() http.Handler { return link.Accept(l.hello, link.Guarded(&l.mux, l.guard)) }
+
 // registerConnectionMetrics registers the metrics of connections to targets and of the
 // age of the list of targets.
 func (d *HostedDaemon) registerConnectionMetrics() {
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -88,8 +88,7 @@
 // in the group is its link address, because other processes know nothing else of it.
 func (d *HostedDaemon) startHub() error {
 	s := d.settings
-	d.hello.Process, d.hello.Address = s.Links, s.Links
-	d.hello.Roles = []wire.Role{wire.RoleControl}
+	links := d.newLinks(wire.RoleControl, s.Links, s.Links)
 	submissions, manifests := ledger.NewSubmissions(), ledger.NewManifests(platform.DecodeManifest)
 	versions, hosts, holder := ledger.NewVersions(), ledger.NewHosts(), ledger.NewHolder()
 	used := ledger.NewUsage()
@@ -139,7 +138,7 @@
 	})
 	d.stops = append(d.stops, carried.Stop)
 	claim := duty.NewClaim(duty.Options{
-		Process: s.Links, Boot: d.hello.Boot, Holder: holder, Propose: propose(holder.Name()),
+		Process: s.Links, Boot: d.boot, Holder: holder, Propose: propose(holder.Name()),
 		MaxWait: s.OrderHoldTime + orderHoldMargin, FencesChecked: s.FencesChecked, Log: d.observer.Logger("duty"),
 	})
 	c.OnLeader(claim.Lead)
@@ -174,27 +173,27 @@
 			d.log.Infof("cannot hand over the leadership: %v", err)
 		}
 	}
-	d.mux.Handle(peers)
-	d.mux.Handle(r, wire.KindConsensus)
-	d.mux.Handle(c, control.Kinds...)
-	d.mux.Handle(carried, carrier.KindOrders)
-	d.mux.Handle(runner.Carriers(), carrier.KindReport)
+	links.mux.Handle(peers)
+	links.mux.Handle(r, wire.KindConsensus)
+	links.mux.Handle(c, control.Kinds...)
+	links.mux.Handle(carried, carrier.KindOrders)
+	links.mux.Handle(runner.Carriers(), carrier.KindReport)
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
-		Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: d.dial,
+		Directory: d.targets, Poller: d.poller, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
-	d.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
+	links.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
 	h.Start()
 	d.stops = append(d.stops, h.Stop)
 	if s.UsageWindow > 0 {
-		d.startMeter(false, h.Operator().ReportUsage)
+		d.startMeter(false, s.Links, h.Operator().ReportUsage)
 	}
 	d.setSeeds = append(d.setSeeds, h.SetSeeds)
-	links := http.NewServeMux()
-	links.Handle(link.Path, link.Accept(d.hello, link.Guarded(&d.mux, d.observer.Guard("links"))))
-	if err := d.serve(s.Links, links); err != nil {
+	paths := http.NewServeMux()
+	paths.Handle(link.Path, links.accept())
+	if err := d.serve(s.Links, paths); err != nil {
 		return err
 	}
 	return d.serve(s.Operator, platform.OperatorHandler(h.Operator()))
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -9,17 +9,19 @@
 	"merlinhall/routes"
 	"merlinhall/server"
 	"merlinhall/usage"
+	"merlinhall/wire"
 )
 
 // startGateway starts the entry role, which serves callers.
 func (d *HostedDaemon) startGateway() error {
+	links := d.newLinks(wire.RoleEntry, d.settings.Name, "")
 	client := hub.NewClient(hub.ClientOptions{
 		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, DataDir: d.settings.DataDir, Log: d.observer.Logger("hub"),
-		Dial: d.dial, OnRoutes: func(m *routes.Manifest) { d.callerServer.SetLimits(clientLimits(m.Limits)) },
+		Dial: links.dial, OnRoutes: func(m *routes.Manifest) { d.callerServer.SetLimits(clientLimits(m.Limits)) },
 	})
 	var meter *usage.Meter
 	if d.settings.UsageWindow > 0 {
-		meter = d.startMeter(true, client.ReportUsage)
+		meter = d.startMeter(true, d.settings.Name, client.ReportUsage)
 	}
 	d.callerHandler = &platform.CallerHandler{Gateway: gateway.New(client, d.forward, meter, d.observer)}
 	d.observer.AddReadyCheck("routes", func() error {
@@ -45,7 +47,7 @@
 		}
 		return 0
 	}))
-	d.mux.Handle(client, hub.ClientKinds...)
+	links.mux.Handle(client, hub.ClientKinds...)
 	client.Start()
 	d.stops = append(d.stops, client.Stop)
 	d.setSeeds = append(d.setSeeds, client.SetSeeds)
