batch: runs on an engine that was not listed are counted

Cause: the count of an engine begins anew with its entry in the list, the runs do not.

Ruled out: the former path, a run of the former leadership that ends after a quick re-election; carriers' runs are views of one term since the runs moved to carriers.

Change: a new entry begins with the runs that occupy its slots.

Test: batch.TestRunsOnAnEngineThatWasNotListedAreCounted, failing before (0 instead of 2).

--- a/batch/engines.go
+++ b/batch/engines.go
@@ -22,6 +22,7 @@
 		e := known[t.ID]
 		if e == nil || t.StartedMs != 0 && e.startedMs != 0 && e.startedMs != t.StartedMs || e.address != t.Address {
 			e = &engine{id: t.ID, address: t.Address, startedMs: t.StartedMs, versions: make(map[string]uint64)}
+			e.running = r.runsOn(e)
 		}
 		e.draining = t.Draining
 		e.slots = r.slotsOf(t)
@@ -33,6 +34,20 @@
 	r.cancelLostRuns(known)
 }
 
+// runsOn returns the number of runs that occupy slots of an engine. Those of an engine that
+// was not in the directory for a while may not have ended yet.
+func (r *Runner) runsOn(e *engine) int {
+	n := 0
+	for _, c := range r.carriers {
+		for _, run := range c.runs {
+			if run.reading && run.engine == e.id && run.engineStartedMs == e.startedMs {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // directoryLag is how long the directory may still show a version that the engine has
 // replaced.
 const directoryLag = 4 * time.Second
