batch: the end of a proposal belongs to its leadership

Callers saw nothing; a stop could lose more text than it had to. A flush that began before the leadership was lost waited for a message that need not come. A proposal that cannot be encoded was not counted and lowered the number, too.

Ruled out: saving or recording that stays set after a failed encoding; the end of such a proposal clears both, and lists of strings, bytes and numbers can always be encoded.

Change: ends carry the term and count only for it; the leadership's end closes the flushes.

--- a/batch/results.go
+++ b/batch/results.go
@@ -39,6 +39,7 @@
 
 // addEnd is a proposal of additions that has ended.
 type addEnd struct {
+	term    uint64 // of the leadership that proposed
 	results []*task
 	saves   []*task
 	parts   []ledger.Progress // of saves
@@ -99,6 +100,7 @@
 	if len(list) == 0 {
 		return
 	}
+	a.inFlight++
 	body, err := ledger.AddCommand(list)
 	if err != nil {
 		r.log.Errorf("cannot encode additions to the ledger: %v", err)
@@ -106,7 +108,6 @@
 		r.handleAddEnd(now, end)
 		return
 	}
-	a.inFlight++
 	leadCtx := r.ctx
 	r.o.Go(func() {
 		ctx, cancel := context.WithTimeout(leadCtx, proposeTimeout)
@@ -119,7 +120,7 @@
 // nextAdditions takes the next results and saves, results first, up to the bounds of one
 // proposal.
 func (r *Runner) nextAdditions() (addEnd, []ledger.Addition) {
-	a, end := &r.additions, addEnd{}
+	a, end := &r.additions, addEnd{term: r.term}
 	var list []ledger.Addition
 	bySubmission := make(map[string]int)
 	size, items := 0, 0
@@ -170,7 +171,10 @@
 // handleAddEnd takes the end of a proposal. After one that failed it is unknown what the
 // ledger has, so the texts are proposed again as a whole.
 func (r *Runner) handleAddEnd(now time.Time, m addEnd) {
-	r.additions.inFlight = max(0, r.additions.inFlight-1)
+	if !r.leading || m.term != r.term {
+		return // the next leadership reads from the ledger what has become of it
+	}
+	r.additions.inFlight--
 	var missing *ledger.MissingTextError
 	failed := m.err != nil && !errors.As(m.err, &missing)
 	for i, t := range m.saves {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -273,6 +273,8 @@
 	if r.leading {
 		r.stop()
 		r.jobs, r.queue = nil, queue{perToken: r.queue.perToken, lengths: r.queue.lengths}
+		r.additions = additions{}
+		r.finishFlush()
 	}
 	r.leading, r.term = m.leading, m.term
 	if !m.leading {
@@ -280,7 +282,7 @@
 		return
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.additions, r.attempts, r.adopted, r.carriers = additions{}, 0, false, nil
+	r.attempts, r.adopted, r.carriers = 0, false, nil
 	r.leadSince = now
 	r.assignedAt = time.Time{}
 	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
