batch: old partial texts are dropped without new ones

Callers saw nothing: a text is used only if the submission allows its versions.

Change: the check that removes expired submissions each 5 s drops them, too.

Test: batch.TestOldPartialTextsAreDroppedWithoutNewOnes, failing before.

--- a/batch/partial.go
+++ b/batch/partial.go
@@ -10,7 +10,7 @@
 const (
 	// maxPartialBytes bounds the total size of the stored texts of items without a result.
 	maxPartialBytes = 8 << 20
-	// partialTTL is the age after which put drops a text. Items of incomplete groups are
+	// partialTTL is the age after which a text is dropped. Items of incomplete groups are
 	// normally submitted again within two steps.
 	partialTTL = 45 * time.Second
 )
@@ -43,7 +43,15 @@
 	p.texts[item] = kept
 	p.order = append(p.order, item)
 	p.size += kept.size
-	for len(p.order) > 0 && (p.size > maxPartialBytes || now.Sub(p.texts[p.order[0]].storedAt) > partialTTL) {
+	for len(p.order) > 0 && p.size > maxPartialBytes {
+		p.drop(p.order[0])
+	}
+	p.expire(now)
+}
+
+// expire drops the texts that are older than partialTTL.
+func (p *partials) expire(now time.Time) {
+	for len(p.order) > 0 && now.Sub(p.texts[p.order[0]].storedAt) > partialTTL {
 		p.drop(p.order[0])
 	}
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -45,7 +45,7 @@
 	proposeTimeout = 3 * time.Second
 	// retentionMargin is added to the time for which results must stay readable.
 	retentionMargin = 15 * time.Second
-	// expiryInterval is how often expired submissions are removed.
+	// expiryInterval is how often expired submissions and partial texts are removed.
 	expiryInterval = 5 * time.Second
 	// engineCallTimeout bounds a report of an engine or an order to it.
 	engineCallTimeout = time.Second
@@ -530,6 +530,7 @@
 		return
 	}
 	r.nextExpiry = now.Add(expiryInterval)
+	r.partial.expire(now)
 	ids := r.o.Submissions.Expired(now, r.o.KeepResults+retentionMargin)
 	if len(ids) == 0 {
 		return
