--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -113,3 +113,13 @@
 	code, _, _ = run(t, "--control", up, "--settings", file, "show")
 	is.Equal(code, ExitOK)
 }
+
+// Guards against stand-in flags that are accepted and have no effect.
+func TestStandinsTakeNoNameThatTheyDoNotUse(t *testing.T) {
+	for _, kind := range []string{"engine", "scorer"} {
+		is := is.New(t)
+		code, _, errOut := run(t, "standin", kind, "--name", "x", "--listen", "127.0.0.1:-1")
+		is.Equal(code, ExitUsage)
+		is.True(strings.Contains(errOut, "name"))
+	}
+}
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -73,7 +73,6 @@
 func (e *env) standinEngine(errOut io.Writer) *ffcli.Command {
 	c := e.standinCommand("engine", "a model engine", errOut)
 	var o standin.EngineOptions
-	c.FlagSet.StringVar(&o.Name, "name", "engine", "name of the target")
 	c.FlagSet.IntVar(&o.Slots, "slots", 16, "maximum number of concurrent streams")
 	c.FlagSet.DurationVar(&o.TokenPeriod, "token-period", 5*time.Millisecond, "time between two tokens of a stream that runs alone")
 	c.FlagSet.DurationVar(&o.SwapTime, "swap-time", 200*time.Millisecond, "time that a weight swap takes")
@@ -104,7 +103,6 @@
 
 func (e *env) standinScorer(errOut io.Writer) *ffcli.Command {
 	c := e.standinCommand("scorer", "a scoring service", errOut)
-	_ = c.FlagSet.String("name", "scorer", "ignored; accepted because other stand-ins have this flag")
 	work := c.FlagSet.Duration("work", 5*time.Millisecond, "time that a score takes")
 	address := c.FlagSet.String("listen", "127.0.0.1:8100", "address")
 	record := c.FlagSet.String("record", "", "journal file")
--- a/demo/layout.go
+++ b/demo/layout.go
@@ -226,15 +226,18 @@
 	record := func(name string) string { return filepath.Join(dir, "record", name+".jsonl") }
 	fmt.Fprintf(&b, "store merlinhall standin store --listen %s:%d\n", storeIP, portStore)
 	for _, t := range targets() {
-		fence := ""
+		flags := ""
 		if t.name == "policy-lm-0" || t.name == "audit-lm-0" {
-			fence = " --checks-fence"
+			flags = " --checks-fence"
 		}
 		kind := t.kind
-		if t.poolOrService == scorerName {
+		switch {
+		case t.poolOrService == scorerName:
 			kind = "scorer"
+		case kind == "service":
+			flags = " --name " + t.name // is in its answers
 		}
-		fmt.Fprintf(&b, "%s merlinhall standin %s --name %s --listen %s:%d --record %s%s\n", t.name, kind, t.name, t.ip, portTarget, record(t.name), fence)
+		fmt.Fprintf(&b, "%s merlinhall standin %s --listen %s:%d --record %s%s\n", t.name, kind, t.ip, portTarget, record(t.name), flags)
 	}
 	daemon := func(name string) {
 		fmt.Fprintf(&b, "%s merlinhalld --settings %s\n", name, filepath.Join(dir, "settings", name+".toml"))
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -10,7 +10,6 @@
 
 // EngineOptions configure an Engine. Zero values select the defaults.
 type EngineOptions struct {
-	Name string
 	// Slots is the maximum number of concurrently running streams; default 8.
 	Slots int
 	// TokenPeriod is the time per token at batch size 1; default 5 ms.
