--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -123,3 +123,16 @@
 		is.True(strings.Contains(errOut, "name"))
 	}
 }
+
+// Guards against a wait that ends with "0 of 0 processes" because nobody could be asked.
+func TestWaitThatCannotAskSaysWhy(t *testing.T) {
+	is := is.New(t)
+	up := fakeControl(t, answers{
+		"POST /v1/config": {200, `{"outcome":"accepted","version":2}`},
+		"GET /v1/inforce": {403, `{"outcome":"not_run","error":"the token is not the operator's"}`},
+	})
+	code, _, errOut := run(t, "--control", up, "apply", "--base", "1", "--wait", "1ms", good)
+	is.Equal(code, ExitFailure)
+	is.True(strings.Contains(errOut, "version 2 was accepted"))
+	is.True(strings.Contains(errOut, "the token is not the operator's"))
+}
--- a/cli/config.go
+++ b/cli/config.go
@@ -186,13 +186,16 @@
 
 func (c *client) awaitReceived(ctx context.Context, version uint64, limit time.Duration) error {
 	deadline := time.Now().Add(limit)
-	var state receivedResponse
 	for {
+		var state receivedResponse
 		err := c.get(ctx, "/v1/inforce", url.Values{"version": {strconv.FormatUint(version, 10)}}, &state)
 		if err == nil && state.Subscribers > 0 && state.Holding == state.Subscribers {
 			return nil
 		}
 		if time.Now().After(deadline) {
+			if err != nil {
+				return exitError(ExitFailure, eris.Wrapf(err, "version %d was accepted, but which processes have received it is not known", version))
+			}
 			return exitError(ExitFailure, eris.Errorf("version %d was accepted, but only %d of %d processes have received it after %s", version, state.Holding, state.Subscribers, limit))
 		}
 		if err := sleep(ctx, pollPeriod); err != nil {
