cli: a change of members is sent once

Ruled out: a request id. Changes of members are entries of the replicated log of their own kind, outside the state machine that remembers request ids, and old and new replicas must apply the same; a second change has no effect, it is only its answer that misleads.

Change: the next replica is asked only if nothing was sent or the former one says that it did nothing. Otherwise the outcome is unknown (exit code 5) and the message says where to look; so does that of a replica that does not know the outcome, which named an id under which none is kept.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -136,3 +137,30 @@
 	is.True(strings.Contains(errOut, "version 2 was accepted"))
 	is.True(strings.Contains(errOut, "the token is not the operator's"))
 }
+
+// Guards against a change of members, which has no request id, that is sent again after a
+// lost response and then reported as refused although it was carried out.
+func TestChangeOfMembersIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int32
+	lost := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		received.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(lost.Close)
+	address := strings.TrimPrefix(lost.URL, "http://")
+	refused := fakeControl(t, answers{"POST /v1/members": {409, `{"outcome":"refused","error":"the replica is already a member"}`}})
+	code, _, errOut := run(t, "--control", address+","+refused, "members", "add", "control-4")
+	is.Equal(code, ExitUnknown)
+	is.Equal(received.Load(), int32(1))
+	is.True(strings.Contains(errOut, "merlinhall status"))
+
+	unknown := fakeControl(t, answers{"POST /v1/members": {504, `{"outcome":"unknown","request_id":"r9"}`}})
+	code, _, errOut = run(t, "--control", unknown, "members", "add", "control-4")
+	is.Equal(code, ExitUnknown)
+	is.True(strings.Contains(errOut, "merlinhall status") && !strings.Contains(errOut, "r9")) // no outcome is kept for the id
+
+	// Nobody has received it: the next one is asked.
+	code, _, _ = run(t, "--control", "127.0.0.1:1,"+refused, "members", "add", "control-4")
+	is.Equal(code, ExitConflict)
+}
--- a/cli/client.go
+++ b/cli/client.go
@@ -6,8 +6,10 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -84,15 +86,40 @@
 }
 
 // do sends a request to each control replica in turn until one responds with a status
-// other than 503. A request that changes the configuration or drains a target carries a
-// request id, so that it is safe to repeat it at another replica after a lost response.
+// other than 503. A request that changes something carries a request id, so that it is
+// safe to repeat it at another replica after a lost response; see doOnce for one that does
+// not.
 func (c *client) do(ctx context.Context, method, path string, query url.Values, header http.Header, body []byte) (*response, error) {
+	return c.try(ctx, method, path, query, header, body, func(error) bool { return true })
+}
+
+// doOnce is do for a change without a request id: it asks no further replica once one may
+// have received the request.
+func (c *client) doOnce(ctx context.Context, method, path string, body []byte) (*response, error) {
+	return c.try(ctx, method, path, nil, nil, body, notSent)
+}
+
+// askStatus tells how to learn the outcome of a change without a request id.
+const askStatus = "merlinhall status shows whether it was carried out"
+
+// notSent reports whether an error of a request means that nothing of it was sent.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// try sends a request to each control replica in turn until one responds with a status
+// other than 503, or fails in a way after which it may not be repeated.
+func (c *client) try(ctx context.Context, method, path string, query url.Values, header http.Header, body []byte, repeatable func(error) bool) (*response, error) {
 	var last error
 	for _, address := range c.addresses {
 		r, err := c.send(ctx, address, method, path+"?"+query.Encode(), header, body)
 		if err == nil && r.status != http.StatusServiceUnavailable {
 			return r, nil
 		}
+		if err != nil && !repeatable(err) {
+			return nil, exitError(ExitUnknown, eris.Wrapf(err, "%s may have carried out the change or may still do so; %s", address, askStatus))
+		}
 		if err == nil {
 			err = eris.Errorf("%s: %s", address, r.problem())
 		}
--- a/cli/status.go
+++ b/cli/status.go
@@ -188,10 +188,13 @@
 		if err != nil {
 			return err
 		}
-		r, err := c.do(ctx, http.MethodPost, "/v1/members", nil, nil, body)
+		r, err := c.doOnce(ctx, http.MethodPost, "/v1/members", body)
 		if err != nil {
 			return err
 		}
+		if r.status == http.StatusGatewayTimeout {
+			return exitError(ExitUnknown, eris.New("the outcome of the change is unknown; "+askStatus))
+		}
 		if r.status != http.StatusOK {
 			return exitError(exitCode(r.status), eris.New(r.problem()))
 		}
