--- a/agent/load.go
+++ b/agent/load.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"merlinhall/link"
 	"merlinhall/wire"
 )
@@ -186,11 +188,7 @@
 		a.load.probeFailures = 0
 		a.load.suspect = false
 	}
-	down := a.load.probeFailures >= maxProbeFailures || a.gate.attemptsExhausted
-	if down != a.table.targetDown {
-		a.log.WithError(err).WithField("down", down).Warn("target health changed")
-	}
-	a.table.targetDown = down
+	a.updateTargetDown(err)
 }
 
 // updateVersion passes the version that was read to the order gate and the version
@@ -213,14 +211,23 @@
 	default:
 		a.versions.notify()
 	}
-	a.updateTargetDown()
+	a.updateTargetDown(nil)
 	a.advanceGate()
 }
 
 // updateTargetDown recomputes whether the target is down: because of failed probes,
-// or because maxSwapAttempts weight swaps have failed.
-func (a *Agent) updateTargetDown() {
-	a.table.targetDown = a.load.probeFailures >= maxProbeFailures || a.gate.attemptsExhausted
+// or because maxSwapAttempts weight swaps have failed. probeErr is the error of the last
+// probe, if that is why it is called.
+func (a *Agent) updateTargetDown(probeErr error) {
+	down := a.load.probeFailures >= maxProbeFailures || a.gate.attemptsExhausted
+	if down != a.table.targetDown {
+		log := a.log.WithFields(logrus.Fields{"down": down, "failed_probes": a.load.probeFailures, "failed_swaps": a.gate.swapFailures})
+		if probeErr != nil {
+			log = log.WithError(probeErr)
+		}
+		log.Warn("target health changed")
+	}
+	a.table.targetDown = down
 }
 
 func (a *Agent) updateCache(s *engineState) {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -42,7 +42,7 @@
 	if a.engine != nil {
 		desired, hasDesired := desiredWeights(w, a.route.placement)
 		a.gate.setDesired(w.Index, desired, hasDesired)
-		a.updateTargetDown()
+		a.updateTargetDown(nil)
 	}
 	a.reportChange()
 	a.advanceGate()
@@ -202,7 +202,7 @@
 		a.pollState(gateAction{}) // tokens wait until the served version is known
 		a.log.WithField("version", m.action.version).WithField("result", m.result.String()).Warn("weight swap did not succeed")
 	}
-	a.updateTargetDown()
+	a.updateTargetDown(nil)
 	a.reportChange()
 	a.advanceGate()
 }
