agent, weights: the end of a transfer is logged by its outcome

The engine may load those from the store, so the order goes on.

Change: the line has the outcome: present, failed or too large.

Test: agent.TestTransferOfTooLargeWeightsIsNotCalledPresent, failing before.

--- a/agent/distributor.go
+++ b/agent/distributor.go
@@ -234,9 +234,9 @@
 			d.reader = readStore(d.ctx, d.transport, url, s.Offset, d.post)
 		default:
 			d.closeReader()
-			ok := s.Op != weights.TransferFailed
-			d.log.WithField("version", d.currentFetch.action.version).WithField("present", ok).Debug("weight transfer ended")
-			d.report(fetchEnded{d.currentFetch.action, ok})
+			d.log.WithField("version", d.currentFetch.action.version).WithField("outcome", s.Op.String()).Debug("weight transfer ended")
+			// The engine loads a version that is too large from the store by itself.
+			d.report(fetchEnded{d.currentFetch.action, s.Op != weights.TransferFailed})
 		}
 	}
 	d.answerPending()
--- a/agent/log_test.go
+++ b/agent/log_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/weights"
 	"merlinhall/wire"
 )
 
@@ -44,3 +45,23 @@
 	a.updateTargetDown(nil)
 	is.Equal(strings.Count(out.String(), "down=false"), 1)
 }
+
+// Guards against a line that calls weights present that are too large to be passed on and
+// were not fetched.
+func TestTransferOfTooLargeWeightsIsNotCalledPresent(t *testing.T) {
+	is := is.New(t)
+	log, out := recordedLog()
+	var ended []any
+	d := &distributor{log: log, cache: weights.NewCache(1), report: func(m any) { ended = append(ended, m) }}
+	for _, c := range []struct {
+		op      weights.TransferOp
+		outcome string
+		ok      bool
+	}{{weights.TransferTooLarge, `outcome="too large"`, true}, {weights.TransferFailed, "outcome=failed", false}, {weights.TransferDone, "outcome=present", true}} {
+		out.Reset()
+		d.applySteps([]weights.TransferStep{{Op: c.op}})
+		is.True(strings.Contains(out.String(), c.outcome))
+		is.True(!strings.Contains(out.String(), "present=true"))
+		is.Equal(ended[len(ended)-1], fetchEnded{ok: c.ok}) // an engine may load what is too large
+	}
+}
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -31,6 +31,13 @@
 	TransferTooLarge                       // the version exceeds MaxBytes and is not relayed
 )
 
+var transferOpNames = map[TransferOp]string{
+	TransferAsk: "ask", TransferStore: "store", TransferDone: "present", TransferFailed: "failed", TransferTooLarge: "too large",
+}
+
+// String returns the name of the operation for log lines.
+func (o TransferOp) String() string { return transferOpNames[o] }
+
 // TransferStep is an operation that the caller of a Transfer must perform, or the
 // result of the transfer.
 type TransferStep struct {
