--- a/batch/runner.go
+++ b/batch/runner.go
@@ -48,7 +48,7 @@
 	proposeTimeout = 3 * time.Second
 	// retentionMargin is added to the time for which results must stay readable.
 	retentionMargin = 15 * time.Second
-	// expiryInterval is how often expired submissions are removed.
+	// expiryInterval is how often expired submissions and partial texts are removed.
 	expiryInterval = 5 * time.Second
 	// engineCallTimeout bounds a report of an engine or an order to it.
 	engineCallTimeout = time.Second
@@ -276,6 +276,8 @@
 	if r.leading {
 		r.stop()
 		r.jobs, r.queue = nil, queue{perToken: r.queue.perToken, lengths: r.queue.lengths}
+		r.additions = additions{}
+		r.finishFlush()
 	}
 	r.leading, r.term = m.leading, m.term
 	if !m.leading {
@@ -283,7 +285,7 @@
 		return
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.additions, r.attempts, r.adopted, r.carriers = additions{}, 0, false, nil
+	r.attempts, r.adopted, r.carriers = 0, false, nil
 	r.leadSince = now
 	r.assignedAt = time.Time{}
 	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
@@ -534,6 +536,7 @@
 		return
 	}
 	r.nextExpiry = now.Add(expiryInterval)
+	r.partial.expire(now)
 	ids := r.o.Submissions.Expired(now, r.o.KeepResults+retentionMargin)
 	if len(ids) == 0 {
 		return
