link: a checksum for each frame

What callers would see: a control process whose log differs from the others', and from then on other results, manifests or positions when it leads; or a process that ends by itself at an invariant.

Cause: a frame whose bytes had changed on the way was decoded and handled as sent. Only the 16-bit checksum of TCP stood before that, and it says nothing about changes within a host. Cuts are not affected: a WebSocket message that is not whole is never decoded.

Change: frames after the Hello end with a CRC-32C if both ends say so in their Hello. It begins with the checksums of both Hellos, so a changed Hello is noticed with the first frame. A frame that does not match ends the link, which is dialled again; all users of links recover from that already. Versions before it get frames as before.

--- a/link/link.go
+++ b/link/link.go
@@ -1,6 +1,7 @@
 // Package link connects two processes by a WebSocket that carries wire frames.
 // Both ends send heartbeats, and a connection without a frame for SilenceLimit is
-// closed. This detects connections that the network drops without an error.
+// closed. This detects connections that the network drops without an error. Frames carry a
+// checksum, and one that does not match closes the connection.
 package link
 
 import (
@@ -82,6 +83,7 @@
 	peer   wire.Hello
 	remote string
 	send   chan []byte
+	sums   checksums
 
 	lastRead    atomic.Int64 // Unix nanoseconds
 	lastSent    atomic.Int64 // Unix nanoseconds
@@ -187,6 +189,11 @@
 		}
 		c.received.Add(uint64(len(frame)))
 		c.lastRead.Store(time.Now().UnixNano())
+		frame, err = c.sums.open(frame)
+		if err != nil {
+			c.Close(err)
+			return
+		}
 		m, err := wire.Decode(frame)
 		if err != nil {
 			c.Close(err)
@@ -220,6 +227,7 @@
 func (c *Conn) write(frame []byte) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
+	frame = c.sums.seal(frame)
 	if err := c.ws.Write(ctx, websocket.MessageBinary, frame); err != nil {
 		c.Close(eris.Wrap(err, "link: write"))
 		return false
@@ -286,7 +294,7 @@
 		if err != nil {
 			return
 		}
-		ws.SetReadLimit(wire.MaxFrameBytes)
+		ws.SetReadLimit(wire.MaxFrameBytes + checksumBytes)
 		c, err := handshake(ws, local, r.RemoteAddr)
 		if err != nil {
 			_ = ws.CloseNow()
@@ -308,7 +316,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "link: dial %s", address)
 	}
-	ws.SetReadLimit(wire.MaxFrameBytes)
+	ws.SetReadLimit(wire.MaxFrameBytes + checksumBytes)
 	c, err := handshake(ws, local, address)
 	if err != nil {
 		_ = ws.CloseNow()
@@ -321,18 +329,19 @@
 func handshake(ws *websocket.Conn, local wire.Hello, remote string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	frame, err := wire.Encode(&local)
+	local.Checksums = true
+	sent, err := wire.Encode(&local)
 	if err != nil {
 		return nil, err
 	}
-	if err := ws.Write(ctx, websocket.MessageBinary, frame); err != nil {
+	if err := ws.Write(ctx, websocket.MessageBinary, sent); err != nil {
 		return nil, eris.Wrap(err, "link: send hello")
 	}
-	_, frame, err = ws.Read(ctx)
+	_, received, err := ws.Read(ctx)
 	if err != nil {
 		return nil, eris.Wrap(err, "link: read hello")
 	}
-	m, err := wire.Decode(frame)
+	m, err := wire.Decode(received)
 	if err != nil {
 		return nil, err
 	}
@@ -340,7 +349,9 @@
 	if !ok {
 		return nil, eris.Errorf("link: first message from %s is %T, not a hello", remote, m)
 	}
-	return newConn(ws, local, *hello, remote), nil
+	c := newConn(ws, local, *hello, remote)
+	c.sums = newChecksums(hello.Checksums, sent, received)
+	return c, nil
 }
 
 // NewHTTPClient returns a client for Dial whose connection attempts time out after
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -140,6 +140,9 @@
 	Host string `cbor:"7,keyasint,omitempty"`
 	// Level is the newest level that the sender understands, see Level.
 	Level uint32 `cbor:"8,keyasint,omitempty"`
+	// Checksums is set if the sender knows frames that end with a checksum. The frames
+	// after the Hello have one if both ends do.
+	Checksums bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Level is the level of messages, log commands and snapshots that this program understands.
