--- /dev/null
+++ b/batch/give_up_test.go
@@ -0,0 +1,60 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"merlinhall/carrier"
+	"merlinhall/ledger"
+)
+
+// Guards against an item that is never listed: its reward call gets only errors that are no
+// failed runs, and the time to live of the item, after which it may be given up, has passed.
+func TestItemWithoutAScoreIsGivenUpAfterItsTimeToLive(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 1, []int{600})
+	j.giveUpAt = start.Add(40 * time.Second)
+	r := quietRunner()
+	r.jobs = []*job{j}
+	task := j.tasks["k-0-0"]
+	task.item.Reward = &ledger.Reward{ID: "r"}
+	c := &carrierView{process: "p", runs: make(map[uint64]*run)}
+	r.scoreWhole(task)
+	r.newRun(start, task, c)
+	r.tickTask(start.Add(39*time.Second), task)
+	is.Equal(task.state, taskScoring)
+	r.tickTask(start.Add(41*time.Second), task)
+	is.Equal(task.state, taskRecording)
+}
+
+// Guards against an item that is listed as failed too early while processes are replaced: a
+// carrier of the production version reports any error status but 422 as a failed run, and
+// only the reason says which one it was.
+func TestErrorThatAFormerCarrierCallsAFailedRunIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 1, []int{600})
+	j.sub.MaxAttempts = 1
+	r := quietRunner()
+	r.metrics = newMetrics(prometheus.NewRegistry())
+	r.jobs = []*job{j}
+	task := j.tasks["k-0-0"]
+	c := &carrierView{process: "p", runs: make(map[uint64]*run)}
+	run := r.newRun(start, task, c)
+	task.state, run.reading = taskRunning, true
+	r.handleProgress(start, c, &carrier.Progress{Attempt: run.attempt, State: carrier.Ended, Outcome: carrier.Failed, Reached: true, Reason: "status 504"})
+	is.Equal(task.failures, 0)
+	is.Equal(task.state, taskPending)
+}
+
+// Guards against an engine in trouble that gets runs again too early: an error response of
+// another run ends the longer pause of an engine that sends no events.
+func TestErrorResponseEndsNoLongerPause(t *testing.T) {
+	is := is.New(t)
+	e := testEngine("a", 4, 4)
+	e.pausedUntil = start.Add(pauseSilent)
+	quietRunner(e).updateEngine(start, e, &run{}, runEnd{outcome: carrier.Unfinished, reached: true})
+	is.True(!e.pausedUntil.Before(start.Add(pauseSilent)))
+}
