--- a/batch/give_up_test.go
+++ b/batch/give_up_test.go
@@ -58,3 +58,46 @@
 	quietRunner(e).updateEngine(start, e, &run{}, runEnd{outcome: carrier.Unfinished, reached: true})
 	is.True(!e.pausedUntil.Before(start.Add(pauseSilent)))
 }
+
+// Guards against a leader that counts an error response which does not say that the run has
+// failed, or that has such an item sent again at once, for hundreds of items.
+func TestErrorThatIsNoFailedRunIsNotCountedByTheLeader(t *testing.T) {
+	is := is.New(t)
+	e := testEngine("a", 4, 4)
+	j := testJob("k", start, 1, []int{600})
+	j.sub.MaxAttempts = 1
+	r := quietRunner(e)
+	r.metrics = newMetrics(prometheus.NewRegistry())
+	r.jobs = []*job{j}
+	task := j.tasks["k-0-0"]
+	c := &carrierView{process: "p", runs: make(map[uint64]*run)}
+	now, wait := start, 50*time.Millisecond
+	for range 8 {
+		run := r.newRun(now, task, c)
+		run.engine, run.reading, task.state, task.engine = "a", true, taskRunning, "a"
+		r.handleProgress(now, c, &carrier.Progress{Attempt: run.attempt, State: carrier.Ended, Outcome: carrier.Unfinished, Reached: true})
+		is.Equal(task.state, taskPending)
+		is.Equal(task.failures, 0)
+		is.Equal(task.retryAt.Sub(now), wait)
+		is.True(e.pausedUntil.After(now))
+		now, wait = task.retryAt, min(2*wait, 1600*time.Millisecond)
+	}
+}
+
+// Guards against a reward call that is given up too early: the carrier must know how often the
+// submission's route lets it fail.
+func TestStartNamesTheFailuresThatAreAllowed(t *testing.T) {
+	is := is.New(t)
+	j := testJob("k", start, 1, []int{600})
+	j.sub.MaxAttempts = 3
+	r := quietRunner()
+	r.adopted, r.jobs = true, []*job{j}
+	c := &carrierView{process: "p", synced: true, reportedAt: start, runs: make(map[uint64]*run)}
+	r.carriers = []*carrierView{c}
+	task := j.tasks["k-0-0"]
+	task.item.Reward = &ledger.Reward{ID: "r"}
+	r.scoreWhole(task)
+	r.tickTask(start, task)
+	is.Equal(len(c.orders.Starts), 1)
+	is.Equal(c.orders.Starts[0].MaxFailures, 3)
+}
--- a/carrier/reward_retry_test.go
+++ b/carrier/reward_retry_test.go
@@ -43,8 +43,8 @@
 		c.decidedAt.Store(int64(*clock))
 		c.tick(*clock)
 	}
+	t.Logf("%d calls", u.calls)
 	is.Equal(r.state, Scoring)
 	is.True(u.calls >= 5)
 	is.True(u.calls <= 15) // in 10 s, of one text
-	t.Log("calls", u.calls)
 }
