carrier, batch: failed runs that a former carrier reports are not taken on its word

The leader counts what carriers report, and their outcome has the same name in both versions.

Change: a carrier says how many failed runs are behind its report. Without that a failed run of an engine counts only if its reason names status 500, which is the text of former versions; a reward call that was given up is made again, by any carrier.

--- a/batch/give_up_test.go
+++ b/batch/give_up_test.go
@@ -11,23 +11,28 @@
 	"merlinhall/ledger"
 )
 
-// Guards against an item that is never listed: its reward call gets only errors that are no
-// failed runs, and the time to live of the item, after which it may be given up, has passed.
-func TestItemWithoutAScoreIsGivenUpAfterItsTimeToLive(t *testing.T) {
+// Guards against a trainer that waits for an item until it closes its submission: an item
+// whose text is whole but whose reward call gets no score is given up at its time to live,
+// as one that no engine takes, and not before.
+func TestItemWithoutAScoreIsGivenUpAtItsTimeToLive(t *testing.T) {
 	is := is.New(t)
-	j := testJob("k", start, 1, []int{600})
-	j.giveUpAt = start.Add(40 * time.Second)
-	r := quietRunner()
-	r.jobs = []*job{j}
-	task := j.tasks["k-0-0"]
-	task.item.Reward = &ledger.Reward{ID: "r"}
-	c := &carrierView{process: "p", runs: make(map[uint64]*run)}
-	r.scoreWhole(task)
-	r.newRun(start, task, c)
-	r.tickTask(start.Add(39*time.Second), task)
-	is.Equal(task.state, taskScoring)
-	r.tickTask(start.Add(41*time.Second), task)
-	is.Equal(task.state, taskRecording)
+	r := testRunner(ledger.NewSubmissions())
+	const ttl = 40 * time.Second
+	sub := &ledger.Submission{ID: "s", Host: "h", MaxAttempts: 3, ItemTTL: ttl}
+	j := newJob(ledger.Open{Submission: sub, Since: start, Remaining: []ledger.Item{{ID: "i", Group: "g", Reward: &ledger.Reward{ID: "w"}}}}, func(string) bool { return false })
+	item := j.tasks["i"]
+	c := testCarrier("a", "z", 0)
+	item.state, item.run = taskScoring, &run{task: item, attempt: 7, carrier: c}
+	c.runs[7] = item.run
+
+	r.tickTask(start.Add(ttl), item)
+	is.Equal(item.state, taskScoring)
+	r.tickTask(start.Add(ttl+time.Millisecond), item)
+	is.Equal(item.state, taskRecording)
+	is.True(item.result.Failed)
+
+	r.finishScore(start.Add(ttl+time.Second), item.run, &carrier.Progress{Attempt: 7, State: carrier.Ended, Outcome: carrier.Complete, Score: "late"})
+	is.True(item.result.Failed) // its result is on its way to the ledger
 }
 
 // Guards against an item that is listed as failed too early while processes are replaced: a
@@ -49,6 +54,29 @@
 	is.Equal(task.state, taskPending)
 }
 
+// Guards against the same for reward calls: a carrier of the production version gives up after
+// answers of 504 too, and nothing in its report tells.
+func TestRewardCallThatAFormerCarrierGivesUpIsMadeAgain(t *testing.T) {
+	is := is.New(t)
+	r := quietRunner()
+	j := testJob("k", start, 1, []int{600})
+	r.jobs = []*job{j}
+	task := j.tasks["k-0-0"]
+	task.item.Reward = &ledger.Reward{ID: "r"}
+	c := &carrierView{process: "p", runs: make(map[uint64]*run)}
+	ended := carrier.Progress{State: carrier.Ended, Outcome: carrier.Complete, RewardFailed: true}
+	r.scoreWhole(task)
+	ended.Attempt = r.newRun(start, task, c).attempt
+	r.handleProgress(start, c, &ended)
+	is.Equal(task.state, taskScoring)
+	is.Equal(task.run, nil) // the next tick has it scored
+
+	ended.Attempt, ended.Failures = r.newRun(start, task, c).attempt, 4
+	r.handleProgress(start, c, &ended)
+	is.Equal(task.state, taskRecording)
+	is.True(task.result.Failed)
+}
+
 // Guards against an engine in trouble that gets runs again too early: an error response of
 // another run ends the longer pause of an engine that sends no events.
 func TestErrorResponseEndsNoLongerPause(t *testing.T) {
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -113,6 +113,10 @@
 	})
 }
 
+// formerFailedRun is the reason with which carriers of eca7a40 and before report a failed run;
+// they call other errors failed too, with their status in its place.
+const formerFailedRun = "status 500"
+
 // handleProgress takes what a carrier reports of an attempt.
 func (r *Runner) handleProgress(now time.Time, c *carrierView, p *carrier.Progress) {
 	run := c.runs[p.Attempt]
@@ -150,7 +154,11 @@
 			r.finishScore(now, run, p)
 			return
 		}
-		r.endRun(now, run, runEnd{p.Outcome, p.Reached, p.Reason})
+		end := runEnd{p.Outcome, p.Reached, p.Reason}
+		if end.outcome == carrier.Failed && p.Failures == 0 && p.Reason != formerFailedRun {
+			end.outcome = carrier.Unfinished
+		}
+		r.endRun(now, run, end)
 	}
 }
 
@@ -241,7 +249,7 @@
 		return // its result is being recorded; the carrier keeps the text until it is
 	}
 	switch {
-	case p.RewardFailed:
+	case p.RewardFailed && p.Failures > 0:
 		r.giveUp(now, t, "the reward call failed too often")
 	case p.Score != "" || t.item.Reward == nil:
 		r.log.WithFields(logrus.Fields{
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -126,6 +126,9 @@
 	Score   string  `cbor:"11,keyasint,omitempty"`
 	// RewardFailed is set when the reward call failed as often as its route allows.
 	RewardFailed bool `cbor:"12,keyasint,omitempty"`
+	// Failures is the number of failed runs behind the outcome "failed" or RewardFailed.
+	// Carriers of former versions do not set it, and count other errors too.
+	Failures int `cbor:"15,keyasint,omitempty"`
 
 	// Identity is set in inventories.
 	Identity *Identity `cbor:"13,keyasint,omitempty"`
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -140,6 +140,12 @@
 	}
 	if r.state == Ended {
 		p.Outcome, p.Reached, p.Score, p.RewardFailed, p.Reason = r.end.Outcome, r.end.Reached, r.score, r.rewardFailed, r.why
+		switch {
+		case r.rewardFailed:
+			p.Failures = r.rewardFailures
+		case r.end.Outcome == Failed:
+			p.Failures = 1
+		}
 		if r.end.Err != nil && p.Reason == "" {
 			p.Reason = r.end.Err.Error()
 		}
