carrier: the end of a run is taken from whole responses of the protocol only

What callers would see: a text listed as completed that no engine has made, or an item given up for good, by bytes that are no answer.

A text was told by status 200 alone, so an empty 200 without id or signature was a complete text; a 422 with a content encoding counted as a rejection for good; a 500 whose body broke off, or had no end, as a failed run. And the rest of an error body beyond 64 KB stayed on a connection that went back to the pool.

Change: the verdict of the protocol decides about all statuses, and an outcome other than a refusal needs the whole body, of at most 64 KB. A stream's rest that is no stream is unfinished, not a failed run: the log called a 200 counted.

--- a/carrier/reader.go
+++ b/carrier/reader.go
@@ -66,14 +66,16 @@
 		return end
 	}
 	end := ReadEnd{Reached: true}
+	verdict := p.Verdict(response.StatusCode, response.Header)
 	version := p.Version(response.Header)
-	if version != 0 {
+	if version != 0 && verdict != forward.Malformed {
 		out.VersionChanged(version)
 	}
-	if response.StatusCode != http.StatusOK {
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxFailureBodyBytes))
-		response.Close(err == nil)
-		end.Outcome = failureOf(p, response)
+	if response.StatusCode != http.StatusOK || verdict != forward.Answered {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxFailureBodyBytes+1))
+		whole := err == nil && n <= maxFailureBodyBytes
+		response.Close(whole)
+		end.Outcome = failureOf(verdict, response, whole)
 		end.Err = eris.Errorf("status %d", response.StatusCode)
 		end.Error = forward.AttemptEnd{
 			Target: to.ID, Outcome: string(end.Outcome), Status: response.StatusCode, Took: time.Since(began), Origin: response.Origin,
@@ -100,18 +102,19 @@
 // connection can be reused.
 const maxFailureBodyBytes = 64 << 10
 
-func failureOf(p Protocol, response *upstream.Response) Outcome {
-	verdict := p.Verdict(response.StatusCode, response.Header)
+// failureOf returns the outcome of a run whose response has no text. Whether the run has
+// failed, or never can succeed, is only taken from a whole response that names it.
+func failureOf(verdict forward.Verdict, response *upstream.Response, whole bool) Outcome {
 	switch {
 	case verdict == forward.NotRun:
 		return NotRun
 	case verdict == forward.Misdirected:
 		return Misdirected
-	case !response.Named:
+	case !whole || !response.Named:
 		return Unfinished
 	case verdict == forward.FailedRun:
 		return Failed
-	case response.StatusCode == http.StatusUnprocessableEntity:
+	case verdict == forward.Answered && response.StatusCode == http.StatusUnprocessableEntity:
 		return Impossible
 	}
 	return Unfinished
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -163,7 +163,7 @@
 		}
 		a.setResponse(verdict, response, body)
 		if s.begun && a.err == nil && verdict == Answered {
-			a.verdict = FailedRun // the request was for the rest of a stream
+			a.verdict = Unfinished // the request was for the rest of a stream
 		}
 		return nil
 	}
