--- a/agent/engine.go
+++ b/agent/engine.go
@@ -320,6 +320,8 @@
 		return orderDone
 	case http.StatusConflict:
 		return orderStale
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return orderUnknown // what is before the engine does not know what became of it
 	}
 	return orderFailed
 }
