batch: an error response ends no longer pause of an engine

What callers would see: items sent again to an engine that sends no events.

Cause: each reason for a pause set its end, so a refusal (0.1 s) of another run cut the 2 s of an engine that had been silent; unfinished runs had joined the refusals. And the waits of an item grew with all its unfinished runs instead of those in a row.

Change: a pause only ever gets longer; the waits begin again after another outcome.

--- a/batch/orders.go
+++ b/batch/orders.go
@@ -56,7 +56,7 @@
 		if now.Sub(e.load.orderedAt) > e.load.timeout() {
 			r.log.WithFields(logrus.Fields{"engine": e.id, "model": e.load.model, "version": e.load.version}).Warn("load timed out; ordering it again")
 			e.load = nil
-			e.pausedUntil = now.Add(pauseBroken)
+			e.pause(now, pauseBroken)
 			continue
 		}
 		if e.load.accepted && !now.Before(e.load.pollAt) {
@@ -195,7 +195,7 @@
 		e.load = nil
 	default:
 		e.load = nil
-		e.pausedUntil = now.Add(pauseBroken)
+		e.pause(now, pauseBroken)
 	}
 }
 
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -39,6 +39,13 @@
 	draining         bool
 }
 
+// pause keeps new runs off the engine for at least the given time.
+func (e *engine) pause(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+}
+
 // freeSlots returns the number of runs that may start on the engine now.
 func (e *engine) freeSlots(now time.Time) int {
 	if e.draining || now.Before(e.pausedUntil) {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -492,7 +492,7 @@
 	case taskRunning:
 		if limit := r.silenceLimitOf(now, t); t.run != nil && !t.cancelled() && t.run.idle(now) > limit {
 			if e := r.engine(t.engine); e != nil {
-				e.pausedUntil = now.Add(pauseSilent)
+				e.pause(now, pauseSilent)
 			}
 			r.cancelRun(t, "the engine sends no events")
 			t.group.unassign(t.engine)
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -275,6 +275,9 @@
 	if !reading || t.state != taskRunning {
 		return // a complete text is scored by another carrier
 	}
+	if end.outcome != carrier.Unfinished {
+		t.unfinished = 0
+	}
 	switch end.outcome {
 	case carrier.Impossible:
 		r.giveUp(now, t, "the engine rejected it and a retry cannot succeed")
@@ -320,18 +323,18 @@
 	case carrier.NotRun:
 		if !end.reached {
 			e.connectFailures++
-			e.pausedUntil = now.Add(min(pauseUnreached<<min(e.connectFailures-1, 8), maxPauseUnreached))
+			e.pause(now, min(pauseUnreached<<min(e.connectFailures-1, 8), maxPauseUnreached))
 			return
 		}
-		e.pausedUntil = now.Add(pauseRefused)
+		e.pause(now, pauseRefused)
 	case carrier.Unfinished:
-		e.pausedUntil = now.Add(pauseRefused)
+		e.pause(now, pauseRefused)
 	case carrier.Misdirected, carrier.VersionNotAllowed:
-		e.pausedUntil = now.Add(pauseBroken)
+		e.pause(now, pauseBroken)
 		r.requestReport(now, e)
 	case carrier.Broken:
 		if run.cancelReason == "" {
-			e.pausedUntil = now.Add(pauseBroken)
+			e.pause(now, pauseBroken)
 		}
 	}
 }
--- a/batch/task.go
+++ b/batch/task.go
@@ -39,7 +39,7 @@
 	text           text
 	whole          bool // the text is complete
 	failures       int  // runs of which an engine said that they have failed
-	unfinished     int  // runs that ended with another error
+	unfinished     int  // runs in a row that ended with another error
 	moves          int  // runs that were moved off a slow engine
 	runs           int
 	firstRunAt     time.Time
