batch: a load ends when the engine's report shows that it did not accept the order

Cause: reports were compared with the version only, not with the number of orders.

Evidence: TestLoadEndsIfTheEngineHasNotAcceptedItsOrder; before, the load went on.

The old order may still arrive: its precondition does not hold any more once the new one is accepted.

--- a/batch/loads.go
+++ b/batch/loads.go
@@ -32,8 +32,17 @@
 	version    uint64
 	orderedAt  time.Time
 	pollAt     time.Time
-	accepted   bool // the engine has accepted the order
 	drainsRuns bool // the engine finishes its runs before it loads
+	accepted   bool // the order was answered as accepted, or its outcome is unknown
+	answeredAt time.Time
+	// ordersBefore is the number of orders that the engine had accepted before this one.
+	ordersBefore uint64
+}
+
+// missed reports whether an engine that is not busy has not accepted the order by its report.
+// The order may still arrive, and is refused then if it was sent again.
+func (l *load) missed(requestedAt time.Time, orders uint64) bool {
+	return l.accepted && requestedAt.Sub(l.answeredAt) >= reportMaxAge && orders <= l.ordersBefore
 }
 
 // timeout returns the time after which the load is abandoned.
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -13,9 +13,10 @@
 
 // reportEnd is the outcome of a report request.
 type reportEnd struct {
-	engine *engine
-	report Report
-	err    error
+	engine      *engine
+	requestedAt time.Time
+	report      Report
+	err         error
 }
 
 // orderEnd is the outcome of a load order.
@@ -42,7 +43,7 @@
 		if failure := r.guard.Run(logrus.Fields{"engine": to.ID}, func() { report, err = r.o.Protocol.Report(ctx, to) }); failure != nil {
 			err = failure
 		}
-		r.deliver(leadCtx, reportEnd{e, report, err})
+		r.deliver(leadCtx, reportEnd{e, now, report, err})
 	})
 }
 
@@ -184,7 +185,7 @@
 	}
 	switch m.answer {
 	case LoadAccepted, LoadUnknown:
-		e.load.accepted = true
+		e.load.accepted, e.load.answeredAt, e.load.ordersBefore = true, now, m.orders
 		e.load.pollAt = now.Add(expectedLoadTime + reportMaxAge)
 	case LoadUpToDate:
 		e.versions[m.load.model] = m.load.version
@@ -214,6 +215,10 @@
 	}
 	e.versionsReportedAt = now
 	r.finishLoad(now, e)
+	if e.load != nil && e.load.missed(m.requestedAt, m.report.Orders) {
+		r.log.WithFields(logrus.Fields{"engine": e.id, "model": e.load.model, "version": e.load.version, "orders": m.report.Orders}).Warn("engine has not accepted the order; ordering it again")
+		e.load = nil
+	}
 }
 
 // versionSeen reports a weight version that an engine named during a run.
--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/carrier"
@@ -39,6 +40,35 @@
 	is.Equal(e.versions["m"], uint64(5))
 }
 
+// The answer "accepted" may be that to an earlier order, and an order without an answer may be
+// lost. An engine that finishes its runs first would get no new ones until the load has timed
+// out, 20 s later.
+func TestLoadEndsIfTheEngineHasNotAcceptedItsOrder(t *testing.T) {
+	answered := start.Add(100 * time.Millisecond)
+	for _, c := range []struct {
+		name      string
+		requested time.Time
+		report    Report
+		ended     bool
+	}{
+		{"not accepted", answered.Add(reportMaxAge), Report{Orders: 4}, true},
+		{"accepted", answered.Add(reportMaxAge), Report{Orders: 5}, false},
+		{"busy", answered.Add(reportMaxAge), Report{Orders: 4, Busy: true}, false},
+		{"as of the time before the answer", answered.Add(reportMaxAge - 1), Report{Orders: 4}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine("a", 4, 4)
+			e.load = &load{model: "m", version: 5, orderedAt: start, drainsRuns: true}
+			r := quietRunner(e)
+			r.metrics = newMetrics(prometheus.NewRegistry())
+			r.handleOrderEnd(answered, orderEnd{e, e.load, LoadAccepted, 4})
+			r.handleReportEnd(c.requested.Add(time.Millisecond), reportEnd{engine: e, requestedAt: c.requested, report: c.report})
+			is.Equal(e.load == nil, c.ended)
+		})
+	}
+}
+
 func TestUnansweredOrderIsNotTakenForAFinishedLoad(t *testing.T) {
 	is := is.New(t)
 	e := testEngine("a", 4, 5)
