--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -40,6 +40,35 @@
 	is.Equal(e.versions["m"], uint64(5))
 }
 
+// A second response to an earlier report shows an older version. Until something shows the
+// right one, requests that expect the older one are refused; that must end by itself.
+func TestOutdatedReportIsCorrected(t *testing.T) {
+	for name, correct := range map[string]func(r *Runner, e *engine, now time.Time){
+		"by a run": func(r *Runner, e *engine, now time.Time) {
+			r.handleVersionSeen(now, versionSeen{e, e.startedMs, "m", 5})
+		},
+		"by another report": func(r *Runner, e *engine, now time.Time) {
+			r.handleReportEnd(now, reportEnd{engine: e, report: Report{Versions: map[string]uint64{"m": 5}}})
+		},
+		"by an order": func(r *Runner, e *engine, now time.Time) {
+			e.load = &load{model: "m", version: 5, orderedAt: now}
+			r.handleOrderEnd(now, orderEnd{e, e.load, LoadUpToDate, 1})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := testEngine("a", 4, 5)
+			r := quietRunner(e)
+			r.metrics = newMetrics(prometheus.NewRegistry())
+			r.handleReportEnd(start, reportEnd{engine: e, report: Report{Versions: map[string]uint64{"m": 4}}})
+			is.Equal(e.versions["m"], uint64(4))
+			correct(r, e, start.Add(time.Second))
+			is.Equal(e.versions["m"], uint64(5))
+			is.Equal(e.load, nil)
+		})
+	}
+}
+
 // The answer "accepted" may be that to an earlier order, and an order without an answer may be
 // lost. An engine that finishes its runs first would get no new ones until the load has timed
 // out, 20 s later.
