upstream: a request without an id goes over a new connection

What callers would see: for a request without an id, a second copy without an id of an earlier response on the connection passed as its answer. On the users' platform targets run no such request, but their 400 could become another request's 503 or 500.

Evidence: TestRequestWithoutIDUsesANewConnection; before: 503 of the copy.

Change: such a request always opens a connection, which nothing else can answer on.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -213,9 +213,10 @@
 
 // acquire returns an idle connection or a new one. A request never goes over a connection
 // that has carried its id before: the target may send a second response to the earlier
-// request at any later time, which could not be told from the response to the repetition.
+// request at any later time, which could not be told from the response to the repetition. A
+// request without an id always gets a new one.
 func (p *Pool) acquire(ctx context.Context, to Address, r *Request, id uint64) (*conn, error) {
-	if !r.NewConn {
+	if !r.NewConn && r.ID != "" {
 		if c := p.pop(to, id, time.Now()); c != nil {
 			p.Reused()
 			return c, nil
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -297,6 +297,25 @@
 	is.Equal(len(accepted), 2)
 }
 
+// A request without an id cannot be told from others by its response, so no connection with
+// earlier requests may carry it.
+func TestRequestWithoutIDUsesANewConnection(t *testing.T) {
+	is := is.New(t)
+	to, accepted := serve(t, func(w io.Writer, r *http.Request, n int) bool {
+		if r.Header.Get("Id") == "" && n > 0 {
+			write(w, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\ncopy")
+		}
+		return write(w, "HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\nId: "+r.Header.Get("Id")+"\r\n\r\nmine")
+	})
+	p := newTestPool()
+	_, _, err := p.Do(t.Context(), to, post("a"))
+	is.NoErr(err)
+	response, _, err := p.Do(t.Context(), to, post(""))
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 400)
+	is.Equal(len(accepted), 2)
+}
+
 // A target sends a second copy of its response, whole or in part, with or without the
 // request's id, in the same segment, a moment later, or as the next response is due. No
 // request may get it, and the next request must not fail because of one that had arrived
