propagate: a reply answers its call only over the connection of the call

What it would do: of two connections of a process, a reply over one answered the call with the same number over the other. No way to that is known: numbers are unique to one run of a process, one set of them serves all its connections, a reply goes back over the connection of its call, and calls of a lost connection end with an unknown outcome.

Evidence: TestReplyOverAnotherConnectionIsNoAnswer; before, the other call's reply was taken. TestRepeatedAndLateRepliesAnswerNoOtherCall, which passed before, shows that second and late replies answer no other call.

Change: the connection is compared as well, so that this no longer rests on how other processes number their calls.

--- a/control/control.go
+++ b/control/control.go
@@ -322,7 +322,7 @@
 	case *wire.Subscribe, *wire.VersionReport:
 		c.parent.Receive(peer, m)
 	case *wire.Reply:
-		c.calls.Answer(m)
+		c.calls.Answer(peer, m)
 	case *wire.Call:
 		c.receiveCall(peer, m)
 	case *wire.ReplicaVersionReport:
--- a/hub/client.go
+++ b/hub/client.go
@@ -128,7 +128,7 @@
 }
 
 // Message implements link.Events.
-func (c *Client) Message(_ *link.Conn, m wire.Message) {
+func (c *Client) Message(conn *link.Conn, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.RouteUpdate:
 		c.applyManifest(m)
@@ -139,7 +139,7 @@
 	case *wire.MembershipUpdate:
 		c.applyGroup(m)
 	case *wire.Reply:
-		c.calls.Answer(m)
+		c.calls.Answer(conn, m)
 	}
 }
 
--- a/propagate/calls.go
+++ b/propagate/calls.go
@@ -38,19 +38,21 @@
 // NewCalls returns an empty Calls.
 func NewCalls() *Calls { return &Calls{pending: make(map[string]pendingCall)} }
 
-// Answer passes a reply to the caller that waits for it, if any.
-func (c *Calls) Answer(reply *wire.Reply) {
-	if p, ok := c.remove(reply.ID); ok {
-		p.reply <- reply
+// Answer passes a reply that came from peer to the caller that waits for it. A reply over
+// another connection than its call is ignored: ids are unique to one run of a process.
+func (c *Calls) Answer(peer Peer, reply *wire.Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.pending[reply.ID]; ok && p.peer == peer {
+		delete(c.pending, reply.ID)
+		p.reply <- reply // the only one, so it does not block
 	}
 }
 
-func (c *Calls) remove(id string) (pendingCall, bool) {
+func (c *Calls) remove(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, ok := c.pending[id]
 	delete(c.pending, id)
-	return p, ok
 }
 
 // Lost ends the pending calls sent to peer with an unknown outcome.
--- a/propagate/follower.go
+++ b/propagate/follower.go
@@ -185,7 +185,7 @@
 // Receive handles a message from a candidate.
 func (f *Follower) Receive(peer Peer, m wire.Message) {
 	if reply, ok := m.(*wire.Reply); ok {
-		f.calls.Answer(reply)
+		f.calls.Answer(peer, reply)
 		return
 	}
 	if f.actor.Offer(peerMessage{peer: peer, message: m}) == actor.ErrFull {
