batch: test that a failure counts once, however often it is reported

The end of a failed run in a report, again on the same link, in the inventory over the next one, late over a former link, and of a former term. Only the first one that is of the leader's term and the carrier's current link counts. It passed as it was: no fault.

--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -103,6 +103,52 @@
 	is.Equal(c.orders.Cancels, []uint64{7})
 }
 
+// The end of a failed run is reported again, in the inventory over the next link, or it comes
+// late, over a former link or of a former term. Each of them would bring the item nearer to
+// being given up.
+func TestFailureOfARunCountsOnceHoweverOftenItIsReported(t *testing.T) {
+	is := is.New(t)
+	r := quietRunner(testEngine("e", 4, 4))
+	r.metrics = newMetrics(prometheus.NewRegistry())
+	r.term = 3
+	j := testJob("k", start, 1, []int{600})
+	j.sub.MaxAttempts = 5
+	r.jobs = []*job{j}
+	task := j.tasks["k-0-0"]
+	link, former := &sentOrders{}, &sentOrders{}
+	c := testCarrier("c", "z", 0)
+	c.link = link
+	r.carriers = []*carrierView{c}
+	begin := func(attempt uint64) {
+		task.run = &run{task: task, attempt: attempt, carrier: c, engine: "e", reading: true}
+		task.state, task.engine = taskRunning, "e"
+		c.runs[attempt] = task.run
+	}
+	report := func(from carrier.Sender, term, attempt uint64, inventory bool) {
+		p := carrier.Progress{
+			Attempt: attempt, State: carrier.Ended, Outcome: carrier.Failed, Reached: true,
+			Identity: &carrier.Identity{Submission: "k", Item: "k-0-0", Engine: "e"},
+		}
+		r.handleReport(start, reportMessage{from, &carrier.Report{Term: term, Inventory: inventory, Runs: []carrier.Progress{p}}})
+	}
+	begin(7)
+	report(former, 3, 7, false)
+	report(link, 2, 7, false)
+	is.Equal(task.failures, 0)
+	report(link, 3, 7, false)
+	is.Equal(task.failures, 1)
+	report(link, 3, 7, false)
+	report(link, 3, 7, true)
+	is.Equal(task.failures, 1)
+	begin(8)
+	report(link, 3, 7, false) // while the next run is in progress
+	report(link, 3, 7, true)
+	is.Equal(task.failures, 1)
+	begin(8) // the inventory without it showed that the carrier had lost it
+	report(link, 3, 8, false)
+	is.Equal(task.failures, 2)
+}
+
 // Two attempts go on after the same event, and the ledger gets the part of the one that was
 // given up: with equal numbers of events it must not pass for the part of the other.
 func TestTextsOfTwoAttemptsAreNotJoined(t *testing.T) {
