agent, weights: an answer to an earlier swap query does not count for the next version

What operators would see: two replicas of a lane swap their weights at the same time, so that a pool of two serves nothing for that time.

Cause: agents ask each other in numbered rounds whether a swap is claimed, and each new version began at round 1 again, over the same links. If a version is superseded while the others are asked, a late answer to round 1 of the old one passed as that to round 1 of the new one; it may be older than another replica's claim.

Change: rounds go on from those of the agent's last query. Messages are as before.

--- a/agent/distributor.go
+++ b/agent/distributor.go
@@ -86,7 +86,8 @@
 
 	turn        *weights.SwapLock
 	turnAction  gateAction
-	swapStarted bool // a turn was granted and has not been released
+	lastRound   uint64 // of the last query to others about a swap
+	swapStarted bool   // a turn was granted and has not been released
 	status      swapStatus
 	tickAlarm   *actor.Alarm // of the next tick
 }
@@ -165,7 +166,7 @@
 	case fetchRequest:
 		d.startFetch(m)
 	case turnRequest:
-		d.turn = weights.NewSwapLock(m.plan, d.target, now())
+		d.turn = weights.NewSwapLock(m.plan, d.target, now(), d.lastRound)
 		d.turnAction = m.action
 		d.stepTurn()
 	case turnReleased:
@@ -311,6 +312,9 @@
 		return
 	}
 	step := d.turn.Step(now())
+	if step.Query != nil {
+		d.lastRound = step.Query.Round
+	}
 	for _, m := range step.Ask {
 		if !d.peers.send(m.Agent, step.Query) {
 			d.turn.MarkUnreachable(m.Agent)
--- a/weights/plan_test.go
+++ b/weights/plan_test.go
@@ -139,7 +139,7 @@
 				a.started, a.served = false, 2
 			}
 			if a.lock == nil && !a.started && a.served == 1 && now >= a.joinsAt && !a.down {
-				a.lock = NewSwapLock(NewPlan("p", 2, members), members[i].Target, now)
+				a.lock = NewSwapLock(NewPlan("p", 2, members), members[i].Target, now, 0)
 				a.lock.skipClaim = noClaim
 			}
 			if a.lock != nil {
@@ -248,7 +248,7 @@
 	is.Equal(tr.Part(0, parent, 0, []byte("x"), -5, "d")[0].Op, TransferStore)
 	is.Equal(len(tr.Part(0, parent, 0, []byte("x"), 1, "d")), 0) // late part from the former source
 
-	lock := NewSwapLock(NewPlan("p", 2, pool(2, 1)), "t0", 0)
+	lock := NewSwapLock(NewPlan("p", 2, pool(2, 1)), "t0", 0, 0)
 	round := lock.Step(0).Query.Round
 	lock.Answer(&wire.SwapState{Pool: "p", Target: "stranger", Round: round, Served: 9})
 	is.True(!lock.Step(1).Go)
--- a/weights/swap_lock.go
+++ b/weights/swap_lock.go
@@ -56,10 +56,12 @@
 	Query *wire.SwapQuery // query for these agents
 }
 
-// NewSwapLock returns the swap lock of target for the version of the plan.
-func NewSwapLock(p *Plan, target string, now int64) *SwapLock {
+// NewSwapLock returns the swap lock of target for the version of the plan. Its rounds follow
+// lastRound, that of the agent's last query, so that a late answer to a query of an earlier
+// lock counts in none of them.
+func NewSwapLock(p *Plan, target string, now int64, lastRound uint64) *SwapLock {
 	lane, at := p.Lane(target)
-	return &SwapLock{Plan: p, Target: target, lane: lane, position: at, startedAt: now, nextRoundAt: now}
+	return &SwapLock{Plan: p, Target: target, lane: lane, position: at, round: lastRound, startedAt: now, nextRoundAt: now}
 }
 
 // Claim returns the claim to report to other agents.
