directory: the leader's confirmations count again after an own read

Cause, part 1: a process that has not heard of the leader for 1.5 s reads the platform's list itself. Its view was then no longer the list that the leader confirms, so the confirmations counted no more and it went on reading until the list changed: one read each 1.5 to 2.1 s from each such process. A long list has many pages (50 targets each in the site file), each page is a call, and all processes share the platform's rate. One call over the rate ends a read, the leader's too.

Change: the last list of the leader is kept beside an own read. A confirmation of a later read brings it back. What a former leader sent stays outdated; it was taken after an own read.

Tests, failing before: directory.TestLeaderConfirmsItsListAfterAnOwnRead, TestLaterListOfTheSameLeaderIsShown (age of a view whose read took long). The other tests of the package are unchanged.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -59,12 +59,20 @@
 
 	mu          sync.Mutex
 	confirmedAt time.Time
-	term        uint64
-	sequence    uint64
+	readAt      time.Time // start of the last read of this process itself
+	led         ledList
 	leaving     map[string]leavingTarget // by id
 	listeners   []func(*View)
 }
 
+// ledList is the last list that a control leader sent.
+type ledList struct {
+	term     uint64
+	sequence uint64
+	targets  []wire.TargetEntry
+	inView   bool // the view shows it
+}
+
 // New returns a directory without targets.
 func New() *Directory {
 	d := &Directory{leaving: make(map[string]leavingTarget)}
@@ -101,34 +109,36 @@
 	if readAt.Before(d.confirmedAt) {
 		return false
 	}
-	d.confirmedAt = readAt
-	// The next update from a control leader must contain the full list.
-	d.term, d.sequence = 0, 0
+	d.confirmedAt, d.readAt, d.led.inView = readAt, readAt, false
 	return d.store(readAt, targets)
 }
 
 // ApplyUpdate applies an update from a control leader and ignores one of an older term
 // or list. It returns false if the update refers to a list that this process doesn't
-// have.
+// have. The leader's list replaces one that this process read itself as soon as the leader
+// has read it later, so that the leader's confirmations count again.
 func (d *Directory) ApplyUpdate(now time.Time, u *wire.TargetUpdate) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	switch {
+	case u.Term < d.led.term, u.Term == d.led.term && u.Sequence < d.led.sequence:
+		return true
+	case u.Changed:
+		d.led = ledList{term: u.Term, sequence: u.Sequence, targets: u.Targets}
+	case u.Term != d.led.term || u.Sequence != d.led.sequence:
+		return false
+	}
 	readAt := now.Add(-time.Duration(u.AgeMs) * time.Millisecond)
-	if u.Term < d.term || readAt.Before(d.confirmedAt) && d.term == 0 {
+	if readAt.Before(d.readAt) {
 		return true
 	}
-	if !u.Changed {
-		if u.Term != d.term || u.Sequence != d.sequence {
-			return false
-		}
+	if readAt.After(d.confirmedAt) {
 		d.confirmedAt = readAt
-		return true
 	}
-	if u.Term == d.term && u.Sequence < d.sequence {
-		return true
+	if !d.led.inView {
+		d.led.inView = true
+		d.store(now, d.led.targets)
 	}
-	d.confirmedAt, d.term, d.sequence = readAt, u.Term, u.Sequence
-	d.store(now, u.Targets)
 	return true
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -77,6 +77,39 @@
 	is.Equal(ids(d), []string{"c"})
 }
 
+// Guards against a process that reads the list for good after it has read it once: its
+// calls use up the platform's rate, and the leader's reads fail for it.
+func TestLeaderConfirmsItsListAfterAnOwnRead(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	is.True(d.ApplyUpdate(now, &wire.TargetUpdate{Term: 2, Sequence: 3, Changed: true, Targets: entries("a")}))
+	at := now.Add(2 * time.Second)
+	is.True(d.Replace(at, entries("b")))
+	// A confirmation of a read before the own one does not count.
+	is.True(d.ApplyUpdate(at.Add(100*time.Millisecond), &wire.TargetUpdate{Term: 2, Sequence: 3, AgeMs: 300}))
+	is.Equal(ids(d), []string{"b"})
+	is.Equal(d.Age(at.Add(time.Second)), time.Second)
+	at = at.Add(time.Second)
+	is.True(d.ApplyUpdate(at, &wire.TargetUpdate{Term: 2, Sequence: 3, AgeMs: 300}))
+	is.Equal(ids(d), []string{"a"})
+	is.Equal(d.Age(at), 300*time.Millisecond)
+	// What a former leader sent before remains outdated.
+	is.True(d.Replace(at.Add(time.Second), entries("b")))
+	is.True(d.ApplyUpdate(at.Add(2*time.Second), &wire.TargetUpdate{Term: 1, Sequence: 9, Changed: true, Targets: entries("old")}))
+	is.Equal(ids(d), []string{"b"})
+}
+
+// Guards against a new view that is held back because the read of it took longer than the
+// one before.
+func TestLaterListOfTheSameLeaderIsShown(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	is.True(d.ApplyUpdate(now, &wire.TargetUpdate{Term: 2, Sequence: 3, Changed: true, Targets: entries("a")}))
+	is.True(d.ApplyUpdate(now.Add(500*time.Millisecond), &wire.TargetUpdate{Term: 2, Sequence: 4, Changed: true, Targets: entries("b"), AgeMs: 900}))
+	is.Equal(ids(d), []string{"b"})
+	is.Equal(d.Age(now.Add(500*time.Millisecond)), 500*time.Millisecond)
+}
+
 func TestListenersAreCalledOnChangesOnly(t *testing.T) {
 	is := is.New(t)
 	d := New()
