hub, directory: members of the group read the list while nobody leads

Cause: a control process read the platform's list only while it led. All others had the leader's last list, however old, until a leader had read it again; the entries read it themselves after 1.5 s, each of them all pages, so that the calls of 250 entries took the rate from the new leader, whose read ended at its first refusal. How old a list was when the leader sent it was not said.

Bounds of the steps, leader at work: read each 0.6 s, 0.2 to 1 s a read at 3,003 targets, one message; an order waits up to 1.5 s (a reward call 2 s) on a carrier. Without a leader: none for control processes, and for entries that of the rate: at 50 targets a page and 270 calls a second (site file) 250 reads are 56 s.

Other processes read at 2.2 s, at 1.5 s without a link to a control process, at times that differ, and ever more rarely if that fails. The leader and the members repeat a call that was refused for the rate instead of the whole read. Updates carry the age of the list, and a new leader sends none before it has read one.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -55,14 +55,14 @@
 
 // Directory holds the latest view of a process. It is safe for concurrent use.
 type Directory struct {
-	view atomic.Pointer[View]
+	view        atomic.Pointer[View]
+	confirmedAt atomic.Pointer[time.Time] // nil before the first list; set with mu held
 
-	mu          sync.Mutex
-	confirmedAt time.Time
-	readAt      time.Time // start of the last read of this process itself
-	led         ledList
-	leaving     map[string]leavingTarget // by id
-	listeners   []func(*View)
+	mu        sync.Mutex
+	readAt    time.Time // start of the last read of this process itself
+	led       ledList
+	leaving   map[string]leavingTarget // by id
+	listeners []func(*View)
 }
 
 // ledList is the last list that a control leader sent.
@@ -91,14 +91,20 @@
 }
 
 // Age returns the time since the view was last confirmed. Until the first list has been
-// received it returns one hour.
+// received it returns one hour. It may be called by functions passed to OnChange.
 func (d *Directory) Age(now time.Time) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.confirmedAt.IsZero() {
+	at := d.confirmedAt.Load()
+	if at == nil {
 		return time.Hour
 	}
-	return now.Sub(d.confirmedAt)
+	return now.Sub(*at)
+}
+
+// confirmedAfter reports whether the view was confirmed after the given time. The caller holds
+// d.mu.
+func (d *Directory) confirmedAfter(at time.Time) bool {
+	last := d.confirmedAt.Load()
+	return last != nil && at.Before(*last)
 }
 
 // Replace stores a list that this process itself read at the time readAt. A list
@@ -106,21 +112,64 @@
 func (d *Directory) Replace(readAt time.Time, targets []wire.TargetEntry) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if readAt.Before(d.confirmedAt) {
+	return d.replace(readAt, readAt, targets)
+}
+
+func (d *Directory) replace(now, readAt time.Time, targets []wire.TargetEntry) bool {
+	if d.confirmedAfter(readAt) {
 		return false
 	}
-	d.confirmedAt, d.readAt, d.led.inView = readAt, readAt, false
-	return d.store(readAt, targets)
+	d.confirmedAt.Store(&readAt)
+	d.readAt = readAt
+	changed := d.store(now, targets)
+	d.led.inView = reflect.DeepEqual(d.view.Load().Targets, d.led.targets)
+	return changed
+}
+
+// Relay returns an update with the view for other processes, from one that has read the
+// list in the leader's place. It has no term. If the view is the last list of a leader, the
+// update confirms that list.
+func (d *Directory) Relay(now time.Time) *wire.TargetUpdate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := &wire.TargetUpdate{AgeMs: ageMs(d.Age(now))}
+	if d.led.inView && d.led.term > 0 {
+		u.Term, u.Sequence = d.led.term, d.led.sequence
+		return u
+	}
+	u.Changed, u.Targets = true, d.view.Load().Targets
+	return u
+}
+
+func ageMs(age time.Duration) uint32 {
+	return uint32(min(max(0, age), time.Hour).Milliseconds())
+}
+
+// Update returns an update of the given term and sequence from a process that leads, with
+// the view's age and, if it has changed, the targets.
+func (d *Directory) Update(now time.Time, term, sequence uint64, changed bool, targets []wire.TargetEntry) *wire.TargetUpdate {
+	u := &wire.TargetUpdate{Term: term, Sequence: sequence, Changed: changed, AgeMs: ageMs(d.Age(now))}
+	if changed {
+		u.Targets = targets
+	}
+	return u
 }
 
-// ApplyUpdate applies an update from a control leader and ignores one of an older term
-// or list. It returns false if the update refers to a list that this process doesn't
-// have. The leader's list replaces one that this process read itself as soon as the leader
-// has read it later, so that the leader's confirmations count again.
+// ApplyUpdate applies an update from a control leader, or the list that another process has
+// read in the leader's place. It ignores one of an older term or list. It returns false if
+// the update refers to a list that this process doesn't have. The leader's list replaces one
+// that this process read itself as soon as the leader has read it later, so that the
+// leader's confirmations count again.
 func (d *Directory) ApplyUpdate(now time.Time, u *wire.TargetUpdate) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	readAt := now.Add(-time.Duration(u.AgeMs) * time.Millisecond)
 	switch {
+	case u.Term == 0:
+		if u.Changed {
+			d.replace(now, readAt, u.Targets)
+		}
+		return true
 	case u.Term < d.led.term, u.Term == d.led.term && u.Sequence < d.led.sequence:
 		return true
 	case u.Changed:
@@ -128,12 +177,11 @@
 	case u.Term != d.led.term || u.Sequence != d.led.sequence:
 		return false
 	}
-	readAt := now.Add(-time.Duration(u.AgeMs) * time.Millisecond)
 	if readAt.Before(d.readAt) {
 		return true
 	}
-	if readAt.After(d.confirmedAt) {
-		d.confirmedAt = readAt
+	if !d.confirmedAfter(readAt) {
+		d.confirmedAt.Store(&readAt)
 	}
 	if !d.led.inView {
 		d.led.inView = true
--- a/directory/poller.go
+++ b/directory/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,12 +11,24 @@
 )
 
 const (
-	// pollInterval is the time between two reads of the list. A draining target must
-	// stop receiving new requests within a few seconds, which include the list's own
+	// PollInterval is the time between two reads of the control leader. A draining target
+	// must stop receiving new requests within a few seconds, which include the list's own
 	// lag.
-	pollInterval = 600 * time.Millisecond
+	PollInterval = 600 * time.Millisecond
+	// minPollDelay is the shortest wait of a process that only reads when its view is old.
+	minPollDelay = 50 * time.Millisecond
 	// readTimeout is the timeout of one read.
 	readTimeout = time.Second
+	// patientReadTimeout is the timeout of a read that repeats calls over the platform's
+	// rate. 3,000 targets are 60 calls.
+	patientReadTimeout = 2500 * time.Millisecond
+	// firstListWait is how long a process that has started waits for the leader's list.
+	firstListWait = 500 * time.Millisecond
+	// maxRetryDelay bounds the time between two reads that fail.
+	maxRetryDelay = 2400 * time.Millisecond
+	// spread is the share by which the times of different processes differ at random, so
+	// that not all of them read at once.
+	spread = 0.25
 )
 
 // Lister reads the platform's target list.
@@ -23,18 +36,23 @@
 	List(ctx context.Context) ([]wire.TargetEntry, error)
 }
 
-// Poller reads the target list periodically or on demand. Wait and Read must be
+// Poller reads the target list periodically or on demand. Its methods except Wake must be
 // called from one goroutine.
 type Poller struct {
-	lister     Lister
-	log        *logrus.Entry
-	wake       chan struct{}
-	lastFailed bool // whether the last read failed
+	lister, patient Lister
+	log             *logrus.Entry
+	wake            chan struct{}
+	lastFailed      bool // whether the last read failed
+	startedAt       time.Time
+	retryAt         time.Time // no read of a view that is only old before this time
+	failures        int       // in a row
+	random          float64   // 0 to 1, of this process
 }
 
-// NewPoller returns a poller whose first read is due immediately.
-func NewPoller(l Lister, log *logrus.Entry) *Poller {
-	p := &Poller{lister: l, log: log, wake: make(chan struct{}, 1)}
+// NewPoller returns a poller whose first read is due immediately. The patient lister repeats
+// calls that the platform refused because all processes together made too many.
+func NewPoller(lister, patient Lister, log *logrus.Entry) *Poller {
+	p := &Poller{lister: lister, patient: patient, log: log, wake: make(chan struct{}, 1), startedAt: time.Now(), random: rand.Float64()}
 	p.Wake()
 	return p
 }
@@ -47,9 +65,10 @@
 	}
 }
 
-// Wait blocks until the next read is due. It returns false if ctx ends first.
-func (p *Poller) Wait(ctx context.Context) bool {
-	timer := time.NewTimer(pollInterval)
+// Wait blocks until the next read is due, at the latest after the given time. It returns
+// false if ctx ends first.
+func (p *Poller) Wait(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -60,12 +79,17 @@
 	return true
 }
 
-// Read reads the target list. It logs the first failure in a row and the first
-// success after it.
+// Read reads the target list and repeats calls over the platform's rate.
 func (p *Poller) Read(ctx context.Context) ([]wire.TargetEntry, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	return p.read(ctx, p.patient, patientReadTimeout)
+}
+
+// read reads the target list. It logs the first failure in a row and the first success
+// after it.
+func (p *Poller) read(ctx context.Context, lister Lister, timeout time.Duration) ([]wire.TargetEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	targets, err := p.lister.List(ctx)
+	targets, err := lister.List(ctx)
 	if err != nil && !p.lastFailed {
 		p.log.Warnf("reading the target list failed: %v", err)
 	}
@@ -75,3 +99,65 @@
 	p.lastFailed = err != nil
 	return targets, err
 }
+
+// Reader is how a process that does not lead reads the list.
+type Reader struct {
+	// MaxAge is the age of the view from which the process reads the list itself. Processes
+	// that may read at the same time have different ones.
+	MaxAge time.Duration
+	// Relays is set if the process passes the list on to others. It repeats calls over the
+	// platform's rate, as the leader does.
+	Relays bool
+}
+
+// dueIn returns the time until a process whose view has the given age may read the list, 0
+// or less if it may now.
+func (p *Poller) dueIn(now time.Time, age time.Duration, r Reader) time.Duration {
+	maxAge := r.MaxAge
+	if !r.Relays {
+		maxAge += time.Duration(p.random * spread * float64(maxAge))
+	}
+	due := now.Add(maxAge - age)
+	if first := p.startedAt.Add(p.spread(firstListWait)); due.Before(first) {
+		due = first
+	}
+	if due.Before(p.retryAt) {
+		due = p.retryAt
+	}
+	return due.Sub(now)
+}
+
+// spread returns d, lengthened by the share that is this process's own.
+func (p *Poller) spread(d time.Duration) time.Duration {
+	return d + time.Duration(p.random*float64(d))
+}
+
+// WaitIfOlder waits until the process that does not lead may read the list, at the latest
+// for PollInterval, since its role may change. It returns false if ctx ends first.
+func (p *Poller) WaitIfOlder(ctx context.Context, d *Directory, r Reader) bool {
+	now := time.Now()
+	return p.Wait(ctx, min(max(p.dueIn(now, d.Age(now), r), minPollDelay), PollInterval))
+}
+
+// ReadIfOlder reads the list for a process that does not lead if its view is too old, and
+// reports whether it did. Reads that fail become rarer.
+func (p *Poller) ReadIfOlder(ctx context.Context, d *Directory, r Reader) bool {
+	began := time.Now()
+	if p.dueIn(began, d.Age(began), r) > 0 {
+		return false
+	}
+	lister, timeout := p.lister, readTimeout
+	if r.Relays {
+		lister, timeout = p.patient, patientReadTimeout
+	}
+	targets, err := p.read(ctx, lister, timeout)
+	if err != nil {
+		delay := min(PollInterval<<min(p.failures, 8), maxRetryDelay)
+		p.failures++
+		p.retryAt = time.Now().Add(p.spread(delay) / 2)
+		return false
+	}
+	p.failures = 0
+	d.Replace(began, targets)
+	return true
+}
--- /dev/null
+++ b/directory/poller_test.go
@@ -0,0 +1,195 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/wire"
+)
+
+// sharedList is a stand-in of a platform's list of many pages, each of which is a call. All
+// processes together may make rate calls a second.
+type sharedList struct {
+	pages int
+	rate  float64
+
+	mu      sync.Mutex
+	targets []wire.TargetEntry
+	tokens  float64
+	at      time.Time
+	calls   int
+}
+
+var errOverRate = errors.New("over the rate")
+
+func (l *sharedList) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.tokens = min(l.rate, l.tokens+now.Sub(l.at).Seconds()*l.rate)
+	l.at = now
+	l.calls++
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// pageTime is the time of a call of a process that is short of processor time.
+const pageTime = 4 * time.Millisecond
+
+// sharedLister is one process's access to the list. A patient one repeats refused calls.
+type sharedLister struct {
+	list    *sharedList
+	patient bool
+}
+
+func (l sharedLister) List(ctx context.Context) ([]wire.TargetEntry, error) {
+	for range l.list.pages {
+		for {
+			select {
+			case <-time.After(pageTime):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			if l.list.take() {
+				break
+			}
+			if !l.patient {
+				return nil, errOverRate
+			}
+		}
+	}
+	l.list.mu.Lock()
+	defer l.list.mu.Unlock()
+	return slices.Clone(l.list.targets), nil
+}
+
+func (l *sharedList) show(targets []wire.TargetEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.targets = targets
+}
+
+// takeCalls returns the number of calls since it was last asked.
+func (l *sharedList) takeCalls() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	calls := l.calls
+	l.calls = 0
+	return calls
+}
+
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+// fleet is a leader, members of its group that read in its place, and processes that hear
+// them, all in one goroutine at a time under a virtual clock.
+type fleet struct {
+	ctx       context.Context
+	list      *sharedList
+	members   []*Directory
+	followers []*Directory
+}
+
+func (f *fleet) all() []*Directory { return slices.Concat(f.members, f.followers) }
+
+func (f *fleet) send(u *wire.TargetUpdate) {
+	for _, d := range f.all() {
+		d.ApplyUpdate(time.Now(), u)
+	}
+}
+
+// lead reads and publishes the list as the leader of a term until ctx ends.
+func (f *fleet) lead(ctx context.Context, term uint64) {
+	d, p := New(), NewPoller(nil, sharedLister{f.list, true}, quietLog())
+	first := true
+	for p.Wait(ctx, PollInterval) {
+		began := time.Now()
+		targets, err := p.Read(ctx)
+		if err != nil {
+			continue
+		}
+		changed := d.Replace(began, targets)
+		f.send(d.Update(time.Now(), term, 1, changed || first, targets))
+		first = false
+	}
+}
+
+// follow reads the list in the way of a process that does not lead.
+func (f *fleet) follow(d *Directory, r Reader) {
+	p := NewPoller(sharedLister{f.list, false}, sharedLister{f.list, true}, quietLog())
+	for p.WaitIfOlder(f.ctx, d, r) {
+		if p.ReadIfOlder(f.ctx, d, r) && r.Relays {
+			f.send(d.Relay(time.Now()))
+		}
+	}
+}
+
+// oldest returns the greatest age that a view reaches within the time.
+func (f *fleet) oldest(within time.Duration) time.Duration {
+	var oldest time.Duration
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		for _, d := range f.all() {
+			oldest = max(oldest, d.Age(time.Now()))
+		}
+	}
+	return oldest
+}
+
+// Guards against a loss of the leader after which so many processes read a long list that
+// nobody reads it to its end: 300 processes before 3,000 targets, whose list has 61 pages.
+// The views became 5 s old, and processes went on reading beside the next leader.
+func TestViewsStayCurrentWithoutALeader(t *testing.T) {
+	for name, pages := range map[string]int{"one page": 1, "61 pages": 61} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := &fleet{ctx: ctx, list: &sharedList{pages: pages, rate: 270, tokens: 270, at: time.Now(), targets: entries("a", "b")}}
+				for range 5 {
+					f.members = append(f.members, New())
+				}
+				for range 290 {
+					f.followers = append(f.followers, New())
+				}
+				leading, lost := context.WithCancel(ctx)
+				go f.lead(leading, 1)
+				for i, d := range f.members {
+					go f.follow(d, Reader{MaxAge: 1800*time.Millisecond + time.Duration(i)*250*time.Millisecond, Relays: true})
+				}
+				for _, d := range f.followers {
+					go f.follow(d, Reader{MaxAge: 2200 * time.Millisecond})
+				}
+				time.Sleep(5 * time.Second)
+				is.True(f.oldest(5*time.Second) < 2*time.Second)
+				lost()
+				is.True(f.oldest(10*time.Second) < 3*time.Second)
+				f.list.show(entries("b"))
+				time.Sleep(3 * time.Second)
+				for _, d := range f.all() {
+					is.True(!d.View().Accepts("a"))
+				}
+				go f.lead(ctx, 2)
+				time.Sleep(3 * time.Second)
+				f.list.takeCalls()
+				is.True(f.oldest(10*time.Second) < 2*time.Second)
+				is.True(f.list.takeCalls() <= 17*pages) // those of the leader: a read each 600 ms
+			})
+		})
+	}
+}
--- a/hub/client.go
+++ b/hub/client.go
@@ -202,20 +202,34 @@
 	c.dial(members)
 }
 
-// maxViewAge is the age of the target view from which this process reads the list
-// itself, because it may have lost contact with the leader.
-const maxViewAge = 1500 * time.Millisecond
+const (
+	// unlinkedViewAge is the age of the view of the targets from which a process without a
+	// link to any control process reads the list itself.
+	unlinkedViewAge = 1500 * time.Millisecond
+	// linkedViewAge is the same with links. The control processes, of which only a few read
+	// the list, pass it on: hundreds of processes that read a long list use up the rate that
+	// all share.
+	linkedViewAge = 2200 * time.Millisecond
+)
+
+// viewAge returns the age of the view from which a process reads the list itself.
+func viewAge(linked bool) time.Duration {
+	if linked {
+		return linkedViewAge
+	}
+	return unlinkedViewAge
+}
+
+func (c *Client) reader() directory.Reader {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return directory.Reader{MaxAge: viewAge(len(c.conns) > 0)}
+}
 
 func (c *Client) pollTargets() {
 	defer c.wg.Done()
-	for c.opts.Poller.Wait(c.ctx) {
-		now := time.Now()
-		if c.opts.Directory.Age(now) < maxViewAge {
-			continue
-		}
-		if targets, err := c.opts.Poller.Read(c.ctx); err == nil {
-			c.opts.Directory.Replace(now, targets)
-		}
+	for c.opts.Poller.WaitIfOlder(c.ctx, c.opts.Directory, c.reader()) {
+		c.opts.Poller.ReadIfOlder(c.ctx, c.opts.Directory, c.reader())
 	}
 }
 
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -66,6 +66,7 @@
 	manifest      *wire.RouteUpdate
 	table         atomic.Pointer[routes.Table]
 	targets       wire.TargetUpdate
+	published     bool // the list was read and sent in this term
 	leading       bool
 	term          uint64
 	// reported is the group as members reported it while this process is not one.
@@ -129,10 +130,8 @@
 	if h.manifest != nil {
 		h.send(c, h.manifest)
 	}
-	if h.leading && h.targets.Sequence > 0 {
-		update := h.targets
-		update.Changed = true
-		h.send(c, &update)
+	if h.leading && h.published {
+		h.send(c, h.targetUpdate(time.Now(), true))
 	}
 }
 
@@ -296,50 +295,56 @@
 	h.opts.Log.WithFields(logrus.Fields{"version": m.Version, "routes": len(m.Routes), "entries": len(h.entryLinks)}).Info("manifest is in force")
 }
 
+// publishTargets sends the processes a list that has changed, once this process has read the
+// list as leader. Until then the list is that of a former leader.
 func (h *Hub) publishTargets(targets []wire.TargetEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.targets.Sequence++
 	h.targets.Targets = targets
-	if !h.leading {
-		return
+	if h.leading && h.published {
+		h.broadcast(h.targetUpdate(time.Now(), true))
 	}
-	update := h.targets
-	update.Changed = true
-	h.broadcast(&update)
+}
+
+// targetUpdate returns an update with the list, or one that confirms it. The caller holds
+// h.mu.
+func (h *Hub) targetUpdate(now time.Time, changed bool) *wire.TargetUpdate {
+	return h.opts.Directory.Update(now, h.targets.Term, h.targets.Sequence, changed, h.targets.Targets)
 }
 
 // confirmTargets notifies the entries that the target list was read again and has not
-// changed.
-func (h *Hub) confirmTargets() {
+// changed. It sends the list if that was the first time in this term.
+func (h *Hub) confirmTargets(changed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.leading && h.targets.Sequence > 0 {
-		h.broadcast(&wire.TargetUpdate{Term: h.targets.Term, Sequence: h.targets.Sequence})
+	if !h.leading || changed && h.published {
+		return
 	}
+	first := !h.published
+	h.published = true
+	h.broadcast(h.targetUpdate(time.Now(), first))
 }
 
 func (h *Hub) setLeading(leading bool, term uint64) {
 	h.mu.Lock()
 	h.leading, h.term = leading, term
-	h.targets.Term = term
+	h.targets.Term, h.published = term, false
 	h.mu.Unlock()
 	if leading {
 		h.opts.Poller.Wake()
 	}
 }
 
-// pollTargets reads the target list periodically while this process leads. After an
-// election it publishes the list even if the list has not changed.
+// pollTargets reads the target list periodically while this process leads, and else when
+// its view is old.
 func (h *Hub) pollTargets() {
 	defer h.wg.Done()
-	first := true
-	for h.opts.Poller.Wait(h.ctx) {
-		h.mu.Lock()
-		leading := h.leading
-		h.mu.Unlock()
-		if !leading {
-			first = true
+	for h.waitForRead() {
+		if !h.leads() {
+			if r := h.reader(); h.opts.Poller.ReadIfOlder(h.ctx, h.opts.Directory, r) && r.Relays {
+				h.relayTargets()
+			}
 			continue
 		}
 		readAt := time.Now()
@@ -347,14 +352,68 @@
 		if err != nil {
 			continue
 		}
-		changed := h.opts.Directory.Replace(readAt, targets)
-		switch {
-		case first && !changed:
-			h.publishTargets(h.opts.Directory.View().Targets)
-		case !changed:
-			h.confirmTargets()
-		}
-		first = false
+		h.confirmTargets(h.opts.Directory.Replace(readAt, targets))
+	}
+}
+
+func (h *Hub) leads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leading
+}
+
+// waitForRead waits until this process may read the target list. It returns false when the
+// process stops.
+func (h *Hub) waitForRead() bool {
+	if h.leads() {
+		return h.opts.Poller.Wait(h.ctx, directory.PollInterval)
+	}
+	return h.opts.Poller.WaitIfOlder(h.ctx, h.opts.Directory, h.reader())
+}
+
+const (
+	// relayViewAge is the age of the view from which the first member of the group reads the
+	// list in the leader's place and passes it on. It is above the age that a view reaches
+	// while the leader reads a long list.
+	relayViewAge = 1800 * time.Millisecond
+	// relayStagger is the additional age for each further member, in which what the one
+	// before has read arrives.
+	relayStagger = 250 * time.Millisecond
+)
+
+// reader returns how this process reads the list while it does not lead.
+func (h *Hub) reader() directory.Reader {
+	st := h.opts.Replica.Status()
+	names := make([]string, 0, len(st.Members))
+	for _, m := range st.Members {
+		names = append(names, m.Name)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return readerOf(h.opts.Address, names, st.Leader, len(h.controlLinks) > 0)
+}
+
+// readerOf returns how a process reads the list that does not lead a group with the given
+// members. Without a link to another control process nobody takes its place.
+func readerOf(self string, members []string, leader string, linked bool) directory.Reader {
+	members = slices.Sorted(slices.Values(members))
+	rank := slices.Index(slices.DeleteFunc(members, func(name string) bool { return name == leader }), self)
+	if rank < 0 {
+		return directory.Reader{MaxAge: viewAge(linked)}
+	}
+	if !linked {
+		rank = 0
+	}
+	return directory.Reader{MaxAge: relayViewAge + time.Duration(rank)*relayStagger, Relays: true}
+}
+
+// relayTargets passes on the list that this process has read in the leader's place.
+func (h *Hub) relayTargets() {
+	update := h.opts.Directory.Relay(time.Now())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.leading {
+		h.broadcast(update)
 	}
 }
 
