hub: an update is encoded once for all links

Cause: each change of the list of targets was encoded for each link. Found while the late DRAIN at 299 hosts was traced: the leader was short of processor, and the list changes with each load of a version.

Evidence: a list of 3,003 targets is 242 KB, takes 1.9 ms to encode and 578 KB of memory (one run on a shared machine), for each of 299 links and each change. All these frames wait in the queues at once.

Change: the frame is encoded once and shared; link.Conn.SendFrame allows that.

Test, failing before: hub.TestUpdateIsEncodedOnceForAllLinks.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -260,17 +260,29 @@
 }
 
 func (h *Hub) send(c *link.Conn, m wire.Message) {
-	if err := c.Send(m); err != nil {
+	h.closeOnError(c, c.Send(m))
+}
+
+// closeOnError closes a link over which an update could not be sent. The peer gets the full
+// state when it reconnects.
+func (h *Hub) closeOnError(c *link.Conn, err error) {
+	if err != nil {
 		h.opts.Log.WithField("peer", c.Peer().Process).Infof("sending an update failed; closing the link: %v", err)
-		c.Close(err) // the peer gets the full state when it reconnects
+		c.Close(err)
 	}
 }
 
-// broadcast sends m to all entries and to the other control processes.
+// broadcast sends m to all entries and to the other control processes. It is encoded once:
+// a list of thousands of targets for hundreds of processes takes a leader's time otherwise.
 func (h *Hub) broadcast(m wire.Message) {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		h.opts.Log.Errorf("encoding an update failed: %v", err)
+		return
+	}
 	for _, links := range []map[*link.Conn]bool{h.entryLinks, h.controlLinks} {
 		for c := range links {
-			h.send(c, m)
+			h.closeOnError(c, c.SendFrame(frame))
 		}
 	}
 }
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -1,14 +1,23 @@
 package hub
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"maps"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"merlinhall/directory"
+	"merlinhall/link"
 
 	"merlinhall/wire"
 )
@@ -48,3 +57,64 @@
 	is.Equal(readerOf("x", members, "a", true), directory.Reader{MaxAge: linkedViewAge})
 	is.Equal(readerOf("x", nil, "", false), directory.Reader{MaxAge: unlinkedViewAge})
 }
+
+// noEvents ignores the events of links.
+type noEvents struct{}
+
+func (noEvents) Up(*link.Conn)                    {}
+func (noEvents) Message(*link.Conn, wire.Message) {}
+func (noEvents) Down(*link.Conn, error)           {}
+
+// linkToSilentPeer returns a link to a peer that reads nothing after the handshake.
+func linkToSilentPeer(t *testing.T, done <-chan struct{}) *link.Conn {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer func() { _ = ws.CloseNow() }()
+		if hello, err := wire.Encode(&wire.Hello{Process: "peer"}); err == nil && ws.Write(r.Context(), websocket.MessageBinary, hello) == nil {
+			_, _, _ = ws.Read(r.Context())
+		}
+		<-done
+	}))
+	t.Cleanup(server.Close)
+	c, err := link.Dial(t.Context(), link.NewHTTPClient(nil), "ws", server.Listener.Addr().String(), wire.Hello{Process: "self"}, noEvents{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(context.Canceled) })
+	return c
+}
+
+// Guards against a list of thousands of targets that is encoded once for each of hundreds of
+// links: that takes a leader's processor for a second and tens of MB for each change.
+func TestUpdateIsEncodedOnceForAllLinks(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := &Hub{opts: Options{Log: logrus.NewEntry(log)}, entryLinks: make(map[*link.Conn]bool)}
+	done := make(chan struct{})
+	defer close(done)
+	const links = 20
+	for range links {
+		h.entryLinks[linkToSilentPeer(t, done)] = true
+	}
+	update := &wire.TargetUpdate{Changed: true}
+	for i := range 3000 {
+		update.Targets = append(update.Targets, wire.TargetEntry{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1", Zone: "z"})
+	}
+	allocated := func(f func()) uint64 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		f()
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	encode := func() { _, _ = wire.Encode(update) }
+	encode() // fills the encoder's buffers
+	once := allocated(encode)
+	all := allocated(func() { h.broadcast(update) })
+	is.True(all < links/2*once)
+}
