forward, carrier, batch: nothing is sent by a list that is too old

Callers saw: requests that reached a target after it had been leaving for longer than it serves (DRAIN).

Cause: the age of the view was measured and logged, and no sender looked at it. An order or a reward call was refused by the age of the leader's decisions, which says nothing about the age of the list behind them.

Change: drainMs is read from the settings. 0.3 s before it, the sender itself refuses to choose a target, for first attempts, retries, hedges, resumed streams and reward calls alike; carriers begin no run and the leader plans none. So the last request sent by a view arrives within the time for which the target serves. A list that cannot be read at all still leaves the last view in use: the refusal needs a list that is served, and a read of this process that was only over the rate. Items and reward calls also wait for that read.

Ruled out: refusing by age alone. A loss of the platform's list, which lasts as long as it lasts, would then stop the service.

--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -11,6 +11,8 @@
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/carrier"
+	"merlinhall/directory"
+	"merlinhall/ledger"
 	"merlinhall/upstream"
 )
 
@@ -139,3 +141,18 @@
 		})
 	}
 }
+
+// Guards against runs that are begun by a list in which an engine has been leaving for long.
+func TestNothingIsBegunByAnOldList(t *testing.T) {
+	is := is.New(t)
+	r := quietRunner(testEngine("a", 4, 1))
+	r.o.Directory, r.o.Submissions = directory.New(), ledger.NewSubmissions()
+	r.o.Directory.SetMaxAge(time.Second)
+	r.o.Directory.Replace(start, nil)
+	j := testJob("k", start, 1, []int{600})
+	r.queue = *pending(j)
+	r.startPending(start.Add(time.Second + 1))
+	is.Equal(j.order[0].group.engine, "") // nothing was planned
+	r.startPending(start.Add(time.Second))
+	is.Equal(j.order[0].group.engine, "a")
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -421,6 +421,16 @@
 	if r.adopting(now) {
 		return
 	}
+	r.startPending(now)
+	r.scheduleLoads(now)
+}
+
+// startPending starts the tasks that can be started now. By a list that is too old an engine
+// would be used that has been leaving for long.
+func (r *Runner) startPending(now time.Time) {
+	if !r.o.Directory.Usable(now, true) {
+		return
+	}
 	placements := plan(now, r.queue.tasks, r.engines, &r.queue.lengths)
 	for _, p := range placements {
 		r.begin(now, p)
@@ -428,7 +438,6 @@
 	if len(placements) > 0 {
 		r.queue.prune()
 	}
-	r.scheduleLoads(now)
 }
 
 // tick checks everything that depends on the time and not on a message.
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -264,6 +264,8 @@
 		return "the carrier stops"
 	case c.decisionAge(now) > c.o.CancelTime/2:
 		return "the order is too old"
+	case !c.o.Directory.Usable(time.Now(), true):
+		return "the list of targets is too old"
 	case c.engineLeaves(s):
 		return "the engine is leaving"
 	}
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -65,6 +65,21 @@
 	is.Equal(l.last().Seen, uint64(2))
 }
 
+// Guards against a run on an engine that has been leaving for longer than this carrier's
+// list is old.
+func TestNothingIsBegunByAnOldList(t *testing.T) {
+	is := is.New(t)
+	c, clock := testCarrier()
+	c.o.Directory.SetMaxAge(time.Second)
+	c.o.Directory.Replace(time.Now().Add(-2*time.Second), []wire.TargetEntry{{ID: "e", Service: "s", Address: "127.0.0.1:1"}})
+	l := &testLink{}
+	c.orders(l, Orders{Term: 1, Sequence: 1, Inventory: true})
+	c.orders(l, Orders{Term: 1, Sequence: 2, Echo: l.last().Clock, Starts: []Start{{Attempt: 7, Item: "i", Engine: "e"}}})
+	c.tick(*clock)
+	is.Equal(l.last().Runs[0].Outcome, NotStarted)
+	is.Equal(l.last().Runs[0].Reason, "the list of targets is too old")
+}
+
 // A former leader does not know yet that another one has been elected.
 func TestFormerLeaderIsIgnored(t *testing.T) {
 	is := is.New(t)
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -78,10 +78,11 @@
 		pool:     upstream.NewPool(platform.RequestID),
 	}
 	d.log = d.observer.Logger("daemon")
-	d.poller = directory.NewPoller(platform.NewList(s.TargetList, false), platform.NewList(s.TargetList, true), d.observer.Logger("directory"))
+	d.poller = directory.NewPoller(d.targets, platform.NewList(s.TargetList, false), platform.NewList(s.TargetList, true), d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward"), Guard: d.observer.Guard("forward")}
 	d.hello = wire.Hello{Process: s.Name, Zone: s.Zone, Boot: newBootID(), Host: s.Name, Roles: []wire.Role{wire.RoleEntry}, Level: wire.Level}
 	d.pool.OnResponse = d.noteLeaving
+	d.targets.SetMaxAge(maxViewAge(s.DrainTime))
 	d.registerConnectionMetrics()
 	d.stops = append(d.stops, d.sweepPool())
 	if err := d.start(); err != nil {
@@ -97,6 +98,14 @@
 	return d, nil
 }
 
+// sendMargin is the time that a request may take from the choice of its target until it
+// arrives there.
+const sendMargin = 300 * time.Millisecond
+
+// maxViewAge returns the age of the view of the targets from which no work is sent by it, 0
+// for no bound, if a target that leaves accepts requests for the given time.
+func maxViewAge(drain time.Duration) time.Duration { return max(0, drain-sendMargin) }
+
 // noteLeaving marks the target of a response as leaving if the response says so, so that no
 // request is sent to it any more, whatever the list of targets says.
 func (d *HostedDaemon) noteLeaving(to upstream.Address, h http.Header) {
--- a/daemon/hosted_test.go
+++ b/daemon/hosted_test.go
@@ -19,3 +19,11 @@
 		})
 	}
 }
+
+// A view of the targets is no longer used while the last request sent by it still arrives in
+// time.
+func TestViewIsUsedForLessThanATargetServes(t *testing.T) {
+	is := is.New(t)
+	is.Equal(maxViewAge(3*time.Second), 2700*time.Millisecond)
+	is.Equal(maxViewAge(0), time.Duration(0)) // no bound is known
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"errors"
 	"reflect"
 	"slices"
 	"sync"
@@ -57,6 +58,8 @@
 type Directory struct {
 	view        atomic.Pointer[View]
 	confirmedAt atomic.Pointer[time.Time] // nil before the first list; set with mu held
+	lastRead    atomic.Int32              // readEnd of the last read of this process itself
+	maxAge      time.Duration             // of a view by which work is sent; 0 for no bound
 
 	mu        sync.Mutex
 	readAt    time.Time // start of the last read of this process itself
@@ -80,6 +83,48 @@
 	return d
 }
 
+// SetMaxAge sets the age from which work is no longer sent by the view, see Usable. It must be
+// called before the directory is used.
+func (d *Directory) SetMaxAge(age time.Duration) { d.maxAge = age }
+
+// readEnd is how a read of the list ended.
+type readEnd int32
+
+const (
+	readOK      readEnd = iota // or there was none
+	readRefused                // over the platform's rate
+	readFailed                 // the platform does not serve the list
+)
+
+func (d *Directory) noteRead(err error) {
+	end := readOK
+	switch {
+	case errors.Is(err, ErrOverRate):
+		end = readRefused
+	case err != nil:
+		end = readFailed
+	}
+	d.lastRead.Store(int32(end))
+}
+
+// Usable reports whether work may be sent to the targets of the view. A view older than
+// SetMaxAge may show a target as ready that has been leaving for longer than it serves. It
+// is used all the same if this process could not read the list, so that a loss of the list
+// does not stop the service, but not if the list is served and only read too often. Work in
+// the background can wait, so it also waits for the process's own read.
+func (d *Directory) Usable(now time.Time, background bool) bool {
+	if d.maxAge == 0 || d.Age(now) <= d.maxAge {
+		return true
+	}
+	switch readEnd(d.lastRead.Load()) {
+	case readRefused:
+		return false
+	case readFailed:
+		return true
+	}
+	return !background
+}
+
 // View returns the latest view.
 func (d *Directory) View() *View { return d.view.Load() }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,12 +1,14 @@
 package directory
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
 
 	"merlinhall/wire"
 )
@@ -149,6 +151,34 @@
 	is.True(d.View().Accepts("a"))
 }
 
+// Guards against work that is sent by a list that is so old that a target may have been
+// leaving for longer than it serves, and against a loss of the list that stops the service.
+func TestOldViewIsNotUsedWhileTheListIsServed(t *testing.T) {
+	type use struct{ callers, background bool }
+	for name, c := range map[string]struct {
+		read error
+		want use
+	}{
+		"not read yet":  {nil, use{true, false}},
+		"over the rate": {eris.Wrap(ErrOverRate, "read"), use{false, false}},
+		"not served":    {errors.New("refused"), use{true, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := New()
+			d.SetMaxAge(2 * time.Second)
+			d.Replace(now, entries("a"))
+			d.noteRead(c.read)
+			usable := func(age time.Duration) use { return use{d.Usable(now.Add(age), false), d.Usable(now.Add(age), true)} }
+			is.Equal(usable(2*time.Second), use{true, true})
+			is.Equal(usable(2*time.Second+1), c.want)
+			d.noteRead(nil)
+			d.ApplyUpdate(now.Add(3*time.Second), &wire.TargetUpdate{Term: 1, Sequence: 1, Changed: true, Targets: entries("a")})
+			is.Equal(usable(4*time.Second), use{true, true})
+		})
+	}
+}
+
 // Random orders of responses, lists, updates and restarts: a target that said that it is
 // leaving is never ready in the same run, and one that never said so always is.
 func TestLeavingTargetsInRandomOrders(t *testing.T) {
--- a/directory/poller.go
+++ b/directory/poller.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/wire"
@@ -36,9 +37,14 @@
 	List(ctx context.Context) ([]wire.TargetEntry, error)
 }
 
+// ErrOverRate is wrapped by the errors of reads that the platform refused because all
+// processes together made too many calls.
+var ErrOverRate = eris.New("directory: the target list is read too often")
+
 // Poller reads the target list periodically or on demand. Its methods except Wake must be
 // called from one goroutine.
 type Poller struct {
+	directory       *Directory
 	lister, patient Lister
 	log             *logrus.Entry
 	wake            chan struct{}
@@ -51,8 +57,8 @@
 
 // NewPoller returns a poller whose first read is due immediately. The patient lister repeats
 // calls that the platform refused because all processes together made too many.
-func NewPoller(lister, patient Lister, log *logrus.Entry) *Poller {
-	p := &Poller{lister: lister, patient: patient, log: log, wake: make(chan struct{}, 1), startedAt: time.Now(), random: rand.Float64()}
+func NewPoller(d *Directory, lister, patient Lister, log *logrus.Entry) *Poller {
+	p := &Poller{directory: d, lister: lister, patient: patient, log: log, wake: make(chan struct{}, 1), startedAt: time.Now(), random: rand.Float64()}
 	p.Wake()
 	return p
 }
@@ -79,17 +85,20 @@
 	return true
 }
 
-// Read reads the target list and repeats calls over the platform's rate.
-func (p *Poller) Read(ctx context.Context) ([]wire.TargetEntry, error) {
+// Read reads the target list into the directory as the control leader does: it repeats calls
+// over the platform's rate. It reports whether the view changed.
+func (p *Poller) Read(ctx context.Context) (changed bool, err error) {
 	return p.read(ctx, p.patient, patientReadTimeout)
 }
 
 // read reads the target list. It logs the first failure in a row and the first success
 // after it.
-func (p *Poller) read(ctx context.Context, lister Lister, timeout time.Duration) ([]wire.TargetEntry, error) {
+func (p *Poller) read(ctx context.Context, lister Lister, timeout time.Duration) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	targets, err := lister.List(ctx)
+	p.directory.noteRead(err)
 	if err != nil && !p.lastFailed {
 		p.log.Warnf("reading the target list failed: %v", err)
 	}
@@ -97,7 +106,7 @@
 		p.log.WithField("targets", len(targets)).Info("reading the target list succeeded after a failure")
 	}
 	p.lastFailed = err != nil
-	return targets, err
+	return err == nil && p.directory.Replace(began, targets), err
 }
 
 // Reader is how a process that does not lead reads the list.
@@ -134,30 +143,28 @@
 
 // WaitIfOlder waits until the process that does not lead may read the list, at the latest
 // for PollInterval, since its role may change. It returns false if ctx ends first.
-func (p *Poller) WaitIfOlder(ctx context.Context, d *Directory, r Reader) bool {
+func (p *Poller) WaitIfOlder(ctx context.Context, r Reader) bool {
 	now := time.Now()
-	return p.Wait(ctx, min(max(p.dueIn(now, d.Age(now), r), minPollDelay), PollInterval))
+	return p.Wait(ctx, min(max(p.dueIn(now, p.directory.Age(now), r), minPollDelay), PollInterval))
 }
 
 // ReadIfOlder reads the list for a process that does not lead if its view is too old, and
 // reports whether it did. Reads that fail become rarer.
-func (p *Poller) ReadIfOlder(ctx context.Context, d *Directory, r Reader) bool {
-	began := time.Now()
-	if p.dueIn(began, d.Age(began), r) > 0 {
+func (p *Poller) ReadIfOlder(ctx context.Context, r Reader) bool {
+	now := time.Now()
+	if p.dueIn(now, p.directory.Age(now), r) > 0 {
 		return false
 	}
 	lister, timeout := p.lister, readTimeout
 	if r.Relays {
 		lister, timeout = p.patient, patientReadTimeout
 	}
-	targets, err := p.read(ctx, lister, timeout)
-	if err != nil {
+	if _, err := p.read(ctx, lister, timeout); err != nil {
 		delay := min(PollInterval<<min(p.failures, 8), maxRetryDelay)
 		p.failures++
 		p.retryAt = time.Now().Add(p.spread(delay) / 2)
 		return false
 	}
 	p.failures = 0
-	d.Replace(began, targets)
 	return true
 }
--- a/directory/poller_test.go
+++ b/directory/poller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"slices"
 	"sync"
@@ -29,8 +28,6 @@
 	calls   int
 }
 
-var errOverRate = errors.New("over the rate")
-
 func (l *sharedList) take() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -66,7 +63,7 @@
 				break
 			}
 			if !l.patient {
-				return nil, errOverRate
+				return nil, ErrOverRate
 			}
 		}
 	}
@@ -115,25 +112,24 @@
 
 // lead reads and publishes the list as the leader of a term until ctx ends.
 func (f *fleet) lead(ctx context.Context, term uint64) {
-	d, p := New(), NewPoller(nil, sharedLister{f.list, true}, quietLog())
+	d := New()
+	p := NewPoller(d, nil, sharedLister{f.list, true}, quietLog())
 	first := true
 	for p.Wait(ctx, PollInterval) {
-		began := time.Now()
-		targets, err := p.Read(ctx)
+		changed, err := p.Read(ctx)
 		if err != nil {
 			continue
 		}
-		changed := d.Replace(began, targets)
-		f.send(d.Update(time.Now(), term, 1, changed || first, targets))
+		f.send(d.Update(time.Now(), term, 1, changed || first, d.View().Targets))
 		first = false
 	}
 }
 
 // follow reads the list in the way of a process that does not lead.
 func (f *fleet) follow(d *Directory, r Reader) {
-	p := NewPoller(sharedLister{f.list, false}, sharedLister{f.list, true}, quietLog())
-	for p.WaitIfOlder(f.ctx, d, r) {
-		if p.ReadIfOlder(f.ctx, d, r) && r.Relays {
+	p := NewPoller(d, sharedLister{f.list, false}, sharedLister{f.list, true}, quietLog())
+	for p.WaitIfOlder(f.ctx, r) {
+		if p.ReadIfOlder(f.ctx, r) && r.Relays {
 			f.send(d.Relay(time.Now()))
 		}
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -288,7 +288,7 @@
 
 func (u *requestState) loop(ctx context.Context) Result {
 	if !u.startAttempt(ctx) {
-		return u.notRun("no target is known", retryAfterNoTarget)
+		return u.noTarget()
 	}
 	hedge := time.NewTimer(u.hedgeDelay())
 	defer hedge.Stop()
@@ -369,6 +369,18 @@
 	return Result{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: after}
 }
 
+// noTarget returns the result of a request that no target was chosen for.
+func (u *requestState) noTarget() Result {
+	if !u.viewUsable() {
+		return u.notRun("the list of targets is too old", retryAfterNoTarget)
+	}
+	return u.notRun("no target is known", retryAfterNoTarget)
+}
+
+func (u *requestState) viewUsable() bool {
+	return u.f.Directory.Usable(time.Now(), u.r.Background)
+}
+
 // nextTarget selects a target that has not been tried and counts an attempt on it. It
 // returns nil when no target, time or attempt is left.
 func (u *requestState) nextTarget() (*wire.TargetEntry, time.Duration) {
@@ -376,6 +388,9 @@
 	if u.r.Wanted != nil && !u.r.Wanted() {
 		return nil, 0
 	}
+	if !u.viewUsable() {
+		return nil, 0
+	}
 	if u.possibleRuns >= u.maxRuns() || u.refused >= maxRefusals || left < minTimeLeft {
 		return nil, 0
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -365,3 +366,41 @@
 		is.Equal(string(result.Body), "fine")
 	}
 }
+
+// failingList is a list of targets whose reads fail.
+type failingList struct{ err error }
+
+func (l failingList) List(context.Context) ([]wire.TargetEntry, error) { return nil, l.err }
+
+// Guards against requests to a target that has been leaving for long: the view is too old,
+// and this process cannot read the list because all read it too often.
+func TestNothingIsSentByAnOldView(t *testing.T) {
+	is := is.New(t)
+	a := startTarget(t, "a", ok)
+	f := newForwarder()
+	f.Directory = directory.New()
+	f.Directory.SetMaxAge(time.Second)
+	f.Directory.Replace(time.Now().Add(-2*time.Second), []wire.TargetEntry{a.entry})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	read := func(err error) {
+		_, got := directory.NewPoller(f.Directory, nil, failingList{err}, logrus.NewEntry(log)).Read(t.Context())
+		is.True(errors.Is(got, err))
+	}
+	background := request("r0", true, time.Second, time.Second)
+	background.Background = true
+	is.Equal(f.Do(t.Context(), background).Outcome, OutcomeNotRun) // waits until the list is read
+	read(directory.ErrOverRate)
+	for _, repeatable := range []bool{false, true} {
+		result := f.Do(t.Context(), request("r1", repeatable, time.Second, time.Second))
+		is.Equal(result.Outcome, OutcomeNotRun)
+		is.Equal(result.Reason, "the list of targets is too old")
+		is.True(result.RetryAfter > 0)
+	}
+	is.Equal(f.Stream(t.Context(), request("r2", true, time.Second, time.Second), &collector{}).Outcome, OutcomeNotRun)
+	is.Equal(a.count("r0")+a.count("r1")+a.count("r2"), 0)
+	read(errors.New("no such host")) // nobody knows more than this view
+	is.Equal(f.Do(t.Context(), request("r3", false, time.Second, time.Second)).Outcome, OutcomeAnswered)
+	f.Directory.Replace(time.Now(), []wire.TargetEntry{a.entry})
+	is.Equal(f.Do(t.Context(), request("r4", false, time.Second, time.Second)).Outcome, OutcomeAnswered)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -79,7 +79,7 @@
 		case s.begun:
 			return Result{Outcome: OutcomeCut, Reason: "no target is left to resume the stream"}
 		case s.possibleRuns+s.refused == 0:
-			return s.notRun("no target is known", retryAfterNoTarget)
+			return s.noTarget()
 		default:
 			return s.giveUp()
 		}
--- a/hub/client.go
+++ b/hub/client.go
@@ -228,8 +228,8 @@
 
 func (c *Client) pollTargets() {
 	defer c.wg.Done()
-	for c.opts.Poller.WaitIfOlder(c.ctx, c.opts.Directory, c.reader()) {
-		c.opts.Poller.ReadIfOlder(c.ctx, c.opts.Directory, c.reader())
+	for c.opts.Poller.WaitIfOlder(c.ctx, c.reader()) {
+		c.opts.Poller.ReadIfOlder(c.ctx, c.reader())
 	}
 }
 
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -354,17 +354,14 @@
 	defer h.wg.Done()
 	for h.waitForRead() {
 		if !h.leads() {
-			if r := h.reader(); h.opts.Poller.ReadIfOlder(h.ctx, h.opts.Directory, r) && r.Relays {
+			if r := h.reader(); h.opts.Poller.ReadIfOlder(h.ctx, r) && r.Relays {
 				h.relayTargets()
 			}
 			continue
 		}
-		readAt := time.Now()
-		targets, err := h.opts.Poller.Read(h.ctx)
-		if err != nil {
-			continue
+		if changed, err := h.opts.Poller.Read(h.ctx); err == nil {
+			h.confirmTargets(changed)
 		}
-		h.confirmTargets(h.opts.Directory.Replace(readAt, targets))
 	}
 }
 
@@ -380,7 +377,7 @@
 	if h.leads() {
 		return h.opts.Poller.Wait(h.ctx, directory.PollInterval)
 	}
-	return h.opts.Poller.WaitIfOlder(h.ctx, h.opts.Directory, h.reader())
+	return h.opts.Poller.WaitIfOlder(h.ctx, h.reader())
 }
 
 const (
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -49,6 +49,9 @@
 	// CancelTime is the time after the end of a submission from which none of its requests
 	// may reach a target.
 	CancelTime time.Duration
+	// DrainTime is how long a target that leaves accepts requests after the list has shown
+	// that, 0 if it is not known.
+	DrainTime time.Duration
 	// ResultRetention is how long results stay readable after their submission.
 	ResultRetention time.Duration
 	// StopGrace is the time between the request to stop and forced termination.
