hub: entries get no list for a loaded version

Cause: the list names the weight version of each engine, so it changes with each load, and the whole list went to all processes. Entries do not use the versions.

Change: entries get the list without the versions, with a sequence of its own. Other control processes get all of it, since one of them may lead next.

Test: hub.TestEntriesGetNoListForALoadedVersion.

--- a/directory/poller.go
+++ b/directory/poller.go
@@ -21,7 +21,7 @@
 	// readTimeout is the timeout of one read.
 	readTimeout = time.Second
 	// patientReadTimeout is the timeout of a read that repeats calls over the platform's
-	// rate. 3,000 targets are 60 calls.
+	// rate. At 50 targets a page, 3,000 targets are 60 calls.
 	patientReadTimeout = 2500 * time.Millisecond
 	// firstListWait is how long a process that has started waits for the leader's list.
 	firstListWait = 500 * time.Millisecond
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -65,8 +66,9 @@
 	controlLinks  map[*link.Conn]bool // links to other control processes
 	manifest      *wire.RouteUpdate
 	table         atomic.Pointer[routes.Table]
-	targets       wire.TargetUpdate
-	published     bool // the list was read and sent in this term
+	targets       publishedList // for control processes, one of which may lead next
+	entryTargets  publishedList // for entries
+	published     bool          // the list was read and sent in this term
 	leading       bool
 	term          uint64
 	// reported is the group as members reported it while this process is not one.
@@ -131,7 +133,11 @@
 		h.send(c, h.manifest)
 	}
 	if h.leading && h.published {
-		h.send(c, h.targetUpdate(time.Now(), true))
+		list := &h.targets
+		if h.entryLinks[c] {
+			list = &h.entryTargets
+		}
+		h.send(c, h.targetUpdate(time.Now(), list, true))
 	}
 }
 
@@ -272,15 +278,18 @@
 	}
 }
 
-// broadcast sends m to all entries and to the other control processes. It is encoded once:
-// a list of thousands of targets for hundreds of processes takes a leader's time otherwise.
-func (h *Hub) broadcast(m wire.Message) {
+// broadcast sends m to all entries and to the other control processes.
+func (h *Hub) broadcast(m wire.Message) { h.sendAll(m, h.entryLinks, h.controlLinks) }
+
+// sendAll sends m over all links of the sets. It is encoded once: a list of thousands of
+// targets for hundreds of processes takes a leader's time otherwise.
+func (h *Hub) sendAll(m wire.Message, sets ...map[*link.Conn]bool) {
 	frame, err := wire.Encode(m)
 	if err != nil {
 		h.opts.Log.Errorf("encoding an update failed: %v", err)
 		return
 	}
-	for _, links := range []map[*link.Conn]bool{h.entryLinks, h.controlLinks} {
+	for _, links := range sets {
 		for c := range links {
 			h.closeOnError(c, c.SendFrame(frame))
 		}
@@ -307,25 +316,57 @@
 	h.opts.Log.WithFields(logrus.Fields{"version": m.Version, "routes": len(m.Routes), "entries": len(h.entryLinks)}).Info("manifest is in force")
 }
 
+// publishedList is a list of targets as processes get it.
+type publishedList struct {
+	sequence uint64 // number of changes
+	targets  []wire.TargetEntry
+}
+
+// set stores a list and reports whether it differs from the one before.
+func (l *publishedList) set(targets []wire.TargetEntry) (changed bool) {
+	if l.sequence > 0 && reflect.DeepEqual(l.targets, targets) {
+		return false
+	}
+	l.sequence++
+	l.targets = targets
+	return true
+}
+
+// withoutModels returns the targets without the weight versions of their models, which change
+// with each load and which only the control leader uses.
+func withoutModels(targets []wire.TargetEntry) []wire.TargetEntry {
+	out := slices.Clone(targets)
+	for i := range out {
+		out[i].Models = nil
+	}
+	return out
+}
+
 // publishTargets sends the processes a list that has changed, once this process has read the
 // list as leader. Until then the list is that of a former leader.
 func (h *Hub) publishTargets(targets []wire.TargetEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.targets.Sequence++
-	h.targets.Targets = targets
+	changed, changedForEntries := h.targets.set(targets), h.entryTargets.set(withoutModels(targets))
 	if h.leading && h.published {
-		h.broadcast(h.targetUpdate(time.Now(), true))
+		h.sendTargets(changed, changedForEntries)
 	}
 }
 
-// targetUpdate returns an update with the list, or one that confirms it. The caller holds
-// h.mu.
-func (h *Hub) targetUpdate(now time.Time, changed bool) *wire.TargetUpdate {
-	return h.opts.Directory.Update(now, h.targets.Term, h.targets.Sequence, changed, h.targets.Targets)
+// sendTargets sends all processes the list or, if it has not changed for them, its
+// confirmation. The caller holds h.mu.
+func (h *Hub) sendTargets(changed, changedForEntries bool) {
+	now := time.Now()
+	h.sendAll(h.targetUpdate(now, &h.targets, changed), h.controlLinks)
+	h.sendAll(h.targetUpdate(now, &h.entryTargets, changedForEntries), h.entryLinks)
+}
+
+// targetUpdate returns an update with a list, or one that confirms it. The caller holds h.mu.
+func (h *Hub) targetUpdate(now time.Time, l *publishedList, changed bool) *wire.TargetUpdate {
+	return h.opts.Directory.Update(now, h.term, l.sequence, changed, l.targets)
 }
 
-// confirmTargets notifies the entries that the target list was read again and has not
+// confirmTargets notifies the processes that the target list was read again and has not
 // changed. It sends the list if that was the first time in this term.
 func (h *Hub) confirmTargets(changed bool) {
 	h.mu.Lock()
@@ -335,13 +376,12 @@
 	}
 	first := !h.published
 	h.published = true
-	h.broadcast(h.targetUpdate(time.Now(), first))
+	h.sendTargets(first, first)
 }
 
 func (h *Hub) setLeading(leading bool, term uint64) {
 	h.mu.Lock()
-	h.leading, h.term = leading, term
-	h.targets.Term, h.published = term, false
+	h.leading, h.term, h.published = leading, term, false
 	h.mu.Unlock()
 	if leading {
 		h.opts.Poller.Wake()
@@ -418,11 +458,14 @@
 
 // relayTargets passes on the list that this process has read in the leader's place.
 func (h *Hub) relayTargets() {
-	update := h.opts.Directory.Relay(time.Now())
+	now := time.Now()
+	update := h.opts.Directory.Relay(now)
+	forEntries := h.opts.Directory.Update(now, 0, 0, true, withoutModels(h.opts.Directory.View().Targets))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.leading {
-		h.broadcast(update)
+		h.sendAll(update, h.controlLinks)
+		h.sendAll(forEntries, h.entryLinks)
 	}
 }
 
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -118,3 +118,23 @@
 	all := allocated(func() { h.broadcast(update) })
 	is.True(all < links/2*once)
 }
+
+// Guards against a list of thousands of targets that is sent to hundreds of entries whenever
+// an engine loads a version: entries do not use the versions.
+func TestEntriesGetNoListForALoadedVersion(t *testing.T) {
+	is := is.New(t)
+	list := func(version uint64, draining bool) []wire.TargetEntry {
+		return []wire.TargetEntry{{ID: "a", Service: "s", Draining: draining, Models: []wire.ModelVersion{{Model: "m", Version: version}}}}
+	}
+	h := &Hub{opts: Options{Directory: directory.New()}}
+	h.publishTargets(list(1, false))
+	control, entries := h.targets, h.entryTargets
+	is.Equal(entries.targets[0].Models, nil)
+	is.Equal(len(control.targets[0].Models), 1)
+	h.publishTargets(list(2, false))
+	is.Equal(h.targets.sequence, control.sequence+1)
+	is.Equal(h.entryTargets.sequence, entries.sequence)
+	h.publishTargets(list(2, true))
+	is.Equal(h.entryTargets.sequence, entries.sequence+1)
+	is.True(h.entryTargets.targets[0].Draining)
+}
