replica, batch: the lease has not ended when an order is sent

Cause of what was left: the lease was confirmed when the replica handled the question. The answer follows a sync of the disk and the application of what was committed, and the host may be suspended meanwhile.

Change: replica.Leads looks at the lease again when it returns, by a clock that counts suspensions. Orders and reports of usage use it.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -69,8 +69,8 @@
 	Propose func(ctx context.Context, body []byte) error
 	// Duty says whether this process may send orders to engines.
 	Duty Duty
-	// Leads returns the term in which this process leads, confirmed by the leader's lease
-	// after the call. Errors mean that it may not lead.
+	// Leads returns the term in which this process leads, confirmed by the leader's lease,
+	// which has not ended when Leads returns. Errors mean that it may not lead.
 	Leads func(ctx context.Context) (term uint64, err error)
 	// LeaseHeld reports whether this process leads in the given term and its lease has not
 	// ended, so that no other process can have become leader.
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -143,14 +143,10 @@
 		MaxWait: s.OrderHoldTime + orderHoldMargin, FencesChecked: s.FencesChecked, Log: d.observer.Logger("duty"),
 	})
 	c.OnLeader(claim.Lead)
-	leads := func(ctx context.Context) (uint64, error) {
-		term, _, err := r.ConfirmByLease(ctx)
-		return term, err
-	}
 	var collector *usage.Collector
 	if s.UsageWindow > 0 {
 		collector = d.startCollector(usage.CollectorOptions{
-			Ledger: used, Propose: propose(used.Name()), Claim: claim, Leads: leads,
+			Ledger: used, Propose: propose(used.Name()), Claim: claim, Leads: r.Leads,
 			Entries: func() []string { return fromHub(&hubRef, (*hub.Hub).Entries) },
 			Ready:   func() bool { return machine.Level() >= wire.LevelUsage },
 		})
@@ -160,7 +156,7 @@
 		Name: s.Name, Process: s.Links, Zone: s.Zone, Submissions: submissions, Versions: versions, Manifests: manifests,
 		Directory: d.targets, Protocol: protocol, Carrier: carried,
 		Propose: propose(submissions.Name()), Duty: claim,
-		Leads:       leads,
+		Leads:       r.Leads,
 		LeaseHeld:   r.LeaseHeld,
 		HostFaults:  s.HostFaults,
 		Retired:     func() []string { return fromHub(&hubRef, (*hub.Hub).Retired) },
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -379,6 +379,18 @@
 	return r.read(ctx, true)
 }
 
+// Leads returns the term in which this replica leads, for an act that only the leader may
+// carry out. The lease has not ended when Leads returns: between its confirmation and the
+// answer lie a sync of the disk and what was committed meanwhile, and the host may have been
+// suspended.
+func (r *Replica) Leads(ctx context.Context) (term uint64, err error) {
+	term, _, err = r.ConfirmByLease(ctx)
+	if err == nil && !r.LeaseHeld(term) {
+		return 0, &NotLeaderError{}
+	}
+	return term, err
+}
+
 func (r *Replica) read(ctx context.Context, byLease bool) (term, index uint64, err error) {
 	answer := make(chan readResult, 1)
 	done := func(term, index uint64, err error) { answer <- readResult{term, index, err} }
