--- a/batch/runner.go
+++ b/batch/runner.go
@@ -72,8 +72,8 @@
 	Propose func(ctx context.Context, body []byte) error
 	// Duty says whether this process may send orders to engines.
 	Duty Duty
-	// Leads returns the term in which this process leads, confirmed by the leader's lease
-	// after the call. Errors mean that it may not lead.
+	// Leads returns the term in which this process leads, confirmed by the leader's lease,
+	// which has not ended when Leads returns. Errors mean that it may not lead.
 	Leads func(ctx context.Context) (term uint64, err error)
 	// LeaseHeld reports whether this process leads in the given term and its lease has not
 	// ended, so that no other process can have become leader.
@@ -426,6 +426,16 @@
 	if r.adopting(now) {
 		return
 	}
+	r.startPending(now)
+	r.scheduleLoads(now)
+}
+
+// startPending starts the tasks that can be started now. By a list that is too old an engine
+// would be used that has been leaving for long.
+func (r *Runner) startPending(now time.Time) {
+	if !r.o.Directory.Usable(now, true) {
+		return
+	}
 	placements := plan(now, r.queue.tasks, r.engines, &r.queue.lengths)
 	for _, p := range placements {
 		r.begin(now, p)
@@ -433,7 +443,6 @@
 	if len(placements) > 0 {
 		r.queue.prune()
 	}
-	r.scheduleLoads(now)
 }
 
 // tick checks everything that depends on the time and not on a message.
