carrier: bytes that complete no event end the text

What callers would see: a control process ends with out of memory, or reads as fast as an engine in trouble sends, until the leader gives the engine up.

Cause: a line was limited to 1 MB, an event was not: lines of data without a blank line grew without a bound, and comments, blank lines and events without data went on for ever. The body of an error was limited to 64 KB but not in time, and a longer one left the rest of the body on a connection that was kept. A wrong number was quoted whole in an error that goes to the leader and into logs.

Change: at most 1 MB may arrive from the end of one event to the end of the next, lines without data included. What has arrived of an event is held by a lease of the memory for bodies, so that many engines cannot use it up together. The body of an error is read for at most 250 ms, and the connection kept only if it was read whole. 32 characters of a wrong value are quoted.

Safe before: a single line without end (bufio.Scanner), an error body without end in bytes (64 KB).

--- a/carrier/reader.go
+++ b/carrier/reader.go
@@ -1,19 +1,18 @@
 package carrier
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"merlinhall/forward"
+	"merlinhall/memory"
 	"merlinhall/upstream"
 	"merlinhall/wire"
 )
@@ -56,6 +55,8 @@
 // the number first on.
 func generate(ctx context.Context, pool *upstream.Pool, p Protocol, to upstream.Address, request *upstream.Request, out Generated, first int, rule VersionRule) ReadEnd {
 	began := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	response, err := pool.Open(ctx, to, request)
 	if err != nil {
 		end := ReadEnd{Outcome: Broken, Err: err}
@@ -71,8 +72,10 @@
 		out.VersionChanged(version)
 	}
 	if response.StatusCode != http.StatusOK {
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxFailureBodyBytes))
-		response.Close(err == nil)
+		late := time.AfterFunc(failureBodyTime, cancel)
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxFailureBodyBytes))
+		response.Close(err == nil && n < maxFailureBodyBytes)
+		late.Stop()
 		end.Outcome = failureOf(p, response.Response)
 		end.Err = eris.Errorf("status %d", response.StatusCode)
 		end.Error = forward.AttemptEnd{
@@ -81,7 +84,9 @@
 		}
 		return end
 	}
-	reader := textReader{p: p, next: first, version: version, rule: rule, out: out}
+	lease := pool.Memory.Lease()
+	defer lease.Close()
+	reader := textReader{p: p, next: first, version: version, rule: rule, out: out, buffer: lease.Buffer(), data: lease.Buffer()}
 	err = reader.read(response.Body)
 	response.Close(err == nil)
 	switch {
@@ -96,9 +101,14 @@
 	return end
 }
 
-// maxFailureBodyBytes is how much of the body of an error response is read so that the
-// connection can be reused.
-const maxFailureBodyBytes = 64 << 10
+const (
+	// maxFailureBodyBytes is how much of the body of an error response is read so that the
+	// connection can be reused.
+	maxFailureBodyBytes = 64 << 10
+	// failureBodyTime is how long that takes at most. The slot of the engine is not free
+	// for the leader before.
+	failureBodyTime = 250 * time.Millisecond
+)
 
 func failureOf(p Protocol, response *http.Response) Outcome {
 	switch p.Verdict(response.StatusCode, response.Header) {
@@ -131,8 +141,15 @@
 	return version >= r.Oldest && (!r.Single || version == r.Only)
 }
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds what arrives from the end of one event to the end of the next.
+	maxEventBytes = 1 << 20
+	readBytes     = 4 << 10
+	// maxQuoted is how many characters of a wrong value are quoted in an error.
+	maxQuoted = 32
+)
+
+var errEventTooLong = eris.Errorf("carrier: more than %d bytes without the end of an event", maxEventBytes)
 
 // textReader reads the events of a text from a response.
 type textReader struct {
@@ -142,8 +159,11 @@
 	rule    VersionRule
 	out     Generated
 
+	buffer memory.Buffer // what has arrived of the next line
+	data   memory.Buffer // of the current event
+
 	id      int
-	data    []byte
+	size    int  // bytes of the lines since the last event
 	inEvent bool // a line of the current event was read
 	hasData bool // the current event has data
 }
@@ -151,33 +171,49 @@
 // read returns nil if the stream ended between two events. The HTTP framing of the
 // response ensures that it is complete.
 func (t *textReader) read(body io.Reader) error {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	scanner.Split(scanCompleteLines)
-	for scanner.Scan() {
-		if err := t.line(scanner.Bytes()); err != nil {
+	chunk := make([]byte, readBytes)
+	for {
+		n, err := body.Read(chunk)
+		if failure := t.take(chunk[:n]); failure != nil {
+			return failure
+		}
+		switch {
+		case err == io.EOF && len(t.buffer.Bytes) > 0:
+			return io.ErrUnexpectedEOF // the last line has no line feed
+		case err == io.EOF && t.inEvent:
+			return eris.New("carrier: the text ends in the middle of an event")
+		case err == io.EOF:
+			return nil
+		case err != nil:
 			return err
 		}
 	}
-	if err := scanner.Err(); err != nil {
-		return err
-	}
-	if t.inEvent {
-		return eris.New("carrier: the text ends in the middle of an event")
-	}
-	return nil
 }
 
-// scanCompleteLines is bufio.ScanLines, except that a last line without a line feed is an
-// error.
-func scanCompleteLines(data []byte, atEOF bool) (int, []byte, error) {
-	if i := bytes.IndexByte(data, '\n'); i >= 0 {
-		return i + 1, bytes.TrimSuffix(data[:i], []byte("\r")), nil
+// take handles the lines that text completes and keeps the rest.
+func (t *textReader) take(text []byte) error {
+	start, from := 0, len(t.buffer.Bytes) // what was in the buffer has no line feed
+	if err := t.buffer.Append(text); err != nil {
+		return err
 	}
-	if atEOF && len(data) > 0 {
-		return 0, nil, io.ErrUnexpectedEOF
+	for {
+		i := bytes.IndexByte(t.buffer.Bytes[from:], '\n')
+		if i < 0 {
+			break
+		}
+		line := t.buffer.Bytes[start : from+i]
+		from += i + 1
+		t.size += from - start
+		start = from
+		if err := t.line(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return err
+		}
+	}
+	t.buffer.Consume(start)
+	if t.size+len(t.buffer.Bytes) > maxEventBytes {
+		return errEventTooLong
 	}
-	return 0, nil, nil
+	return nil
 }
 
 func (t *textReader) line(line []byte) error {
@@ -185,25 +221,27 @@
 		return t.finishEvent()
 	}
 	t.inEvent = true
-	name, value, _ := strings.Cut(string(line), ":")
-	value = strings.TrimPrefix(value, " ")
-	switch name {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
 	case "id":
-		id, err := strconv.Atoi(value)
+		id, err := strconv.Atoi(string(value))
 		if err != nil {
-			return eris.Wrap(err, "carrier: parse event number")
+			return eris.Errorf("carrier: %.*q is no event number", maxQuoted, value)
 		}
 		t.id = id
 	case "data":
 		if t.hasData {
-			t.data = append(t.data, '\n')
+			if err := t.data.Append([]byte{'\n'}); err != nil {
+				return err
+			}
 		}
 		t.hasData = true
-		t.data = append(t.data, value...)
+		return t.data.Append(value)
 	case t.p.VersionField():
-		version, err := strconv.ParseUint(value, 10, 64)
+		version, err := strconv.ParseUint(string(value), 10, 64)
 		if err != nil {
-			return eris.Wrap(err, "carrier: parse weight version of event")
+			return eris.Errorf("carrier: %.*q is no weight version", maxQuoted, value)
 		}
 		if version != t.version {
 			t.out.VersionChanged(version)
@@ -227,8 +265,9 @@
 	if !t.rule.Allows(t.version) {
 		return errVersionNotAllowed
 	}
-	t.out.Add(t.data, t.version)
+	t.out.Add(bytes.Clone(t.data.Bytes), t.version)
 	t.next++
-	t.data, t.inEvent, t.hasData, t.id = nil, false, false, 0
+	t.data.Consume(len(t.data.Bytes))
+	t.size, t.inEvent, t.hasData, t.id = 0, false, false, 0
 	return nil
 }
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -120,7 +120,8 @@
 	}
 }
 
-// Buffer is a growing buffer whose size is counted by a lease.
+// Buffer is a growing buffer whose size is counted by a lease. That of the zero value is not
+// counted.
 type Buffer struct {
 	Bytes []byte
 	lease *Lease
@@ -128,7 +129,7 @@
 }
 
 // Buffer returns an empty buffer.
-func (l *Lease) Buffer() *Buffer { return &Buffer{lease: l} }
+func (l *Lease) Buffer() Buffer { return Buffer{lease: l} }
 
 // Append appends p. After an error the buffer is as it was.
 func (b *Buffer) Append(p []byte) error {
@@ -143,17 +144,19 @@
 
 // Consume removes the first n bytes. A buffer that is empty then holds nothing.
 func (b *Buffer) Consume(n int) {
-	if n == len(b.Bytes) && b.held > 0 {
+	switch {
+	case n == 0:
+	case n == len(b.Bytes) && b.held > 0:
 		b.Release()
-		return
+	default:
+		b.Bytes = append(b.Bytes[:0], b.Bytes[n:]...)
 	}
-	b.Bytes = append(b.Bytes[:0], b.Bytes[n:]...)
 }
 
 // reserve replaces the buffer by one of the given size. The copy that is left to the garbage
 // collector is not counted.
 func (b *Buffer) reserve(size int64) error {
-	if n := max(0, size-uncountedBytes) - b.held; n > 0 {
+	if n := max(0, size-uncountedBytes) - b.held; n > 0 && b.lease != nil {
 		if err := b.lease.take(n); err != nil {
 			return err
 		}
@@ -165,6 +168,8 @@
 
 // Release gives back what the buffer holds and empties it.
 func (b *Buffer) Release() {
-	b.lease.give(b.held)
+	if b.lease != nil {
+		b.lease.give(b.held)
+	}
 	b.Bytes, b.held = nil, 0
 }
