forward: bytes that complete no event end a stream

What callers would see: an entry that reads comments or blank lines as fast as a target in trouble sends them, and passes them on, until the route's timeout; a processor busy for a second with one event without end.

Each read searched for blank lines in all that was there, so that an event of 1 MB cost 0.9 s of a processor. The events of all streams together had no bound.

Change: at most 1 MB may arrive without an event that has data. Only what is new is searched; the id of the last event is found without a list of all lines. What has arrived of an event is held by the lease of the request.

TestLongStreamIsDelivered: 100,000 events and more are delivered.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -23,8 +23,8 @@
 	// pauses ends whole.
 	streamIdleTimeout    = time.Second
 	maxStreamIdleTimeout = 8 * time.Second
-	// maxEventBytes limits the buffered part of a stream and thus the size of one
-	// event.
+	// maxEventBytes limits what arrives of a stream without an event: the size of one, and
+	// comments and blank lines without end.
 	maxEventBytes   = 1 << 20
 	streamReadBytes = 4 << 10
 )
@@ -47,6 +47,7 @@
 	errStreamIdle = eris.New("forward: the stream timed out without an event")
 
 	errWithinEvent = eris.New("forward: the stream ended within an event")
+	errNoEvent     = eris.Errorf("forward: more than %d bytes of a stream without the end of an event", maxEventBytes)
 )
 
 // stream is the state of one request whose response is an event stream.
@@ -186,38 +187,60 @@
 		}
 	})
 	defer idleTimer.Stop()
-	var rest []byte
+	lease := s.r.Lease
+	if lease == nil {
+		lease = s.f.Pool.Memory.Lease()
+		defer lease.Close()
+	}
+	rest := lease.Buffer()
+	defer rest.Release()
 	chunk := make([]byte, streamReadBytes)
+	without := 0 // bytes delivered since the last event with data
 	for {
 		n, err := body.Read(chunk)
-		rest = append(rest, chunk[:n]...)
-		length := completeEventsLen(rest)
+		former := len(rest.Bytes)
+		if failure := rest.Append(chunk[:n]); failure != nil {
+			return failure
+		}
+		// What was there before has no blank line, but may have the beginning of one.
+		searched := max(0, former-maxBlankBytes+1)
+		length := completeEventsLen(rest.Bytes[searched:])
+		if length > 0 {
+			length += searched
+		}
 		if err == io.EOF && framed {
-			length = len(rest) // the response is complete
+			length = len(rest.Bytes) // the response is complete
 		}
 		if length > 0 {
 			idleTimer.Reset(s.idleTimeout)
-			if id := findLastEventID(rest[:length]); id != "" {
+			text := rest.Bytes[:length]
+			if id := findLastEventID(text); id != "" {
 				s.lastEventID = id
 			}
-			if s.sink.Events(rest[:length]) != nil {
+			if without += length; hasData(text) {
+				without = 0
+			}
+			if s.sink.Events(text) != nil {
 				return errCallerLeft
 			}
-			rest = append(rest[:0], rest[length:]...)
+			rest.Consume(length)
 		}
 		switch {
-		case err == io.EOF && len(rest) > 0:
+		case err == io.EOF && len(rest.Bytes) > 0:
 			return errWithinEvent
 		case err == io.EOF:
 			return nil
 		case err != nil:
 			return eris.Wrap(err, "forward: read stream")
-		case len(rest) > maxEventBytes:
-			return eris.Errorf("forward: event exceeds %d bytes", maxEventBytes)
+		case without+len(rest.Bytes) > maxEventBytes:
+			return errNoEvent
 		}
 	}
 }
 
+// maxBlankBytes is the length of the longest blank line, with the end of the line before.
+const maxBlankBytes = len("\r\n\r\n")
+
 // completeEventsLen returns the length of the complete events in text: everything up to
 // and including the last blank line.
 func completeEventsLen(text []byte) int {
@@ -230,13 +253,19 @@
 	return end
 }
 
+// hasData reports whether a line of text is data of an event.
+func hasData(text []byte) bool {
+	return bytes.HasPrefix(text, []byte("data")) || bytes.Contains(text, []byte("\ndata"))
+}
+
 // findLastEventID returns the id of the last event in text that has an id, or "".
 func findLastEventID(text []byte) string {
-	lines := bytes.Split(text, []byte("\n"))
-	for i := len(lines) - 1; i >= 0; i-- {
-		if value, ok := bytes.CutPrefix(bytes.TrimSuffix(lines[i], []byte("\r")), []byte("id:")); ok {
+	for end := len(text); end >= 0; {
+		start := bytes.LastIndexByte(text[:end], '\n') + 1
+		if value, ok := bytes.CutPrefix(bytes.TrimSuffix(text[start:end], []byte("\r")), []byte("id:")); ok {
 			return string(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		end = start - 1
 	}
 	return ""
 }
