platform: the list of targets and responses to our own calls are bounded

What callers would see: a process ends with out of memory, or reads no more lists, when the platform or an engine in trouble sends a list, a report or a reply without end.

Cause: the pages of the list were decoded without a limit, and followed as long as there was a next one, the same one included; the client's limit of a header was that of net/http, 10 MB; the response to a request for a report or an order could have 32 MB. Only the time was bounded: a list 1 s, a report and an order by their timeouts.

Safe before: JSON that is none or nested too deep, and errors, whose body is not read.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -87,7 +87,7 @@
 	}
 	d.pool.Memory = d.bodies
 	d.log = d.observer.Logger("daemon")
-	d.poller = directory.NewPoller(&platform.List{Address: s.TargetList, Client: &http.Client{}}, d.observer.Logger("directory"))
+	d.poller = directory.NewPoller(&platform.List{Address: s.TargetList, Client: platform.NewClient()}, d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward"), Guard: d.observer.Guard("forward")}
 	d.hello = wire.Hello{Process: s.Name, Zone: s.Zone, Boot: newBootID(), Host: s.Name, Roles: []wire.Role{wire.RoleEntry}, Level: wire.Level}
 	d.pool.OnResponse = d.noteLeaving
--- a/daemon/hostedusage.go
+++ b/daemon/hostedusage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"merlinhall/platform"
 	"merlinhall/usage"
@@ -12,7 +11,7 @@
 func (d *HostedDaemon) startCollector(o usage.CollectorOptions) *usage.Collector {
 	o.Process, o.Window, o.Registry, o.Log = d.hello.Process, d.settings.UsageWindow, d.observer.Registry, d.observer.Logger("usage")
 	if d.settings.ReportUsage {
-		client := &platform.Usage{Address: d.settings.TargetList, Holder: d.settings.Name, Client: &http.Client{}, Log: o.Log}
+		client := &platform.Usage{Address: d.settings.TargetList, Holder: d.settings.Name, Client: platform.NewClient(), Log: o.Log}
 		o.Send = client.Send
 	}
 	d.observer.AddDump("usage", func() any { return o.Ledger.Windows() })
