link: hello messages and responses to a dial are limited

What callers would see: a process that dials an address at which a process in trouble now answers takes up to 169 MB for the head of its response; any client that opens a link makes the other end take a message of 8 MB before it says who it is.

Cause: the limit of net/http for a header is 10 MB; the limit of a frame, 8 MB for the largest bodies, was also that of the hello.

Change: 64 KB for the header, 16 KB for the hello, 8 MB after it as before.

--- a/link/link.go
+++ b/link/link.go
@@ -50,6 +50,12 @@
 	dialTimeout = 400 * time.Millisecond
 	// handshakeTimeout bounds the exchange of Hello messages.
 	handshakeTimeout = 2 * time.Second
+	// maxHelloBytes limits the first message of a peer, which may be any process that has
+	// the address.
+	maxHelloBytes = 16 << 10
+	// maxResponseHeaderBytes limits the response to a dial. The default of net/http is
+	// 10 MB, and an address may be that of a process in trouble by now.
+	maxResponseHeaderBytes = 64 << 10
 	// Path is the HTTP path of links.
 	Path = "/link"
 )
@@ -286,7 +292,6 @@
 		if err != nil {
 			return
 		}
-		ws.SetReadLimit(wire.MaxFrameBytes)
 		c, err := handshake(ws, local, r.RemoteAddr)
 		if err != nil {
 			_ = ws.CloseNow()
@@ -308,7 +313,6 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "link: dial %s", address)
 	}
-	ws.SetReadLimit(wire.MaxFrameBytes)
 	c, err := handshake(ws, local, address)
 	if err != nil {
 		_ = ws.CloseNow()
@@ -328,6 +332,7 @@
 	if err := ws.Write(ctx, websocket.MessageBinary, frame); err != nil {
 		return nil, eris.Wrap(err, "link: send hello")
 	}
+	ws.SetReadLimit(maxHelloBytes)
 	_, frame, err = ws.Read(ctx)
 	if err != nil {
 		return nil, eris.Wrap(err, "link: read hello")
@@ -340,15 +345,17 @@
 	if !ok {
 		return nil, eris.Errorf("link: first message from %s is %T, not a hello", remote, m)
 	}
+	ws.SetReadLimit(wire.MaxFrameBytes)
 	return newConn(ws, local, *hello, remote), nil
 }
 
 // NewHTTPClient returns a client for Dial whose connection attempts time out after
-// dialTimeout. A nil transport means a new one with default settings.
+// dialTimeout and which limits the headers of responses. A nil transport means a new one with default settings.
 func NewHTTPClient(transport *http.Transport) *http.Client {
 	if transport == nil {
 		transport = &http.Transport{}
 	}
+	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &http.Client{Transport: transport}
 }
