wire: lists in frames have at most 262,144 elements

What callers would see: a peer's frame of 1 MB that is a list of empty elements takes 112 MB in the process that decodes it (1 byte and 112 bytes an element, TargetUpdate).

Change: a limit of its own for frames. The longest lists of sound frames are the tokens of a sample.

TestListsInFramesAreBounded failed before for a million elements (decoded, 114,699 KB allocated; now refused, 1 KB). Safe before, and shown: announced lengths of lists, maps, strings and bytes without their content (1 KB at most), lists without a count, nesting. TestInflatedDataIsBounded: compressed data stop at the limit of their reader.

Tests of wire, propagate, hub and rollout pass with the race detector.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -36,11 +36,17 @@
 }
 
 var (
-	kinds   [256]reflect.Type
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	kinds     [256]reflect.Type
+	encMode   = mustEncMode()
+	decMode   = mustDecMode(1 << 20)
+	frameMode = mustDecMode(maxFrameElements)
 )
 
+// maxFrameElements bounds the number of elements of a list in a frame. An empty element
+// takes one byte of the frame and up to 112 bytes once it is decoded: a list of a million
+// targets took 112 MB. The longest lists are the tokens of a sample.
+const maxFrameElements = 1 << 18
+
 func mustEncMode() cbor.EncMode {
 	mode, err := cbor.CoreDetEncOptions().EncMode()
 	if err != nil {
@@ -49,11 +55,11 @@
 	return mode
 }
 
-func mustDecMode() cbor.DecMode {
+func mustDecMode(maxElements int) cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  16,
-		MaxArrayElements: 1 << 20,
+		MaxArrayElements: maxElements,
 		MaxMapPairs:      1 << 16,
 	}.DecMode()
 	if err != nil {
@@ -97,7 +103,7 @@
 		return nil, eris.Wrapf(ErrMalformed, "unknown kind %d", frame[0])
 	}
 	m := reflect.New(t).Interface()
-	if err := decMode.Unmarshal(frame[1:], m); err != nil {
+	if err := frameMode.Unmarshal(frame[1:], m); err != nil {
 		return nil, eris.Wrapf(ErrMalformed, "kind %d: %v", frame[0], err)
 	}
 	return m.(Message), nil
