--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -126,7 +126,7 @@
 	}
 	report := func(from carrier.Sender, term, attempt uint64, inventory bool) {
 		p := carrier.Progress{
-			Attempt: attempt, State: carrier.Ended, Outcome: carrier.Failed, Reached: true,
+			Attempt: attempt, State: carrier.Ended, Outcome: carrier.Failed, Failures: 1, Reached: true,
 			Identity: &carrier.Identity{Submission: "k", Item: "k-0-0", Engine: "e"},
 		}
 		r.handleReport(start, reportMessage{from, &carrier.Report{Term: term, Inventory: inventory, Runs: []carrier.Progress{p}}})
--- a/link/link.go
+++ b/link/link.go
@@ -51,6 +51,12 @@
 	dialTimeout = 400 * time.Millisecond
 	// handshakeTimeout bounds the exchange of Hello messages.
 	handshakeTimeout = 2 * time.Second
+	// maxHelloBytes limits the first message of a peer, which may be any process that has
+	// the address.
+	maxHelloBytes = 16 << 10
+	// maxResponseHeaderBytes limits the response to a dial. The default of net/http is
+	// 10 MB, and an address may be that of a process in trouble by now.
+	maxResponseHeaderBytes = 64 << 10
 	// Path is the HTTP path of links.
 	Path = "/link"
 )
@@ -294,7 +300,6 @@
 		if err != nil {
 			return
 		}
-		ws.SetReadLimit(wire.MaxFrameBytes + checksumBytes)
 		c, err := handshake(ws, local, r.RemoteAddr)
 		if err != nil {
 			_ = ws.CloseNow()
@@ -316,7 +321,6 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "link: dial %s", address)
 	}
-	ws.SetReadLimit(wire.MaxFrameBytes + checksumBytes)
 	c, err := handshake(ws, local, address)
 	if err != nil {
 		_ = ws.CloseNow()
@@ -337,6 +341,7 @@
 	if err := ws.Write(ctx, websocket.MessageBinary, sent); err != nil {
 		return nil, eris.Wrap(err, "link: send hello")
 	}
+	ws.SetReadLimit(maxHelloBytes)
 	_, received, err := ws.Read(ctx)
 	if err != nil {
 		return nil, eris.Wrap(err, "link: read hello")
@@ -349,17 +354,19 @@
 	if !ok {
 		return nil, eris.Errorf("link: first message from %s is %T, not a hello", remote, m)
 	}
+	ws.SetReadLimit(wire.MaxFrameBytes + checksumBytes)
 	c := newConn(ws, local, *hello, remote)
 	c.sums = newChecksums(hello.Checksums, sent, received)
 	return c, nil
 }
 
 // NewHTTPClient returns a client for Dial whose connection attempts time out after
-// dialTimeout. A nil transport means a new one with default settings.
+// dialTimeout and which limits the headers of responses. A nil transport means a new one with default settings.
 func NewHTTPClient(transport *http.Transport) *http.Client {
 	if transport == nil {
 		transport = &http.Transport{}
 	}
+	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &http.Client{Transport: transport}
 }
