agent: heads and event lines of a target are limited

What callers would see: an agent takes up to 0.5 GB for the heads of three responses of an engine or a store in trouble, and reads comments, blank lines or other fields of a stream as fast as they come until the idle timeout.

Cause: the limit of net/http for a header is 10 MB; lines without data were skipped without a count.

Change: 64 KB for the header, 64 KB of lines without an event.

Safe before, and shown: a line without end (64 KB), states (8 MB, 33 MB as the buffer grows), bodies of orders and errors (not read, or 512 bytes), weights (a length, at most 32 MB, parts that wait for their receiver), and the answer of a service, which is read in chunks of 4 KB by the window.

--- a/agent/engine.go
+++ b/agent/engine.go
@@ -19,7 +19,8 @@
 const (
 	// stateTimeout limits one read of the engine's state.
 	stateTimeout = 2 * time.Second
-	// maxEventBytes is the maximum length of a line of the event stream.
+	// maxEventBytes is the maximum length of a line of the event stream, and of what may
+	// come before a line with data.
 	maxEventBytes = 64 << 10
 	// maxErrorBytes is how many bytes of an engine's error response are reported.
 	maxErrorBytes = 512
@@ -232,10 +233,12 @@
 	return nil
 }
 
+var errNoEvent = eris.Errorf("engine sent more than %d bytes without an event", maxEventBytes)
+
 // readEvent returns the next data line of the stream. Engines send each event as one
 // such line. The slice is valid until the next read.
 func readEvent(in *bufio.Reader) ([]byte, error) {
-	for {
+	for skipped := 0; skipped <= maxEventBytes; {
 		line, err := in.ReadSlice('\n')
 		if err == io.EOF {
 			return nil, errTruncated
@@ -246,7 +249,9 @@
 		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
 			return bytes.TrimSpace(data), nil
 		}
+		skipped += len(line)
 	}
+	return nil, errNoEvent
 }
 
 // eventBuffered reports whether a complete data line is in the read buffer.
--- a/agent/target.go
+++ b/agent/target.go
@@ -17,6 +17,8 @@
 const (
 	// dialTimeout limits one connection attempt to the target.
 	dialTimeout = 2 * time.Second
+	// maxResponseHeaderBytes limits the header of a response of the target or the store.
+	maxResponseHeaderBytes = 64 << 10
 	// maxDataBytes is the maximum size of the data in a chunk, in bytes. With Window
 	// chunks a stream buffers at most 256 KiB.
 	maxDataBytes = 4 << 10
@@ -97,6 +99,8 @@
 	return &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+		// The default of net/http is 10 MB.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
