cli, control, standin, demo: responses are limited

What operators would see: a command that prints all of a response that is none of the API's, or takes memory until it times out; a leader that takes 156 MB for the head of a host list without end.

Cause: the limit of net/http for a header is 10 MB; bodies were read by io.ReadAll or decoded without a limit.

Change: 64 KB for headers; 16 MB for responses to commands, of which 1 KB is printed if they are none of the API's, and for draws of the stand-in trainer and states in the demonstration; 1 MB for answers to the stand-in caller.

--- a/cli/client.go
+++ b/cli/client.go
@@ -23,6 +23,13 @@
 	// requestTimeout applies to one request to one control replica.
 	requestTimeout = 10 * time.Second
 	pollPeriod     = 200 * time.Millisecond
+	// maxResponseBytes bounds the body of a response. The largest are configurations, their
+	// differences, and the status of thousands of processes.
+	maxResponseBytes = 16 << 20
+	// maxProblemBytes is how much is printed of a response that is none of the API.
+	maxProblemBytes = 1 << 10
+	// maxResponseHeaderBytes bounds its header. The default of net/http is 10 MB.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // client calls the administration API of the control replicas.
@@ -54,7 +61,7 @@
 // to use with it. If ca is empty it doesn't use TLS.
 func newTransport(ca string) (*http.Transport, string, error) {
 	if ca == "" {
-		return &http.Transport{}, "http", nil
+		return &http.Transport{MaxResponseHeaderBytes: maxResponseHeaderBytes}, "http", nil
 	}
 	pem, err := os.ReadFile(ca)
 	if err != nil {
@@ -64,7 +71,9 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, "", eris.Errorf("CA file %s contains no PEM certificate", ca)
 	}
-	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}, "https", nil
+	return &http.Transport{
+		MaxResponseHeaderBytes: maxResponseHeaderBytes, TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13},
+	}, "https", nil
 }
 
 func splitList(list string) []string {
@@ -117,10 +126,13 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(text) > maxResponseBytes {
+		return nil, eris.Errorf("%s: the response is longer than %d bytes", address, maxResponseBytes)
+	}
 	return &response{status: resp.StatusCode, body: text}, nil
 }
 
@@ -145,7 +157,8 @@
 		RequestID string   `json:"request_id"`
 	}
 	if json.Unmarshal(r.body, &failure) != nil || failure.Outcome == "" {
-		return fmt.Sprintf("status %d: %s", r.status, bytes.TrimSpace(r.body))
+		text := bytes.TrimSpace(r.body)
+		return fmt.Sprintf("status %d: %s", r.status, text[:min(len(text), maxProblemBytes)])
 	}
 	text := failure.Outcome
 	if failure.Error != "" {
--- a/control/hosts.go
+++ b/control/hosts.go
@@ -24,6 +24,8 @@
 	// maxHostListBytes is the maximum size of the host list. An entry takes about
 	// 50 bytes.
 	maxHostListBytes = 4 << 20
+	// maxHostListHeaderBytes is that of its header. The default of net/http is 10 MB.
+	maxHostListHeaderBytes = 64 << 10
 	// minLiveReadings is the number of consecutive polls that must list a leaving host
 	// as live before its targets return. The list lags and may show outdated states.
 	minLiveReadings = 4
@@ -140,11 +142,17 @@
 	return len(c.Drain)+len(c.Undrain)+len(c.Leaving)+len(c.Returned) == 0
 }
 
+func newHostListClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHostListHeaderBytes
+	return &http.Client{Timeout: hostListTimeout, Transport: transport}
+}
+
 // startHostReconciler starts the loop that reconciles the departures with the host list
 // and the configuration.
 func (c *Control) startHostReconciler() {
 	planner := &departurePlanner{liveReadings: make(map[string]int)}
-	client := &http.Client{Timeout: hostListTimeout}
+	client := newHostListClient()
 	c.runEvery(c.options.HostsPeriod, func() { c.reconcileHosts(planner, client) })
 }
 
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -76,6 +76,9 @@
 	}
 }
 
+// maxStateBytes bounds the cluster state of a process.
+const maxStateBytes = 16 << 20
+
 func fetchConfigVersion(ctx context.Context, client *http.Client, url string) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -91,7 +94,7 @@
 	var clusterState struct {
 		ConfigVersion uint64 `json:"config_version"`
 	}
-	if json.NewDecoder(resp.Body).Decode(&clusterState) != nil {
+	if json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&clusterState) != nil {
 		return 0, false
 	}
 	return clusterState.ConfigVersion, clusterState.ConfigVersion > 0
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -189,6 +189,9 @@
 
 func prompt(id string) string { return "approve purchase order " + id }
 
+// maxAnswerBytes bounds what is read of an answer. A longer one counts as incomplete.
+const maxAnswerBytes = 1 << 20
+
 // read reads a response. It returns the outcome from the caller's point of view, and
 // an error unless the response is the complete answer to this request.
 func (c *Caller) read(resp *http.Response, id string, kind CallKind) (string, error) {
@@ -200,10 +203,11 @@
 		}
 		return outcome, eris.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	}
+	body := io.LimitReader(resp.Body, maxAnswerBytes)
 	if kind == CallCompletion {
-		return c.readStream(resp.Body, id)
+		return c.readStream(body, id)
 	}
-	return OutcomeDone, checkAnswer(resp.Body, id)
+	return OutcomeDone, checkAnswer(body, id)
 }
 
 // readStream reads a stream. A stream without an end event counts as lost: the caller
--- a/standin/trainer_http.go
+++ b/standin/trainer_http.go
@@ -9,9 +9,14 @@
 	"io"
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"merlinhall/wire"
 )
 
+// maxDrawBytes bounds the body of a response. Draws are the largest.
+const maxDrawBytes = 16 << 20
+
 // drawResponse is the response to a draw.
 type drawResponse struct {
 	DrawID  string `json:"draw_id"`
@@ -75,10 +80,13 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	text, err := io.ReadAll(answer.Body)
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxDrawBytes+1))
 	if err != nil {
 		return err
 	}
+	if len(text) > maxDrawBytes {
+		return eris.Errorf("the response is longer than %d bytes", maxDrawBytes)
+	}
 	if answer.StatusCode != http.StatusOK {
 		return &TrainerStatusError{Status: answer.StatusCode, Body: string(bytes.TrimSpace(text))}
 	}
