entry: an answer that CallService returns has at most 4 MB

What callers would see: an entry ends with out of memory when a scoring service answers without end, until the deadline of the sample.

Cause: the chunks of the answer, which the agent sends as they are consumed, were collected without a bound.

Change: a call whose answer is longer ends with an unknown outcome and is cancelled, which closes the connection to the service.

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"merlinhall/config"
 	"merlinhall/wire"
 )
@@ -112,19 +114,42 @@
 	if !e.submit(req) {
 		return response, &OutcomeError{req.result}
 	}
-	attempt := 0
-	end := e.follow(ctx, req, func(c attemptChunk) error {
-		if c.attempt != attempt {
-			attempt = c.attempt
-			response = ServiceResponse{ID: req.state.id, Status: c.Status, Headers: c.Headers}
-		}
-		response.Body = append(response.Body, c.Data...)
-		return nil
-	})
+	collected := collectedAnswer{response: response}
+	end := e.follow(ctx, req, collected.take)
+	if collected.tooLong {
+		end.Outcome, end.Detail = OutcomeUnknown, errAnswerTooLong.Error()
+	}
 	if end.Outcome != OutcomeDone {
-		return response, &OutcomeError{end}
+		return collected.response, &OutcomeError{end}
+	}
+	return collected.response, nil
+}
+
+// maxAnswerBytes bounds the body of an answer that CallService returns. Answers to callers
+// are passed on in chunks.
+const maxAnswerBytes = 4 << 20
+
+var errAnswerTooLong = eris.Errorf("entry: the answer is longer than %d bytes", maxAnswerBytes)
+
+// collectedAnswer is the answer of the latest attempt of a call.
+type collectedAnswer struct {
+	response ServiceResponse
+	attempt  int
+	tooLong  bool
+}
+
+// take adds a chunk. An error ends the call.
+func (a *collectedAnswer) take(c attemptChunk) error {
+	if c.attempt != a.attempt {
+		a.attempt = c.attempt
+		a.response = ServiceResponse{ID: a.response.ID, Status: c.Status, Headers: c.Headers}
+	}
+	if len(a.response.Body)+len(c.Data) > maxAnswerBytes {
+		a.tooLong = true
+		return errAnswerTooLong
 	}
-	return response, nil
+	a.response.Body = append(a.response.Body, c.Data...)
+	return nil
 }
 
 func (e *Entry) newGeneration(c *config.Config, r GenerationRequest) (*activeRequest, error) {
