agent, rollout: weights and bodies cut on their way

Looked for: weights or a body of a group that are stored, served or delivered although a connection was cut, reset, stalled, trickled, doubled or changed within them, and a receiver that never gets them then.

The proxies of the test of replicas must have struck at least once now, too.

--- a/agent/pool_test.go
+++ b/agent/pool_test.go
@@ -28,6 +28,9 @@
 	index       uint64
 	configText  string
 	swapTime    time.Duration
+	// via, when set, returns the address under which the agents reach the store and each
+	// other.
+	via func(address string) string
 }
 
 // countSwaps wraps a target and records in maxSwapping the largest number of
@@ -51,7 +54,7 @@
 }
 
 func (p *testPool) start(n int) {
-	p.storeURL = address(startTarget(p.t, p.store))
+	p.storeURL = p.reach(address(startTarget(p.t, p.store)))
 	p.configText = fmt.Sprintf(`
 [[zone]]
 name = "bole"
@@ -79,7 +82,14 @@
 	p.engines = append(p.engines, engine)
 	p.agents = append(p.agents, agent)
 	p.linkServers = append(p.linkServers, linkServer)
-	p.configText += fmt.Sprintf("  [[pool.target]]\n  name = %q\n  zone = %q\n  agent = %q\n  address = %q\n", local.Target, zone, address(linkServer), address(target))
+	p.configText += fmt.Sprintf("  [[pool.target]]\n  name = %q\n  zone = %q\n  agent = %q\n  address = %q\n", local.Target, zone, p.reach(address(linkServer)), address(target))
+}
+
+func (p *testPool) reach(address string) string {
+	if p.via == nil {
+		return address
+	}
+	return p.via(address)
 }
 
 func (p *testPool) publish(version uint64) {
--- a/netfault/proxy.go
+++ b/netfault/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"testing"
 
@@ -71,6 +72,11 @@
 	return append([]Fault(nil), p.strikes...)
 }
 
+// Struck reports whether a fault has occurred in one of the proxies.
+func Struck(proxies []*Proxy) bool {
+	return slices.ContainsFunc(proxies, func(p *Proxy) bool { return len(p.Strikes()) > 0 })
+}
+
 func (p *Proxy) struck(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -182,6 +182,7 @@
 			for _, name := range g.names {
 				is.Equal(g.replicas[name].Status().Failed, "")
 			}
+			is.True(netfault.Struck(g.proxies)) // no fault was tested
 		})
 	}
 }
--- a/rollout/fakes_test.go
+++ b/rollout/fakes_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -109,6 +110,8 @@
 	started  []interface{ Stop() }
 	work     sync.WaitGroup
 	crashAt  func(point, process string) bool // reports whether the process crashes there
+	// connect, when set, connects two replicas in place of pipes.
+	connect func(a, b *replica)
 
 	logMu    sync.Mutex
 	index    uint64
@@ -133,7 +136,13 @@
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
+	return newClusterWith(t, nil, names...)
+}
+
+// newClusterWith is newCluster with a function that connects two replicas.
+func newClusterWith(t *testing.T, connect func(a, b *replica), names ...string) *cluster {
 	c := &cluster{
+		connect:  connect,
 		t:        t,
 		names:    names,
 		dirs:     map[string]string{},
@@ -194,7 +203,11 @@
 	c.logMu.Unlock()
 	c.started = append(c.started, co)
 	for _, other := range c.replicas {
-		if other != r {
+		switch {
+		case other == r:
+		case c.connect != nil:
+			c.connect(r, other)
+		default:
 			c.join(&r.process, &other.process, r.coord, other.coord)
 		}
 	}
@@ -394,6 +407,7 @@
 
 // fakeRunner generates two tokens of the current version.
 type fakeRunner struct {
+	text    string // of the second token; "." if empty
 	mu      sync.Mutex
 	version func() uint64
 	calls   map[string]int // generations by job
@@ -425,7 +439,7 @@
 	if r.version != nil {
 		version = r.version()
 	}
-	return []wire.Token{{Text: g.Job, Version: version}, {Text: ".", Version: version}}, 0, nil
+	return []wire.Token{{Text: g.Job, Version: version}, {Text: cmp.Or(r.text, "."), Version: version}}, 0, nil
 }
 
 func (r *fakeRunner) CallService(context.Context, string, string, string, []byte) ([]byte, error) {
