rollout: bodies larger than the send queue of a link

What trainers would see: a group whose samples together have more than about 8 MB never becomes complete, or never comes with a draw if the leader lacks its body.

Cause: all chunks of a body were queued at once. The send queue of a link takes 8 MB, the chunk beyond that was refused, the rest was not sent, and the next try two or three seconds later began at the first byte again. The queue was full for the other messages of the link meanwhile, those of the replicated log too.

Change: a chunk is sent once at most 2 MB wait on the link, in a goroutine of the body, which gives up after a second without room. A body is sent to a replica once at a time, because two that arrive together discard each other's chunks.

--- a/link/link.go
+++ b/link/link.go
@@ -105,6 +105,9 @@
 // Bytes returns the number of bytes in the frames sent and received so far.
 func (c *Conn) Bytes() (sent, received uint64) { return c.sent.Load(), c.received.Load() }
 
+// QueuedBytes returns the size of the frames that wait to be sent.
+func (c *Conn) QueuedBytes() int { return int(c.queuedBytes.Load()) }
+
 // Closed returns a channel that is closed when the connection ends.
 func (c *Conn) Closed() <-chan struct{} { return c.closed }
 
--- a/rollout/bodies.go
+++ b/rollout/bodies.go
@@ -12,6 +12,15 @@
 const (
 	// bodyPartBytes is the size of one chunk of a body on a link.
 	bodyPartBytes = 1 << 20
+	// maxQueuedBytes is the size of what may wait on a link when a chunk is sent. It leaves
+	// room for the other messages of the link, among them those of the replicated log, in a
+	// queue of 8 MB.
+	maxQueuedBytes = 2 << 20
+	// queuePollPeriod is the time between two checks of that size.
+	queuePollPeriod = 5 * time.Millisecond
+	// chunkTimeout bounds the wait for room on a link. It is below resendAfter and
+	// fetchTimeout, so that a body is not sent twice at a time.
+	chunkTimeout = 1 * time.Second
 	// maxBodyBytes bounds the body of one group.
 	maxBodyBytes = 256 << 20
 	// maxAssemblies bounds the bodies that are received concurrently.
@@ -39,9 +48,16 @@
 	assemblies   map[wire.BodyKey]*assembly
 	fetches      map[wire.BodyKey]*fetch
 	putWaiters   map[wire.BodyKey][]sender // replicas to notify when a put is durable
+	sending      map[bodySend]bool         // bodies on their way to replicas
 	repairAt     time.Time
 }
 
+// bodySend is a body that is being sent to a replica.
+type bodySend struct {
+	peer string
+	key  wire.BodyKey
+}
+
 // replication is a body that is being stored on a majority of the replicas.
 type replication struct {
 	commit   CommitGroup
@@ -71,6 +87,7 @@
 	b.assemblies = map[wire.BodyKey]*assembly{}
 	b.fetches = map[wire.BodyKey]*fetch{}
 	b.putWaiters = map[wire.BodyKey][]sender{}
+	b.sending = map[bodySend]bool{}
 }
 
 // replicateGroup stores a complete group on this replica and its peers.
@@ -96,15 +113,44 @@
 	return peers
 }
 
+// sendBody sends a body to a replica in a new goroutine, unless that is in progress: two
+// bodies of a key that arrive at a time discard each other's chunks.
 func (c *Coordinator) sendBody(peer string, key wire.BodyKey, data []byte) {
-	for offset := 0; offset < len(data); offset += bodyPartBytes {
-		end := min(offset+bodyPartBytes, len(data))
-		if c.links.send(peer, &wire.PutBody{Key: key, Offset: offset, Size: len(data), Data: data[offset:end]}) != nil {
+	conn, send := c.links.newest(peer), bodySend{peer, key}
+	if conn == nil || c.bodies.sending[send] {
+		return
+	}
+	c.bodies.sending[send] = true
+	c.storeWork.Go(func() {
+		sendChunks(conn, len(data), func(offset, end int) wire.Message {
+			return &wire.PutBody{Key: key, Offset: offset, Size: len(data), Data: data[offset:end]}
+		})
+		c.enqueue(send)
+	})
+}
+
+// sendChunks sends a body of the given size in chunks. It gives up if the link ends or has
+// no room for chunkTimeout.
+func sendChunks(conn sender, size int, chunk func(offset, end int) wire.Message) {
+	for offset := 0; offset < size; offset += bodyPartBytes {
+		if !awaitRoom(conn) || conn.Send(chunk(offset, min(offset+bodyPartBytes, size))) != nil {
 			return
 		}
 	}
 }
 
+// awaitRoom waits until less than maxQueuedBytes wait on a link. It returns false after
+// chunkTimeout.
+func awaitRoom(conn sender) bool {
+	l, ok := conn.(interface{ QueuedBytes() int })
+	for end := time.Now().Add(chunkTimeout); ok && l.QueuedBytes() > maxQueuedBytes; time.Sleep(queuePollPeriod) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 // put stores a body in a new goroutine, because a sync may take long.
 func (c *Coordinator) put(key wire.BodyKey, data []byte) {
 	c.storeWork.Go(func() {
@@ -229,12 +275,9 @@
 			_ = conn.Send(&wire.BodyPart{Key: key, Missing: true})
 			return
 		}
-		for offset := 0; offset < len(data); offset += bodyPartBytes {
-			end := min(offset+bodyPartBytes, len(data))
-			if conn.Send(&wire.BodyPart{Key: key, Offset: offset, Size: len(data), Data: data[offset:end]}) != nil {
-				return
-			}
-		}
+		sendChunks(conn, len(data), func(offset, end int) wire.Message {
+			return &wire.BodyPart{Key: key, Offset: offset, Size: len(data), Data: data[offset:end]}
+		})
 	})
 }
 
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -198,6 +198,8 @@
 		c.tick(now)
 	case putDone:
 		c.putDone(m)
+	case bodySend:
+		delete(c.bodies.sending, m)
 	case commitDone:
 		c.commitDone(now, m)
 	case inspect:
@@ -365,11 +367,20 @@
 
 // send uses the newest connection of the process.
 func (l *links) send(process string, m wire.Message) error {
+	conn := l.newest(process)
+	if conn == nil {
+		return link.ErrClosed
+	}
+	return conn.Send(m)
+}
+
+// newest returns the newest connection to a process, or nil.
+func (l *links) newest(process string) sender {
 	conns := l.conns[process]
 	if len(conns) == 0 {
-		return link.ErrClosed
+		return nil
 	}
-	return conns[len(conns)-1].Send(m)
+	return conns[len(conns)-1]
 }
 
 func (l *links) connected(process string) bool { return len(l.conns[process]) > 0 }
--- a/rollout/fault_test.go
+++ b/rollout/fault_test.go
@@ -104,3 +104,22 @@
 		})
 	}
 }
+
+// Guards against a body that is larger than the send queue of a link and is therefore never
+// stored on a majority, or never fetched.
+func TestBodyLargerThanTheSendQueue(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var proxies []*netfault.Proxy
+	c := newClusterWith(t, connectOverLinks(t, netfault.Plan{Kinds: []netfault.Kind{netfault.None}, Bytes: 1}, &proxies), "c1", "c2", "c3")
+	text := strings.Repeat("merlinhall ", 600_000)
+	c.addEntry("e1", &fakeRunner{text: text})
+	c.lead("c1", true)
+	a := api{t, TrainerHandler(c, nil)}
+	is.Equal(a.post("steps", `{"step":1,"prompts":["a"],"group_size":2,"sampling":{"max_tokens":4},"version":1}`, nil), http.StatusOK)
+	eventually(t, "a complete group", func() bool { return len(c.replicas["c1"].ledger.DrawableBodies("abay", 0)) == 1 })
+	for _, key := range c.replicas["c1"].coord.store.Keys() {
+		c.replicas["c1"].coord.store.Delete(key)
+	}
+	is.Equal(drawAll(t, a, 1), map[string]int{text: 2})
+}
