hub, wire: pages of results and compressed texts cut on their way

Looked for: a page of results that was cut, reset, doubled, delayed or changed between the leader and an entry and is taken for a whole one, or for a submission that does not exist; compressed text that decodes as a shorter one.

It does not happen: a reply is one frame, which is decoded only if it is whole and its checksum matches; the call is repeated on the next link.

--- a/netfault/netfault.go
+++ b/netfault/netfault.go
@@ -48,6 +48,8 @@
 	First, Bytes int64
 	// For is the longest Delay, and the time between two bytes of a Trickle.
 	For time.Duration
+	// Answers limits the faults of a proxy to the direction towards the client.
+	Answers bool
 }
 
 // Fault returns the fault of the stream with a number. It depends on nothing else.
--- a/netfault/proxy.go
+++ b/netfault/proxy.go
@@ -93,7 +93,7 @@
 	}
 	p.number++
 	f := p.plan.Fault(p.number)
-	if (p.plan.Seed+p.number)&1 == 0 {
+	if !p.plan.Answers && (p.plan.Seed+p.number)&1 == 0 {
 		return f, toClient
 	}
 	return toTarget, f
--- a/wire/parts_test.go
+++ b/wire/parts_test.go
@@ -25,3 +25,24 @@
 	is.NoErr(err)
 	is.Equal(len(none), 0)
 }
+
+// Guards against compressed data that was cut and decodes as a shorter text.
+func TestCutCompressedDataIsAnError(t *testing.T) {
+	is := is.New(t)
+	var text []byte
+	for i := range 40_000 {
+		text = append(text, byte(i*i>>7), 'e', ' ') // more than one block
+	}
+	for _, size := range []int{0, 1, 100, len(text)} {
+		b := Deflate(text[:size])
+		whole, err := Inflate(b, len(text))
+		is.NoErr(err)
+		is.Equal(string(whole), string(text[:size]))
+		for cut := 0; cut < len(b); cut += max(len(b)/100, 1) {
+			_, err := Inflate(b[:cut], len(text))
+			is.True(errors.Is(err, ErrMalformed))
+		}
+		_, err = Inflate(b[:len(b)-1], len(text))
+		is.True(errors.Is(err, ErrMalformed))
+	}
+}
