--- a/agent/agent.go
+++ b/agent/agent.go
@@ -200,7 +200,7 @@
 		guard:   o.Observer.Guard("agent"),
 		log:     o.Observer.Logger("agent").WithField("target", o.Local.Target),
 		route:   &routeCheck{target: o.Local.Target},
-		gate:    &orderGate{target: o.Local.Target},
+		gate:    &orderGate{},
 		runs:    make(map[string]*activeRun),
 		links:   make(map[LinkID]*linkState),
 		linkIDs: make(map[*link.Conn]LinkID),
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -43,8 +43,6 @@
 // succeeded and the cluster state has reached the confirmed log index, and none
 // with a fencing token below the highest one seen.
 type orderGate struct {
-	target string
-
 	confirmed      bool
 	confirmedIndex uint64 // log index confirmed by the barrier
 	stateIndex     uint64 // log index of the current cluster state
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -67,7 +67,6 @@
 	table         atomic.Pointer[routes.Table]
 	targets       wire.TargetUpdate
 	leading       bool
-	term          uint64
 	// reported is the group as members reported it while this process is not one.
 	reported wire.MembershipUpdate
 }
@@ -321,7 +320,7 @@
 
 func (h *Hub) setLeading(leading bool, term uint64) {
 	h.mu.Lock()
-	h.leading, h.term = leading, term
+	h.leading = leading
 	h.targets.Term = term
 	h.mu.Unlock()
 	if leading {
--- a/propagate/delta.go
+++ b/propagate/delta.go
@@ -68,12 +68,9 @@
 	return &next, nil
 }
 
-// checkSnapshot rejects a delta, and a cluster state whose configuration text does
-// not match its digest.
+// checkSnapshot rejects a cluster state whose configuration text does not match its
+// digest.
 func checkSnapshot(cs *wire.ClusterState) error {
-	if cs.BaseIndex != 0 {
-		return eris.Wrap(ErrBadClusterState, "snapshot expected, got a delta")
-	}
 	if cs.ConfigVersion > 0 && config.Digest(cs.ConfigText) != cs.ConfigDigest {
 		return eris.Wrapf(ErrBadClusterState, "configuration digest mismatch at index %d", cs.Index)
 	}
@@ -135,7 +132,6 @@
 func checksum(cs *wire.ClusterState) uint64 {
 	bare := *cs
 	bare.ConfigText = nil
-	bare.BaseIndex = 0
 	h := fnv.New64a()
 	if b, err := wire.Marshal(&bare); err == nil {
 		_, _ = h.Write(b)
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -45,8 +45,6 @@
 	Source Source
 	Offset int64
 	Length int
-	// Attempt distinguishes the answers of a source from those to an earlier attempt.
-	Attempt int
 }
 
 // Transfer fetches one version. When a source fails or stalls, it continues with the
@@ -59,7 +57,6 @@
 	sources     []Source
 	retried     bool // the current source was retried after a digest mismatch
 	sourceIndex int
-	attempt     int
 	requested   int64
 	progressAt  int64 // time of the last progress, ms
 	ended       bool
@@ -87,11 +84,10 @@
 		t.ended = true
 		return []TransferStep{{Op: TransferFailed}}
 	}
-	t.attempt++
 	t.progressAt = now
 	t.requested = t.Blob.Received()
 	if t.source() == Store {
-		return []TransferStep{{Op: TransferStore, Offset: t.requested, Attempt: t.attempt}}
+		return []TransferStep{{Op: TransferStore, Offset: t.requested}}
 	}
 	return t.requestParts()
 }
@@ -102,7 +98,7 @@
 func (t *Transfer) requestParts() []TransferStep {
 	var steps []TransferStep
 	for t.requested < t.Blob.Received()+maxOutstandingParts*PartBytes && (t.Blob.Size < 0 || t.requested < t.Blob.Size) {
-		steps = append(steps, TransferStep{Op: TransferAsk, Source: t.source(), Offset: t.requested, Length: PartBytes, Attempt: t.attempt})
+		steps = append(steps, TransferStep{Op: TransferAsk, Source: t.source(), Offset: t.requested, Length: PartBytes})
 		t.requested += PartBytes
 		if t.Blob.Size < 0 {
 			break // the first part contains the size
--- a/wire/clusterstate.go
+++ b/wire/clusterstate.go
@@ -59,9 +59,7 @@
 	// LeavingHosts lists the IP addresses that the platform's host list reports
 	// as leaving.
 	LeavingHosts []string `cbor:"9,keyasint,omitempty"`
-	// BaseIndex is 0 in a complete cluster state; receivers reject any other
-	// value. Changes are sent as ClusterStateDelta.
-	BaseIndex uint64 `cbor:"10,keyasint,omitempty"`
+	// 10 is retired. Former versions reject a state in which it is not 0.
 }
 
 // Subscribe asks a parent for the cluster state. Index is that of the cluster state
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -27,7 +27,7 @@
 const (
 	KindHello Kind = 1
 	KindPing  Kind = 2
-	KindBye   Kind = 3
+	_         Kind = 3 // retired: announced a shutdown, was never sent
 )
 
 // Message is a message between processes.
@@ -159,22 +159,13 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 }
 
-// Bye announces that the sender is shutting down and accepts no new work.
-type Bye struct {
-	Reason string `cbor:"1,keyasint"`
-}
-
 // Kind implements Message.
 func (*Hello) Kind() Kind { return KindHello }
 
 // Kind implements Message.
 func (*Ping) Kind() Kind { return KindPing }
 
-// Kind implements Message.
-func (*Bye) Kind() Kind { return KindBye }
-
 func init() {
 	Register(&Hello{})
 	Register(&Ping{})
-	Register(&Bye{})
 }
