--- a/experiment/rollout_model.go
+++ b/experiment/rollout_model.go
@@ -121,6 +121,12 @@
 // RunRollout simulates the rollout ledger and planner with modelled engines and
 // trainers.
 func RunRollout(o RolloutOptions) RolloutResult {
+	m := newRolloutModel(o)
+	m.events.run(epoch.Add(o.Duration))
+	return m.result()
+}
+
+func newRolloutModel(o RolloutOptions) *rolloutModel {
 	m := &rolloutModel{
 		options:        o,
 		events:         newEventQueue(),
@@ -130,8 +136,7 @@
 		oldestVersions: map[wire.BodyKey][]uint64{},
 	}
 	m.build()
-	m.events.run(epoch.Add(o.Duration))
-	return m.result()
+	return m
 }
 
 func (m *rolloutModel) build() {
--- a/experiment/rollout_trainer.go
+++ b/experiment/rollout_trainer.go
@@ -123,6 +123,7 @@
 	r := RolloutResult{}
 	var idle, total time.Duration
 	delivered, wasted := 0.0, m.lostTokens+float64(m.planner.Wasted-m.reportedWaste)
+	steps := 0.0
 	for _, t := range m.trainers {
 		r.Steps += float64(t.finishedSteps)
 		if t.finishedSteps <= warmupSteps {
@@ -136,13 +137,14 @@
 		counts := m.ledger.Status()[t.name].Counts
 		delivered += float64(counts.Delivered)
 		wasted += float64(counts.Wasted)
+		steps += float64(t.finishedSteps)
 	}
 	r.Idle = idle.Seconds() / max(total.Seconds(), 1)
 	r.StalenessMean = mean(m.staleness)
 	r.StalenessP99 = quantile(m.staleness, 0.99)
 	r.Wasted = wasted / max(delivered, 1)
 	r.CallerP99 = percentile(m.callerLatencies, 0.99).Seconds()
-	r.IdleBound = m.idleLowerBound(delivered / max(r.Steps, 1))
+	r.IdleBound = m.idleLowerBound(delivered / max(steps, 1))
 	return r
 }
 
