experiment: waste and the callers' latency leave out the warm-up

Change: tokens are counted as delivered or wasted from the end of their trainer's warm-up, callers from the end of all.

Test: experiment.TestWarmUpIsNotMeasured; it fails with the counts of the warm-up.

--- a/experiment/rollout_measure_test.go
+++ b/experiment/rollout_measure_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -47,3 +48,28 @@
 	is.Equal(r.IdleBound, m.idleLowerBound(tokens/steps))
 	is.True(r.IdleBound > 0)
 }
+
+// Guards against a warm-up, with empty queues and trainers that begin together, that is
+// part of the waste and of the callers' latency.
+func TestWarmUpIsNotMeasured(t *testing.T) {
+	is := is.New(t)
+	deployment := Abay
+	deployment.MeanTimeBetweenCrashes /= 4 // sequences are lost all the time
+	m := newRolloutModel(RolloutOptions{Deployment: deployment, Seed: 3, Baseline: true, Ahead: 1})
+	at := time.Duration(0)
+	for ; !m.measured() && at < time.Hour; at += 10 * time.Second {
+		if !slices.ContainsFunc(m.trainers, (*trainerModel).measured) {
+			is.Equal(m.lostTokens, 0.0)
+		}
+		is.Equal(len(m.callerLatencies), 0)
+		m.events.run(epoch.Add(at))
+	}
+	is.True(m.measured())
+	m.events.run(epoch.Add(at + 10*time.Minute))
+	is.True(m.lostTokens > 0)
+	is.True(len(m.callerLatencies) > 1000)
+	for _, trainer := range m.trainers {
+		before := trainer.countsBefore.Delivered
+		is.True(before > 0 && before < trainer.counts().Delivered)
+	}
+}
--- a/experiment/rollout_model.go
+++ b/experiment/rollout_model.go
@@ -60,7 +60,7 @@
 	commitTime            = 20 * time.Millisecond // replicate to a majority, sync and commit
 	rolloutTickPeriod     = time.Second
 	inFlightShare         = 0.92 // of all slots; the rest is left to callers
-	warmupSteps           = 2    // training steps excluded from idle time and staleness
+	warmupSteps           = 2    // training steps excluded from all metrics
 	jobDeadline           = time.Hour
 	maxSequencesPerEngine = rolloutSlots + 2 // entries send no more samples to an engine at this load
 	placementRetryDelay   = 100 * time.Millisecond
@@ -111,7 +111,7 @@
 	oldestVersions  map[wire.BodyKey][]uint64
 	staleness       []float64
 	callerLatencies []time.Duration
-	lostTokens      float64 // tokens of cancelled sequences, and of those that restart after a crash
+	lostTokens      float64 // after the warm-up: tokens of cancelled sequences, and of those that restart after a crash
 	reportedWaste   int     // wasted tokens already counted in commits
 }
 
@@ -214,13 +214,34 @@
 			return
 		}
 		delete(m.running, msg.Job)
-		m.lostTokens += s.generated
+		m.lose(s)
 		if s.engine != nil {
 			m.events.after(0, func() { s.engine.remove(s) })
 		}
 	}
 }
 
+func (m *rolloutModel) trainer(name string) *trainerModel {
+	return m.trainers[slices.IndexFunc(m.trainers, func(t *trainerModel) bool { return t.name == name })]
+}
+
+// measured reports whether the warm-up of all trainers has ended.
+func (m *rolloutModel) measured() bool {
+	return !slices.ContainsFunc(m.trainers, func(t *trainerModel) bool { return !t.measured() })
+}
+
+// lose counts the tokens of a sequence as lost. Those of a trainer in its warm-up, and those
+// of callers before the end of all warm-ups, do not count.
+func (m *rolloutModel) lose(s *sequence) {
+	counts := m.measured
+	if s.job != nil {
+		counts = m.trainer(s.job.Pool).measured
+	}
+	if counts() {
+		m.lostTokens += s.generated
+	}
+}
+
 // place routes a sequence to an engine in the way an entry does.
 func (m *rolloutModel) place(zone string, s *sequence) {
 	if s.job != nil && m.running[s.job.Job] != s {
@@ -333,7 +354,11 @@
 		length:  math.Ceil(m.rng.ExpFloat64() * m.options.Deployment.MeanAnswerTokens),
 		urgent:  !m.options.Baseline,
 	}
-	s.onFinished = func(s *sequence) { m.callerLatencies = append(m.callerLatencies, m.events.now.Sub(s.arrived)) }
+	if m.measured() {
+		s.onFinished = func(s *sequence) { m.callerLatencies = append(m.callerLatencies, m.events.now.Sub(s.arrived)) }
+	} else {
+		s.onFinished = func(*sequence) {}
+	}
 	m.place(m.options.Deployment.Zones[m.rng.IntN(len(m.options.Deployment.Zones))], s)
 }
 
@@ -352,7 +377,7 @@
 func (m *rolloutModel) recover(s *sequence) {
 	s.engine = nil
 	if m.options.Baseline {
-		m.lostTokens += s.generated
+		m.lose(s)
 		s.generated = 0
 	}
 	m.events.after(0, func() { m.place(m.options.Deployment.Zones[0], s) })
--- a/experiment/rollout_trainer.go
+++ b/experiment/rollout_trainer.go
@@ -28,12 +28,15 @@
 	waitingSince  time.Time
 	measuredFrom  time.Time // end of the warm-up
 	idle          time.Duration
+	// countsBefore are the counts of the ledger at the end of the warm-up.
+	countsBefore rollout.Counts
 }
 
 // beginStep begins a training step and waits for its groups.
 func (t *trainerModel) beginStep() {
 	if t.finishedSteps == warmupSteps {
 		t.measuredFrom = t.model.events.now
+		t.countsBefore = t.counts()
 	}
 	t.waitingSince = t.model.events.now
 	t.waiting = true
@@ -42,6 +45,11 @@
 	t.draw()
 }
 
+// measured reports whether the warm-up has ended.
+func (t *trainerModel) measured() bool { return t.finishedSteps >= warmupSteps }
+
+func (t *trainerModel) counts() rollout.Counts { return t.model.ledger.Status()[t.name].Counts }
+
 // openSteps opens ledger steps until the trainer has opened the groups of the given
 // number of training steps and of a share of one more.
 func (t *trainerModel) openSteps(steps int, share float64) {
@@ -94,7 +102,7 @@
 // weights are behind the trainer.
 func (t *trainerModel) recordStaleness(g rollout.DrawnGroup) {
 	for _, oldest := range t.model.oldestVersions[g.Key] {
-		if t.finishedSteps >= warmupSteps {
+		if t.measured() {
 			t.model.staleness = append(t.model.staleness, float64(t.version-min(oldest, t.version)))
 		}
 	}
@@ -103,7 +111,7 @@
 
 func (t *trainerModel) train() {
 	t.waiting = false
-	if t.finishedSteps >= warmupSteps {
+	if t.measured() {
 		t.idle += t.model.events.now.Sub(t.waitingSince)
 	}
 	t.openSteps(t.finishedSteps+1, t.model.options.Ahead)
@@ -117,13 +125,12 @@
 	})
 }
 
-// result returns the metrics of the run, without the trainers' warm-up steps for idle
-// time and staleness.
+// result returns the metrics of the run without the trainers' warm-up steps.
 func (m *rolloutModel) result() RolloutResult {
 	r := RolloutResult{}
 	var idle, total time.Duration
 	delivered, wasted := 0.0, m.lostTokens+float64(m.planner.Wasted-m.reportedWaste)
-	steps := 0.0
+	allDelivered, steps := 0.0, 0.0
 	for _, t := range m.trainers {
 		r.Steps += float64(t.finishedSteps)
 		if t.finishedSteps <= warmupSteps {
@@ -134,9 +141,10 @@
 		}
 		idle += t.idle
 		total += m.events.now.Sub(t.measuredFrom)
-		counts := m.ledger.Status()[t.name].Counts
-		delivered += float64(counts.Delivered)
-		wasted += float64(counts.Wasted)
+		counts := t.counts()
+		delivered += float64(counts.Delivered - t.countsBefore.Delivered)
+		wasted += float64(counts.Wasted - t.countsBefore.Wasted)
+		allDelivered += float64(counts.Delivered)
 		steps += float64(t.finishedSteps)
 	}
 	r.Idle = idle.Seconds() / max(total.Seconds(), 1)
@@ -144,7 +152,7 @@
 	r.StalenessP99 = quantile(m.staleness, 0.99)
 	r.Wasted = wasted / max(delivered, 1)
 	r.CallerP99 = percentile(m.callerLatencies, 0.99).Seconds()
-	r.IdleBound = m.idleLowerBound(delivered / max(steps, 1))
+	r.IdleBound = m.idleLowerBound(allDelivered / max(steps, 1))
 	return r
 }
 
