--- a/storage/store.go
+++ b/storage/store.go
@@ -439,7 +439,7 @@
 	if end < 0 || crc32.Checksum(b[:end], castagnoli) != binary.LittleEndian.Uint32(b[end:]) {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: checksum mismatch", name)
 	}
-	length, n := binary.Uvarint(b)
+	length, n := binary.Uvarint(b[:end])
 	if n <= 0 || length > uint64(end-n) {
 		return snapshot, eris.Wrapf(ErrCorrupt, "%s: invalid header length", name)
 	}
