strict: a key with an escape does not end the process

Operators saw "merlinhall validate" and a submission of a text such as "na\u006De" = 1 end in a panic ("not a slice of the data slice"); in a control process the guard of requests took it, with status 500 and no reason.

Cause: the line of a key was found by the place of its name in the text, and the name of a quoted key with an escape is a decoded copy.

Change: the range that the parser keeps for each key is used.

--- a/strict/strict.go
+++ b/strict/strict.go
@@ -156,7 +156,7 @@
 	table := ""
 	for p.NextExpression() {
 		e := p.Expression()
-		parts, line := keyOf(&p, e, starts)
+		parts, line := keyOf(e, starts)
 		switch e.Kind {
 		case unstable.Table:
 			table = resolveTable(parts, counts)
@@ -182,13 +182,14 @@
 	return starts
 }
 
-func keyOf(p *unstable.Parser, e *unstable.Node, starts []int) ([]string, int) {
+func keyOf(e *unstable.Node, starts []int) ([]string, int) {
 	var parts []string
 	line := 0
 	for it := e.Key(); it.Next(); {
 		node := it.Node()
 		if line == 0 {
-			line = sort.SearchInts(starts, int(p.Range(node.Data).Offset)+1)
+			// Data of a key with an escape is a decoded copy and has no place in the text.
+			line = sort.SearchInts(starts, int(node.Raw.Offset)+1)
 		}
 		parts = append(parts, string(node.Data))
 	}
