--- a/config/config_test.go
+++ b/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -101,11 +102,22 @@
 	is.True(!(&Service{}).Idempotent("PATCH", "/x"))
 }
 
-// Guards against input that makes Parse panic.
+// Guards against input that makes Parse or Load panic, and against a text that control
+// accepts and other processes cannot load.
 func FuzzParse(f *testing.F) {
 	text, _ := os.ReadFile("testdata/good.toml")
 	f.Add(text)
-	f.Fuzz(func(_ *testing.T, text []byte) { _, _ = Parse("f", text) })
+	f.Add([]byte("[[zone]]\nname = \"a\"\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		parsed, err := Parse("f", text)
+		loaded, loadErr := Load(text)
+		if err != nil {
+			return
+		}
+		if loadErr != nil || !reflect.DeepEqual(parsed, loaded) {
+			t.Fatalf("the text is valid for Parse; Load returns %v", loadErr)
+		}
+	})
 }
 
 // Guards against Load, used by all processes, interpreting an accepted text differently
