--- a/Makefile
+++ b/Makefile
@@ -26,10 +26,13 @@
 	$(GO) test -count=1 ./usage -run 'Under' -usage.seeds 400
 
 # Random bytes for each decoder, FUZZTIME each; findings stay in the testdata of the packages.
+# By default the tool minimizes each input that reaches new code for up to a minute, and
+# tries few others meanwhile.
 FUZZTIME ?= 10m
+FUZZWORKERS ?= 3
 fuzz:
 	for t in $$(git grep -o 'func Fuzz[A-Za-z]*' -- '*_test.go' | sed 's,/[^/]*:func ,:,'); do \
-		$(GO) test ./$${t%%:*} -run XXX -fuzz "^$${t##*:}$$" -fuzztime $(FUZZTIME) || exit 1; done
+		$(GO) test ./$${t%%:*} -run XXX -fuzz "^$${t##*:}$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 5x -parallel $(FUZZWORKERS) || exit 1; done
 
 race:
 	$(GO) test -race -count=1 ./... ./tools/...
