link, wire: a message of an unknown kind does not end the link

Cause: docs/design/upgrades.md says that a new kind of message is ignored by processes without a handler. link.Mux does so, but a frame of a kind that the program does not know was a malformed one and closed the link, so the first version with a new kind would have lost its links to older ones at each such message. No kind was added since. Found while the retired kind of wire.Bye was looked at.

Change: such a frame is skipped; a frame that cannot be decoded closes the link as before.

Tests: link.TestMessageOfAnUnknownKindIsIgnored, failing before. TestMalformedFrameClosesLink sent kind 255 as its malformed frame, which the rule above says is none; it now sends one of a known kind that is no CBOR. Its assertions are as they were.

--- a/link/link.go
+++ b/link/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -188,6 +189,9 @@
 		c.received.Add(uint64(len(frame)))
 		c.lastRead.Store(time.Now().UnixNano())
 		m, err := wire.Decode(frame)
+		if unknown := new(wire.UnknownKindError); errors.As(err, &unknown) {
+			continue // as a message without a handler, see Mux
+		}
 		if err != nil {
 			c.Close(err)
 			return
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -18,6 +18,18 @@
 // ErrMalformed is wrapped by every decoding error.
 var ErrMalformed = eris.New("malformed frame")
 
+// UnknownKindError is the error of a frame whose kind this program does not know. A newer
+// one may have sent it.
+type UnknownKindError struct{ Kind Kind }
+
+// Error implements error.
+func (e *UnknownKindError) Error() string {
+	return fmt.Sprintf("%v: unknown kind %d", ErrMalformed, e.Kind)
+}
+
+// Unwrap returns ErrMalformed.
+func (e *UnknownKindError) Unwrap() error { return ErrMalformed }
+
 // Kind identifies the type of a message on the wire. A retired kind is not
 // assigned to another type.
 type Kind uint8
@@ -94,7 +106,7 @@
 	}
 	t := kinds[frame[0]]
 	if t == nil {
-		return nil, eris.Wrapf(ErrMalformed, "unknown kind %d", frame[0])
+		return nil, &UnknownKindError{Kind(frame[0])}
 	}
 	m := reflect.New(t).Interface()
 	if err := decMode.Unmarshal(frame[1:], m); err != nil {
