--- a/link/link.go
+++ b/link/link.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -204,6 +205,9 @@
 			return
 		}
 		m, err := wire.Decode(frame)
+		if unknown := new(wire.UnknownKindError); errors.As(err, &unknown) {
+			continue // as a message without a handler, see Mux
+		}
 		if err != nil {
 			c.Close(err)
 			return
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -18,6 +18,18 @@
 // ErrMalformed is wrapped by every decoding error.
 var ErrMalformed = eris.New("malformed frame")
 
+// UnknownKindError is the error of a frame whose kind this program does not know. A newer
+// one may have sent it.
+type UnknownKindError struct{ Kind Kind }
+
+// Error implements error.
+func (e *UnknownKindError) Error() string {
+	return fmt.Sprintf("%v: unknown kind %d", ErrMalformed, e.Kind)
+}
+
+// Unwrap returns ErrMalformed.
+func (e *UnknownKindError) Unwrap() error { return ErrMalformed }
+
 // Kind identifies the type of a message on the wire. A retired kind is not
 // assigned to another type.
 type Kind uint8
@@ -27,7 +39,7 @@
 const (
 	KindHello Kind = 1
 	KindPing  Kind = 2
-	KindBye   Kind = 3
+	_         Kind = 3 // retired: announced a shutdown, was never sent
 )
 
 // Message is a message between processes.
@@ -100,7 +112,7 @@
 	}
 	t := kinds[frame[0]]
 	if t == nil {
-		return nil, eris.Wrapf(ErrMalformed, "unknown kind %d", frame[0])
+		return nil, &UnknownKindError{Kind(frame[0])}
 	}
 	m := reflect.New(t).Interface()
 	if err := frameMode.Unmarshal(frame[1:], m); err != nil {
@@ -168,22 +180,13 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 }
 
-// Bye announces that the sender is shutting down and accepts no new work.
-type Bye struct {
-	Reason string `cbor:"1,keyasint"`
-}
-
 // Kind implements Message.
 func (*Hello) Kind() Kind { return KindHello }
 
 // Kind implements Message.
 func (*Ping) Kind() Kind { return KindPing }
 
-// Kind implements Message.
-func (*Bye) Kind() Kind { return KindBye }
-
 func init() {
 	Register(&Hello{})
 	Register(&Ping{})
-	Register(&Bye{})
 }
