--- a/carrier/fault_test.go
+++ b/carrier/fault_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"merlinhall/forward"
 	"merlinhall/netfault"
 	"merlinhall/upstream"
 	"merlinhall/wire"
@@ -22,6 +23,8 @@
 
 func (plainEngine) Version(http.Header) uint64 { return 0 }
 
+func (plainEngine) Verdict(int, http.Header) forward.Verdict { return forward.Answered }
+
 const textEvents = 30
 
 // textOf returns the events of an item after the one with a number.
