entry: a client error speaks of its own attempt, and some of another moment

What callers would see: "certainly did not run" of a request of which an earlier attempt ran, or tokens were shown; and a failed request that another engine would have served.

Any 4xx of an engine ended a generation, with the outcome "not run".

Change: after an attempt that may have run the outcome is unknown, with the engine's status. 408, 409, 421, 425 and 429 are about the engine or the moment: another engine gets the request.

--- a/entry/request.go
+++ b/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"merlinhall/wire"
@@ -339,9 +340,13 @@
 	return append(actions, r.move(detailOr(c.Detail, "target did not run the request"))...)
 }
 
-// requestRejected reports whether c is a client error (4xx) from the engine. Another
-// engine would reject the request as well.
+// requestRejected reports whether c is a client error (4xx) from the engine that is about the
+// request, so that another engine would reject it as well.
 func (r *requestState) requestRejected(c *wire.Chunk) bool {
+	switch c.Status {
+	case http.StatusRequestTimeout, http.StatusConflict, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false // about the engine or the moment
+	}
 	return r.generation() && c.Status >= 400 && c.Status < 500 && len(c.Tokens) == 0
 }
 
@@ -349,7 +354,11 @@
 // chunk are valid and are kept.
 func (r *requestState) onBroken(c *wire.Chunk) []action {
 	if r.requestRejected(c) {
-		return append(r.acknowledge(), r.end(Result{Outcome: OutcomeNotRun, Status: c.Status, Broken: r.partShown(), Detail: c.Detail})...)
+		result := Result{Outcome: OutcomeNotRun, Status: c.Status, Broken: r.partShown(), Detail: c.Detail}
+		if r.maybeRan || r.partShown() {
+			result.Outcome = OutcomeUnknown // of an earlier attempt
+		}
+		return append(r.acknowledge(), r.end(result)...)
 	}
 	actions := []action{targetFailed{r.target}}
 	if len(c.Tokens) > 0 {
