cli: a change whose response was lost has an unknown outcome

What an operator would see: exit code 6 (nothing was done) of a change that one replica had carried out before its response was lost and the next had no leader.

Cause: the error of the last replica decided. Change: a lost response of a change is remembered; the exit code is 5, which says to ask for the outcome.

--- a/cli/client.go
+++ b/cli/client.go
@@ -120,7 +120,7 @@
 // try sends a request to each control replica in turn until one responds with a status
 // other than 503, or fails in a way after which it may not be repeated.
 func (c *client) try(ctx context.Context, method, path string, query url.Values, header http.Header, body []byte, repeatable func(error) bool) (*response, error) {
-	var last error
+	var last, lost error
 	for _, address := range c.addresses {
 		r, err := c.send(ctx, address, method, path+"?"+query.Encode(), header, body)
 		if err == nil && r.status != http.StatusServiceUnavailable {
@@ -129,11 +129,17 @@
 		if err != nil && !repeatable(err) {
 			return nil, exitError(ExitUnknown, eris.Wrapf(err, "%s may have carried out the change or may still do so; %s", address, askStatus))
 		}
-		if err == nil {
+		switch {
+		case err == nil:
 			err = eris.Errorf("%s: %s", address, r.problem())
+		case method != http.MethodGet && !notSent(err):
+			lost = err
 		}
 		last = err
 	}
+	if lost != nil {
+		return nil, exitError(ExitUnknown, eris.Wrap(lost, "the response was lost, and no other control replica knows whether the change was carried out"))
+	}
 	return nil, exitError(ExitUnavailable, eris.Wrap(last, "no control replica answered"))
 }
 
