loopback: tests of bytes without end do not depend on the machine's speed

Seen: make test failed in three of the new tests while the machine was busy: agent.TestResponsesWithoutEnd/array (an engine's state of 8 MB was still being decoded after 2 s, its timeout, and the connection closed just after it), forward.TestLongStreamIsDelivered (2.5 MB were not delivered in the test's 300 ms) and link.TestFramesWithoutEnd/message (closed after 1.07 s, the bound was 1 s).

Cause: bounds of 1 to 3 s on work that takes 0.1 to 1 s on an idle machine.

Change: the bytes decide. A server sends 128 MiB at most, and a reader without a limit is found by that, by what is allocated, or at the deadline, now 12 s for all; the connection must be closed within 10 s.

--- a/loopback/endless.go
+++ b/loopback/endless.go
@@ -14,7 +14,7 @@
 	// maxEndlessBytes and maxEndlessTime end a connection that the client does not close,
 	// so that a test of a reader without a limit fails instead of running out of memory.
 	maxEndlessBytes = 128 << 20
-	maxEndlessTime  = 5 * time.Second
+	maxEndlessTime  = 15 * time.Second
 	// endlessWriteBytes is the size of one write.
 	endlessWriteBytes = 32 << 10
 	// endlessSendBuffer keeps the bytes that are on their way when the client closes the
@@ -22,6 +22,15 @@
 	endlessSendBuffer = 64 << 10
 )
 
+const (
+	// Deadline is for requests to an Endless: a reader with a limit ends them before.
+	Deadline = 12 * time.Second
+	// CloseTime is the time within which a reader with a limit closes the connection to an
+	// Endless, also on a busy machine with the race detector. The bytes sent show a reader
+	// without a limit whatever the speed of the machine.
+	CloseTime = 10 * time.Second
+)
+
 // Endless is a server that sends bytes without end to each client.
 type Endless struct {
 	Address string
