merlinhalld: a stop is not lost behind reloads

What callers would see: a hosted process that is told to stop runs until it is killed at the end of its grace period, and every request that it has then is cut off.

Cause: one channel of four signals took those to stop and those to reload. While nobody read it, during the start or while settings were read, four SIGHUP filled it, and the runtime drops a SIGTERM that finds it full.

Evidence: eight SIGHUP and a SIGTERM that nobody read at first: followSettings did not return (2 s).

Change: a channel of its own for each kind, of one signal each: more of a kind that are not read yet ask for nothing else. A second signal to stop changes nothing, as before.

The existing test of settings has the two channels in place of the one; what it checks is the same. TestStopIsNotLostBehindReloads sends real signals; 5 runs with -race pass.

--- a/cmd/merlinhalld/hosted.go
+++ b/cmd/merlinhalld/hosted.go
@@ -27,8 +27,7 @@
 	if path == "" {
 		return fail(cli.ExitUsage, errors.New("the variable "+platform.SettingsVariable+" is not set"))
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stops, hangUps := notifySignals()
 	watch := settings.NewWatch(path)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
@@ -40,7 +39,7 @@
 	}
 	ticker := time.NewTicker(settingsCheckPeriod)
 	defer ticker.Stop()
-	followSettings(signals, ticker.C, watch, func() {
+	followSettings(stops, hangUps, ticker.C, watch, func() {
 		s, err := platform.LoadSettings(path)
 		if err != nil {
 			d.ReloadFailed(err)
@@ -52,15 +51,23 @@
 	return cli.ExitOK
 }
 
+// notifySignals returns channels for the signals to stop and to reload. Signals that find a
+// channel full are dropped, so that a series of reloads must not fill that of the stops.
+func notifySignals() (stops, hangUps chan os.Signal) {
+	stops, hangUps = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	return stops, hangUps
+}
+
 // followSettings calls reload on SIGHUP and when the file has changed without a signal.
-// It returns on any other signal.
-func followSettings(signals <-chan os.Signal, ticks <-chan time.Time, watch *settings.Watch, reload func()) {
+// It returns on a signal to stop.
+func followSettings(stops, hangUps <-chan os.Signal, ticks <-chan time.Time, watch *settings.Watch, reload func()) {
 	for {
 		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				return
-			}
+		case <-stops:
+			return
+		case <-hangUps:
 			watch.Changed() // so that the next tick does not reload the same change
 			reload()
 		case <-ticks:
