--- a/link/fault_test.go
+++ b/link/fault_test.go
@@ -97,3 +97,23 @@
 		}
 	}
 }
+
+// Guards against a peer whose bytes keep a link open although no frame of it is ever whole:
+// the limit counts frames, not bytes.
+func TestLinkWithoutWholeFramesEnds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	server, client := newRecorder(), newRecorder()
+	srv := httptest.NewServer(Accept(wire.Hello{Process: "s"}, server))
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	const handshake = 2000 // more bytes than the handshake has
+	proxy := netfault.StartProxy(t, strings.TrimPrefix(srv.URL, "http://"), netfault.Plan{
+		Seed: 1, Kinds: []netfault.Kind{netfault.Trickle}, First: handshake, Bytes: 1, For: 50 * time.Millisecond, Answers: true,
+	})
+	_, err := Dial(t.Context(), NewHTTPClient(nil), "ws", proxy.Address, wire.Hello{Process: "c"}, client)
+	is.NoErr(err)
+	s := receive(t, server.up, "connection")
+	is.NoErr(s.Send(&wire.Cancel{ID: strings.Repeat("x", 1<<20)})) // 14 hours at this rate
+	is.Equal(receive(t, client.down, "end at the client"), ErrSilent)
+	is.Equal(len(client.msg), 0)
+}
