directory: a process without a list reads it at once

Cause: let a process that has started wait 0.5 to 1 s for the leader's list, to spare the platform's rate. After a loss of all there is no leader yet.

Change: no wait. The rate is spared by reads that become rarer as they fail.

Test, failing before: directory.TestProcessWithoutAListReadsItAtOnce.

--- a/directory/poller.go
+++ b/directory/poller.go
@@ -23,8 +23,6 @@
 	// patientReadTimeout is the timeout of a read that repeats calls over the platform's
 	// rate. At 50 targets a page, 3,000 targets are 60 calls.
 	patientReadTimeout = 2500 * time.Millisecond
-	// firstListWait is how long a process that has started waits for the leader's list.
-	firstListWait = 500 * time.Millisecond
 	// maxRetryDelay bounds the time between two reads that fail.
 	maxRetryDelay = 2400 * time.Millisecond
 	// spread is the share by which the times of different processes differ at random, so
@@ -48,8 +46,7 @@
 	lister, patient Lister
 	log             *logrus.Entry
 	wake            chan struct{}
-	lastFailed      bool // whether the last read failed
-	startedAt       time.Time
+	lastFailed      bool      // whether the last read failed
 	retryAt         time.Time // no read of a view that is only old before this time
 	failures        int       // in a row
 	random          float64   // 0 to 1, of this process
@@ -58,7 +55,7 @@
 // NewPoller returns a poller whose first read is due immediately. The patient lister repeats
 // calls that the platform refused because all processes together made too many.
 func NewPoller(d *Directory, lister, patient Lister, log *logrus.Entry) *Poller {
-	p := &Poller{directory: d, lister: lister, patient: patient, log: log, wake: make(chan struct{}, 1), startedAt: time.Now(), random: rand.Float64()}
+	p := &Poller{directory: d, lister: lister, patient: patient, log: log, wake: make(chan struct{}, 1), random: rand.Float64()}
 	p.Wake()
 	return p
 }
@@ -120,16 +117,13 @@
 }
 
 // dueIn returns the time until a process whose view has the given age may read the list, 0
-// or less if it may now.
+// or less if it may now. A process without a list, which can serve nobody, reads it at once.
 func (p *Poller) dueIn(now time.Time, age time.Duration, r Reader) time.Duration {
 	maxAge := r.MaxAge
 	if !r.Relays {
 		maxAge += time.Duration(p.random * spread * float64(maxAge))
 	}
 	due := now.Add(maxAge - age)
-	if first := p.startedAt.Add(p.spread(firstListWait)); due.Before(first) {
-		due = first
-	}
 	if due.Before(p.retryAt) {
 		due = p.retryAt
 	}
--- a/directory/poller_test.go
+++ b/directory/poller_test.go
@@ -189,3 +189,19 @@
 		})
 	}
 }
+
+// Guards against processes that refuse all requests for a while after all were lost, because
+// they wait for the list of a leader that is not elected yet.
+func TestProcessWithoutAListReadsItAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, list := New(), &sharedList{pages: 1, rate: 270, tokens: 270, at: time.Now(), targets: entries("a")}
+		p := NewPoller(d, sharedLister{list, false}, nil, quietLog())
+		r := Reader{MaxAge: 2 * time.Second}
+		began := time.Now()
+		is.True(p.WaitIfOlder(t.Context(), r))
+		is.True(p.ReadIfOlder(t.Context(), r))
+		is.Equal(time.Since(began), pageTime)
+		is.True(d.View().Accepts("a"))
+	})
+}
