upstream: a request whose fields break a line is not sent

What could happen: an item of a submission with CR LF in its path or a header wrote headers of its own, such as the client account, or a second request.

Change: the last place before the bytes refuses such a request; nothing is sent. TestRequestWithALineBreakIsNotSent failed before for each field.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -175,6 +176,9 @@
 // Open sends a request and returns the response once its header has arrived. Errors
 // are of type *Failure. ctx limits the entire exchange, including the body.
 func (p *Pool) Open(ctx context.Context, to Address, r *Request) (*Response, error) {
+	if r.breaksLine() {
+		return nil, &Failure{NotSent: true, Err: errLineBreak}
+	}
 	id := p.hash(r.ID)
 	c, err := p.acquire(ctx, to, r, id)
 	if err != nil {
@@ -195,7 +199,15 @@
 	return &Response{Response: response, Origin: origin, request: r, pool: p, to: to, conn: c, done: done}, nil
 }
 
+// breaksLine reports whether a part of the request's head would begin another line of it, or
+// another request. Submissions that former versions accepted are not checked for it.
+func (r *Request) breaksLine() bool {
+	bad := func(s string) bool { return strings.ContainsAny(s, "\r\n\x00") }
+	return bad(r.Method) || bad(r.URI) || bad(r.Host) || slices.ContainsFunc(r.Header, func(h wire.Header) bool { return bad(h.Name) || bad(h.Value) })
+}
+
 var (
+	errLineBreak    = eris.New("upstream: the head of the request has a line break in a field")
 	errOtherRequest = eris.New("upstream: the response belongs to another request")
 	errUnnamed      = eris.New("upstream: the response names no request, on a connection that was used before")
 )
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -421,3 +421,29 @@
 	is.NoErr(err) // to a call of our own, on the same connection
 	is.Equal(response.StatusCode, 431)
 }
+
+// Guards against a request that a client hides in a field of its own, or a header of another
+// account: nothing of such a request is sent.
+func TestRequestWithALineBreakIsNotSent(t *testing.T) {
+	for name, spoil := range map[string]func(*Request){
+		"method": func(r *Request) { r.Method += "\r" },
+		"path":   func(r *Request) { r.URI += " HTTP/1.1\r\nAccount: other\r\n\r\nGET /" },
+		"host":   func(r *Request) { r.Host += "\nAccount: other" },
+		"name":   func(r *Request) { r.Header = append(r.Header, wire.Header{Name: "A: b\r\nAccount", Value: "other"}) },
+		"value":  func(r *Request) { r.Header = append(r.Header, wire.Header{Name: "A", Value: "b\r\nAccount: other"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			to, accepted := serve(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				return write(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			})
+			r := post("1")
+			spoil(r)
+			_, _, err := newTestPool().Do(t.Context(), to, r)
+			var failure *Failure
+			is.True(errors.As(err, &failure))
+			is.True(failure.NotSent)
+			is.Equal(len(accepted), 0)
+		})
+	}
+}
