batch: the leader's own pause is not silence of the carriers

What operators would see: "batch: carrier is silent; its runs go on elsewhere" for every carrier at once, at the moment at which a frozen leader goes on. The items of a submission lose their runs in that process's view, although every carrier works and has reported.

Cause: after a pause the leader judged the silence of carriers before it read the reports that had arrived meanwhile, or learnt that another one led.

A former leader's orders start nothing without the lease, so no rule broke.

A leader with such gaps all the time does not stay leader.

--- a/batch/fleet.go
+++ b/batch/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/carrier"
+	"merlinhall/consensus"
 	"merlinhall/link"
 	"merlinhall/wire"
 )
@@ -24,6 +25,9 @@
 	// carrierLostAfter is the time without a report after which a carrier's runs go on
 	// elsewhere.
 	carrierLostAfter = 900 * time.Millisecond
+	// maxCheckGap is the time between two checks of the carriers above which this process
+	// stood still itself. It is the leader's lease: with longer gaps it does not stay leader.
+	maxCheckGap = consensus.DefaultLease
 	// linkLostAfter is the time without any link to a carrier after which its runs go on
 	// elsewhere: a link that was reset is replaced within a few round trips, one to a
 	// process that has ended is not.
@@ -177,6 +181,7 @@
 // updateCarriers follows the links: a carrier with another link than before is asked for an
 // inventory, and the runs of one that is silent go on elsewhere.
 func (r *Runner) updateCarriers(now time.Time) {
+	r.discountPause(now)
 	newest, retired := r.newestLinks(), r.o.Retired()
 	r.useLink(now, r.o.Process, r.o.Zone, r.local)
 	for _, process := range slices.Sorted(maps.Keys(newest)) {
@@ -204,6 +209,27 @@
 	})
 }
 
+// discountPause takes the time for which this process stood still off the silence of the
+// carriers: their reports of that time wait to be read.
+func (r *Runner) discountPause(now time.Time) {
+	gap := now.Sub(r.carriersCheckedAt)
+	r.carriersCheckedAt = now
+	if gap <= maxCheckGap {
+		return
+	}
+	for _, c := range r.carriers {
+		c.reportedAt = minTime(now, c.reportedAt.Add(gap))
+		c.downAt = minTime(now, c.downAt.Add(gap))
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // releaseCarrier moves the runs off a carrier whose host is to be emptied.
 func (r *Runner) releaseCarrier(c *carrierView) {
 	c.leaving = true
--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -119,3 +119,23 @@
 	is.True(late.Lineage != saved.Lineage)
 	is.True(!ours.take(part(2), 37)) // goes on after another event 37
 }
+
+// Guards against a leader that stood still and takes that time for silence of all carriers:
+// it would give up every run, although the reports wait to be read.
+func TestOwnPauseIsNotSilenceOfTheCarriers(t *testing.T) {
+	is := is.New(t)
+	a, b := testCarrier("a", "z", 1), testCarrier("b", "z", 1)
+	r := &Runner{carriers: []*carrierView{a, b}, carriersCheckedAt: start}
+	silence := func(at time.Duration) time.Duration {
+		r.discountPause(start.Add(at))
+		return start.Add(at).Sub(a.reportedAt)
+	}
+	is.Equal(silence(100*time.Millisecond), 100*time.Millisecond)
+	b.reportedAt = start.Add(150 * time.Millisecond)
+	is.Equal(silence(6200*time.Millisecond), 100*time.Millisecond) // a pause of 6.1 s
+	is.Equal(b.reportedAt, start.Add(6200*time.Millisecond))       // not later than now
+	for at := 6300 * time.Millisecond; at <= 7100*time.Millisecond; at += 100 * time.Millisecond {
+		silence(at)
+	}
+	is.True(start.Add(7101*time.Millisecond).Sub(a.reportedAt) > carrierLostAfter) // silent in fact
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -117,8 +117,10 @@
 	newestLinks func() map[string]peerLink
 	local       carrier.Sender // link to the carrier of this process
 	carriers    []*carrierView // by process
-	adopted     bool           // the runs that carriers had when this process became leader are known
-	attempts    uint64         // number of attempts started in this term
+	// carriersCheckedAt is when the carriers were last checked for silence.
+	carriersCheckedAt time.Time
+	adopted           bool   // the runs that carriers had when this process became leader are known
+	attempts          uint64 // number of attempts started in this term
 
 	scheduledAt      time.Time // when tasks were last planned
 	scheduleDeferred bool      // another planning has been asked for
@@ -282,6 +284,7 @@
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.additions, r.attempts, r.adopted, r.carriers = additions{}, 0, false, nil
 	r.leadSince = now
+	r.carriersCheckedAt = now
 	r.assignedAt = time.Time{}
 	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
 	r.demand = make(map[string]modelDemand)
