netfault, platform: one reader of lists of seeds

Cause: netfault.Seeds repeated what the soak and the upgrade test had: seeds from an environment variable, else from a list of numbers and ranges.

--- a/netfault/netfault.go
+++ b/netfault/netfault.go
@@ -146,7 +146,12 @@
 // of the environment variable MERLINHALL_NET_SEEDS.
 func Seeds(t testing.TB, text string) []uint64 {
 	t.Helper()
-	const variable = "MERLINHALL_NET_SEEDS"
+	return SeedList(t, "MERLINHALL_NET_SEEDS", text)
+}
+
+// SeedList returns the seeds in an environment variable, or those in text if it is not set.
+func SeedList(t testing.TB, variable, text string) []uint64 {
+	t.Helper()
 	if set := os.Getenv(variable); set != "" {
 		text = set
 	}
@@ -159,7 +164,7 @@
 		a, errA := strconv.ParseUint(first, 10, 64)
 		b, errB := strconv.ParseUint(last, 10, 64)
 		if errA != nil || errB != nil {
-			t.Fatalf("%q is not a list of seeds and ranges", text)
+			t.Fatalf("%s %q is not a list of seeds and ranges", variable, text)
 		}
 		for ; a <= b; a++ {
 			seeds = append(seeds, a)
