ratelimit: what each process sends to a target with a limit, and the limit that it knows

Callers saw nothing of the exceeded limit, and the logs could not tell which process sends what: no limit, no reward call that succeeds, no report, 50 lines a second of an entry's requests. Each process now reads the limit from the target's responses, keeps the reading that holds when responses overtake each other, counts what it sends by target and use over 4 s, and logs that once a second for a target with a limit. No decision changes.

--- a/carrier/run.go
+++ b/carrier/run.go
@@ -213,7 +213,7 @@
 func (r *run) request(p Protocol) *upstream.Request {
 	s := &r.start
 	return &upstream.Request{
-		ID: s.Item, Method: "POST", URI: s.Path, Host: s.Host, Body: s.Body,
+		ID: s.Item, Kind: upstream.KindItem, Method: "POST", URI: s.Path, Host: s.Host, Body: s.Body,
 		Header: slices.Concat(s.Headers, p.ItemHeaders(s.Item, s.Engine, s.Version, s.Text.Events)),
 	}
 }
--- a/carrier/targets.go
+++ b/carrier/targets.go
@@ -61,7 +61,7 @@
 	}
 	result := t.Forwarder.Do(ctx, &forward.Request{
 		Request: upstream.Request{
-			ID: reward.ID, Method: http.MethodPost, URI: reward.Path, Host: reward.Host, Body: reward.Body,
+			ID: reward.ID, Kind: upstream.KindReward, Method: http.MethodPost, URI: reward.Path, Host: reward.Host, Body: reward.Body,
 			Header: t.Protocol.RewardHeaders(reward.ID),
 		},
 		Route:      route,
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -12,12 +12,14 @@
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/actor"
+	"merlinhall/boottime"
 	"merlinhall/directory"
 	"merlinhall/forward"
 	"merlinhall/link"
 	"merlinhall/memory"
 	"merlinhall/observe"
 	"merlinhall/platform"
+	"merlinhall/ratelimit"
 	"merlinhall/server"
 	"merlinhall/settings"
 	"merlinhall/upstream"
@@ -61,6 +63,7 @@
 	targets       *directory.Directory
 	poller        *directory.Poller
 	forward       *forward.Forwarder
+	limits        *ratelimit.Keeper
 	callerHandler *platform.CallerHandler
 	callerServer  *server.Server // nil without the entry role
 	servers       []*server.Server
@@ -89,7 +92,15 @@
 	d.poller = directory.NewPoller(d.targets, platform.NewList(s.TargetList, false), platform.NewList(s.TargetList, true), d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward"), Guard: d.observer.Guard("forward")}
 	d.boot = newBootID()
-	d.pool.OnResponse = d.noteLeaving
+	d.limits = ratelimit.NewKeeper(ratelimit.KeeperOptions{Directory: d.targets, Registry: d.observer.Registry, Log: d.observer.Logger("ratelimit")})
+	d.observer.AddDump("limits", d.limits.Dump)
+	d.pool.OnSend = func(to upstream.Address, r *upstream.Request) {
+		d.limits.Sent(to.ID, ratelimit.Use{Kind: string(r.Kind), Repeat: r.Repeat})
+	}
+	d.pool.OnResponse = func(e upstream.Exchange) {
+		d.noteLeaving(e)
+		d.noteLimit(e)
+	}
 	d.targets.SetMaxAge(maxViewAge(s.DrainTime))
 	d.registerConnectionMetrics()
 	d.stops = append(d.stops, d.sweepPool())
@@ -116,10 +127,25 @@
 
 // noteLeaving marks the target of a response as leaving if the response says so, so that no
 // request is sent to it any more, whatever the list of targets says.
-func (d *HostedDaemon) noteLeaving(to upstream.Address, h http.Header) {
-	if platform.Leaving(h) && d.targets.MarkLeaving(time.Now(), to.ID) {
-		d.log.WithFields(logrus.Fields{"target": to.ID, "targets_age_ms": d.targets.Age(time.Now()).Milliseconds()}).Info("target says that it is leaving")
+func (d *HostedDaemon) noteLeaving(e upstream.Exchange) {
+	if platform.Leaving(e.Header) && d.targets.MarkLeaving(time.Now(), e.To.ID) {
+		d.log.WithFields(logrus.Fields{"target": e.To.ID, "targets_age_ms": d.targets.Age(time.Now()).Milliseconds()}).Info("target says that it is leaving")
+	}
+}
+
+// noteLimit takes the limit that the target of a response names, or that it names none.
+func (d *HostedDaemon) noteLimit(e upstream.Exchange) {
+	perSecond, word := platform.Limit(e)
+	switch word {
+	case platform.LimitUnreadable:
+		d.log.WithFields(logrus.Fields{"target": e.To.ID, "kind": e.Request.Kind}).Info("target names a limit that cannot be read; the one before holds")
+		return
+	case platform.LimitUnknown:
+		return
 	}
+	d.limits.Note(ratelimit.Reading{
+		Target: e.To.ID, Limited: word == platform.Limited, PerSecond: perSecond, SentAt: e.SentAt, At: boottime.Now(),
+	})
 }
 
 func (d *HostedDaemon) start() error {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -231,6 +231,7 @@
 // attempt is one transmission of a request to a target.
 type attempt struct {
 	target  *wire.TargetEntry
+	repeat  bool // another attempt of the request was made before
 	verdict Verdict
 	origin  upstream.Origin // of the response
 	result  Result
@@ -434,14 +435,19 @@
 	u.inFlight++
 	ctx, cancel := context.WithCancel(ctx)
 	u.cancels = append(u.cancels, cancel)
-	go u.f.send(ctx, u.r, t, left, u.finished)
+	go u.f.send(ctx, u.r, u.newAttempt(t), left, u.finished)
 	return true
 }
 
-func (f *Forwarder) send(ctx context.Context, r *Request, t *wire.TargetEntry, left time.Duration, done chan<- *attempt) {
+// newAttempt returns an attempt on t, which has been counted.
+func (u *requestState) newAttempt(t *wire.TargetEntry) *attempt {
+	return &attempt{target: t, repeat: u.possibleRuns+u.refused > 1}
+}
+
+func (f *Forwarder) send(ctx context.Context, r *Request, a *attempt, left time.Duration, done chan<- *attempt) {
 	began := time.Now()
-	a := &attempt{target: t}
-	out := f.outbound(r, r.Header, t, left)
+	t := a.target
+	out := f.outbound(r, r.Header, a, left)
 	refused := observeSending(r, out)
 	var err error
 	failure := f.Guard.Run(logrus.Fields{"request": r.ID, "target": t.ID}, func() {
@@ -473,10 +479,11 @@
 	}
 }
 
-// outbound returns the request as it is sent to t.
-func (f *Forwarder) outbound(r *Request, header []wire.Header, t *wire.TargetEntry, left time.Duration) *upstream.Request {
+// outbound returns the request as it is sent in an attempt.
+func (f *Forwarder) outbound(r *Request, header []wire.Header, a *attempt, left time.Duration) *upstream.Request {
 	out := r.Request
-	out.Header = append(append([]wire.Header(nil), header...), f.Protocol.Outbound(t.ID, left)...)
+	out.Repeat = a.repeat
+	out.Header = append(append([]wire.Header(nil), header...), f.Protocol.Outbound(a.target.ID, left)...)
 	return &out
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -125,8 +125,8 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	began := time.Now()
-	a := &attempt{target: t}
-	out := s.outbound(t, left)
+	a := s.newAttempt(t)
+	out := s.outbound(a, left)
 	refused := observeSending(s.r, out)
 	response, err := s.f.Pool.Open(attemptCtx, directory.Address(t), out)
 	if err == nil {
@@ -143,15 +143,15 @@
 	return a
 }
 
-func (s *stream) outbound(t *wire.TargetEntry, left time.Duration) *upstream.Request {
+func (s *stream) outbound(a *attempt, left time.Duration) *upstream.Request {
 	header := s.r.Header
 	if s.lastEventID != "" {
 		header = s.f.Protocol.Resume(header, s.lastEventID)
 		if s.f.Log != nil {
-			s.f.Log.WithFields(logrus.Fields{"request": s.r.ID, "target": t.ID, "after": s.lastEventID}).Info("resuming stream on another target")
+			s.f.Log.WithFields(logrus.Fields{"request": s.r.ID, "target": a.target.ID, "after": s.lastEventID}).Info("resuming stream on another target")
 		}
 	}
-	return s.f.outbound(s.r, header, t, left)
+	return s.f.outbound(s.r, header, a, left)
 }
 
 // receive reads a response to its end. cancel aborts a stream that stops sending.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,7 @@
 // header arrived. wait is how long the client waits from then on, or 0 if it is not
 // known.
 func (g *Gateway) Forward(ctx context.Context, a Admission, request upstream.Request, received time.Time, wait time.Duration) Result {
+	request.Kind = upstream.KindRequest
 	r := newForwardRequest(a.Route, request, received, wait)
 	defer g.count(a, r)()
 	return g.recordForward(r, received, g.forwarder.Do(ctx, r))
@@ -125,6 +126,7 @@
 // Stream is like Forward for a route whose responses are event streams. It delivers
 // events to sink as they arrive; the result doesn't contain them.
 func (g *Gateway) Stream(ctx context.Context, a Admission, request upstream.Request, received time.Time, wait time.Duration, sink forward.Sink) Result {
+	request.Kind = upstream.KindStream
 	r := newForwardRequest(a.Route, request, received, wait)
 	defer g.count(a, r)()
 	return g.recordForward(r, received, g.forwarder.Stream(ctx, r, sink))
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/boottime"
 	"merlinhall/memory"
 	"merlinhall/wire"
 )
@@ -52,6 +53,10 @@
 	Body   []byte
 	// Unnamed is set if the target's responses to the request never name it.
 	Unnamed bool
+	// Kind says what the request is for, and Repeat that another attempt of it was sent
+	// before. They are for counts only.
+	Kind   Kind
+	Repeat bool
 	// NewConn sends the request on a new connection, where no response to an earlier one
 	// can arrive.
 	NewConn bool
@@ -66,6 +71,28 @@
 	writeDeadline time.Time
 }
 
+// Kind is what a request to a target is for.
+type Kind string
+
+// Kinds of requests.
+const (
+	KindRequest Kind = "request" // of a caller
+	KindStream  Kind = "stream"  // of a caller, answered with events
+	KindReward  Kind = "reward"  // scores a text
+	KindItem    Kind = "item"    // generates a text
+	KindReport  Kind = "report"  // asks an engine for its state
+	KindOrder   Kind = "order"   // has an engine load weights
+)
+
+// Exchange is a request and the head of its response.
+type Exchange struct {
+	To      Address
+	Request *Request
+	SentAt  time.Duration // when the request was sent, on the clock of package boottime
+	Status  int
+	Header  http.Header
+}
+
 // Address is the address and identity of a target. The identity prevents idle
 // connections to a former target at the address from being used for its successor.
 type Address struct {
@@ -101,8 +128,10 @@
 	idle map[Address][]*conn
 	seed maphash.Seed // of the hashes of ids
 
-	// OnResponse is called with the header of each response, before its body is read.
-	OnResponse func(to Address, h http.Header)
+	// OnSend is called before each request is sent over a connection, and OnResponse with
+	// the head of each response, before its body is read.
+	OnSend     func(to Address, r *Request)
+	OnResponse func(e Exchange)
 	// Opened and Reused are called for each opened and reused connection.
 	Opened, Reused func()
 }
@@ -121,7 +150,8 @@
 		Memory:     memory.NewBudget(defaultMemoryBytes),
 		idle:       make(map[Address][]*conn),
 		seed:       maphash.MakeSeed(),
-		OnResponse: func(Address, http.Header) {},
+		OnSend:     func(Address, *Request) {},
+		OnResponse: func(Exchange) {},
 		Opened:     func() {},
 		Reused:     func() {},
 	}
@@ -185,6 +215,8 @@
 		return nil, &Failure{NotSent: true, Err: err}
 	}
 	r.writeDeadline, _ = ctx.Deadline()
+	p.OnSend(to, r)
+	sentAt := boottime.Now()
 	response, done, sent, err := c.exchange(ctx, r, id)
 	if err != nil {
 		return nil, &Failure{NotSent: !sent, Err: err}
@@ -194,7 +226,7 @@
 		done(false)
 		return nil, &Failure{Err: err}
 	}
-	p.OnResponse(to, response.Header)
+	p.OnResponse(Exchange{To: to, Request: r, SentAt: sentAt, Status: response.StatusCode, Header: response.Header})
 	origin := Origin{Requests: len(c.carried), Named: got == r.ID}
 	return &Response{Response: response, Origin: origin, request: r, pool: p, to: to, conn: c, done: done}, nil
 }
