ratelimit: requests to a target with a limit take a grant of the control leader

What callers saw: nothing; a target in need got up to 53 requests in 4 s where 11 are allowed. Cause: a bound over all processes that no process kept, and that none can keep from its own requests alone. Class: a shared bound that each process judges by what it sees itself. Change: every process needs a grant for each request to a target that has named a limit. The control leader gives them out one by one, at the even pace of the limit, to whoever asks, so no share depends on the number of processes. Its turns end 0.4 s after its lease at the latest, and those of the next leader begin then. Grants expire 0.25 s after their turn, on a clock that goes on while the process stands still. Processes tell the leader limits that have changed and the leader tells all others, with the list of targets; former versions ignore both. Requests prefer targets without a limit; one that can go nowhere else waits for its turn for a quarter of its objective or is rejected at once, with a Retry-After behind those rejected before. Second attempts beside a first one go to targets without a limit only. Runs of items, reports and orders take their grants in the leader's own process.

--- a/batch/engines.go
+++ b/batch/engines.go
@@ -48,6 +48,15 @@
 	return n
 }
 
+// updateAllowances updates how many requests the engines that name a limit may get now.
+func (r *Runner) updateAllowances() {
+	for _, e := range r.engines {
+		if e.allowance, e.limited = r.limits().Allowance(e.id); !e.limited {
+			e.orderWaits = false
+		}
+	}
+}
+
 // directoryLag is how long the directory may still show a version that the engine has
 // replaced.
 const directoryLag = 4 * time.Second
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -11,6 +11,9 @@
 	"merlinhall/upstream"
 )
 
+// orderRequests is the number of requests that an order takes: a report and the order.
+const orderRequests = 2
+
 // reportEnd is the outcome of a report request.
 type reportEnd struct {
 	engine      *engine
@@ -60,7 +63,7 @@
 			e.pause(now, pauseBroken)
 			continue
 		}
-		if e.load.accepted && !now.Before(e.load.pollAt) {
+		if e.load.accepted && !now.Before(e.load.pollAt) && r.limits().Take(e.id, 1) {
 			e.load.pollAt = now.Add(loadPollInterval)
 			r.requestReport(now, e)
 		}
@@ -77,7 +80,9 @@
 		r.assign(assignModels(now, r.engines, r.demand, newest, r.assignedModels))
 	}
 	for _, l := range planLoads(now, r.engines, r.assignedModels, newest) {
-		r.sendLoadOrder(now, l)
+		if l.engine.orderWaits = !r.limits().Take(l.engine.id, orderRequests); !l.engine.orderWaits {
+			r.sendLoadOrder(now, l)
+		}
 	}
 }
 
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -37,6 +37,9 @@
 	eventTimeSamples int           // number of samples in eventTime
 	eventTimeAt      time.Time     // time of the last sample
 	draining         bool
+	limited          bool // names a limit on the requests of all processes
+	allowance        int  // with limited: requests that it may get now
+	orderWaits       bool // an order waits for its turn, so no run takes it
 }
 
 // pause keeps new runs off the engine for at least the given time.
@@ -51,7 +54,14 @@
 	if e.draining || now.Before(e.pausedUntil) {
 		return 0
 	}
-	return max(0, e.slots-e.running)
+	free := max(0, e.slots-e.running)
+	switch {
+	case !e.limited:
+		return free
+	case e.orderWaits:
+		return 0
+	}
+	return min(free, e.allowance)
 }
 
 // unusedSlots returns the number of slots without a run. The fewer there are, the less a
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -78,6 +78,9 @@
 	// LeaseHeld reports whether this process leads in the given term and its lease has not
 	// ended, so that no other process can have become leader.
 	LeaseHeld func(term uint64) bool
+	// Limits are the limits that engines name on the requests of all processes; nil if there
+	// are none.
+	Limits Limits
 	// Retired returns the control processes whose hosts are to be emptied.
 	Retired func() []string
 	// HostFaults is the number of hosts that may be lost at the same time.
@@ -88,6 +91,31 @@
 	Observer    *observe.Observer
 }
 
+// Limits gives this process grants for targets with a limit; *ratelimit.Keeper implements it.
+type Limits interface {
+	// Allowance returns how many requests a target may get now, and whether it has a limit.
+	Allowance(target string) (n int, limited bool)
+	// Take grants n requests to a target if the first may be sent now.
+	Take(target string, n int) bool
+}
+
+// limits returns the limits of engines.
+func (r *Runner) limits() Limits {
+	if r.o.Limits == nil {
+		return noLimits{}
+	}
+	return r.o.Limits
+}
+
+// noLimits is Limits without limits.
+type noLimits struct{}
+
+// Allowance implements Limits.
+func (noLimits) Allowance(string) (n int, limited bool) { return 0, false }
+
+// Take implements Limits.
+func (noLimits) Take(string, int) bool { return true }
+
 // Duty is the claim to act alone; *duty.Claim implements it.
 type Duty interface {
 	// Held returns the fencing token with which this process may act.
@@ -429,6 +457,7 @@
 	if r.adopting(now) {
 		return
 	}
+	r.updateAllowances()
 	r.startPending(now)
 	r.scheduleLoads(now)
 }
@@ -441,6 +470,9 @@
 	}
 	placements := plan(now, r.queue.tasks, r.engines, &r.queue.lengths)
 	for _, p := range placements {
+		if !r.limits().Take(p.engine.id, 1) {
+			continue // the limit has changed since the plan began
+		}
 		r.begin(now, p)
 	}
 	if len(placements) > 0 {
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -191,7 +191,7 @@
 		r.rewardAt = now + rewardRetryDelay<<min(r.rewardErrors, maxRewardDoublings)
 		r.rewardErrors++
 	default:
-		r.rewardAt = now + rewardRetryDelay
+		r.rewardAt = now + max(rewardRetryDelay, e.RetryAfter)
 	}
 }
 
--- a/carrier/targets.go
+++ b/carrier/targets.go
@@ -44,6 +44,7 @@
 	Target      string
 	Status      int
 	Attempts    []forward.AttemptEnd
+	RetryAfter  time.Duration // when there is room for a call that was not made
 }
 
 // rewardTimeout bounds a reward call whose route allows more.
@@ -71,7 +72,7 @@
 	})
 	end := RewardEnd{
 		Failures: result.Failures, MaxFailures: max(1, route.MaxAttempts), Manifest: table.Manifest().Version,
-		Reason: result.Reason, Target: result.Target, Status: result.Status, Attempts: result.Ends,
+		Reason: result.Reason, Target: result.Target, Status: result.Status, Attempts: result.Ends, RetryAfter: result.RetryAfter,
 	}
 	if result.Outcome == forward.OutcomeAnswered && result.Status >= 200 && result.Status < 300 {
 		end.Score = t.Protocol.Score(result.Header)
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -92,7 +92,8 @@
 	d.poller = directory.NewPoller(d.targets, platform.NewList(s.TargetList, false), platform.NewList(s.TargetList, true), d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, Log: d.observer.Logger("forward"), Guard: d.observer.Guard("forward")}
 	d.boot = newBootID()
-	d.limits = ratelimit.NewKeeper(ratelimit.KeeperOptions{Directory: d.targets, Registry: d.observer.Registry, Log: d.observer.Logger("ratelimit")})
+	d.limits = ratelimit.NewKeeper(ratelimit.KeeperOptions{Process: s.Name, Directory: d.targets, Registry: d.observer.Registry, Log: d.observer.Logger("ratelimit")})
+	d.forward.Limits = d.limits
 	d.observer.AddDump("limits", d.limits.Dump)
 	d.pool.OnSend = func(to upstream.Address, r *upstream.Request) {
 		d.limits.Sent(to.ID, ratelimit.Use{Kind: string(r.Kind), Repeat: r.Repeat})
@@ -163,8 +164,13 @@
 		}
 	}
 	if d.settings.Entry {
-		return d.startGateway()
+		if err := d.startGateway(); err != nil {
+			return err
+		}
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stops = append(d.stops, cancel)
+	go d.limits.Run(ctx)
 	return nil
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 
 	"merlinhall/directory"
 	"merlinhall/observe"
+	"merlinhall/ratelimit"
 	"merlinhall/routes"
 	"merlinhall/upstream"
 	"merlinhall/wire"
@@ -146,6 +147,7 @@
 	Pool      *upstream.Pool
 	Directory *directory.Directory
 	Protocol  Protocol
+	Limits    *ratelimit.Keeper // nil if targets have no limits
 	Zone      string
 	Log       *logrus.Entry
 	Guard     *observe.Guard // of attempts
@@ -268,7 +270,8 @@
 	possibleRuns int // attempts that may have run
 	refused      int
 	cancels      []context.CancelFunc
-	lastFailure  *attempt // the latest attempt that ended with an error of the target
+	lastFailure  *attempt        // the latest attempt that ended with an error of the target
+	denied       ratelimit.Grant // the last denial; RetryAfter is 0 if there was none
 	failures     int
 	ends         []AttemptEnd
 }
@@ -295,8 +298,8 @@
 }
 
 func (u *requestState) loop(ctx context.Context) Result {
-	if !u.startAttempt(ctx) {
-		return u.noTarget()
+	if !u.startAttempt(ctx, false) {
+		return u.noTarget(ctx)
 	}
 	hedge := time.NewTimer(u.hedgeDelay())
 	defer hedge.Stop()
@@ -310,12 +313,12 @@
 			if u.inFlight > 0 {
 				continue
 			}
-			if !u.startAttempt(ctx) {
+			if !u.startAttempt(ctx, false) {
 				return u.giveUp()
 			}
 			hedge.Reset(u.hedgeDelay())
 		case <-hedge.C:
-			if u.r.Route.Repeatable && u.startAttempt(ctx) {
+			if u.r.Route.Repeatable && u.startAttempt(ctx, true) {
 				hedge.Reset(u.hedgeDelay())
 			}
 		case <-ctx.Done():
@@ -380,9 +383,14 @@
 }
 
 // noTarget returns the result of a request that no target was chosen for.
-func (u *requestState) noTarget() Result {
-	if !u.viewUsable() {
+func (u *requestState) noTarget(ctx context.Context) Result {
+	switch {
+	case ctx.Err() != nil:
+		return u.notRun(contextReason(ctx), retryAfterNoTarget)
+	case !u.viewUsable():
 		return u.notRun("the list of targets is too old", retryAfterNoTarget)
+	case u.denied.RetryAfter > 0:
+		return u.notRun("all targets are at the limits that they named", u.denied.RetryAfter)
 	}
 	return u.notRun("no target is known", retryAfterNoTarget)
 }
@@ -392,8 +400,9 @@
 }
 
 // nextTarget selects a target that has not been tried and counts an attempt on it. It
-// returns nil when no target, time or attempt is left.
-func (u *requestState) nextTarget() (*wire.TargetEntry, time.Duration) {
+// returns nil when no target, time or attempt is left. A second attempt beside another one
+// goes to targets without a limit only.
+func (u *requestState) nextTarget(ctx context.Context, beside bool) (*wire.TargetEntry, time.Duration) {
 	left := time.Until(u.r.Deadline)
 	if u.r.Wanted != nil && !u.r.Wanted() {
 		return nil, 0
@@ -404,7 +413,8 @@
 	if u.possibleRuns >= u.maxRuns() || u.refused >= maxRefusals || left < minTimeLeft {
 		return nil, 0
 	}
-	t := u.f.choose(time.Now(), u.r.Route.Choose(u.r.ID), u.tried)
+	t := u.choose(ctx, beside)
+	left = time.Until(u.r.Deadline)
 	if t != nil {
 		u.tried[t.ID] = true
 		u.possibleRuns++
@@ -426,9 +436,10 @@
 	}).Info("request is sent")
 }
 
-// startAttempt sends the request to another target and reports whether one was left.
-func (u *requestState) startAttempt(ctx context.Context) bool {
-	t, left := u.nextTarget()
+// startAttempt sends the request to another target and reports whether one was left. beside is
+// set if an earlier attempt has not ended.
+func (u *requestState) startAttempt(ctx context.Context, beside bool) bool {
+	t, left := u.nextTarget(ctx, beside)
 	if t == nil {
 		return false
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -74,13 +74,13 @@
 
 func (s *stream) loop(ctx context.Context) Result {
 	for {
-		t, left := s.nextTarget()
+		t, left := s.nextTarget(ctx, false)
 		switch {
 		case t != nil:
 		case s.begun:
 			return Result{Outcome: OutcomeCut, Reason: "no target is left to resume the stream"}
 		case s.possibleRuns+s.refused == 0:
-			return s.noTarget()
+			return s.noTarget(ctx)
 		default:
 			return s.giveUp()
 		}
--- a/hub/calls.go
+++ b/hub/calls.go
@@ -24,6 +24,7 @@
 	methodRetirement = "hosts.retirement"
 	methodRoutes     = "manifest.routes"
 	methodUsage      = "usage.report"
+	methodGrants     = "limits.grants"
 )
 
 type pageRequest struct {
--- a/hub/client.go
+++ b/hub/client.go
@@ -15,6 +15,7 @@
 	"merlinhall/ledger"
 	"merlinhall/link"
 	"merlinhall/propagate"
+	"merlinhall/ratelimit"
 	"merlinhall/routes"
 	"merlinhall/usage"
 	"merlinhall/wire"
@@ -42,6 +43,7 @@
 	Seeds     []string
 	Directory *directory.Directory
 	Poller    *directory.Poller
+	Limits    *ratelimit.Keeper
 	DataDir   string // directory of the cached manifest; empty disables the cache
 	Log       *logrus.Entry
 	// Dial maintains a link to a control process until stop is called.
@@ -144,6 +146,7 @@
 	case *wire.RouteUpdate:
 		c.applyManifest(m)
 	case *wire.TargetUpdate:
+		c.opts.Limits.Learn(m.Limits)
 		if !c.opts.Directory.ApplyUpdate(time.Now(), m) {
 			c.opts.Poller.Wake()
 		}
@@ -321,6 +324,11 @@
 	return c.call(ctx, methodUsage, in, out, 0)
 }
 
+// AskGrants asks the control leader for grants for targets with a limit.
+func (c *Client) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
+	return c.call(ctx, methodGrants, in, out, 0)
+}
+
 // Accept sends a submission to the leader. It returns nil once the submission is
 // committed.
 func (c *Client) Accept(ctx context.Context, sub *ledger.Submission) error {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -16,6 +16,7 @@
 	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/link"
+	"merlinhall/ratelimit"
 	"merlinhall/replica"
 	"merlinhall/routes"
 	"merlinhall/usage"
@@ -43,6 +44,7 @@
 	Usage       *usage.Collector // nil if usage is not counted
 	Directory   *directory.Directory
 	Poller      *directory.Poller
+	Limits      *ratelimit.Keeper
 	Log         *logrus.Entry
 	DataDir     string // directory of the cached manifest
 	// Dial maintains a link to a control process until stop is called.
@@ -96,6 +98,8 @@
 	o.Manifests.OnChange(h.publishManifest)
 	o.Directory.OnChange(func(v *directory.View) { h.publishTargets(v.Targets) })
 	o.Control.OnLeader(h.setLeading)
+	o.Control.OnLeader(o.Limits.Lead)
+	o.Limits.OnChange(h.publishLimits)
 	return h
 }
 
@@ -217,6 +221,7 @@
 	h.mu.Lock()
 	leading := h.leading
 	h.mu.Unlock()
+	h.opts.Limits.Learn(u.Limits)
 	if !leading {
 		h.opts.Directory.ApplyUpdate(time.Now(), u)
 	}
@@ -363,7 +368,26 @@
 
 // targetUpdate returns an update with a list, or one that confirms it. The caller holds h.mu.
 func (h *Hub) targetUpdate(now time.Time, l *publishedList, changed bool) *wire.TargetUpdate {
-	return h.opts.Directory.Update(now, h.term, l.sequence, changed, l.targets)
+	u := h.opts.Directory.Update(now, h.term, l.sequence, changed, l.targets)
+	if changed {
+		u.Limits = h.opts.Limits.Limits()
+	}
+	return u
+}
+
+// publishLimits tells all processes limits of targets that have changed.
+func (h *Hub) publishLimits(limits []wire.TargetLimit) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.leading || !h.published {
+		return // all are sent with the list
+	}
+	now := time.Now()
+	for list, links := range map[*publishedList]map[*link.Conn]bool{&h.targets: h.controlLinks, &h.entryTargets: h.entryLinks} {
+		u := h.targetUpdate(now, list, false)
+		u.Limits = limits
+		h.sendAll(u, links)
+	}
 }
 
 // confirmTargets notifies the processes that the target list was read again and has not
--- a/hub/operator.go
+++ b/hub/operator.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/ratelimit"
 	"merlinhall/routes"
 	"merlinhall/usage"
 	"merlinhall/wire"
@@ -76,6 +77,11 @@
 	return o.call(ctx, methodUsage, in, out)
 }
 
+// AskGrants asks the control leader for grants for targets with a limit.
+func (o Operator) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
+	return o.call(ctx, methodGrants, in, out)
+}
+
 // Retire requests the retirement of a control host.
 func (o Operator) Retire(ctx context.Context, host string) (Retirement, error) {
 	var out retireReply
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -10,6 +10,7 @@
 
 	"merlinhall/control"
 	"merlinhall/ledger"
+	"merlinhall/ratelimit"
 	"merlinhall/replica"
 	"merlinhall/usage"
 	"merlinhall/wire"
@@ -29,6 +30,7 @@
 	c.HandleCall(methodRetire, h.retire)
 	c.HandleCall(methodRetirement, h.retirement)
 	c.HandleCall(methodRoutes, h.newestRoutes)
+	c.HandleCall(methodGrants, h.grants)
 	if h.opts.Usage != nil {
 		c.HandleCall(methodUsage, h.reportUsage)
 	}
@@ -158,6 +160,19 @@
 	return wire.Marshal(h.opts.Usage.Handle(&in))
 }
 
+// grants answers a process that wants to send requests to targets with a limit. Without the
+// lease another leader may give out the same.
+func (h *Hub) grants(ctx context.Context, body []byte) ([]byte, error) {
+	var in ratelimit.Ask
+	if err := decode(body, &in); err != nil {
+		return nil, err
+	}
+	if err := h.confirmLeadership(ctx, true); err != nil {
+		return nil, err
+	}
+	return wire.Marshal(h.opts.Limits.Handle(&in))
+}
+
 // newestRoutes returns the manifest in force to an entry that may be behind.
 func (h *Hub) newestRoutes(ctx context.Context, body []byte) ([]byte, error) {
 	var in routesRequest
--- a/ratelimit/keeper.go
+++ b/ratelimit/keeper.go
@@ -1,40 +1,98 @@
 package ratelimit
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/boottime"
 	"merlinhall/directory"
 	"merlinhall/observe"
+	"merlinhall/wire"
 )
 
-// logInterval is how often the requests to a target with a limit are logged.
-const logInterval = time.Second
+var errAnswers = eris.New("ratelimit: the leader answered another number of wants")
+
+const (
+	// logInterval is how often the requests to a target with a limit are logged.
+	logInterval = time.Second
+	// askTimeout bounds a question to the leader. It is above a few round trips.
+	askTimeout = 300 * time.Millisecond
+	// noAnswerRetry is the Retry-After value of requests for which the leader was not reached,
+	// the duration of an election, and noAnswerPause how long it is not asked again.
+	noAnswerRetry = 700 * time.Millisecond
+	noAnswerPause = 100 * time.Millisecond
+	// maxWaiting bounds the requests that wait for the leader's answer.
+	maxWaiting = 1024
+)
 
 // KeeperOptions configures a Keeper.
 type KeeperOptions struct {
+	Process   string // name of this process
 	Directory *directory.Directory
-	Registry  *prometheus.Registry // nil registers no metrics
-	Log       *logrus.Entry
-	Clock     func() time.Duration // nil stands for boottime.Now
+	// Ask asks the control leader. Without it, no request is granted.
+	Ask      func(ctx context.Context, in *Ask, out *Answers) error
+	Registry *prometheus.Registry // nil registers no metrics
+	Log      *logrus.Entry
+	Clock    func() time.Duration // nil stands for boottime.Now
 }
 
-// Keeper knows the limits of targets in one process and what the process sends them. It is
-// safe for concurrent use.
+// Keeper keeps one process within the limits of targets. It knows the limits and what the
+// process sends, and obtains grants from the control leader. In the leader's process it also
+// gives them out. It is safe for concurrent use.
 type Keeper struct {
-	o    KeeperOptions
-	sent *prometheus.CounterVec
+	o      KeeperOptions
+	sent   *prometheus.CounterVec
+	grants *prometheus.CounterVec
+	wake   chan struct{}
+	lines  observe.LineLimit
+	// limited is the set of targets that need a grant, for reads without the lock.
+	limited atomic.Pointer[map[string]bool]
 
-	lines observe.LineLimit
+	mu        sync.Mutex
+	book      *Book
+	tallies   map[string]*Tally // by target
+	loggedAt  map[string]time.Duration
+	untold    map[string]bool // targets whose limit has changed and is not known to the leader
+	toldTerm  uint64          // of the leader that was told the others
+	waiting   []*waiter
+	pauses    map[line]pause
+	ask       func(ctx context.Context, in *Ask, out *Answers) error
+	onChange  func([]wire.TargetLimit)
+	allocator *allocator
+	term      uint64 // in which this process leads, 0 if it does not
+}
+
+// line is what waits for grants together.
+type line struct {
+	service  string
+	priority int
+}
+
+// pause is the time in which a line is denied grants without asking the leader.
+type pause struct {
+	until   time.Duration
+	retryAt time.Duration
+}
+
+// waiter is a request that waits for the leader's answer.
+type waiter struct {
+	want   Want
+	answer chan Answer
+}
 
-	mu       sync.Mutex
-	book     *Book
-	tallies  map[string]*Tally // by target
-	loggedAt map[string]time.Duration
+// Grant is the permission to send one request to a target.
+type Grant struct {
+	Target  string // empty if the request is denied
+	expires time.Duration
+	// RetryAfter is when there is room for a denied request.
+	RetryAfter time.Duration
 }
 
 // NewKeeper returns a keeper that knows no limits.
@@ -44,6 +102,10 @@
 	}
 	k := &Keeper{
 		o: o, book: NewBook(), tallies: make(map[string]*Tally), loggedAt: make(map[string]time.Duration),
+		wake: make(chan struct{}, 1), untold: make(map[string]bool), pauses: make(map[line]pause), ask: o.Ask, onChange: func([]wire.TargetLimit) {},
+		grants: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "merlinhall_limit_grants_total", Help: "Requests of this process that wanted a grant for a target with a limit, by what became of it.",
+		}, []string{"outcome"}),
 		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "merlinhall_limited_target_requests_total", Help: "Requests of this process to targets that name a limit, by use.",
 		}, []string{"use"}),
@@ -56,17 +118,53 @@
 			defer k.mu.Unlock()
 			return float64(k.book.Limited())
 		})
-		o.Registry.MustRegister(k.sent, limited)
+		o.Registry.MustRegister(k.sent, k.grants, limited)
 	}
+	k.allocator = newAllocator(k.book)
+	k.updateTargets()
 	o.Directory.OnChange(k.retain)
 	return k
 }
 
+// Follow sets how the leader is asked. Until then no request is granted.
+func (k *Keeper) Follow(ask func(ctx context.Context, in *Ask, out *Answers) error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ask = ask
+}
+
+// OnChange has f called with the limits that this process, while it leads, sees or is told.
+func (k *Keeper) OnChange(f func([]wire.TargetLimit)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.onChange = f
+}
+
+// Targets returns the targets for which requests need a grant. It must not be changed.
+func (k *Keeper) Targets() map[string]bool {
+	if k == nil {
+		return nil
+	}
+	return *k.limited.Load()
+}
+
+// updateTargets updates what Targets returns. The caller holds k.mu.
+func (k *Keeper) updateTargets() {
+	limited := make(map[string]bool)
+	for _, r := range k.book.Readings() {
+		if r.Limited {
+			limited[r.Target] = true
+		}
+	}
+	k.limited.Store(&limited)
+}
+
 // retain forgets the targets that are no longer listed or have started again.
 func (k *Keeper) retain(v *directory.View) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.book.Retain(k.o.Clock(), v)
+	k.updateTargets()
 	for id := range k.tallies {
 		if v.Target(id) == nil {
 			delete(k.tallies, id)
@@ -104,6 +202,13 @@
 
 // Note takes what a response of a target says about its limit.
 func (k *Keeper) Note(r Reading) {
+	if changed, tell := k.note(r); tell != nil {
+		tell([]wire.TargetLimit{changed})
+	}
+}
+
+// note is Note without the call of OnChange, which it returns if it is due.
+func (k *Keeper) note(r Reading) (changed wire.TargetLimit, tell func([]wire.TargetLimit)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.o.Clock()
@@ -111,9 +216,280 @@
 		r.StartedMs = t.StartedMs
 	}
 	before, _, _ := k.book.Limit(r.Target)
-	if k.book.Note(now, r) {
-		k.o.Log.WithFields(logrus.Fields{"target": r.Target, "limited": r.Limited, "limit": r.PerSecond, "before": before}).Info("limit of a target has changed")
+	if !k.book.Note(now, r) {
+		return wire.TargetLimit{}, nil
+	}
+	k.updateTargets()
+	k.o.Log.WithFields(logrus.Fields{"target": r.Target, "limited": r.Limited, "limit": r.PerSecond, "before": before}).Info("limit of a target has changed")
+	if k.term != 0 {
+		return r.message(now), k.onChange
+	}
+	k.untold[r.Target] = true
+	k.wakeUp()
+	return wire.TargetLimit{}, nil
+}
+
+// Learn takes limits that another process knows.
+func (k *Keeper) Learn(limits []wire.TargetLimit) {
+	if k == nil || len(limits) == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.learn(limits)
+}
+
+// learn is Learn for a caller that holds k.mu. It returns the limits that have changed.
+func (k *Keeper) learn(limits []wire.TargetLimit) (changed []wire.TargetLimit) {
+	now := k.o.Clock()
+	for _, m := range limits {
+		r, ok := readingOf(now, m)
+		if !ok {
+			k.o.Log.WithFields(logrus.Fields{"target": m.Target, "limit": m.PerSecond}).Warn("another process tells an invalid limit")
+			continue
+		}
+		if k.book.Note(now, r) {
+			delete(k.untold, r.Target)
+			changed = append(changed, m)
+		}
+	}
+	if len(changed) > 0 {
+		k.updateTargets()
+	}
+	return changed
+}
+
+// Limits returns all limits that this process knows, for another one.
+func (k *Keeper) Limits() []wire.TargetLimit {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now, readings := k.o.Clock(), k.book.Readings()
+	out := make([]wire.TargetLimit, 0, len(readings))
+	for _, r := range readings {
+		out = append(out, r.message(now))
+	}
+	return out
+}
+
+// Lead tells whether this process leads, and in which term.
+func (k *Keeper) Lead(leading bool, term uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.term = 0
+	if leading {
+		k.term = term
+		k.allocator.lead(k.o.Clock())
+	}
+}
+
+// tellAll has all limits told to a new leader. The caller holds k.mu.
+func (k *Keeper) tellAll() {
+	for _, r := range k.book.Readings() {
+		k.untold[r.Target] = true
+	}
+	if len(k.untold) > 0 {
+		k.wakeUp()
+	}
+}
+
+// Handle answers the question of a process. The caller has made sure that this process leads.
+func (k *Keeper) Handle(in *Ask) *Answers {
+	k.mu.Lock()
+	changed, tell := k.learn(in.Limits), k.onChange
+	out := k.answerAll(in)
+	k.mu.Unlock()
+	if len(changed) > 0 {
+		tell(changed)
+	}
+	return out
+}
+
+// answerAll answers the wants of a question. The caller holds k.mu.
+func (k *Keeper) answerAll(in *Ask) *Answers {
+	now, view := k.o.Clock(), k.o.Directory.View()
+	out := &Answers{Term: k.term}
+	for _, w := range in.Wants[:min(len(in.Wants), maxWaiting)] {
+		ready := make([]string, 0, len(view.Ready(w.Service)))
+		for _, t := range view.Ready(w.Service) {
+			ready = append(ready, t.ID)
+		}
+		out.Answers = append(out.Answers, k.allocator.answer(now, in.Process, w, ready))
+	}
+	return out
+}
+
+// Allowance returns how many requests this process, which leads, may send to a target now,
+// and whether the target has a limit.
+func (k *Keeper) Allowance(target string) (n int, limited bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.allocator.allowance(k.o.Clock(), target)
+}
+
+// Take grants this process, which leads, n requests to a target if the first may be sent now.
+func (k *Keeper) Take(target string, n int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ok := k.allocator.take(k.o.Clock(), target, n)
+	if _, _, limited := k.book.Limit(target); limited {
+		k.count(ok)
+	}
+	return ok
+}
+
+func (k *Keeper) count(granted bool) {
+	outcome := "denied"
+	if granted {
+		outcome = "granted"
+	}
+	k.grants.WithLabelValues(outcome).Inc()
+}
+
+// Acquire returns a grant for a request once it may be sent, or a denial. It waits no longer
+// than the want's patience and a question to the leader.
+func (k *Keeper) Acquire(ctx context.Context, w Want) Grant {
+	g := k.acquire(ctx, w)
+	k.count(g.Target != "")
+	return g
+}
+
+func (k *Keeper) acquire(ctx context.Context, w Want) Grant {
+	askedAt := k.o.Clock()
+	waiter := &waiter{want: w, answer: make(chan Answer, 1)}
+	if denied, ok := k.enqueue(askedAt, waiter); !ok {
+		return denied
+	}
+	var a Answer
+	select {
+	case a = <-waiter.answer:
+	case <-ctx.Done():
+		return Grant{RetryAfter: noAnswerRetry}
+	}
+	if a.Target == "" {
+		return Grant{RetryAfter: a.RetryAfter}
+	}
+	// The turn came Delay after the leader answered, which was after askedAt.
+	g := Grant{Target: a.Target, expires: askedAt + a.Delay + grantTime}
+	if a.Delay > 0 {
+		select {
+		case <-time.After(a.Delay):
+		case <-ctx.Done():
+			return Grant{RetryAfter: noAnswerRetry}
+		}
+	}
+	if k.o.Clock() > g.expires {
+		return Grant{RetryAfter: minAskAgain} // this process stood still meanwhile
+	}
+	return g
+}
+
+// enqueue has the leader asked for a request, or denies it at once.
+func (k *Keeper) enqueue(now time.Duration, w *waiter) (denied Grant, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := line{w.want.Service, w.want.Priority}
+	if p, paused := k.pauses[l]; paused && now < p.until {
+		// Requests that are denied together don't come back together.
+		after := max(p.retryAt-now, p.until-now)
+		return Grant{RetryAfter: min(maxRetryAfter, time.Duration(float64(after)*(1+rand.Float64())))}, false
+	}
+	if k.ask == nil || len(k.waiting) >= maxWaiting {
+		return Grant{RetryAfter: noAnswerRetry}, false
+	}
+	k.waiting = append(k.waiting, w)
+	k.wakeUp()
+	return Grant{}, true
+}
+
+func (k *Keeper) wakeUp() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run asks the leader for what the process needs, one question at a time, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for {
+		select {
+		case <-k.wake:
+		case <-ctx.Done():
+			return
+		}
+		if !k.askOnce(ctx) {
+			select {
+			case <-time.After(noAnswerPause):
+				k.wakeUp()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// askOnce asks the leader for all that is due and reports whether it answered.
+func (k *Keeper) askOnce(ctx context.Context) bool {
+	in, waiting, ask := k.nextAsk()
+	if ask == nil || len(in.Limits) == 0 && len(in.Wants) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var out Answers
+	err := ask(ctx, in, &out)
+	if err == nil && len(out.Answers) != len(waiting) {
+		err = errAnswers
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.o.Clock()
+	if err != nil {
+		k.o.Log.WithFields(logrus.Fields{"wants": len(in.Wants), "limits": len(in.Limits)}).Infof("no grants from the leader: %v", err)
+		for _, m := range in.Limits {
+			k.untold[m.Target] = true
+		}
+	}
+	if err == nil && out.Term != k.toldTerm {
+		k.toldTerm = out.Term
+		k.tellAll()
+	}
+	for i, w := range waiting {
+		a := Answer{RetryAfter: noAnswerRetry, AskAgain: noAnswerPause}
+		if err == nil {
+			a = out.Answers[i]
+		}
+		l := line{w.want.Service, w.want.Priority}
+		if a.Target == "" {
+			k.pauses[l] = pause{until: now + min(a.AskAgain, maxRetryAfter), retryAt: now + min(a.RetryAfter, maxRetryAfter)}
+		} else {
+			delete(k.pauses, l)
+		}
+		w.answer <- a
+	}
+	return err == nil
+}
+
+// nextAsk returns the next question to the leader and who waits for its answers.
+func (k *Keeper) nextAsk() (*Ask, []*waiter, func(ctx context.Context, in *Ask, out *Answers) error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ask == nil {
+		return nil, nil, nil
+	}
+	now := k.o.Clock()
+	in := &Ask{Process: k.o.Process}
+	for target := range k.untold {
+		if r, ok := k.book.Reading(target); ok {
+			in.Limits = append(in.Limits, r.message(now))
+		}
+	}
+	clear(k.untold)
+	waiting := k.waiting
+	k.waiting = nil
+	for _, w := range waiting {
+		in.Wants = append(in.Wants, w.want)
 	}
+	return in, waiting, k.ask
 }
 
 // Dump returns the limits known for the state dump.
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -1,5 +1,7 @@
 package wire
 
+import "time"
+
 // Kinds of messages from control replicas to the processes that serve callers.
 // MembershipUpdate is also sent between control replicas.
 const (
@@ -24,6 +26,20 @@
 	Targets  []TargetEntry `cbor:"4,keyasint,omitempty"`
 	// AgeMs is the time since the list was last read.
 	AgeMs uint32 `cbor:"5,keyasint,omitempty"`
+	// Limits are limits of targets that the leader knows: all with Changed, else those that
+	// have changed. Former versions do not send them.
+	Limits []TargetLimit `cbor:"6,keyasint,omitempty"`
+}
+
+// TargetLimit is what a response of a target said about its limit.
+type TargetLimit struct {
+	Target    string  `cbor:"1,keyasint"`
+	StartedMs int64   `cbor:"2,keyasint,omitempty"` // start of the target in Unix ms
+	Limited   bool    `cbor:"3,keyasint,omitempty"`
+	PerSecond float64 `cbor:"4,keyasint,omitempty"` // requests a second from all processes
+	// SentAge and Age are the times since the request was sent and its response arrived.
+	SentAge time.Duration `cbor:"5,keyasint,omitempty"`
+	Age     time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // TargetEntry is one target in the platform's list.
