--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -9,9 +9,16 @@
 
 const (
 	// burstTime is how far ahead of its even pace a target may get requests, and catchUpTime
-	// how far behind it may be and catch up, but by one request.
+	// how far behind it may be and catch up: a limit is named for a second. One request can
+	// always be caught up.
 	burstTime   = 100 * time.Millisecond
 	catchUpTime = time.Second
+	// A limit may have fallen since the target last answered. So the first slowTurns turns of a
+	// new leader, and those after a pause of quietTime, are at least slowInterval apart: a
+	// response takes about as long to reach the leader.
+	slowTurns    = 3
+	slowInterval = 100 * time.Millisecond
+	quietTime    = 4 * time.Second
 	// bookingTime is how long before its turn a request may be granted at most.
 	bookingTime = 400 * time.Millisecond
 	// grantTime is how long after its turn a granted request may be sent.
@@ -38,9 +45,9 @@
 // single requests, evenly paced. It reads no clock.
 //
 // Invariant: the turns of a target with the limit L come at an even pace of L, but for burstTime
-// and one request that it did not get before. The turns of a former leader end bookingTime
-// after its lease at the latest, and those of a new one begin then. So a target gets at most
-// L*(T+burstTime+grantTime)+2 requests in a time T, whoever leads.
+// and what it did not get in catchUpTime. The turns of a former leader end bookingTime after
+// its lease at the latest, and those of a new one begin then. So a target gets at most
+// L*(T+catchUpTime+burstTime+grantTime)+2 requests in a time T, whoever leads.
 type allocator struct {
 	book     *Book
 	startAt  time.Duration // no turn comes before it
@@ -66,6 +73,8 @@
 	perSecond float64
 	startedMs int64
 	next      time.Duration // turn of the next request at an even pace
+	slow      int           // number of turns that are at least slowInterval apart
+	takenAt   time.Duration // when the last grant was given
 }
 
 // interval returns the time between two turns.
@@ -83,7 +92,7 @@
 	p := a.paces[target]
 	switch {
 	case p == nil:
-		p = &pace{perSecond: r.PerSecond, startedMs: r.StartedMs, next: max(a.startAt, now+interval(r.PerSecond))}
+		p = &pace{perSecond: r.PerSecond, startedMs: r.StartedMs, next: max(a.startAt, now+interval(r.PerSecond)), slow: slowTurns, takenAt: now}
 		a.paces[target] = p
 	case p.perSecond != r.PerSecond || p.startedMs != r.StartedMs:
 		p.perSecond, p.startedMs = r.PerSecond, r.StartedMs
@@ -97,12 +106,27 @@
 
 // take uses the turns of n requests.
 func (p *pace) take(now time.Duration, n int) {
-	p.next = p.from(now) + time.Duration(n)*interval(p.perSecond)
+	if now-p.takenAt > quietTime {
+		p.slow = slowTurns
+	}
+	p.takenAt = now
+	p.next = p.from(now)
+	for range n {
+		step := interval(p.perSecond)
+		if p.slow > 0 {
+			p.slow--
+			step = max(step, burstTime+slowInterval)
+		}
+		p.next += step
+	}
 }
 
 // from returns the next turn, of those that can still be used.
 func (p *pace) from(now time.Duration) time.Duration {
-	return max(p.next, now-min(catchUpTime, interval(p.perSecond)))
+	if p.slow > 0 {
+		return max(p.next, now)
+	}
+	return max(p.next, now-max(catchUpTime, interval(p.perSecond)))
 }
 
 // take grants n requests to a target if the first may be sent now. Targets without a limit
@@ -128,6 +152,9 @@
 	if p.delay(now) > 0 {
 		return 0, true
 	}
+	if p.slow > 0 || now-p.takenAt > quietTime {
+		return 1, true
+	}
 	return 1 + int((now+burstTime-p.from(now))/interval(p.perSecond)), true
 }
 
--- a/ratelimit/keeper.go
+++ b/ratelimit/keeper.go
@@ -365,11 +365,7 @@
 	case <-ctx.Done():
 		return Grant{RetryAfter: noAnswerRetry}
 	}
-	if a.Target == "" {
-		return Grant{RetryAfter: a.RetryAfter}
-	}
-	// The turn came Delay after the leader answered, which was after askedAt.
-	g := Grant{Target: a.Target, expires: askedAt + a.Delay + grantTime}
+	g := grantOf(askedAt, a)
 	if a.Delay > 0 {
 		select {
 		case <-time.After(a.Delay):
@@ -377,8 +373,23 @@
 			return Grant{RetryAfter: noAnswerRetry}
 		}
 	}
-	if k.o.Clock() > g.expires {
-		return Grant{RetryAfter: minAskAgain} // this process stood still meanwhile
+	return g.at(k.o.Clock())
+}
+
+// grantOf returns the grant that the leader's answer to a question means. The turn comes Delay
+// after the leader answered, which was after the question.
+func grantOf(askedAt time.Duration, a Answer) Grant {
+	if a.Target == "" {
+		return Grant{RetryAfter: a.RetryAfter}
+	}
+	return Grant{Target: a.Target, expires: askedAt + a.Delay + grantTime}
+}
+
+// at returns the grant if it may still be used, or a denial: the process may have stood still
+// since its turn.
+func (g Grant) at(now time.Duration) Grant {
+	if g.Target != "" && now > g.expires {
+		return Grant{RetryAfter: minAskAgain}
 	}
 	return g
 }
@@ -437,6 +448,12 @@
 	defer cancel()
 	var out Answers
 	err := ask(ctx, in, &out)
+	k.settle(in, waiting, &out, err)
+	return err == nil
+}
+
+// settle takes the leader's answers to a question, or the error that there are none.
+func (k *Keeper) settle(in *Ask, waiting []*waiter, out *Answers, err error) {
 	if err == nil && len(out.Answers) != len(waiting) {
 		err = errAnswers
 	}
@@ -466,7 +483,6 @@
 		}
 		w.answer <- a
 	}
-	return err == nil
 }
 
 // nextAsk returns the next question to the leader and who waits for its answers.
