forward: reward calls leave room for callers

Change: background requests have a window for each target and process, which narrows while responses take 1.6 times their best mean or longer, and by half on a refusal. The rest waits where it holds nothing, in the order of time, and gives way to callers for grants.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -31,27 +31,29 @@
 const maxWaitFraction = 0.25
 
 // choose returns the target of the next attempt, or nil, and counts an outstanding request on
-// it. A target with a limit is chosen only with a grant.
+// it. A target with a limit is chosen only with a grant. A background request waits while it
+// would only make a queue longer.
 func (u *requestState) choose(ctx context.Context, beside bool) *wire.TargetEntry {
 	service := u.r.Route.Choose(u.r.ID)
-	t, needsGrant, alternative := u.f.choose(time.Now(), service, u.tried, !beside)
-	if !needsGrant {
-		return t
-	}
-	if granted := u.acquire(ctx, service, alternative); granted != nil {
-		return granted
-	}
-	if ctx.Err() != nil {
-		return nil
+	until := time.Now().Add(time.Until(u.r.Deadline) / 2)
+	for {
+		c := u.f.choose(time.Now(), service, u.tried, !beside, u.r.Background)
+		if c.needsGrant {
+			if granted := u.acquire(ctx, service, c.alternative); granted != nil || ctx.Err() != nil {
+				return granted
+			}
+			c = u.f.choose(time.Now(), service, u.tried, false, u.r.Background)
+		}
+		if c.target != nil || !c.queues || beside || !u.f.awaitRoom(ctx, until) {
+			return c.target
+		}
 	}
-	t, _, _ = u.f.choose(time.Now(), service, u.tried, false)
-	return t
 }
 
 // acquire returns a target with a limit that may get the request now, and counts an outstanding
 // request on it, or nil. With an alternative the request does not wait for its turn.
 func (u *requestState) acquire(ctx context.Context, service string, alternative bool) *wire.TargetEntry {
-	w := ratelimit.Want{Service: service, Except: slices.Sorted(maps.Keys(u.tried)), Priority: u.r.Route.Priority, Only: !alternative && u.refused == 0}
+	w := ratelimit.Want{Service: service, Except: slices.Sorted(maps.Keys(u.tried)), Priority: u.priority(), Only: !alternative && u.refused == 0}
 	switch {
 	case alternative:
 	case u.r.Background:
@@ -71,15 +73,30 @@
 	}
 	u.f.mu.Lock()
 	defer u.f.mu.Unlock()
-	u.f.state(t.ID).outstanding++
+	u.f.count(t, u.r.Background)
 	return t
 }
 
-// choose returns the ready target of the service with the lowest cost, or nil when all have
-// been tried. Suspect targets come last. Those with a limit are left out unless limited is set.
-// If the target has one, it needs a grant, and alternative says whether another one has none;
-// otherwise an outstanding request is counted on it.
-func (f *Forwarder) choose(now time.Time, service string, tried map[string]bool, limited bool) (best *wire.TargetEntry, needsGrant, alternative bool) {
+// priority returns the priority of a request. Callers wait for theirs; background requests of
+// the same route give way to them.
+func (u *requestState) priority() int {
+	if u.r.Background {
+		return u.r.Route.Priority + 1
+	}
+	return u.r.Route.Priority
+}
+
+// choice is the target with the lowest cost for a request.
+type choice struct {
+	target      *wire.TargetEntry // nil if all have been tried
+	needsGrant  bool              // the target has a limit; otherwise an outstanding request was counted on it
+	alternative bool              // there is a target without a limit
+	queues      bool              // a target was left out, as a background request would wait there
+}
+
+// choose returns the ready target of the service with the lowest cost. Suspect targets come
+// last. Those with a limit are left out unless limited is set.
+func (f *Forwarder) choose(now time.Time, service string, tried map[string]bool, limited, background bool) (c choice) {
 	limits := f.Limits.Targets()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -92,17 +109,32 @@
 		if limits[t.ID] {
 			cost *= limitedFactor
 		} else {
-			alternative = true
+			c.alternative = true
+			if background && !f.state(t.ID).background.hasRoom() {
+				c.queues = true
+				continue
+			}
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = t, cost
+		if c.target == nil || cost < bestCost {
+			c.target, bestCost = t, cost
 		}
 	}
-	if best == nil || limits[best.ID] {
-		return best, best != nil, alternative
+	if c.target == nil {
+		return c
+	}
+	if c.needsGrant = limits[c.target.ID]; !c.needsGrant {
+		f.count(c.target, background)
+	}
+	return c
+}
+
+// count counts an outstanding request on a target. The caller holds f.mu.
+func (f *Forwarder) count(t *wire.TargetEntry, background bool) {
+	s := f.state(t.ID)
+	s.outstanding++
+	if background {
+		s.background.outstanding++
 	}
-	f.state(best.ID).outstanding++
-	return best, false, alternative
 }
 
 // suspectCost is added to the cost of suspect targets. It exceeds the cost of any other
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -154,9 +154,11 @@
 
 	sentLogs observe.LineLimit // of the lines for sent requests; failed attempts are always logged
 
-	mu       sync.Mutex
-	states   map[string]*targetState
-	attempts *prometheus.HistogramVec
+	mu     sync.Mutex
+	states map[string]*targetState
+	// awaitingRoom are the background requests that wait for room, in the order of time.
+	awaitingRoom []chan struct{}
+	attempts     *prometheus.HistogramVec
 }
 
 // Metrics creates and returns the collector for attempts. It must be called at most
@@ -202,6 +204,7 @@
 	outstanding  int
 	suspectUntil time.Time
 	latency      time.Duration // exponentially weighted mean of recent responses
+	background   window        // of background requests
 }
 
 // latencyGain is the weight of a new response in the mean latency.
@@ -389,6 +392,8 @@
 		return u.notRun(contextReason(ctx), retryAfterNoTarget)
 	case !u.viewUsable():
 		return u.notRun("the list of targets is too old", retryAfterNoTarget)
+	case u.r.Background && u.denied.RetryAfter == 0 && len(u.f.Directory.View().Ready(u.r.Route.Choose(u.r.ID))) > 0:
+		return u.notRun("a background request would wait in the queues of all targets", retryAfterRefused)
 	case u.denied.RetryAfter > 0:
 		return u.notRun("all targets are at the limits that they named", u.denied.RetryAfter)
 	}
@@ -505,16 +510,25 @@
 		a.err = &upstream.Failure{Err: err}
 		errors.As(err, &a.err)
 	}
-	f.updateTarget(ctx, a.target.ID, a, took)
+	f.updateTarget(ctx, a.target.ID, a, took, r.Background)
 	f.recordAttempt(ctx, r, a, left, took)
 }
 
 // updateTarget updates the state of a target after an attempt on it.
-func (f *Forwarder) updateTarget(ctx context.Context, id string, a *attempt, took time.Duration) {
+func (f *Forwarder) updateTarget(ctx context.Context, id string, a *attempt, took time.Duration, background bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state(id)
 	s.outstanding--
+	if background {
+		f.freeRoom(s)
+		switch {
+		case a.err == nil && a.verdict == Answered:
+			s.background.answered(took)
+		case a.err == nil && a.verdict == NotRun:
+			s.background.refused()
+		}
+	}
 	switch {
 	case a.err != nil && ctx.Err() == context.Canceled:
 		// Another attempt answered first, or the caller left: the latency is at least
