forward: callers book their turn at a target with a limit, reward calls do not

What callers saw: with all or nearly all targets at their limits, 8 of which take one request a second, reward calls had booked each turn 0.4 s ahead, and callers, who wait a quarter of their objective, got none. Change: callers wait up to half of it, reward calls take a turn that is due now or wait outside. The least mean response time of a window rises only at the least window: it rose under constant load, so that a queue counted as normal.

--- a/carrier/run.go
+++ b/carrier/run.go
@@ -191,7 +191,7 @@
 		r.rewardAt = now + rewardRetryDelay<<min(r.rewardErrors, maxRewardDoublings)
 		r.rewardErrors++
 	default:
-		r.rewardAt = now + max(rewardRetryDelay, e.RetryAfter)
+		r.rewardAt = now + min(max(rewardRetryDelay, e.RetryAfter), rewardRetryDelay<<maxRewardDoublings)
 	}
 }
 
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -27,8 +27,9 @@
 const limitedFactor = 2.0
 
 // maxWaitFraction is the fraction of the response-time objective for which a request waits for
-// its turn at a target with a limit. One that would wait longer is rejected at once.
-const maxWaitFraction = 0.25
+// its turn at a target with a limit. If its turn comes later, it goes elsewhere or is rejected
+// at once.
+const maxWaitFraction = 0.5
 
 // choose returns the target of the next attempt, or nil, and counts an outstanding request on
 // it. A target with a limit is chosen only with a grant. A background request waits while it
@@ -43,22 +44,20 @@
 				return granted
 			}
 			c = u.f.choose(time.Now(), service, u.tried, false, u.r.Background)
+			c.queues = true
 		}
-		if c.target != nil || !c.queues || beside || !u.f.awaitRoom(ctx, until) {
+		if c.target != nil || !c.queues || !u.r.Background || beside || !u.f.awaitRoom(ctx, until) {
 			return c.target
 		}
 	}
 }
 
 // acquire returns a target with a limit that may get the request now, and counts an outstanding
-// request on it, or nil. With an alternative the request does not wait for its turn.
+// request on it, or nil. Background requests get no turn ahead of time: they would take those
+// of callers.
 func (u *requestState) acquire(ctx context.Context, service string, alternative bool) *wire.TargetEntry {
 	w := ratelimit.Want{Service: service, Except: slices.Sorted(maps.Keys(u.tried)), Priority: u.priority(), Only: !alternative && u.refused == 0}
-	switch {
-	case alternative:
-	case u.r.Background:
-		w.Patience = time.Until(u.r.Deadline) / 2
-	default:
+	if !u.r.Background {
 		w.Patience = time.Duration(float64(u.r.Route.Goal) * maxWaitFraction)
 	}
 	g := u.f.Limits.Acquire(ctx, w)
--- a/forward/window.go
+++ b/forward/window.go
@@ -19,8 +19,8 @@
 	// refusalDecrease for each refusal.
 	windowDecrease  = 0.9
 	refusalDecrease = 0.5
-	// leastMeanGain is how fast the least mean response time follows a higher one: a target may
-	// have become slower.
+	// leastMeanGain is how fast the least mean response time follows a higher one at the least
+	// window: the target has become slower.
 	leastMeanGain = 0.005
 	// roomCheck is how often a waiting background request looks for room itself.
 	roomCheck = 100 * time.Millisecond
@@ -50,13 +50,12 @@
 		w.size, w.mean, w.least = firstWindow, took, took
 	}
 	w.mean += time.Duration(latencyGain * float64(took-w.mean))
-	if w.mean < w.least {
-		w.least = w.mean
-	} else {
-		w.least += time.Duration(leastMeanGain * float64(w.mean-w.least))
-	}
+	w.least = min(w.least, w.mean)
 	if float64(w.mean) > queueFactor*float64(w.least) {
-		w.size = max(minWindow, w.size*windowDecrease)
+		if w.size = w.size * windowDecrease; w.size < minWindow {
+			w.size = minWindow
+			w.least += time.Duration(leastMeanGain * float64(w.mean-w.least))
+		}
 		return
 	}
 	w.size = min(maxWindow, w.size+1/w.size)
