batch: models exchange engines when the runs of one wait for engines at their limits

Change: a model without an engine that has no limit, and with a backlog of more than 1 s, gets one of the model with the least backlog, at most every 1.8 s.

--- a/batch/assign.go
+++ b/batch/assign.go
@@ -138,14 +138,7 @@
 	return ok
 }
 
-func sortedModels(demand map[string]modelDemand) []string {
-	models := make([]string, 0, len(demand))
-	for m := range demand {
-		models = append(models, m)
-	}
-	slices.Sort(models)
-	return models
-}
+func sortedModels[T any](byModel map[string]T) []string { return slices.Sorted(maps.Keys(byModel)) }
 
 // engineQuotas distributes n engines over the models by demand, at least one to each. A model
 // gets no more engines than it has items open at the same time, as more could run none: with
--- a/batch/engines.go
+++ b/batch/engines.go
@@ -51,7 +51,7 @@
 // updateAllowances updates how many requests the engines that name a limit may get now.
 func (r *Runner) updateAllowances() {
 	for _, e := range r.engines {
-		if e.allowance, e.limited = r.limits().Allowance(e.id); !e.limited {
+		if e.perSecond, e.allowance, e.limited = r.limits().Allowance(e.id); !e.limited {
 			e.orderWaits = false
 		}
 	}
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -78,6 +79,7 @@
 	if now.Sub(r.assignedAt) >= tickInterval {
 		r.assignedAt = now
 		r.assign(assignModels(now, r.engines, r.demand, newest, r.assignedModels))
+		r.swapLimited(now)
 	}
 	for _, l := range planLoads(now, r.engines, r.assignedModels, newest) {
 		if l.engine.orderWaits = !r.limits().Take(l.engine.id, orderRequests); !l.engine.orderWaits {
@@ -99,6 +101,22 @@
 	r.assignedModels = models
 }
 
+// swapLimited has models exchange engines if the runs of one wait for engines at their limits.
+func (r *Runner) swapLimited(now time.Time) {
+	if now.Sub(r.swappedAt) < swapInterval || !slices.ContainsFunc(r.engines, func(e *engine) bool { return e.limited }) {
+		return
+	}
+	pending := make(map[string]int)
+	for _, t := range r.queue.tasks {
+		pending[t.job.sub.Model]++
+	}
+	if next := swapLimited(r.engines, r.assignedModels, pending); !maps.Equal(next, r.assignedModels) {
+		r.swappedAt = now
+		r.log.WithField("pending", pending).Info("models exchange engines: the runs of one wait for engines at their limits")
+		r.assign(next)
+	}
+}
+
 // updateDemand adds a submission to the demand of its model.
 func (r *Runner) updateDemand(sub *ledger.Submission) {
 	sizes := make([]int, 0, len(sub.Items))
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -37,9 +37,10 @@
 	eventTimeSamples int           // number of samples in eventTime
 	eventTimeAt      time.Time     // time of the last sample
 	draining         bool
-	limited          bool // names a limit on the requests of all processes
-	allowance        int  // with limited: requests that it may get now
-	orderWaits       bool // an order waits for its turn, so no run takes it
+	limited          bool    // names a limit on the requests of all processes
+	perSecond        float64 // with limited: the limit
+	allowance        int     // with limited: requests that it may get now
+	orderWaits       bool    // an order waits for its turn, so no run takes it
 }
 
 // pause keeps new runs off the engine for at least the given time.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -93,8 +93,9 @@
 
 // Limits gives this process grants for targets with a limit; *ratelimit.Keeper implements it.
 type Limits interface {
-	// Allowance returns how many requests a target may get now, and whether it has a limit.
-	Allowance(target string) (n int, limited bool)
+	// Allowance returns the limit of a target in requests a second and how many it may get now,
+	// or false if it has no limit.
+	Allowance(target string) (perSecond float64, n int, limited bool)
 	// Take grants n requests to a target if the first may be sent now.
 	Take(target string, n int) bool
 }
@@ -111,7 +112,7 @@
 type noLimits struct{}
 
 // Allowance implements Limits.
-func (noLimits) Allowance(string) (n int, limited bool) { return 0, false }
+func (noLimits) Allowance(string) (perSecond float64, n int, limited bool) { return 0, 0, false }
 
 // Take implements Limits.
 func (noLimits) Take(string, int) bool { return true }
@@ -163,6 +164,7 @@
 	engines        []*engine
 	assignedModels map[string]string // model of each engine, see assignModels
 	assignedAt     time.Time         // when engines were last assigned
+	swappedAt      time.Time         // when two models last exchanged engines
 	demand         map[string]modelDemand
 	nextExpiry     time.Time
 	eventTimesAt   time.Time // when the time per event was last sampled
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -143,19 +143,18 @@
 	return true
 }
 
-// allowance returns how many requests a target may get now, and whether it has a limit.
-func (a *allocator) allowance(now time.Duration, target string) (n int, limited bool) {
+// allowance returns the limit of a target, and how many requests it may get now.
+func (a *allocator) allowance(now time.Duration, target string) (perSecond float64, n int, limited bool) {
 	p := a.paceOf(now, target)
-	if p == nil {
-		return 0, false
-	}
-	if p.delay(now) > 0 {
-		return 0, true
-	}
-	if p.slow > 0 || now-p.takenAt > quietTime {
-		return 1, true
+	switch {
+	case p == nil:
+		return 0, 0, false
+	case p.delay(now) > 0:
+		return p.perSecond, 0, true
+	case p.slow > 0 || now-p.takenAt > quietTime:
+		return p.perSecond, 1, true
 	}
-	return 1 + int((now+burstTime-p.from(now))/interval(p.perSecond)), true
+	return p.perSecond, 1 + int((now+burstTime-p.from(now))/interval(p.perSecond)), true
 }
 
 // answer grants or denies a want. ready are the targets of its service that accept requests.
--- a/ratelimit/keeper.go
+++ b/ratelimit/keeper.go
@@ -318,9 +318,9 @@
 	return out
 }
 
-// Allowance returns how many requests this process, which leads, may send to a target now,
-// and whether the target has a limit.
-func (k *Keeper) Allowance(target string) (n int, limited bool) {
+// Allowance returns the limit of a target in requests a second, and how many this process,
+// which leads, may send it now. It returns false if the target has no limit.
+func (k *Keeper) Allowance(target string) (perSecond float64, n int, limited bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.allocator.allowance(k.o.Clock(), target)
