forward: hundreds of carriers leave room for callers

Cause: each process has a window of one background request at least, and 45 of them are more than the 30 places of the target. Change: a refusal narrows the window below one, which means pauses between two requests; response times alone do not.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -109,7 +109,7 @@
 			cost *= limitedFactor
 		} else {
 			c.alternative = true
-			if background && !f.state(t.ID).background.hasRoom() {
+			if background && !f.state(t.ID).background.hasRoom(now) {
 				c.queues = true
 				continue
 			}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -521,13 +521,13 @@
 	s := f.state(id)
 	s.outstanding--
 	if background {
-		f.freeRoom(s)
 		switch {
 		case a.err == nil && a.verdict == Answered:
 			s.background.answered(took)
 		case a.err == nil && a.verdict == NotRun:
 			s.background.refused()
 		}
+		f.freeRoom(time.Now(), s)
 	}
 	switch {
 	case a.err != nil && ctx.Err() == context.Canceled:
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -154,10 +154,18 @@
 		w.answered(50 * time.Millisecond)
 	}
 	is.True(w.size > 20) // no queue
-	for range 40 {
+	for range 80 {
 		w.answered(200 * time.Millisecond)
 	}
 	is.Equal(w.size, minWindow)
+	w.ended(time.Now())
+	is.True(w.hasRoom(time.Now()))
+	for range 10 {
+		w.refused()
+	}
+	w.ended(time.Now())
+	is.True(!w.hasRoom(time.Now())) // one of hundreds of processes: it leaves pauses
+	is.True(w.hasRoom(time.Now().Add(maxPause)))
 	for range 200 {
 		w.answered(50 * time.Millisecond)
 	}
--- a/forward/window.go
+++ b/forward/window.go
@@ -9,12 +9,18 @@
 const (
 	// firstWindow is the window before the first response.
 	firstWindow = 8.0
-	// minWindow lets each process have one background request on each target.
-	minWindow = 1.0
+	// minWindow is the least window by response times, and minRefusedWindow by refusals: hundreds
+	// of processes may have background requests for one target. Below 1 a process pauses between
+	// two of them.
+	minWindow        = 1.0
+	minRefusedWindow = 1.0 / 32
 	maxWindow = 64.0
 	// queueFactor is the multiple of the least mean response time above which a target counts
 	// as having a queue.
 	queueFactor = 1.6
+	// windowIncrease is the part of the window by which it grows at most for each response from
+	// a target without a queue.
+	windowIncrease = 0.25
 	// windowDecrease multiplies the window for each response from a queue, and
 	// refusalDecrease for each refusal.
 	windowDecrease  = 0.9
@@ -31,19 +37,32 @@
 // narrows its window while responses take longer than they did at best.
 type window struct {
 	outstanding int
+	pauseUntil  time.Time     // no request before it
 	size        float64       // 0 stands for firstWindow
 	mean        time.Duration // moving mean of the response times
 	least       time.Duration // the least mean
 }
 
-func (w *window) hasRoom() bool {
+func (w *window) hasRoom(now time.Time) bool {
 	size := w.size
 	if size == 0 {
 		size = firstWindow
 	}
-	return float64(w.outstanding) < size
+	return float64(w.outstanding) < size && !now.Before(w.pauseUntil)
 }
 
+// ended notes that a request has ended. Below 1 the window is the part of the time in which
+// the process has a request on the target.
+func (w *window) ended(now time.Time) {
+	w.outstanding--
+	if w.size > 0 && w.size < 1 {
+		w.pauseUntil = now.Add(min(maxPause, time.Duration(float64(w.mean)*(1/w.size-1))))
+	}
+}
+
+// maxPause bounds the pause between two background requests.
+const maxPause = 2 * time.Second
+
 // answered notes a response.
 func (w *window) answered(took time.Duration) {
 	if w.size == 0 {
@@ -52,13 +71,14 @@
 	w.mean += time.Duration(latencyGain * float64(took-w.mean))
 	w.least = min(w.least, w.mean)
 	if float64(w.mean) > queueFactor*float64(w.least) {
-		if w.size = w.size * windowDecrease; w.size < minWindow {
-			w.size = minWindow
+		if w.size > minWindow {
+			w.size = max(minWindow, w.size*windowDecrease)
+		} else {
 			w.least += time.Duration(leastMeanGain * float64(w.mean-w.least))
 		}
 		return
 	}
-	w.size = min(maxWindow, w.size+1/w.size)
+	w.size = min(maxWindow, w.size+min(1/w.size, windowIncrease*w.size))
 }
 
 // refused notes that the target had no room.
@@ -66,7 +86,7 @@
 	if w.size == 0 {
 		w.size = firstWindow
 	}
-	w.size = max(minWindow, w.size*refusalDecrease)
+	w.size = max(minRefusedWindow, w.size*refusalDecrease)
 }
 
 // awaitRoom waits until a background request of this process has ended, so that another one may
@@ -92,8 +112,8 @@
 
 // freeRoom ends a background request on a target and wakes the one that has waited longest. The
 // caller holds f.mu.
-func (f *Forwarder) freeRoom(s *targetState) {
-	s.background.outstanding--
+func (f *Forwarder) freeRoom(now time.Time, s *targetState) {
+	s.background.ended(now)
 	if len(f.awaitingRoom) > 0 {
 		close(f.awaitingRoom[0])
 		f.awaitingRoom = f.awaitingRoom[1:]
