ratelimit: the pace of a target and the reading of a limit are parts of their own

The agent needs both. No decision changes; a limit that changes just after a change of leader does not bring turns before those of the former leader have ended (read, not seen).

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -138,14 +138,14 @@
 func (d *HostedDaemon) noteLimit(e upstream.Exchange) {
 	perSecond, word := platform.Limit(e)
 	switch word {
-	case platform.LimitUnreadable:
+	case ratelimit.Unreadable:
 		d.log.WithFields(logrus.Fields{"target": e.To.ID, "kind": e.Request.Kind}).Info("target names a limit that cannot be read; the one before holds")
 		return
-	case platform.LimitUnknown:
+	case ratelimit.Unknown:
 		return
 	}
 	d.limits.Note(ratelimit.Reading{
-		Target: e.To.ID, Limited: word == platform.Limited, PerSecond: perSecond, SentAt: e.SentAt, At: boottime.Now(),
+		Target: e.To.ID, Limited: word == ratelimit.Limited, PerSecond: perSecond, SentAt: e.SentAt, At: boottime.Now(),
 	})
 }
 
--- a/forward/window.go
+++ b/forward/window.go
@@ -14,7 +14,7 @@
 	// two of them.
 	minWindow        = 1.0
 	minRefusedWindow = 1.0 / 32
-	maxWindow = 64.0
+	maxWindow        = 64.0
 	// queueFactor is the multiple of the least mean response time above which a target counts
 	// as having a queue.
 	queueFactor = 1.6
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -8,24 +8,10 @@
 )
 
 const (
-	// burstTime is how far ahead of its even pace a target may get requests, and catchUpTime
-	// how far behind it may be and catch up: a limit is named for a second. One request can
-	// always be caught up.
-	burstTime   = 100 * time.Millisecond
-	catchUpTime = time.Second
-	// A limit may have fallen since the target last answered. So the first slowTurns turns of a
-	// new leader, and those after a pause of quietTime, are at least slowInterval apart: a
-	// response takes about as long to reach the leader.
-	slowTurns    = 3
-	slowInterval = 100 * time.Millisecond
-	quietTime    = 4 * time.Second
 	// bookingTime is how long before its turn a request may be granted at most.
 	bookingTime = 400 * time.Millisecond
 	// grantTime is how long after its turn a granted request may be sent.
 	grantTime = 250 * time.Millisecond
-	// probeInterval bounds the time between two grants for a target whose limit is near zero:
-	// only a response shows that the limit has ended.
-	probeInterval = 4 * time.Second
 	// maxRetryAfter bounds what denied requests are told: limits change.
 	maxRetryAfter = 5 * time.Second
 	// minAskAgain is the least time after a denial in which a process does not ask again.
@@ -51,7 +37,7 @@
 type allocator struct {
 	book     *Book
 	startAt  time.Duration // no turn comes before it
-	paces    map[string]*pace
+	paces    map[string]targetPace
 	services map[string]*serviceShares
 	asked    map[string]time.Duration // when each process asked last
 }
@@ -65,68 +51,31 @@
 // lead begins anew for a process that has become leader.
 func (a *allocator) lead(now time.Duration) {
 	a.startAt = now + bookingTime
-	a.paces, a.services, a.asked = make(map[string]*pace), make(map[string]*serviceShares), make(map[string]time.Duration)
+	a.paces, a.services, a.asked = make(map[string]targetPace), make(map[string]*serviceShares), make(map[string]time.Duration)
 }
 
-// pace is the progress of the grants for one target.
-type pace struct {
-	perSecond float64
+// targetPace is the pace of the grants for one run of a target.
+type targetPace struct {
+	*Pace
 	startedMs int64
-	next      time.Duration // turn of the next request at an even pace
-	slow      int           // number of turns that are at least slowInterval apart
-	takenAt   time.Duration // when the last grant was given
-}
-
-// interval returns the time between two turns.
-func interval(perSecond float64) time.Duration {
-	return time.Duration(math.Min(float64(time.Second)/perSecond, float64(probeInterval)))
 }
 
 // paceOf returns the pace of a target, or nil if it has no limit.
-func (a *allocator) paceOf(now time.Duration, target string) *pace {
+func (a *allocator) paceOf(now time.Duration, target string) *Pace {
 	r, ok := a.book.Reading(target)
 	if !ok || !r.Limited {
 		delete(a.paces, target)
 		return nil
 	}
-	p := a.paces[target]
+	p, ok := a.paces[target]
 	switch {
-	case p == nil:
-		p = &pace{perSecond: r.PerSecond, startedMs: r.StartedMs, next: max(a.startAt, now+interval(r.PerSecond)), slow: slowTurns, takenAt: now}
+	case !ok || p.startedMs != r.StartedMs:
+		p = targetPace{NewPace(now, a.startAt, r.PerSecond), r.StartedMs}
 		a.paces[target] = p
-	case p.perSecond != r.PerSecond || p.startedMs != r.StartedMs:
-		p.perSecond, p.startedMs = r.PerSecond, r.StartedMs
-		p.next = max(a.startAt, min(p.next, now+interval(r.PerSecond)))
+	case p.perSecond != r.PerSecond:
+		p.SetLimit(now, a.startAt, r.PerSecond)
 	}
-	return p
-}
-
-// delay returns the time until a request may be sent.
-func (p *pace) delay(now time.Duration) time.Duration { return max(0, p.next-burstTime-now) }
-
-// take uses the turns of n requests.
-func (p *pace) take(now time.Duration, n int) {
-	if now-p.takenAt > quietTime {
-		p.slow = slowTurns
-	}
-	p.takenAt = now
-	p.next = p.from(now)
-	for range n {
-		step := interval(p.perSecond)
-		if p.slow > 0 {
-			p.slow--
-			step = max(step, burstTime+slowInterval)
-		}
-		p.next += step
-	}
-}
-
-// from returns the next turn, of those that can still be used.
-func (p *pace) from(now time.Duration) time.Duration {
-	if p.slow > 0 {
-		return max(p.next, now)
-	}
-	return max(p.next, now-max(catchUpTime, interval(p.perSecond)))
+	return p.Pace
 }
 
 // take grants n requests to a target if the first may be sent now. Targets without a limit
@@ -136,25 +85,20 @@
 	if p == nil {
 		return true
 	}
-	if p.delay(now) > 0 {
+	if p.Delay(now) > 0 {
 		return false
 	}
-	p.take(now, n)
+	p.Take(now, n)
 	return true
 }
 
 // allowance returns the limit of a target, and how many requests it may get now.
 func (a *allocator) allowance(now time.Duration, target string) (perSecond float64, n int, limited bool) {
 	p := a.paceOf(now, target)
-	switch {
-	case p == nil:
+	if p == nil {
 		return 0, 0, false
-	case p.delay(now) > 0:
-		return p.perSecond, 0, true
-	case p.slow > 0 || now-p.takenAt > quietTime:
-		return p.perSecond, 1, true
 	}
-	return p.perSecond, 1 + int((now+burstTime-p.from(now))/interval(p.perSecond)), true
+	return p.perSecond, p.allowance(now), true
 }
 
 // answer grants or denies a want. ready are the targets of its service that accept requests.
@@ -169,7 +113,7 @@
 	own := s.share(now, w.Priority)
 	patience := min(max(0, w.Patience), bookingTime)
 	if best != "" && delay <= patience && s.comesFirst(now, w.Priority) {
-		a.paces[best].take(now, 1)
+		a.paces[best].Take(now, 1)
 		own.used += 1 / weight(w.Priority)
 		own.denied = false
 		return Answer{Target: best, Delay: delay}
@@ -200,7 +144,7 @@
 	if target == "" {
 		return "", 0, 0
 	}
-	return target, a.paces[target].delay(now), perSecond
+	return target, a.paces[target].Delay(now), perSecond
 }
 
 // askInterval returns how long a denied process waits before it asks again.
--- a/ratelimit/messages.go
+++ b/ratelimit/messages.go
@@ -61,6 +61,3 @@
 		SentAt: now - m.SentAge, At: now - m.Age,
 	}, valid
 }
-
-// maxPerSecond bounds the limits that processes tell each other, in requests a second.
-const maxPerSecond = 1e6
