agent: the limit that its target names

The agent is the only process that speaks to its target, so it keeps the limit alone: it refuses a request for which there is no turn as not run, with the time of the next turn, and entries try another target. Former entries take the new reason as any other. Reads of state and orders are not counted.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"merlinhall/config"
 	"merlinhall/link"
 	"merlinhall/observe"
+	"merlinhall/ratelimit"
 	"merlinhall/wire"
 )
 
@@ -101,6 +102,7 @@
 	linkIDs      map[*link.Conn]LinkID
 	lastLinkID   LinkID
 	load         loadState
+	limits       *ratelimit.Book // of the one target
 	clusterState *wire.ClusterState
 	parsedConfig *config.Config
 	hasTurn      bool       // the distributor has granted a swap turn that was not released yet
@@ -204,13 +206,14 @@
 		runs:    make(map[string]*activeRun),
 		links:   make(map[LinkID]*linkState),
 		linkIDs: make(map[*link.Conn]LinkID),
+		limits:  ratelimit.NewBook(),
 		load:    loadState{cachedPrefixes: make(map[uint64]struct{})},
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.table = newTable(o.Local.Boot, TableSize, o.MaxRunning, a.route)
 	a.versions = newVersionTracker(func() { a.post(pollRequest{}) })
 	a.idleTimeout.set(defaultIdleTimeout)
-	a.target = a.newTarget(newTransport())
+	a.target = a.newTarget(&limitTransport{RoundTripper: newTransport(), target: o.Local.Target, post: a.post})
 	if o.wrapTarget != nil {
 		a.target = o.wrapTarget(a.target)
 	}
@@ -323,6 +326,8 @@
 	switch m := msg.(type) {
 	case chunkProduced:
 		a.handleChunk(m)
+	case limitNamed:
+		a.handleLimit(m)
 	case linkMessage:
 		a.handleEntryMessage(m.conn, m.m)
 	case tick:
--- a/agent/table.go
+++ b/agent/table.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"merlinhall/ratelimit"
 	"merlinhall/wire"
 )
 
@@ -115,7 +116,8 @@
 	maxRevoked    int
 	maxRunning    int
 	route         *routeCheck
-	targetDown    bool // the target is unreachable or its weight swaps have failed
+	targetDown    bool            // the target is unreachable or its weight swaps have failed
+	limit         *ratelimit.Pace // of the limit that the target names; nil if it names none
 	disabledRules rule
 
 	now          int64
@@ -186,6 +188,9 @@
 	t.running[m.ID] = r
 	t.retained++
 	t.counts.Started++
+	if t.limit != nil {
+		t.limit.Take(t.clock(), 1)
+	}
 	t.emit(effect{op: opStart, id: m.ID, run: m})
 	return t.effects
 }
@@ -214,10 +219,21 @@
 		return wire.RefusedTableFull
 	case len(t.running) >= t.maxRunning, t.buffered >= maxBuffered && t.disabledRules&ruleBuffer == 0:
 		return wire.RefusedOverload
+	case t.limit != nil && t.limit.Delay(t.clock()) > 0:
+		return wire.RefusedLimit
 	}
 	return ""
 }
 
+// retryAfterMs returns the delay after which an entry should try again, in milliseconds; 0
+// gives no advice.
+func (t *table) retryAfterMs(reason wire.RefusedReason) uint32 {
+	if reason == wire.RefusedLimit {
+		return uint32(t.limit.Delay(t.clock()).Milliseconds()) + 1
+	}
+	return retryAfterMs(reason)
+}
+
 // refuse answers that the id has not run and never will. It records the id as
 // revoked first; if there is no room for that, it sends no answer.
 func (t *table) refuse(link LinkID, id string, reason wire.RefusedReason, deadline int64) {
@@ -226,7 +242,7 @@
 		return
 	}
 	t.counts.Refused[reason]++
-	t.send(link, &wire.Refused{ID: id, Reason: reason, RetryAfterMs: retryAfterMs(reason), Boot: t.bootID})
+	t.send(link, &wire.Refused{ID: id, Reason: reason, RetryAfterMs: t.retryAfterMs(reason), Boot: t.bootID})
 }
 
 // markRevoked ensures that id never starts and reports whether it succeeded. The
@@ -512,8 +528,7 @@
 	return n
 }
 
-// retryAfterMs returns the delay after which an entry should try again, in
-// milliseconds; 0 gives no advice.
+// retryAfterMs is the advice for reasons that do not depend on the target.
 func retryAfterMs(reason wire.RefusedReason) uint32 {
 	switch reason {
 	case wire.RefusedOverload, wire.RefusedTargetDown, wire.RefusedNotReady:
--- a/wire/request.go
+++ b/wire/request.go
@@ -157,6 +157,7 @@
 	RefusedOverload   RefusedReason = "overload"
 	RefusedUnknownID  RefusedReason = "unknown_id"
 	RefusedNotReady   RefusedReason = "not_ready"
+	RefusedLimit      RefusedReason = "limit" // the target has named a limit, which is used up
 )
 
 // Refused says that the request did not run and never will under this ID on this
