ratelimit: the log says what a process was granted of a limit

Requests to targets without a limit are no longer counted: they cost memory for each target, and the rule counts from the first answer with a limit on.

--- a/ratelimit/keeper.go
+++ b/ratelimit/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -57,7 +58,8 @@
 
 	mu        sync.Mutex
 	book      *Book
-	tallies   map[string]*Tally // by target
+	tallies   map[string]*Tally // requests that were sent, by target with a limit
+	granted   map[string]*Tally // requests of this process that were granted, by target
 	loggedAt  map[string]time.Duration
 	untold    map[string]bool // targets whose limit has changed and is not known to the leader
 	toldTerm  uint64          // of the leader that was told the others
@@ -101,7 +103,7 @@
 		o.Clock = boottime.Now
 	}
 	k := &Keeper{
-		o: o, book: NewBook(), tallies: make(map[string]*Tally), loggedAt: make(map[string]time.Duration),
+		o: o, book: NewBook(), tallies: make(map[string]*Tally), granted: make(map[string]*Tally), loggedAt: make(map[string]time.Duration),
 		wake: make(chan struct{}, 1), untold: make(map[string]bool), pauses: make(map[line]pause), ask: o.Ask, onChange: func([]wire.TargetLimit) {},
 		grants: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "merlinhall_limit_grants_total", Help: "Requests of this process that wanted a grant for a target with a limit, by what became of it.",
@@ -165,41 +167,51 @@
 	defer k.mu.Unlock()
 	k.book.Retain(k.o.Clock(), v)
 	k.updateTargets()
-	for id := range k.tallies {
-		if v.Target(id) == nil {
-			delete(k.tallies, id)
-			delete(k.loggedAt, id)
-		}
-	}
+	gone := func(id string, _ *Tally) bool { return v.Target(id) == nil }
+	maps.DeleteFunc(k.tallies, gone)
+	maps.DeleteFunc(k.granted, gone)
+	maps.DeleteFunc(k.loggedAt, func(id string, _ time.Duration) bool { return v.Target(id) == nil })
 }
 
-// Sent notes that a request is sent to a target.
+// Sent notes that a request is sent to a target. Those to targets with a limit are counted.
 func (k *Keeper) Sent(target string, u Use) {
+	if !k.Targets()[target] {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.o.Clock()
-	t := k.tallies[target]
-	if t == nil {
-		t = new(Tally)
-		k.tallies[target] = t
-	}
-	t.Add(now, u)
 	perSecond, since, limited := k.book.Limit(target)
 	if !limited {
 		return
 	}
+	now := k.o.Clock()
+	t := k.tally(k.tallies, target)
+	t.Add(now, u)
 	k.sent.WithLabelValues(u.String()).Inc()
 	if now-k.loggedAt[target] < logInterval || !k.lines.Allow(time.Now()) {
 		return
 	}
 	k.loggedAt[target] = now
-	fields := logrus.Fields{"target": target, "limit": perSecond, "known_ms": (now - since).Milliseconds(), "sent_4s": t.Total(now)}
+	fields := logrus.Fields{
+		"target": target, "limit": perSecond, "known_ms": (now - since).Milliseconds(), "sent_4s": t.Total(now),
+		"granted_4s": k.tally(k.granted, target).Total(now), "leads": k.term != 0,
+	}
 	for use, n := range t.Counts(now) {
 		fields["sent_4s_"+use.String()] = n
 	}
 	k.o.Log.WithFields(fields).Info("requests to a target with a limit")
 }
 
+// tally returns the tally of a target. The caller holds k.mu.
+func (k *Keeper) tally(of map[string]*Tally, target string) *Tally {
+	t := of[target]
+	if t == nil {
+		t = new(Tally)
+		of[target] = t
+	}
+	return t
+}
+
 // Note takes what a response of a target says about its limit.
 func (k *Keeper) Note(r Reading) {
 	if changed, tell := k.note(r); tell != nil {
@@ -331,25 +343,31 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	ok := k.allocator.take(k.o.Clock(), target, n)
-	if _, _, limited := k.book.Limit(target); limited {
-		k.count(ok)
+	if _, _, limited := k.book.Limit(target); limited && ok {
+		k.noteGranted(target, n)
 	}
 	return ok
 }
 
-func (k *Keeper) count(granted bool) {
-	outcome := "denied"
-	if granted {
-		outcome = "granted"
+// noteGranted counts grants of this process. The caller holds k.mu.
+func (k *Keeper) noteGranted(target string, n int) {
+	k.grants.WithLabelValues("granted").Add(float64(n))
+	for range n {
+		k.tally(k.granted, target).Add(k.o.Clock(), Use{})
 	}
-	k.grants.WithLabelValues(outcome).Inc()
 }
 
 // Acquire returns a grant for a request once it may be sent, or a denial. It waits no longer
 // than the want's patience and a question to the leader.
 func (k *Keeper) Acquire(ctx context.Context, w Want) Grant {
 	g := k.acquire(ctx, w)
-	k.count(g.Target != "")
+	if g.Target == "" {
+		k.grants.WithLabelValues("denied").Inc()
+		return g
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteGranted(g.Target, 1)
 	return g
 }
 
--- a/ratelimit/tally.go
+++ b/ratelimit/tally.go
@@ -27,10 +27,13 @@
 
 // Tally counts the requests that a process sends to one target in the last 4 s, by use.
 type Tally struct {
-	slices [tallyTime / tallySlice]struct {
-		number int64 // of the slice of time
-		counts map[Use]int
-	}
+	slices [tallyTime / tallySlice]slice
+}
+
+// slice is the counts of a slice of time.
+type slice struct {
+	number int64
+	counts map[Use]int // nil before the first request
 }
 
 // Add counts a request.
