--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -49,6 +49,7 @@
 	list    *directory.Directory
 	sent    int
 	denied  int
+	asks    int
 	noise   bool // processes and leaders have faults
 }
 
@@ -247,6 +248,7 @@
 		if s.leader != leader {
 			return
 		}
+		s.asks++
 		out := leader.Handle(in)
 		s.later(s.delay(), func() {
 			if s.now >= p.cut {
@@ -441,7 +443,8 @@
 					}
 				}
 				used := float64(got) / (perSecond * simTime.Seconds() / 2)
-				t.Logf("%.2f of the limit used", used)
+				t.Logf("%.2f of the limit used, %.0f questions a second to the leader", used, float64(s.asks)/simTime.Seconds())
+				is.True(float64(s.asks)/simTime.Seconds() <= maxAsksPerSecond)
 				is.True(used >= 0.8)
 				is.True(used <= 1.1)
 			})
