ratelimit: no grants before the leadership has begun in this process

Found by reading: the log is asked whether this process leads, and the allocator is told up to 50 ms later; a question in between was answered by the paces of a former term, at once, while the turns of the former leader had not ended. Grants are given in the term that the allocator was told only.

--- a/hub/serve.go
+++ b/hub/serve.go
@@ -61,16 +61,22 @@
 // confirmLeadership returns nil if this process leads and has applied everything that
 // was committed before the call. With lease set, a valid leader lease is sufficient.
 func (h *Hub) confirmLeadership(ctx context.Context, lease bool) error {
+	_, err := h.confirmedTerm(ctx, lease)
+	return err
+}
+
+// confirmedTerm is confirmLeadership with the term in which this process leads.
+func (h *Hub) confirmedTerm(ctx context.Context, lease bool) (term uint64, err error) {
 	confirm := h.opts.Replica.Confirm
 	if lease {
 		confirm = h.opts.Replica.ConfirmByLease
 	}
-	_, _, err := confirm(ctx)
+	term, _, err = confirm(ctx)
 	var notLeader *replica.NotLeaderError
 	if eris.As(err, &notLeader) || eris.Is(err, replica.ErrStopped) || eris.Is(err, replica.ErrBusy) {
-		return eris.Wrap(control.ErrNotLeader, err.Error())
+		return 0, eris.Wrap(control.ErrNotLeader, err.Error())
 	}
-	return err
+	return term, err
 }
 
 func (h *Hub) page(ctx context.Context, body []byte) ([]byte, error) {
@@ -167,10 +173,15 @@
 	if err := decode(body, &in); err != nil {
 		return nil, err
 	}
-	if err := h.confirmLeadership(ctx, true); err != nil {
+	term, err := h.confirmedTerm(ctx, true)
+	if err != nil {
 		return nil, err
 	}
-	return wire.Marshal(h.opts.Limits.Handle(&in))
+	out, ok := h.opts.Limits.Handle(term, &in)
+	if !ok {
+		return nil, eris.Wrap(control.ErrNotLeader, "the leadership has just begun")
+	}
+	return wire.Marshal(out)
 }
 
 // newestRoutes returns the manifest in force to an entry that may be behind.
--- a/ratelimit/bench_test.go
+++ b/ratelimit/bench_test.go
@@ -20,7 +20,7 @@
 			b.ResetTimer()
 			for i := range b.N {
 				s.now += 1_000_000
-				s.leader.Handle(&Ask{Process: s.procs[i%300].keeper.o.Process, Wants: []Want{{Service: simService, Only: true}}})
+				s.leader.Handle(s.term, &Ask{Process: s.procs[i%300].keeper.o.Process, Wants: []Want{{Service: simService, Only: true}}})
 			}
 		})
 	}
--- a/ratelimit/fuzz_test.go
+++ b/ratelimit/fuzz_test.go
@@ -49,7 +49,7 @@
 		s.now = time.Hour
 		s.lead(1, nil)
 		s.now += time.Second
-		out := s.leader.Handle(&in)
+		out, _ := s.leader.Handle(s.term, &in)
 		if len(out.Answers) != min(len(in.Wants), maxWaiting) {
 			t.Fatalf("%d answers to %d wants", len(out.Answers), len(in.Wants))
 		}
--- a/ratelimit/keeper.go
+++ b/ratelimit/keeper.go
@@ -304,16 +304,22 @@
 	}
 }
 
-// Handle answers the question of a process. The caller has made sure that this process leads.
-func (k *Keeper) Handle(in *Ask) *Answers {
+// Handle answers the question of a process. The caller has made sure that this process leads
+// in the given term. It returns false if Lead has not said so yet: the turns of the former
+// leader may not have ended.
+func (k *Keeper) Handle(term uint64, in *Ask) (*Answers, bool) {
 	k.mu.Lock()
+	if term != k.term || term == 0 {
+		k.mu.Unlock()
+		return nil, false
+	}
 	changed, tell := k.learn(in.Limits), k.onChange
 	out := k.answerAll(in)
 	k.mu.Unlock()
 	if len(changed) > 0 {
 		tell(changed)
 	}
-	return out
+	return out, true
 }
 
 // answerAll answers the wants of a question. The caller holds k.mu.
@@ -335,18 +341,25 @@
 func (k *Keeper) Allowance(target string) (perSecond float64, n int, limited bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.allocator.allowance(k.o.Clock(), target)
+	perSecond, n, limited = k.allocator.allowance(k.o.Clock(), target)
+	if k.term == 0 {
+		n = 0
+	}
+	return perSecond, n, limited
 }
 
 // Take grants this process, which leads, n requests to a target if the first may be sent now.
 func (k *Keeper) Take(target string, n int) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	ok := k.allocator.take(k.o.Clock(), target, n)
-	if _, _, limited := k.book.Limit(target); limited && ok {
-		k.noteGranted(target, n)
+	if _, _, limited := k.book.Limit(target); !limited {
+		return true
+	}
+	if k.term == 0 || !k.allocator.take(k.o.Clock(), target, n) {
+		return false
 	}
-	return ok
+	k.noteGranted(target, n)
+	return true
 }
 
 // noteGranted counts grants of this process. The caller holds k.mu.
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -46,6 +46,7 @@
 	targets []*simTarget
 	procs   []*simProcess
 	leader  *Keeper // nil while there is none
+	term    uint64  // of the leader
 	list    *directory.Directory
 	sent    int
 	denied  int
@@ -149,7 +150,7 @@
 			})
 		}
 	})
-	s.leader = k
+	s.leader, s.term = k, term
 }
 
 // changeLeader ends the leader's lease. The next one begins after an election.
@@ -249,7 +250,7 @@
 			return
 		}
 		s.asks++
-		out := leader.Handle(in)
+		out, _ := leader.Handle(s.term, in)
 		s.later(s.delay(), func() {
 			if s.now >= p.cut {
 				settle(out, nil)
