batch: an order that is no longer planned holds up no runs

Found by reading: an engine with a limit whose load waited for its turn got no runs until its limit ended, if the load was not planned again. Orders that wait are noted anew with each plan.

--- a/batch/limited.go
+++ b/batch/limited.go
@@ -3,8 +3,8 @@
 import "maps"
 
 const (
-	// swapInterval is the least time between two swaps of engines between models, in ticks of
-	// the assignment: a swap costs two loads and shows its effect after them.
+	// swapInterval is the least time between two exchanges of engines: one costs two loads and
+	// shows its effect after them.
 	swapInterval = 2 * expectedLoadTime
 	// swapBacklog is the backlog of a model in seconds, at the pace at which its engines take
 	// runs, from which it gets an engine without a limit.
@@ -12,8 +12,8 @@
 	// swapRatio is how many times as long the backlog must be as that of the model that gives
 	// the engine.
 	swapRatio = 2.0
-	// runsPerSlot is the number of runs a second that a slot of an engine without a limit takes.
-	// It is low: texts take longer than a second only if they are long.
+	// runsPerSlot is a low estimate of the runs a second that a slot of an engine without a limit
+	// takes.
 	runsPerSlot = 1.0
 )
 
--- a/batch/limited_test.go
+++ b/batch/limited_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"merlinhall/ledger"
 )
 
 // limits of engines in tests, by target.
@@ -69,3 +71,14 @@
 	r.updateAllowances()
 	is.Equal(e.freeSlots(now), 1) // the limit has ended, and no order waits for a grant
 }
+
+// Guards against an engine with a limit that gets no runs for good: a load waited for its turn
+// and was not planned any more.
+func TestEngineWhoseLoadIsNoLongerPlannedGetsRuns(t *testing.T) {
+	is := is.New(t)
+	e := &engine{id: "a", slots: 4, limited: true, allowance: 1, orderWaits: true}
+	r := quietRunner(e)
+	r.o.Versions = ledger.NewVersions() // the version was taken back
+	r.scheduleLoads(start)
+	is.Equal(e.freeSlots(start), 1)
+}
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -55,6 +55,7 @@
 // sends the orders that are due.
 func (r *Runner) scheduleLoads(now time.Time) {
 	for _, e := range r.engines {
+		e.orderWaits = false // unless an order is planned again
 		if e.load == nil {
 			continue
 		}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -382,12 +382,10 @@
 	if !h.leading || !h.published {
 		return // all are sent with the list
 	}
-	now := time.Now()
-	for list, links := range map[*publishedList]map[*link.Conn]bool{&h.targets: h.controlLinks, &h.entryTargets: h.entryLinks} {
-		u := h.targetUpdate(now, list, false)
-		u.Limits = limits
-		h.sendAll(u, links)
-	}
+	forControl, forEntries := h.targetUpdate(time.Now(), &h.targets, false), h.targetUpdate(time.Now(), &h.entryTargets, false)
+	forControl.Limits, forEntries.Limits = limits, limits
+	h.sendAll(forControl, h.controlLinks)
+	h.sendAll(forEntries, h.entryLinks)
 }
 
 // confirmTargets notifies the processes that the target list was read again and has not
