--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -21,12 +21,12 @@
 	log.SetOutput(io.Discard)
 	k := ratelimit.NewKeeper(ratelimit.KeeperOptions{
 		Process: "p", Directory: f.Directory, Log: logrus.NewEntry(log),
-		Ask: func(_ context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
-			for _, w := range in.Wants {
-				out.Answers = append(out.Answers, grants(w))
-			}
-			return nil
-		},
+	})
+	k.Follow(func(_ context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
+		for _, w := range in.Wants {
+			out.Answers = append(out.Answers, grants(w))
+		}
+		return nil
 	})
 	for _, id := range targets {
 		k.Note(ratelimit.Reading{Target: id, Limited: true, PerSecond: 1, At: time.Second})
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -130,7 +130,7 @@
 	p.keeper = s.newKeeper(fmt.Sprint("p", p.number))
 	p.toldAt = make(map[string]time.Duration)
 	p.asking = false
-	p.keeper.Follow(nil)
+	p.keeper.Follow(func(context.Context, *Ask, *Answers) error { return nil }) // ask asks
 	if s.leader != nil {
 		p.keeper.Learn(s.leader.Limits())
 	}
@@ -178,7 +178,6 @@
 		return
 	}
 	w := &waiter{want: Want{Service: simService, Patience: time.Duration(s.rng.IntN(500)) * time.Millisecond, Priority: s.rng.IntN(3), Only: true}, answer: make(chan Answer, 1)}
-	p.keeper.ask = func(context.Context, *Ask, *Answers) error { return nil }
 	if _, ok := p.keeper.enqueue(s.now, w); !ok {
 		s.denied++
 		return
