--- a/forward/window.go
+++ b/forward/window.go
@@ -28,6 +28,8 @@
 	// leastMeanGain is how fast the least mean response time follows a higher one at the least
 	// window: the target has become slower.
 	leastMeanGain = 0.005
+	// maxPause bounds the pause between two background requests.
+	maxPause = 2 * time.Second
 	// roomCheck is how often a waiting background request looks for room itself.
 	roomCheck = 100 * time.Millisecond
 )
@@ -60,9 +62,6 @@
 	}
 }
 
-// maxPause bounds the pause between two background requests.
-const maxPause = 2 * time.Second
-
 // answered notes a response.
 func (w *window) answered(took time.Duration) {
 	if w.size == 0 {
--- a/ratelimit/ask.go
+++ b/ratelimit/ask.go
@@ -25,13 +25,13 @@
 // askFunc asks the control leader.
 type askFunc func(ctx context.Context, in *Ask, out *Answers) error
 
-// line is what waits for grants together.
-type line struct {
+// lineKey names the requests that wait for grants together.
+type lineKey struct {
 	service  string
 	priority int
 }
 
-// pause is the time in which a line is denied grants without asking the leader.
+// pause is the time in which they are denied grants without asking the leader.
 type pause struct {
 	until   time.Duration
 	retryAt time.Duration
@@ -110,7 +110,7 @@
 func (k *Keeper) enqueue(now time.Duration, w *waiter) (denied Grant, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l := line{w.want.Service, w.want.Priority}
+	l := lineKey{w.want.Service, w.want.Priority}
 	if p, paused := k.pauses[l]; paused && now < p.until {
 		// Requests that are denied together don't come back together.
 		after := max(p.retryAt-now, p.until-now)
@@ -187,7 +187,7 @@
 		if err == nil {
 			a = out.Answers[i]
 		}
-		l := line{w.want.Service, w.want.Priority}
+		l := lineKey{w.want.Service, w.want.Priority}
 		if a.Target == "" {
 			k.pauses[l] = pause{until: now + min(a.AskAgain, maxRetryAfter), retryAt: now + min(a.RetryAfter, maxRetryAfter)}
 		} else {
--- a/ratelimit/keeper.go
+++ b/ratelimit/keeper.go
@@ -44,7 +44,7 @@
 	untold    map[string]bool // targets whose limit has changed and is not known to the leader
 	toldTerm  uint64          // of the leader that was told the others
 	waiting   []*waiter
-	pauses    map[line]pause
+	pauses    map[lineKey]pause
 	ask       askFunc // nil before Follow
 	onChange  func([]wire.TargetLimit)
 	allocator *allocator
@@ -58,7 +58,7 @@
 	}
 	k := &Keeper{
 		o: o, book: NewBook(), tallies: make(map[string]*Tally), granted: make(map[string]*Tally), loggedAt: make(map[string]time.Duration),
-		wake: make(chan struct{}, 1), untold: make(map[string]bool), pauses: make(map[line]pause), onChange: func([]wire.TargetLimit) {},
+		wake: make(chan struct{}, 1), untold: make(map[string]bool), pauses: make(map[lineKey]pause), onChange: func([]wire.TargetLimit) {},
 		grants: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "merlinhall_limit_grants_total", Help: "Requests of this process that wanted a grant for a target with a limit, by what became of it.",
 		}, []string{"outcome"}),
