ratelimit, hub: limits that change with each response are told together

Each process then asked the leader, and the leader told hundreds of processes, for each of them. Both now wait 50 ms for further changes; a question for a grant takes them along at once. A limit that cannot be read is logged within the bound of lines. TestChangingLimitsAreToldTogether.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -64,6 +64,7 @@
 	poller        *directory.Poller
 	forward       *forward.Forwarder
 	limits        *ratelimit.Keeper
+	unreadable    observe.LineLimit // of the log lines for limits that cannot be read
 	callerHandler *platform.CallerHandler
 	callerServer  *server.Server // nil without the entry role
 	servers       []*server.Server
@@ -139,7 +140,9 @@
 	perSecond, word := platform.Limit(e)
 	switch word {
 	case ratelimit.Unreadable:
-		d.log.WithFields(logrus.Fields{"target": e.To.ID, "kind": e.Request.Kind}).Info("target names a limit that cannot be read; the one before holds")
+		if d.unreadable.Allow(time.Now()) {
+			d.log.WithFields(logrus.Fields{"target": e.To.ID, "kind": e.Request.Kind}).Info("target names a limit that cannot be read; the one before holds")
+		}
 		return
 	case ratelimit.Unknown:
 		return
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -68,9 +68,10 @@
 	controlLinks  map[*link.Conn]bool // links to other control processes
 	manifest      *wire.RouteUpdate
 	table         atomic.Pointer[routes.Table]
-	targets       publishedList // for control processes, one of which may lead next
-	entryTargets  publishedList // for entries
-	published     bool          // the list was read and sent in this term
+	targets       publishedList   // for control processes, one of which may lead next
+	entryTargets  publishedList   // for entries
+	published     bool            // the list was read and sent in this term
+	changedLimits map[string]bool // targets whose limits all processes are to be told
 	leading       bool
 	term          uint64
 	// reported is the group as members reported it while this process is not one.
@@ -86,7 +87,7 @@
 		hostByAddress: map[string]string{o.Address: o.Host},
 		links:         newLinkSet(o.Dial),
 
-		controlLinks: make(map[*link.Conn]bool),
+		controlLinks: make(map[*link.Conn]bool), changedLimits: make(map[string]bool),
 	}
 	h.register()
 	// The cached manifest was in force, so entries may use it before a leader is
@@ -375,13 +376,32 @@
 	return u
 }
 
-// publishLimits tells all processes limits of targets that have changed.
+// publishDelay is how long limits that have changed wait for others before all processes are
+// told. The limits of a target may change with each response.
+const publishDelay = 50 * time.Millisecond
+
+// publishLimits has all processes told limits of targets that have changed.
 func (h *Hub) publishLimits(limits []wire.TargetLimit) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.changedLimits) == 0 {
+		time.AfterFunc(publishDelay, h.sendLimits)
+	}
+	for _, l := range limits {
+		h.changedLimits[l.Target] = true
+	}
+}
+
+// sendLimits tells all processes the limits that have changed.
+func (h *Hub) sendLimits() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed := h.changedLimits
+	h.changedLimits = make(map[string]bool)
 	if !h.leading || !h.published {
 		return // all are sent with the list
 	}
+	limits := slices.DeleteFunc(h.opts.Limits.Limits(), func(l wire.TargetLimit) bool { return !changed[l.Target] })
 	forControl, forEntries := h.targetUpdate(time.Now(), &h.targets, false), h.targetUpdate(time.Now(), &h.entryTargets, false)
 	forControl.Limits, forEntries.Limits = limits, limits
 	h.sendAll(forControl, h.controlLinks)
--- a/ratelimit/keeper.go
+++ b/ratelimit/keeper.go
@@ -42,6 +42,7 @@
 	granted   map[string]*Tally // requests of this process that were granted, by target
 	loggedAt  map[string]time.Duration
 	untold    map[string]bool // targets whose limit has changed and is not known to the leader
+	telling   bool            // the leader will be told them after tellDelay
 	toldTerm  uint64          // of the leader that was told the others
 	waiting   []*waiter
 	pauses    map[lineKey]pause
@@ -152,10 +153,25 @@
 		return r.message(now), k.onChange
 	}
 	k.untold[r.Target] = true
-	k.wakeUp()
+	if !k.telling {
+		k.telling = true
+		time.AfterFunc(tellDelay, k.tellNow)
+	}
 	return wire.TargetLimit{}, nil
 }
 
+// tellDelay is how long limits that have changed wait for others before the leader is told,
+// unless the process asks for a grant. The limits of a target may change with each response.
+const tellDelay = 50 * time.Millisecond
+
+// tellNow has the leader told the limits that have changed.
+func (k *Keeper) tellNow() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.telling = false
+	k.wakeUp()
+}
+
 // Learn takes limits that another process knows.
 func (k *Keeper) Learn(limits []wire.TargetLimit) {
 	if k == nil || len(limits) == 0 {
--- a/ratelimit/keeper_test.go
+++ b/ratelimit/keeper_test.go
@@ -1,7 +1,9 @@
 package ratelimit
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -34,3 +36,29 @@
 	is.True(!ok)
 	is.True(!k.Take("t0", 1))
 }
+
+// Guards against a question to the leader for each response of a target whose limit changes all
+// the time.
+func TestChangingLimitsAreToldTogether(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, 0, 1, 1, false)
+	k := s.newKeeper("p")
+	told := make(chan float64, 1000)
+	k.Follow(func(_ context.Context, in *Ask, _ *Answers) error {
+		told <- in.Limits[0].PerSecond
+		return nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go k.Run(ctx)
+	began := time.Now()
+	for i := 1; i <= 500; i++ {
+		k.Note(Reading{Target: "t0", Limited: true, PerSecond: float64(i), SentAt: at(i), At: at(i)})
+	}
+	most := int(time.Since(began)/tellDelay) + 1
+	questions := 1
+	for <-told != 500 {
+		questions++
+	}
+	is.True(questions <= most)
+}
