--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -31,6 +31,8 @@
 	loads   []*wire.Load
 	changed chan struct{}
 	lost    *link.Conn // the last link that has ended
+	// lostReason is why lost has ended.
+	lostReason error
 	// credit is the number of chunks granted beyond each received one; 0 grants none.
 	credit uint64
 }
@@ -38,10 +40,10 @@
 func (c *client) Up(*link.Conn) {}
 
 // Down notes that the link has ended.
-func (c *client) Down(l *link.Conn, _ error) {
+func (c *client) Down(l *link.Conn, reason error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost = l
+	c.lost, c.lostReason = l, reason
 }
 
 func (c *client) Message(l *link.Conn, m wire.Message) {
@@ -78,7 +80,9 @@
 		select {
 		case <-changed:
 		case <-limit:
-			c.t.Fatalf("timed out waiting for %s", what)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.t.Fatalf("timed out waiting for %s (link lost: %v, %v)", what, c.lost == c.conn, c.lostReason)
 		}
 	}
 }
