platform, forward: the software version of targets in the list, in logs and in a metric

The logs did not tell where a stream went on. The list now has the software version of each target; each stream that goes on is logged and counted by whether its caller took it up or it went on within one answer. No choice uses it yet.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -81,6 +81,8 @@
 	Route    *routes.Route
 	Deadline time.Time
 	Account  string // client account of the caller, empty if it has none
+	// TakeUp is set if the request goes on with a stream that broke off.
+	TakeUp *TakeUp
 	// Background requests have no waiting caller. They are hedged only after the full
 	// response-time objective.
 	Background bool
@@ -160,7 +162,8 @@
 	Log        *logrus.Entry
 	Guard      *observe.Guard // of attempts
 
-	sentLogs observe.LineLimit // of the lines for sent requests; failed attempts are always logged
+	sentLogs    observe.LineLimit // of the lines for sent requests; failed attempts are always logged
+	resumedLogs observe.LineLimit // of the lines for streams that go on
 
 	mu     sync.Mutex
 	states map[string]*targetState
@@ -168,6 +171,7 @@
 	awaitingRoom []chan struct{}
 	attempts     *prometheus.HistogramVec
 	broken       *prometheus.CounterVec // responses that broke off, by reach
+	resumed      *prometheus.CounterVec // streams that went on, by how and by software
 }
 
 // Metrics creates and returns the collectors for attempts. It must be called at most
@@ -180,7 +184,10 @@
 		Name: "merlinhall_forward_attempt_seconds", Help: "Sendings of requests to targets, by outcome.",
 		Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 	}, []string{"outcome"})
-	return []prometheus.Collector{f.attempts, f.broken}
+	f.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "merlinhall_streams_resumed_total", Help: "Streams sent to a further target, within one answer or taken up by their caller, by whether its software is that which began them.",
+	}, []string{"within", "software"})
+	return []prometheus.Collector{f.attempts, f.broken, f.resumed}
 }
 
 // recordAttempt records an attempt in the metrics and logs it unless it returned the
@@ -469,7 +476,7 @@
 	}
 	u.f.Log.WithFields(logrus.Fields{
 		"request": u.r.ID, "target": t.ID, "attempt": u.possibleRuns + u.refused, "left_ms": left.Milliseconds(),
-		"targets_age_ms": u.f.Directory.Age(time.Now()).Milliseconds(),
+		"targets_age_ms": u.f.Directory.Age(time.Now()).Milliseconds(), "software": t.Software().String(),
 	}).Info("request is sent")
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -42,6 +42,12 @@
 	Events(text []byte) error
 }
 
+// TakeUp is what a caller says of a stream that it goes on with.
+type TakeUp struct {
+	Attempt string // id of the caller's attempt that brought the first event
+	After   string // id of the last event that the caller has
+}
+
 var (
 	errCallerLeft = eris.New("forward: the caller disconnected from the stream")
 	errStreamIdle = eris.New("forward: the stream timed out without an event")
@@ -56,6 +62,8 @@
 	sink        Sink
 	begun       bool
 	lastEventID string // id of the last event delivered to the sink
+	// software is that of the target that began the stream, if it is known.
+	software    wire.Software
 	idleTimeout time.Duration
 }
 
@@ -145,15 +153,39 @@
 
 func (s *stream) outbound(a *attempt, left time.Duration) *upstream.Request {
 	header := s.r.Header
-	if s.lastEventID != "" {
+	switch {
+	case s.lastEventID != "":
 		header = s.f.Protocol.Resume(header, s.lastEventID)
-		if s.f.Log != nil {
-			s.f.Log.WithFields(logrus.Fields{"request": s.r.ID, "target": a.target.ID, "after": s.lastEventID}).Info("resuming stream on another target")
-		}
+		s.recordResumption(a, "answer", s.r.ID, s.lastEventID)
+	case s.r.TakeUp != nil:
+		s.recordResumption(a, "caller", s.r.TakeUp.Attempt, s.r.TakeUp.After)
 	}
 	return s.f.outbound(s.r, header, a, left)
 }
 
+// recordResumption records that a stream is sent to a further target: within one answer, or
+// because its caller has taken it up.
+func (s *stream) recordResumption(a *attempt, within, began, after string) {
+	software := "unknown"
+	switch {
+	case !s.software.Known():
+	case s.software == a.target.Software():
+		software = "same"
+	default:
+		software = "other"
+	}
+	if s.f.resumed != nil {
+		s.f.resumed.WithLabelValues(within, software).Inc()
+	}
+	if s.f.Log == nil || !s.f.resumedLogs.Allow(time.Now()) {
+		return
+	}
+	s.f.Log.WithFields(logrus.Fields{
+		"request": s.r.ID, "within": within, "began_as": began, "after": after, "target": a.target.ID,
+		"software": a.target.Software().String(), "began_at": s.software.String(),
+	}).Info("stream goes on")
+}
+
 // receive reads a response to its end. cancel aborts a stream that stops sending.
 func (s *stream) receive(a *attempt, response *upstream.Response, cancel func()) error {
 	verdict := s.f.Protocol.Verdict(response.StatusCode, response.Header)
@@ -170,7 +202,7 @@
 	}
 	a.result, a.origin = Result{Status: response.StatusCode}, response.Origin
 	if !s.begun {
-		s.begun = true
+		s.begun, s.software = true, a.target.Software()
 		s.sink.Begin(response.StatusCode, response.Header)
 	}
 	err := s.deliver(response.Body, upstream.Framed(response.Response), cancel)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,10 +124,12 @@
 }
 
 // Stream is like Forward for a route whose responses are event streams. It delivers
-// events to sink as they arrive; the result doesn't contain them.
-func (g *Gateway) Stream(ctx context.Context, a Admission, request upstream.Request, received time.Time, wait time.Duration, sink forward.Sink) Result {
+// events to sink as they arrive; the result doesn't contain them. takeUp is set if the client
+// goes on with a stream that broke off.
+func (g *Gateway) Stream(ctx context.Context, a Admission, request upstream.Request, received time.Time, wait time.Duration, takeUp *forward.TakeUp, sink forward.Sink) Result {
 	request.Kind = upstream.KindStream
 	r := newForwardRequest(a, request, received, wait)
+	r.TakeUp = takeUp
 	defer g.count(a, r)()
 	return g.recordForward(r, received, g.forwarder.Stream(ctx, r, sink))
 }
--- a/wire/hosted.go
+++ b/wire/hosted.go
@@ -75,6 +75,38 @@
 	Draining  bool           `cbor:"6,keyasint,omitempty"`
 	StartedMs int64          `cbor:"7,keyasint,omitempty"` // start time in Unix ms, 0 if unknown
 	Models    []ModelVersion `cbor:"8,keyasint,omitempty"`
+	// Version is that of the target's software, empty if unknown. Former versions do not
+	// send it.
+	Version string `cbor:"9,keyasint,omitempty"`
+}
+
+// Software identifies the software of targets. Targets with equal, known software can go on
+// with each other's streams.
+type Software struct {
+	Service string `cbor:"1,keyasint,omitempty"`
+	Version string `cbor:"2,keyasint,omitempty"`
+	// Target is the id of a target whose version is unknown. It can go on with its own
+	// streams only.
+	Target string `cbor:"3,keyasint,omitempty"`
+}
+
+// Software returns the software of the target.
+func (t *TargetEntry) Software() Software {
+	if t.Version == "" {
+		return Software{Service: t.Service, Target: t.ID}
+	}
+	return Software{Service: t.Service, Version: t.Version}
+}
+
+// Known reports whether s names a software.
+func (s Software) Known() bool { return s != Software{} }
+
+// String implements fmt.Stringer.
+func (s Software) String() string {
+	if s.Target != "" {
+		return s.Service + " of " + s.Target
+	}
+	return s.Service + " " + s.Version
 }
 
 // ModelVersion is a model with its weight version.
