streams, forward: a stream goes on only at the software version that began it

Cause: what a stream may go on at is a property of the stream, and was known nowhere. Each attempt was placed by itself, as for any repeatable request.

An entry now tells the control leader which software an attempt is sent to; the leader commits the records of all entries that ask meanwhile in one command; the first event waits for that, 100 ms at most. Whichever process gets the take-up asks the leader for the record of the attempt in Resumes, and goes on at targets of that service and version only. Without a record it answers 503 at once, with what to do. Within one answer a stream stays at its software too, and a run that begins with another event than the next one is given up.

Why this holds for all processes together: no event is delivered while a record of the same attempt may name other software, a record is committed before it counts, and no record means no take-up, so a process that knows less refuses.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -24,6 +24,7 @@
 	"merlinhall/ratelimit"
 	"merlinhall/server"
 	"merlinhall/settings"
+	"merlinhall/streams"
 	"merlinhall/upstream"
 	"merlinhall/wire"
 )
@@ -67,6 +68,7 @@
 	forward       *forward.Forwarder
 	limits        *ratelimit.Keeper
 	quarantine    *quarantine.Keeper
+	streams       *streams.Keeper
 	unreadable    observe.LineLimit // of the log lines for limits that cannot be read
 	callerHandler *platform.CallerHandler
 	callerServer  *server.Server // nil without the entry role
@@ -104,6 +106,9 @@
 	d.quarantine = quarantine.NewKeeper(quarantine.Options{Process: s.Name, Dir: quarantineDir(s.DataDir), Directory: d.targets, Registry: d.observer.Registry, Log: d.observer.Logger("quarantine")})
 	d.forward.Quarantine = d.quarantine
 	d.observer.AddDump("quarantine", d.quarantine.Dump)
+	d.streams = streams.NewKeeper(streams.Options{Registry: d.observer.Registry, Log: d.observer.Logger("streams")})
+	d.forward.Streams = d.streams
+	d.observer.AddDump("streams", d.streams.Dump)
 	d.pool.OnSend = func(to upstream.Address, r *upstream.Request) {
 		d.limits.Sent(to.ID, ratelimit.Use{Kind: string(r.Kind), Repeat: r.Repeat})
 	}
@@ -191,6 +196,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.limits.Run(ctx)
+	go d.streams.Run(ctx)
 	var stored sync.WaitGroup
 	stored.Go(func() { d.quarantine.Run(ctx) })
 	d.stops = append(d.stops, func() {
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -91,8 +91,8 @@
 	links := d.newLinks(wire.RoleControl, s.Links, s.Links)
 	submissions, manifests := ledger.NewSubmissions(), ledger.NewManifests(platform.DecodeManifest)
 	versions, hosts, holder := ledger.NewVersions(), ledger.NewHosts(), ledger.NewHolder()
-	used := ledger.NewUsage()
-	machine := control.NewStateMachine(manifests, versions, submissions, hosts, holder, used)
+	used, begun := ledger.NewUsage(), ledger.NewStreams()
+	machine := control.NewStateMachine(manifests, versions, submissions, hosts, holder, used, begun)
 	r, err := replica.Start(replica.Options{
 		Name:          s.Links,
 		Peers:         slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == s.Links }),
@@ -142,6 +142,8 @@
 		MaxWait: s.OrderHoldTime + orderHoldMargin, FencesChecked: s.FencesChecked, Log: d.observer.Logger("duty"),
 	})
 	c.OnLeader(claim.Lead)
+	leader := d.startStreams(begun, manifests, propose(begun.Name()))
+	c.OnLeader(leader.Lead)
 	var collector *usage.Collector
 	if s.UsageWindow > 0 {
 		collector = d.startCollector(usage.CollectorOptions{
@@ -178,12 +180,13 @@
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
-		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
+		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
 	links.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
 	d.limits.Follow(h.Operator().AskGrants)
 	d.quarantine.Follow(h.Operator().AskSuspects)
+	d.streams.Follow(h.Operator().AskStreams)
 	h.Start()
 	d.stops = append(d.stops, h.Stop)
 	if s.UsageWindow > 0 {
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -51,6 +51,7 @@
 	if !d.settings.Control {
 		d.limits.Follow(client.AskGrants)
 		d.quarantine.Follow(client.AskSuspects)
+		d.streams.Follow(client.AskStreams)
 	}
 	client.Start()
 	d.stops = append(d.stops, client.Stop)
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -35,15 +35,14 @@
 // it. A target with a limit is chosen only with a grant. A background request waits while it
 // would only make a queue longer.
 func (u *requestState) choose(ctx context.Context, beside bool) *wire.TargetEntry {
-	service := u.r.Route.Choose(u.r.ID)
 	until := time.Now().Add(time.Until(u.r.Deadline) / 2)
 	for {
-		c := u.f.choose(time.Now(), service, u.tried, !beside, u.r.Background)
+		c := u.f.choose(time.Now(), u.wanted(), !beside, u.r.Background)
 		if c.needsGrant {
-			if granted := u.acquire(ctx, service, c.alternative); granted != nil || ctx.Err() != nil {
+			if granted := u.acquire(ctx, c.alternative); granted != nil || ctx.Err() != nil {
 				return granted
 			}
-			c = u.f.choose(time.Now(), service, u.tried, false, u.r.Background)
+			c = u.f.choose(time.Now(), u.wanted(), false, u.r.Background)
 			c.queues = true
 		}
 		if c.target != nil || !c.queues || !u.r.Background || beside || !u.f.awaitRoom(ctx, until) {
@@ -52,11 +51,48 @@
 	}
 }
 
+// wanted says which targets a request may be sent to.
+type wanted struct {
+	service  string
+	software wire.Software // the only one, unless it is unknown
+	tried    map[string]bool
+}
+
+// wanted returns the targets that are left for the request.
+func (u *requestState) wanted() wanted {
+	w := wanted{service: u.r.Route.Choose(u.r.ID), software: u.software, tried: u.tried}
+	if u.software.Known() {
+		w.service = u.software.Service
+	}
+	return w
+}
+
+// allows reports whether the request may be sent to a target of the service.
+func (w wanted) allows(t *wire.TargetEntry) bool {
+	return !w.tried[t.ID] && (!w.software.Known() || w.software == t.Software())
+}
+
+// refused returns the ids of the ready targets to which the request may not be sent, and of
+// those that were tried.
+func (w wanted) refused(v *directory.View) []string {
+	out := slices.Collect(maps.Keys(w.tried))
+	if w.software.Known() {
+		for _, t := range v.Ready(w.service) {
+			if !w.allows(t) && !w.tried[t.ID] {
+				out = append(out, t.ID)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // acquire returns a target with a limit that may get the request now, and counts an outstanding
 // request on it, or nil. Background requests get no turn ahead of time: they would take those
 // of callers.
-func (u *requestState) acquire(ctx context.Context, service string, alternative bool) *wire.TargetEntry {
-	w := ratelimit.Want{Service: service, Except: slices.Sorted(maps.Keys(u.tried)), Priority: u.priority(), Only: !alternative && u.refused == 0}
+func (u *requestState) acquire(ctx context.Context, alternative bool) *wire.TargetEntry {
+	targets := u.wanted()
+	w := ratelimit.Want{Service: targets.service, Except: targets.refused(u.f.Directory.View()), Priority: u.priority(), Only: !alternative && u.refused == 0}
 	if !u.r.Background {
 		w.Patience = time.Duration(float64(u.r.Route.Goal) * maxWaitFraction)
 	}
@@ -66,7 +102,7 @@
 		return nil
 	}
 	t := u.f.Directory.View().Target(g.Target)
-	if t == nil || t.Draining || u.tried[t.ID] {
+	if t == nil || t.Draining || !targets.allows(t) {
 		u.denied = ratelimit.Grant{RetryAfter: retryAfterRefused} // the leader's list differs
 		return nil
 	}
@@ -93,15 +129,15 @@
 	queues      bool              // a target was left out, as a background request would wait there
 }
 
-// choose returns the ready target of the service with the lowest cost. Suspect targets come
+// choose returns the ready target with the lowest cost that is wanted. Suspect targets come
 // last. Those with a limit are left out unless limited is set.
-func (f *Forwarder) choose(now time.Time, service string, tried map[string]bool, limited, background bool) (c choice) {
+func (f *Forwarder) choose(now time.Time, w wanted, limited, background bool) (c choice) {
 	limits := f.Limits.Targets()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var bestCost float64
-	for _, t := range f.Directory.View().Ready(service) {
-		if tried[t.ID] || limits[t.ID] && !limited {
+	for _, t := range f.Directory.View().Ready(w.service) {
+		if !w.allows(t) || limits[t.ID] && !limited {
 			continue
 		}
 		cost := f.cost(now, t)
--- a/forward/copies_test.go
+++ b/forward/copies_test.go
@@ -36,7 +36,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	s := &copyingTarget{
-		entry: wire.TargetEntry{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z"},
+		entry: wire.TargetEntry{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Version: "v1"},
 		runs:  runs, rng: rand.New(rand.NewPCG(seed, 1)), fails: make(map[string]int),
 	}
 	go func() {
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -18,7 +18,7 @@
 func endlessTarget(t *testing.T, id, first, again string) (*target, *loopback.Endless) {
 	t.Helper()
 	s := loopback.ServeEndless(t, first, again)
-	return &target{entry: wire.TargetEntry{ID: id, Service: "s", Address: s.Address, Zone: "z"}}, s
+	return &target{entry: wire.TargetEntry{ID: id, Service: "s", Address: s.Address, Zone: "z", Version: "v1"}}, s
 }
 
 // A target sends bytes of a stream that never complete an event. The request ends with what
--- a/forward/fault_test.go
+++ b/forward/fault_test.go
@@ -69,7 +69,7 @@
 			},
 		}, func(r *http.Request) netfault.Answer { return f.respond(i, r) })
 		f.servers = append(f.servers, s)
-		list = append(list, wire.TargetEntry{ID: fmt.Sprint("t", i), Service: "s", Address: s.Address, Zone: "z"})
+		list = append(list, wire.TargetEntry{ID: fmt.Sprint("t", i), Service: "s", Address: s.Address, Zone: "z", Version: "v1"})
 	}
 	d := directory.New()
 	d.Replace(time.Now(), list)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/routes"
+	"merlinhall/streams"
 	"merlinhall/upstream"
 	"merlinhall/wire"
 )
@@ -158,9 +159,11 @@
 	Limits    *ratelimit.Keeper // nil if targets have no limits
 	// Quarantine holds back requests of callers under which targets end; nil holds back none.
 	Quarantine *quarantine.Keeper
-	Zone       string
-	Log        *logrus.Entry
-	Guard      *observe.Guard // of attempts
+	// Streams knows which software began streams that callers take up; nil knows none.
+	Streams *streams.Keeper
+	Zone    string
+	Log     *logrus.Entry
+	Guard   *observe.Guard // of attempts
 
 	sentLogs    observe.LineLimit // of the lines for sent requests; failed attempts are always logged
 	resumedLogs observe.LineLimit // of the lines for streams that go on
@@ -294,6 +297,7 @@
 	f            *Forwarder
 	r            *Request
 	tried        map[string]bool
+	software     wire.Software // that alone may get the request, unless it is unknown
 	finished     chan *attempt
 	inFlight     int
 	possibleRuns int // attempts that may have run
@@ -426,6 +430,8 @@
 		return u.notRun(u.heldReason(), u.held.RetryAfter)
 	case !u.viewUsable():
 		return u.notRun("the list of targets is too old", retryAfterNoTarget)
+	case u.software.Known() && len(u.f.Directory.View().Ready(u.software.Service)) > 0 && u.denied.RetryAfter == 0:
+		return u.notRun(reasonNoSoftware, retryAfterNoTarget)
 	case u.r.Background && u.denied.RetryAfter == 0 && len(u.f.Directory.View().Ready(u.r.Route.Choose(u.r.ID))) > 0:
 		return u.notRun("a background request would wait in the queues of all targets", retryAfterRefused)
 	case u.denied.RetryAfter > 0:
@@ -577,6 +583,7 @@
 		// Another attempt answered first, or the caller left: the latency is at least
 		// the elapsed time.
 		s.latency += time.Duration(latencyGain * float64(max(took, s.latency)-s.latency))
+	case a.err != nil && errors.Is(a.err, errNotReplaced):
 	case a.err != nil, a.verdict != Answered:
 		s.suspectUntil = time.Now().Add(suspectDuration)
 	case s.latency == 0:
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -82,7 +82,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	s := &target{
-		entry: wire.TargetEntry{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z"},
+		entry: wire.TargetEntry{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Version: "v1"},
 		runs:  make(map[string]int), left: make(map[string]time.Duration), how: how,
 	}
 	go func() {
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -43,7 +43,17 @@
 // brokeOff reports whether the connection ended before the response did. It did not where this
 // process gave the response up.
 func (a *attempt) brokeOff() bool {
-	return a.err != nil && !a.err.NotSent && a.verdict != Malformed && !errors.Is(a.err, errCallerLeft) && !errors.Is(a.err, errStreamIdle)
+	return a.err != nil && !a.err.NotSent && a.verdict != Malformed && !a.gaveUp()
+}
+
+// gaveUp reports whether this process ended the response.
+func (a *attempt) gaveUp() bool {
+	for _, reason := range []error{errCallerLeft, errStreamIdle, errNotReplaced, errWrongEvent} {
+		if errors.Is(a.err, reason) {
+			return true
+		}
+	}
+	return false
 }
 
 // checkTimeout bounds the new connection to a target whose response broke off. It is well
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"iter"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/directory"
+	"merlinhall/streams"
 	"merlinhall/upstream"
 	"merlinhall/wire"
 )
@@ -42,12 +44,6 @@
 	Events(text []byte) error
 }
 
-// TakeUp is what a caller says of a stream that it goes on with.
-type TakeUp struct {
-	Attempt string // id of the caller's attempt that brought the first event
-	After   string // id of the last event that the caller has
-}
-
 var (
 	errCallerLeft = eris.New("forward: the caller disconnected from the stream")
 	errStreamIdle = eris.New("forward: the stream timed out without an event")
@@ -61,9 +57,11 @@
 	requestState
 	sink        Sink
 	begun       bool
-	lastEventID string // id of the last event delivered to the sink
-	// software is that of the target that began the stream, if it is known.
-	software    wire.Software
+	lastEventID string             // id of the last event delivered to the sink
+	after       string             // id of the event after which the current run was to go on, until its first event
+	gaps        bool               // the ids of events may leave numbers out
+	beginning   *streams.Beginning // of the last attempt
+	replaces    bool               // beginning replaces one at other software that may be recorded
 	idleTimeout time.Duration
 }
 
@@ -74,6 +72,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	s := &stream{requestState: requestState{f: f, r: r, tried: make(map[string]bool)}, sink: sink, idleTimeout: streamIdleTimeout}
+	if refused := s.findSoftware(ctx); refused != nil {
+		return *refused
+	}
 	result := s.loop(ctx)
 	result.Attempts = s.possibleRuns + s.refused
 	result.Failures = s.failures
@@ -82,7 +83,7 @@
 
 func (s *stream) loop(ctx context.Context) Result {
 	for {
-		t, left := s.nextTarget(ctx, false)
+		t, left := s.nextTarget(ctx)
 		switch {
 		case t != nil:
 		case s.begun:
@@ -99,6 +100,17 @@
 	}
 }
 
+// nextTarget selects the target of the next attempt, see requestState.nextTarget.
+func (s *stream) nextTarget(ctx context.Context) (*wire.TargetEntry, time.Duration) {
+	undo := s.preferTold()
+	t, left := s.requestState.nextTarget(ctx, false)
+	undo()
+	if t == nil && !s.software.Known() {
+		return s.requestState.nextTarget(ctx, false)
+	}
+	return t, left
+}
+
 // handleStreamAttempt evaluates a finished attempt. It returns the result of the request
 // and true when no further attempt is needed.
 func (s *stream) handleStreamAttempt(ctx context.Context, a *attempt) (Result, bool) {
@@ -136,9 +148,10 @@
 	a := s.newAttempt(t)
 	out := s.outbound(a, left)
 	refused := observeSending(s.r, out)
+	s.tell(a)
 	response, err := s.f.Pool.Open(attemptCtx, directory.Address(t), out)
 	if err == nil {
-		err = s.receive(a, response, func() { cancel(errStreamIdle) })
+		err = s.receive(attemptCtx, a, response, func() { cancel(errStreamIdle) })
 	}
 	if errors.Is(context.Cause(attemptCtx), errStreamIdle) {
 		err = errStreamIdle
@@ -156,8 +169,10 @@
 	switch {
 	case s.lastEventID != "":
 		header = s.f.Protocol.Resume(header, s.lastEventID)
+		s.after = s.lastEventID
 		s.recordResumption(a, "answer", s.r.ID, s.lastEventID)
 	case s.r.TakeUp != nil:
+		s.after, s.gaps = s.r.TakeUp.After, true // of the events before nothing is known
 		s.recordResumption(a, "caller", s.r.TakeUp.Attempt, s.r.TakeUp.After)
 	}
 	return s.f.outbound(s.r, header, a, left)
@@ -187,7 +202,7 @@
 }
 
 // receive reads a response to its end. cancel aborts a stream that stops sending.
-func (s *stream) receive(a *attempt, response *upstream.Response, cancel func()) error {
+func (s *stream) receive(ctx context.Context, a *attempt, response *upstream.Response, cancel func()) error {
 	verdict := s.f.Protocol.Verdict(response.StatusCode, response.Header)
 	if verdict != Answered || !s.f.Protocol.Events(response.Header) {
 		body, err := response.ReadAll()
@@ -202,7 +217,10 @@
 	}
 	a.result, a.origin = Result{Status: response.StatusCode}, response.Origin
 	if !s.begun {
-		s.begun, s.software = true, a.target.Software()
+		if err := s.begin(ctx, a); err != nil {
+			response.Close(false)
+			return err
+		}
 		s.sink.Begin(response.StatusCode, response.Header)
 	}
 	err := s.deliver(response.Body, upstream.Framed(response.Response), cancel)
@@ -246,8 +264,8 @@
 		if length > 0 {
 			idleTimer.Reset(s.idleTimeout)
 			text := rest.Bytes[:length]
-			if id := findLastEventID(text); id != "" {
-				s.lastEventID = id
+			if !s.inOrder(text) {
+				return errWrongEvent
 			}
 			if without += length; hasData(text) {
 				without = 0
@@ -270,6 +288,21 @@
 	}
 }
 
+// inOrder notes the ids of the events in text. It returns false if a run that goes on with a
+// stream begins with another event than the next one.
+func (s *stream) inOrder(text []byte) bool {
+	for id := range eventIDs(text) {
+		switch {
+		case s.after != "" && !follows(id, s.after, s.gaps):
+			return false
+		case s.after == "" && s.lastEventID != "" && !follows(id, s.lastEventID, false):
+			s.gaps = true
+		}
+		s.after, s.lastEventID = "", id
+	}
+	return true
+}
+
 // maxBlankBytes is the length of the longest blank line, with the end of the line before.
 const maxBlankBytes = len("\r\n\r\n")
 
@@ -290,14 +323,14 @@
 	return bytes.HasPrefix(text, []byte("data")) || bytes.Contains(text, []byte("\ndata"))
 }
 
-// findLastEventID returns the id of the last event in text that has an id, or "".
-func findLastEventID(text []byte) string {
-	for end := len(text); end >= 0; {
-		start := bytes.LastIndexByte(text[:end], '\n') + 1
-		if value, ok := bytes.CutPrefix(bytes.TrimSuffix(text[start:end], []byte("\r")), []byte("id:")); ok {
-			return string(bytes.TrimPrefix(value, []byte(" ")))
+// eventIDs returns the ids of the events in text that have one.
+func eventIDs(text []byte) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for line := range bytes.Lines(text) {
+			value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:"))
+			if ok && len(value) > 0 && !yield(string(bytes.TrimPrefix(value, []byte(" ")))) {
+				return
+			}
 		}
-		end = start - 1
 	}
-	return ""
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -73,7 +73,7 @@
 		then(w, r)
 	}))
 	t.Cleanup(s.Close)
-	return &target{entry: wire.TargetEntry{ID: id, Service: "s", Address: s.Listener.Addr().String(), Zone: "z"}}, &runs
+	return &target{entry: wire.TargetEntry{ID: id, Service: "s", Address: s.Listener.Addr().String(), Zone: "z", Version: "v1"}}, &runs
 }
 
 func complete(http.ResponseWriter, *http.Request) {}
@@ -192,7 +192,11 @@
 			is := is.New(t)
 			length := completeEventsLen([]byte(c.text))
 			is.Equal(length, c.length)
-			is.Equal(findLastEventID([]byte(c.text)[:length]), c.id)
+			last := ""
+			for id := range eventIDs([]byte(c.text)[:length]) {
+				last = id
+			}
+			is.Equal(last, c.id)
 		})
 	}
 }
--- /dev/null
+++ b/forward/takeup.go
@@ -0,0 +1,154 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/routes"
+	"merlinhall/streams"
+	"merlinhall/wire"
+)
+
+const (
+	// recordLimit is how long the first event of a stream is held until it is recorded which
+	// software began it. Callers see a later one as a pause.
+	recordLimit = 100 * time.Millisecond
+	// replacedRecordLimit is the same where the record of an earlier attempt at other software
+	// has to be replaced. Without that the stream must not begin.
+	replacedRecordLimit = time.Second
+	// findPatience is how long a request that takes a stream up waits for a control leader that
+	// can be asked, the duration of a long election. findInterval is the time between questions.
+	findPatience = 1200 * time.Millisecond
+	findInterval = 50 * time.Millisecond
+	// retryAfterNoAnswer is the Retry-After value of streams of which the control leader could
+	// not be asked, the duration of an election.
+	retryAfterNoAnswer = 700 * time.Millisecond
+)
+
+// Reasons for which a stream is not taken up.
+const (
+	reasonNoAttempt  = "the request names no attempt that began the stream; begin the stream anew"
+	reasonNoRecord   = "it is not known which software version began the stream; begin the stream anew"
+	reasonNoAnswer   = "it cannot be asked now which software version began the stream"
+	reasonOtherRoute = "the stream began at a service that the route no longer has; begin the stream anew"
+	reasonNoSoftware = "no target with the software version that began the stream is ready; begin the stream anew"
+)
+
+// TakeUp is what a caller says of a stream that it goes on with.
+type TakeUp struct {
+	Attempt string // id of the caller's attempt that brought the first event
+	After   string // id of the last event that the caller has
+}
+
+var (
+	errNotReplaced = eris.New("forward: the record of an earlier attempt at other software could not be replaced")
+	errWrongEvent  = eris.New("forward: the stream goes on with another event than the next one")
+)
+
+// findSoftware finds out at which software a stream goes on that its caller takes up. It
+// returns the result of the request if it cannot go on.
+func (s *stream) findSoftware(ctx context.Context) *Result {
+	t := s.r.TakeUp
+	if t == nil || !s.r.Route.Repeatable {
+		return nil
+	}
+	if t.Attempt == "" {
+		return s.notTakenUp(reasonNoAttempt, retryAfterNoTarget)
+	}
+	software, known := s.find(ctx, streams.KeyOf(t.Attempt, &s.r.Request, s.r.Account))
+	switch {
+	case known == streams.NoAnswer:
+		return s.notTakenUp(reasonNoAnswer, retryAfterNoAnswer)
+	case known == streams.NoRecord:
+		return s.notTakenUp(reasonNoRecord, retryAfterNoTarget)
+	case !slices.ContainsFunc(s.r.Route.Shares, func(h routes.Share) bool { return h.Service == software.Service }):
+		return s.notTakenUp(reasonOtherRoute, retryAfterNoTarget)
+	}
+	s.software = software
+	return nil
+}
+
+// find asks for the software that began a stream. While there is no leader it asks again for the
+// time of an election: callers come back only a few times.
+func (s *stream) find(ctx context.Context, key streams.Key) (software wire.Software, known streams.Known) {
+	until := time.Now().Add(min(findPatience, time.Until(s.r.Deadline)/2))
+	for {
+		software, known = s.f.Streams.Find(ctx, key)
+		if known != streams.NoAnswer || !time.Now().Before(until) {
+			return software, known
+		}
+		select {
+		case <-time.After(findInterval):
+		case <-ctx.Done():
+			return software, known
+		}
+	}
+}
+
+func (s *stream) notTakenUp(reason string, after time.Duration) *Result {
+	result := s.notRun(reason, after)
+	return &result
+}
+
+// begins reports whether an attempt may bring the first event of a stream that its caller may
+// take up.
+func (s *stream) begins() bool {
+	return !s.begun && s.r.TakeUp == nil && s.r.Route.Repeatable && s.r.ID != ""
+}
+
+// preferTold has the next attempt go to the software that may be recorded as that which began
+// the stream, while there is a target. No event of it was delivered, so others may follow.
+func (s *stream) preferTold() (undo func()) {
+	if !s.begins() || !s.f.Streams.MayBeRecorded(s.beginning) {
+		return func() {}
+	}
+	s.software = s.beginning.Software()
+	return func() { s.software = wire.Software{} }
+}
+
+// tell has it recorded which software the attempt may begin the stream at.
+func (s *stream) tell(a *attempt) {
+	if !s.begins() {
+		return
+	}
+	software := a.target.Software()
+	if s.beginning != nil && s.beginning.Software() != software && s.f.Streams.MayBeRecorded(s.beginning) {
+		s.replaces = true
+	}
+	s.beginning = s.f.Streams.Begin(s.key(), software, s.possibleRuns+s.refused)
+}
+
+func (s *stream) key() streams.Key { return streams.KeyOf(s.r.ID, &s.r.Request, s.r.Account) }
+
+// begin gives the stream to the caller, from the response of the attempt on. A stream that is
+// not recorded cannot be taken up elsewhere.
+func (s *stream) begin(ctx context.Context, a *attempt) error {
+	if s.begins() {
+		limit := recordLimit
+		if s.replaces {
+			limit = replacedRecordLimit
+		}
+		if !s.f.Streams.Await(ctx, s.beginning, limit) && s.replaces {
+			return errNotReplaced
+		}
+		s.f.Streams.Delivered(s.key(), a.target.Software())
+	}
+	s.begun, s.software = true, a.target.Software()
+	return nil
+}
+
+// follows reports whether an event may be the next one after another. Ids that are no numbers
+// are not compared. Some services leave numbers out; a stream without gaps has none after it
+// has gone on either.
+func follows(event, last string, gaps bool) bool {
+	next, err := strconv.ParseInt(event, 10, 64)
+	before, failure := strconv.ParseInt(last, 10, 64)
+	if err != nil || failure != nil {
+		return event != last
+	}
+	return next > before && (gaps || next == before+1)
+}
--- a/hub/calls.go
+++ b/hub/calls.go
@@ -26,6 +26,7 @@
 	methodUsage      = "usage.report"
 	methodGrants     = "limits.grants"
 	methodSuspects   = "suspects.ask"
+	methodStreams    = "streams.ask"
 )
 
 type pageRequest struct {
--- a/hub/client.go
+++ b/hub/client.go
@@ -18,6 +18,7 @@
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/routes"
+	"merlinhall/streams"
 	"merlinhall/usage"
 	"merlinhall/wire"
 )
@@ -334,6 +335,12 @@
 	return c.call(ctx, methodSuspects, in, out, 0)
 }
 
+// AskStreams tells the control leader of streams that begin, and asks it for those that callers
+// take up.
+func (c *Client) AskStreams(ctx context.Context, in *streams.Ask, out *streams.Answers) error {
+	return c.call(ctx, methodStreams, in, out, 0)
+}
+
 // AskGrants asks the control leader for grants for targets with a limit.
 func (c *Client) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
 	return c.call(ctx, methodGrants, in, out, 0)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -20,6 +20,7 @@
 	"merlinhall/ratelimit"
 	"merlinhall/replica"
 	"merlinhall/routes"
+	"merlinhall/streams"
 	"merlinhall/usage"
 	"merlinhall/wire"
 )
@@ -47,6 +48,7 @@
 	Poller      *directory.Poller
 	Limits      *ratelimit.Keeper
 	Quarantine  *quarantine.Keeper
+	Streams     *streams.Leader
 	Log         *logrus.Entry
 	DataDir     string // directory of the cached manifest
 	// Dial maintains a link to a control process until stop is called.
--- a/hub/operator.go
+++ b/hub/operator.go
@@ -9,6 +9,7 @@
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/routes"
+	"merlinhall/streams"
 	"merlinhall/usage"
 	"merlinhall/wire"
 )
@@ -84,6 +85,12 @@
 	return o.call(ctx, methodSuspects, in, out)
 }
 
+// AskStreams tells the control leader of streams that begin, and asks it for those that callers
+// take up.
+func (o Operator) AskStreams(ctx context.Context, in *streams.Ask, out *streams.Answers) error {
+	return o.call(ctx, methodStreams, in, out)
+}
+
 // AskGrants asks the control leader for grants for targets with a limit.
 func (o Operator) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
 	return o.call(ctx, methodGrants, in, out)
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -11,6 +11,7 @@
 	"merlinhall/control"
 	"merlinhall/ledger"
 	"merlinhall/replica"
+	"merlinhall/streams"
 	"merlinhall/usage"
 	"merlinhall/wire"
 )
@@ -31,6 +32,9 @@
 	c.HandleCall(methodRoutes, h.newestRoutes)
 	c.HandleCall(methodGrants, h.grants)
 	c.HandleCall(methodSuspects, h.suspects)
+	if h.opts.Streams != nil {
+		c.HandleCall(methodStreams, h.streams)
+	}
 	if h.opts.Usage != nil {
 		c.HandleCall(methodUsage, h.reportUsage)
 	}
@@ -178,6 +182,12 @@
 	return answerByLease(ctx, h, body, h.opts.Quarantine.Handle)
 }
 
+// streams answers a process on streams that it begins and that callers take up there. Without
+// the lease another leader may have later records.
+func (h *Hub) streams(ctx context.Context, body []byte) ([]byte, error) {
+	return answerByLease(ctx, h, body, func(_ uint64, in *streams.Ask) (*streams.Answers, bool) { return h.opts.Streams.Handle(ctx, in), true })
+}
+
 // answerByLease answers a question that only a leader with its lease may answer. handle returns
 // false if it has not heard of the leadership yet.
 func answerByLease[In, Out any](ctx context.Context, h *Hub, body []byte, handle func(term uint64, in *In) (*Out, bool)) ([]byte, error) {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -130,6 +130,17 @@
 	return nil
 }
 
+// LongestStream returns the longest time limit of a route whose streams may be resumed.
+func (t *Table) LongestStream() time.Duration {
+	longest := time.Duration(0)
+	for i := range t.manifest.Routes {
+		if r := &t.manifest.Routes[i]; r.Stream && r.Repeatable {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- /dev/null
+++ b/streams/messages.go
@@ -0,0 +1,23 @@
+package streams
+
+import (
+	"merlinhall/ledger"
+	"merlinhall/wire"
+)
+
+// Ask is what a process tells and asks the control leader.
+type Ask struct {
+	// Begun are streams that the process begins.
+	Begun []ledger.StreamBeginning `cbor:"1,keyasint,omitempty"`
+	// Keys are those of streams that callers want to go on with.
+	Keys [][]byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Answers are the leader's answers to an Ask.
+type Answers struct {
+	// Recorded is set if all of Begun outlive a loss of power of all processes.
+	Recorded bool `cbor:"1,keyasint,omitempty"`
+	// Found is the software that began each stream of Keys, in their order. It is the zero
+	// value for a stream without a record.
+	Found []wire.Software `cbor:"2,keyasint,omitempty"`
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -166,13 +166,15 @@
 // Level is the level of messages, log commands and snapshots that this program understands.
 // It rises with each version that adds some which the version before does not understand;
 // see docs/design/upgrades.md.
-const Level = 1
+const Level = 2
 
 const (
 	// LevelInLog is the level from which the level in force is in the replicated log.
 	LevelInLog = 1
 	// LevelUsage is the level from which replicas have the usage of client accounts.
 	LevelUsage = 1
+	// LevelStreams is the level from which replicas know which software began streams.
+	LevelStreams = 2
 )
 
 // Ping is the heartbeat of a link that has no other frame to send.
