batch, carrier, ledger: a text goes on only at the software version that began it

Same cause as for streams of callers: any engine with fitting weights got the rest of a text.

The text now carries the software of the engines that made it: in the orders and reports between leader and carriers, in the ledger, in what is kept for the next step and in what a new leader takes over. It goes on at that software; runs move to faster engines of the same one only. If no engine of it is in service the item begins anew at once; if all of them are busy, after as long as it takes to generate the text again, 2 s at most, so that beginning anew costs twice the least possible. merlinhall_batch_dropped_events_total counts what that costs. Texts of former versions have no software: they begin anew.

--- a/batch/engines.go
+++ b/batch/engines.go
@@ -24,7 +24,7 @@
 			e = &engine{id: t.ID, address: t.Address, startedMs: t.StartedMs, versions: make(map[string]uint64)}
 			e.running = r.runsOn(e)
 		}
-		e.draining = t.Draining
+		e.draining, e.software = t.Draining, t.Software()
 		e.slots = r.slotsOf(t)
 		r.useDirectoryVersions(now, e, t)
 		r.engines = append(r.engines, e)
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -18,6 +18,8 @@
 	lost   prometheus.Counter
 	// unneeded counts runs that went on at a carrier while it was given up.
 	unneeded prometheus.Counter
+	// droppedEvents counts events of texts that began anew.
+	droppedEvents prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -53,11 +55,14 @@
 		unneeded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_runs_given_up_alive_total", Help: "Runs that their carrier still had when it answered again after it had been given up.",
 		}),
+		droppedEvents: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "merlinhall_batch_dropped_events_total", Help: "Events of texts that begin anew because no engine of their software or weight version could go on with them.",
+		}),
 		lost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded)
+	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents)
 	return m
 }
 
--- a/batch/move.go
+++ b/batch/move.go
@@ -65,7 +65,9 @@
 // find takes a slot of the fastest engine for the task of c and reports whether the move
 // there pays.
 func (m *mover) find(c *move) bool {
-	at := slices.IndexFunc(m.targets, func(e *openEngine) bool { return e.free > 0 && e.canServe(c.task) })
+	at := slices.IndexFunc(m.targets, func(e *openEngine) bool {
+		return e.free > 0 && e.software == c.from.software && e.canServe(c.task)
+	})
 	if at < 0 {
 		return false
 	}
--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -146,7 +146,9 @@
 	task := j.tasks["k-0-0"]
 	task.text = text{Text: carrier.Text{Events: 1, Versions: []uint64{4}}}
 	other := testEngine("b", 4, 4)
+	task.text.Software = testSoftware
 	r := quietRunner(e, other)
+	r.metrics = newMetrics(prometheus.NewRegistry())
 	r.dropUnservableText(task)
 	is.Equal(task.text.length(), 1) // one engine can still continue it
 	other.versions["m"] = 5
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"merlinhall/wire"
 )
 
 const (
@@ -23,6 +25,7 @@
 	address   string
 	startedMs int64 // Unix ms of the start, 0 when unknown
 	slots     int
+	software  wire.Software
 	// versions holds the weight version of each model.
 	versions           map[string]uint64
 	versionsReportedAt time.Time // when the engine itself last reported versions
@@ -69,23 +72,44 @@
 // load of weights costs: runs continue during it, but new runs of the model cannot start.
 func (e *engine) unusedSlots() int { return e.slots - e.running }
 
-// canServe reports whether the engine may generate for the task now: its weight version is
-// allowed and is not being replaced.
-func (e *engine) canServe(t *task) bool {
+// canServe reports whether the engine may go on with the text of the task now, or begin one.
+func (e *engine) canServe(t *task) bool { return e.continues(&t.text) && e.canRun(t, &t.text) }
+
+// canBegin reports whether the engine may begin a new text for the task now.
+func (e *engine) canBegin(t *task) bool { return e.canRun(t, &text{}) }
+
+// continues reports whether the engine's software can go on with a text.
+func (e *engine) continues(t *text) bool {
+	return t.length() == 0 || t.Software.Known() && t.Software == e.software
+}
+
+// mayContinue reports whether the engine can go on with the text of the task, now or later.
+func (e *engine) mayContinue(t *task) bool {
+	if e.draining || !e.continues(&t.text) {
+		return false
+	}
+	single := t.job.sub.SingleVersion && len(t.text.Versions) > 0
+	return !single || e.versions[t.job.sub.Model] == t.text.Versions[0]
+}
+
+// canRun reports whether the engine's weight version is allowed for further events of a text of
+// the task and is not being replaced.
+func (e *engine) canRun(t *task, have *text) bool {
 	if e.load != nil && e.load.model == t.job.sub.Model {
 		return false
 	}
-	return e.weightsFit(t)
+	return e.weightsFit(t, have)
 }
 
-// weightsFit reports whether the task allows the engine's weight version.
-func (e *engine) weightsFit(t *task) bool {
+// weightsFit reports whether the task allows the engine's weight version for further events of a
+// text.
+func (e *engine) weightsFit(t *task, have *text) bool {
 	version, ok := e.versions[t.job.sub.Model]
 	if !ok || version < t.job.sub.MinVersion {
 		return false
 	}
-	if t.job.sub.SingleVersion && len(t.text.Versions) > 0 {
-		return slices.Contains(t.text.Versions, version)
+	if t.job.sub.SingleVersion && len(have.Versions) > 0 {
+		return slices.Contains(have.Versions, version)
 	}
 	return true
 }
@@ -95,13 +119,15 @@
 	task   *task
 	engine *engine
 	reason string // why this engine, for the log
+	anew   bool   // the text so far is dropped
 }
 
 // plan selects the tasks to start now. pending must be in queue order and engines in a
-// fixed order. The only state that it changes is the engine of each group.
+// fixed order. The only state that it changes is the engine of each group and since when tasks
+// wait.
 func plan(now time.Time, pending []*task, engines []*engine, l *lengths) []placement {
-	p := &planner{lengths: l}
 	median := medianEventTime(engines)
+	p := &planner{now: now, median: median, lengths: l}
 	total := 0
 	for _, e := range engines {
 		if free := e.freeSlots(now); free > 0 {
@@ -128,13 +154,20 @@
 }
 
 type planner struct {
+	now     time.Time
+	median  time.Duration // time per event of the engines
 	open    []*openEngine
 	lengths *lengths
 	out     []placement
 }
 
 func (p *planner) place(t *task) bool {
-	e, reason := p.choose(t)
+	anew := false
+	e, reason := p.choose(t, p.able(t, (*engine).canServe))
+	if e == nil && t.waitedEnough(p.now, p.median) {
+		e, reason = p.choose(t, p.able(t, (*engine).canBegin))
+		anew = true
+	}
 	if e == nil {
 		return false
 	}
@@ -142,16 +175,15 @@
 		t.group.engine = e.id
 	}
 	e.free--
-	p.out = append(p.out, placement{t, e.engine, reason})
+	p.out = append(p.out, placement{task: t, engine: e.engine, reason: reason, anew: anew})
 	return true
 }
 
-// choose returns the engine on which the task starts, and why, for the log. A step is as
+// choose returns which of the engines the task starts on, and why, for the log. A step is as
 // slow as its last text, so a long text goes to one of the fastest engines, and to the one
 // with the largest share of free slots of these. A short text goes to the engine of its
 // group, which has processed the prompt, or to the one with the largest share of free slots.
-func (p *planner) choose(t *task) (*openEngine, string) {
-	able := p.able(t)
+func (p *planner) choose(t *task, able []*openEngine) (*openEngine, string) {
 	if len(able) == 0 {
 		return nil, ""
 	}
@@ -166,11 +198,11 @@
 	return freest(t, within(able, samePace)), "fastest"
 }
 
-// able returns the engines that can serve the task and have a free slot.
-func (p *planner) able(t *task) []*openEngine {
+// able returns the engines with a free slot that can serve the task.
+func (p *planner) able(t *task, can func(*engine, *task) bool) []*openEngine {
 	var able []*openEngine
 	for _, e := range p.open {
-		if e.free > 0 && e.canServe(t) {
+		if e.free > 0 && can(e.engine, t) {
 			able = append(able, e)
 		}
 	}
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"merlinhall/ledger"
+	"merlinhall/wire"
 )
 
 var start = time.Unix(1000, 0)
@@ -28,8 +30,10 @@
 	return newJob(ledger.Open{Submission: sub, Since: at, Remaining: items}, func(string) bool { return false })
 }
 
+var testSoftware, otherSoftware = wire.Software{Service: "s", Version: "v1"}, wire.Software{Service: "s", Version: "v2"}
+
 func testEngine(id string, slots int, version uint64) *engine {
-	return &engine{id: id, slots: slots, versions: map[string]uint64{"m": version}}
+	return &engine{id: id, slots: slots, software: testSoftware, versions: map[string]uint64{"m": version}}
 }
 
 func pending(jobs ...*job) *queue {
@@ -119,7 +123,7 @@
 	is.Equal(moved(), 1)
 	running.size = 200
 	is.Equal(moved(), 0) // the time saved is not worth a move
-	running.text.Events = 100
+	running.text.Events, running.text.Software = 100, testSoftware
 	is.Equal(moved(), 1) // longer than estimated, so it is expected to continue for long
 	running.moves = maxMoves
 	is.Equal(moved(), 0)
@@ -287,3 +291,66 @@
 		planMoves(start, running, engines, &q.lengths)
 	}
 }
+
+// Guards against a text that goes on at an engine of another software version, and against one
+// that waits for longer than it takes to generate it again.
+func TestTextGoesOnAtItsSoftwareOrBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	same, other := testEngine("a", 1, 1), testEngine("b", 4, 1)
+	other.software = otherSoftware
+	same.running = 1
+	j := testJob("k", start, 1, []int{600})
+	task := j.tasks["k-0-0"]
+	task.text.Events, task.text.Software = 10, testSoftware
+	engines := []*engine{same, other, testEngine("c", 0, 1)}
+	for _, e := range engines {
+		for range minEventTimeSamples {
+			e.observeEventTime(start, 50*time.Millisecond)
+		}
+	}
+	planAt := func(at time.Duration) []placement { return plan(start.Add(at), pending(j).tasks, engines, &lengths{}) }
+	is.Equal(len(planAt(0)), 0)
+	is.Equal(len(planAt(450*time.Millisecond)), 0) // ten events take 500 ms
+	out := planAt(550 * time.Millisecond)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].engine, other)
+	is.True(out[0].anew)
+	same.running = 0
+	out = planAt(600 * time.Millisecond)
+	is.Equal(out[0].engine, same)
+	is.True(!out[0].anew)
+}
+
+// Guards against texts of unknown software, such as those of a former version, that go on at any
+// engine.
+func TestTextOfUnknownSoftwareBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	e := testEngine("a", 4, 1)
+	task := testJob("k", start, 1, []int{600}).tasks["k-0-0"]
+	task.text.Events = 10
+	is.True(!e.canServe(task))
+	e.software = wire.Software{}
+	is.True(!e.canServe(task))
+	r := quietRunner(e)
+	r.metrics = newMetrics(prometheus.NewRegistry())
+	r.dropUnservableText(task)
+	is.Equal(task.text.length(), 0)
+	is.True(e.canServe(task))
+}
+
+// Guards against runs that are moved to a faster engine of another software version, where the
+// text would have to begin anew.
+func TestRunsMoveWithinTheirSoftware(t *testing.T) {
+	is := is.New(t)
+	from, to := testEngine("a", 4, 1), testEngine("b", 4, 1)
+	to.software = otherSoftware
+	for range 10 {
+		from.observeEventTime(start, 150*time.Millisecond)
+		to.observeEventTime(start, 40*time.Millisecond)
+	}
+	j := testJob("k", start, 1, []int{6000})
+	running := &task{job: j, group: j.tasks["k-0-0"].group, state: taskRunning, engine: "a", size: 6000}
+	is.Equal(len(planMoves(start, []*task{running}, []*engine{from, to}, &lengths{})), 0)
+	to.software = testSoftware
+	is.Equal(len(planMoves(start, []*task{running}, []*engine{from, to}, &lengths{})), 1)
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -560,21 +560,22 @@
 	}
 }
 
-// dropUnservableText drops a text that must have a single weight version when no engine
-// has that version any more, because no run could continue it. The item starts again from
-// its prompt.
+// dropUnservableText drops a text that no engine can go on with: none has its software any
+// more, or the single weight version that it must have. The item starts again from its prompt.
 func (r *Runner) dropUnservableText(t *task) {
-	if !t.job.sub.SingleVersion || len(t.text.Versions) == 0 || len(r.engines) == 0 {
-		return
-	}
-	version, model := t.text.Versions[0], t.job.sub.Model
-	if slices.ContainsFunc(r.engines, func(e *engine) bool { return e.versions[model] == version && !e.draining }) {
+	if t.text.length() == 0 || len(r.engines) == 0 || slices.ContainsFunc(r.engines, func(e *engine) bool { return e.mayContinue(t) }) {
 		return
 	}
+	r.dropText(t, "no engine has its software and weight version any more")
+}
+
+// dropText drops the text of a task, which begins anew.
+func (r *Runner) dropText(t *task, why string) {
 	r.log.WithFields(logrus.Fields{
-		"submission": t.job.sub.ID, "item": t.item.ID, "events": t.text.length(), "version": version,
-	}).Info("dropping partial text: no engine has its weight version any more")
-	t.text, t.runTime = text{}, 0
+		"submission": t.job.sub.ID, "item": t.item.ID, "events": t.text.length(), "versions": t.text.Versions, "software": t.text.Software.String(),
+	}).Info("dropping partial text: " + why)
+	r.metrics.droppedEvents.Add(float64(t.text.length()))
+	t.beginAnew()
 }
 
 func (r *Runner) expire(now time.Time) {
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -62,6 +62,10 @@
 	if c == nil {
 		return
 	}
+	if p.anew {
+		r.dropText(t, "no engine of its software has a free slot")
+	}
+	t.waitsSince = time.Time{}
 	run := r.newRun(now, t, c)
 	run.engine, run.engineStartedMs, run.placementReason, run.reading = e.id, e.startedMs, p.reason, true
 	run.version = e.versions[t.job.sub.Model]
@@ -75,6 +79,7 @@
 		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Engine: e.id, Address: e.address, EngineStartedMs: e.startedMs,
 		Path: t.item.Path, Host: t.job.sub.Host, Headers: t.item.Headers, Body: t.item.Body, Version: run.version,
 		OldestVersion: t.job.sub.MinVersion, SingleVersion: t.job.sub.SingleVersion, Text: t.text.Text, Reward: t.item.Reward, MaxFailures: t.maxFailures(),
+		Software: target.Software(),
 	})
 }
 
--- a/batch/simulation_test.go
+++ b/batch/simulation_test.go
@@ -78,6 +78,8 @@
 	plantRepeatedRewards plant = "rewards repeated"
 	// plantAllErrorsCounted makes errors that are no failed runs count as such.
 	plantAllErrorsCounted plant = "all errors counted"
+	// plantOneSoftware makes the list show one software version for all engines.
+	plantOneSoftware plant = "one software"
 )
 
 type world struct {
@@ -109,6 +111,7 @@
 type simRun struct {
 	item    string
 	first   int // number of the first event
+	version int // of the engine's software
 	eventAt map[int]time.Time
 }
 
@@ -450,17 +453,23 @@
 	}
 }
 
-// simEngine generates texts. Its address is its name.
+// simEngine generates texts. Each start has another id.
 type simEngine struct {
+	address   string
 	id        string
 	startedMs int64
+	version   int // of its software
 }
 
 func (w *world) targets() []wire.TargetEntry {
 	list := []wire.TargetEntry{{ID: "reward", Service: "reward", Address: "reward", Zone: "z", Slots: 8}}
 	for _, e := range w.engines {
+		version := fmt.Sprint("v", e.version)
+		if w.plant == plantOneSoftware {
+			version = "v"
+		}
 		list = append(list, wire.TargetEntry{
-			ID: e.id, Service: "engines", Address: e.id, Zone: "z", Slots: 4, StartedMs: e.startedMs, Models: []wire.ModelVersion{{Model: "m", Version: 1}},
+			ID: e.id, Version: version, Service: "engines", Address: e.address, Zone: "z", Slots: 4, StartedMs: e.startedMs, Models: []wire.ModelVersion{{Model: "m", Version: 1}},
 		})
 	}
 	return list
@@ -543,10 +552,12 @@
 func (s *simTargets) Generate(ctx context.Context, to upstream.Address, request *upstream.Request, out carrier.Generated, first int, _ carrier.VersionRule) carrier.ReadEnd {
 	w := s.w
 	e := w.engine(to.HostPort)
-	startedMs := e.startedMs
 	if !w.sleep(time.Duration(1+w.intN(3))*time.Millisecond) || ctx.Err() != nil {
 		return carrier.ReadEnd{Outcome: carrier.Broken, Err: errSimBroken}
 	}
+	if to.ID != e.id {
+		return carrier.ReadEnd{Outcome: carrier.Misdirected, Reached: true}
+	}
 	w.checkWanted("run", request.ID)
 	if w.chance(15) {
 		return carrier.ReadEnd{Outcome: carrier.NotRun, Reached: true}
@@ -564,13 +575,13 @@
 		w.engineSaid[request.ID]++
 		return carrier.ReadEnd{Outcome: carrier.Failed, Reached: true}
 	}
-	run := &simRun{item: request.ID, first: first, eventAt: make(map[int]time.Time)}
+	run := &simRun{item: request.ID, first: first, version: e.version, eventAt: make(map[int]time.Time)}
 	name := fmt.Sprintf("run%d", len(w.runs))
 	w.runs[name] = run
 	pace := time.Duration(15+w.intN(50)) * time.Millisecond
 	out.VersionChanged(1)
 	for n := first; n <= simEvents(request); n++ {
-		if !w.sleep(pace) || ctx.Err() != nil || e.startedMs != startedMs || w.chance(400) {
+		if !w.sleep(pace) || ctx.Err() != nil || to.ID != e.id || w.chance(400) {
 			return carrier.ReadEnd{Outcome: carrier.Broken, Reached: true, Err: errSimBroken}
 		}
 		run.eventAt[n] = time.Now()
@@ -591,8 +602,8 @@
 	return 0
 }
 
-func (w *world) engine(id string) *simEngine {
-	i := slices.IndexFunc(w.engines, func(e *simEngine) bool { return e.id == id })
+func (w *world) engine(address string) *simEngine {
+	i := slices.IndexFunc(w.engines, func(e *simEngine) bool { return e.address == address })
 	return w.engines[i]
 }
 
@@ -784,6 +795,8 @@
 
 func (w *world) restartEngine(e *simEngine) {
 	e.startedMs++
+	e.id = fmt.Sprint(e.address, "-", e.startedMs)
+	e.version += w.intN(2)
 	procs := slices.Clone(w.procs)
 	list := w.targets()
 	for _, p := range procs {
@@ -836,7 +849,7 @@
 		w.violations = append(w.violations, "item "+r.Item+": "+fmt.Sprintf(format, args...))
 	}
 	var lastAt time.Time
-	current := ""
+	current, version := "", -1
 	for i, line := range strings.Split(string(text), "\n") {
 		f := strings.Fields(line)
 		if len(f) != 3 || f[0] != r.Item || f[1] != strconv.Itoa(i+1) {
@@ -848,6 +861,10 @@
 			fail("ORDER: event %d is from a run that began with event %d", i+1, run.first)
 		}
 		current = f[2]
+		if version >= 0 && run.version != version {
+			fail("ORDER: event %d is from software version %d, those before from %d", i+1, run.version, version)
+		}
+		version = run.version
 		lastAt = run.eventAt[i+1]
 	}
 	if w.scoreOf[r.Score] != r.Item {
@@ -869,7 +886,7 @@
 		w.ctx, w.cancel = context.WithCancel(t.Context())
 		defer w.cancel()
 		for i := range simEngines {
-			w.engines = append(w.engines, &simEngine{id: fmt.Sprint("e", i), startedMs: 1})
+			w.engines = append(w.engines, &simEngine{address: fmt.Sprint("e", i), id: fmt.Sprint("e", i, "-1"), startedMs: 1, version: i / 2})
 		}
 		for i := range simProcesses {
 			w.procs = append(w.procs, w.start(fmt.Sprint("p", i)))
@@ -912,12 +929,12 @@
 }
 
 // Guards against checks that find nothing: each fault that is planted into the messages is
-// found, usually within 60 seeds.
+// found, usually within some hundred seeds.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	if *simPlanted == 0 {
 		t.Skip("played by make sim")
 	}
-	for _, p := range []plant{plantNoTerms, plantFreshOrders, plantAllErrorsCounted} {
+	for _, p := range []plant{plantNoTerms, plantFreshOrders, plantAllErrorsCounted, plantOneSoftware} {
 		t.Run(string(p), func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(*simPlanted) {
--- a/batch/task.go
+++ b/batch/task.go
@@ -47,6 +47,7 @@
 	startBy        time.Time     // latest start, see queue.latestStart
 	textCompleteAt time.Time
 	retryAt        time.Time      // no retry before this time
+	waitsSince     time.Time      // for an engine that can go on with its text; zero while it does not wait
 	result         *ledger.Result // set once it is to be proposed to the ledger
 	saving         bool           // a proposal of partial text is in progress
 }
@@ -54,6 +55,25 @@
 // maxFailures returns the number of failed runs after which the item is given up.
 func (t *task) maxFailures() int { return max(1, t.job.sub.MaxAttempts) }
 
+// maxTextWait bounds how long a text waits for an engine that can go on with it.
+const maxTextWait = 2 * time.Second
+
+// waitedEnough reports whether a task that waits for an engine of the software of its text has
+// waited for as long as it takes to generate the text again. To begin it anew then costs twice
+// the least that was possible, at most.
+func (t *task) waitedEnough(now time.Time, perEvent time.Duration) bool {
+	if t.text.length() == 0 {
+		return false // any engine would do
+	}
+	if t.waitsSince.IsZero() {
+		t.waitsSince = now
+	}
+	return now.Sub(t.waitsSince) >= min(time.Duration(t.text.length())*perEvent, maxTextWait)
+}
+
+// beginAnew drops the text of the task.
+func (t *task) beginAnew() { t.text, t.runTime = text{}, 0 }
+
 // cancelled reports whether the current run was cancelled and has not ended yet.
 func (t *task) cancelled() bool { return t.run != nil && t.run.cancelReason != "" }
 
--- a/batch/text.go
+++ b/batch/text.go
@@ -5,9 +5,11 @@
 
 	"merlinhall/carrier"
 	"merlinhall/ledger"
+	"merlinhall/wire"
 )
 
-// text is what has been generated so far for an item. A run on any engine can continue it.
+// text is what has been generated so far for an item. A run on an engine of the same software
+// can continue it.
 type text struct {
 	carrier.Text
 	// The ledger is known to have the first savedParts parts with savedEvents events.
@@ -35,6 +37,9 @@
 		t.Lineage = part.Lineage
 		t.forgetSaved()
 	}
+	if t.Software != part.Software {
+		t.Software = wire.Software{}
+	}
 	t.Parts = append(slices.Clone(t.Parts), part.Parts...)
 	t.Events += part.Events
 	t.Versions = part.Versions
@@ -62,7 +67,7 @@
 // textFromPartial returns the partial text that the ledger has of an item.
 func textFromPartial(p ledger.Partial) text {
 	return text{
-		Text:       carrier.Text{Parts: p.Parts, Events: p.Events, Versions: p.Versions, Lineage: p.Lineage},
+		Text:       carrier.Text{Parts: p.Parts, Events: p.Events, Versions: p.Versions, Lineage: p.Lineage, Software: p.Software},
 		savedParts: len(p.Parts), savedEvents: p.Events,
 	}
 }
@@ -79,7 +84,7 @@
 func (t *text) progress(item string) ledger.Progress {
 	return ledger.Progress{
 		Item: item, EventsBefore: t.savedEvents, Events: t.unsavedEvents(), Lineage: t.Lineage,
-		Parts: slices.Clone(t.Parts[t.savedParts:]), Versions: slices.Clone(t.Versions),
+		Parts: slices.Clone(t.Parts[t.savedParts:]), Versions: slices.Clone(t.Versions), Software: t.Software,
 	}
 }
 
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -46,6 +46,8 @@
 	// MaxFailures is the number of failed runs after which the submission's route lets the
 	// item be given up. Leaders of former versions do not set it.
 	MaxFailures int `cbor:"16,keyasint,omitempty"`
+	// Software is that of the engine. Leaders of former versions do not set it.
+	Software wire.Software `cbor:"17,keyasint,omitzero"`
 }
 
 // Text is what has been generated of an item.
@@ -58,6 +60,9 @@
 	Lineage uint64 `cbor:"4,keyasint,omitempty"`
 	// Continues is, in a part of a text, the lineage of the events before it.
 	Continues uint64 `cbor:"5,keyasint,omitempty"`
+	// Software is that of the engines that generated all events, the zero value if that is not
+	// known. Former versions do not know it.
+	Software wire.Software `cbor:"6,keyasint,omitzero"`
 }
 
 // State is the progress of an attempt.
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -9,6 +9,7 @@
 
 	"merlinhall/ledger"
 	"merlinhall/upstream"
+	"merlinhall/wire"
 )
 
 // run is one attempt on the carrier. Its text grows on the goroutine that reads the
@@ -95,6 +96,11 @@
 	if len(fresh) == 0 {
 		return
 	}
+	if r.text.Events > 0 && r.text.Software != r.start.Software {
+		r.text.Software = wire.Software{}
+	} else {
+		r.text.Software = r.start.Software
+	}
 	r.text.Lineage = r.start.Attempt
 	r.text.Parts = append(slices.Clone(r.text.Parts), ledger.Pack(bytes.Join(fresh, []byte("\n"))))
 	r.text.Events += len(fresh)
@@ -114,7 +120,7 @@
 		return nil, 0
 	}
 	from = r.handedEvents
-	text = &Text{Parts: r.text.Parts[r.handedParts:], Events: r.text.Events - from, Versions: r.text.Versions, Lineage: r.text.Lineage, Continues: r.handedLineage}
+	text = &Text{Parts: r.text.Parts[r.handedParts:], Events: r.text.Events - from, Versions: r.text.Versions, Lineage: r.text.Lineage, Continues: r.handedLineage, Software: r.text.Software}
 	r.handedParts, r.handedEvents, r.handedLineage = len(r.text.Parts), r.text.Events, r.text.Lineage
 	return text, from
 }
--- a/ledger/partial.go
+++ b/ledger/partial.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
 )
 
 // Progress adds to the partial text of an item, so that a new leader can continue it.
@@ -19,6 +21,9 @@
 	// Lineage identifies the text together with its number of events. Parts of one lineage
 	// never follow those of another, whatever their number of events.
 	Lineage uint64 `cbor:"6,keyasint,omitempty"`
+	// Software is that of the engines that generated the complete text so far, the zero value
+	// if it is not known.
+	Software wire.Software `cbor:"7,keyasint,omitzero"`
 }
 
 // Partial is the text generated so far of an item without a result.
@@ -28,6 +33,8 @@
 	Parts         [][]byte `cbor:"3,keyasint"` // compressed
 	Versions      []uint64 `cbor:"4,keyasint"`
 	Lineage       uint64   `cbor:"5,keyasint,omitempty"`
+	// Software is as in Progress.
+	Software wire.Software `cbor:"6,keyasint,omitzero"`
 }
 
 // addProgress adds parts to partial texts. A part that does not directly follow the known
@@ -44,11 +51,11 @@
 		old := s.partial[p.Item]
 		switch {
 		case p.EventsBefore == 0:
-			s.partial[p.Item] = &Partial{ForSubmission: submission, Events: p.Events, Parts: p.Parts, Versions: p.Versions, Lineage: p.Lineage}
+			s.partial[p.Item] = &Partial{ForSubmission: submission, Events: p.Events, Parts: p.Parts, Versions: p.Versions, Lineage: p.Lineage, Software: p.Software}
 		case old != nil && old.Events == p.EventsBefore && old.Lineage == p.Lineage:
 			s.partial[p.Item] = &Partial{
 				ForSubmission: submission, Events: p.EventsBefore + p.Events, Parts: append(slices.Clone(old.Parts), p.Parts...),
-				Versions: p.Versions, Lineage: p.Lineage,
+				Versions: p.Versions, Lineage: p.Lineage, Software: p.Software,
 			}
 		}
 	}
