--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -64,6 +64,7 @@
 		runs.Add(1)
 		w.Header().Set("Content-Type", "events")
 		w.Header().Set("Receipt", id)
+		w.Header().Set("Id", r.Header.Get("Id"))
 		after, _ := strconv.Atoi(r.Header.Get("After"))
 		for n := after + 1; n <= breakAt; n++ {
 			_, _ = w.Write([]byte(event(n)))
