--- a/forward/stream.go
+++ b/forward/stream.go
@@ -57,11 +57,10 @@
 	requestState
 	sink        Sink
 	begun       bool
-	lastEventID string             // id of the last event delivered to the sink
-	after       string             // id of the event after which the current run was to go on, until its first event
-	gaps        bool               // the ids of events may leave numbers out
-	beginning   *streams.Beginning // of the last attempt
-	replaces    bool               // beginning replaces one at other software that may be recorded
+	lastEventID string           // id of the last event delivered to the sink
+	after       string           // id of the event after which the current run was to go on, until its first event
+	gaps        bool             // the ids of events may leave numbers out
+	opening     *streams.Opening // set with the first attempt that may begin the stream
 	idleTimeout time.Duration
 }
 
@@ -100,15 +99,20 @@
 	}
 }
 
-// nextTarget selects the target of the next attempt, see requestState.nextTarget.
+// nextTarget selects the target of the next attempt, see requestState.nextTarget. While a record
+// of other software would have to be replaced, the attempt goes to the recorded one if it can.
 func (s *stream) nextTarget(ctx context.Context) (*wire.TargetEntry, time.Duration) {
-	undo := s.preferTold()
-	t, left := s.requestState.nextTarget(ctx, false)
-	undo()
-	if t == nil && !s.software.Known() {
-		return s.requestState.nextTarget(ctx, false)
+	if s.opening != nil && s.begins() {
+		if software, ok := s.opening.Preferred(); ok {
+			s.software = software
+			t, left := s.requestState.nextTarget(ctx, false)
+			s.software = wire.Software{}
+			if t != nil {
+				return t, left
+			}
+		}
 	}
-	return t, left
+	return s.requestState.nextTarget(ctx, false)
 }
 
 // handleStreamAttempt evaluates a finished attempt. It returns the result of the request
--- a/forward/takeup.go
+++ b/forward/takeup.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// recordLimit is how long the first event of a stream is held until it is recorded which
-	// software began it. Callers see a later one as a pause.
-	recordLimit = 100 * time.Millisecond
-	// replacedRecordLimit is the same where the record of an earlier attempt at other software
-	// has to be replaced. Without that the stream must not begin.
-	replacedRecordLimit = time.Second
 	// findPatience is how long a request that takes a stream up waits for a control leader that
 	// can be asked, the duration of a long election. findInterval is the time between questions.
 	findPatience = 1200 * time.Millisecond
@@ -100,42 +94,21 @@
 	return !s.begun && s.r.TakeUp == nil && s.r.Route.Repeatable && s.r.ID != ""
 }
 
-// preferTold has the next attempt go to the software that may be recorded as that which began
-// the stream, while there is a target. No event of it was delivered, so others may follow.
-func (s *stream) preferTold() (undo func()) {
-	if !s.begins() || !s.f.Streams.MayBeRecorded(s.beginning) {
-		return func() {}
-	}
-	s.software = s.beginning.Software()
-	return func() { s.software = wire.Software{} }
-}
-
 // tell has it recorded which software the attempt may begin the stream at.
 func (s *stream) tell(a *attempt) {
 	if !s.begins() {
 		return
 	}
-	software := a.target.Software()
-	if s.beginning != nil && s.beginning.Software() != software && s.f.Streams.MayBeRecorded(s.beginning) {
-		s.replaces = true
+	if s.opening == nil {
+		s.opening = s.f.Streams.Open(streams.KeyOf(s.r.ID, &s.r.Request, s.r.Account))
 	}
-	s.beginning = s.f.Streams.Begin(s.key(), software, s.possibleRuns+s.refused)
+	s.opening.Sent(a.target.Software())
 }
 
-func (s *stream) key() streams.Key { return streams.KeyOf(s.r.ID, &s.r.Request, s.r.Account) }
-
-// begin gives the stream to the caller, from the response of the attempt on. A stream that is
-// not recorded cannot be taken up elsewhere.
+// begin gives the stream to the caller, from the response of the attempt on.
 func (s *stream) begin(ctx context.Context, a *attempt) error {
-	if s.begins() {
-		limit := recordLimit
-		if s.replaces {
-			limit = replacedRecordLimit
-		}
-		if !s.f.Streams.Await(ctx, s.beginning, limit) && s.replaces {
-			return errNotReplaced
-		}
-		s.f.Streams.Delivered(s.key(), a.target.Software())
+	if s.begins() && !s.opening.Deliver(ctx) {
+		return errNotReplaced
 	}
 	s.begun, s.software = true, a.target.Software()
 	return nil
--- a/streams/keeper.go
+++ b/streams/keeper.go
@@ -11,7 +11,6 @@
 
 	"merlinhall/ask"
 	"merlinhall/boottime"
-	"merlinhall/ledger"
 	"merlinhall/observe"
 	"merlinhall/wire"
 )
@@ -103,83 +102,9 @@
 	loops.Go(func() { k.tell.Run(ctx) })
 	loops.Go(func() { k.find.Run(ctx) })
 	loops.Wait()
-}
-
-// Beginning is a stream that a process is about to begin.
-type Beginning struct {
-	key      Key
-	software wire.Software
-	try      int
-	since    time.Duration
-	sent     bool          // the leader was told and may have recorded it
-	recorded chan struct{} // closed when the leader has recorded it
-}
-
-// Software returns that of the target that the attempt was sent to.
-func (b *Beginning) Software() wire.Software { return b.software }
-
-// Begin has the leader told that an attempt is sent to a target of the given software, so that
-// it is recorded by the time of the first event. try numbers the targets of the attempt.
-func (k *Keeper) Begin(key Key, software wire.Software, try int) *Beginning {
-	if k == nil {
-		return nil
-	}
-	b := &Beginning{key: key, software: software, try: try, since: k.o.Clock(), recorded: make(chan struct{})}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.untold) < maxUntold || k.untold[key] != nil {
-		k.untold[key] = b
-		k.tell.Wake()
-	}
-	return b
-}
-
-// Await waits until the beginning is recorded, no longer than limit and not while the leader
-// cannot be told. It reports whether it is.
-func (k *Keeper) Await(ctx context.Context, b *Beginning, limit time.Duration) (recorded bool) {
-	if k == nil {
-		return false
-	}
-	k.mu.Lock()
-	stop := k.stopWaits
-	k.mu.Unlock()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-b.recorded:
-		recorded = true
-	case <-stop:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	label := "later"
-	if recorded {
-		label = "before"
-	}
-	k.beginnings.WithLabelValues(label).Inc()
-	return recorded
-}
-
-// MayBeRecorded reports whether the leader was told of the beginning. Nothing is recorded of one
-// that another beginning of the same attempt has replaced before.
-func (k *Keeper) MayBeRecorded(b *Beginning) bool {
-	if k == nil || b == nil {
-		return false
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return b.sent
-}
-
-// Delivered notes that the caller of a stream has its first event, which a target of the given
-// software made.
-func (k *Keeper) Delivered(key Key, software wire.Software) {
-	if k == nil {
-		return
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.own.put(k.o.Clock(), key, software)
+	// Nobody waits for what is not asked any more.
+	k.pauseTelling(true)
+	k.pauseAsking(true)
 }
 
 // Known says what is known of a stream.
@@ -249,7 +174,7 @@
 	}
 	in, out := &Ask{}, Answers{}
 	for _, b := range begun {
-		in.Begun = append(in.Begun, ledger.StreamBeginning{Key: b.key[:], Software: b.software, Try: b.try})
+		in.Begun = append(in.Begun, b.message())
 	}
 	err := ask(ctx, in, &out)
 	if err == nil && !out.Recorded {
