streams, directory: streams of a sole software version go on without a record

A stream that began while no control process ran, at a process of a former version, or by a caller that names no attempt has no record and was refused, also where a service has had one software version all along and nothing can be joined. The directory now knows since when all readings of the list show a single software for a service. If that is longer than callers come back for streams (three times the route's time limit, 30 s at least) the leader answers with it; a process that reaches no leader uses its own list.

What remains: a stream of a version that left the list more than that time ago, begun by a process that could read neither the list nor reach a leader since.

--- a/daemon/hostedstreams.go
+++ b/daemon/hostedstreams.go
@@ -16,7 +16,7 @@
 // startStreams starts the part of a control process that records which software began streams.
 func (d *HostedDaemon) startStreams(begun *ledger.Streams, manifests *ledger.Manifests, propose func(ctx context.Context, body []byte) error) *streams.Leader {
 	leader := streams.NewLeader(streams.LeaderOptions{
-		Ledger: begun, Propose: propose, MemoryBytes: d.settings.MemoryBytes / streamMemoryDivisor, Log: d.observer.Logger("streams"),
+		Ledger: begun, Directory: d.targets, Propose: propose, MemoryBytes: d.settings.MemoryBytes / streamMemoryDivisor, Log: d.observer.Logger("streams"),
 		LongestLimit: func() time.Duration {
 			if table := manifests.Table(); table != nil {
 				return table.LongestStream()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -67,6 +67,7 @@
 	readAt    time.Time // start of the last read of this process itself
 	led       ledList
 	leaving   map[string]leavingTarget // by id
+	history   history
 	listeners []func(*View)
 }
 
@@ -200,6 +201,7 @@
 	d.confirmedAt.Store(&readAt)
 	d.readAt = readAt
 	changed := d.store(now, targets)
+	d.history.read(readAt, d.changedTargets(changed))
 	d.led.inView = reflect.DeepEqual(d.view.Load().Targets, d.led.targets)
 	return changed
 }
@@ -265,13 +267,23 @@
 		d.noteHeard(now, now.Sub(readAt))
 		d.confirmedAt.Store(&readAt)
 	}
+	changed := false
 	if !d.led.inView {
 		d.led.inView = true
-		d.store(now, d.led.targets)
+		changed = d.store(now, d.led.targets)
 	}
+	d.history.read(readAt, d.changedTargets(changed))
 	return true
 }
 
+// changedTargets returns the targets of the view if it has changed. The caller holds d.mu.
+func (d *Directory) changedTargets(changed bool) []wire.TargetEntry {
+	if !changed {
+		return nil
+	}
+	return d.view.Load().Targets
+}
+
 // leavingMemory is how long a leaving target is remembered after it was last listed. The
 // list may omit a target for a moment.
 const leavingMemory = 30 * time.Second
--- a/forward/takeup.go
+++ b/forward/takeup.go
@@ -50,11 +50,14 @@
 	if t == nil || !s.r.Route.Repeatable {
 		return nil
 	}
-	if t.Attempt == "" {
-		return s.notTakenUp(reasonNoAttempt, retryAfterNoTarget)
+	var key streams.Key // that of no stream
+	if t.Attempt != "" {
+		key = streams.KeyOf(t.Attempt, &s.r.Request, s.r.Account)
 	}
-	software, known := s.find(ctx, streams.KeyOf(t.Attempt, &s.r.Request, s.r.Account))
+	software, known := s.find(ctx, key)
 	switch {
+	case known == streams.NoRecord && t.Attempt == "":
+		return s.notTakenUp(reasonNoAttempt, retryAfterNoTarget)
 	case known == streams.NoAnswer:
 		return s.notTakenUp(reasonNoAnswer, retryAfterNoAnswer)
 	case known == streams.NoRecord:
@@ -66,13 +69,21 @@
 	return nil
 }
 
-// find asks for the software that began a stream. While there is no leader it asks again for the
-// time of an election: callers come back only a few times.
+// find asks for the software that began a stream. Without a leader the list of targets shows it
+// if the service has had a single one for longer than streams last; otherwise find asks again
+// for the time of an election, since callers come back only a few times.
 func (s *stream) find(ctx context.Context, key streams.Key) (software wire.Software, known streams.Known) {
 	until := time.Now().Add(min(findPatience, time.Until(s.r.Deadline)/2))
+	service := s.onlyService()
 	for {
-		software, known = s.f.Streams.Find(ctx, key)
-		if known != streams.NoAnswer || !time.Now().Before(until) {
+		software, known = s.f.Streams.Find(ctx, key, service)
+		if known != streams.NoAnswer {
+			return software, known
+		}
+		if software, ok := s.f.Directory.Sole(time.Now(), service, streams.Lifetime(s.r.Route.Timeout)); ok {
+			return software, streams.Recorded
+		}
+		if !time.Now().Before(until) {
 			return software, known
 		}
 		select {
@@ -83,6 +94,14 @@
 	}
 }
 
+// onlyService returns the service of the route, or "" if there are several.
+func (s *stream) onlyService() string {
+	if len(s.r.Route.Shares) != 1 {
+		return ""
+	}
+	return s.r.Route.Shares[0].Service
+}
+
 func (s *stream) notTakenUp(reason string, after time.Duration) *Result {
 	result := s.notRun(reason, after)
 	return &result
--- a/forward/takeup_test.go
+++ b/forward/takeup_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/routes"
 	"merlinhall/streams"
@@ -304,3 +305,31 @@
 		t.Run(fmt.Sprint(c), func(t *testing.T) { is.New(t).Equal(follows(c.event, c.last, c.gaps), c.ok) })
 	}
 }
+
+// Guards against streams that cannot go on for want of a record or of a leader although the
+// service has had a single software version for longer than streams last.
+func TestStreamOfASoleSoftwareGoesOnWithoutARecord(t *testing.T) {
+	is := is.New(t)
+	leader := newStreamLeader()
+	leader.fails = func(*streams.Ask) bool { return true }
+	a, _ := streamTarget(t, "a", 6, 0, complete)
+	f := newForwarder(a)
+	f.Directory = directory.New()
+	leader.follow(t, f)
+	const history = 40 // seconds
+	for n := range history {
+		f.Directory.Replace(time.Now().Add(time.Duration(n-history)*time.Second), []wire.TargetEntry{a.entry})
+	}
+	for _, attempt := range []string{"r", ""} {
+		var c collector
+		began := time.Now()
+		is.Equal(f.Stream(t.Context(), takeUp(attempt, "r2"), &c).Outcome, OutcomeAnswered)
+		is.Equal(c.text, events(4, 6))
+		is.True(time.Since(began) < time.Second) // it does not wait for a leader
+	}
+	b, _ := streamTarget(t, "b", 6, 0, complete)
+	b.entry.Version = "v2"
+	f.Directory.Replace(time.Now(), []wire.TargetEntry{a.entry, b.entry})
+	var c collector
+	is.Equal(f.Stream(t.Context(), takeUp("r", "r3"), &c).Outcome, OutcomeNotRun)
+}
--- a/ledger/streams.go
+++ b/ledger/streams.go
@@ -68,13 +68,14 @@
 	return &Streams{software: make(map[wire.Software]*wire.Software), current: make(streamGeneration), former: make(streamGeneration)}
 }
 
-// Find returns the software that began a stream, or false if there is no record of it.
+// Find returns the software that began a stream, or false if there is no record of it. The
+// software is the zero value if several streams have the key.
 func (s *Streams) Find(key StreamKey) (wire.Software, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ok := s.find(key)
 	if !ok || r.software == nil {
-		return wire.Software{}, false
+		return wire.Software{}, ok
 	}
 	return *r.software, true
 }
--- a/streams/keeper.go
+++ b/streams/keeper.go
@@ -119,12 +119,13 @@
 
 func (w Known) String() string { return [...]string{"no_answer", "no_record", "recorded"}[w] }
 
-// Find returns the software that began a stream.
-func (k *Keeper) Find(ctx context.Context, key Key) (wire.Software, Known) {
+// Find returns the software that began a stream, of requests that go to a service. Without a
+// record it may still follow from the software that the service had; an empty service is none.
+func (k *Keeper) Find(ctx context.Context, key Key, service string) (wire.Software, Known) {
 	if k == nil {
 		return wire.Software{}, NoRecord
 	}
-	software, known := k.lookUp(ctx, key)
+	software, known := k.lookUp(ctx, key, service)
 	k.takeUps.WithLabelValues(known.String()).Inc()
 	if k.lines.Allow(time.Now()) {
 		k.o.Log.WithFields(logrus.Fields{"key": key.String(), "known": known.String(), "software": software.String()}).Info("stream is to be taken up")
@@ -132,7 +133,7 @@
 	return software, known
 }
 
-func (k *Keeper) lookUp(ctx context.Context, key Key) (wire.Software, Known) {
+func (k *Keeper) lookUp(ctx context.Context, key Key, service string) (wire.Software, Known) {
 	k.mu.Lock()
 	if software, ok := k.own.find(k.o.Clock(), key); ok {
 		k.mu.Unlock()
@@ -142,7 +143,7 @@
 		k.mu.Unlock()
 		return wire.Software{}, NoAnswer
 	}
-	q := &question{key: key, answer: make(chan wire.Software, 1)}
+	q := &question{key: key, service: service, answer: make(chan wire.Software, 1)}
 	k.waiting = append(k.waiting, q)
 	k.mu.Unlock()
 	k.find.Wake()
@@ -162,8 +163,9 @@
 
 // question is a stream for which the leader is asked.
 type question struct {
-	key    Key
-	answer chan wire.Software // closed if there is no answer
+	key     Key
+	service string
+	answer  chan wire.Software // closed if there is no answer
 }
 
 // tellOnce tells the leader the streams that it does not know.
@@ -245,7 +247,7 @@
 	}
 	in, out := &Ask{}, Answers{}
 	for _, q := range asked {
-		in.Keys = append(in.Keys, q.key[:])
+		in.Keys, in.Services = append(in.Keys, q.key[:]), append(in.Services, q.service)
 	}
 	err := ask(ctx, in, &out)
 	if err == nil && len(out.Found) != len(asked) {
--- a/streams/lead.go
+++ b/streams/lead.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/wire"
 )
@@ -36,6 +37,7 @@
 	// LongestLimit returns the longest time limit of a route whose streams may be taken up.
 	LongestLimit func() time.Duration
 	MemoryBytes  int64 // for records
+	Directory    *directory.Directory
 	Log          *logrus.Entry
 }
 
@@ -73,10 +75,13 @@
 // and has applied all that was committed before.
 func (l *Leader) Handle(ctx context.Context, in *Ask) *Answers {
 	out := &Answers{Found: make([]wire.Software, 0, len(in.Keys))}
-	for _, key := range in.Keys {
-		var software wire.Software
+	for i, key := range in.Keys {
+		software, found := wire.Software{}, false
 		if len(key) == ledger.StreamKeyBytes {
-			software, _ = l.o.Ledger.Find(ledger.StreamKey(key))
+			software, found = l.o.Ledger.Find(ledger.StreamKey(key))
+		}
+		if !found && i < len(in.Services) {
+			software = l.sole(in.Services[i])
 		}
 		out.Found = append(out.Found, software)
 	}
@@ -86,6 +91,16 @@
 	return out
 }
 
+// sole returns the software of a service if no stream that callers still have can have begun at
+// another one.
+func (l *Leader) sole(service string) wire.Software {
+	if l.o.Directory == nil {
+		return wire.Software{}
+	}
+	software, _ := l.o.Directory.Sole(time.Now(), service, l.lifetime())
+	return software
+}
+
 // record commits streams. Those of all processes that ask during a commit go into the next one.
 func (l *Leader) record(ctx context.Context, begun []ledger.StreamBeginning) error {
 	if current, former := l.o.Ledger.Counts(); int64(current+former+len(begun))*recordBytes > l.o.MemoryBytes {
@@ -153,9 +168,11 @@
 }
 
 // lifetime returns the least time for which a record is kept.
-func (l *Leader) lifetime() time.Duration {
-	return max(minLifetime, lifetimeFactor*l.o.LongestLimit())
-}
+func (l *Leader) lifetime() time.Duration { return Lifetime(l.o.LongestLimit()) }
+
+// Lifetime returns the time within which callers come back for streams of routes with the given
+// time limit.
+func Lifetime(limit time.Duration) time.Duration { return max(minLifetime, lifetimeFactor*limit) }
 
 func (l *Leader) expire(now time.Time) {
 	l.mu.Lock()
--- a/streams/simulation_test.go
+++ b/streams/simulation_test.go
@@ -348,7 +348,7 @@
 	_, keeper := w.process(w.intN(len(w.processes)))
 	ctx, cancel := context.WithTimeout(w.ctx, simDeadline)
 	defer cancel()
-	found, known := keeper.Find(ctx, s.key)
+	found, known := keeper.Find(ctx, s.key, "")
 	if known == Recorded && found != s.software {
 		w.violate("ORDER: a stream of %s goes on at %s", s.software, found)
 	}
