--- a/streams/keeper_test.go
+++ b/streams/keeper_test.go
@@ -23,7 +23,7 @@
 	return logrus.NewEntry(log)
 }
 
-var v1, v2 = wire.Software{Service: "s", Version: "v1"}, wire.Software{Service: "s", Version: "v2"}
+var v1 = wire.Software{Service: "s", Version: "v1"}
 
 // Guards against one message for each stream: what begins while the leader is asked goes into
 // the next one.
