batch: a text that began anew waits longer the next time, and at least for a rest of its engine

An engine that breaks off rests for 0.5 s; a text of 12 events waited 60 ms, as long as it takes to generate again, and began anew on an engine that broke off as well, and so on.

A text now waits for at least that rest, and twice as long each time that it has begun anew, 2 s at most as before. While the time per event is not known 50 ms is assumed; it counted as 0, so that with fewer than three engines texts began anew at once.

--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -301,7 +301,7 @@
 	same.running = 1
 	j := testJob("k", start, 1, []int{600})
 	task := j.tasks["k-0-0"]
-	task.text.Events, task.text.Software = 10, testSoftware
+	task.text.Events, task.text.Software = 20, testSoftware
 	engines := []*engine{same, other, testEngine("c", 0, 1)}
 	for _, e := range engines {
 		for range minEventTimeSamples {
@@ -310,15 +310,23 @@
 	}
 	planAt := func(at time.Duration) []placement { return plan(start.Add(at), pending(j).tasks, engines, &lengths{}) }
 	is.Equal(len(planAt(0)), 0)
-	is.Equal(len(planAt(450*time.Millisecond)), 0) // ten events take 500 ms
-	out := planAt(550 * time.Millisecond)
+	is.Equal(len(planAt(950*time.Millisecond)), 0) // twenty events take a second
+	out := planAt(1050 * time.Millisecond)
 	is.Equal(len(out), 1)
 	is.Equal(out[0].engine, other)
 	is.True(out[0].anew)
 	same.running = 0
-	out = planAt(600 * time.Millisecond)
+	out = planAt(1100 * time.Millisecond)
 	is.Equal(out[0].engine, same)
 	is.True(!out[0].anew)
+
+	same.running = 1
+	task.beginAnew()
+	task.text.Events, task.text.Software, task.waitsSince = 20, testSoftware, start
+	is.Equal(len(planAt(1050*time.Millisecond)), 0) // it waits longer the second time
+	is.Equal(len(planAt(maxTextWait)), 1)
+	task.text.Events, task.waitsSince = 1, start
+	is.Equal(len(planAt(pauseBroken)), 0) // its engine may only rest
 }
 
 // Guards against texts of unknown software, such as those of a former version, that go on at any
--- a/batch/task.go
+++ b/batch/task.go
@@ -47,6 +47,7 @@
 	startBy        time.Time     // latest start, see queue.latestStart
 	textCompleteAt time.Time
 	retryAt        time.Time      // no retry before this time
+	begunAnew      int            // how often its text was dropped
 	waitsSince     time.Time      // for an engine that can go on with its text; zero while it does not wait
 	result         *ledger.Result // set once it is to be proposed to the ledger
 	saving         bool           // a proposal of partial text is in progress
@@ -55,12 +56,21 @@
 // maxFailures returns the number of failed runs after which the item is given up.
 func (t *task) maxFailures() int { return max(1, t.job.sub.MaxAttempts) }
 
-// maxTextWait bounds how long a text waits for an engine that can go on with it.
-const maxTextWait = 2 * time.Second
+const (
+	// minTextWait and maxTextWait bound how long a text waits for an engine that can go on with
+	// it. An engine that broke off gets no runs for pauseBroken.
+	minTextWait = pauseBroken + 100*time.Millisecond
+	maxTextWait = 2 * time.Second
+	// maxWaitDoublings bounds the wait of a text that has begun anew several times.
+	maxWaitDoublings = 4
+	// defaultEventTime is used while the time per event is not known.
+	defaultEventTime = 50 * time.Millisecond
+)
 
 // waitedEnough reports whether a task that waits for an engine of the software of its text has
 // waited for as long as it takes to generate the text again. To begin it anew then costs twice
-// the least that was possible, at most.
+// the least that was possible, at most. The wait doubles each time, so that a text whose runs
+// break off on all engines ends all the same.
 func (t *task) waitedEnough(now time.Time, perEvent time.Duration) bool {
 	if t.text.length() == 0 {
 		return false // any engine would do
@@ -68,11 +78,18 @@
 	if t.waitsSince.IsZero() {
 		t.waitsSince = now
 	}
-	return now.Sub(t.waitsSince) >= min(time.Duration(t.text.length())*perEvent, maxTextWait)
+	if perEvent == 0 {
+		perEvent = defaultEventTime
+	}
+	wait := time.Duration(t.text.length()) * perEvent << min(t.begunAnew, maxWaitDoublings)
+	return now.Sub(t.waitsSince) >= min(max(wait, minTextWait), maxTextWait)
 }
 
 // beginAnew drops the text of the task.
-func (t *task) beginAnew() { t.text, t.runTime = text{}, 0 }
+func (t *task) beginAnew() {
+	t.text, t.runTime = text{}, 0
+	t.begunAnew++
+}
 
 // cancelled reports whether the current run was cancelled and has not ended yet.
 func (t *task) cancelled() bool { return t.run != nil && t.run.cancelReason != "" }
