--- a/forward/choose.go
+++ b/forward/choose.go
@@ -72,9 +72,9 @@
 	return !w.tried[t.ID] && (!w.software.Known() || w.software == t.Software())
 }
 
-// refused returns the ids of the ready targets to which the request may not be sent, and of
+// excluded returns the ids of the ready targets to which the request may not be sent, and of
 // those that were tried.
-func (w wanted) refused(v *directory.View) []string {
+func (w wanted) excluded(v *directory.View) []string {
 	out := slices.Collect(maps.Keys(w.tried))
 	if w.software.Known() {
 		for _, t := range v.Ready(w.service) {
@@ -92,7 +92,7 @@
 // of callers.
 func (u *requestState) acquire(ctx context.Context, alternative bool) *wire.TargetEntry {
 	targets := u.wanted()
-	w := ratelimit.Want{Service: targets.service, Except: targets.refused(u.f.Directory.View()), Priority: u.priority(), Only: !alternative && u.refused == 0}
+	w := ratelimit.Want{Service: targets.service, Except: targets.excluded(u.f.Directory.View()), Priority: u.priority(), Only: !alternative && u.refused == 0}
 	if !u.r.Background {
 		w.Patience = time.Duration(float64(u.r.Route.Goal) * maxWaitFraction)
 	}
--- a/streams/keeper.go
+++ b/streams/keeper.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// tellTimeout bounds the telling of streams that begin: the wait for its turn, a commit of the leader and a few
-	// round trips.
+	// tellTimeout bounds the telling of streams that begin: the wait for the process's turn, a
+	// commit of the leader and a few round trips.
 	tellTimeout = 1500 * time.Millisecond
 	// findTimeout bounds a question for streams that are taken up.
 	findTimeout = 500 * time.Millisecond
@@ -63,13 +63,13 @@
 	mu        sync.Mutex
 	ask       askFunc // nil before Follow
 	own       memory
-	untold    map[Key]*Beginning
+	untold    map[Key]*Beginning // of which the leader has not said that they are recorded
 	waiting   []*question
 	toldAt    time.Duration // when the leader was last told
 	interval  time.Duration // least time until it is told again
 	notTold   bool          // the leader did not take what it was told, and is told nothing for a while
 	notAsked  bool          // the same of questions
-	stopWaits chan struct{}
+	stopWaits chan struct{} // closed while notTold
 }
 
 // NewKeeper returns a keeper that knows no stream.
