forward, streams, platform: what reading the whole change again found

No behaviour changes. The targets that a request may go to were worked out anew for each look at the list and once more for a grant; they are worked out once. Opening.Deliver asked twice whether a record is replaced.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -35,14 +35,15 @@
 // it. A target with a limit is chosen only with a grant. A background request waits while it
 // would only make a queue longer.
 func (u *requestState) choose(ctx context.Context, beside bool) *wire.TargetEntry {
+	w := u.wanted()
 	until := time.Now().Add(time.Until(u.r.Deadline) / 2)
 	for {
-		c := u.f.choose(time.Now(), u.wanted(), !beside, u.r.Background)
+		c := u.f.choose(time.Now(), w, !beside, u.r.Background)
 		if c.needsGrant {
-			if granted := u.acquire(ctx, c.alternative); granted != nil || ctx.Err() != nil {
+			if granted := u.acquire(ctx, w, c.alternative); granted != nil || ctx.Err() != nil {
 				return granted
 			}
-			c = u.f.choose(time.Now(), u.wanted(), false, u.r.Background)
+			c = u.f.choose(time.Now(), w, false, u.r.Background)
 			c.queues = true
 		}
 		if c.target != nil || !c.queues || !u.r.Background || beside || !u.f.awaitRoom(ctx, until) {
@@ -90,8 +91,7 @@
 // acquire returns a target with a limit that may get the request now, and counts an outstanding
 // request on it, or nil. Background requests get no turn ahead of time: they would take those
 // of callers.
-func (u *requestState) acquire(ctx context.Context, alternative bool) *wire.TargetEntry {
-	targets := u.wanted()
+func (u *requestState) acquire(ctx context.Context, targets wanted, alternative bool) *wire.TargetEntry {
 	w := ratelimit.Want{Service: targets.service, Except: targets.excluded(u.f.Directory.View()), Priority: u.priority(), Only: !alternative && u.refused == 0}
 	if !u.r.Background {
 		w.Patience = time.Duration(float64(u.r.Route.Goal) * maxWaitFraction)
--- a/forward/takeup.go
+++ b/forward/takeup.go
@@ -134,7 +134,7 @@
 }
 
 // follows reports whether an event may be the next one after another. Ids that are no numbers
-// are not compared. Some services leave numbers out; a stream without gaps has none after it
+// only have to differ. Some services leave numbers out; a stream without gaps has none after it
 // has gone on either.
 func follows(event, last string, gaps bool) bool {
 	next, err := strconv.ParseInt(event, 10, 64)
--- a/streams/key.go
+++ b/streams/key.go
@@ -5,7 +5,8 @@
 // after all processes have lost power. So the Keeper of the process that begins a stream tells
 // the control leader before the caller gets the first event, the leader has the record
 // committed, and the Keeper of the process that gets the stream asks for it. A stream without a
-// record is not taken up.
+// record is taken up only where its service has had a single software for longer than callers
+// come back.
 package streams
 
 import (
--- a/streams/opening.go
+++ b/streams/opening.go
@@ -65,11 +65,11 @@
 // returns false if the stream must not begin there. One that begins without a record cannot be
 // taken up at other processes until it has one.
 func (o *Opening) Deliver(ctx context.Context) bool {
-	limit := recordLimit
-	if o.replaces() {
+	limit, replaces := recordLimit, o.replaces()
+	if replaces {
 		limit = replaceLimit
 	}
-	if !o.k.await(ctx, o.last, limit) && o.replaces() {
+	if !o.k.await(ctx, o.last, limit) && replaces {
 		return false
 	}
 	o.k.delivered(o.key, o.last.software)
