--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # standard library only.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review/standins ./review/standins
+go build -o target/review/standins ./review
--- a/review/standins/main.go
+++ b/review/main.go
@@ -1,4 +1,4 @@
-// Command standins plays the platform, the targets, the clients and the operator for the
+// Command review plays the platform, the targets, the clients and the operator for the
 // cases of the review, and starts the project's own programs as processes on loopback
 // addresses. It exits with 1 if a rule was broken, 0 if it held, and 2 if the case could
 // not run.
--- a/review/standins/platform.go
+++ b/review/platform.go
@@ -28,13 +28,16 @@
 	servers []*http.Server
 	engines []*engine
 	plain   *plain
+
+	mu      sync.Mutex
+	further func() []any // further entries of the list; nil if there are none
 }
 
 func newPlatform(rec *record, engines int) (*platform, error) {
 	p := &platform{rec: rec}
 	var err error
 	for i := range engines {
-		e := &engine{id: fmt.Sprint("i-e", i), version: 1, born: time.Now().UnixMilli()}
+		e := &engine{id: fmt.Sprint("i-e", i), service: engineService, version: 1, born: time.Now().UnixMilli()}
 		if e.address, err = p.listen(e); err != nil {
 			return nil, err
 		}
@@ -73,6 +76,11 @@
 	for _, e := range p.engines {
 		list = append(list, e.entry())
 	}
+	p.mu.Lock()
+	if p.further != nil {
+		list = append(list, p.further()...)
+	}
+	p.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": list, "nextToken": nil})
 }
@@ -151,19 +159,20 @@
 
 // engine is a model replica. It generates as many events as the length hint of a request.
 type engine struct {
-	id, address string
-	born        int64
-	mu          sync.Mutex
-	version     uint64
-	orders      uint64
-	fence       uint64
+	id, address, service string
+	born                 int64
+	mu                   sync.Mutex
+	version              uint64
+	orders               uint64
+	fence                uint64
+	ran                  []string // ids of the items that it has begun
 }
 
 func (e *engine) entry() map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
-		"id": e.id, "service": engineService, "address": e.address, "zone": "bole", "version": "v1", "slots": 12, "state": "ready",
+		"id": e.id, "service": e.service, "address": e.address, "zone": "bole", "version": "v1", "slots": 12, "state": "ready",
 		"coldLeftMs": 0, "stage": "both", "born": e.born, "models": []any{map[string]any{"name": modelName, "version": e.version, "adapters": []any{}}},
 	}
 }
@@ -219,6 +228,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.mu.Lock()
+	e.ran = append(e.ran, r.Header.Get("X-Request-Id"))
+	e.mu.Unlock()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	events, _ := strconv.Atoi(r.Header.Get("X-Length-Hint"))
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -273,3 +285,10 @@
 	b, _ := json.Marshal(map[string]any{"trainStep": 0, "model": modelName, "minVersion": 1, "desired": items / 4, "requests": list})
 	return b
 }
+
+// setFurther sets the further entries of the list.
+func (p *platform) setFurther(f func() []any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.further = f
+}
