--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 runs it without the disruption. It writes record.txt here. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standins ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/review/standins overlap review/3
+exec target/review/standins replaced review/3
--- a/review/cluster.go
+++ b/review/cluster.go
@@ -48,6 +48,8 @@
 	platform *platform
 	client   *http.Client
 	once     sync.Once
+	catchUp  string // catchUpS
+	fencing  bool   // enforceFencing
 }
 
 func newCluster(rec *record) (*cluster, error) {
@@ -58,7 +60,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &cluster{rec: rec, dir: dir, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}, nil
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &cluster{rec: rec, dir: dir, client: client, catchUp: "5.1", fencing: true}, nil
 }
 
 // end ends all processes that the cluster has started and removes its folder.
@@ -117,7 +120,7 @@
 }
 
 // settings returns the settings file of a machine, with the values of the site file
-// abay-approve.
+// abay-approve, but for catchUpS and enforceFencing where a case is of another site.
 func (c *cluster) settings(m *machine, bootstrap bool) string {
 	class, role, serves := "edge", "entry", `"edge"`
 	listen := fmt.Sprintf("front = \"%s:%d\"\nready = \"%s:%d\"", m.ip, portFront, m.ip, portReady)
@@ -159,7 +162,7 @@
 reuseAfterS = 2
 contactMs = 3000
 ackMs = 4000
-catchUpS = 5.1
+catchUpS = %s
 drainMs = 3000
 gracePeriodS = 8
 lossSlackMs = 200
@@ -172,7 +175,7 @@
 statusS = 120
 cancelMs = 3000
 settleMs = 1000
-enforceFencing = true
+enforceFencing = %v
 leaseTtlMs = 3000
 thawSlackMs = 300
 [cloudApi]
@@ -180,7 +183,7 @@
 ratePerS = 44.0
 tasks = []
 maxLagMs = 800
-`, m.name, role, class, serves, m.ip, m.zone, strings.Join(c.seeds, ","), bootstrap, budget, data, listen, memory, c.platform.list)
+`, m.name, role, class, serves, m.ip, m.zone, strings.Join(c.seeds, ","), bootstrap, budget, data, listen, memory, c.catchUp, c.fencing, c.platform.list)
 }
 
 func (m *machine) dataDir() string { return filepath.Join(m.dir, "data") }
--- a/review/overlap.go
+++ b/review/overlap.go
@@ -33,16 +33,9 @@
 	if err := c.deploy(4, 2); err != nil {
 		return nil, err
 	}
-	version, id := 2, fmt.Sprintf("lot%x", time.Now().UnixNano())
-	if !c.putManifest(version, manifest(version), 5*time.Second) {
-		return nil, fmt.Errorf("%w: the manifest was not acknowledged", errNotRun)
-	}
-	if !c.submit(id, submission(id, 8, 20), 5*time.Second) {
-		return nil, fmt.Errorf("%w: the batch submission was not accepted", errNotRun)
-	}
-	read := c.readAll(id, 8, 15*time.Second)
-	if read < 8 {
-		return nil, fmt.Errorf("%w: %d of 8 results were listed before the disruption", errNotRun, read)
+	version, id, err := c.acknowledged()
+	if err != nil {
+		return nil, err
 	}
 	if trouble {
 		if err := c.freezeAndWipe(); err != nil {
@@ -73,7 +66,7 @@
 	began := time.Now()
 	c.rec.printf("%s freezes (%s leads)", frozen.name, leader.name)
 	frozen.signal(syscall.SIGSTOP)
-	time.Sleep(time.Until(began.Add(wipedAfter())))
+	time.Sleep(time.Until(began.Add(wipedAfter(defaultWipedAfter))))
 	wiped.kill()
 	if err := wiped.wipe(); err != nil {
 		return err
@@ -91,18 +84,34 @@
 	return nil
 }
 
-func wipedAfter() time.Duration {
+// acknowledged has a manifest acknowledged and a batch submission accepted, whose 8 results it
+// reads.
+func (c *cluster) acknowledged() (version int, id string, err error) {
+	version, id = 2, fmt.Sprintf("lot%x", time.Now().UnixNano())
+	if !c.putManifest(version, manifest(version), 5*time.Second) {
+		return 0, "", fmt.Errorf("%w: the manifest was not acknowledged", errNotRun)
+	}
+	if !c.submit(id, submission(id, 8, 20), 5*time.Second) {
+		return 0, "", fmt.Errorf("%w: the batch submission was not accepted", errNotRun)
+	}
+	if read := c.readAll(id, 8, 15*time.Second); read < 8 {
+		return 0, "", fmt.Errorf("%w: %d of 8 results were listed before the disruption", errNotRun, read)
+	}
+	return version, id, nil
+}
+
+func wipedAfter(otherwise time.Duration) time.Duration {
 	if ms, err := strconv.Atoi(os.Getenv("WIPED_AFTER_MS")); err == nil {
 		return time.Duration(ms) * time.Millisecond
 	}
-	return defaultWipedAfter
+	return otherwise
 }
 
 // deploy starts storage and edge machines and puts the first manifest, and returns when
 // traffic begins.
 func (c *cluster) deploy(storage, edge int) error {
 	var err error
-	if c.platform, err = newPlatform(c.rec, 3); err != nil {
+	if c.platform, err = newPlatform(3); err != nil {
 		return err
 	}
 	zones := []string{"bole", "kirkos", "yeka", "lideta"}
--- a/review/platform.go
+++ b/review/platform.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -23,7 +22,6 @@
 // platform is a sound stand-in of the platform's list, of model replicas and of a plain
 // service.
 type platform struct {
-	rec     *record
 	list    string
 	servers []*http.Server
 	engines []*engine
@@ -33,8 +31,8 @@
 	further func() []any // further entries of the list; nil if there are none
 }
 
-func newPlatform(rec *record, engines int) (*platform, error) {
-	p := &platform{rec: rec}
+func newPlatform(engines int) (*platform, error) {
+	p := &platform{}
 	var err error
 	for i := range engines {
 		e := &engine{id: fmt.Sprint("i-e", i), service: engineService, version: 1, born: time.Now().UnixMilli()}
@@ -43,7 +41,7 @@
 		}
 		p.engines = append(p.engines, e)
 	}
-	p.plain = &plain{id: "i-s0", born: time.Now().UnixMilli(), rec: rec}
+	p.plain = &plain{id: "i-s0", born: time.Now().UnixMilli()}
 	if p.plain.address, err = p.listen(p.plain); err != nil {
 		return nil, err
 	}
@@ -85,22 +83,10 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": list, "nextToken": nil})
 }
 
-// plain is a replica of a plain service. It signs each response with a receipt. A request
-// under /stream/ is answered with events until the time after its arrival that the path
-// names in ms. It drops a request whose channel closes.
+// plain is a replica of a plain service. It signs each response with a receipt.
 type plain struct {
 	id, address string
 	born        int64
-	rec         *record
-	mu          sync.Mutex
-	runs        []streamRun
-}
-
-// streamRun is what a replica saw of a stream.
-type streamRun struct {
-	id       string
-	ended    time.Time
-	complete bool
 }
 
 func (s *plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -111,52 +97,9 @@
 		return
 	}
 	w.Header().Set("X-Response-Signature", "receipt-"+id)
-	if name, ok := strings.CutPrefix(r.URL.Path, "/stream/"); ok {
-		ms, _ := strconv.Atoi(strings.Trim(name, "/"))
-		s.stream(w, r, id, time.Duration(ms)*time.Millisecond)
-		return
-	}
 	_, _ = w.Write([]byte("answer to " + r.RequestURI))
 }
 
-const streamInterval = 100 * time.Millisecond
-
-func (s *plain) stream(w http.ResponseWriter, r *http.Request, id string, lasts time.Duration) {
-	end := time.NewTimer(lasts)
-	defer end.Stop()
-	ticker := time.NewTicker(streamInterval)
-	defer ticker.Stop()
-	w.Header().Set("Content-Type", "text/event-stream")
-	flush := http.NewResponseController(w).Flush
-	for n := 1; ; n++ {
-		done := false
-		select {
-		case <-ticker.C:
-		case <-end.C:
-			done = true
-		case <-r.Context().Done():
-			s.note(streamRun{id: id, ended: time.Now()})
-			return
-		}
-		text := fmt.Sprintf("%s.%d", id, n)
-		if done {
-			text = "last"
-		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, text)
-		_ = flush()
-		if done {
-			s.note(streamRun{id: id, ended: time.Now(), complete: true})
-			return
-		}
-	}
-}
-
-func (s *plain) note(r streamRun) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs = append(s.runs, r)
-}
-
 // engine is a model replica. It generates as many events as the length hint of a request.
 type engine struct {
 	id, address, service string
@@ -248,15 +191,13 @@
 	}
 }
 
-// manifest returns a manifest with a batch route, a plain route and a route of streams.
+// manifest returns a manifest with a batch route and a plain route.
 func manifest(version int) []byte {
 	routes := []any{
 		map[string]any{"name": "r-batch", "host": clientHost, "pathPrefix": "/batch/", "kind": "rollout", "timeoutMs": 12000, "latencyGoalMs": 500,
 			"priority": 1, "service": engineService, "maxAttempts": 3, "dueMs": 7500, "itemTtlS": 60},
 		map[string]any{"name": "r-plain", "host": clientHost, "pathPrefix": "/plain/", "kind": "idempotent", "timeoutMs": 2000, "latencyGoalMs": 150,
 			"priority": 2, "service": plainService, "maxAttempts": 3},
-		map[string]any{"name": "r-stream", "host": clientHost, "pathPrefix": "/stream/", "kind": "streaming", "timeoutMs": 12000, "latencyGoalMs": 500,
-			"priority": 1, "service": plainService, "maxAttempts": 1},
 	}
 	b, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
