--- a/review/moved.go
+++ b/review/moved.go
@@ -18,13 +18,13 @@
 // configTime is configMs.
 const configTime = 2 * time.Second
 
-// weights moves the batch route to another service of replicas by its weights, 100 and 0, and
-// looks for items of a later batch submission at the former one. Without the trouble the route
-// stays where it is, and there is no other service.
+// weights puts a manifest that names another service of replicas beside that of the batch
+// route, with weight 0, and looks for items at it. No manifest ever allows it. Without the
+// trouble the route stays as it is, and there is no other service.
 func weights(c *cluster, trouble bool) ([]string, error) {
 	others, err := c.deployOther(trouble, []any{
-		map[string]any{"service": otherService, "weight": 100},
-		map[string]any{"service": engineService, "weight": 0},
+		map[string]any{"service": engineService, "weight": 100},
+		map[string]any{"service": otherService, "weight": 0},
 	})
 	if err != nil {
 		return nil, err
@@ -33,12 +33,12 @@
 	if err != nil {
 		return nil, err
 	}
-	former, other := c.runsAt(c.platform.engines), c.runsAt(others)
-	if former+other == 0 {
+	right, other := c.runsAt(c.platform.engines), c.runsAt(others)
+	if right+other == 0 {
 		return nil, fmt.Errorf("%w: no item ran", errNotRun)
 	}
-	if trouble && former > 0 {
-		return []string{fmt.Sprintf("%d of %d runs of items of %s, which was sent later than configMs after the confirmation of manifest 2, were at %s, which only manifest 1 allows", former, former+other, id, engineService)}, nil
+	if other > 0 {
+		return []string{fmt.Sprintf("%d of %d runs of items of %s were at %s, to which no manifest ever sent allows them to go", other, right+other, id, otherService)}, nil
 	}
 	return nil, nil
 }
