replica: a disk error stops a replica until the disk works, not until a restart

Cause: Core stopped for good at the first write that failed, and nothing restarts the process. Each refused write cost a voter; the second one the majority.

Change: after a disk error the replica closes its data directory and opens it again, with pauses of 0.1 to 1 s, as a restart does: the log is copied to a new file and synced before it is used. The state machine keeps its state and skips entries that it has applied. Damaged data, another id and entries of a newer program still need a restart.

--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -208,8 +208,7 @@
 	})
 	h.sim.checkSingleLeader(h)
 	if h.core != nil && h.core.Err() != nil {
-		h.sim.counts["stopped by disk error"]++
-		h.kill(h.sim.random(500*time.Millisecond, 3*time.Second))
+		h.sim.counts["step while stopped by a disk error"]++
 	}
 }
 
--- a/replica/core.go
+++ b/replica/core.go
@@ -70,6 +70,8 @@
 	// SnapshotBytes is the size of applied commands that triggers a snapshot before
 	// SnapshotEvery is reached. An eighth of it is retained for slow followers.
 	SnapshotBytes int
+	// OnSync, if set, is called with the duration of each sync of the log.
+	OnSync func(time.Duration)
 	// Background, when set, runs work on another goroutine and passes its result to
 	// Core.Finish. Snapshots of a Freezer are then encoded and written there, because
 	// that takes longer than the leader lease.
@@ -89,6 +91,13 @@
 	keepBytesDivisor = 8
 )
 
+// After a disk error the data directory is opened again, first after minReopenPause. Each
+// failed attempt reads the whole log, so the pause doubles up to maxReopenPause.
+const (
+	minReopenPause = 100 * time.Millisecond
+	maxReopenPause = time.Second
+)
+
 // ProposeDone receives the outcome of a proposal.
 type ProposeDone func(result any, index uint64, err error)
 
@@ -106,7 +115,9 @@
 	options            CoreOptions
 	node               *consensus.Node
 	store              *storage.Store
-	applied            uint64
+	peers              *consensus.SetPeers // as last set, nil before
+	applied            uint64              // last entry that the state machine contains
+	delivered          uint64              // last committed entry from the node; below applied for a while after a reopening
 	snapshotIndex      uint64
 	bytesSinceSnapshot int // size of the commands applied since the snapshot
 	nextKey            uint64
@@ -114,6 +125,9 @@
 	awaitingApply      map[uint64]proposal    // by index: appended to the log, not applied yet
 	reads              map[uint64]ReadDone
 	failed             error
+	final              bool          // the replica stays stopped
+	reopenAt           time.Duration // next attempt to open the data directory, 0 if none is planned
+	reopenPause        time.Duration
 	snapshotRunning    bool // a background snapshot is in progress
 }
 
@@ -133,27 +147,78 @@
 	if o.SnapshotBytes == 0 {
 		o.SnapshotBytes = defaultSnapshotBytes
 	}
-	store, recovered, err := storage.Open(o.FS, o.NewID)
-	if err != nil {
+	c := &Core{
+		options:        o,
+		awaitingAccept: make(map[uint64]ProposeDone),
+		awaitingApply:  make(map[uint64]proposal),
+		reads:          make(map[uint64]ReadDone),
+	}
+	if err := c.open(now); err != nil {
 		return nil, err
 	}
-	if recovered.Snapshot.Index > 0 {
-		if err := o.Machine.Restore(recovered.Snapshot.Data); err != nil {
+	return c, nil
+}
+
+// open opens the data directory and starts a node from it. The state machine keeps its
+// state if that is newer than the snapshot.
+func (c *Core) open(now time.Duration) error {
+	store, recovered, err := storage.Open(c.options.FS, c.options.NewID)
+	if err != nil {
+		return err
+	}
+	if c.store != nil && store.ID() != c.store.ID() {
+		store.Close()
+		return eris.Wrapf(errReplaced, "id %x instead of %x", store.ID(), c.store.ID())
+	}
+	if recovered.Snapshot.Index > c.applied {
+		if err := c.options.Machine.Restore(recovered.Snapshot.Data); err != nil {
 			store.Close()
-			return nil, eris.Wrap(err, "replica: restore the state machine from the snapshot")
+			return eris.Wrap(errNotRestored, err.Error())
 		}
+		c.applied = recovered.Snapshot.Index
+	}
+	store.OnSync = c.options.OnSync
+	c.options.Consensus.ID = store.ID()
+	c.node, c.store = consensus.New(c.options.Consensus, recovered, now), store
+	c.snapshotIndex, c.delivered = recovered.Snapshot.Index, recovered.Snapshot.Index
+	c.bytesSinceSnapshot = 0
+	return nil
+}
+
+// Errors after which the data directory is not opened again.
+var (
+	errReplaced    = eris.New("replica: the data directory has been replaced")
+	errNotRestored = eris.New("replica: restore the state machine from the snapshot")
+)
+
+// reopen opens the data directory again after a disk error, once the disk works. The
+// replica continues as after a restart of its process: what was saved is in the log, and
+// a write that failed may be.
+func (c *Core) reopen(now time.Duration) {
+	if c.final || c.snapshotRunning {
+		return
+	}
+	if c.reopenAt == 0 {
+		c.reopenPause = minReopenPause
+		c.reopenAt = now + c.reopenPause
+	}
+	if now < c.reopenAt {
+		return
+	}
+	c.store.Close()
+	err := c.open(now)
+	switch {
+	case err == nil:
+		c.failed, c.reopenAt = nil, 0
+		if c.peers != nil {
+			c.step(now, *c.peers)
+		}
+	case errors.Is(err, storage.ErrCorrupt), errors.Is(err, errReplaced), errors.Is(err, errNotRestored):
+		c.failed, c.final = err, true
+	default:
+		c.reopenPause = min(2*c.reopenPause, maxReopenPause)
+		c.reopenAt = now + c.reopenPause
 	}
-	o.Consensus.ID = store.ID()
-	return &Core{
-		options:        o,
-		node:           consensus.New(o.Consensus, recovered, now),
-		store:          store,
-		applied:        recovered.Snapshot.Index,
-		snapshotIndex:  recovered.Snapshot.Index,
-		awaitingAccept: make(map[uint64]ProposeDone),
-		awaitingApply:  make(map[uint64]proposal),
-		reads:          make(map[uint64]ReadDone),
-	}, nil
 }
 
 // Status returns the current status.
@@ -167,14 +232,26 @@
 	return s
 }
 
-// Err returns the error that stopped the replica, usually a disk error, or nil.
+// Err returns the error that stopped the replica, usually a disk error, or nil if it runs.
 func (c *Core) Err() error { return c.failed }
 
 // Durable returns what is persisted in the data directory.
 func (c *Core) Durable() consensus.Durable { return c.store.Durable() }
 
-// Tick lets the consensus state act on the time that has passed.
-func (c *Core) Tick(now time.Duration) { c.step(now, consensus.Tick{}) }
+// Tick lets the consensus state act on the time that has passed. After a disk error it
+// tries to open the data directory again.
+func (c *Core) Tick(now time.Duration) {
+	if c.failed != nil {
+		c.reopen(now)
+	}
+	c.step(now, consensus.Tick{})
+}
+
+// SetPeers sets the replicas to ask for admission and those that must not be members.
+func (c *Core) SetPeers(now time.Duration, peers consensus.SetPeers) {
+	c.peers = &peers
+	c.step(now, peers)
+}
 
 // Receive handles a message from another replica.
 func (c *Core) Receive(now time.Duration, m *consensus.Message) {
@@ -229,7 +306,7 @@
 }
 
 // Flush processes the output of all steps since the last Flush: it persists, sends,
-// applies and answers. It does nothing after a failure.
+// applies and answers. It does nothing while the replica is stopped by an error.
 func (c *Core) Flush(now time.Duration) {
 	for c.failed == nil {
 		out, ok := c.node.Take()
@@ -252,7 +329,7 @@
 	}
 	if out.Durable() {
 		if err := c.store.Save(out); err != nil {
-			c.fail(err)
+			c.failDisk(err)
 			return
 		}
 	}
@@ -301,7 +378,7 @@
 	}
 	data, err := c.store.ReadState(m.Offset, m.ReadBytes)
 	if err != nil {
-		c.fail(eris.Wrap(err, "replica: read the snapshot"))
+		c.failDisk(eris.Wrap(err, "replica: read the snapshot"))
 		return false
 	}
 	m.Data = data
@@ -311,6 +388,11 @@
 func (c *Core) applyAll(entries []consensus.Entry) {
 	for i := range entries {
 		e := &entries[i]
+		c.delivered = e.Index
+		c.bytesSinceSnapshot += len(e.Data)
+		if e.Index <= c.applied {
+			continue // applied before the data directory was opened again
+		}
 		var result any
 		if e.Kind == consensus.EntryCommand {
 			result = c.options.Machine.Apply(e.Index, e.Term, e.Data)
@@ -320,7 +402,6 @@
 			return
 		}
 		c.applied = e.Index
-		c.bytesSinceSnapshot += len(e.Data)
 		c.completeProposal(e, result)
 	}
 }
@@ -349,18 +430,20 @@
 }
 
 func (c *Core) installSnapshot(s *consensus.Snapshot) {
-	if err := c.options.Machine.Restore(s.Data); err != nil {
-		c.fail(eris.Wrap(err, "replica: restore the leader's snapshot"))
-		return
+	if s.Index > c.applied {
+		if err := c.options.Machine.Restore(s.Data); err != nil {
+			c.fail(eris.Wrap(err, "replica: restore the leader's snapshot"))
+			return
+		}
+		c.applied = s.Index
 	}
-	c.applied = s.Index
-	c.snapshotIndex = s.Index
+	c.snapshotIndex, c.delivered = s.Index, s.Index
 	c.bytesSinceSnapshot = 0
 }
 
 func (c *Core) maybeSnapshot(now time.Duration) {
 	due := c.applied >= c.snapshotIndex+c.options.SnapshotEvery || c.bytesSinceSnapshot >= c.snapshotThreshold()
-	if c.failed != nil || !due || c.applied == c.snapshotIndex {
+	if c.failed != nil || !due || c.applied == c.snapshotIndex || c.delivered < c.applied {
 		return
 	}
 	if f, ok := c.options.Machine.(Freezer); ok && c.options.Background != nil {
@@ -412,23 +495,38 @@
 // Finish handles the result of work that Background ran.
 func (c *Core) Finish(now time.Duration, result any) {
 	s, ok := result.(backgroundSnapshot)
-	if !ok || c.failed != nil {
+	if !ok {
 		return
 	}
 	c.snapshotRunning = false
+	if c.failed != nil {
+		return
+	}
 	if s.err != nil && c.node.Status().Snapshot >= s.snapshot.Index {
 		return // replaced, along with its file, by a snapshot from the leader
 	}
 	if s.err != nil {
-		c.fail(eris.Wrap(s.err, "replica: take a snapshot"))
+		c.failDisk(eris.Wrap(s.err, "replica: take a snapshot"))
 		return
 	}
 	c.compact(now, consensus.Compact{Index: s.snapshot.Index, Size: s.snapshot.Size})
 }
 
-// fail stops the replica until the process restarts. Entries that were written but
-// not synced may survive on disk, so the outcome of their proposals is unknown.
+// fail stops the replica until the process restarts.
 func (c *Core) fail(err error) {
+	c.final = true
+	c.stop(err)
+}
+
+// failDisk stops the replica until its data directory can be opened again. What a failed
+// write has left on the disk is not known before.
+func (c *Core) failDisk(err error) {
+	c.stop(err)
+}
+
+// stop ends all requests. Entries that were written but not synced may survive on disk, so
+// the outcome of their proposals is unknown.
+func (c *Core) stop(err error) {
 	c.failed = err
 	c.failProposals(ErrUnknownOutcome)
 	for key, done := range c.awaitingAccept {
@@ -452,7 +550,8 @@
 // Close fails all outstanding requests and releases the data directory.
 func (c *Core) Close() {
 	if c.failed == nil {
-		c.fail(ErrStopped)
+		c.stop(ErrStopped)
 	}
+	c.final = true
 	c.store.Close()
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -80,9 +80,9 @@
 
 	// flushQueued is set while a flushMessage is in the mailbox. Only the actor's
 	// goroutine uses it.
-	flushQueued   bool
-	failureLogged bool // the error that stopped the replica has been logged
-	background    sync.WaitGroup
+	flushQueued bool
+	failure     error // that stopped the replica, as last logged
+	background  sync.WaitGroup
 }
 
 type (
@@ -130,6 +130,7 @@
 	r.lateTick = cmp.Or(config.Lease, consensus.DefaultLease) / lateTickDivisor
 	core, err := OpenCore(CoreOptions{
 		Consensus:     config,
+		OnSync:        func(d time.Duration) { r.metrics.syncSeconds.Observe(d.Seconds()) },
 		FS:            fs,
 		NewID:         randomID,
 		Machine:       o.Machine,
@@ -144,7 +145,6 @@
 	}
 	r.core = core
 	r.metrics = newMetrics(o.Observer.Registry)
-	core.store.OnSync = func(d time.Duration) { r.metrics.syncSeconds.Observe(d.Seconds()) }
 	r.publishStatus()
 	o.Observer.AddDump("replica", func() any { return r.Status() })
 	o.Observer.AddReadyCheck("replica", r.ready)
@@ -256,7 +256,7 @@
 		r.flush()
 		r.log.WithField("ms", (r.now() - now).Milliseconds()).Info("result of the background snapshot has been processed")
 	case peersCall:
-		r.core.step(now, consensus.SetPeers{Names: m.names, Excluded: m.excluded})
+		r.core.SetPeers(now, consensus.SetPeers{Names: m.names, Excluded: m.excluded})
 	case handoverMessage:
 		r.core.Handover(now)
 	case flushMessage:
@@ -276,9 +276,18 @@
 func (r *Replica) flush() {
 	r.core.Flush(r.now())
 	r.publishStatus()
-	if err := r.core.Err(); err != nil && !r.failureLogged {
-		r.failureLogged = true
-		r.log.Errorf("stopped until restart: %v", err)
+	r.logFailure()
+}
+
+// logFailure logs that an error has stopped the replica, and that it runs again.
+func (r *Replica) logFailure() {
+	switch err := r.core.Err(); {
+	case err == nil && r.failure != nil:
+		r.log.WithField("applied", r.core.Status().Applied).Warnf("runs again after: %v", r.failure)
+		r.failure = nil
+	case err != nil && (r.failure == nil || r.failure.Error() != err.Error()):
+		r.log.Errorf("stopped: %v", err)
+		r.failure = err
 	}
 }
 
--- a/storage/store.go
+++ b/storage/store.go
@@ -21,7 +21,7 @@
 )
 
 // ErrFailed is wrapped by every error of Save, from the first failed write or sync
-// on. The disk contents are then unknown, so no write is retried until a restart.
+// on. The disk contents are then unknown, so the directory must be closed and opened again.
 var ErrFailed = eris.New("storage: an earlier write or sync failed")
 
 // ErrClosed is returned by Save after Close.
@@ -352,7 +352,7 @@
 
 // WriteSnapshot writes and syncs a snapshot file with the state that encode writes,
 // and returns the size of the state. It may run concurrently with Save. A later
-// Save with the compaction makes the log refer to the snapshot; until then a restart
+// Save with the compaction makes the log refer to the snapshot; until then Open
 // removes the file.
 func (s *Store) WriteSnapshot(snapshot *consensus.Snapshot, encode func(w io.Writer) error) (uint64, error) {
 	meta := *snapshot
