rollout: the body store writes again a second after a refused write

Change: writes are refused for 1 s. ReplaceFile writes each attempt to a new file and removes the incomplete one, so the sync that failed is not repeated and a full disk gets its room back.

--- a/rollout/store.go
+++ b/rollout/store.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -19,6 +20,8 @@
 const (
 	bodySuffix   = ".body"
 	bodyFileMode = 0o666 // before the umask
+	// writeErrPause is the time after a failed write in which the store refuses others.
+	writeErrPause = time.Second
 )
 
 // ErrNoBody is returned for a body of which the store has no intact copy.
@@ -33,10 +36,12 @@
 
 	mu      sync.Mutex
 	present map[wire.BodyKey]bool
-	// writeErr is the first failed write or sync; the store then refuses further
-	// writes. The page cache may have dropped the data, so a repeated sync could
-	// wrongly report success.
-	writeErr error
+	// writeErr is the failed write or sync after which the store refuses further writes
+	// until writeErrUntil. A sync is never repeated, because the page cache may have dropped
+	// the data; the next write makes a new file.
+	writeErr      error
+	writeErrUntil time.Time
+	now           func() time.Time // replaced by tests
 	// skipDigest disables the check of a body when it is read, for tests.
 	skipDigest bool
 }
@@ -47,7 +52,7 @@
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return nil, eris.Wrap(err, "rollout: create body store")
 	}
-	s := &Store{dir: dir, present: map[wire.BodyKey]bool{}}
+	s := &Store{dir: dir, present: map[wire.BodyKey]bool{}, now: time.Now}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, eris.Wrap(err, "rollout: read body store")
@@ -105,7 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.writeErr = eris.Wrap(err, "rollout: write body")
+		s.writeErr, s.writeErrUntil = eris.Wrap(err, "rollout: write body"), s.now().Add(writeErrPause)
 		return s.writeErr
 	}
 	s.present[key] = true
@@ -157,9 +162,12 @@
 	return keys
 }
 
-// Err returns the error after which the store refuses writes, or nil.
+// Err returns the error for which the store refuses writes now, or nil.
 func (s *Store) Err() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.now().Before(s.writeErrUntil) {
+		s.writeErr = nil
+	}
 	return s.writeErr
 }
--- a/storage/replace.go
+++ b/storage/replace.go
@@ -9,10 +9,11 @@
 const TempSuffix = ".tmp"
 
 // ReplaceFile replaces a file, or creates it. When it returns nil the file is durable, and
-// after a failure at any point the file has its former content or the new one. A file with
-// TempSuffix may be left. Errors are those of package os.
+// after a failure at any point the file has its former content or the new one. If the process
+// ends meanwhile, a file with TempSuffix may be left. Errors are those of package os.
 func ReplaceFile(path string, data []byte, mode os.FileMode) error {
 	if err := writeSynced(path+TempSuffix, data, mode); err != nil {
+		_ = os.Remove(path + TempSuffix) // the room is needed on a full disk
 		return err
 	}
 	if err := os.Rename(path+TempSuffix, path); err != nil {
