hub: a manifest that the disk refused is cached later

If the disk refused it, a process that restarted without a control leader would serve callers by an older manifest.

Change: the write is repeated each second until it succeeds or a newer manifest is saved.

--- a/hub/cache.go
+++ b/hub/cache.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,6 +24,8 @@
 const (
 	cacheFileName = "routes"
 	cacheFileMode = 0o600
+	// cacheRetryPause is the time after a failed write until the next attempt.
+	cacheRetryPause = time.Second
 )
 
 func newManifestCache(dir string, log *logrus.Entry) *manifestCache {
@@ -35,14 +38,22 @@
 		return c
 	}
 	c.path = filepath.Join(dir, cacheFileName)
-	go func() {
-		for u := range c.pending {
-			c.write(u)
-		}
-	}()
+	go c.writeAll()
 	return c
 }
 
+// writeAll writes each manifest that is saved, again after a failure until a newer one is saved.
+func (c *manifestCache) writeAll() {
+	for u := range c.pending {
+		for !c.write(u) {
+			select {
+			case u = <-c.pending:
+			case <-time.After(cacheRetryPause):
+			}
+		}
+	}
+}
+
 // load returns the cached manifest, or nil.
 func (c *manifestCache) load() *wire.RouteUpdate {
 	if c.path == "" {
@@ -79,8 +90,9 @@
 	c.pending <- u
 }
 
-// write replaces the file durably, because a power loss discards unsynced data.
-func (c *manifestCache) write(u *wire.RouteUpdate) {
+// write replaces the file durably, because a power loss discards unsynced data. It reports
+// whether the file has been written.
+func (c *manifestCache) write(u *wire.RouteUpdate) bool {
 	b, err := wire.Marshal(u)
 	if err == nil {
 		err = storage.ReplaceFile(c.path, b, cacheFileMode)
@@ -88,4 +100,5 @@
 	if err != nil {
 		c.log.Infof("writing the manifest cache failed: %v", err)
 	}
+	return err == nil
 }
