batch: items are planned for the services of their route only

Cause: the plan chose among the engines of all services, and kept a group on its engine. Only then begin() asked the routes, refused the engine, and the same plan was made 50 ms later.

Change: each task knows its route in the manifest in force, and engines of other services can serve no task of it; moves to faster engines and texts go by the same test. A group leaves an engine of a service that its route no longer leads to. A text that only such a service could continue is dropped at once; without a route the text and the item wait.

The fixtures of the tests have a route now; what they check is unchanged.

--- a/batch/orders_test.go
+++ b/batch/orders_test.go
@@ -20,7 +20,7 @@
 func quietRunner(engines ...*engine) *Runner {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return &Runner{log: logrus.NewEntry(log), engines: engines}
+	return &Runner{o: Options{Manifests: ledger.NewManifests(nil)}, log: logrus.NewEntry(log), engines: engines}
 }
 
 // An engine loads a version while its runs continue. Its report shows that some hundred
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -72,6 +72,11 @@
 // load of weights costs: runs continue during it, but new runs of the model cannot start.
 func (e *engine) unusedSlots() int { return e.slots - e.running }
 
+// servesRoute reports whether the route in force lets the task go to the engine's service.
+func (e *engine) servesRoute(t *task) bool {
+	return t.route != nil && t.route.Serves(e.software.Service)
+}
+
 // canServe reports whether the engine may go on with the text of the task now, or begin one.
 func (e *engine) canServe(t *task) bool { return e.continues(&t.text) && e.canRun(t, &t.text) }
 
@@ -85,17 +90,17 @@
 
 // mayContinue reports whether the engine can go on with the text of the task, now or later.
 func (e *engine) mayContinue(t *task) bool {
-	if e.draining || !e.continues(&t.text) {
+	if e.draining || !e.continues(&t.text) || !e.servesRoute(t) {
 		return false
 	}
 	single := t.job.sub.SingleVersion && len(t.text.Versions) > 0
 	return !single || e.versions[t.job.sub.Model] == t.text.Versions[0]
 }
 
-// canRun reports whether the engine's weight version is allowed for further events of a text of
-// the task and is not being replaced.
+// canRun reports whether the task may go to the engine, whose weight version is allowed for
+// further events of a text of the task and is not being replaced.
 func (e *engine) canRun(t *task, have *text) bool {
-	if e.load != nil && e.load.model == t.job.sub.Model {
+	if !e.servesRoute(t) || e.load != nil && e.load.model == t.job.sub.Model {
 		return false
 	}
 	return e.weightsFit(t, have)
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"merlinhall/ledger"
+	"merlinhall/routes"
 	"merlinhall/wire"
 )
 
@@ -27,9 +28,16 @@
 		}
 	}
 	sub.Items = items
-	return newJob(ledger.Open{Submission: sub, Since: at, Remaining: items}, func(string) bool { return false })
+	j := newJob(ledger.Open{Submission: sub, Since: at, Remaining: items}, func(string) bool { return false })
+	for _, t := range j.tasks {
+		t.route = testRoute
+	}
+	return j
 }
 
+// testRoute leads to the service of testSoftware.
+var testRoute = &routes.Route{Shares: []routes.Share{{Service: "s", Weight: 1}}}
+
 var testSoftware, otherSoftware = wire.Software{Service: "s", Version: "v1"}, wire.Software{Service: "s", Version: "v2"}
 
 func testEngine(id string, slots int, version uint64) *engine {
@@ -118,7 +126,7 @@
 	j := testJob("k", start, 1, []int{600})
 	out := plan(start, pending(j).tasks, engines, &lengths{})
 	is.True(out[0].engine.id != "a")
-	running := &task{job: j, group: j.tasks["k-0-0"].group, state: taskRunning, engine: "a", size: 6000}
+	running := &task{job: j, group: j.tasks["k-0-0"].group, route: testRoute, state: taskRunning, engine: "a", size: 6000}
 	moved := func() int { return len(planMoves(start, []*task{running}, engines, &lengths{})) }
 	is.Equal(moved(), 1)
 	running.size = 200
@@ -338,6 +346,7 @@
 	task.text.Events = 10
 	is.True(!e.canServe(task))
 	e.software = wire.Software{}
+	task.route = &routes.Route{Shares: []routes.Share{{Weight: 1}}}
 	is.True(!e.canServe(task))
 	r := quietRunner(e)
 	r.metrics = newMetrics(prometheus.NewRegistry())
@@ -357,7 +366,7 @@
 		to.observeEventTime(start, 40*time.Millisecond)
 	}
 	j := testJob("k", start, 1, []int{6000})
-	running := &task{job: j, group: j.tasks["k-0-0"].group, state: taskRunning, engine: "a", size: 6000}
+	running := &task{job: j, group: j.tasks["k-0-0"].group, route: testRoute, state: taskRunning, engine: "a", size: 6000}
 	is.Equal(len(planMoves(start, []*task{running}, []*engine{from, to}, &lengths{})), 0)
 	to.software = testSoftware
 	is.Equal(len(planMoves(start, []*task{running}, []*engine{from, to}, &lengths{})), 1)
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -14,6 +14,7 @@
 	"merlinhall/ledger"
 	"merlinhall/link"
 	"merlinhall/observe"
+	"merlinhall/routes"
 )
 
 const (
@@ -158,7 +159,8 @@
 	scheduleDeferred bool      // another planning has been asked for
 	additions        additions
 
-	jobs           []*job // oldest first
+	jobs           []*job        // oldest first
+	routes         *routes.Table // by which the routes of the tasks were found
 	queue          queue
 	partial        *partials
 	engines        []*engine
@@ -339,6 +341,7 @@
 	r.jobs = append(r.jobs, j)
 	r.updateDemand(open.Submission)
 	for _, t := range j.order {
+		t.route = r.routeOf(t)
 		if earlier, ok := r.o.Submissions.Finished(t.item.ID); ok && r.reusable(t, earlier) {
 			t.text = text{Text: carrier.Text{Parts: earlier.Parts, Versions: earlier.Versions}}
 			r.scoreWhole(t)
@@ -470,6 +473,7 @@
 	if !r.o.Directory.Usable(now, true) {
 		return
 	}
+	r.updateRoutes()
 	placements := plan(now, r.queue.tasks, r.engines, &r.queue.lengths)
 	for _, p := range placements {
 		if !r.limits().Take(p.engine.id, 1) {
@@ -490,6 +494,7 @@
 	if !r.leading {
 		return
 	}
+	r.updateRoutes()
 	r.updateCarriers(now)
 	count := make(map[taskState]int)
 	for _, j := range r.jobs {
@@ -560,10 +565,11 @@
 	}
 }
 
-// dropUnservableText drops a text that no engine can go on with: none has its software any
-// more, or the single weight version that it must have. The item starts again from its prompt.
+// dropUnservableText drops a text that no engine can go on with: none of the services of its
+// route has its software any more, or the single weight version that it must have. The item
+// starts again from its prompt. Without a route it waits for one.
 func (r *Runner) dropUnservableText(t *task) {
-	if t.text.length() == 0 || len(r.engines) == 0 || slices.ContainsFunc(r.engines, func(e *engine) bool { return e.mayContinue(t) }) {
+	if t.route == nil || t.text.length() == 0 || len(r.engines) == 0 || slices.ContainsFunc(r.engines, func(e *engine) bool { return e.mayContinue(t) }) {
 		return
 	}
 	r.dropText(t, "no engine has its software and weight version any more")
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -1,13 +1,11 @@
 package batch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/carrier"
-	"merlinhall/routes"
 )
 
 // run is the leader's view of an attempt to generate the text of an item, or, without an
@@ -54,10 +52,6 @@
 	if !r.o.Directory.View().Accepts(e.id) || r.o.Submissions.Closed(t.job.sub.ID) {
 		return // both may be newer than the last message about them
 	}
-	if !r.allowed(t, target.Service) {
-		t.retryAt = now.Add(failedRetryDelay)
-		return
-	}
 	c := chooseCarrier(now, r.carriers, target.Zone)
 	if c == nil {
 		return
@@ -83,16 +77,6 @@
 	})
 }
 
-// allowed reports whether the routes in force let the item of a task go to a service.
-func (r *Runner) allowed(t *task, service string) bool {
-	table := r.o.Manifests.Table()
-	if table == nil {
-		return false
-	}
-	route := table.Find(t.job.sub.Host, t.item.Path)
-	return route != nil && slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == service })
-}
-
 // newRun registers an attempt of a task with a carrier. Attempts of later leaders have
 // higher numbers.
 func (r *Runner) newRun(now time.Time, t *task, c *carrierView) *run {
--- a/batch/task.go
+++ b/batch/task.go
@@ -10,6 +10,7 @@
 
 	"merlinhall/ledger"
 	"merlinhall/rendezvous"
+	"merlinhall/routes"
 )
 
 // taskState is the progress of an item towards its result.
@@ -31,6 +32,7 @@
 	job   *job
 	item  ledger.Item
 	group *group
+	route *routes.Route // that sends the item to its service, nil if there is none
 	state taskState
 	// size is the estimated output in tokens.
 	size           int
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -144,6 +144,11 @@
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Serves reports whether requests of the route may go to the service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
 // Choose returns the service for a request. It hashes the request id, so the same id
 // always gets the same service.
 func (r *Route) Choose(requestID string) string {
