routes: a service whose share of a route is 0 gets no items and no streams

Cause: items, and streams that callers take up, went to each service that the route lists; only Route.Choose looked at the weights.

Before the change batch.TestItemsGoToNoServiceWithoutAShare, routes.TestServiceWithoutAShareServesNothing and the case "its service has no share" of take-ups fail.

Change: Route.Serves asks for a share above 0, and all three use it.

--- a/batch/routes_test.go
+++ b/batch/routes_test.go
@@ -85,6 +85,16 @@
 	is.Equal(begunAt(r, c), map[string]int{"new": 16})
 }
 
+// Guards against items that run at a service whose share of their route is 0.
+func TestItemsGoToNoServiceWithoutAShare(t *testing.T) {
+	is := is.New(t)
+	r, c := twoServices(t)
+	sendRoute(t, r, 1, routes.Share{Service: "former", Weight: 0}, routes.Share{Service: "new", Weight: 100})
+	submit(t, r)
+	r.startPending(start)
+	is.Equal(begunAt(r, c), map[string]int{"new": 16})
+}
+
 // Guards against the same for groups that had an engine when their route moved.
 func TestGroupsFollowTheirRoute(t *testing.T) {
 	is := is.New(t)
--- a/forward/takeup.go
+++ b/forward/takeup.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"merlinhall/routes"
 	"merlinhall/streams"
 	"merlinhall/wire"
 )
@@ -62,7 +60,7 @@
 		return s.notTakenUp(reasonNoAnswer, retryAfterNoAnswer)
 	case known == streams.NoRecord:
 		return s.notTakenUp(reasonNoRecord, retryAfterNoTarget)
-	case !slices.ContainsFunc(s.r.Route.Shares, func(h routes.Share) bool { return h.Service == software.Service }):
+	case !s.r.Route.Serves(software.Service):
 		return s.notTakenUp(reasonOtherRoute, retryAfterNoTarget)
 	}
 	s.software = software
--- a/forward/takeup_test.go
+++ b/forward/takeup_test.go
@@ -215,6 +215,11 @@
 			r.Route.Shares = []routes.Share{{Service: "t", Weight: 1}}
 			return r
 		}, reasonOtherRoute},
+		"its service has no share": {[]*target{old, next}, func() *Request {
+			r := takeUp("r", "x")
+			r.Route.Shares = []routes.Share{{Service: "s", Weight: 0}, {Service: "t", Weight: 1}}
+			return r
+		}, reasonOtherRoute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -56,7 +56,8 @@
 	ItemTTL     time.Duration // time after which an item may be given up
 }
 
-// Share is the share of a route's requests that a service receives.
+// Share is the share of a route's requests that a service receives: its weight in relation to
+// those of the other services of the route. With weight 0 it receives none.
 type Share struct {
 	Service string
 	Weight  int
@@ -144,9 +145,9 @@
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Serves reports whether requests of the route may go to the service.
+// Serves reports whether requests of the route may go to the service: its share is above 0.
 func (r *Route) Serves(service string) bool {
-	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
 // Choose returns the service for a request. It hashes the request id, so the same id
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -51,6 +51,19 @@
 	is.Equal(count["a"]+count["b"], 5000)
 }
 
+// Guards against work that goes to a service whose share is 0, beside one that has a share.
+func TestServiceWithoutAShareServesNothing(t *testing.T) {
+	is := is.New(t)
+	route := &Route{Shares: []Share{{"standby", 0}, {"a", 100}, {"b", 0}, {"a", 5}}}
+	is.True(route.Serves("a"))
+	is.True(!route.Serves("standby") && !route.Serves("b") && !route.Serves("other"))
+	for i := range 1000 {
+		is.Equal(route.Choose(fmt.Sprint(i)), "a")
+	}
+	route.Shares = append(route.Shares, Share{"c", 1})
+	is.True(route.Serves("c"))
+}
+
 func TestInvalidManifests(t *testing.T) {
 	for name, invalidate := range map[string]func(m *Manifest){
 		"no version":                      func(m *Manifest) { m.Version = 0 },
