batch: engines are assigned to the models that their service serves

After a route had moved between services of one model, the engines that keep the model's version up to date could all be of the former service: assignModels and the exchange of engines asked only which models an engine has. Items of the next version would wait although engines of the new service could load it.

Change: the engines of each service are divided among the models whose routes lead there. A model without a known route is served by all, as before. With one service nothing changes.

Tests: TestEnginesOfTheServiceInUseLoadTheModel and TestModelsExchangeEnginesOfTheirServicesOnly fail if each service counts as serving each model.

--- a/batch/assign.go
+++ b/batch/assign.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"merlinhall/routes"
 )
 
 const (
@@ -24,6 +26,30 @@
 	// open is the number of items of the model that are open at the same time: the peak, which
 	// sinks like a moving average. 0 means unknown.
 	open float64
+	// routes has the routes of the model's items by name, as of the manifest in force.
+	routes map[string]modelRoute
+}
+
+// modelRoute is a route by which items of a model go.
+type modelRoute struct {
+	host, path string        // of an item
+	route      *routes.Route // nil if the manifest in force has none
+}
+
+// servedBy reports whether a route leads items of the model to the service. All services may
+// serve a model without a route.
+func (d modelDemand) servedBy(service string) bool {
+	routed := false
+	for _, m := range d.routes {
+		if m.route == nil {
+			continue
+		}
+		if m.route.Serves(service) {
+			return true
+		}
+		routed = true
+	}
+	return !routed
 }
 
 // observe adds a submission whose items have the given estimated sizes, with which the given
@@ -62,13 +88,29 @@
 }
 
 // assignModels assigns each engine the model that it keeps up to date, so that only some
-// of the engines load each version. An engine keeps its model from before as far as the
-// quotas allow. Others get the model for which they are the fewest versions behind, and the
-// fastest of them those with the longest texts.
+// of the engines load each version. The engines of each service are divided among the models
+// that it serves.
 func assignModels(now time.Time, engines []*engine, demand map[string]modelDemand, newest map[string]uint64, before map[string]string) map[string]string {
 	out := make(map[string]string, len(engines))
 	demand = withNamed(demand, newest)
-	if len(demand) == 0 || len(engines) == 0 {
+	byService := make(map[string][]*engine)
+	for _, e := range engines {
+		byService[e.software.Service] = append(byService[e.software.Service], e)
+	}
+	for service, list := range byService {
+		served := maps.Clone(demand)
+		maps.DeleteFunc(served, func(_ string, d modelDemand) bool { return !d.servedBy(service) })
+		maps.Copy(out, assignWithin(now, list, served, newest, before))
+	}
+	return out
+}
+
+// assignWithin is assignModels for engines that may all serve the models of demand. An engine
+// keeps its model from before as far as the quotas allow. Others get the model for which they
+// are the fewest versions behind, and the fastest of them those with the longest texts.
+func assignWithin(now time.Time, engines []*engine, demand map[string]modelDemand, newest map[string]uint64, before map[string]string) map[string]string {
+	out := make(map[string]string, len(engines))
+	if len(demand) == 0 {
 		return out
 	}
 	a := assignment{demand: demand, models: sortedModels(demand), quota: engineQuotas(demand, len(engines)), newest: newest}
--- a/batch/limited.go
+++ b/batch/limited.go
@@ -54,7 +54,7 @@
 // limits for an engine without a limit of the model with the least backlog. Shares of engines
 // are by tokens, and a limit counts requests: short texts need many. It returns the assignment
 // unchanged if no exchange helps.
-func swapLimited(engines []*engine, assigned map[string]string, pending map[string]int) map[string]string {
+func swapLimited(engines []*engine, assigned map[string]string, pending map[string]int, demand map[string]modelDemand) map[string]string {
 	all := capacities(engines, assigned)
 	needy, giver := "", ""
 	for _, m := range sortedModels(all) {
@@ -79,6 +79,9 @@
 	if take == nil || give == nil || !hasModel(give, needy) || !hasModel(take, giver) {
 		return assigned
 	}
+	if !demand[needy].servedBy(give.software.Service) || !demand[giver].servedBy(take.software.Service) {
+		return assigned
+	}
 	out := maps.Clone(assigned)
 	out[take.id], out[give.id] = giver, needy
 	return out
--- a/batch/limited_test.go
+++ b/batch/limited_test.go
@@ -41,14 +41,14 @@
 		{id: "d", slots: 12, versions: versions, running: 2},
 	}
 	assigned := map[string]string{"a": "short", "b": "short", "c": "long", "d": "long"}
-	next := swapLimited(engines, assigned, map[string]int{"short": 60, "long": 20})
+	next := swapLimited(engines, assigned, map[string]int{"short": 60, "long": 20}, nil)
 	is.Equal(next, map[string]string{"a": "short", "b": "long", "c": "long", "d": "short"})
-	is.Equal(swapLimited(engines, next, map[string]int{"short": 60, "long": 20}), next) // enough
+	is.Equal(swapLimited(engines, next, map[string]int{"short": 60, "long": 20}, nil), next) // enough
 
-	is.Equal(swapLimited(engines, assigned, map[string]int{"short": 4}), assigned)              // no backlog
-	is.Equal(swapLimited(engines, assigned, map[string]int{"short": 20, "long": 60}), assigned) // the other has one as well
+	is.Equal(swapLimited(engines, assigned, map[string]int{"short": 4}, nil), assigned)              // no backlog
+	is.Equal(swapLimited(engines, assigned, map[string]int{"short": 20, "long": 60}, nil), assigned) // the other has one as well
 	engines[2].limited, engines[3].limited = true, true
-	is.Equal(swapLimited(engines, assigned, map[string]int{"short": 60}), assigned) // nobody can give
+	is.Equal(swapLimited(engines, assigned, map[string]int{"short": 60}, nil), assigned) // nobody can give
 }
 
 func TestEngineWithALimitGetsNoMoreRunsThanItTakes(t *testing.T) {
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -111,7 +111,7 @@
 	for _, t := range r.queue.tasks {
 		pending[t.job.sub.Model]++
 	}
-	if next := swapLimited(r.engines, r.assignedModels, pending); !maps.Equal(next, r.assignedModels) {
+	if next := swapLimited(r.engines, r.assignedModels, pending, r.demand); !maps.Equal(next, r.assignedModels) {
 		r.swappedAt = now
 		r.log.WithField("pending", pending).Info("models exchange engines: the runs of one wait for engines at their limits")
 		r.assign(next)
@@ -132,6 +132,7 @@
 		}
 	}
 	d.observe(sizes, open)
+	r.observeRoutes(&d, sub)
 	r.demand[sub.Model] = d
 }
 
--- a/batch/routes_test.go
+++ b/batch/routes_test.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -131,3 +133,48 @@
 	r.startPending(start)
 	is.Equal(begunAt(r, c), map[string]int{"former": 16})
 }
+
+// Guards against versions that are loaded only by engines of a service to which the routes of
+// the model no longer lead, so that its items wait although other engines could load them.
+func TestEnginesOfTheServiceInUseLoadTheModel(t *testing.T) {
+	is := is.New(t)
+	r, _ := twoServices(t)
+	assigned := func() []string {
+		models := assignModels(start, r.engines, r.demand, map[string]uint64{"m": 2}, map[string]string{"former-0": "m", "former-1": "m", "former-2": "m"})
+		return slices.Sorted(maps.Keys(models))
+	}
+	is.Equal(len(assigned()), 6) // no route of the model is known
+	sendRoute(t, r, 1, routes.Share{Service: "former", Weight: 1})
+	r.updateRoutes()
+	submit(t, r)
+	is.Equal(assigned(), []string{"former-0", "former-1", "former-2"})
+	sendRoute(t, r, 2, routes.Share{Service: "new", Weight: 1}, routes.Share{Service: "former", Weight: 0})
+	r.updateRoutes()
+	is.Equal(assigned(), []string{"new-0", "new-1", "new-2"})
+	sendRoute(t, r, 3, routes.Share{Service: "new", Weight: 1}, routes.Share{Service: "former", Weight: 1})
+	r.updateRoutes()
+	is.Equal(len(assigned()), 6)
+}
+
+// Guards against models that exchange engines of services that do not serve them.
+func TestModelsExchangeEnginesOfTheirServicesOnly(t *testing.T) {
+	is := is.New(t)
+	versions := map[string]uint64{"short": 1, "long": 1}
+	at := func(id, service string) *engine {
+		return &engine{id: id, slots: 12, versions: versions, software: wire.Software{Service: service}}
+	}
+	engines := []*engine{at("a", "s"), at("b", "l")}
+	engines[0].limited, engines[0].perSecond = true, 1
+	assigned := map[string]string{"a": "short", "b": "long"}
+	served := func(services ...string) modelDemand {
+		d := modelDemand{routes: make(map[string]modelRoute)}
+		for _, s := range services {
+			d.routes[s] = modelRoute{route: &routes.Route{Shares: []routes.Share{{Service: s, Weight: 1}}}}
+		}
+		return d
+	}
+	pending := map[string]int{"short": 60}
+	is.Equal(swapLimited(engines, assigned, pending, map[string]modelDemand{"short": served("s"), "long": served("l")}), assigned)
+	both := map[string]modelDemand{"short": served("s", "l"), "long": served("s", "l")}
+	is.Equal(swapLimited(engines, assigned, pending, both), map[string]string{"a": "long", "b": "short"})
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -326,6 +326,7 @@
 	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
 	r.demand = make(map[string]modelDemand)
 	r.updateEngines(now, r.o.Directory.View())
+	r.updateRoutes()
 	for _, open := range r.o.Submissions.Open() {
 		r.addJob(open)
 	}
@@ -341,7 +342,7 @@
 	r.jobs = append(r.jobs, j)
 	r.updateDemand(open.Submission)
 	for _, t := range j.order {
-		t.route = r.routeOf(t)
+		t.route = r.findRoute(t.job.sub.Host, t.item.Path)
 		if earlier, ok := r.o.Submissions.Finished(t.item.ID); ok && r.reusable(t, earlier) {
 			t.text = text{Text: carrier.Text{Parts: earlier.Parts, Versions: earlier.Versions}}
 			r.scoreWhole(t)
