consensus: a learner is promoted before the silent voter that it replaces is removed

Cause: replaceSilentVoter removed the silent voter first. The leader obeys a removal at once, but if the voter that has to confirm it is lost, nobody can: the leader then needs the lost voter's vote, and neither it nor the removed voter votes for the other one.

Change: the learner that has caught up becomes a voter first, and a silent voter is removed while the number of voters is even. At each step the voters that keep their disks are a majority again once the one that stood still is back. Another voter that also loses its disk would be the second loss.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -198,13 +198,8 @@
 			return true
 		}
 	}
-	if n.cfg.OpenMembership {
-		if n.replaceSilentVoter() {
-			return true
-		}
-		if !n.needsVoter() {
-			return false
-		}
+	if n.cfg.OpenMembership && !n.needsVoter() {
+		return false
 	}
 	Change{Kind: Promote, Member: learner}.applyInternal(n)
 	return true
--- a/consensus/openmembership.go
+++ b/consensus/openmembership.go
@@ -72,8 +72,12 @@
 	return able - (able+1)%2
 }
 
-// needsVoter reports whether a learner that has caught up should be promoted.
+// needsVoter reports whether a learner that has caught up should be promoted: to reach the
+// number of voters that the group should have, or to take the place of one that departs.
 func (n *Node) needsVoter() bool {
+	if _, ok := n.departingVoter(); ok && len(n.voters())%2 != 0 {
+		return true
+	}
 	voters, able := 0, 0
 	for _, m := range n.members {
 		switch {
@@ -88,8 +92,8 @@
 }
 
 // removeExcess removes at most one member: one that is excluded or has not answered
-// for MemberTimeout, or a voter if their number is even. Such a voter joins again as
-// a learner. It reports whether a member was removed.
+// for MemberTimeout, or a voter if their number is even. That is the one that departs, or if all
+// respond one that joins again as a learner. It reports whether a member was removed.
 func (n *Node) removeExcess() bool {
 	if !n.cfg.OpenMembership {
 		return false
@@ -99,7 +103,14 @@
 			return true
 		}
 	}
-	if voters := n.voters(); len(voters) > n.cfg.MinVoters && len(voters)%2 == 0 && n.allRespond() {
+	voters := n.voters()
+	if len(voters)%2 != 0 {
+		return false
+	}
+	if m, ok := n.departingVoter(); ok {
+		return n.removeMember(m)
+	}
+	if len(voters) > n.cfg.MinVoters && n.allRespond() {
 		for i := len(voters) - 1; i >= 0; i-- {
 			if voters[i].ID != n.cfg.ID {
 				return n.removeMember(voters[i])
@@ -142,18 +153,18 @@
 	return !p.answered || n.now-p.echoedClock > d
 }
 
-// replaceSilentVoter removes a voter that has not answered for ReplaceAfter, so that a
-// learner that has caught up can be promoted in its place. The voter is removed first: in
-// between, the voters that answer are a majority with or without it, while one more voter
-// next to the silent one could make the quorum larger than the number of those that answer.
-// A voter that only slept joins again with its log.
-func (n *Node) replaceSilentVoter() bool {
+// departingVoter returns a voter that a learner should replace: one that has not answered for
+// ReplaceAfter. The learner is promoted first and the voter is removed then: while both count,
+// the group commits again as soon as the voter is back, whichever other one is lost with its
+// disk meanwhile. A removal that comes first is obeyed by the leader at once, but the voter knows
+// nothing of it, and neither of them would vote for the other one again.
+func (n *Node) departingVoter() (Member, bool) {
 	for _, m := range n.voters() {
-		if n.silentFor(m, n.cfg.ReplaceAfter) && n.removeMember(m) {
-			return true
+		if n.silentFor(m, n.cfg.ReplaceAfter) {
+			return m, true
 		}
 	}
-	return false
+	return Member{}, false
 }
 
 // recordRejoinRequest records the sender of a pre-vote that is not a member: it was
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -190,9 +190,8 @@
 	// The group then has an odd number of voters, up to MaxVoters, so that a
 	// partition into two parts leaves a majority on one side; a replica that would
 	// make the number even stays a learner. A voter that has not answered for
-	// MemberTimeout is removed as long as MinVoters remain. One that has not answered for
-	// ReplaceAfter is removed at any number of voters if a learner that has caught up can
-	// take its place. ReplaceAfter must be longer than Lease and leave most of the time
+	// MemberTimeout is removed as long as MinVoters remain. A learner that has caught up takes
+	// the place of one that has not answered for ReplaceAfter, at any number of voters. ReplaceAfter must be longer than Lease and leave most of the time
 	// after which a replacement of a lost host may be lost too.
 	OpenMembership bool
 	MaxVoters      int
