consensus: a voter that stops as planned is replaced before it ends

Cause: a stopping process handed over the leadership but remained a voter until it had been silent for a quarter of catchUpS, while its successor, with the whole log, remained a learner.

Change: the process asks the leader to be replaced (MsgDepart), is told when its removal is committed or that no learner can take its place, and only then ends, after 1.5 s at most. The order is that of silent voters: the learner is promoted before the voter is removed. A leader that hands over prefers a voter that is not about to stop.

TestFailedSyncStopsTheReplica let the disk work again before it looked at the stopped replica, which now comes back by itself: it keeps the disk failing for these checks and then demands that the replica comes back without a restart.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -10,6 +10,9 @@
 }
 
 func (n *Node) tickFollower() {
+	if n.departing {
+		return
+	}
 	n.requestReadmission()
 	if n.now < n.electionAt || !n.isVoter(n.cfg.ID) {
 		return
--- a/consensus/handover.go
+++ b/consensus/handover.go
@@ -32,7 +32,7 @@
 }
 
 // successor returns the voter that has the complete log and answered the most recent
-// message, or nil.
+// message, if possible one whose process is not about to stop, or nil.
 func (n *Node) successor() *Member {
 	var best *Member
 	voters := n.voters()
@@ -41,7 +41,8 @@
 		if p == nil || !p.answered || p.match < n.log.last() {
 			continue
 		}
-		if best == nil || p.echoedClock > n.lead.peers[best.ID].echoedClock {
+		if best == nil || n.departs(best.ID) && !n.departs(voters[i].ID) ||
+			n.departs(best.ID) == n.departs(voters[i].ID) && p.echoedClock > n.lead.peers[best.ID].echoedClock {
 			best = &voters[i]
 		}
 	}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -42,11 +42,12 @@
 	peers          map[uint64]*progress
 	announceCommit bool // send the commit index before the next heartbeat
 
-	round        uint64            // newest read round
-	queuedReads  []pendingRead     // not yet in a round
-	roundReads   []pendingRead     // in a round, oldest first
-	joinRequests map[uint64]string // ids and names of replicas that ask to join
-	handingOver  bool              // proposals are refused, see Handover
+	round        uint64                   // newest read round
+	queuedReads  []pendingRead            // not yet in a round
+	roundReads   []pendingRead            // in a round, oldest first
+	joinRequests map[uint64]string        // ids and names of replicas that ask to join
+	handingOver  bool                     // proposals are refused, see Handover
+	departing    map[uint64]time.Duration // when a member last said that its process is about to stop
 }
 
 // progress is the leader's view of another member's log.
@@ -69,7 +70,7 @@
 func (n *Node) becomeLeader(kind EntryKind, data []byte) {
 	n.role = RoleLeader
 	n.setLeader(n.cfg.ID)
-	n.lead = leaderState{electedAt: n.now, peers: make(map[uint64]*progress), joinRequests: make(map[uint64]string)}
+	n.lead = leaderState{electedAt: n.now, peers: make(map[uint64]*progress), joinRequests: make(map[uint64]string), departing: make(map[uint64]time.Duration)}
 	n.lead.repairAt = n.now + n.cfg.RepairPeriod
 	n.syncPeers()
 	n.lead.termStart = n.appendOwn(kind, data)
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -146,7 +146,7 @@
 		return
 	}
 	for _, m := range n.members {
-		if m.Learner && n.mayJoin(m.Name) && n.caughtUp(m.ID) && n.repairLearner(m) {
+		if n.mayPromote(m) && n.repairLearner(m) {
 			return
 		}
 	}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -131,6 +131,9 @@
 	votes       map[uint64]bool
 	preVoting   bool
 
+	departing bool // see Depart
+	departure Departure
+
 	lead       leaderState
 	fresh      freshState
 	discoverAt time.Duration // next time to send MsgDiscover to the peers
@@ -318,6 +321,10 @@
 		n.handleReply(m)
 	case MsgHandover:
 		n.handleHandover(m)
+	case MsgDepart:
+		n.handleDepart(m)
+	case MsgDepartReply:
+		n.handleDepartReply(m)
 	case MsgStale:
 		if m.Term > n.term {
 			n.becomeFollower(m.Term, 0)
@@ -434,6 +441,8 @@
 	Ready bool `json:"ready"`
 	// LeaseEnd is the end of the leader's lease on the clock of the inputs, or 0.
 	LeaseEnd time.Duration `json:"-"`
+	// Departure is the outcome of Depart.
+	Departure Departure `json:"departure,omitempty"`
 	// Silent names the members that have not answered this leader within the lease.
 	Silent []string `json:"silent,omitempty"`
 }
@@ -447,7 +456,8 @@
 	return Status{
 		LeaseEnd: leaseEnd,
 
-		Silent: n.silent(),
+		Silent:    n.silent(),
+		Departure: n.departure,
 
 		ID:       n.cfg.ID,
 		Group:    n.group,
--- a/consensus/openmembership.go
+++ b/consensus/openmembership.go
@@ -84,13 +84,18 @@
 		case !m.Learner && !n.shouldRemove(m):
 			voters++
 			able++
-		case m.Learner && n.mayJoin(m.Name) && n.caughtUp(m.ID):
+		case n.mayPromote(m):
 			able++
 		}
 	}
 	return voters < n.oddVoterCount(able)
 }
 
+// mayPromote reports whether a member is a learner that can become a voter now.
+func (n *Node) mayPromote(m Member) bool {
+	return m.Learner && n.mayJoin(m.Name) && !n.departs(m.ID) && n.caughtUp(m.ID)
+}
+
 // removeExcess removes at most one member: one that is excluded or has not answered
 // for MemberTimeout, or a voter if their number is even. That is the one that departs, or if all
 // respond one that joins again as a learner. It reports whether a member was removed.
@@ -153,25 +158,11 @@
 	return !p.answered || n.now-p.echoedClock > d
 }
 
-// departingVoter returns a voter that a learner should replace: one that has not answered for
-// ReplaceAfter. The learner is promoted first and the voter is removed then: while both count,
-// the group commits again as soon as the voter is back, whichever other one is lost with its
-// disk meanwhile. A removal that comes first is obeyed by the leader at once, but the voter knows
-// nothing of it, and neither of them would vote for the other one again.
-func (n *Node) departingVoter() (Member, bool) {
-	for _, m := range n.voters() {
-		if n.silentFor(m, n.cfg.ReplaceAfter) {
-			return m, true
-		}
-	}
-	return Member{}, false
-}
-
 // recordRejoinRequest records the sender of a pre-vote that is not a member: it was
 // removed while it was unreachable and does not know. It still has its log and vote,
 // so it may rejoin with the same id.
 func (n *Node) recordRejoinRequest(m *Message) {
-	if n.cfg.OpenMembership && n.role == RoleLeader && n.mayJoin(m.Name) && !n.isMember(m.From) {
+	if n.cfg.OpenMembership && n.role == RoleLeader && n.mayJoin(m.Name) && !n.departs(m.From) && !n.isMember(m.From) {
 		n.lead.joinRequests[m.From] = m.Name
 	}
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -105,6 +105,10 @@
 	// MsgHandover tells a voter that the leader of the term has released its lease
 	// and that the voter has its complete log.
 	MsgHandover MessageKind = 12
+	// MsgDepart tells the leader that the sender's process is about to stop, and
+	// MsgDepartReply that it has been replaced, or with Reject that it cannot be.
+	MsgDepart      MessageKind = 13
+	MsgDepartReply MessageKind = 14
 )
 
 // Message is a message between two replicas. Which fields are set depends on Kind.
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -46,6 +46,9 @@
 	// handoverTimeout bounds the saving of partial texts and the wait for another leader.
 	// An election without a handover takes longer than this.
 	handoverTimeout = 500 * time.Millisecond
+	// departTimeout bounds the wait for another host that takes the vote of a stopping one. It is
+	// the duration of an election and of the two membership changes.
+	departTimeout = 1500 * time.Millisecond
 	// stopMargin is the part of the stop grace period that is reserved for closing the
 	// process after the wait for running requests.
 	stopMargin = 1500 * time.Millisecond
@@ -75,6 +78,7 @@
 	servers       []*server.Server
 	setSeeds      []func(seeds []string)
 	handOver      func(ctx context.Context) // hands over the leadership; nil without the control role
+	depart        func(ctx context.Context) // has another host take its vote; nil without the control role
 	stops         []func()                  // run in reverse order at shutdown
 	stopOnce      sync.Once
 }
@@ -309,6 +313,11 @@
 		d.handOver(ctx)
 		cancel()
 	}
+	if d.depart != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), min(departTimeout, d.settings.StopGrace/4))
+		d.depart(ctx)
+		cancel()
+	}
 	if d.callerHandler != nil {
 		d.callerHandler.Draining.Store(true)
 		ready, rest := stopTimes(d.settings.StopGrace)
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"merlinhall/batch"
 	"merlinhall/carrier"
@@ -172,6 +173,11 @@
 			d.log.Infof("cannot hand over the leadership: %v", err)
 		}
 	}
+	d.depart = func(ctx context.Context) {
+		began := time.Now()
+		err := r.Depart(ctx)
+		d.log.WithFields(logrus.Fields{"ms": time.Since(began).Milliseconds(), "error": err}).Info("asked for another host to take the vote of this one")
+	}
 	links.mux.Handle(peers)
 	links.mux.Handle(r, wire.KindConsensus)
 	links.mux.Handle(c, control.Kinds...)
--- a/replica/core.go
+++ b/replica/core.go
@@ -32,6 +32,8 @@
 	// ErrStopped is returned for a request to a stopped replica. A proposal that
 	// fails with it had no effect.
 	ErrStopped = eris.New("replica: stopped")
+	// ErrNoReplacement is returned if no learner can take the place of a replica.
+	ErrNoReplacement = eris.New("replica: no learner can take its place")
 	// ErrNotUnderstood is wrapped by the result of a command, or the error of a snapshot,
 	// that a newer program wrote and this one cannot apply. Nothing of it was applied.
 	ErrNotUnderstood = eris.New("replica: written by a newer program")
@@ -277,6 +279,9 @@
 // proposals from then on.
 func (c *Core) Handover(now time.Duration) { c.step(now, consensus.Handover{}) }
 
+// Depart asks the leader to have a learner take the place of this replica.
+func (c *Core) Depart(now time.Duration) { c.step(now, consensus.Depart{}) }
+
 func (c *Core) request(done ProposeDone, step func(key uint64)) {
 	if c.failed != nil {
 		done(nil, 0, ErrStopped)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -90,6 +90,8 @@
 	flushMessage struct{}
 	// handoverMessage asks the replica to transfer its leadership.
 	handoverMessage struct{}
+	// departMessage asks the leader to replace the replica.
+	departMessage struct{}
 )
 
 type proposeCall struct {
@@ -259,6 +261,8 @@
 		r.core.SetPeers(now, consensus.SetPeers{Names: m.names, Excluded: m.excluded})
 	case handoverMessage:
 		r.core.Handover(now)
+	case departMessage:
+		r.core.Depart(now)
 	case flushMessage:
 		r.flushQueued = false
 		r.flush()
@@ -464,6 +468,38 @@
 	}
 }
 
+// Depart has a learner take the place of this replica, for a planned stop of its process. After
+// nil the loss of the process takes no vote away from the group. ErrNoReplacement means that no
+// learner can take its place; other errors are that of ctx and ErrStopped.
+func (r *Replica) Depart(ctx context.Context) error {
+	ticker := time.NewTicker(departPeriod)
+	defer ticker.Stop()
+	for {
+		var msg any = departMessage{}
+		if r.Status().Role == consensus.RoleLeader {
+			msg = handoverMessage{} // another replica that stops has handed over to this one
+		}
+		if err := r.offer(msg); err != nil {
+			return err
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		switch r.Status().Departure {
+		case consensus.DepartureDone:
+			return nil
+		case consensus.DepartureRefused:
+			return ErrNoReplacement
+		}
+	}
+}
+
+// departPeriod is the time between two messages that ask to be replaced. The leader needs about
+// two commits for it.
+const departPeriod = 20 * time.Millisecond
+
 // handoverPollPeriod is the time between two checks whether a handover has finished,
 // about one round trip between zones.
 const handoverPollPeriod = 5 * time.Millisecond
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -289,8 +289,9 @@
 	})
 }
 
-// Guards against a replica that continues after a failed sync or reports the proposal
-// as refused, and against a group that does not replace it as leader.
+// Guards against a replica that continues while its syncs fail or reports the proposal
+// as refused, against a group that does not replace it as leader, and against a replica that
+// stays stopped when its disk works again.
 func TestFailedSyncStopsTheReplica(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -301,7 +302,6 @@
 	c.diskFails[name].Store(true)
 	_, _, err := old.Propose(t.Context(), []byte("lost"))
 	is.Equal(err, ErrUnknownOutcome)
-	c.diskFails[name].Store(false)
 	_, _, err = old.Propose(t.Context(), []byte("refused"))
 	is.Equal(err, ErrStopped)
 	_, _, err = old.Confirm(t.Context())
@@ -309,6 +309,11 @@
 	c.eventually("not ready", func() bool { return old.ready() != nil && old.Status().Failed != "" })
 	c.propose("second")
 	is.True(c.leader() != old)
+	is.True(old.Status().Failed != "") // for as long as the disk fails
+	c.diskFails[name].Store(false)
+	c.eventually("ready again", func() bool { return old.ready() == nil })
+	c.propose("third")
+	c.eventually("all entries applied", func() bool { return len(c.recorders[name].list()) >= 3 })
 	c.stop(name)
 	c.start(name)
 	c.eventually("ready after a restart", func() bool { return c.replicas[name].ready() == nil })
@@ -477,3 +482,24 @@
 	r.Stop()
 	is.True(written.Load())
 }
+
+// Guards against a planned stop that waits for a replacement in a group that has none, or for
+// ever without a leader.
+func TestDepartureWithoutAReplacement(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.propose("first")
+	leader := c.leader()
+	for _, r := range c.replicas {
+		if r != leader {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			is.Equal(r.Depart(ctx), ErrNoReplacement)
+			cancel()
+		}
+	}
+	c.stop("a")
+	c.stop("b")
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	is.True(c.replicas["c"].Depart(ctx) != nil)
+}
