link: a process that stops closes the links that it has accepted

Seen by the findings in tests that start daemons in one program: after each of three control processes had been restarted once, entries kept an old manifest for 11 s while newer ones were confirmed. Real processes close their links by ending, so callers did not see it.

Cause: net/http does not close a connection that has become a WebSocket. The stopped process went on with the heartbeats of its links, so its peers kept them and dialled no new ones.

Change: link.Accept returns an Acceptor, and both daemons close it after all that uses the links has stopped.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -109,7 +110,9 @@
 func (d *Daemon) listen() error {
 	if address := d.settings.Listen.Links; address != "" {
 		mux := http.NewServeMux()
-		mux.Handle(link.Path, link.Accept(d.hello, link.Guarded(&d.mux, d.observer.Guard("links"))))
+		links := link.Accept(d.hello, link.Guarded(&d.mux, d.observer.Guard("links")))
+		d.stops = slices.Insert(d.stops, 0, links.Close) // after all that uses them has stopped
+		mux.Handle(link.Path, links)
 		if err := d.serve(address, mux, true); err != nil {
 			return err
 		}
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -242,7 +242,7 @@
 }
 
 // accept returns the handler of links from other processes.
-func (l *links) accept() http.Handler { return link.Accept(l.hello, link.Guarded(&l.mux, l.guard)) }
+func (l *links) accept() *link.Acceptor { return link.Accept(l.hello, link.Guarded(&l.mux, l.guard)) }
 
 // registerConnectionMetrics registers the metrics of connections to targets, of the age of
 // the list of targets and of the memory of bodies.
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -200,7 +200,9 @@
 	}
 	d.setSeeds = append(d.setSeeds, h.SetSeeds)
 	paths := http.NewServeMux()
-	paths.Handle(link.Path, links.accept())
+	accepted := links.accept()
+	d.stops = slices.Insert(d.stops, 0, accepted.Close) // after all that uses them has stopped
+	paths.Handle(link.Path, accepted)
 	if err := d.serve(s.Links, paths); err != nil {
 		return err
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -7,8 +7,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -299,21 +301,58 @@
 
 func since(at *atomic.Int64) time.Duration { return time.Since(time.Unix(0, at.Load())) }
 
-// Accept returns the HTTP handler that accepts links at Path. It serves each
-// connection until it is closed.
-func Accept(local wire.Hello, events Events) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
-		if err != nil {
-			return
-		}
-		c, err := handshake(ws, local, r.RemoteAddr)
-		if err != nil {
-			_ = ws.CloseNow()
-			return
-		}
-		_ = c.run(events)
-	})
+// Acceptor is the HTTP handler that accepts links at Path.
+type Acceptor struct {
+	local  wire.Hello
+	events Events
+
+	mu     sync.Mutex
+	open   map[*Conn]bool
+	closed bool
+}
+
+// Accept returns a handler that accepts links until it is closed.
+func Accept(local wire.Hello, events Events) *Acceptor {
+	return &Acceptor{local: local, events: events, open: make(map[*Conn]bool)}
+}
+
+// ServeHTTP serves a connection until it is closed.
+func (a *Acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	c, err := handshake(ws, a.local, r.RemoteAddr)
+	if err != nil || !a.add(c) {
+		_ = ws.CloseNow()
+		return
+	}
+	_ = c.run(a.events)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.open, c)
+}
+
+// add keeps a connection for Close. It reports whether the acceptor is still open.
+func (a *Acceptor) add(c *Conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.closed {
+		a.open[c] = true
+	}
+	return !a.closed
+}
+
+// Close closes all links and accepts no more. An HTTP server does not close them when it is
+// closed, and their heartbeats would make the peers believe that the process goes on.
+func (a *Acceptor) Close() {
+	a.mu.Lock()
+	a.closed = true
+	open := slices.Collect(maps.Keys(a.open))
+	a.mu.Unlock()
+	for _, c := range open {
+		c.Close(ErrClosed)
+	}
 }
 
 // Dial opens a connection to address and serves it in the background. scheme is "ws"
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -82,6 +82,30 @@
 	is.Equal(c.Send(&wire.Ping{}), ErrClosed)
 }
 
+// Guards against links of a process that has stopped: they stayed open as long as the program
+// ran, and their peers believed that they were told all that is new.
+func TestClosedAcceptorEndsItsLinks(t *testing.T) {
+	is := is.New(t)
+	server, client := newRecorder(), newRecorder()
+	a := Accept(wire.Hello{Process: "s"}, server)
+	srv := httptest.NewServer(a)
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	_, err := Dial(t.Context(), NewHTTPClient(nil), "ws", address, wire.Hello{Process: "c"}, client)
+	is.NoErr(err)
+	receive(t, server.up, "connection")
+	a.Close()
+	receive(t, client.down, "end at the client")
+	receive(t, server.down, "end at the server")
+	late := newRecorder()
+	if _, err := Dial(t.Context(), NewHTTPClient(nil), "ws", address, wire.Hello{Process: "c"}, late); err == nil {
+		receive(t, late.down, "end of a later link")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	is.Equal(len(a.open), 0)
+}
+
 // Guards against a connection that the network drops without an error: no bytes
 // arrive any more. The link must be closed for silence and the dialer must replace it.
 func TestSilentConnectionIsReplaced(t *testing.T) {
