carrier: a reward call is not tried again at a service that its route has left

A reward call may wait for a target and be sent again for up to 3 s, by the route as it was when the call began: longer than a confirmed manifest may take to be obeyed.

Change: before each attempt the route in force must still lead to the call's service. The carrier makes the next call by the new route.

Test: platform.TestRewardCallFollowsItsRoute, where a full target of the former service was followed by another one of it.

--- a/carrier/targets.go
+++ b/carrier/targets.go
@@ -47,6 +47,13 @@
 	RetryAfter  time.Duration // when there is room for a call that was not made
 }
 
+// leadsTo reports whether the routes in force still let a reward call go to a service. A call may
+// wait for a target for seconds, and the next one goes by the new routes.
+func (t HTTPTargets) leadsTo(reward *ledger.Reward, service string) bool {
+	route := t.Routes().Find(reward.Host, reward.Path)
+	return route != nil && route.Serves(service)
+}
+
 // rewardTimeout bounds a reward call whose route allows more.
 const rewardTimeout = 3 * time.Second
 
@@ -60,6 +67,7 @@
 	if route == nil {
 		return RewardEnd{Reason: "no route to the reward service"}
 	}
+	service := route.Choose(reward.ID)
 	result := t.Forwarder.Do(ctx, &forward.Request{
 		Request: upstream.Request{
 			ID: reward.ID, Kind: upstream.KindReward, Method: http.MethodPost, URI: reward.Path, Host: reward.Host, Body: reward.Body,
@@ -67,7 +75,7 @@
 		},
 		Route:      route,
 		Background: true,
-		Wanted:     wanted,
+		Wanted:     func() bool { return wanted() && t.leadsTo(reward, service) },
 		Deadline:   time.Now().Add(min(route.Timeout, rewardTimeout)),
 	})
 	end := RewardEnd{
