memory: small bodies have a budget, too

Told by other operators: a faulty replica sent bytes that were no answer, without end, and the machine that had called it ran out of memory. Here heads, plain answers, streams, texts, reports, lists and links are bounded already (tests "WithoutEnd"), large bodies together by a budget. But the first 64 KB of each body were counted nowhere, so many requests at faulty targets held 64 KB each whatever the host had.

Change: the first 64 KB of bodies share a budget of half the size of the other one.

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// uncountedBytes of each body are outside the budget. Nearly all bodies are smaller,
-	// and must not fail because a few large ones use up the budget.
-	uncountedBytes = 64 << 10
+	// smallBytes of each body are counted apart. Nearly all bodies are smaller, and must not
+	// fail because a few large ones use up the budget.
+	smallBytes = 64 << 10
+	// smallDivisor divides the budget into the one for these.
+	smallDivisor = 2
 	// firstBytes is the first size of the buffer of a body without a declared length.
 	firstBytes = 4 << 10
 	// growth is the factor by which a buffer may exceed what has arrived of a body with a
@@ -27,15 +29,31 @@
 
 // Budget bounds the bytes that bodies hold at the same time. It is safe for concurrent use.
 type Budget struct {
+	large, small part
+}
+
+// part is a part of a budget.
+type part struct {
 	limit int64
 	used  atomic.Int64
 }
 
-// NewBudget returns a budget of limit bytes.
-func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+func (p *part) take(n int64) error {
+	if p.used.Add(n) > p.limit {
+		p.used.Add(-n)
+		return ErrExhausted
+	}
+	return nil
+}
+
+// NewBudget returns a budget of limit bytes for what bodies have beyond smallBytes, and half of
+// it for the rest.
+func NewBudget(limit int64) *Budget {
+	return &Budget{large: part{limit: limit}, small: part{limit: limit / smallDivisor}}
+}
 
-// Used returns the bytes that are held.
-func (b *Budget) Used() int64 { return b.used.Load() }
+// Used returns the bytes that are held beyond smallBytes of each body.
+func (b *Budget) Used() int64 { return b.large.used.Load() }
 
 // Lease returns a lease that holds nothing yet. Close must be called.
 func (b *Budget) Lease() *Lease { return &Lease{budget: b} }
@@ -45,32 +63,46 @@
 	budget *Budget
 
 	mu     sync.Mutex
-	held   int64
+	held   size
 	closed bool
 }
 
-// take adds n bytes to what the lease holds, or returns ErrExhausted at once: requests that
-// waited for each other with bodies read in part would all wait until their deadlines.
-func (l *Lease) take(n int64) error {
+// size is the size of a buffer, or of all that a lease holds.
+type size struct{ large, small int64 }
+
+func sizeOf(bytes int64) size {
+	return size{large: max(0, bytes-smallBytes), small: min(bytes, smallBytes)}
+}
+
+func (s size) plus(o size) size  { return size{s.large + o.large, s.small + o.small} }
+func (s size) minus(o size) size { return size{s.large - o.large, s.small - o.small} }
+
+// take adds to what the lease holds, or returns ErrExhausted at once: requests that waited for
+// each other with bodies read in part would all wait until their deadlines.
+func (l *Lease) take(n size) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return eris.New("memory: the request has ended")
 	}
-	if l.budget.used.Add(n) > l.budget.limit {
-		l.budget.used.Add(-n)
-		return ErrExhausted
+	if err := l.budget.small.take(n.small); err != nil {
+		return err
+	}
+	if err := l.budget.large.take(n.large); err != nil {
+		l.budget.small.used.Add(-n.small)
+		return err
 	}
-	l.held += n
+	l.held = l.held.plus(n)
 	return nil
 }
 
-func (l *Lease) give(n int64) {
+func (l *Lease) give(n size) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.closed {
-		l.held -= n
-		l.budget.used.Add(-n)
+		l.held = l.held.minus(n)
+		l.budget.large.used.Add(-n.large)
+		l.budget.small.used.Add(-n.small)
 	}
 }
 
@@ -80,7 +112,8 @@
 	defer l.mu.Unlock()
 	if !l.closed {
 		l.closed = true
-		l.budget.used.Add(-l.held)
+		l.budget.large.used.Add(-l.held.large)
+		l.budget.small.used.Add(-l.held.small)
 	}
 }
 
@@ -92,7 +125,7 @@
 	first := int64(firstBytes)
 	if length >= 0 {
 		// The additional byte lets the reader report the end without another buffer.
-		first = min(length+1, uncountedBytes)
+		first = min(length+1, smallBytes)
 	}
 	if err := b.reserve(first); err != nil {
 		return nil, err
@@ -125,7 +158,7 @@
 type Buffer struct {
 	Bytes []byte
 	lease *Lease
-	held  int64
+	held  size
 }
 
 // Buffer returns an empty buffer.
@@ -146,7 +179,7 @@
 func (b *Buffer) Consume(n int) {
 	switch {
 	case n == 0:
-	case n == len(b.Bytes) && b.held > 0:
+	case n == len(b.Bytes) && b.held.large > 0:
 		b.Release()
 	default:
 		b.Bytes = append(b.Bytes[:0], b.Bytes[n:]...)
@@ -155,14 +188,15 @@
 
 // reserve replaces the buffer by one of the given size. The copy that is left to the garbage
 // collector is not counted.
-func (b *Buffer) reserve(size int64) error {
-	if n := max(0, size-uncountedBytes) - b.held; n > 0 && b.lease != nil {
-		if err := b.lease.take(n); err != nil {
+func (b *Buffer) reserve(bytes int64) error {
+	if b.lease != nil {
+		more := sizeOf(bytes).minus(b.held)
+		if err := b.lease.take(more); err != nil {
 			return err
 		}
-		b.held += n
+		b.held = b.held.plus(more)
 	}
-	b.Bytes = append(make([]byte, 0, size), b.Bytes...)
+	b.Bytes = append(make([]byte, 0, bytes), b.Bytes...)
 	return nil
 }
 
@@ -171,5 +205,5 @@
 	if b.lease != nil {
 		b.lease.give(b.held)
 	}
-	b.Bytes, b.held = nil, 0
+	b.Bytes, b.held = nil, size{}
 }
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -26,7 +26,7 @@
 	b := NewBudget(8 << 20)
 	for range 100 {
 		l := b.Lease()
-		body := make([]byte, random.IntN(3*uncountedBytes))
+		body := make([]byte, random.IntN(3*smallBytes))
 		for i := range body {
 			body[i] = byte(random.Uint32())
 		}
@@ -55,7 +55,7 @@
 	is.True(errors.Is(err, ErrExhausted))
 	is.True(without.read <= 2<<20) // ends as soon as the budget is used up
 	is.Equal(b.Used(), held)
-	_, err = second.ReadAll(strings.NewReader(strings.Repeat("a", uncountedBytes-1)), -1)
+	_, err = second.ReadAll(strings.NewReader(strings.Repeat("a", smallBytes-1)), -1)
 	is.NoErr(err) // a small body passes while large ones use the budget
 	first.Close()
 	_, err = second.ReadAll(io.LimitReader(&zeros{}, 3<<20), 3<<20)
@@ -104,3 +104,28 @@
 	buffer.Release() // after the lease: counted once
 	is.Equal(b.Used(), int64(0))
 }
+
+// Guards against bodies that are below the size of a small one each and use up the memory
+// together, and against small ones that fail because of large ones.
+func TestSmallBodiesShareABudgetOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(8 << 20)
+	var leases []*Lease
+	var err error
+	for err == nil {
+		l := b.Lease()
+		_, err = l.ReadAll(io.LimitReader(&zeros{}, smallBytes-1), -1)
+		leases = append(leases, l)
+		is.True(len(leases) <= (8<<20)/smallDivisor/smallBytes+1)
+	}
+	is.True(errors.Is(err, ErrExhausted))
+	is.Equal(b.Used(), int64(0))
+	for _, l := range leases {
+		l.Close()
+	}
+	is.Equal(b.small.used.Load(), int64(0))
+	l := b.Lease()
+	_, err = l.ReadAll(io.LimitReader(&zeros{}, smallBytes-1), -1)
+	is.NoErr(err)
+	l.Close()
+}
