daemon: a planned stop answers what it cannot finish, and takes nothing that it cannot

Here work was broken off 1.5 s before the end of an 8 s grace period, before its last sixth, and a request whose body arrived late was passed on and cut with the process.

Cause: the server waited for running requests until a fixed margin before the end and then closed their connections; nothing compared the time limit of a request with the end of the process.

Change: running requests get their final answer (504, or 503 where they have not run) shortly before the end: at 7.25 s of 8, after the last sixth began at 6.67 s, and the process closes at 7.5 s. A request that has been read later than clients were told to go elsewhere runs only if its whole time limit lies before that; else it gets 503 with Retry-After at once and has not run. The times count from the signal, also if handing over took some of it.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -50,8 +50,9 @@
 	// the duration of an election and of the two membership changes.
 	departTimeout = 1500 * time.Millisecond
 	// stopMargin is the part of the stop grace period that is reserved for closing the
-	// process after the wait for running requests.
-	stopMargin = 1500 * time.Millisecond
+	// process after the wait for running requests, stopMarginDivisor the least part of it.
+	stopMargin        = 1500 * time.Millisecond
+	stopMarginDivisor = 16
 	// poolSweepPeriod is the time between two sweeps of the pool of idle connections.
 	poolSweepPeriod = 5 * time.Second
 )
@@ -74,7 +75,9 @@
 	streams       *streams.Keeper
 	unreadable    observe.LineLimit // of the log lines for limits that cannot be read
 	callerHandler *platform.CallerHandler
-	callerServer  *server.Server // nil without the entry role
+	ending        context.Context    // is done when running requests get their final answers
+	endRequests   context.CancelFunc // ends it
+	callerServer  *server.Server     // nil without the entry role
 	servers       []*server.Server
 	setSeeds      []func(seeds []string)
 	handOver      func(ctx context.Context) // hands over the leadership; nil without the control role
@@ -97,6 +100,7 @@
 		pool:     upstream.NewPool(platform.RequestID),
 		bodies:   memory.NewBudget(s.MemoryBytes / bodyMemoryDivisor),
 	}
+	d.ending, d.endRequests = context.WithCancel(context.Background())
 	d.pool.Memory = d.bodies
 	d.log = d.observer.Logger("daemon")
 	list, patient := platform.NewList(s.TargetList, false), platform.NewList(s.TargetList, true)
@@ -306,6 +310,7 @@
 // Shutdown fails the readiness check, hands over the leadership, waits for running
 // requests, and closes the listeners and components.
 func (d *HostedDaemon) Shutdown() {
+	began := time.Now()
 	d.log.Info("draining")
 	d.observer.SetReady(false)
 	if d.handOver != nil {
@@ -319,25 +324,34 @@
 		cancel()
 	}
 	if d.callerHandler != nil {
-		d.callerHandler.Draining.Store(true)
-		ready, rest := stopTimes(d.settings.StopGrace)
-		time.Sleep(ready)
-		ctx, cancel := context.WithTimeout(context.Background(), rest)
+		times := newStopTimes(d.settings.StopGrace)
+		d.callerHandler.Stop.Store(&platform.Stop{LateFrom: began.Add(times.ready), End: began.Add(times.answers)})
+		time.Sleep(time.Until(began.Add(times.ready)))
+		answers := time.AfterFunc(time.Until(began.Add(times.answers)), d.endRequests)
+		ctx, cancel := context.WithDeadline(context.Background(), began.Add(times.close))
 		if err := d.callerServer.Shutdown(ctx); err != nil {
 			d.log.Warnf("stopping with requests still running: %v", err)
 		}
 		cancel()
+		answers.Stop()
 	}
 	d.close()
 	d.log.Info("stopped")
 }
 
-// stopTimes returns how long a stopping process accepts connections, and how long it then
-// waits for running requests. Both and the margin for closing fit into the grace period, also
-// into a short one.
-func stopTimes(grace time.Duration) (ready, rest time.Duration) {
-	ready = min(readyGrace, grace/3)
-	return ready, max(0, grace-ready-min(stopMargin, grace/4))
+// stopTimes are the moments of a planned stop, from its beginning. All fit into the grace period,
+// also into a short one.
+type stopTimes struct {
+	ready   time.Duration // connections are accepted until then
+	answers time.Duration // requests that still run get their final answer
+	close   time.Duration // the listeners and components are closed
+}
+
+// newStopTimes returns the moments for a grace period. Its last sixth is left to requests in
+// part: the platform excuses what a target still works on then.
+func newStopTimes(grace time.Duration) stopTimes {
+	margin := min(stopMargin, grace/stopMarginDivisor)
+	return stopTimes{ready: min(readyGrace, grace/3), answers: grace - margin - margin/2, close: grace - margin}
 }
 
 func (d *HostedDaemon) close() {
--- a/daemon/hosted_test.go
+++ b/daemon/hosted_test.go
@@ -12,10 +12,12 @@
 	for _, grace := range []time.Duration{0, time.Second, 3 * time.Second, 4 * time.Second, 8 * time.Second, 30 * time.Second} {
 		t.Run(grace.String(), func(t *testing.T) {
 			is := is.New(t)
-			ready, rest := stopTimes(grace)
-			is.True(ready+rest <= grace)
-			is.True(ready <= readyGrace)
-			is.True(rest >= grace/4) // some time for requests, however short the grace period
+			times := newStopTimes(grace)
+			is.True(times.close <= grace)
+			is.True(times.ready <= readyGrace)
+			is.True(times.answers <= times.close)
+			is.True(times.answers-times.ready >= grace/4) // some time for requests, however short the grace period
+			is.True(times.answers >= grace-grace/6)       // what a target works on in the last sixth may be broken off
 		})
 	}
 }
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -23,7 +23,7 @@
 	if d.settings.UsageWindow > 0 {
 		meter = d.startMeter(true, d.settings.Name, client.ReportUsage)
 	}
-	d.callerHandler = &platform.CallerHandler{Gateway: gateway.New(client, d.forward, meter, d.observer), Memory: d.bodies}
+	d.callerHandler = &platform.CallerHandler{Gateway: gateway.New(client, d.forward, meter, d.observer), Memory: d.bodies, Ending: d.ending}
 	d.observer.AddReadyCheck("routes", func() error {
 		if client.Table() == nil {
 			return errNoRoutes
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,8 @@
 	// retryAfterNoControl is the Retry-After value when the control leader was not
 	// reached: the duration of an election.
 	retryAfterNoControl = 700 * time.Millisecond
+	// retryAfterStop is the Retry-After value of a process that stops.
+	retryAfterStop = 50 * time.Millisecond
 	// retryAfterNoMemory is the Retry-After value when the bodies of other requests use
 	// up the memory for bodies: most of them end within this time.
 	retryAfterNoMemory = 500 * time.Millisecond
@@ -113,6 +115,24 @@
 	return &result
 }
 
+// RejectLate records and returns the result of a request that came too late in a planned stop of
+// this process. Other processes can run it at once.
+func (g *Gateway) RejectLate(id string) Result {
+	result := Result{Outcome: NotRun, Reason: "this process stops before the time limit of the request", RetryAfter: retryAfterStop}
+	g.record("late", id, time.Now(), result, nil)
+	return result
+}
+
+// Deadline returns the end of the time limit of a request whose header was received at the given
+// time and whose client waits for the given time from then on, or 0 if that is not known.
+func Deadline(route *routes.Route, received time.Time, wait time.Duration) time.Time {
+	limit := route.Timeout
+	if wait > 0 {
+		limit = min(limit, wait)
+	}
+	return received.Add(limit)
+}
+
 // Forward sends a request to a target of its route. received is the time at which its
 // header arrived. wait is how long the client waits from then on, or 0 if it is not
 // known.
@@ -146,11 +166,7 @@
 }
 
 func newForwardRequest(a Admission, request upstream.Request, received time.Time, wait time.Duration) *forward.Request {
-	limit := a.Route.Timeout
-	if wait > 0 {
-		limit = min(limit, wait)
-	}
-	r := &forward.Request{Request: request, Route: a.Route, Deadline: received.Add(limit)}
+	r := &forward.Request{Request: request, Route: a.Route, Deadline: Deadline(a.Route, received, wait)}
 	if a.Account != nil {
 		r.Account = a.Account.Name
 	}
