directory: the software of a service is named only if it is the sole one

A stream without a record may go on at the only software that its service has had for longer than streams last.

Cause: Directory.Sole returned the software beside false, and streams.Leader used it. Change: it returns none then. Test: directory.TestSoftwareIsNamedOnlyIfItIsTheSoleOne, which failed before.

--- a/directory/sole.go
+++ b/directory/sole.go
@@ -62,6 +62,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.history.services[service]
-	known := s.software.Known() && now.Sub(d.history.readAt) <= maxListGap && now.Sub(s.since) >= atLeast
-	return s.software, known
+	if !s.software.Known() || now.Sub(d.history.readAt) > maxListGap || now.Sub(s.since) < atLeast {
+		return wire.Software{}, false
+	}
+	return s.software, true
 }
--- a/directory/sole_test.go
+++ b/directory/sole_test.go
@@ -66,3 +66,16 @@
 	is.True(ok)
 	is.Equal(software, targets[0].Software())
 }
+
+// Guards against a software that is named although it is not the only one that streams can have
+// begun at: a control leader took any software that the list showed alone.
+func TestSoftwareIsNamedOnlyIfItIsTheSoleOne(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	d := New()
+	d.Replace(start, []wire.TargetEntry{{ID: "a", Service: "s", Address: "a", Version: "v1"}})
+	d.Replace(start.Add(time.Second), []wire.TargetEntry{{ID: "b", Service: "s", Address: "b", Version: "v2"}})
+	software, ok := d.Sole(start.Add(time.Second), "s", 30*time.Second)
+	is.True(!ok)
+	is.Equal(software, wire.Software{})
+}
