forward: an outdated list does not show at which software a stream began

Told by other operators: during a release one edge machine was out of step for a few seconds, cut off or standing still, while replicas of a new software version joined. Streams that had begun there through other machines broke, were taken up at that machine and went on at a replica of another version (ORDER).

It can happen here. Without a control leader, or without a record, a take-up relies on the list of targets: if the service has shown a single software for longer than streams last, that is it. A reading of up to 5 s ago counted, so a process that had stood still or been cut off named the former version; so did a leader whose list was as old.

A stream with a record goes on at once, as before; one without is refused at once if its service has had several versions.

--- a/directory/sole.go
+++ b/directory/sole.go
@@ -10,6 +10,10 @@
 // was listed meanwhile. A leader that changes or a list that cannot be read makes shorter ones.
 const maxListGap = 5 * time.Second
 
+// MaxSoleAge is the age up to which the last reading of the list says what software a service has
+// now. A target of another one may have joined since.
+const MaxSoleAge = time.Second
+
 // history knows since when the list shows a single software for a service. It is guarded by the
 // mutex of its Directory.
 type history struct {
@@ -57,12 +61,25 @@
 }
 
 // Sole returns the software of a service if all readings of the list within at least the given
-// time have shown no other one, of ready or of leaving targets.
+// time have shown no other one, of ready or of leaving targets, and the last one is at most
+// MaxSoleAge old. Targets that have joined since, or within the lag of the list before, are not
+// known: for a stream that began before some moment the answer holds if it is asked later than the
+// lag and MaxSoleAge after that.
 func (d *Directory) Sole(now time.Time, service string, atLeast time.Duration) (wire.Software, bool) {
+	return d.soleSince(now, service, atLeast, MaxSoleAge)
+}
+
+// MayBeSole reports whether Sole can have an answer once the list has been read again.
+func (d *Directory) MayBeSole(now time.Time, service string, atLeast time.Duration) bool {
+	_, ok := d.soleSince(now, service, atLeast, maxListGap)
+	return ok
+}
+
+func (d *Directory) soleSince(now time.Time, service string, atLeast, maxAge time.Duration) (wire.Software, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.history.services[service]
-	if !s.software.Known() || now.Sub(d.history.readAt) > maxListGap || now.Sub(s.since) < atLeast {
+	if !s.software.Known() || now.Sub(d.history.readAt) > maxAge || now.Sub(s.since) < atLeast {
 		return wire.Software{}, false
 	}
 	return s.software, true
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -161,6 +161,8 @@
 	Quarantine *quarantine.Keeper
 	// Streams knows which software began streams that callers take up; nil knows none.
 	Streams *streams.Keeper
+	// ListLag is how much later than a target joins the list of targets may show it.
+	ListLag time.Duration
 	Zone    string
 	Log     *logrus.Entry
 	Guard   *observe.Guard // of attempts
--- a/forward/takeup.go
+++ b/forward/takeup.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/directory"
 	"merlinhall/streams"
 	"merlinhall/wire"
 )
@@ -67,21 +68,34 @@
 	return nil
 }
 
-// find asks for the software that began a stream. Without a leader the list of targets shows it
-// if the service has had a single one for longer than streams last; otherwise find asks again
-// for the time of an election, since callers come back only a few times.
+// find asks for the software that began a stream. Without a record, or without a leader, the list
+// of targets shows it if the service has had a single one for longer than streams last. That is
+// asked only when the list must have shown all targets at which the stream can have begun: this
+// process, or the leader, may have been cut off or have stood still while some joined. find asks
+// again for the time of an election, since callers come back only a few times.
 func (s *stream) find(ctx context.Context, key streams.Key) (software wire.Software, known streams.Known) {
-	until := time.Now().Add(min(findPatience, time.Until(s.r.Deadline)/2))
-	service := s.onlyService()
+	began := time.Now()
+	listed := began.Add(s.f.ListLag + directory.MaxSoleAge)
+	latest := began.Add(time.Until(s.r.Deadline) / 2)
+	only, lifetime := s.onlyService(), streams.Lifetime(s.r.Route.Timeout)
 	for {
+		service := "" // of which the leader is asked for the only software
+		if !time.Now().Before(listed) {
+			service = only
+		}
 		software, known = s.f.Streams.Find(ctx, key, service)
-		if known != streams.NoAnswer {
+		waits := service == "" && s.f.Directory.MayBeSole(time.Now(), only, lifetime)
+		if known == streams.Recorded || known == streams.NoRecord && !waits {
 			return software, known
 		}
-		if software, ok := s.f.Directory.Sole(time.Now(), service, streams.Lifetime(s.r.Route.Timeout)); ok {
-			return software, streams.Recorded
+		if sole, ok := s.f.Directory.Sole(time.Now(), service, lifetime); ok {
+			return sole, streams.Recorded
+		}
+		until := began.Add(findPatience)
+		if waits {
+			until = listed.Add(findPatience)
 		}
-		if !time.Now().Before(until) {
+		if !time.Now().Before(until) || !time.Now().Before(latest) {
 			return software, known
 		}
 		select {
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -36,6 +36,8 @@
 	// rate limit in requests per second, shared by all processes.
 	TargetList     string
 	TargetListRate float64
+	// TargetListLag is how much later than a target joins the list may show it.
+	TargetListLag time.Duration
 
 	// OrderHoldTime is the interval within which orders of two order holders to the same
 	// target must not interleave.
