hub: a retirement is completed only when the host is certainly no member

Cause: the leader looks for the host's link address among the members. One whose process has just started has no link to the host yet, took "no address" for "no member", and also took a removal for done that was only proposed.

Change: `completed` needs a committed membership and a known host for each member; else `running`.

--- a/hub/serve.go
+++ b/hub/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/consensus"
 	"merlinhall/control"
 	"merlinhall/ledger"
 	"merlinhall/replica"
@@ -288,13 +289,22 @@
 	if !h.opts.Hosts.Retired(host) {
 		return RetirementUnknown
 	}
-	address := h.hostAddress(host)
-	for _, m := range h.opts.Replica.Status().Members {
-		if m.Name == address {
-			return RetirementRunning
-		}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if group := h.opts.Replica.Status(); holdsNoMember(host, &group.Status, h.hostByAddress) {
+		return RetirementDone
 	}
-	return RetirementDone
+	return RetirementRunning
+}
+
+// holdsNoMember reports whether a host certainly runs no member of the group, so that it can be
+// taken away with its disk: the membership is committed, and the host of each member is known. A
+// process learns the hosts of others over its links, which it has none of after its start.
+func holdsNoMember(host string, group *consensus.Status, hostByAddress map[string]string) bool {
+	return group.MemberIndex <= group.Commit && !slices.ContainsFunc(group.Members, func(m consensus.Member) bool {
+		of, known := hostByAddress[m.Name]
+		return !known || of == host
+	})
 }
 
 func (h *Hub) hostAddress(host string) string {
