--- a/directory/directory.go
+++ b/directory/directory.go
@@ -325,7 +325,7 @@
 		m, ok := d.leaving[out[i].ID]
 		switch {
 		case !ok:
-		case m.startedMs != out[i].StartedMs:
+		case out[i].StartedMs != 0 && m.startedMs != out[i].StartedMs: // it has started again
 			delete(d.leaving, out[i].ID)
 		default:
 			m.listedAt = now
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -231,3 +231,23 @@
 	d.Replace(*at, list)
 	return d
 }
+
+// Guards against an entry without a time of start, as of another writer, that ends the memory of
+// what a target has said itself: that it is leaving.
+func TestEntryWithoutAStartDoesNotEndALeaving(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	entry := wire.TargetEntry{ID: "a", Service: "s", Address: "a:1", Version: "v1", StartedMs: 7}
+	d := New()
+	d.Replace(now, []wire.TargetEntry{entry})
+	is.True(d.MarkLeaving(now, "a"))
+	without := entry
+	without.StartedMs = 0
+	d.Replace(now.Add(time.Second), []wire.TargetEntry{without})
+	is.True(d.View().Target("a").Draining)
+	d.Replace(now.Add(2*time.Second), []wire.TargetEntry{entry})
+	is.True(d.View().Target("a").Draining)
+	entry.StartedMs = 8
+	d.Replace(now.Add(3*time.Second), []wire.TargetEntry{entry})
+	is.True(!d.View().Target("a").Draining) // it has started again
+}
