--- a/consensus/types.go
+++ b/consensus/types.go
@@ -195,7 +195,8 @@
 	// partition into two parts leaves a majority on one side; a replica that would
 	// make the number even stays a learner. A voter that has not answered for
 	// MemberTimeout is removed as long as MinVoters remain. A learner that has caught up takes
-	// the place of one that has not answered for ReplaceAfter, at any number of voters. ReplaceAfter must be longer than Lease and leave most of the time
+	// the place of one that has not answered for ReplaceAfter, or whose process is about to stop,
+	// at any number of voters. ReplaceAfter must be longer than Lease and leave most of the time
 	// after which a replacement of a lost host may be lost too.
 	OpenMembership bool
 	MaxVoters      int
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -50,7 +50,8 @@
 	// the duration of an election and of the two membership changes.
 	departTimeout = 1500 * time.Millisecond
 	// stopMargin is the part of the stop grace period that is reserved for closing the
-	// process after the wait for running requests, stopMarginDivisor the least part of it.
+	// process after the wait for running requests. It is at most the stopMarginDivisor-th part,
+	// well below the last sixth: the platform excuses only what targets still work on then.
 	stopMargin        = 1500 * time.Millisecond
 	stopMarginDivisor = 16
 	// poolSweepPeriod is the time between two sweeps of the pool of idle connections.
@@ -347,8 +348,7 @@
 	close   time.Duration // the listeners and components are closed
 }
 
-// newStopTimes returns the moments for a grace period. Its last sixth is left to requests in
-// part: the platform excuses what a target still works on then.
+// newStopTimes returns the moments for a grace period.
 func newStopTimes(grace time.Duration) stopTimes {
 	margin := min(stopMargin, grace/stopMarginDivisor)
 	return stopTimes{ready: min(readyGrace, grace/3), answers: grace - margin - margin/2, close: grace - margin}
