consensus: a learner that has just been added is not silent

Cause: silence was counted from the election of the leader, not from the addition of the member, so with a leader of more than 10 s each new member counted as silent for that long at once. It stayed only if its answer came before the addition was committed.

Change: silence counts from when the member was added.

--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -57,6 +57,7 @@
 	probing     bool          // the last matching entry is not known
 	probeSent   bool          // a probe was sent since the last heartbeat or rejection
 	inflight    []uint64      // last index of each unacknowledged append message
+	since       time.Duration // when it became a member, or this replica its leader
 	answered    bool          // has answered this leader at least once
 	echoedClock time.Duration // newest value of the leader's clock echoed by the member
 	round       uint64        // newest read round echoed by the member
@@ -100,7 +101,7 @@
 		}
 		p := n.lead.peers[m.ID]
 		if p == nil {
-			p = &progress{next: n.log.last() + 1, probing: true, progressAt: n.now}
+			p = &progress{next: n.log.last() + 1, probing: true, since: n.now, progressAt: n.now}
 		}
 		peers[m.ID] = p
 	}
--- a/consensus/openmembership.go
+++ b/consensus/openmembership.go
@@ -152,7 +152,7 @@
 // silentFor reports whether a member has not answered this leader for d.
 func (n *Node) silentFor(m Member, d time.Duration) bool {
 	p := n.lead.peers[m.ID]
-	if p == nil || n.now < n.lead.electedAt+d {
+	if p == nil || n.now < p.since+d {
 		return false
 	}
 	return !p.answered || n.now-p.echoedClock > d
