consensus: a voter that was removed unknowingly finds the leader

The voter is back and asks the voters that it knows for their vote: the leader is none of them, and they say nothing while they hear from it. It never joins again, so the group has one host less that holds the log, and the next lost disk can be the loss of everything.

Change: with open membership a voter without contact to a leader for 3 s also asks all processes that it knows to be added, as learners do. Test: consensus.TestRemovedVoterFindsALeaderThatWasALearner, which failed before.

--- a/consensus/bootstrap.go
+++ b/consensus/bootstrap.go
@@ -12,7 +12,7 @@
 	peers map[string]uint64 // name to id of the other replicas without a group
 }
 
-// learnerRejoinDelay is the time without contact with a leader after which a learner
+// learnerRejoinDelay is the time without contact with a leader after which a replica
 // asks to be added again. It is longer than an election takes.
 const learnerRejoinDelay = 3 * time.Second
 
@@ -43,8 +43,10 @@
 // contact with a leader. A learner may have been removed while its process ran with
 // another data directory that asked to join. A replica that knows of its own removal asks
 // only with open membership, because otherwise an operator may have removed it on purpose.
+// With it a voter asks, too: it may have been removed unknowingly, by a leader that was no voter
+// before and so gets none of its vote requests.
 func (n *Node) requestReadmission() {
-	if m, ok := n.member(n.cfg.ID); ok && !m.Learner || n.now-n.lastContact < learnerRejoinDelay {
+	if n.isVoter(n.cfg.ID) && !n.cfg.OpenMembership || n.now-n.lastContact < learnerRejoinDelay {
 		return
 	}
 	if len(n.members) > 0 && !n.isMember(n.cfg.ID) && !n.cfg.OpenMembership {
--- a/consensus/openmembership_test.go
+++ b/consensus/openmembership_test.go
@@ -321,3 +321,44 @@
 	g.run(3 * time.Second)
 	is.True(g.leader() != nil)
 }
+
+// Guards against a learner that is removed as silent before it can have answered, when its leader
+// has led for longer than MemberTimeout: it asks again only after learnerRejoinDelay, so a
+// replacement did not count for seconds.
+func TestNewLearnerIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	g := newBootstrappedGroup()
+	g.run(defaultMemberTimeout + time.Second)
+	leader := g.leader()
+	leader.Step(g.now, Change{Key: 1, Kind: AddLearner, Member: Member{ID: 99, Name: "slow:1"}})
+	g.run(2 * time.Second)
+	is.True(leader.isMember(99)) // it has not answered yet
+	g.run(defaultMemberTimeout)
+	is.True(!leader.isMember(99))
+}
+
+// Guards against a voter that was removed while it stood still and never joins again: by its own
+// membership the leader that has taken its place is no voter, so it sends that one nothing.
+func TestRemovedVoterFindsALeaderThatWasALearner(t *testing.T) {
+	is := is.New(t)
+	g := newBootstrappedGroup()
+	all := append(slices.Clone(seedNames), "d:1")
+	g.start("d:1", all, true)
+	g.run(3 * time.Second)
+	removed := "a:1"
+	if g.leader().cfg.Name == removed {
+		removed = "b:1"
+	}
+	g.down[removed] = true
+	g.run(4 * time.Second) // d takes its place
+	is.True(!slices.Contains(g.voterNames(), removed))
+	successor := g.nodes["d:1"]
+	successor.Step(g.now, Receive{&Message{Kind: MsgHandover, Group: successor.group, From: g.leader().cfg.ID, To: successor.cfg.ID, Term: successor.term}})
+	g.run(500 * time.Millisecond)
+	is.Equal(g.leader().cfg.Name, "d:1")
+	g.down[removed] = false
+	g.nodes[removed].Step(g.now, SetPeers{Names: all})
+	g.run(learnerRejoinDelay + 3*time.Second)
+	is.Equal(g.leader().cfg.Name, "d:1")
+	is.True(g.leader().isMember(g.nodes[removed].cfg.ID))
+}
