consensus: the walks and the group of the tests share one loop over what is due

Found by reading the change again: walk.advance repeated the loop of openGroup.run. No assertion changes. 40 walks and the tests of open groups pass.

--- a/consensus/explore_test.go
+++ b/consensus/explore_test.go
@@ -88,15 +88,7 @@
 // advance runs the group for d.
 func (w *walk) advance(d time.Duration) error {
 	for end := w.now + d; w.now < end; w.now += exploreStep {
-		due := w.events
-		w.events = nil
-		for _, e := range due {
-			if e.at <= w.now {
-				e.do()
-			} else {
-				w.events = append(w.events, e)
-			}
-		}
+		w.doDue()
 		for _, name := range w.names() {
 			if n := w.nodes[name]; !w.down[name] {
 				n.Step(w.now, Tick{})
--- a/consensus/openmembership_test.go
+++ b/consensus/openmembership_test.go
@@ -55,18 +55,23 @@
 	return n
 }
 
+// doDue does what is scheduled for now or before.
+func (g *openGroup) doDue() {
+	due := g.events
+	g.events = nil
+	for _, e := range due {
+		if e.at <= g.now {
+			e.do()
+		} else {
+			g.events = append(g.events, e)
+		}
+	}
+}
+
 // run advances time by d.
 func (g *openGroup) run(d time.Duration) {
 	for end := g.now + d; g.now < end; g.now += 10 * time.Millisecond {
-		due := g.events
-		g.events = nil
-		for _, e := range due {
-			if e.at <= g.now {
-				e.do()
-			} else {
-				g.events = append(g.events, e)
-			}
-		}
+		g.doDue()
 		for _, name := range g.names() {
 			if !g.down[name] {
 				g.nodes[name].Step(g.now, Tick{})
