settings: switches for features that a deployment turns on

Cause: decisions for contended and uneven load must leave deployments that do not ask for them as they were.

--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -58,4 +58,24 @@
 	ResultRetention time.Duration
 	// StopGrace is the time between the request to stop and forced termination.
 	StopGrace time.Duration
+	// CPUShare is the share of a core that the process may use, 0 if it is not known.
+	CPUShare float64
+	// MaxFiles is the number of file descriptors that the process may have, 0 if it is not
+	// known.
+	MaxFiles int
+	Features Features
+}
+
+// Features are decisions that a deployment turns on. With all of them off, the process decides
+// as versions without them did.
+type Features struct {
+	// SharedAdmission has requests that exceed the capacity of their service queued and refused
+	// by client account, by all processes together.
+	SharedAdmission bool
+	// StepOrder has the steps of trainers that are behind their schedule run first.
+	StepOrder bool
+	// Locality decides by the use of each zone which share of the requests leaves it.
+	Locality bool
+	// MeasuredCapacity weights targets by their measured speed where they differ.
+	MeasuredCapacity bool
 }
