batch: engines are divided among models by their measured speed

Cause: the division counts engines. On a deployment with speeds 0.6, 1 and 1.6 a model whose engines are slow has as many as one whose engines are fast, and its steps take longer. Change: the leader samples the time per event of each run every 150 ms. Where the spread of a service has been 1.5 or more for 3 s, its models get the share of the capacity that they had of the number. An engine moves if that reduces the greatest need by a tenth, at most one each 2 s, at once from a quarter; models with texts 1.5 times longer exchange engines for ones 1.3 times faster. Engines without a recent time per event are expected to have the median divided by their speed.

--- a/batch/assign.go
+++ b/batch/assign.go
@@ -91,6 +91,14 @@
 // of the engines load each version. The engines of each service are divided among the models
 // that it serves.
 func assignModels(now time.Time, engines []*engine, demand map[string]modelDemand, newest map[string]uint64, before map[string]string) map[string]string {
+	return assignEach(engines, demand, newest, func(_ string, list []*engine, served map[string]modelDemand) map[string]string {
+		return assignWithin(now, list, served, newest, before)
+	})
+}
+
+// assignEach assigns the engines of each service by a function that gets them and the demand that
+// they may serve.
+func assignEach(engines []*engine, demand map[string]modelDemand, newest map[string]uint64, within func(service string, engines []*engine, demand map[string]modelDemand) map[string]string) map[string]string {
 	out := make(map[string]string, len(engines))
 	demand = withNamed(demand, newest)
 	byService := make(map[string][]*engine)
@@ -100,7 +108,7 @@
 	for service, list := range byService {
 		served := maps.Clone(demand)
 		maps.DeleteFunc(served, func(_ string, d modelDemand) bool { return !d.servedBy(service) })
-		maps.Copy(out, assignWithin(now, list, served, newest, before))
+		maps.Copy(out, within(service, list, served))
 	}
 	return out
 }
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -16,6 +16,9 @@
 	steps  prometheus.Histogram
 	open   *prometheus.GaugeVec
 	lost   prometheus.Counter
+	// spread is that of the speeds of the engines, and divisions counts changes because of them.
+	spread    *prometheus.GaugeVec
+	divisions prometheus.Counter
 	// unneeded counts runs that went on at a carrier while it was given up.
 	unneeded prometheus.Counter
 	// droppedEvents counts events of texts that began anew.
@@ -52,6 +55,12 @@
 		open: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "merlinhall_batch_open_items", Help: "Items without a result, by state.",
 		}, []string{"state"}),
+		spread: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "merlinhall_batch_speed_spread", Help: "Ratio of the 90th to the 10th percentile of the measured speeds of a service's engines.",
+		}, []string{"service"}),
+		divisions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "merlinhall_batch_speed_changes_total", Help: "Engines that were assigned to another model because of measured speeds.",
+		}),
 		unneeded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_runs_given_up_alive_total", Help: "Runs that their carrier still had when it answered again after it had been given up.",
 		}),
@@ -62,7 +71,7 @@
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents)
+	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents, m.spread, m.divisions)
 	return m
 }
 
--- a/batch/orders.go
+++ b/batch/orders.go
@@ -79,7 +79,7 @@
 	}
 	if now.Sub(r.assignedAt) >= tickInterval {
 		r.assignedAt = now
-		r.assign(assignModels(now, r.engines, r.demand, newest, r.assignedModels))
+		r.assign(r.divide(now, newest))
 		r.swapLimited(now)
 	}
 	for _, l := range planLoads(now, r.engines, r.assignedModels, newest) {
--- a/batch/pace.go
+++ b/batch/pace.go
@@ -43,8 +43,11 @@
 
 // pace returns the expected time per event on the engine. median is that of all engines.
 func (e *engine) pace(now time.Time, median time.Duration) time.Duration {
-	if e.paceKnown(now) {
+	switch {
+	case e.paceKnown(now):
 		return e.eventTime
+	case e.speed > 0:
+		return time.Duration(float64(median) / e.speed)
 	}
 	return time.Duration(unknownPaceFactor * float64(median))
 }
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -39,6 +39,7 @@
 	eventTime        time.Duration // moving average of the time per event
 	eventTimeSamples int           // number of samples in eventTime
 	eventTimeAt      time.Time     // time of the last sample
+	speed            float64       // relative to the median of the service, 0 if it is not used
 	draining         bool
 	limited          bool    // names a limit on the requests of all processes
 	perSecond        float64 // with limited: the limit
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -15,6 +15,7 @@
 	"merlinhall/link"
 	"merlinhall/observe"
 	"merlinhall/routes"
+	"merlinhall/targetcapacity"
 )
 
 const (
@@ -86,6 +87,11 @@
 	Retired func() []string
 	// HostFaults is the number of hosts that may be lost at the same time.
 	HostFaults int
+	// MeasuredCapacity has engines divided and used by their measured speed, and carriers by
+	// their share of a core.
+	MeasuredCapacity bool
+	// CPUShare is the share of a core that this process may use, 0 if it is not known.
+	CPUShare float64
 	// KeepResults is how long results stay readable after the submission.
 	KeepResults time.Duration
 	System      *actor.System
@@ -168,6 +174,10 @@
 	assignedAt     time.Time         // when engines were last assigned
 	swappedAt      time.Time         // when two models last exchanged engines
 	demand         map[string]modelDemand
+	speeds         engineSpeeds
+	speedsShown    atomic.Pointer[[]targetcapacity.State]
+	speedsShownAt  time.Time
+	divisionLogs   observe.LineLimit
 	nextExpiry     time.Time
 	eventTimesAt   time.Time // when the time per event was last sampled
 	savedAt        time.Time // when partial texts were last proposed to the ledger
@@ -314,6 +324,7 @@
 		r.finishFlush()
 	}
 	r.leading, r.term = m.leading, m.term
+	r.resetSpeeds()
 	if !m.leading {
 		r.log.WithField("term", m.term).Info("stopped leading")
 		return
@@ -507,6 +518,7 @@
 	r.metrics.setOpenItems(count)
 	running := r.running()
 	r.sampleEventTimes(now, running)
+	r.measureSpeeds(now, running)
 	r.saveDueTexts(now, running)
 	for _, m := range planMoves(now, running, r.engines, &r.queue.lengths) {
 		r.move(m)
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -27,6 +27,9 @@
 	// The values of events and lastEventAt at the last call of sampleEventTimes.
 	sampledEvents int
 	sampledAt     time.Time
+	// The same values at the last sample for the speed of the engine.
+	speedEvents int
+	speedAt     time.Time
 }
 
 // idle returns the time since the run's last event, or since its start.
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -158,14 +158,16 @@
 		Name: s.Name, Process: s.Links, Zone: s.Zone, Submissions: submissions, Versions: versions, Manifests: manifests,
 		Directory: d.targets, Protocol: protocol, Carrier: carried,
 		Propose: propose(submissions.Name()), Duty: claim,
-		Leads:       r.Leads,
-		LeaseHeld:   r.LeaseHeld,
-		HostFaults:  s.HostFaults,
-		Limits:      d.limits,
+		Leads:            r.Leads,
+		LeaseHeld:        r.LeaseHeld,
+		HostFaults:       s.HostFaults,
+		Limits:           d.limits,
+		MeasuredCapacity: s.Features.MeasuredCapacity, CPUShare: s.CPUShare,
 		Retired:     func() []string { return fromHub(&hubRef, (*hub.Hub).Retired) },
 		KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
+	d.observer.AddDump("engine speeds", runner.Speeds)
 	d.handOver = func(ctx context.Context) {
 		carried.Drain(ctx)
 		runner.FlushTexts(ctx)
