forward: plain targets are chosen by their measured speed where they differ

Cause: the random part of the cost differs by at most 1, so among targets of different latency only the fastest are chosen until they have outstanding requests of the same process. All processes do that at the same time. Change: where the spread of a service as measured by the process is 1.5 or more, the random part is the mean of two exponential numbers, the latency is taken relative to the speed, and the cost is divided by the speed to the power of 1.5. Response times are compared by route and outstanding requests; error responses are left out. The dump has the speeds, and a metric the spread.

--- a/batch/speeds.go
+++ b/batch/speeds.go
@@ -173,7 +173,6 @@
 	})
 	shown := r.speeds.measured.Dump(now)
 	r.speedsShown.Store(&shown)
-	r.metrics.spread.Reset()
 	for _, s := range shown {
 		r.metrics.spread.WithLabelValues(s.Service).Set(s.Spread)
 	}
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -108,6 +108,8 @@
 	list.OnRefused, patient.OnRefused = d.targets.NoteRefusal, d.targets.NoteRefusal
 	d.poller = directory.NewPoller(d.targets, list, patient, d.observer.Logger("directory"))
 	d.forward = &forward.Forwarder{Pool: d.pool, Directory: d.targets, Protocol: platform.Protocol{Pool: d.pool}, Zone: s.Zone, ListLag: s.TargetListLag, Log: d.observer.Logger("forward"), Guard: d.observer.Guard("forward")}
+	d.forward.MeasuredCapacity = s.Features.MeasuredCapacity
+	d.observer.AddDump("target speeds", d.forward.Speeds)
 	d.boot = newBootID()
 	d.limits = ratelimit.NewKeeper(ratelimit.KeeperOptions{Process: s.Name, Directory: d.targets, Registry: d.observer.Registry, Log: d.observer.Logger("ratelimit")})
 	d.forward.Limits = d.limits
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -181,7 +181,7 @@
 // no or equal observations.
 func (f *Forwarder) cost(now time.Time, t *wire.TargetEntry) float64 {
 	s := f.state(t.ID)
-	cost := (float64(s.outstanding) + 0.5 + rand.Float64()) * (s.latency.Seconds() + unmeasuredTime.Seconds())
+	cost := waitingCost(s.outstanding, s.latency, f.speedOf(now, t), rand.Float64(), rand.Float64())
 	if t.Zone != f.Zone {
 		cost *= crossZoneFactor
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -166,12 +166,15 @@
 	Zone    string
 	Log     *logrus.Entry
 	Guard   *observe.Guard // of attempts
+	// MeasuredCapacity has targets chosen by their measured speed where they differ.
+	MeasuredCapacity bool
 
 	sentLogs    observe.LineLimit // of the lines for sent requests; failed attempts are always logged
 	resumedLogs observe.LineLimit // of the lines for streams that go on
 
 	mu     sync.Mutex
 	states map[string]*targetState
+	speeds speeds
 	// awaitingRoom are the background requests that wait for room, in the order of time.
 	awaitingRoom []chan struct{}
 	attempts     *prometheus.HistogramVec
@@ -192,7 +195,8 @@
 	f.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "merlinhall_streams_resumed_total", Help: "Streams sent to a further target, within one answer or taken up by their caller, by whether its software is that which began them.",
 	}, []string{"within", "software"})
-	return []prometheus.Collector{f.attempts, f.broken, f.resumed}
+	f.speeds.spread = newSpreadMetric()
+	return []prometheus.Collector{f.attempts, f.broken, f.resumed, f.speeds.spread}
 }
 
 // recordAttempt records an attempt in the metrics and logs it unless it returned the
@@ -259,6 +263,7 @@
 			delete(f.states, id)
 		}
 	}
+	f.retainSpeeds(v)
 }
 
 // attempt is one transmission of a request to a target.
@@ -273,6 +278,7 @@
 	reach   upstream.Reach // of the target if the response broke off
 	beside  int            // other requests of this process at the target as it ended
 	permit  *quarantine.Permit
+	load    int // outstanding requests of this process on the target when it began
 }
 
 // failedRun reports whether the target said that this request has run and failed. A response
@@ -504,7 +510,7 @@
 
 // newAttempt returns an attempt on t, which has been counted.
 func (u *requestState) newAttempt(t *wire.TargetEntry) *attempt {
-	return &attempt{target: t, repeat: u.possibleRuns+u.refused > 1, permit: u.takePermit()}
+	return &attempt{target: t, repeat: u.possibleRuns+u.refused > 1, permit: u.takePermit(), load: u.f.loadOf(t.ID)}
 }
 
 func (f *Forwarder) send(ctx context.Context, r *Request, a *attempt, left time.Duration, done chan<- *attempt) {
@@ -524,7 +530,9 @@
 		err = failure // the request may have run
 	}
 	refused(a)
-	f.finishAttempt(ctx, r, a, err, left, time.Since(began))
+	took := time.Since(began)
+	f.finishAttempt(ctx, r, a, err, left, took)
+	f.measureSpeed(ctx, r, a, took)
 	done <- a
 }
 
--- a/targetcapacity/targetcapacity.go
+++ b/targetcapacity/targetcapacity.go
@@ -254,8 +254,7 @@
 func (s *Service) rank(now time.Time) Ranking {
 	out := Ranking{Targets: make(map[string]Speed), Spread: 1}
 	var levels []float64
-	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
-		t := s.targets[id]
+	for _, t := range s.targets {
 		t.advance(now)
 		if t.confidence(now) > 0 {
 			levels = append(levels, t.level)
