batch: carriers get runs by their share of a core, and fewer if their reports are late

Cause: the leader gives each control process the same number of runs, also a host with a quarter of another's share of a core, and one whose reports come late but not late enough to be suspected. Change: processes state their share of a core in the Hello (field 10, optional). The number of runs that carriers are compared by is divided by a weight: the share relative to the median one, and less for reports more than 100 ms later than those of the median carrier. A process without the field counts as the median. Changes of a weight by a quarter are logged at most each 5 s a carrier; the dump and a metric have the weights.

--- a/batch/division_test.go
+++ b/batch/division_test.go
@@ -232,7 +232,7 @@
 	}
 	t.Logf("known after %v", known)
 	is.True(known > 0 && known <= time.Second)
-	is.Equal(len(r.Speeds().([]targetcapacity.State)), 1)
+	is.Equal(len(r.Speeds().(*speedsDump).Engines), 1)
 	r.resetSpeeds()
-	is.Equal(len(r.Speeds().([]targetcapacity.State)), 0)
+	is.Equal(r.Speeds(), (*speedsDump)(nil))
 }
--- a/batch/fleet.go
+++ b/batch/fleet.go
@@ -60,6 +60,7 @@
 	sentAt     time.Time
 	runs       map[uint64]*run
 	orders     carrier.Orders // not yet sent
+	weight     carrierWeight
 }
 
 // inOrder returns the runs in the order of their attempts.
@@ -73,16 +74,16 @@
 }
 
 // chooseCarrier returns the carrier for a run on an engine in the given zone: the one with
-// the fewest runs, in the engine's zone if there is not much difference. The leader's own
+// the fewest runs for its weight, in the engine's zone if there is not much difference. The leader's own
 // process decides for all others and is the last choice. It returns nil if none is usable.
 func chooseCarrier(now time.Time, carriers []*carrierView, zone string) *carrierView {
 	var best *carrierView
-	bestCost := 0
+	bestCost := 0.0
 	for _, c := range carriers {
 		if !c.usable(now) {
 			continue
 		}
-		cost := len(c.runs)
+		cost := c.load()
 		if zone != "" && c.zone != zone {
 			cost += otherZoneRuns
 		}
@@ -207,6 +208,7 @@
 		c.synced = c.synced && c.local
 		return c.down
 	})
+	r.updateWeights(now)
 }
 
 // discountPause takes the time for which this process stood still off the silence of the
@@ -303,6 +305,9 @@
 	if !c.synced && !m.report.Inventory {
 		return
 	}
+	if c.synced {
+		c.weight.noteReport(now, now.Sub(c.reportedAt))
+	}
 	c.reportedAt, c.echo = now, max(c.echo, m.report.Clock)
 	if m.report.Stopping && !c.stopping {
 		r.log.WithField("carrier", c.process).Info("carrier stops")
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -19,6 +19,7 @@
 	// spread is that of the speeds of the engines, and divisions counts changes because of them.
 	spread    *prometheus.GaugeVec
 	divisions prometheus.Counter
+	weights   *prometheus.GaugeVec // of carriers
 	// unneeded counts runs that went on at a carrier while it was given up.
 	unneeded prometheus.Counter
 	// droppedEvents counts events of texts that began anew.
@@ -61,6 +62,9 @@
 		divisions: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_speed_changes_total", Help: "Engines that were assigned to another model because of measured speeds.",
 		}),
+		weights: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "merlinhall_batch_carrier_weight", Help: "How many runs a carrier gets compared with one of weight 1.",
+		}, []string{"carrier"}),
 		unneeded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_runs_given_up_alive_total", Help: "Runs that their carrier still had when it answered again after it had been given up.",
 		}),
@@ -71,7 +75,7 @@
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents, m.spread, m.divisions)
+	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents, m.spread, m.divisions, m.weights)
 	return m
 }
 
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -15,7 +15,6 @@
 	"merlinhall/link"
 	"merlinhall/observe"
 	"merlinhall/routes"
-	"merlinhall/targetcapacity"
 )
 
 const (
@@ -175,7 +174,8 @@
 	swappedAt      time.Time         // when two models last exchanged engines
 	demand         map[string]modelDemand
 	speeds         engineSpeeds
-	speedsShown    atomic.Pointer[[]targetcapacity.State]
+	speedsShown    atomic.Pointer[speedsDump]
+	weightsShown   map[string]bool // carriers in the metric of weights
 	speedsShownAt  time.Time
 	divisionLogs   observe.LineLimit
 	nextExpiry     time.Time
--- a/batch/speeds.go
+++ b/batch/speeds.go
@@ -171,9 +171,10 @@
 		e := r.engine(id)
 		return e != nil && e.software.Service == service
 	})
-	shown := r.speeds.measured.Dump(now)
-	r.speedsShown.Store(&shown)
-	for _, s := range shown {
+	shown := &speedsDump{r.speeds.measured.Dump(now), r.carrierRows(now)}
+	r.speedsShown.Store(shown)
+	r.showWeights()
+	for _, s := range shown.Engines {
 		r.metrics.spread.WithLabelValues(s.Service).Set(s.Spread)
 	}
 }
@@ -181,19 +182,22 @@
 // speedShowInterval is how often the dump and the metrics of speeds are renewed.
 const speedShowInterval = time.Second
 
-// Speeds returns the speeds of the engines for the dump. It is empty unless this process leads.
-func (r *Runner) Speeds() any {
-	if shown := r.speedsShown.Load(); shown != nil {
-		return *shown
-	}
-	return []targetcapacity.State{}
+// speedsDump is what the dump shows of measured capacity.
+type speedsDump struct {
+	Engines  []targetcapacity.State `json:"engines"`
+	Carriers []carrierRow           `json:"carriers"`
 }
 
+// Speeds returns the speeds of the engines and the weights of the carriers for the dump. It is nil
+// unless this process leads.
+func (r *Runner) Speeds() any { return r.speedsShown.Load() }
+
 // resetSpeeds forgets all measurements when a leadership begins or ends.
 func (r *Runner) resetSpeeds() {
 	r.speeds, r.speedsShownAt = engineSpeeds{}, time.Time{}
 	r.speedsShown.Store(nil)
 	r.metrics.spread.Reset()
+	r.metrics.weights.Reset()
 }
 
 // bySpeed returns engines with the fastest first. Equal ones keep their order.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -161,6 +161,8 @@
 	// Checksums is set if the sender knows frames that end with a checksum. The frames
 	// after the Hello have one if both ends do.
 	Checksums bool `cbor:"9,keyasint,omitempty"`
+	// CPUShare is the share of a core that the sender may use, 0 if it is not known.
+	CPUShare float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Level is the level of messages, log commands and snapshots that this program understands.
