--- a/forward/speeds.go
+++ b/forward/speeds.go
@@ -15,8 +15,8 @@
 )
 
 // speedExponent is the power of a target's speed by which its cost is divided. With 1, requests are
-// slower than with today's cost, as many wait on slow targets. With 3, the fast targets have too
-// little left for bursts. docs/design/capacity.md has the figures.
+// slower than with the former cost, as many go to slow targets. With 3, the fast targets have less
+// left for bursts. docs/design/capacity.md has the figures.
 const speedExponent = 1.5
 
 // speedShowInterval is how often the metric of the speeds is renewed, and how often a log line may
