targetcapacity: buckets begin with their first sample, not at a time of the clock

Cause: the open bucket was found by the wall clock. After the clock was set back, no bucket would have ended until that time had passed again, and all speeds would have stood still. Found by reading. Change: a bucket ends 125 ms after its first sample, by the monotonic time; the leader samples at three ticks less 10 ms, so that a tick that comes early does not halve the samples.

--- a/batch/speeds.go
+++ b/batch/speeds.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// speedInterval is the time between two samples of each run for the speed of its engine. It
-	// is below eventTimeInterval so that an engine that has become slower is known within 1 s.
-	speedInterval = 150 * time.Millisecond
+	// speedInterval is the least time between two samples of each run for the speed of its engine:
+	// three ticks, less what they come early. It is below eventTimeInterval so that an engine that
+	// has become slower is known within 1 s.
+	speedInterval = 3*tickInterval - 10*time.Millisecond
 	// speedSettleTime is how long the engines of a service must have differed before their speeds
 	// are used. A new leader, which has no samples, waits for that as well.
 	speedSettleTime = 3 * time.Second
--- a/targetcapacity/targetcapacity.go
+++ b/targetcapacity/targetcapacity.go
@@ -20,16 +20,17 @@
 	// towards 1 during the second half of it.
 	MaxAge = 10 * time.Second
 
-	// bucketTime is the time whose samples count as one. A pause of 100 ms touches two buckets at
-	// most, less than half of recentBuckets, so that it does not move their median. A target that
-	// has become slower fills stepBuckets within 0.75 s; its samples may come 0.2 s later.
-	bucketTime    = 150 * time.Millisecond
+	// bucketTime is the time from the first sample of a bucket from which the next one begins
+	// another. A pause of 100 ms touches two buckets at most, less than half of recentBuckets, so
+	// that it does not move their median. A target that is sampled each 150 ms and has become
+	// slower fills stepBuckets within 0.75 s.
+	bucketTime    = 125 * time.Millisecond
 	recentBuckets = 5
 	stepBuckets   = 4
 	// minBuckets is the number of buckets with samples from which the speed of a target is known:
 	// fewer could lie in one pause.
 	minBuckets = 3
-	// levelGain is the weight of a median in the level of a target. Ten buckets are 1.5 s.
+	// levelGain is the weight of a median in the level of a target. Ten buckets are 1.5 s at a sample each 150 ms.
 	levelGain = 0.1
 	// minStep is the least change, as a natural logarithm, that the level follows at once if the
 	// last stepBuckets all show it: a factor of 1.6. With three of five, two pauses in a row counted
@@ -89,7 +90,7 @@
 	samples int
 	at      time.Time // of the last sample
 
-	bucket int64 // number of the open bucket
+	began  time.Time // of the open bucket, which has count samples
 	sum    float64
 	count  int
 	recent []float64 // means of the last buckets
@@ -152,12 +153,10 @@
 	return b
 }
 
-func bucketOf(at time.Time) int64 { return at.UnixNano() / int64(bucketTime) }
-
 // add adds a sample to the open bucket. Late samples count as those of the open bucket.
 func (t *target) add(at time.Time, relative float64) {
 	if t.count == 0 {
-		t.bucket = bucketOf(at)
+		t.began = at
 	}
 	t.sum += relative
 	t.count++
@@ -169,7 +168,7 @@
 
 // advance closes the open bucket if its time is over.
 func (t *target) advance(now time.Time) {
-	if t.count == 0 || bucketOf(now) <= t.bucket {
+	if t.count == 0 || now.Sub(t.began) < bucketTime {
 		return
 	}
 	t.recent = append(t.recent, t.sum/float64(t.count))
--- a/targetcapacity/targetcapacity_test.go
+++ b/targetcapacity/targetcapacity_test.go
@@ -164,20 +164,20 @@
 // The cost of a sample and of a ranking, and the memory of a target, at 29, 300 and 2,600 targets.
 func BenchmarkService(b *testing.B) {
 	for _, n := range []int{29, 300, 2600} {
+		names := make([]string, n)
+		for i := range names {
+			names[i] = name(i)
+		}
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		s, at := &Service{}, start
-		names := make([]string, n)
 		round := func() {
 			at = at.Add(bucketTime)
 			for i := range names {
 				s.Add(Sample{Target: names[i], Load: 1, At: at, Took: time.Duration(20e6 * uneven(i, at))})
 			}
 		}
-		for i := range names {
-			names[i] = name(i)
-		}
 		for range 2 * recentBuckets {
 			round()
 		}
