--- a/batch/division.go
+++ b/batch/division.go
@@ -38,10 +38,11 @@
 
 // speedChange is a change because of speeds.
 type speedChange struct {
-	Engine   string
-	From, To string
-	Speed    float64
-	Reason   string
+	Engine string  `json:"engine"`
+	From   string  `json:"from"`
+	To     string  `json:"to"`
+	Speed  float64 `json:"speed"`
+	Reason string  `json:"reason"`
 }
 
 // capacity is what an engine adds to a model: nothing if it accepts no runs any more.
--- a/batch/division_test.go
+++ b/batch/division_test.go
@@ -98,9 +98,9 @@
 			return worst, fast
 		}
 		before, _ := need()
-		now, changed, late := start, 0, 0
+		changed, late := 0, 0
 		for tick := range 400 { // a minute
-			now = now.Add(150 * time.Millisecond)
+			now := start.Add(time.Duration(tick) * 150 * time.Millisecond)
 			paused := rand.New(rand.NewPCG(seed, uint64(now.UnixNano()/int64(600*time.Millisecond))))
 			r.playEvents(now, func(i int) float64 {
 				if paused.Float64() < 0.15 && tick%4 < 1+i%2 {
@@ -110,20 +110,19 @@
 			})
 			next := r.divide(now, newest)
 			for id, m := range next {
-				if m != r.assignedModels[id] {
-					is.True(now.Sub(start) >= 3*time.Second)
-					changed++
-					if now.Sub(start) > 40*time.Second {
-						late++
-					}
+				if m == r.assignedModels[id] {
+					continue
+				}
+				is.True(now.Sub(start) >= 3*time.Second)
+				if changed++; now.Sub(start) > 40*time.Second {
+					late++
 				}
 			}
 			r.assignedModels = next
 		}
 		after, fast := need()
 		t.Logf("seed %d, %d models: greatest need %.2f -> %.2f, %d changes, %d of them after 40 s, %d fast engines of the first model", seed, len(models), before, after, changed, late, fast)
-		is.True(before > 1.3 && after < 1.15)
-		is.True(changed <= 12 && late <= 1)
+		is.True(before > 1.3 && after < 1.15 && changed <= 12 && late <= 1)
 		is.True(len(models) == 3 || fast >= 3)
 	}
 }
--- a/batch/speeds.go
+++ b/batch/speeds.go
@@ -139,12 +139,13 @@
 		return
 	}
 	type input struct {
-		Quota, Engines int
-		Want, Have     float64
+		Quota   int     `json:"quota"`
+		Engines int     `json:"engines"`
+		Want    float64 `json:"want"`
+		Have    float64 `json:"have"`
 	}
 	models := make(map[string]input)
-	named := d.models
-	for _, m := range named[:min(len(named), maxLoggedChanges)] {
+	for _, m := range d.models[:min(len(d.models), maxLoggedChanges)] {
 		models[m] = input{d.quota[m], d.count[m], d.want[m], d.have[m]}
 	}
 	r.log.WithFields(logrus.Fields{
--- a/forward/speeds_test.go
+++ b/forward/speeds_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -81,9 +82,7 @@
 				}
 				s, took := &states[r.process][i], r.ends-r.sent+time.Millisecond
 				s.outstanding--
-				if s.latency == 0 {
-					s.latency = took
-				}
+				s.latency = cmp.Or(s.latency, took)
 				s.latency += time.Duration(latencyGain * float64(took-s.latency))
 				services[r.process].Add(targetcapacity.Sample{Target: strconv.Itoa(i), Load: r.load, At: at, Took: took})
 				if now > warmUp {
@@ -98,10 +97,7 @@
 		}
 		rate := use * total * 6 / 21 / processes // per millisecond
 		if bursts {
-			rate *= 2.0 / 3
-			if now%(4*time.Second) < time.Second {
-				rate *= 3
-			}
+			rate *= []float64{2, 2.0 / 3, 2.0 / 3, 2.0 / 3}[now/time.Second%4]
 		}
 		for p := range processes {
 			if rnd.Float64() >= rate {
@@ -141,15 +137,13 @@
 // objective of 150 ms. Slot time is compared, not requests: a target that is 1.6 times faster is to
 // get more of them.
 func TestBusiestTargetOfUnevenOnes(t *testing.T) {
-	for _, c := range []struct {
-		use    float64
-		bursts bool
-	}{{0.05, false}, {0.3, false}, {0.45, true}} {
-		is := is.New(t)
-		formerBusiest, formerMean, formerP99, formerLate := playUneven(false, c.use, c.bursts)
-		busiest, mean, p99, late := playUneven(true, c.use, c.bursts)
+	is := is.New(t)
+	for _, use := range []float64{0.05, 0.3, 0.45} {
+		bursts := use > 0.4
+		formerBusiest, formerMean, formerP99, formerLate := playUneven(false, use, bursts)
+		busiest, mean, p99, late := playUneven(true, use, bursts)
 		t.Logf("use %.2f, bursts %v: busiest %.2f -> %.2f of the mean; response mean %.1f -> %.1f ms, p99 %.1f -> %.1f ms, late or rejected %.3f%% -> %.3f%%",
-			c.use, c.bursts, formerBusiest, busiest, formerMean, mean, formerP99, p99, 100*formerLate, 100*late)
+			use, bursts, formerBusiest, busiest, formerMean, mean, formerP99, p99, 100*formerLate, 100*late)
 		is.True(busiest < 0.8*formerBusiest && late <= formerLate+2e-4 && p99 < 100)
 	}
 }
