--- a/admission/queue.go
+++ b/admission/queue.go
@@ -86,6 +86,7 @@
 	parked      []*Item[T]
 	sequence    uint64
 	fifo        bool // see SetFIFO
+	equalCosts  bool // see SetEqualCosts
 }
 
 // flow holds the waiting requests of one caller, or of one bucket of callers that
@@ -121,6 +122,10 @@
 // use it as a baseline.
 func (q *Queue[T]) SetFIFO() { q.fifo = true }
 
+// SetEqualCosts says that all requests have the same cost, so that none must be assumed to cost
+// more than it says when its deadline is checked.
+func (q *Queue[T]) SetEqualCosts() { q.equalCosts = true }
+
 // Len returns the number of waiting requests without the parked ones.
 func (q *Queue[T]) Len() int { return q.length }
 
@@ -289,7 +294,7 @@
 		return false
 	}
 	cost := item.Cost
-	if wait > 0 {
+	if wait > 0 && !q.equalCosts {
 		cost = max(cost, minCostFactor*f.meanCost)
 	}
 	need := time.Duration(waitSafetyFactor * float64(wait+q.rate.estimateRunTime(cost)))
--- a/admission/retry.go
+++ b/admission/retry.go
@@ -43,15 +43,26 @@
 
 // AllowRetry reports whether one more retry is within the budget and counts it if so.
 func (b *RetryBudget) AllowRetry(now time.Time) bool {
+	requests, _ := b.sum(now)
+	return b.AllowWithin(now, b.share*float64(requests)+float64(b.base))
+}
+
+// AllowWithin is AllowRetry for a given number of retries within budgetWindow.
+func (b *RetryBudget) AllowWithin(now time.Time, most float64) bool {
 	slot := b.slot(now)
-	requests, retries := b.sum(now)
-	if float64(retries+1) > b.share*float64(requests)+float64(b.base) {
+	if _, retries := b.sum(now); float64(retries+1) > most {
 		return false
 	}
 	slot.retries++
 	return true
 }
 
+// ReturnRetry takes back a retry that was allowed and not made.
+func (b *RetryBudget) ReturnRetry(now time.Time) {
+	slot := b.slot(now)
+	slot.retries = max(0, slot.retries-1)
+}
+
 // Counts returns the requests and retries within budgetWindow.
 func (b *RetryBudget) Counts(now time.Time) (requests, retries int) { return b.sum(now) }
 
