--- a/admission/allocator.go
+++ b/admission/allocator.go
@@ -13,13 +13,13 @@
 	// maxReportInterval leaves an answer time to be replaced before it expires.
 	maxReportInterval = 1500 * time.Millisecond
 	// maxReportsPerSecond bounds what the leader is sent by all processes.
-	maxReportsPerSecond = 300
+	maxReportsPerSecond = 250
 	// settleTime is how long a new leader divides nothing: each process has reported within
 	// reportInterval, plus the time of a question.
 	settleTime = 700 * time.Millisecond
 	// reportTime is how long a report holds. Then its process counts as lost.
 	reportTime = 2 * time.Second
-	// planTime is how long a division holds. With 370 processes it is asked for 300 times a second.
+	// planTime is how long a division holds. With 370 processes it is asked for 250 times a second.
 	planTime = 100 * time.Millisecond
 	// lostTime is how long a lost process is remembered. It may have stood still, and then uses
 	// what it held until its next answer.
@@ -272,8 +272,8 @@
 	}
 	p := book.plan
 	out := ServiceShare{Service: service, Retries: min(inWindow(own.demand.RetriesWanted), p.retryBound) + p.retriesLeft}
-	if own.demand.Places == 0 {
-		return out // the process has no limit
+	if own.demand.Places == 0 || p.forCallers+p.forBackground == 0 {
+		return out // the process has no limit, or nobody needs places
 	}
 	out.Over = p.over
 	out.Places = a.move(service, own, p.need(own.demand))
