forward, hub, daemon: shared admission of plain requests and reward calls

Cause: the keeper of package demand was not used. Change: with Features.SharedAdmission, Forwarder.Do waits for a place before the first attempt, and further attempts need the budget for retries; the call "demand" goes from entries and control processes to the control leader. Streams are not admitted. With the switch off Forwarder.Admission is nil and the call is not registered.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -14,6 +14,7 @@
 
 	"merlinhall/actor"
 	"merlinhall/boottime"
+	"merlinhall/demand"
 	"merlinhall/directory"
 	"merlinhall/forward"
 	"merlinhall/link"
@@ -74,6 +75,7 @@
 	limits        *ratelimit.Keeper
 	quarantine    *quarantine.Keeper
 	streams       *streams.Keeper
+	admission     *demand.Keeper    // nil if requests are not admitted by all processes together
 	unreadable    observe.LineLimit // of the log lines for limits that cannot be read
 	callerHandler *platform.CallerHandler
 	ending        context.Context    // is done when running requests get their final answers
@@ -118,6 +120,7 @@
 	d.streams = streams.NewKeeper(streams.Options{Process: s.Name, Registry: d.observer.Registry, Log: d.observer.Logger("streams")})
 	d.forward.Streams = d.streams
 	d.observer.AddDump("streams", d.streams.Dump)
+	d.startAdmission()
 	d.pool.OnSend = func(to upstream.Address, r *upstream.Request) {
 		d.limits.Sent(to.ID, ratelimit.Use{Kind: string(r.Kind), Repeat: r.Repeat})
 	}
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -145,6 +145,9 @@
 	c.OnLeader(claim.Lead)
 	leader := d.startStreams(begun, manifests, propose(begun.Name()))
 	c.OnLeader(leader.Lead)
+	if d.admission != nil {
+		c.OnLeader(d.admission.Lead)
+	}
 	var collector *usage.Collector
 	if s.UsageWindow > 0 {
 		collector = d.startCollector(usage.CollectorOptions{
@@ -186,13 +189,14 @@
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
-		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
+		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Demand: d.admission, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
 	links.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
 	d.limits.Follow(h.Operator().AskGrants)
 	d.quarantine.Follow(h.Operator().AskSuspects)
 	d.streams.Follow(h.Operator().AskStreams)
+	d.admission.Follow(h.Operator().AskDemand)
 	h.Start()
 	d.stops = append(d.stops, h.Stop)
 	if s.UsageWindow > 0 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/demand"
 	"merlinhall/directory"
 	"merlinhall/observe"
 	"merlinhall/quarantine"
@@ -159,6 +160,8 @@
 	Limits    *ratelimit.Keeper // nil if targets have no limits
 	// Quarantine holds back requests of callers under which targets end; nil holds back none.
 	Quarantine *quarantine.Keeper
+	// Admission queues and refuses requests that exceed what targets take; nil admits all.
+	Admission *demand.Keeper
 	// Streams knows which software began streams that callers take up; nil knows none.
 	Streams *streams.Keeper
 	// ListLag is how much later than a target joins the list of targets may show it.
@@ -311,14 +314,20 @@
 	permit       *quarantine.Permit // for the next attempt; nil unless the request is suspect
 	failures     int
 	ends         []AttemptEnd
+	place        *demand.Place // nil if the request needs none
 }
 
 // Do forwards r and returns its result, at the deadline of r at the latest.
-func (f *Forwarder) Do(ctx context.Context, r *Request) Result {
+func (f *Forwarder) Do(ctx context.Context, r *Request) (result Result) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	u := &requestState{f: f, r: r, tried: make(map[string]bool), finished: make(chan *attempt, 2*maxRefusals+r.Route.MaxAttempts+1)}
-	result := u.loop(ctx)
+	place, refused := f.admit(ctx, r)
+	if refused != nil {
+		return *refused
+	}
+	defer func() { place.End(result.Outcome == OutcomeAnswered) }()
+	u := &requestState{f: f, r: r, tried: make(map[string]bool), finished: make(chan *attempt, 2*maxRefusals+r.Route.MaxAttempts+1), place: place}
+	result = u.loop(ctx)
 	for _, c := range u.cancels {
 		c()
 	}
@@ -383,6 +392,7 @@
 // true when no further attempt is needed.
 func (u *requestState) handleAttempt(a *attempt) (Result, bool) {
 	u.ends = append(u.ends, a.end)
+	u.notePlace(a)
 	switch {
 	case a.err != nil && a.err.NotSent, a.err == nil && (a.verdict == NotRun || a.verdict == Misdirected):
 		u.possibleRuns--
@@ -416,6 +426,9 @@
 	case u.held.RetryAfter > 0:
 		return u.notRun(u.heldReason(), u.held.RetryAfter)
 	}
+	if u.place != nil {
+		return u.notRun("no target took the request", u.place.RetryAfter())
+	}
 	return u.notRun("no target took the request", retryAfterRefused)
 }
 
@@ -460,12 +473,18 @@
 	if u.possibleRuns >= u.maxRuns() || u.refused >= maxRefusals || left < minTimeLeft {
 		return nil, 0
 	}
+	allowed, unused := u.allowAttempt()
+	if !allowed {
+		return nil, 0
+	}
 	if !u.permitted(ctx, beside) {
+		unused()
 		return nil, 0
 	}
 	t := u.choose(ctx, beside)
 	left = time.Until(u.r.Deadline)
 	if t == nil {
+		unused()
 		u.f.Quarantine.Release(u.takePermit())
 		return nil, left
 	}
--- a/hub/client.go
+++ b/hub/client.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/admission"
 	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/link"
@@ -341,6 +342,11 @@
 	return c.call(ctx, methodStreams, in, out, 0)
 }
 
+// AskDemand reports the demand of this process to the control leader, which answers with its share.
+func (c *Client) AskDemand(ctx context.Context, in *admission.Demand, out *admission.Shares) error {
+	return c.call(ctx, methodDemand, in, out, 0)
+}
+
 // AskGrants asks the control leader for grants for targets with a limit.
 func (c *Client) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
 	return c.call(ctx, methodGrants, in, out, 0)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -13,6 +13,7 @@
 
 	"merlinhall/consensus"
 	"merlinhall/control"
+	"merlinhall/demand"
 	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/link"
@@ -49,6 +50,7 @@
 	Limits      *ratelimit.Keeper
 	Quarantine  *quarantine.Keeper
 	Streams     *streams.Leader
+	Demand      *demand.Keeper // nil if requests are not admitted by all processes together
 	Log         *logrus.Entry
 	DataDir     string // directory of the cached manifest
 	// Dial maintains a link to a control process until stop is called.
--- a/hub/operator.go
+++ b/hub/operator.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/admission"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/routes"
@@ -91,6 +92,11 @@
 	return o.call(ctx, methodStreams, in, out)
 }
 
+// AskDemand reports the demand of this process to the control leader, which answers with its share.
+func (o Operator) AskDemand(ctx context.Context, in *admission.Demand, out *admission.Shares) error {
+	return o.call(ctx, methodDemand, in, out)
+}
+
 // AskGrants asks the control leader for grants for targets with a limit.
 func (o Operator) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
 	return o.call(ctx, methodGrants, in, out)
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -36,6 +36,9 @@
 	if h.opts.Streams != nil {
 		c.HandleCall(methodStreams, h.streams)
 	}
+	if h.opts.Demand != nil {
+		c.HandleCall(methodDemand, h.demand)
+	}
 	if h.opts.Usage != nil {
 		c.HandleCall(methodUsage, h.reportUsage)
 	}
@@ -189,6 +192,12 @@
 	return answerByLease(ctx, h, body, func(_ uint64, in *streams.Ask) (*streams.Answers, bool) { return h.opts.Streams.Handle(ctx, in), true })
 }
 
+// demand answers a process that reports its demand. Without the lease another leader may divide the
+// same places.
+func (h *Hub) demand(ctx context.Context, body []byte) ([]byte, error) {
+	return answerByLease(ctx, h, body, h.opts.Demand.Handle)
+}
+
 // answerByLease answers a question that only a leader with its lease may answer. handle returns
 // false if it has not heard of the leadership yet.
 func answerByLease[In, Out any](ctx context.Context, h *Hub, body []byte, handle func(term uint64, in *In) (*Out, bool)) ([]byte, error) {
