--- a/admission/allocator.go
+++ b/admission/allocator.go
@@ -109,16 +109,13 @@
 	if own == nil {
 		return out
 	}
-	for _, d := range in.Services {
-		h := own.services[d.Service]
-		if h == nil {
-			continue
-		}
+	for _, service := range slices.Sorted(maps.Keys(own.services)) {
+		h := own.services[service]
 		if !settled {
-			out.Services = append(out.Services, ServiceShare{Service: d.Service, Retries: budgetOf(h.demand) + baseRetries/float64(processes)})
+			out.Services = append(out.Services, ServiceShare{Service: service, Retries: budgetOf(h.demand) + baseRetries/float64(processes)})
 			continue
 		}
-		out.Services = append(out.Services, a.divide(now, d.Service, h))
+		out.Services = append(out.Services, a.divide(now, service, h))
 	}
 	return out
 }
@@ -203,6 +200,9 @@
 	former := r.services
 	r.services = make(map[string]*holding, len(in.Services))
 	for _, d := range in.Services[:min(len(in.Services), maxReportedServices)] {
+		if r.services[d.Service] != nil {
+			continue // named twice
+		}
 		h := former[d.Service]
 		if h == nil {
 			h = &holding{}
