hub: reads of results wait until the step is complete

Cause: a read that is answered with the few results available so far is followed by a pause of the trainer of about 0.5 s, during which its step may become complete. Change: with stepOrder on, the leader holds a read that has results until the step has the complete groups that its trainer waits for, within the client's wait and until the step is due. It is answered at once without a wait, for a step that is complete or past due, without a number of groups, from a position before one handed out, with a full page, for a closed submission, or when the process no longer leads. An entry lets a read that it repeats wait for the rest of its time only. With the switch off nothing changes. The effect on trainers is not measured yet.

--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -183,8 +183,13 @@
 	links.mux.Handle(c, control.Kinds...)
 	links.mux.Handle(carried, carrier.KindOrders)
 	links.mux.Handle(runner.Carriers(), carrier.KindReport)
+	var stepReads *hub.StepReads
+	if s.Features.StepOrder {
+		stepReads = hub.NewStepReads(d.observer)
+	}
 	h := hub.New(hub.Options{
-		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
+		StepReads: stepReads,
+		Host:      s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
 		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -18,6 +18,7 @@
 	client := hub.NewClient(hub.ClientOptions{
 		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, DataDir: d.settings.DataDir, Log: d.observer.Logger("hub"),
 		Registry: d.observer.Registry, Dial: links.dial, OnRoutes: func(m *routes.Manifest) { d.callerServer.SetLimits(clientLimits(m.Limits)) },
+		StepReads: d.settings.Features.StepOrder,
 	})
 	var meter *usage.Meter
 	if d.settings.UsageWindow > 0 {
--- a/hub/client.go
+++ b/hub/client.go
@@ -55,6 +55,9 @@
 	// OnRoutes is called with each manifest that takes effect, in order of versions.
 	OnRoutes func(*routes.Manifest)
 	Registry *prometheus.Registry // nil registers no metrics
+	// StepReads is set if the leader has reads of results wait for complete steps. A read that
+	// is repeated then waits for the rest of its time only.
+	StepReads bool
 }
 
 // Client is the client side in an entry process. It receives routes and targets from
@@ -276,6 +279,12 @@
 // only if no earlier attempt may have run. All calls are safe to repeat. wait is how long
 // the leader may hold the call before it replies.
 func (c *Client) call(ctx context.Context, method string, in, out any, wait time.Duration) error {
+	return c.callAgain(ctx, method, in, out, wait, nil)
+}
+
+// callAgain is call with a function that returns the wait of a repeated call, and changes the
+// request accordingly. It may be nil.
+func (c *Client) callAgain(ctx context.Context, method string, in, out any, wait time.Duration, again func() time.Duration) error {
 	body, err := wire.Marshal(in)
 	if err != nil {
 		return eris.Wrap(ErrNotDone, err.Error())
@@ -283,6 +292,12 @@
 	mayHaveRun := false
 	lastError := "no link to control"
 	for attempt := 0; ; attempt++ {
+		if attempt > 0 && again != nil {
+			wait = again()
+			if body, err = wire.Marshal(in); err != nil {
+				return eris.Wrap(ErrNotDone, err.Error())
+			}
+		}
 		if conn := c.pickConn(attempt % 2); conn != nil {
 			reply := c.callOnce(ctx, conn, &wire.Call{Method: method, Body: body}, wait)
 			switch reply.Outcome {
@@ -356,7 +371,16 @@
 // yet, it waits up to wait for one. found is false for an unknown submission.
 func (c *Client) Page(ctx context.Context, caller Caller, id string, after int, wait time.Duration, limit int) (page ledger.Page, found bool, err error) {
 	var out pageReply
-	err = c.call(ctx, methodPage, &pageRequest{ID: id, After: after, Wait: wait, Limit: limit, Caller: &caller}, &out, wait)
+	in := &pageRequest{ID: id, After: after, Wait: wait, Limit: limit, Caller: &caller}
+	var again func() time.Duration
+	if c.opts.StepReads {
+		deadline := time.Now().Add(wait)
+		again = func() time.Duration {
+			in.Wait = max(0, time.Until(deadline))
+			return in.Wait
+		}
+	}
+	err = c.callAgain(ctx, methodPage, in, &out, wait, again)
 	return out.Page, out.Found, err
 }
 
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -49,6 +49,7 @@
 	Limits      *ratelimit.Keeper
 	Quarantine  *quarantine.Keeper
 	Streams     *streams.Leader
+	StepReads   *StepReads // nil if reads of results do not wait for complete steps
 	Log         *logrus.Entry
 	DataDir     string // directory of the cached manifest
 	// Dial maintains a link to a control process until stop is called.
@@ -77,6 +78,8 @@
 	published     bool            // the list was read and sent in this term
 	changedLimits map[string]bool // targets whose limits all processes are to be told
 	leading       bool
+	leadership    <-chan struct{} // closed when this process stops leading, nil before it leads
+	endLeadership context.CancelFunc
 	term          uint64
 	// reported is the group as members reported it while this process is not one.
 	reported wire.MembershipUpdate
@@ -452,6 +455,14 @@
 func (h *Hub) setLeading(leading bool, term uint64) {
 	h.mu.Lock()
 	h.leading, h.term, h.published = leading, term, false
+	if h.endLeadership != nil {
+		h.endLeadership()
+	}
+	h.leadership, h.endLeadership = nil, nil
+	if leading {
+		ctx, cancel := context.WithCancel(h.ctx)
+		h.leadership, h.endLeadership = ctx.Done(), cancel
+	}
 	h.mu.Unlock()
 	if leading {
 		h.opts.Poller.Wake()
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -95,8 +95,13 @@
 	if !h.visible(in.Caller, in.ID) {
 		return wire.Marshal(&pageReply{})
 	}
+	if h.opts.StepReads != nil {
+		if err := h.opts.StepReads.wait(ctx, h.leadershipEnd(), h.opts.Submissions, &in); err != nil {
+			return nil, err
+		}
+	}
 	page, changed, found := h.opts.Submissions.Page(in.ID, in.After, in.Limit)
-	if found && len(page.Results) == 0 && changed != nil && in.Wait > 0 {
+	if found && h.opts.StepReads == nil && len(page.Results) == 0 && changed != nil && in.Wait > 0 {
 		timer := time.NewTimer(in.Wait)
 		defer timer.Stop()
 		select {
@@ -113,9 +118,20 @@
 		}
 		page, _, found = h.opts.Submissions.Page(in.ID, in.After, in.Limit)
 	}
+	if h.opts.StepReads != nil && found {
+		h.opts.StepReads.handOut(h.opts.Submissions, in.ID, page.Next)
+	}
 	return wire.Marshal(&pageReply{Found: found, Page: page})
 }
 
+// leadershipEnd returns a channel that is closed when this process stops leading, or nil if it
+// has not heard of its leadership yet.
+func (h *Hub) leadershipEnd() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leadership
+}
+
 func (h *Hub) body(ctx context.Context, body []byte) ([]byte, error) {
 	var in itemRequest
 	if err := decode(body, &in); err != nil {
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -23,21 +24,32 @@
 		return Page{}, nil, false
 	}
 	after = max(0, after)
-	page = Page{Total: len(state.Submission.Items), Next: after}
-	size := 0
-	for at := after; at < len(state.Results); at++ {
-		r := state.Results[at]
-		size += expectedExpansion*r.size() + resultOverheadBytes
-		if size > limit && len(page.Results) > 0 {
+	page = Page{Total: len(state.Submission.Items), Next: state.pageEnd(after, limit)}
+	if page.Next > after {
+		page.Results = slices.Clone(state.Results[after:page.Next])
+	}
+	return page, state.next(), true
+}
+
+// pageEnd returns the position after the last result of a page.
+func (state *submissionState) pageEnd(after, limit int) int {
+	size, at := 0, after
+	for ; at < len(state.Results); at++ {
+		size += expectedExpansion*state.Results[at].size() + resultOverheadBytes
+		if size > limit && at > after {
 			break
 		}
-		page.Results = append(page.Results, r)
-		page.Next = at + 1
 	}
-	if !state.Ended && len(state.Results) < page.Total {
-		changed = state.changed
+	return at
+}
+
+// next returns the channel that is closed at the next change, or nil when there will be no
+// more results.
+func (state *submissionState) next() <-chan struct{} {
+	if state.Ended || len(state.Results) >= len(state.Submission.Items) {
+		return nil
 	}
-	return page, changed, true
+	return state.changed
 }
 
 // size returns the compressed size of the text.
--- /dev/null
+++ b/ledger/step.go
@@ -0,0 +1,80 @@
+package ledger
+
+import "time"
+
+// groupCount counts the complete groups of a submission: those of which all items have
+// results, failed ones included. It follows from the items and the results, so it is the same
+// in all replicas.
+type groupCount struct {
+	left     map[string]int // items without a result by group; complete groups have no entry
+	complete int
+}
+
+func newGroupCount(state *submissionState) groupCount {
+	c := groupCount{left: make(map[string]int)}
+	for i := range state.Submission.Items {
+		c.left[state.Submission.Items[i].Group]++
+	}
+	for i := range state.Results {
+		if at, ok := state.itemIndex[state.Results[i].Item]; ok {
+			c.take(state.Submission.Items[at].Group)
+		}
+	}
+	return c
+}
+
+// take counts the first result of an item of a group.
+func (c *groupCount) take(group string) {
+	c.left[group]--
+	if c.left[group] == 0 {
+		delete(c.left, group)
+		c.complete++
+	}
+}
+
+// firstRequest returns when this process learnt of the first submission of the step that a new
+// submission is for: a trainer may submit a step again under another id.
+func (s *Submissions) firstRequest(state *submissionState) time.Time {
+	first := state.since
+	sub := &state.Submission
+	if sub.Model == "" || sub.Step == 0 {
+		return first
+	}
+	for _, other := range s.byID {
+		o := &other.Submission
+		if o.Model == sub.Model && o.Step == sub.Step && o.Account == sub.Account && other.requestedAt.Before(first) {
+			first = other.requestedAt
+		}
+	}
+	return first
+}
+
+// Standing is what a reader of results may wait for.
+type Standing struct {
+	Wanted   int // complete groups that the trainer waits for, 0 if it names no number
+	Complete int // complete groups by all results
+	// Due is when the step is due, zero if that is not known.
+	Due time.Time
+	// Next is the position after the last result of the page, and Results the number of its
+	// results.
+	Next, Results int
+	Full          bool // the page has no room for the results after it
+}
+
+// Standing returns what a reader of the page from position after on may wait for. limit, changed
+// and found are as for Page.
+func (s *Submissions) Standing(id string, after, limit int) (st Standing, changed <-chan struct{}, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.byID[id]
+	if state == nil {
+		return Standing{}, nil, false
+	}
+	after = max(0, after)
+	st = Standing{Wanted: state.Submission.WantedGroups, Complete: state.groups.complete, Next: state.pageEnd(after, limit)}
+	st.Results, st.Full = st.Next-after, st.Next < len(state.Results)
+	if state.Submission.Due > 0 && !state.requestedAt.IsZero() {
+		st.Due = state.requestedAt.Add(state.Submission.Due)
+	}
+	return st, state.next(), true
+}
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -102,6 +102,10 @@
 	itemIndex   map[string]int // item id to index in Submission.Items
 	since       time.Time      // when this process learnt of it
 	changed     chan struct{}  // closed at the next change
+	groups      groupCount
+	// requestedAt is when this process learnt of the first submission of the step, zero if
+	// that was from a snapshot.
+	requestedAt time.Time
 }
 
 func (state *submissionState) buildIndex() {
@@ -113,6 +117,7 @@
 	for i := range state.Submission.Items {
 		state.itemIndex[state.Submission.Items[i].ID] = i
 	}
+	state.groups = newGroupCount(state)
 	state.since = time.Now()
 	state.changed = make(chan struct{})
 }
@@ -233,6 +238,7 @@
 	}
 	state := &submissionState{Submission: *sub, Order: index}
 	state.buildIndex()
+	state.requestedAt = s.firstRequest(state)
 	s.byID[sub.ID] = state
 	return []SubmissionChange{{Accepted: &state.Submission}}
 }
@@ -245,7 +251,7 @@
 		return false, nil
 	}
 	for _, r := range results {
-		_, known := state.itemIndex[r.Item]
+		at, known := state.itemIndex[r.Item]
 		if _, recorded := state.resultIndex[r.Item]; recorded || !known {
 			continue
 		}
@@ -257,6 +263,7 @@
 		delete(s.partial, r.Item)
 		state.resultIndex[r.Item] = len(state.Results)
 		state.Results = append(state.Results, r)
+		state.groups.take(state.Submission.Items[at].Group)
 		added = true
 		if !r.Failed {
 			s.finished[r.Item] = r
