batch: items of trainers that are behind start first, and those that nobody waits for last

Cause: pending items are ordered by the due time of their step only, so a trainer that is behind its schedule stays so, and with more work than slots items that no trainer waits for delay others. Change: with stepOrder on, the leader tracks the lag of each trainer from the arrivals of its steps in the ledger and orders pending items by their latest start less that lag, unless a task of a trainer on time would start too late. Items of groups that the trainer does not wait for are last.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 # that these must find.
 sim:
 	$(GO) test -count=1 ./batch -run 'Leaders|Planted' -sim.seeds 200 -sim.planted 2000
+	$(GO) test -count=1 ./batch -run 'Leaders' -sim.seeds 50 -sim.steporder
 	$(GO) test -count=1 ./usage -run 'Under' -usage.seeds 400
 
 # Random bytes for each decoder, FUZZTIME each; findings stay in the testdata of the packages.
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -16,6 +16,7 @@
 	steps  prometheus.Histogram
 	open   *prometheus.GaugeVec
 	lost   prometheus.Counter
+	lag    *prometheus.GaugeVec
 	// unneeded counts runs that went on at a carrier while it was given up.
 	unneeded prometheus.Counter
 	// droppedEvents counts events of texts that began anew.
@@ -52,6 +53,9 @@
 		open: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "merlinhall_batch_open_items", Help: "Items without a result, by state.",
 		}, []string{"state"}),
+		lag: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "merlinhall_batch_trainer_lag_seconds", Help: "Time by which the last step of a trainer arrived later than by its schedule, by model. Set by the leader with ordered steps only.",
+		}, []string{"model"}),
 		unneeded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_runs_given_up_alive_total", Help: "Runs that their carrier still had when it answered again after it had been given up.",
 		}),
@@ -62,7 +66,7 @@
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents)
+	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.lag, m.unneeded, m.droppedEvents)
 	return m
 }
 
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -24,7 +24,9 @@
 	// perToken is the moving average of the time per estimated token: the duration of a
 	// text divided by its estimated size. It is 0 before the first text.
 	perToken time.Duration
-	lengths  lengths
+	// perText is the moving average of the duration of a text, 0 before the first one.
+	perText time.Duration
+	lengths lengths
 }
 
 // tokenTime returns perToken, or defaultTokenTime before the first text.
@@ -35,10 +37,14 @@
 	return q.perToken
 }
 
-// latestStart returns when the task must start to be complete when its submission is due.
+// startInTime returns when the task must start to be complete when its submission is due.
+func (q *queue) startInTime(t *task) time.Time {
+	return t.job.due.Add(-max(0, time.Duration(t.size)*q.tokenTime()-t.runTime))
+}
+
+// latestStart is startInTime, later for items whose group is not urgent.
 func (q *queue) latestStart(t *task) time.Time {
-	left := max(0, time.Duration(t.size)*q.tokenTime()-t.runTime)
-	at := t.job.due.Add(-left)
+	at := q.startInTime(t)
 	if !t.group.urgent {
 		at = at.Add(nonUrgentDelay)
 	}
@@ -65,6 +71,10 @@
 // observeTokenTime adds the duration of a text with the given estimated size to the moving
 // average.
 func (q *queue) observeTokenTime(size int, took time.Duration) {
+	if q.perText == 0 {
+		q.perText = took
+	}
+	q.perText += time.Duration(tokenTimeWeight * float64(took-q.perText))
 	if size <= 0 {
 		return
 	}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -88,8 +88,10 @@
 	HostFaults int
 	// KeepResults is how long results stay readable after the submission.
 	KeepResults time.Duration
-	System      *actor.System
-	Observer    *observe.Observer
+	// StepOrder has the steps of trainers that are behind their schedule run first.
+	StepOrder bool
+	System    *actor.System
+	Observer  *observe.Observer
 }
 
 // Limits gives this process grants for targets with a limit; *ratelimit.Keeper implements it.
@@ -162,6 +164,8 @@
 	jobs           []*job        // oldest first
 	routes         *routes.Table // by which the routes of the tasks were found
 	queue          queue
+	lags           lagTracker // used with StepOrder only
+	orderLoggedAt  time.Time
 	partial        *partials
 	engines        []*engine
 	assignedModels map[string]string // model of each engine, see assignModels
@@ -309,11 +313,12 @@
 func (r *Runner) handleLead(now time.Time, m leadMessage) {
 	if r.leading {
 		r.stop()
-		r.jobs, r.queue = nil, queue{perToken: r.queue.perToken, lengths: r.queue.lengths}
+		r.jobs, r.queue = nil, queue{perToken: r.queue.perToken, perText: r.queue.perText, lengths: r.queue.lengths}
 		r.additions = additions{}
 		r.finishFlush()
 	}
 	r.leading, r.term = m.leading, m.term
+	r.metrics.lag.Reset()
 	if !m.leading {
 		r.log.WithField("term", m.term).Info("stopped leading")
 		return
@@ -325,6 +330,7 @@
 	r.assignedAt = time.Time{}
 	r.engines, r.assignedModels, r.partial = nil, make(map[string]string), newPartials()
 	r.demand = make(map[string]modelDemand)
+	r.learnLags()
 	r.updateEngines(now, r.o.Directory.View())
 	r.updateRoutes()
 	for _, open := range r.o.Submissions.Open() {
@@ -407,6 +413,7 @@
 		return
 	}
 	r.addJob(open)
+	r.observeStep(open)
 	r.log.WithFields(logrus.Fields{
 		"submission": sub.ID, "items": len(open.Remaining), "step": sub.Step, "model": sub.Model, "min_version": sub.MinVersion,
 	}).Info("submission started")
@@ -475,7 +482,7 @@
 		return
 	}
 	r.updateRoutes()
-	placements := plan(now, r.queue.tasks, r.engines, &r.queue.lengths)
+	placements := r.planPending(now)
 	for _, p := range placements {
 		if !r.limits().Take(p.engine.id, 1) {
 			continue // the limit has changed since the plan began
--- a/batch/simulation_test.go
+++ b/batch/simulation_test.go
@@ -60,6 +60,7 @@
 	simSeeds   = flag.Int("sim.seeds", 4, "number of seeds of the simulation of leaders and carriers")
 	simFirst   = flag.Int("sim.first", 0, "first seed of the simulation of leaders and carriers")
 	simLog     = flag.Bool("sim.log", false, "print the log lines of the simulated processes, to trace a seed")
+	simOrder   = flag.Bool("sim.steporder", false, "order the items by the lag of their trainers")
 	simPlanted = flag.Int("sim.planted", 0, "number of seeds in which each planted fault must be found; 0 plays none")
 )
 
@@ -232,7 +233,7 @@
 		Go:          w.sched.spawn,
 		After:       w.sched.after,
 		Retired:     func() []string { return nil },
-		KeepResults: time.Hour, Observer: observer,
+		KeepResults: time.Hour, Observer: observer, StepOrder: *simOrder,
 	})
 	p.runner.newestLinks = p.newestLinks
 	p.runner.actor = &simMailbox{w: w, p: p, h: p.runner}
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -163,6 +163,7 @@
 		HostFaults:  s.HostFaults,
 		Limits:      d.limits,
 		Retired:     func() []string { return fromHub(&hubRef, (*hub.Hub).Retired) },
+		StepOrder:   s.Features.StepOrder,
 		KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
--- a/ledger/step.go
+++ b/ledger/step.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // groupCount counts the complete groups of a submission: those of which all items have
 // results, failed ones included. It follows from the items and the results, so it is the same
@@ -78,3 +82,30 @@
 	}
 	return st, state.next(), true
 }
+
+// Step is a known submission for a step of a trainer.
+type Step struct {
+	Model string
+	Step  int
+	Since time.Time // when this process learnt of it
+	Due   time.Duration
+}
+
+// Steps returns the known submissions for models, open or not, in the order of their acceptance.
+func (s *Submissions) Steps() []Step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*submissionState, 0, len(s.byID))
+	for _, state := range s.byID {
+		if state.Submission.Model != "" {
+			list = append(list, state)
+		}
+	}
+	slices.SortFunc(list, func(a, b *submissionState) int { return cmp.Compare(a.Order, b.Order) })
+	out := make([]Step, 0, len(list))
+	for _, state := range list {
+		sub := &state.Submission
+		out = append(out, Step{Model: sub.Model, Step: sub.Step, Since: state.since, Due: sub.Due})
+	}
+	return out
+}
