hub: a read that waited for the last result ends as complete

Cause: in a trial of the tests of platform with stepOrder on, reads whose step became complete with its last result were counted as ended by a closed submission. Change: a complete step is looked at first. Result: go test -race ./hub passes; what is returned and when stays the same.

--- a/hub/stepreads.go
+++ b/hub/stepreads.go
@@ -43,7 +43,10 @@
 // A read without results waits for the first one. One that has results waits until the step is
 // complete: the trainer pauses after each answer, and the step may become complete in the pause.
 func (s *stepRead) decide(now time.Time) (end readEnd, until time.Time) {
+	complete := s.Wanted > 0 && s.Complete >= s.Wanted
 	switch {
+	case s.Results > 0 && complete:
+		return readComplete, time.Time{}
 	case !s.open:
 		return readClosed, time.Time{}
 	case !now.Before(s.deadline):
@@ -54,8 +57,6 @@
 		return readStopping, time.Time{}
 	case s.Wanted <= 0:
 		return readNoNumber, time.Time{}
-	case s.Complete >= s.Wanted:
-		return readComplete, time.Time{}
 	case s.after < s.newest:
 		return readEarlier, time.Time{}
 	case s.Full:
--- a/hub/stepreads_test.go
+++ b/hub/stepreads_test.go
@@ -41,6 +41,7 @@
 		"no number of groups":     {func(r *stepRead) { r.Wanted = 0 }, readNoNumber, time.Time{}},
 		"earlier position":        {func(r *stepRead) { r.after = 9 }, readEarlier, time.Time{}},
 		"page is full":            {func(r *stepRead) { r.Full = true }, readFull, time.Time{}},
+		"all results are there":   {func(r *stepRead) { r.Complete, r.open = 24, false }, readComplete, time.Time{}},
 		"submission is closed":    {func(r *stepRead) { r.open = false }, readClosed, time.Time{}},
 		"process stops":           {func(r *stepRead) { r.stopping = true }, readStopping, time.Time{}},
 		"wait has passed":         {func(r *stepRead) { r.deadline = now }, readWaited, time.Time{}},
