hub: an empty page hands out no position

Cause: found by reading the change again: a read from a position behind all results set the newest position handed out, and later reads of that submission were taken for repeated ones and did not wait. Change: only pages with results count. Result: go test -race ./hub passes.

--- a/hub/serve.go
+++ b/hub/serve.go
@@ -118,7 +118,7 @@
 		}
 		page, _, found = h.opts.Submissions.Page(in.ID, in.After, in.Limit)
 	}
-	if h.opts.StepReads != nil && found {
+	if h.opts.StepReads != nil && len(page.Results) > 0 {
 		h.opts.StepReads.handOut(h.opts.Submissions, in.ID, page.Next)
 	}
 	return wire.Marshal(&pageReply{Found: found, Page: page})
--- a/hub/stepreads.go
+++ b/hub/stepreads.go
@@ -15,8 +15,8 @@
 // readEnd is why a read of results is answered.
 type readEnd string
 
-// Reasons to answer a read. The last two answer only a read that has
-// not waited on.
+// Reasons to answer a read. readEarlier and readNoNumber answer only a read that has not waited
+// on with results.
 const (
 	readComplete  readEnd = "complete"  // the step has the complete groups that its trainer waits for
 	readDue       readEnd = "due"       // the step is due, or it is not known when
