--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -20,6 +20,7 @@
 	spread    *prometheus.GaugeVec
 	divisions prometheus.Counter
 	weights   *prometheus.GaugeVec // of carriers
+	lag       *prometheus.GaugeVec
 	// unneeded counts runs that went on at a carrier while it was given up.
 	unneeded prometheus.Counter
 	// droppedEvents counts events of texts that began anew.
@@ -65,6 +66,9 @@
 		weights: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "merlinhall_batch_carrier_weight", Help: "How many runs a carrier gets compared with one of weight 1.",
 		}, []string{"carrier"}),
+		lag: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "merlinhall_batch_trainer_lag_seconds", Help: "Time by which the last step of a trainer arrived later than by its schedule, by model. Set by the leader with ordered steps only.",
+		}, []string{"model"}),
 		unneeded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_runs_given_up_alive_total", Help: "Runs that their carrier still had when it answered again after it had been given up.",
 		}),
@@ -75,7 +79,7 @@
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents, m.spread, m.divisions, m.weights)
+	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.lag, m.unneeded, m.droppedEvents, m.spread, m.divisions, m.weights)
 	return m
 }
 
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -167,6 +167,7 @@
 		Limits:           d.limits,
 		MeasuredCapacity: s.Features.MeasuredCapacity, CPUShare: s.CPUShare,
 		Retired:     func() []string { return fromHub(&hubRef, (*hub.Hub).Retired) },
+		StepOrder:   s.Features.StepOrder,
 		KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
@@ -188,8 +189,13 @@
 	links.mux.Handle(c, control.Kinds...)
 	links.mux.Handle(carried, carrier.KindOrders)
 	links.mux.Handle(runner.Carriers(), carrier.KindReport)
+	var stepReads *hub.StepReads
+	if s.Features.StepOrder {
+		stepReads = hub.NewStepReads(d.observer)
+	}
 	h := hub.New(hub.Options{
-		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
+		StepReads: stepReads,
+		Host:      s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
 		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Demand: d.admission, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
