ledger, hub: a step is complete once the groups of earlier steps are, too

Cause: a trainer also waits for the groups that it submits again, whichever others are complete. Change: the ledger counts the groups of which an earlier step of the trainer had items and that are not complete; a read waits for them as well. The leader gets them with the open submission. Result: ledger.TestGroupsOfAnEarlierStepAreAwaited, hub.TestReadWaitsForItsStep.

--- a/hub/stepreads.go
+++ b/hub/stepreads.go
@@ -54,7 +54,7 @@
 		return readStopping, time.Time{}
 	case s.Wanted <= 0:
 		return readNoNumber, time.Time{}
-	case s.Complete >= s.Wanted:
+	case s.Complete >= s.Wanted && s.Awaited == 0:
 		return readComplete, time.Time{}
 	case s.after < s.newest:
 		return readEarlier, time.Time{}
@@ -157,7 +157,7 @@
 	}
 	s.log.WithFields(logrus.Fields{
 		"submission": id, "end": end, "held_ms": now.Sub(heldSince).Milliseconds(), "after": read.after, "newest": read.newest,
-		"results": read.Results, "complete_groups": read.Complete, "wanted_groups": read.Wanted,
+		"results": read.Results, "complete_groups": read.Complete, "wanted_groups": read.Wanted, "awaited_groups": read.Awaited,
 		"due_in_ms": read.Due.Sub(now).Milliseconds(), "wait_left_ms": read.deadline.Sub(now).Milliseconds(),
 	}).Info("read of results has waited for its step")
 }
--- a/hub/stepreads_test.go
+++ b/hub/stepreads_test.go
@@ -33,21 +33,22 @@
 		end    readEnd
 		until  time.Time
 	}{
-		"step is not complete":    {func(*stepRead) {}, "", in(800)},
-		"step is due earlier":     {func(r *stepRead) { r.Due = in(300) }, "", in(300)},
-		"step is due":             {func(r *stepRead) { r.Due = now }, readDue, time.Time{}},
-		"due time is not known":   {func(r *stepRead) { r.Due = time.Time{} }, readDue, time.Time{}},
-		"step is complete":        {func(r *stepRead) { r.Complete = 24 }, readComplete, time.Time{}},
-		"no number of groups":     {func(r *stepRead) { r.Wanted = 0 }, readNoNumber, time.Time{}},
-		"earlier position":        {func(r *stepRead) { r.after = 9 }, readEarlier, time.Time{}},
-		"page is full":            {func(r *stepRead) { r.Full = true }, readFull, time.Time{}},
-		"submission is closed":    {func(r *stepRead) { r.open = false }, readClosed, time.Time{}},
-		"process stops":           {func(r *stepRead) { r.stopping = true }, readStopping, time.Time{}},
-		"wait has passed":         {func(r *stepRead) { r.deadline = now }, readWaited, time.Time{}},
-		"no results":              {func(r *stepRead) { r.Results = 0 }, "", in(800)},
-		"no results after due":    {func(r *stepRead) { r.Results, r.Due = 0, now }, "", in(800)},
-		"no results, is complete": {func(r *stepRead) { r.Results, r.Complete = 0, 24 }, "", in(800)},
-		"no results, stops":       {func(r *stepRead) { r.Results, r.stopping = 0, true }, "", in(800)},
+		"step is not complete":                  {func(*stepRead) {}, "", in(800)},
+		"step is due earlier":                   {func(r *stepRead) { r.Due = in(300) }, "", in(300)},
+		"step is due":                           {func(r *stepRead) { r.Due = now }, readDue, time.Time{}},
+		"due time is not known":                 {func(r *stepRead) { r.Due = time.Time{} }, readDue, time.Time{}},
+		"step is complete":                      {func(r *stepRead) { r.Complete = 24 }, readComplete, time.Time{}},
+		"groups of an earlier step are missing": {func(r *stepRead) { r.Complete, r.Awaited = 24, 1 }, "", in(800)},
+		"no number of groups":                   {func(r *stepRead) { r.Wanted = 0 }, readNoNumber, time.Time{}},
+		"earlier position":                      {func(r *stepRead) { r.after = 9 }, readEarlier, time.Time{}},
+		"page is full":                          {func(r *stepRead) { r.Full = true }, readFull, time.Time{}},
+		"submission is closed":                  {func(r *stepRead) { r.open = false }, readClosed, time.Time{}},
+		"process stops":                         {func(r *stepRead) { r.stopping = true }, readStopping, time.Time{}},
+		"wait has passed":                       {func(r *stepRead) { r.deadline = now }, readWaited, time.Time{}},
+		"no results":                            {func(r *stepRead) { r.Results = 0 }, "", in(800)},
+		"no results after due":                  {func(r *stepRead) { r.Results, r.Due = 0, now }, "", in(800)},
+		"no results, is complete":               {func(r *stepRead) { r.Results, r.Complete = 0, 24 }, "", in(800)},
+		"no results, stops":                     {func(r *stepRead) { r.Results, r.stopping = 0, true }, "", in(800)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/ledger/read.go
+++ b/ledger/read.go
@@ -122,6 +122,9 @@
 	Submission *Submission // must not be changed
 	Since      time.Time   // when this process learnt of it
 	Remaining  []Item      // items without a result
+	// Again has the groups of which an earlier step had items; the trainer waits for all of them.
+	// It must not be changed.
+	Again map[string]bool
 }
 
 // Open returns the submissions that have not ended and have items without a result, oldest
@@ -139,7 +142,7 @@
 	out := make([]Open, 0, len(list))
 	for _, state := range list {
 		sub := state.Submission
-		o := Open{Submission: &sub, Since: state.since}
+		o := Open{Submission: &sub, Since: state.since, Again: state.groups.again}
 		for _, item := range state.Submission.Items {
 			if _, recorded := state.resultIndex[item.ID]; !recorded {
 				o.Remaining = append(o.Remaining, item)
--- a/ledger/step.go
+++ b/ledger/step.go
@@ -8,6 +8,10 @@
 type groupCount struct {
 	left     map[string]int // items without a result by group; complete groups have no entry
 	complete int
+	// again has the groups of which an earlier step had items. The trainer waits for all of them,
+	// whichever other groups are complete; awaited is the number of those that are not.
+	again   map[string]bool
+	awaited int
 }
 
 func newGroupCount(state *submissionState) groupCount {
@@ -29,7 +33,49 @@
 	if c.left[group] == 0 {
 		delete(c.left, group)
 		c.complete++
+		if c.again[group] {
+			c.awaited--
+		}
+	}
+}
+
+// setAgain notes which groups an earlier step had.
+func (c *groupCount) setAgain(again map[string]bool) {
+	c.again, c.awaited = again, 0
+	for group := range again {
+		if c.left[group] > 0 {
+			c.awaited++
+		}
+	}
+}
+
+// groupsAgain returns the groups of a submission that have items of an earlier step of the same
+// trainer, nil if there are none. More of them than the trainer waits for are no such groups: it
+// could not wait for all.
+func (s *Submissions) groupsAgain(state *submissionState) map[string]bool {
+	sub := &state.Submission
+	if sub.Model == "" || sub.WantedGroups <= 0 {
+		return nil
+	}
+	var again map[string]bool
+	for _, other := range s.byID {
+		o := &other.Submission
+		if o.Model != sub.Model || o.Account != sub.Account || o.Step >= sub.Step {
+			continue
+		}
+		for i := range sub.Items {
+			if _, ok := other.itemIndex[sub.Items[i].ID]; ok {
+				if again == nil {
+					again = make(map[string]bool)
+				}
+				again[sub.Items[i].Group] = true
+			}
+		}
+	}
+	if len(again) > sub.WantedGroups {
+		return nil
 	}
+	return again
 }
 
 // firstRequest returns when this process learnt of the first submission of the step that a new
@@ -53,6 +99,9 @@
 type Standing struct {
 	Wanted   int // complete groups that the trainer waits for, 0 if it names no number
 	Complete int // complete groups by all results
+	// Awaited is the number of groups from earlier steps that are not complete. The trainer waits
+	// for these as well.
+	Awaited int
 	// Due is when the step is due, zero if that is not known.
 	Due time.Time
 	// Next is the position after the last result of the page, and Results the number of its
@@ -71,7 +120,7 @@
 		return Standing{}, nil, false
 	}
 	after = max(0, after)
-	st = Standing{Wanted: state.Submission.WantedGroups, Complete: state.groups.complete, Next: state.pageEnd(after, limit)}
+	st = Standing{Wanted: state.Submission.WantedGroups, Complete: state.groups.complete, Awaited: state.groups.awaited, Next: state.pageEnd(after, limit)}
 	st.Results, st.Full = st.Next-after, st.Next < len(state.Results)
 	if state.Submission.Due > 0 && !state.requestedAt.IsZero() {
 		st.Due = state.requestedAt.Add(state.Submission.Due)
--- a/ledger/step_test.go
+++ b/ledger/step_test.go
@@ -48,3 +48,40 @@
 		is.Equal(st, Standing{Wanted: 24, Complete: 26, Next: 27*8 - 1}) // due at an unknown time
 	})
 }
+
+// Guards against a step that counts as complete while groups of an earlier step are missing: its
+// trainer waits for them, whichever others are complete. The count must survive a snapshot.
+func TestGroupsOfAnEarlierStepAreAwaited(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	groups := func(step, first, last int) *Submission {
+		sub := &Submission{ID: fmt.Sprint("s", step), Model: "m", Step: step, WantedGroups: 4}
+		for g := first; g <= last; g++ {
+			for i := range 2 {
+				sub.Items = append(sub.Items, Item{ID: fmt.Sprint(g, "/", i), Group: fmt.Sprint(g)})
+			}
+		}
+		return sub
+	}
+	is.NoErr(l.apply(AcceptCommand(groups(0, 0, 4))))
+	is.NoErr(l.apply(EndCommand("s0")))
+	is.NoErr(l.apply(AcceptCommand(groups(1, 3, 7)))) // 3 and 4 again
+	is.NoErr(l.apply(AcceptCommand(groups(2, 3, 7)))) // more than the trainer waits for
+	for g := 4; g <= 7; g++ {
+		for i := range 2 {
+			is.NoErr(l.apply(RecordCommand("s1", Result{Item: fmt.Sprint(g, "/", i), Failed: true})))
+		}
+	}
+	other := NewSubmissions()
+	snapshot, err := l.slice.Snapshot()
+	is.NoErr(err)
+	is.NoErr(other.Restore(snapshot))
+	for _, slice := range []*Submissions{l.slice, other} {
+		st, _, _ := slice.Standing("s1", 0, 1<<20)
+		is.Equal(st.Complete, 4)
+		is.Equal(st.Awaited, 1)
+		st, _, _ = slice.Standing("s2", 0, 1<<20)
+		is.Equal(st.Awaited, 0)
+		is.Equal(slice.Open()[0].Again, map[string]bool{"3": true, "4": true})
+	}
+}
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -239,6 +239,7 @@
 	state := &submissionState{Submission: *sub, Order: index}
 	state.buildIndex()
 	state.requestedAt = s.firstRequest(state)
+	state.groups.setAgain(s.groupsAgain(state))
 	s.byID[sub.ID] = state
 	return []SubmissionChange{{Accepted: &state.Submission}}
 }
@@ -403,6 +404,9 @@
 			}
 		}
 	}
+	for _, state := range list {
+		state.groups.setAgain(s.groupsAgain(state))
+	}
 	return nil
 }
 
