--- a/hub/stepreads.go
+++ b/hub/stepreads.go
@@ -43,7 +43,7 @@
 // A read without results waits for the first one. One that has results waits until the step is
 // complete: the trainer pauses after each answer, and the step may become complete in the pause.
 func (s *stepRead) decide(now time.Time) (end readEnd, until time.Time) {
-	complete := s.Wanted > 0 && s.Complete >= s.Wanted
+	complete := s.Wanted > 0 && s.Complete >= s.Wanted && s.Awaited == 0
 	switch {
 	case s.Results > 0 && complete:
 		return readComplete, time.Time{}
@@ -158,7 +158,7 @@
 	}
 	s.log.WithFields(logrus.Fields{
 		"submission": id, "end": end, "held_ms": now.Sub(heldSince).Milliseconds(), "after": read.after, "newest": read.newest,
-		"results": read.Results, "complete_groups": read.Complete, "wanted_groups": read.Wanted,
+		"results": read.Results, "complete_groups": read.Complete, "wanted_groups": read.Wanted, "awaited_groups": read.Awaited,
 		"due_in_ms": read.Due.Sub(now).Milliseconds(), "wait_left_ms": read.deadline.Sub(now).Milliseconds(),
 	}).Info("read of results has waited for its step")
 }
