batch: groups of earlier steps are urgent, and a step is complete once they are

Cause: a trainer waits for the groups that it submits again, whichever others are complete. The order of steps put their items last once the wanted number was complete, and without a text of theirs they were urgent only if they were small. Change: with stepOrder on, the groups of which an earlier step had items come first, are needed until the end, and count for when a step is complete.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -353,6 +353,9 @@
 }
 
 func (r *Runner) addJob(open ledger.Open) {
+	if !r.o.StepOrder {
+		open.Again = nil
+	}
 	j := newJob(open, func(item string) bool {
 		_, ok := r.o.Submissions.Finished(item)
 		return ok || r.partial.has(item)
--- a/batch/steporder.go
+++ b/batch/steporder.go
@@ -116,7 +116,7 @@
 // needed reports whether the trainer waits for the task's group.
 func (t *task) needed() bool {
 	j := t.job
-	return t.group.urgent && (j.sub.WantedGroups <= 0 || j.completeGroups < j.sub.WantedGroups)
+	return t.group.again || t.group.urgent && (j.sub.WantedGroups <= 0 || j.completeGroups < j.sub.WantedGroups)
 }
 
 // learnLags takes the schedules of the trainers from the submissions that the ledger still has.
--- a/batch/steporder_test.go
+++ b/batch/steporder_test.go
@@ -230,3 +230,20 @@
 	}
 	is.New(t).True(slow[true] < slow[false])
 }
+
+// Guards against items of a group from an earlier step that come last, or a step that counts as
+// complete without them: its trainer waits for that group, whichever others are complete.
+func TestGroupOfAnEarlierStepIsNeeded(t *testing.T) {
+	is := is.New(t)
+	sub := &ledger.Submission{ID: "s", Model: "m", Step: 2, WantedGroups: 2}
+	for _, item := range []ledger.Item{{ID: "a", Group: "a", Length: 1}, {ID: "b", Group: "b", Length: 2}, {ID: "c", Group: "c", Length: 9}} {
+		sub.Items = append(sub.Items, item)
+	}
+	j := newJob(ledger.Open{Submission: sub, Since: start, Remaining: sub.Items, Again: map[string]bool{"c": true}}, func(string) bool { return false })
+	is.True(j.groups["c"].urgent && !j.groups["b"].urgent)
+	is.True(!j.markRecorded(j.tasks["a"]))
+	is.True(!j.markRecorded(j.tasks["b"])) // two groups are complete, but not c
+	c := j.tasks["c"]
+	is.True(c.needed())
+	is.True(j.markRecorded(c))
+}
--- a/batch/task.go
+++ b/batch/task.go
@@ -108,6 +108,9 @@
 	urgent   bool
 	recorded int  // number of tasks with a recorded result
 	resumed  bool // an item has text from an earlier submission
+	// again is set if an earlier step had items of the group: the trainer waits for it, whichever
+	// other groups are complete.
+	again bool
 }
 
 // unassign clears the engine of the group if it is the given one, so that its items may
@@ -130,6 +133,8 @@
 	closed   bool
 	// completeGroups counts the groups of which all items have results.
 	completeGroups int
+	awaited        int  // groups of earlier steps that are not complete
+	stepComplete   bool // the trainer has all that it waits for
 }
 
 // expired reports whether the time to live of the job's items has passed.
@@ -145,7 +150,19 @@
 		return false
 	}
 	j.completeGroups++
-	return j.completeGroups == j.sub.WantedGroups
+	if t.group.again {
+		j.awaited--
+	}
+	if j.stepComplete || !j.hasWanted() {
+		return false
+	}
+	j.stepComplete = true
+	return true
+}
+
+// hasWanted reports whether the groups that the trainer waits for are complete.
+func (j *job) hasWanted() bool {
+	return j.sub.WantedGroups > 0 && j.completeGroups >= j.sub.WantedGroups && j.awaited == 0
 }
 
 // newJob returns the job of an open submission and marks its urgent groups. hasText reports
@@ -165,7 +182,10 @@
 	for _, item := range open.Remaining {
 		g := j.groups[item.Group]
 		if g == nil {
-			g = &group{name: item.Group}
+			g = &group{name: item.Group, again: open.Again[item.Group], resumed: open.Again[item.Group]}
+			if g.again {
+				j.awaited++
+			}
 			j.groups[item.Group] = g
 		}
 		t := &task{job: j, item: item, group: g, size: sizeOf(item)}
@@ -176,6 +196,7 @@
 		j.order = append(j.order, t)
 	}
 	j.completeGroups = len(groupNames(sub)) - len(j.groups)
+	j.stepComplete = j.hasWanted()
 	j.markUrgent()
 	return j
 }
@@ -197,8 +218,8 @@
 	return item.Tokens
 }
 
-// markUrgent marks as urgent as many groups as the trainer waits for: first those with
-// text from an earlier submission, then the smallest, as they are expected to complete
+// markUrgent marks as urgent as many groups as the trainer waits for: first those of earlier
+// steps and those with text from an earlier submission, then the smallest, as they are expected to complete
 // first. If the submission names no number, all groups are urgent.
 func (j *job) markUrgent() {
 	list := make([]*group, 0, len(j.groups))
