forward: attempts that reached no target are replaced without the retry budget

Change: an attempt that was not sent, or went to an address that another target has, is replaced without asking the budget. A test exhausts the budget beside targets that answer 421.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -27,15 +27,24 @@
 
 // notePlace tells the place of the request how an attempt ended.
 func (u *requestState) notePlace(a *attempt) {
+	if a.err != nil && a.err.NotSent || a.err == nil && a.verdict == Misdirected {
+		u.replaceable++
+	}
 	if a.err == nil && (a.verdict == Answered || a.verdict == NotRun) {
 		u.place.AttemptEnded(a.target.ID, a.end.Took, a.verdict == NotRun)
 	}
 }
 
 // allowAttempt reports whether the request may be sent now, as far as the budget for retries of
-// its service allows it. unused must be called if it is not.
+// its service allows it. unused must be called if it is not. An attempt that has reached no target
+// of the service, as when targets are lost, is replaced without the budget: that adds no load, and
+// services with few requests have too few retries for it.
 func (u *requestState) allowAttempt() (allowed bool, unused func()) {
-	if u.possibleRuns+u.refused == 0 {
+	switch {
+	case u.possibleRuns+u.refused == 0:
+		return true, func() {}
+	case u.replaceable > 0:
+		u.replaceable--
 		return true, func() {}
 	}
 	return u.place.AllowRetry(), u.place.ReturnRetry
--- a/forward/admit_test.go
+++ b/forward/admit_test.go
@@ -59,3 +59,17 @@
 	is.True(runs <= 40+40/5+10)
 	is.True(runs > 40)
 }
+
+// Guards against requests that fail because their first attempt went to a target that is gone,
+// after the retries of the service were used up.
+func TestAttemptWithoutATargetIsReplacedBeyondTheBudget(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(startTarget(t, "a", elsewhere), startTarget(t, "b", elsewhere), startTarget(t, "c", ok))
+	place, _ := admitting(f).Admit(context.Background(), demand.Request{Service: "s", Deadline: time.Now().Add(time.Minute)})
+	for place.AllowRetry() {
+		continue
+	}
+	for i := range 8 {
+		is.Equal(f.Do(context.Background(), request(fmt.Sprint("r", i), false, time.Second, time.Second)).Outcome, OutcomeAnswered)
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -315,6 +315,7 @@
 	failures     int
 	ends         []AttemptEnd
 	place        *demand.Place // nil if the request needs none
+	replaceable  int           // attempts that have reached no target and were not replaced
 }
 
 // Do forwards r and returns its result, at the deadline of r at the latest.
