forward, batch: zones of targets and carriers by the shares of package locality

Cause: requests, hedges, reward calls and the carriers of runs chose between zones by a fixed penalty of 1.25 or 8 runs, each process for itself. Change: with Features.Locality, a request goes to the usable targets of the zone that locality.Keeper picks; if it picks none, or no target of its zone is usable, the choice is as before. Processes report to the leader by the call locality.report and get the shares of their zone; the leader chooses carriers with the same decision. Settings merlinhall.zoneRoundTripMs and zoneByteCost. Metrics merlinhall_zone_requests_total and merlinhall_zone_leaving_share, a line when a share changes by 0.1, and the dump "locality". With the switch off no zone is picked and the cost is as before.

--- a/batch/engines.go
+++ b/batch/engines.go
@@ -25,7 +25,7 @@
 			e.running = r.runsOn(e)
 		}
 		e.draining, e.software = t.Draining, t.Software()
-		e.slots = r.slotsOf(t)
+		e.slots, e.zone = r.slotsOf(t), t.Zone
 		r.useDirectoryVersions(now, e, t)
 		r.engines = append(r.engines, e)
 		known[t.ID] = e
--- a/batch/fleet.go
+++ b/batch/fleet.go
@@ -380,6 +380,7 @@
 	c.runs[p.Attempt] = t.run
 	if e := r.engine(id.Engine); e != nil && e.startedMs == id.EngineStartedMs {
 		e.running++
+		t.run.engineZone = e.zone
 	}
 	if t.group.engine == "" {
 		t.group.engine = id.Engine
--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"merlinhall/carrier"
+	"merlinhall/locality"
 	"merlinhall/wire"
 )
 
@@ -30,6 +31,31 @@
 	is.Equal(chooseCarrier(start, carriers, ""), far)
 }
 
+// Guards against carriers of another zone that read engines whose zone has free carriers, against
+// a zone whose few carriers get all its runs, and against runs that wait for a zone without any.
+func TestCarriersOfTheEnginesZoneReadUntilTheyAreFull(t *testing.T) {
+	is := is.New(t)
+	r := quietRunner(testEngine("e", 4, 4))
+	r.o.Locality = &locality.Costs{RoundTrip: time.Millisecond}
+	near, far, alsoFar := testCarrier("near", "z", 0), testCarrier("far", "y", 0), testCarrier("other", "y", 0)
+	r.carriers = []*carrierView{far, near, alsoFar}
+	begin := func(now time.Time, runs int) {
+		for range runs {
+			c := r.carrierFor(now, "z")
+			c.runs[uint64(len(c.runs))] = &run{engineZone: "z"}
+		}
+	}
+	begin(start, 20)
+	is.Equal(len(near.runs), 20)
+	begin(start, 60)
+	is.True(len(near.runs) > 20 && len(near.runs) <= carrierPlaces)
+	is.True(len(far.runs) > 10 && len(alsoFar.runs) > 10)
+	near.stopping = true
+	is.True(r.carrierFor(start.Add(time.Second/5), "z") != near)
+	far.stopping, alsoFar.stopping = true, true
+	is.Equal(r.carrierFor(start.Add(time.Second/5), "z"), nil)
+}
+
 // The leader's own process decides for all others. Carriers that are silent, that stop or
 // whose host is to be emptied get nothing.
 func TestUnusableCarriersGetNoRuns(t *testing.T) {
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -26,6 +26,7 @@
 	startedMs int64 // Unix ms of the start, 0 when unknown
 	slots     int
 	software  wire.Software
+	zone      string
 	// versions holds the weight version of each model.
 	versions           map[string]uint64
 	versionsReportedAt time.Time // when the engine itself last reported versions
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -13,6 +13,7 @@
 	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/link"
+	"merlinhall/locality"
 	"merlinhall/observe"
 	"merlinhall/routes"
 )
@@ -82,6 +83,8 @@
 	// Limits are the limits that engines name on the requests of all processes; nil if there
 	// are none.
 	Limits Limits
+	// Locality, if set, has the zones of carriers chosen by the use of each zone, with these costs.
+	Locality *locality.Costs
 	// Retired returns the control processes whose hosts are to be emptied.
 	Retired func() []string
 	// HostFaults is the number of hosts that may be lost at the same time.
@@ -170,6 +173,7 @@
 	demand         map[string]modelDemand
 	nextExpiry     time.Time
 	eventTimesAt   time.Time // when the time per event was last sampled
+	zonePlan       zonePlan
 	savedAt        time.Time // when partial texts were last proposed to the ledger
 	// flushWaiters are closed when no proposal is in progress.
 	flushWaiters []chan struct{}
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -16,6 +16,7 @@
 	carrier         *carrierView
 	sequence        uint64 // of the orders with which it was started
 	engine          string
+	engineZone      string
 	engineStartedMs int64
 	began           time.Time
 	reading         bool   // the engine generates, and so has a slot less
@@ -52,7 +53,7 @@
 	if !r.o.Directory.View().Accepts(e.id) || r.o.Submissions.Closed(t.job.sub.ID) {
 		return // both may be newer than the last message about them
 	}
-	c := chooseCarrier(now, r.carriers, target.Zone)
+	c := r.carrierFor(now, target.Zone)
 	if c == nil {
 		return
 	}
@@ -62,6 +63,7 @@
 	t.waitsSince = time.Time{}
 	run := r.newRun(now, t, c)
 	run.engine, run.engineStartedMs, run.placementReason, run.reading = e.id, e.startedMs, p.reason, true
+	run.engineZone = target.Zone
 	run.version = e.versions[t.job.sub.Model]
 	t.state, t.engine = taskRunning, e.id
 	t.runs++
@@ -92,7 +94,7 @@
 
 // startScoring has a complete text scored whose run has ended without a score.
 func (r *Runner) startScoring(now time.Time, t *task) {
-	c := chooseCarrier(now, r.carriers, "")
+	c := r.carrierFor(now, "")
 	if c == nil || r.adopting(now) {
 		return // the next tick tries again
 	}
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -17,6 +17,7 @@
 	"merlinhall/directory"
 	"merlinhall/forward"
 	"merlinhall/link"
+	"merlinhall/locality"
 	"merlinhall/memory"
 	"merlinhall/observe"
 	"merlinhall/platform"
@@ -74,6 +75,7 @@
 	limits        *ratelimit.Keeper
 	quarantine    *quarantine.Keeper
 	streams       *streams.Keeper
+	locality      *locality.Keeper  // nil if the feature is off
 	unreadable    observe.LineLimit // of the log lines for limits that cannot be read
 	callerHandler *platform.CallerHandler
 	ending        context.Context    // is done when running requests get their final answers
@@ -118,6 +120,14 @@
 	d.streams = streams.NewKeeper(streams.Options{Process: s.Name, Registry: d.observer.Registry, Log: d.observer.Logger("streams")})
 	d.forward.Streams = d.streams
 	d.observer.AddDump("streams", d.streams.Dump)
+	if costs := d.zoneCosts(); costs != nil {
+		d.locality = locality.NewKeeper(locality.Options{
+			Process: s.Name, Zone: s.Zone, Directory: d.targets, Costs: *costs,
+			Registry: d.observer.Registry, Log: d.observer.Logger("locality"),
+		})
+		d.forward.Locality = d.locality
+		d.observer.AddDump("locality", d.locality.Dump)
+	}
 	d.pool.OnSend = func(to upstream.Address, r *upstream.Request) {
 		d.limits.Sent(to.ID, ratelimit.Use{Kind: string(r.Kind), Repeat: r.Repeat})
 	}
@@ -141,6 +151,14 @@
 	return d, nil
 }
 
+// zoneCosts returns the costs of traffic between zones, or nil if zones are not chosen by their use.
+func (d *HostedDaemon) zoneCosts() *locality.Costs {
+	if !d.settings.Features.Locality {
+		return nil
+	}
+	return &locality.Costs{RoundTrip: d.settings.ZoneRoundTrip, ByteCost: d.settings.ZoneByteCost}
+}
+
 // quarantineDir returns the directory for requests that are held back, or "" without a data
 // directory.
 func quarantineDir(dataDir string) string {
@@ -206,6 +224,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.limits.Run(ctx)
 	go d.streams.Run(ctx)
+	go d.locality.Run(ctx)
 	var stored sync.WaitGroup
 	stored.Go(func() { d.quarantine.Run(ctx) })
 	d.stops = append(d.stops, func() {
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -162,6 +162,7 @@
 		LeaseHeld:   r.LeaseHeld,
 		HostFaults:  s.HostFaults,
 		Limits:      d.limits,
+		Locality:    d.zoneCosts(),
 		Retired:     func() []string { return fromHub(&hubRef, (*hub.Hub).Retired) },
 		KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
 	})
@@ -186,13 +187,14 @@
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
-		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
+		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Locality: d.locality, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
 	links.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
 	d.limits.Follow(h.Operator().AskGrants)
 	d.quarantine.Follow(h.Operator().AskSuspects)
 	d.streams.Follow(h.Operator().AskStreams)
+	d.locality.Follow(h.Operator().ReportZones)
 	h.Start()
 	d.stops = append(d.stops, h.Stop)
 	if s.UsageWindow > 0 {
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -52,6 +52,7 @@
 		d.limits.Follow(client.AskGrants)
 		d.quarantine.Follow(client.AskSuspects)
 		d.streams.Follow(client.AskStreams)
+		d.locality.Follow(client.ReportZones)
 	}
 	client.Start()
 	d.stops = append(d.stops, client.Stop)
--- a/experiment/zones.go
+++ b/experiment/zones.go
@@ -322,7 +322,11 @@
 	t, v, took := m.targets[i], &r.p.views[i], m.now.Sub(sent)
 	v.outstanding--
 	v.idle++
-	r.p.chooser.Ended(m.since(), zoneService, zoneName(t.zone), took, run > 0, zoneBytes)
+	end := locality.Answered
+	if run == 0 {
+		end = locality.Refused
+	}
+	r.p.chooser.Ended(m.since(), zoneService, zoneName(t.zone), took, end, zoneBytes)
 	if run == 0 {
 		v.suspectUntil = m.now.Add(zoneSuspectTime)
 		if r.counted {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -57,11 +57,12 @@
 	service  string
 	software wire.Software // the only one, unless it is unknown
 	tried    map[string]bool
+	refused  bool // targets have refused or failed it
 }
 
 // wanted returns the targets that are left for the request.
 func (u *requestState) wanted() wanted {
-	w := wanted{service: u.r.Route.Choose(u.r.ID), software: u.software, tried: u.tried}
+	w := wanted{service: u.r.Route.Choose(u.r.ID), software: u.software, tried: u.tried, refused: len(u.tried) > 0 && u.inFlight == 0}
 	if u.software.Known() {
 		w.service = u.software.Service
 	}
@@ -135,12 +136,22 @@
 	limits := f.Limits.Targets()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c = f.cheapest(now, w, f.zone(now, w, limits, background), limits, limited, background, rand.Float64)
+	if c.target != nil && !c.needsGrant {
+		f.count(c.target, background)
+	}
+	return c
+}
+
+// cheapest is choose without the count, for a request that goes to the given zone, unless it is
+// "". The caller holds f.mu.
+func (f *Forwarder) cheapest(now time.Time, w wanted, zone string, limits map[string]bool, limited, background bool, random func() float64) (c choice) {
 	var bestCost float64
 	for _, t := range f.Directory.View().Ready(w.service) {
 		if !w.allows(t) || limits[t.ID] && !limited {
 			continue
 		}
-		cost := f.cost(now, t)
+		cost := f.cost(now, t, random())
 		if limits[t.ID] {
 			cost *= limitedFactor
 		} else {
@@ -150,21 +161,20 @@
 				continue
 			}
 		}
+		if f.outside(now, zone, w, t, limits, background) {
+			continue
+		}
 		if c.target == nil || cost < bestCost {
 			c.target, bestCost = t, cost
 		}
 	}
-	if c.target == nil {
-		return c
-	}
-	if c.needsGrant = limits[c.target.ID]; !c.needsGrant {
-		f.count(c.target, background)
-	}
+	c.needsGrant = c.target != nil && limits[c.target.ID]
 	return c
 }
 
 // count counts an outstanding request on a target. The caller holds f.mu.
 func (f *Forwarder) count(t *wire.TargetEntry, background bool) {
+	f.Locality.Sent(t)
 	s := f.state(t.ID)
 	s.outstanding++
 	if background {
@@ -177,11 +187,11 @@
 const suspectCost = 1e6
 
 // cost estimates the time of a request on t from this process's outstanding requests
-// and the recent latency. The random term spreads the load of processes that have
+// and the recent latency. random, from 0 to 1, spreads the load of processes that have
 // no or equal observations.
-func (f *Forwarder) cost(now time.Time, t *wire.TargetEntry) float64 {
+func (f *Forwarder) cost(now time.Time, t *wire.TargetEntry, random float64) float64 {
 	s := f.state(t.ID)
-	cost := (float64(s.outstanding) + 0.5 + rand.Float64()) * (s.latency.Seconds() + unmeasuredTime.Seconds())
+	cost := (float64(s.outstanding) + 0.5 + random) * (s.latency.Seconds() + unmeasuredTime.Seconds())
 	if t.Zone != f.Zone {
 		cost *= crossZoneFactor
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"merlinhall/directory"
+	"merlinhall/locality"
 	"merlinhall/observe"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
@@ -161,6 +162,8 @@
 	Quarantine *quarantine.Keeper
 	// Streams knows which software began streams that callers take up; nil knows none.
 	Streams *streams.Keeper
+	// Locality chooses the zones of targets; nil chooses none.
+	Locality *locality.Keeper
 	// ListLag is how much later than a target joins the list of targets may show it.
 	ListLag time.Duration
 	Zone    string
@@ -273,6 +276,8 @@
 	reach   upstream.Reach // of the target if the response broke off
 	beside  int            // other requests of this process at the target as it ended
 	permit  *quarantine.Permit
+	// headerAfter is the time after which the header of a response to Stream arrived.
+	headerAfter time.Duration
 }
 
 // failedRun reports whether the target said that this request has run and failed. A response
@@ -318,6 +323,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	u := &requestState{f: f, r: r, tried: make(map[string]bool), finished: make(chan *attempt, 2*maxRefusals+r.Route.MaxAttempts+1)}
+	u.arrived()
 	result := u.loop(ctx)
 	for _, c := range u.cancels {
 		c()
@@ -558,6 +564,7 @@
 		errors.As(err, &a.err)
 	}
 	f.updateTarget(ctx, a.target.ID, a, took, r.Background)
+	f.noteZone(ctx, r, a, took)
 	ended := time.Now()
 	f.checkTarget(ctx, r, a)
 	f.reportRun(ctx, r, a, took+time.Since(ended))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -74,6 +74,7 @@
 	if refused := s.findSoftware(ctx); refused != nil {
 		return *refused
 	}
+	s.arrived()
 	result := s.loop(ctx)
 	result.Attempts = s.possibleRuns + s.refused
 	result.Failures = s.failures
@@ -155,6 +156,7 @@
 	s.tell(a)
 	response, err := s.f.Pool.Open(attemptCtx, directory.Address(t), out)
 	if err == nil {
+		a.headerAfter = time.Since(began)
 		err = s.receive(attemptCtx, a, response, func() { cancel(errStreamIdle) })
 	}
 	if errors.Is(context.Cause(attemptCtx), errStreamIdle) {
--- a/hub/calls.go
+++ b/hub/calls.go
@@ -27,6 +27,7 @@
 	methodGrants     = "limits.grants"
 	methodSuspects   = "suspects.ask"
 	methodStreams    = "streams.ask"
+	methodLocality   = "locality.report"
 )
 
 type pageRequest struct {
--- a/hub/client.go
+++ b/hub/client.go
@@ -14,6 +14,7 @@
 	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/link"
+	"merlinhall/locality"
 	"merlinhall/propagate"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
@@ -341,6 +342,11 @@
 	return c.call(ctx, methodStreams, in, out, 0)
 }
 
+// ReportZones reports the requests of the zone to the control leader and returns the shares.
+func (c *Client) ReportZones(ctx context.Context, in *locality.Report, out *locality.Answers) error {
+	return c.call(ctx, methodLocality, in, out, 0)
+}
+
 // AskGrants asks the control leader for grants for targets with a limit.
 func (c *Client) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
 	return c.call(ctx, methodGrants, in, out, 0)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -16,6 +16,7 @@
 	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/link"
+	"merlinhall/locality"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/replica"
@@ -49,6 +50,7 @@
 	Limits      *ratelimit.Keeper
 	Quarantine  *quarantine.Keeper
 	Streams     *streams.Leader
+	Locality    *locality.Keeper // nil if zones are not chosen by shares
 	Log         *logrus.Entry
 	DataDir     string // directory of the cached manifest
 	// Dial maintains a link to a control process until stop is called.
@@ -105,6 +107,9 @@
 	o.Control.OnLeader(h.setLeading)
 	o.Control.OnLeader(o.Limits.Lead)
 	o.Limits.OnChange(h.publishLimits)
+	if o.Locality != nil {
+		o.Control.OnLeader(o.Locality.Lead)
+	}
 	if o.Quarantine != nil {
 		o.Control.OnLeader(o.Quarantine.Lead)
 		o.Quarantine.OnChange(h.publishSuspects)
--- a/hub/operator.go
+++ b/hub/operator.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/locality"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/routes"
@@ -91,6 +92,11 @@
 	return o.call(ctx, methodStreams, in, out)
 }
 
+// ReportZones reports the requests of the zone to the control leader and returns the shares.
+func (o Operator) ReportZones(ctx context.Context, in *locality.Report, out *locality.Answers) error {
+	return o.call(ctx, methodLocality, in, out)
+}
+
 // AskGrants asks the control leader for grants for targets with a limit.
 func (o Operator) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
 	return o.call(ctx, methodGrants, in, out)
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -33,6 +33,9 @@
 	c.HandleCall(methodRoutes, h.newestRoutes)
 	c.HandleCall(methodGrants, h.grants)
 	c.HandleCall(methodSuspects, h.suspects)
+	if h.opts.Locality != nil {
+		c.HandleCall(methodLocality, h.locality)
+	}
 	if h.opts.Streams != nil {
 		c.HandleCall(methodStreams, h.streams)
 	}
@@ -183,6 +186,12 @@
 	return answerByLease(ctx, h, body, h.opts.Quarantine.Handle)
 }
 
+// locality answers a process that reports the requests of its zone. Without the lease another
+// leader may give out other shares.
+func (h *Hub) locality(ctx context.Context, body []byte) ([]byte, error) {
+	return answerByLease(ctx, h, body, h.opts.Locality.Handle)
+}
+
 // streams answers a process on streams that it begins and that callers take up there. Without
 // the lease another leader may have later records.
 func (h *Hub) streams(ctx context.Context, body []byte) ([]byte, error) {
--- a/locality/chooser.go
+++ b/locality/chooser.go
@@ -49,12 +49,14 @@
 	}
 	s := c.services[name]
 	if s == nil {
-		s = &service{source: FromSelf, row: Row{From: c.Zone}}
+		s = c.newService()
 		c.services[name] = s
 	}
 	return s
 }
 
+func (c *Chooser) newService() *service { return &service{source: FromSelf, row: Row{From: c.Zone}} }
+
 // Arrived counts a request that arises in the process and is worth waiting for the given time.
 func (c *Chooser) Arrived(now time.Duration, service string, worth time.Duration) {
 	s := c.service(service)
@@ -66,8 +68,8 @@
 func (c *Chooser) Sent(now time.Duration, service, zone string) { c.service(service).Sent(now, zone) }
 
 // Ended counts the end of an attempt.
-func (c *Chooser) Ended(now time.Duration, service, zone string, took time.Duration, answered bool, bytes int) {
-	c.service(service).Ended(now, zone, took, answered, bytes)
+func (c *Chooser) Ended(now time.Duration, service, zone string, took time.Duration, end End, bytes int) {
+	c.service(service).Ended(now, zone, took, end, bytes)
 }
 
 // Pick returns the zone of the next attempt, or "" if any will do. zones are those with a target
@@ -80,7 +82,10 @@
 
 // Preview returns the zone that Pick would return and the shares that it would use.
 func (c *Chooser) Preview(now time.Duration, service string, zones []string, refused bool) (string, Row, Source) {
-	s := c.service(service)
+	s := c.services[service]
+	if s == nil {
+		s = c.newService()
+	}
 	row, source, _ := c.inForce(now, service, s)
 	return s.picker.Preview(c.request(now, s, row, zones, refused)), row, source
 }
--- a/locality/decide_test.go
+++ b/locality/decide_test.go
@@ -146,8 +146,8 @@
 		for _, zone := range []string{"a", "b"} {
 			c.Sent(now, "s", zone)
 		}
-		c.Ended(now, "s", "a", took, true, 100)
-		c.Ended(now, "s", "b", 25*time.Millisecond, true, 100)
+		c.Ended(now, "s", "a", took, Answered, 100)
+		c.Ended(now, "s", "b", 25*time.Millisecond, Answered, 100)
 		c.Pick(now, "s", options, false)
 	}
 	_, row, _ = c.Preview(now, "s", options, false)
--- a/locality/pick.go
+++ b/locality/pick.go
@@ -78,6 +78,14 @@
 // used, with 0.35 0.6% (docs/design/locality.md).
 const noticeable = 0.5
 
+// minNoticeable is the least such difference: that of the scheduling of busy processes.
+const minNoticeable = 5 * time.Millisecond
+
+// variation returns the difference from the response time without a queue that shows none.
+func variation(least time.Duration) time.Duration {
+	return max(minNoticeable, time.Duration(noticeable*float64(least)))
+}
+
 // correct returns the zone to which a request goes that the shares give to the given zone, or ""
 // if it goes to the best target of any zone. Shares are up to two seconds old; a process sees
 // earlier that responses have become slow. The zones do not matter if the response time shows queues
@@ -87,7 +95,7 @@
 		return ""
 	}
 	for _, o := range r.Options {
-		if o.Zone == zone && r.Least > 0 && o.Time > time.Duration((1+noticeable)*float64(r.Least))+r.Crossing {
+		if o.Zone == zone && r.Least > 0 && o.Time > r.Least+variation(r.Least)+r.Crossing {
 			return ""
 		}
 	}
@@ -189,7 +197,7 @@
 // there and on the way.
 func Alone(before Row, own, others Seen, c Costs) Row {
 	wait := own.wait(c)
-	limit := others.wait(c) + c.crossing() + time.Duration(noticeable*float64(own.Least))
+	limit := others.wait(c) + c.crossing() + variation(own.Least)
 	if c.Worth >= c.crossing() && own.Time > 0 && wait > limit {
 		before.Leave = min(1, before.Leave+aloneStep)
 		return before
--- a/locality/report.go
+++ b/locality/report.go
@@ -110,6 +110,16 @@
 	mean, least time.Duration // of response times
 }
 
+// End is how an attempt ended.
+type End int
+
+// Ends of attempts.
+const (
+	Answered End = iota
+	Refused      // refused or failed
+	GivenUp      // another attempt answered, or the caller left
+)
+
 // leastGain is how fast the least response time follows higher ones, for each response: the
 // requests or the targets have changed.
 const leastGain = 0.002
@@ -117,12 +127,15 @@
 // meanGain is the weight of a response in the mean.
 const meanGain = 0.1
 
-func (z *zoneCounts) note(now, took time.Duration, answered bool) {
+func (z *zoneCounts) note(now, took time.Duration, end End) {
 	z.held.hold(now, float64(z.outstanding))
 	z.outstanding--
-	if !answered {
+	switch end {
+	case Refused:
 		z.refused.add(now, 1)
 		return
+	case GivenUp:
+		return
 	}
 	z.answered.add(now, 1)
 	if z.mean == 0 {
@@ -188,10 +201,10 @@
 	z.outstanding++
 }
 
-// Ended counts the end of an attempt. Attempts that were refused or failed are not answered.
-func (c *Counts) Ended(now time.Duration, zone string, took time.Duration, answered bool, bytes int) {
-	c.zone(zone).note(now, took, answered)
-	if answered {
+// Ended counts the end of an attempt.
+func (c *Counts) Ended(now time.Duration, zone string, took time.Duration, end End, bytes int) {
+	c.zone(zone).note(now, took, end)
+	if end == Answered {
 		c.bytes += meanGain * (float64(bytes) - c.bytes)
 	}
 }
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -63,7 +63,11 @@
 	// MaxFiles is the number of file descriptors that the process may have, 0 if it is not
 	// known.
 	MaxFiles int
-	Features Features
+	// ZoneRoundTrip is the round trip between zones, in addition to that within one, and
+	// ZoneByteCost the cost of a byte between zones, see package locality.
+	ZoneRoundTrip time.Duration
+	ZoneByteCost  float64
+	Features      Features
 }
 
 // Features are decisions that a deployment turns on. With all of them off, the process decides
