explain: where a running process would route a request or an item now

Cause: an operator could not see why a target gets a request or not: the list, suspects, limits, software and the shares of the zones are in several places. Change: merlinhall explain route|item asks an admin endpoint of the process (/explain/route/, /explain/item/), which calls forward.cheapest, locality.Picker.Preview, the planner and carrierFor without counting or starting anything. Log line and counter for runs read across zones.

--- a/batch/locality.go
+++ b/batch/locality.go
@@ -2,9 +2,12 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"merlinhall/locality"
 )
 
@@ -28,6 +31,9 @@
 	runs  int
 	zones []string // of usable carriers
 	rows  map[string]locality.Row
+	// logged are the shares that leave as they were last logged, and loggedAt is when.
+	logged   map[string]float64
+	loggedAt time.Time
 }
 
 // carrierFor returns the carrier for a run on an engine in the given zone, or for one without an
@@ -119,4 +125,36 @@
 		}
 		p.rows[row.From] = row
 	}
+	r.logZones(now, zones)
+}
+
+const (
+	// zoneLogChange is the change of a share that is logged, and zoneLogInterval the least time
+	// between two such looks.
+	zoneLogChange   = 0.1
+	zoneLogInterval = time.Second
+)
+
+// logZones logs the shares that have changed with the inputs of the decision.
+func (r *Runner) logZones(now time.Time, zones []locality.Zone) {
+	p := &r.zonePlan
+	if now.Sub(p.loggedAt) < zoneLogInterval {
+		return
+	}
+	changed := make(map[string]float64)
+	for zone, row := range p.rows {
+		if math.Abs(row.Leave-p.logged[zone]) >= zoneLogChange {
+			changed[zone] = row.Leave
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	logged := maps.Clone(p.logged)
+	if logged == nil {
+		logged = make(map[string]float64)
+	}
+	maps.Copy(logged, changed)
+	r.log.WithFields(logrus.Fields{"leave": changed, "before": p.logged, "inputs": zones, "runs": p.runs}).Info("share of runs read from other zones has changed")
+	p.logged, p.loggedAt = logged, now
 }
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -8,6 +8,7 @@
 
 type metrics struct {
 	runs   *prometheus.CounterVec
+	zones  *prometheus.CounterVec // runs by the zones of engine and carrier
 	orders *prometheus.CounterVec
 	items  *prometheus.CounterVec
 	took   prometheus.Histogram
@@ -27,6 +28,9 @@
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "merlinhall_batch_runs_total", Help: "Runs of items on engines, by outcome.",
 		}, []string{"outcome"}),
+		zones: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "merlinhall_batch_zone_runs_total", Help: "Runs of items that were started, by the zones of their engine and carrier.",
+		}, []string{"engine", "carrier"}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "merlinhall_batch_orders_total", Help: "Orders to engines, by outcome.",
 		}, []string{"outcome"}),
@@ -62,7 +66,7 @@
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents)
+	registry.MustRegister(m.runs, m.zones, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.unneeded, m.droppedEvents)
 	return m
 }
 
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -132,14 +132,10 @@
 // fixed order. The only state that it changes is the engine of each group and since when tasks
 // wait.
 func plan(now time.Time, pending []*task, engines []*engine, l *lengths) []placement {
-	median := medianEventTime(engines)
-	p := &planner{now: now, median: median, lengths: l}
+	p := newPlanner(now, engines, l)
 	total := 0
-	for _, e := range engines {
-		if free := e.freeSlots(now); free > 0 {
-			p.open = append(p.open, &openEngine{engine: e, free: free, pace: e.pace(now, median)})
-			total += free
-		}
+	for _, e := range p.open {
+		total += e.free
 	}
 	for _, t := range pending {
 		if total == 0 {
@@ -167,6 +163,17 @@
 	out     []placement
 }
 
+func newPlanner(now time.Time, engines []*engine, l *lengths) *planner {
+	median := medianEventTime(engines)
+	p := &planner{now: now, median: median, lengths: l}
+	for _, e := range engines {
+		if free := e.freeSlots(now); free > 0 {
+			p.open = append(p.open, &openEngine{engine: e, free: free, pace: e.pace(now, median)})
+		}
+	}
+	return p
+}
+
 func (p *planner) place(t *task) bool {
 	anew := false
 	e, reason := p.choose(t, p.able(t, (*engine).canServe))
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -300,6 +300,10 @@
 		r.handleReportEnd(now, m)
 	case orderEnd:
 		r.handleOrderEnd(now, m)
+	case explainMessage:
+		explanation, err := r.explainItem(now, m.submission, m.item)
+		m.answer <- explainAnswer{explanation, err}
+		return // it must not change anything, so nothing is scheduled
 	case tickMessage:
 		r.tick(now)
 	}
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -64,6 +64,7 @@
 	run := r.newRun(now, t, c)
 	run.engine, run.engineStartedMs, run.placementReason, run.reading = e.id, e.startedMs, p.reason, true
 	run.engineZone = target.Zone
+	r.metrics.zones.WithLabelValues(target.Zone, c.zone).Inc()
 	run.version = e.versions[t.job.sub.Model]
 	t.state, t.engine = taskRunning, e.id
 	t.runs++
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -95,7 +95,7 @@
 		},
 		Subcommands: []*ffcli.Command{
 			e.validate(errOut), e.apply(errOut), e.show(errOut), e.diff(errOut), e.history(errOut), e.outcome(errOut),
-			e.account(errOut), e.usage(errOut), e.suspects(errOut),
+			e.account(errOut), e.usage(errOut), e.suspects(errOut), e.explain(errOut),
 			e.drain(errOut), e.members(errOut), e.status(errOut), e.dump(errOut), e.trace(errOut),
 			e.demo(errOut), e.bench(errOut), e.standin(errOut), e.version(errOut),
 		},
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -15,6 +15,7 @@
 	"merlinhall/actor"
 	"merlinhall/boottime"
 	"merlinhall/directory"
+	"merlinhall/explain"
 	"merlinhall/forward"
 	"merlinhall/link"
 	"merlinhall/locality"
@@ -75,7 +76,8 @@
 	limits        *ratelimit.Keeper
 	quarantine    *quarantine.Keeper
 	streams       *streams.Keeper
-	locality      *locality.Keeper  // nil if the feature is off
+	locality      *locality.Keeper // nil if the feature is off
+	explain       *explain.Handler
 	unreadable    observe.LineLimit // of the log lines for limits that cannot be read
 	callerHandler *platform.CallerHandler
 	ending        context.Context    // is done when running requests get their final answers
@@ -119,6 +121,7 @@
 	d.observer.AddDump("quarantine", d.quarantine.Dump)
 	d.streams = streams.NewKeeper(streams.Options{Process: s.Name, Registry: d.observer.Registry, Log: d.observer.Logger("streams")})
 	d.forward.Streams = d.streams
+	d.explain = &explain.Handler{Process: s.Name, Forwarder: d.forward}
 	d.observer.AddDump("streams", d.streams.Dump)
 	if costs := d.zoneCosts(); costs != nil {
 		d.locality = locality.NewKeeper(locality.Options{
@@ -205,6 +208,7 @@
 	admin := http.NewServeMux()
 	d.observer.Attach(admin)
 	d.quarantine.Attach(admin)
+	d.explain.Attach(admin)
 	d.observer.AddDump("mailboxes", func() any { return d.system.QueueLengths() })
 	if d.settings.Metrics != "" {
 		if err := d.serve(d.settings.Metrics, admin); err != nil {
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -167,6 +167,7 @@
 		KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
+	d.explain.Runner.Store(runner)
 	d.handOver = func(ctx context.Context) {
 		carried.Drain(ctx)
 		runner.FlushTexts(ctx)
@@ -190,6 +191,8 @@
 		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Locality: d.locality, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
+	table := h.Routes // the entry role of the process, if it has one, replaces it
+	d.explain.Table.Store(&table)
 	links.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
 	d.limits.Follow(h.Operator().AskGrants)
 	d.quarantine.Follow(h.Operator().AskSuspects)
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -19,6 +19,8 @@
 		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, DataDir: d.settings.DataDir, Log: d.observer.Logger("hub"),
 		Registry: d.observer.Registry, Dial: links.dial, OnRoutes: func(m *routes.Manifest) { d.callerServer.SetLimits(clientLimits(m.Limits)) },
 	})
+	table := client.Table
+	d.explain.Table.Store(&table)
 	var meter *usage.Meter
 	if d.settings.UsageWindow > 0 {
 		meter = d.startMeter(true, d.settings.Name, client.ReportUsage)
