batch: half of the seeds of the simulation choose carriers by zones

Cause: the simulation of leaders and carriers had one zone only, so carrierFor was not part of it. Change: odd seeds have two zones and the switch on; even seeds are as before.

--- a/batch/simulation_test.go
+++ b/batch/simulation_test.go
@@ -25,6 +25,7 @@
 	"merlinhall/directory"
 	"merlinhall/forward"
 	"merlinhall/ledger"
+	"merlinhall/locality"
 	"merlinhall/observe"
 	"merlinhall/routes"
 	"merlinhall/upstream"
@@ -83,6 +84,7 @@
 )
 
 type world struct {
+	locality   *locality.Costs // of seeds that choose zones, else nil
 	t          *testing.T
 	plant      plant
 	began      time.Time
@@ -224,7 +226,7 @@
 	box := &simMailbox{w: w, p: p, h: p.carrier}
 	p.carrier.UseMailbox(box)
 	p.runner = newRunner(Options{
-		Name: name, Process: name, Zone: "z", Submissions: p.submissions, Versions: ledger.NewVersions(), Manifests: manifests,
+		Name: name, Process: name, Zone: w.zone(name), Locality: w.locality, Submissions: p.submissions, Versions: ledger.NewVersions(), Manifests: manifests,
 		Directory: p.directory, Protocol: protocol, Carrier: p.carrier, Duty: noDuty{}, HostFaults: 1,
 		Propose:     func(ctx context.Context, body []byte) error { return w.propose(ctx, p, body) },
 		Leads:       func(context.Context) (uint64, error) { return 0, errors.New("no orders here") },
@@ -442,7 +444,7 @@
 			l = p.w.connect(p, o)
 			p.links[o.name] = l
 		}
-		out[o.name] = peerLink{l, "z"}
+		out[o.name] = peerLink{l, p.w.zone(o.name)}
 	}
 	return out
 }
@@ -453,6 +455,14 @@
 	}
 }
 
+// zone returns the zone of a process or an engine: one of two in seeds that choose zones.
+func (w *world) zone(name string) string {
+	if w.locality == nil {
+		return "z"
+	}
+	return fmt.Sprint("z", name[len(name)-1]%2)
+}
+
 // simEngine generates texts. Each start has another id.
 type simEngine struct {
 	address   string
@@ -469,7 +479,7 @@
 			version = "v"
 		}
 		list = append(list, wire.TargetEntry{
-			ID: e.id, Version: version, Service: "engines", Address: e.address, Zone: "z", Slots: 4, StartedMs: e.startedMs, Models: []wire.ModelVersion{{Model: "m", Version: 1}},
+			ID: e.id, Version: version, Service: "engines", Address: e.address, Zone: w.zone(e.address), Slots: 4, StartedMs: e.startedMs, Models: []wire.ModelVersion{{Model: "m", Version: 1}},
 		})
 	}
 	return list
@@ -883,6 +893,9 @@
 			scores: make(map[string]time.Time), scoreOf: make(map[string]string), endedAt: make(map[string]time.Time), itemIn: make(map[string][]string),
 			engineSaid: make(map[string]int), rewardSaid: make(map[string]int),
 		}
+		if seed%2 == 1 {
+			w.locality = &locality.Costs{RoundTrip: locality.DefaultRoundTrip}
+		}
 		w.ctx, w.cancel = context.WithCancel(t.Context())
 		defer w.cancel()
 		for i := range simEngines {
