locality: the leader decides twice an interval, and a zone's response time follows faster

Cause: with 370 processes and ten zones, reports took 1.7% of a core of the leader (1% is allowed). Waves of 4 s made requests wait 4.7 ms. Change: shares are computed at most twice in the interval of reports; old reports are looked for each 250 ms; the bound of bytes uses the measured size of a zone. A response counts 0.2 in a zone's mean instead of 0.1.

--- a/experiment/zones_test.go
+++ b/experiment/zones_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 )
 
+const overload = "all zones over their capacity"
+
 // zoneScenarios are the loads that docs/design/demands.md names.
 func zoneScenarios() []ZoneScenario {
 	even := func(n int, load float64) (out []ZoneLoad) {
@@ -37,7 +39,7 @@
 		s("a zone lost", with(even(4, 0.5), 1, ZoneLoad{Targets: 4, Load: 0.5, Lost: true, TroubleAt: 4 * time.Second})),
 		s("a zone slow", with(even(4, 0.5), 1, ZoneLoad{Targets: 4, Load: 0.5, Slow: 2.5, TroubleAt: 4 * time.Second})),
 		s("a zone failing", with(even(4, 0.5), 1, ZoneLoad{Targets: 4, Load: 0.5, Failing: true, TroubleAt: 4 * time.Second})),
-		s("all zones over their capacity", []ZoneLoad{{Targets: 4, Load: 1.2}, {Targets: 4, Load: 1.0}, {Targets: 4, Load: 0.9}}),
+		s(overload, []ZoneLoad{{Targets: 4, Load: 1.2}, {Targets: 4, Load: 1.0}, {Targets: 4, Load: 0.9}}),
 		late, silent, many,
 	}
 }
@@ -69,6 +71,9 @@
 			if testing.Verbose() {
 				seeds, policies = 4, ZonePolicies
 			}
+			if s.Name == overload {
+				seeds = max(seeds, 8) // with one, 3 to 6% are not served by any policy
+			}
 			results := make(map[ZonePolicy]ZoneResult)
 			for _, p := range policies {
 				results[p] = meanZoneResult(s, p, seeds)
@@ -78,7 +83,7 @@
 			fixed, shares := results[FixedPenalty], results[LeaderShares]
 			lost := func(r ZoneResult) float64 { return float64(r.Unserved) / float64(r.Requests) }
 			is.True(shares.Crossed <= fixed.Crossed)
-			is.True(lost(shares) <= lost(fixed)+0.03) // overload differs as much from seed to seed
+			is.True(lost(shares) <= lost(fixed)+0.01)
 			// Waves of 4 s are faster than shares follow. The objective is 150 ms.
 			is.True(shares.MeanWait <= fixed.MeanWait+5*time.Millisecond)
 			if lost(fixed) < 0.01 {
--- a/locality/keeper.go
+++ b/locality/keeper.go
@@ -20,8 +20,8 @@
 	// maxBytesPerSecond bounds the reports and answers of a process; 4 KB a second are allowed
 	// for all control traffic.
 	maxBytesPerSecond = 2000
-	// entryBytes is the largest size of a zone in a report or an answer.
-	entryBytes = 60
+	// entryBytes is the size of a zone in a report or an answer, see BenchmarkReports.
+	entryBytes = 30
 	// defaultPlaces stands for the places of a target that the list does not name, as in package
 	// batch.
 	defaultPlaces = 8
@@ -237,6 +237,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.chooser.Learn(k.o.Clock(), out)
+	return pause(in, out)
+}
+
+// pause returns the time until the next report after a report and its answer.
+func pause(in *Report, out *Answers) time.Duration {
 	bytes := 0
 	for i := range in.Services {
 		bytes += entryBytes * (1 + len(in.Services[i].Zones))
--- a/locality/lead.go
+++ b/locality/lead.go
@@ -17,7 +17,8 @@
 	ShareTime = 5 * time.Second
 	// learnTime is how long a new leader hears reports before it gives out shares.
 	learnTime = time.Second
-	// decideInterval is the least time between two computations of the shares of a service.
+	// decideInterval is the least time between two computations of the shares of a service, of
+	// which each takes the reports of all processes.
 	decideInterval = 250 * time.Millisecond
 	// minAnswered is the number of responses a second from which the run time of a zone is
 	// computed.
@@ -39,6 +40,8 @@
 	reports  map[string]heard // by process
 	services map[string]*decided
 	version  uint64
+	// expiredAt is when old reports were last looked for.
+	expiredAt time.Duration
 }
 
 // heard is a report and when it arrived.
@@ -71,10 +74,9 @@
 		in.Services[i].Zones = in.Services[i].Zones[:min(len(in.Services[i].Zones), maxZones)]
 	}
 	l.reports[in.Process] = heard{*in, now}
-	for p, r := range l.reports {
-		if now-r.at > ShareTime {
-			delete(l.reports, p)
-		}
+	if now-l.expiredAt >= decideInterval {
+		l.expiredAt = now
+		maps.DeleteFunc(l.reports, func(_ string, r heard) bool { return now-r.at > ShareTime })
 	}
 	out := &Answers{Term: l.term, Interval: max(minInterval, time.Duration(len(l.reports))*reportCost)}
 	if now-l.since < learnTime {
@@ -82,7 +84,7 @@
 		return out
 	}
 	for _, s := range in.Services {
-		d := l.decide(now, s.Service)
+		d := l.decide(now, s.Service, out.Interval)
 		a := ServiceAnswer{Service: s.Service}
 		for i, z := range d.zones {
 			if z.Name == in.Zone {
@@ -96,10 +98,11 @@
 	return out
 }
 
-// decide returns the decision on a service, which it computes if it is not recent.
-func (l *Leader) decide(now time.Duration, service string) *decided {
+// decide returns the decision on a service, which it computes if it is older than half of the
+// interval of reports.
+func (l *Leader) decide(now time.Duration, service string, interval time.Duration) *decided {
 	before := l.services[service]
-	if before != nil && now-before.at < decideInterval {
+	if before != nil && now-before.at < max(decideInterval, interval/2) {
 		return before
 	}
 	zones, costs := l.inputs(now, service)
--- a/locality/report.go
+++ b/locality/report.go
@@ -124,8 +124,9 @@
 // requests or the targets have changed.
 const leastGain = 0.002
 
-// meanGain is the weight of a response in the mean.
-const meanGain = 0.1
+// meanGain is the weight of a response in the mean. With 0.1, waves of 4 s make requests wait 4.7 ms
+// instead of 3.8, and with 0.3, 0.4% of the requests leave half-used zones.
+const meanGain = 0.2
 
 func (z *zoneCounts) note(now, took time.Duration, end End) {
 	z.held.hold(now, float64(z.outstanding))
