--- a/batch/plan.go
+++ b/batch/plan.go
@@ -26,6 +26,7 @@
 	startedMs int64 // Unix ms of the start, 0 when unknown
 	slots     int
 	software  wire.Software
+	zone      string
 	// versions holds the weight version of each model.
 	versions           map[string]uint64
 	versionsReportedAt time.Time // when the engine itself last reported versions
@@ -138,14 +139,11 @@
 // planWith is plan with the texts that run on each engine, by which long texts are placed apart.
 // runs may be nil.
 func planWith(now time.Time, pending []*task, engines []*engine, l *lengths, runs engineRuns) []placement {
-	median := medianEventTime(engines)
-	p := &planner{now: now, median: median, lengths: l, runs: runs}
+	p := newPlanner(now, engines, l)
+	p.runs = runs
 	total := 0
-	for _, e := range engines {
-		if free := e.freeSlots(now); free > 0 {
-			p.open = append(p.open, &openEngine{engine: e, free: free, pace: e.pace(now, median)})
-			total += free
-		}
+	for _, e := range p.open {
+		total += e.free
 	}
 	for _, t := range pending {
 		if total == 0 {
@@ -174,6 +172,17 @@
 	out     []placement
 }
 
+func newPlanner(now time.Time, engines []*engine, l *lengths) *planner {
+	median := medianEventTime(engines)
+	p := &planner{now: now, median: median, lengths: l}
+	for _, e := range engines {
+		if free := e.freeSlots(now); free > 0 {
+			p.open = append(p.open, &openEngine{engine: e, free: free, pace: e.pace(now, median)})
+		}
+	}
+	return p
+}
+
 func (p *planner) place(t *task) bool {
 	anew := false
 	e, reason := p.choose(t, p.able(t, (*engine).canServe))
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -16,8 +16,10 @@
 	"merlinhall/boottime"
 	"merlinhall/demand"
 	"merlinhall/directory"
+	"merlinhall/explain"
 	"merlinhall/forward"
 	"merlinhall/link"
+	"merlinhall/locality"
 	"merlinhall/memory"
 	"merlinhall/observe"
 	"merlinhall/platform"
@@ -75,7 +77,9 @@
 	limits        *ratelimit.Keeper
 	quarantine    *quarantine.Keeper
 	streams       *streams.Keeper
-	admission     *demand.Keeper    // nil if requests are not admitted by all processes together
+	admission     *demand.Keeper   // nil if requests are not admitted by all processes together
+	locality      *locality.Keeper // nil if the feature is off
+	explain       *explain.Handler
 	unreadable    observe.LineLimit // of the log lines for limits that cannot be read
 	callerHandler *platform.CallerHandler
 	ending        context.Context    // is done when running requests get their final answers
@@ -121,8 +125,17 @@
 	d.observer.AddDump("quarantine", d.quarantine.Dump)
 	d.streams = streams.NewKeeper(streams.Options{Process: s.Name, Registry: d.observer.Registry, Log: d.observer.Logger("streams")})
 	d.forward.Streams = d.streams
+	d.explain = &explain.Handler{Process: s.Name, Forwarder: d.forward}
 	d.observer.AddDump("streams", d.streams.Dump)
 	d.startAdmission()
+	if costs := d.zoneCosts(); costs != nil {
+		d.locality = locality.NewKeeper(locality.Options{
+			Process: s.Name, Zone: s.Zone, Directory: d.targets, Costs: *costs,
+			Registry: d.observer.Registry, Log: d.observer.Logger("locality"),
+		})
+		d.forward.Locality = d.locality
+		d.observer.AddDump("locality", d.locality.Dump)
+	}
 	d.pool.OnSend = func(to upstream.Address, r *upstream.Request) {
 		d.limits.Sent(to.ID, ratelimit.Use{Kind: string(r.Kind), Repeat: r.Repeat})
 	}
@@ -146,6 +159,14 @@
 	return d, nil
 }
 
+// zoneCosts returns the costs of traffic between zones, or nil if zones are not chosen by their use.
+func (d *HostedDaemon) zoneCosts() *locality.Costs {
+	if !d.settings.Features.Locality {
+		return nil
+	}
+	return &locality.Costs{RoundTrip: d.settings.ZoneRoundTrip, ByteCost: d.settings.ZoneByteCost}
+}
+
 // quarantineDir returns the directory for requests that are held back, or "" without a data
 // directory.
 func quarantineDir(dataDir string) string {
@@ -192,6 +213,7 @@
 	admin := http.NewServeMux()
 	d.observer.Attach(admin)
 	d.quarantine.Attach(admin)
+	d.explain.Attach(admin)
 	d.observer.AddDump("mailboxes", func() any { return d.system.QueueLengths() })
 	if d.settings.Metrics != "" {
 		if err := d.serve(d.settings.Metrics, admin); err != nil {
@@ -211,6 +233,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.limits.Run(ctx)
 	go d.streams.Run(ctx)
+	go d.locality.Run(ctx)
 	var stored sync.WaitGroup
 	stored.Go(func() { d.quarantine.Run(ctx) })
 	d.stops = append(d.stops, func() {
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -166,12 +166,14 @@
 		HostFaults:       s.HostFaults,
 		Limits:           d.limits,
 		MeasuredCapacity: s.Features.MeasuredCapacity, CPUShare: s.CPUShare,
+		Locality:    d.zoneCosts(),
 		Retired:     func() []string { return fromHub(&hubRef, (*hub.Hub).Retired) },
 		StepOrder:   s.Features.StepOrder,
 		KeepResults: s.ResultRetention, System: d.system, Observer: d.observer,
 	})
 	c.OnLeader(runner.Lead)
 	d.observer.AddDump("engine speeds", runner.Speeds)
+	d.explain.Runner.Store(runner)
 	d.handOver = func(ctx context.Context) {
 		carried.Drain(ctx)
 		runner.FlushTexts(ctx)
@@ -197,14 +199,17 @@
 		StepReads: stepReads,
 		Host:      s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
-		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Demand: d.admission, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
+		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Demand: d.admission, Locality: d.locality, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
+	table := h.Routes // the entry role of the process, if it has one, replaces it
+	d.explain.Table.Store(&table)
 	links.mux.Handle(h, wire.KindMembershipUpdate, wire.KindRouteUpdate, wire.KindTargetUpdate)
 	d.limits.Follow(h.Operator().AskGrants)
 	d.quarantine.Follow(h.Operator().AskSuspects)
 	d.streams.Follow(h.Operator().AskStreams)
 	d.admission.Follow(h.Operator().AskDemand)
+	d.locality.Follow(h.Operator().ReportZones)
 	h.Start()
 	d.stops = append(d.stops, h.Stop)
 	if s.UsageWindow > 0 {
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -20,6 +20,8 @@
 		Registry: d.observer.Registry, Dial: links.dial, OnRoutes: func(m *routes.Manifest) { d.callerServer.SetLimits(clientLimits(m.Limits)) },
 		StepReads: d.settings.Features.StepOrder,
 	})
+	table := client.Table
+	d.explain.Table.Store(&table)
 	var meter *usage.Meter
 	if d.settings.UsageWindow > 0 {
 		meter = d.startMeter(true, d.settings.Name, client.ReportUsage)
@@ -54,6 +56,7 @@
 		d.quarantine.Follow(client.AskSuspects)
 		d.streams.Follow(client.AskStreams)
 		d.admission.Follow(client.AskDemand)
+		d.locality.Follow(client.ReportZones)
 	}
 	client.Start()
 	d.stops = append(d.stops, client.Stop)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 
 	"merlinhall/demand"
 	"merlinhall/directory"
+	"merlinhall/locality"
 	"merlinhall/observe"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
@@ -164,6 +165,8 @@
 	Admission *demand.Keeper
 	// Streams knows which software began streams that callers take up; nil knows none.
 	Streams *streams.Keeper
+	// Locality chooses the zones of targets; nil chooses none.
+	Locality *locality.Keeper
 	// ListLag is how much later than a target joins the list of targets may show it.
 	ListLag time.Duration
 	Zone    string
@@ -282,6 +285,8 @@
 	beside  int            // other requests of this process at the target as it ended
 	permit  *quarantine.Permit
 	load    int // outstanding requests of this process on the target when it began
+	// headerAfter is the time after which the header of a response to Stream arrived.
+	headerAfter time.Duration
 }
 
 // failedRun reports whether the target said that this request has run and failed. A response
@@ -334,6 +339,7 @@
 	}
 	defer func() { place.End(result.Outcome == OutcomeAnswered) }()
 	u := &requestState{f: f, r: r, tried: make(map[string]bool), finished: make(chan *attempt, 2*maxRefusals+r.Route.MaxAttempts+1), place: place}
+	u.arrived()
 	result = u.loop(ctx)
 	for _, c := range u.cancels {
 		c()
@@ -586,6 +592,7 @@
 		errors.As(err, &a.err)
 	}
 	f.updateTarget(ctx, a.target.ID, a, took, r.Background)
+	f.noteZone(ctx, r, a, took)
 	ended := time.Now()
 	f.checkTarget(ctx, r, a)
 	f.reportRun(ctx, r, a, took+time.Since(ended))
--- a/hub/calls.go
+++ b/hub/calls.go
@@ -28,6 +28,7 @@
 	methodSuspects   = "suspects.ask"
 	methodStreams    = "streams.ask"
 	methodDemand     = "demand"
+	methodLocality   = "locality.report"
 )
 
 type pageRequest struct {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -17,6 +17,7 @@
 	"merlinhall/directory"
 	"merlinhall/ledger"
 	"merlinhall/link"
+	"merlinhall/locality"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/replica"
@@ -50,8 +51,9 @@
 	Limits      *ratelimit.Keeper
 	Quarantine  *quarantine.Keeper
 	Streams     *streams.Leader
-	Demand      *demand.Keeper // nil if requests are not admitted by all processes together
-	StepReads   *StepReads     // nil if reads of results do not wait for complete steps
+	Demand      *demand.Keeper   // nil if requests are not admitted by all processes together
+	StepReads   *StepReads       // nil if reads of results do not wait for complete steps
+	Locality    *locality.Keeper // nil if zones are not chosen by shares
 	Log         *logrus.Entry
 	DataDir     string // directory of the cached manifest
 	// Dial maintains a link to a control process until stop is called.
@@ -110,6 +112,9 @@
 	o.Control.OnLeader(h.setLeading)
 	o.Control.OnLeader(o.Limits.Lead)
 	o.Limits.OnChange(h.publishLimits)
+	if o.Locality != nil {
+		o.Control.OnLeader(o.Locality.Lead)
+	}
 	if o.Quarantine != nil {
 		o.Control.OnLeader(o.Quarantine.Lead)
 		o.Quarantine.OnChange(h.publishSuspects)
--- a/hub/operator.go
+++ b/hub/operator.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"merlinhall/admission"
+	"merlinhall/locality"
 	"merlinhall/quarantine"
 	"merlinhall/ratelimit"
 	"merlinhall/routes"
@@ -97,6 +98,11 @@
 	return o.call(ctx, methodDemand, in, out)
 }
 
+// ReportZones reports the requests of the zone to the control leader and returns the shares.
+func (o Operator) ReportZones(ctx context.Context, in *locality.Report, out *locality.Answers) error {
+	return o.call(ctx, methodLocality, in, out)
+}
+
 // AskGrants asks the control leader for grants for targets with a limit.
 func (o Operator) AskGrants(ctx context.Context, in *ratelimit.Ask, out *ratelimit.Answers) error {
 	return o.call(ctx, methodGrants, in, out)
