--- a/memory/memory.go
+++ b/memory/memory.go
@@ -30,6 +30,8 @@
 // Budget bounds the bytes that bodies hold at the same time. It is safe for concurrent use.
 type Budget struct {
 	large, small part
+	// OnExhausted, if set, is called when a body does not fit. It must be set before first use.
+	OnExhausted func()
 }
 
 // part is a part of a budget.
@@ -52,6 +54,17 @@
 	return &Budget{large: part{limit: limit}, small: part{limit: limit / smallDivisor}}
 }
 
+func (b *Budget) take(n size) error {
+	if err := b.small.take(n.small); err != nil {
+		return err
+	}
+	if err := b.large.take(n.large); err != nil {
+		b.small.used.Add(-n.small)
+		return err
+	}
+	return nil
+}
+
 // Used returns the bytes that are held beyond smallBytes of each body.
 func (b *Budget) Used() int64 { return b.large.used.Load() }
 
@@ -85,11 +98,10 @@
 	if l.closed {
 		return eris.New("memory: the request has ended")
 	}
-	if err := l.budget.small.take(n.small); err != nil {
-		return err
-	}
-	if err := l.budget.large.take(n.large); err != nil {
-		l.budget.small.used.Add(-n.small)
+	if err := l.budget.take(n); err != nil {
+		if l.budget.OnExhausted != nil {
+			l.budget.OnExhausted()
+		}
 		return err
 	}
 	l.held = l.held.plus(n)
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -129,3 +129,20 @@
 	is.NoErr(err)
 	l.Close()
 }
+
+// Guards against bodies that are refused without the holders of the memory being asked to give way.
+func TestExhaustedBudgetIsReported(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(1 << 20)
+	reports := 0
+	b.OnExhausted = func() { reports++ }
+	first, second := b.Lease(), b.Lease()
+	defer first.Close()
+	defer second.Close()
+	_, err := first.ReadAll(bytes.NewReader(make([]byte, 700<<10)), 700<<10)
+	is.NoErr(err)
+	is.Equal(reports, 0)
+	_, err = second.ReadAll(bytes.NewReader(make([]byte, 700<<10)), 700<<10)
+	is.True(errors.Is(err, ErrExhausted))
+	is.Equal(reports, 1)
+}
