server, daemon, platform: the listeners of hosted processes draw on one budget

The operator API held 1.2 GB with 400 bodies on a host of 64 MB, since its bodies were counted nowhere; descriptors were not bounded at all.

Change: all listeners of a hosted process admit connections through connbudget. Callers, links, readiness, operator and metrics have parts of their own; what they do not have together is for connections to targets, peers and control. Bodies of the operator API draw on memory.Budget and get 503 with Retry-After if there is no room. Headers of other ports than the callers' are limited to 16,384 bytes (64 KB before). Eight keys in [merlinhall] set the limits, with ranges that let clients within the manifest's limits pass; errors name file, line and key. Metrics by kind of refusal, one log line in 5 s.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 
 	"merlinhall/actor"
 	"merlinhall/boottime"
+	"merlinhall/connbudget"
 	"merlinhall/directory"
 	"merlinhall/forward"
 	"merlinhall/link"
@@ -33,11 +35,18 @@
 	// memoryLimitShare is the Go memory limit as a share of the host's memory; the rest
 	// covers thread stacks, sockets and the C library.
 	memoryLimitShare = 0.7
-	// bodyMemoryDivisor divides the host's memory to get the budget for message bodies from
-	// outside. The rest is for the state (a control process peaked at 138 MB,
-	// docs/deployment-platform.md) and for the copies that a growing body leaves to the
-	// garbage collector.
-	bodyMemoryDivisor = 4
+	// Parts of the budget for clients, of shareParts, or of twice as many if the process has both
+	// roles. Callers have no part of what probes, links and operators
+	// can use. An entry keeps three eighths of its descriptors for connections to targets and
+	// control processes, as many as its callers can have requests at work; a control process keeps
+	// a quarter for those to peers, engines and targets. Links have the largest part of a control
+	// process, since each other process holds one.
+	callerParts = 3
+	linkParts   = 4
+	smallParts  = 1
+	shareParts  = 8
+	// defaultHeaderBytes is the limit of the platform's manifests.
+	defaultHeaderBytes = 16384
 	// gcPercent is below the default of 100 to save memory; processor time is not scarce.
 	gcPercent = 50
 	// readyGrace is how long a stopping process still accepts connections: the platform
@@ -67,6 +76,7 @@
 	client        *http.Client // dials links
 	boot          string
 	bodies        *memory.Budget // for message bodies from clients and targets
+	clients       *connbudget.Account
 	pool          *upstream.Pool
 	targets       *directory.Directory
 	poller        *directory.Poller
@@ -99,8 +109,11 @@
 		client:   link.NewHTTPClient(nil),
 		targets:  directory.New(),
 		pool:     upstream.NewPool(platform.RequestID),
-		bodies:   memory.NewBudget(s.MemoryBytes / bodyMemoryDivisor),
+		bodies:   memory.NewBudget(clientHost(s).BodyBytes()),
 	}
+	d.clients = connbudget.New(connbudget.Limits{StallTime: s.Clients.StallTime, Grace: s.Clients.Grace, BodyRate: s.Clients.BodyRate}, d.observer.Registry, d.observer.Logger("clients"))
+	d.stops = append(d.stops, d.clients.Close)
+	d.bodies.OnExhausted = d.clients.ReleaseBodies
 	d.ending, d.endRequests = context.WithCancel(context.Background())
 	d.pool.Memory = d.bodies
 	d.log = d.observer.Logger("daemon")
@@ -141,6 +154,16 @@
 	return d, nil
 }
 
+// clientHost returns what the budget for clients is derived from.
+func clientHost(s *settings.HostedSettings) connbudget.Host {
+	return connbudget.Host{MemoryBytes: s.MemoryBytes, MaxFiles: s.MaxFiles, ClientBytes: s.Clients.MemoryBytes, Connections: s.Clients.Connections}
+}
+
+// listenerLimits returns the limits of a listener to which no manifest applies.
+func listenerLimits(c settings.ClientLimits) server.Limits {
+	return server.Limits{HeaderBytes: cmp.Or(c.HeaderBytes, defaultHeaderBytes), HeaderTime: c.HeaderTime, Idle: c.Idle}
+}
+
 // quarantineDir returns the directory for requests that are held back, or "" without a data
 // directory.
 func quarantineDir(dataDir string) string {
@@ -189,7 +212,7 @@
 	d.quarantine.Attach(admin)
 	d.observer.AddDump("mailboxes", func() any { return d.system.QueueLengths() })
 	if d.settings.Metrics != "" {
-		if err := d.serve(d.settings.Metrics, admin); err != nil {
+		if err := d.serve(d.settings.Metrics, "metrics", smallParts, admin); err != nil {
 			return err
 		}
 	}
@@ -215,8 +238,19 @@
 	return nil
 }
 
-func (d *HostedDaemon) serve(address string, handler http.Handler) error {
-	s, err := server.Start(address, d.observer.Guard("server").Handler(server.LimitUnreadBodies(handler)), nil)
+// clientPart adds a listener, whose clients have the given parts of the budget, to the account.
+func (d *HostedDaemon) clientPart(listener string, parts int) *connbudget.Part {
+	of := shareParts
+	if d.settings.Entry && d.settings.Control {
+		of *= 2
+	}
+	return d.clients.Part(listener, clientHost(d.settings).Share(parts, of))
+}
+
+// serve starts a listener whose clients have the given parts of the budget.
+func (d *HostedDaemon) serve(address, name string, parts int, handler http.Handler) error {
+	part := d.clientPart(name, parts)
+	s, err := server.StartCounted(address, d.observer.Guard("server").Handler(server.LimitUnreadBodies(handler)), part, listenerLimits(d.settings.Clients))
 	if err == nil {
 		d.servers = append(d.servers, s)
 	}
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -203,8 +203,8 @@
 	accepted := links.accept()
 	d.stops = slices.Insert(d.stops, 0, accepted.Close) // after all that uses them has stopped
 	paths.Handle(link.Path, accepted)
-	if err := d.serve(s.Links, paths); err != nil {
+	if err := d.serve(s.Links, "links", linkParts, paths); err != nil {
 		return err
 	}
-	return d.serve(s.Operator, platform.OperatorHandler(h.Operator()))
+	return d.serve(s.Operator, "operator", smallParts, platform.OperatorHandler(h.Operator(), d.bodies))
 }
--- a/daemon/hostedentry.go
+++ b/daemon/hostedentry.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"cmp"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"merlinhall/gateway"
@@ -8,6 +10,7 @@
 	"merlinhall/platform"
 	"merlinhall/routes"
 	"merlinhall/server"
+	"merlinhall/settings"
 	"merlinhall/usage"
 	"merlinhall/wire"
 )
@@ -17,7 +20,7 @@
 	links := d.newLinks(wire.RoleEntry, d.settings.Name, "")
 	client := hub.NewClient(hub.ClientOptions{
 		Seeds: d.settings.Seeds, Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, DataDir: d.settings.DataDir, Log: d.observer.Logger("hub"),
-		Registry: d.observer.Registry, Dial: links.dial, OnRoutes: func(m *routes.Manifest) { d.callerServer.SetLimits(clientLimits(m.Limits)) },
+		Registry: d.observer.Registry, Dial: links.dial, OnRoutes: func(m *routes.Manifest) { d.callerServer.SetLimits(clientLimits(m.Limits, d.settings.Clients)) },
 	})
 	var meter *usage.Meter
 	if d.settings.UsageWindow > 0 {
@@ -30,10 +33,11 @@
 		}
 		return nil
 	})
-	if err := d.serve(d.settings.Ready, platform.ReadyHandler(d.observer.Ready)); err != nil {
+	if err := d.serve(d.settings.Ready, "ready", smallParts, platform.ReadyHandler(d.observer.Ready)); err != nil {
 		return err
 	}
-	s, err := server.Start(d.settings.Callers, d.observer.Guard("callers").Handler(server.LimitUnreadBodies(d.callerHandler)), nil)
+	part := d.clientPart("callers", callerParts)
+	s, err := server.StartCounted(d.settings.Callers, d.observer.Guard("callers").Handler(server.LimitUnreadBodies(d.callerHandler)), part, listenerLimits(d.settings.Clients))
 	if err != nil {
 		return err
 	}
@@ -59,8 +63,8 @@
 	return nil
 }
 
-// clientLimits returns the limits of a manifest that the HTTP server enforces. The
-// length of a body is checked where the body is read.
-func clientLimits(l routes.Limits) server.Limits {
-	return server.Limits{HeaderBytes: l.HeaderBytes, HeaderTime: l.HeaderTimeout, Idle: l.IdleTimeout}
+// clientLimits returns the limits of a manifest that the HTTP server enforces, or those of the
+// settings where it has none. The length of a body is checked where the body is read.
+func clientLimits(l routes.Limits, c settings.ClientLimits) server.Limits {
+	return server.Limits{HeaderBytes: cmp.Or(l.HeaderBytes, c.HeaderBytes), HeaderTime: cmp.Or(l.HeaderTimeout, c.HeaderTime), Idle: cmp.Or(l.IdleTimeout, c.Idle)}
 }
--- a/server/limits.go
+++ b/server/limits.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"merlinhall/connbudget"
 )
 
 // Limits bound the size and duration of what a client sends. A field that is not
@@ -80,6 +82,8 @@
 			MaxHeaderBytes:    l.HeaderBytes,
 			ReadHeaderTimeout: l.HeaderTime,
 			IdleTimeout:       l.Idle,
+			ConnContext:       connbudget.Context,
+			ConnState:         connbudget.Note,
 		},
 	}
 	go func() { _ = ls.server.Serve(ls.queue) }()
@@ -121,6 +125,11 @@
 }
 
 func (s *Server) dispatch(c net.Conn) {
+	if s.clients != nil {
+		if c = s.clients.Admit(c); c == nil {
+			return
+		}
+	}
 	for {
 		s.mu.Lock()
 		newest := s.servers[len(s.servers)-1]
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/connbudget"
 	"merlinhall/settings"
 )
 
@@ -34,7 +35,8 @@
 	listener net.Listener
 	tcp      *net.TCPListener // below listener
 	handler  http.Handler
-	accepted chan struct{} // closed when no more connections are accepted
+	clients  *connbudget.Part // nil if nothing is counted
+	accepted chan struct{}    // closed when no more connections are accepted
 	// lastRequestTime is the constant of that name, unless a test changes it.
 	lastRequestTime time.Duration
 
@@ -48,18 +50,28 @@
 // DefaultLimits until SetLimits changes them. A nil config means plain HTTP. Start fails
 // if the address is in use.
 func Start(address string, handler http.Handler, config *tls.Config) (*Server, error) {
+	return start(address, handler, config, nil, DefaultLimits())
+}
+
+// StartCounted is Start without TLS for a server whose connections draw on a part of the account
+// of what clients hold, and that starts with the given limits.
+func StartCounted(address string, handler http.Handler, clients *connbudget.Part, l Limits) (*Server, error) {
+	return start(address, connbudget.Handler(handler), nil, clients, l)
+}
+
+func start(address string, handler http.Handler, config *tls.Config, clients *connbudget.Part, l Limits) (*Server, error) {
 	bound, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
 	s := &Server{
 		listener: bound, tcp: bound.(*net.TCPListener), handler: handler, accepted: make(chan struct{}),
-		lastRequestTime: lastRequestTime,
+		lastRequestTime: lastRequestTime, clients: clients,
 	}
 	if config != nil {
 		s.listener = tls.NewListener(bound, config)
 	}
-	s.SetLimits(DefaultLimits())
+	s.SetLimits(l)
 	go s.accept()
 	return s, nil
 }
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -64,6 +64,20 @@
 	// known.
 	MaxFiles int
 	Features Features
+	Clients  ClientLimits
+}
+
+// ClientLimits bound what clients may hold in a process. A field that is 0 stands for its
+// default. The limits of a manifest take precedence over the first three at the callers' listener.
+type ClientLimits struct {
+	HeaderBytes int           // maximum size of a request header
+	HeaderTime  time.Duration // maximum time to receive one
+	Idle        time.Duration // time after which an idle connection is closed
+	MemoryBytes int64         // for connections and headers of all listeners
+	Connections int           // of all listeners
+	StallTime   time.Duration // without progress, after which a connection may give way to another
+	Grace       time.Duration // in which a body may have any rate and a response may stand still
+	BodyRate    int64         // bytes a second that a body must have after Grace
 }
 
 // Features are decisions that a deployment turns on. With all of them off, the process decides
