connbudget: the end of a response and of a body belong to their request

Cause: found in review. A connection counted as idle when its handler returned. net/http writes the rest of a response after that, so a client that pipelines requests and does not read could keep a connection whose write never ended, also after it was cut off. And it reads the rest of a body that the handler did not need, which was counted as the next header; without room for it, a literal 503 would have come before the response of a request that has run.

Change: every write waits for its client, in whatever state, and a connection is idle when net/http says so (http.StateIdle).

--- a/connbudget/conn.go
+++ b/connbudget/conn.go
@@ -197,38 +197,41 @@
 
 func headerCost(bytes, fields int) int64 { return int64(headerCopies*bytes + fieldBytes*fields) }
 
-// Write implements net.Conn.
+// Write implements net.Conn. The connection waits for its client until the write ends, in whatever
+// state: net/http writes the last part of a response when the handler has returned.
 func (c *Conn) Write(b []byte) (int, error) {
 	done := 0
 	for {
 		piece := b[done:min(len(b), done+writePiece)]
-		waits := c.beginWrite()
+		state, since := c.beginWrite()
 		n, err := c.Conn.Write(piece)
 		done += n
-		c.endWrite(n, waits)
+		c.endWrite(n, state, since)
 		if err != nil || done >= len(b) {
 			return done, err
 		}
 	}
 }
 
-// beginWrite reports whether the connection waits for its client until endWrite.
-func (c *Conn) beginWrite() bool {
+// beginWrite returns the state to which the connection returns after the write, and when that
+// began.
+func (c *Conn) beginWrite() (state State, since time.Time) {
 	c.part.account.mu.Lock()
 	defer c.part.account.mu.Unlock()
-	if c.state != Working {
-		return false
+	state, since = c.state, c.since
+	if state != Kept {
+		c.enter(Response, time.Now())
 	}
-	c.enter(Response, time.Now())
-	return true
+	return state, since
 }
 
-func (c *Conn) endWrite(n int, waited bool) {
+func (c *Conn) endWrite(n int, state State, since time.Time) {
 	c.part.account.mu.Lock()
 	defer c.part.account.mu.Unlock()
 	c.written += int64(n)
-	if waited && c.state == Response {
-		c.enter(Working, time.Now())
+	if c.state == Response {
+		c.enter(state, time.Now())
+		c.since = since
 	}
 }
 
@@ -284,16 +287,22 @@
 	return ctx
 }
 
-// Note is for http.Server.ConnState. A connection that becomes a link keeps only its place.
+// Note is for http.Server.ConnState. A connection is idle once net/http has written the rest of a
+// response and read the rest of a body, which are not counted as parts of a header. A connection
+// that becomes a link keeps only its place.
 func Note(c net.Conn, s http.ConnState) {
 	counted, ok := c.(*Conn)
-	if !ok || s != http.StateHijacked {
+	if !ok || s != http.StateHijacked && s != http.StateIdle {
 		return
 	}
 	counted.part.account.mu.Lock()
 	defer counted.part.account.mu.Unlock()
 	counted.release()
-	counted.enter(Kept, time.Now())
+	if s == http.StateHijacked {
+		counted.enter(Kept, time.Now())
+	} else {
+		counted.enter(Idle, time.Now())
+	}
 }
 
 // release gives back what the connection holds for its request. The account is locked.
@@ -358,7 +367,7 @@
 	defer c.part.account.mu.Unlock()
 	if c.state != Kept {
 		c.release()
-		c.enter(Idle, time.Now())
+		c.enter(Working, time.Now()) // until Note
 	}
 }
 
--- a/connbudget/conn_test.go
+++ b/connbudget/conn_test.go
@@ -116,3 +116,35 @@
 		eventuallyEmpty(t, part)
 	}
 }
+
+// Guards against a body that the handler does not read, and that is counted as the header of the
+// next request: the refusal would arrive in place of the response of a request that has run.
+func TestUnreadBodiesAreNotHeaders(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	account := New(DefaultLimits(), prometheus.NewRegistry(), logrus.NewEntry(log))
+	defer account.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	part := account.Part("test", Share{Connections: 4, Bytes: connBytes + headerCost(8<<10, 100)})
+	server := &http.Server{ConnContext: Context, ConnState: Note, Handler: Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))}
+	defer func() { _ = server.Close() }()
+	go func() { _ = server.Serve(admitted{listener, part}) }()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.NoErr(c.SetDeadline(time.Now().Add(20 * time.Second)))
+	body := strings.Repeat("\n", 100<<10)
+	reader := bufio.NewReader(c)
+	for range 3 {
+		_, err = fmt.Fprintf(c, "DELETE / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond) // the body comes after the header
+		_, err = io.WriteString(c, body)
+		is.NoErr(err)
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+	}
+}
--- a/server/clients_test.go
+++ b/server/clients_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -166,6 +167,22 @@
 	}
 }
 
+// Guards against clients that pipeline requests with small responses, do not read these, and keep
+// a connection that waits for them after the handler has returned.
+func TestPipelinedResponsesAreTaken(t *testing.T) {
+	is := is.New(t)
+	s := startCounted(t, 8, connbudget.Limits{StallTime: time.Second, Grace: 300 * time.Millisecond, BodyRate: 1000}, nil)
+	c := connect(t, s)
+	is.NoErr(c.SetWriteDeadline(time.Now().Add(2 * patience)))
+	requests := []byte(strings.Repeat(getRequest, 1000))
+	for {
+		if _, err := c.Write(requests); err != nil {
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the server has not closed it
+			return
+		}
+	}
+}
+
 // Guards against honest clients whose connection is slow and that are taken for stopped ones: a
 // body and a response in pieces, with pauses below the grace.
 func TestSlowClientsAreServed(t *testing.T) {
