--- a/server/limits.go
+++ b/server/limits.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"merlinhall/connbudget"
 )
 
 // Limits bound the size and duration of what a client sends. A field that is not
@@ -80,8 +82,11 @@
 			MaxHeaderBytes:    l.HeaderBytes,
 			ReadHeaderTimeout: l.HeaderTime,
 			IdleTimeout:       l.Idle,
+			ConnContext:       connbudget.Context,
+			ConnState:         connbudget.Note,
 		},
 	}
+	allowManyHeaderFields(ls.server, l.HeaderBytes)
 	go func() { _ = ls.server.Serve(ls.queue) }()
 	return ls
 }
@@ -121,6 +126,11 @@
 }
 
 func (s *Server) dispatch(c net.Conn) {
+	if s.clients != nil {
+		if c = s.clients.Admit(c); c == nil {
+			return
+		}
+	}
 	for {
 		s.mu.Lock()
 		newest := s.servers[len(s.servers)-1]
