server, clientload: headers of any number of fields are read with Go 1.27, too

Cause: net/http of Go 1.27 refuses more than 499 fields with 431 whatever the size of the header; a single request of 15 kB with 3,000 fields is within the limits and was refused.

--- a/clientload/system_test.go
+++ b/clientload/system_test.go
@@ -21,6 +21,7 @@
 
 	"merlinhall/link"
 	"merlinhall/loopback"
+	"merlinhall/server"
 	"merlinhall/wire"
 )
 
@@ -92,11 +93,13 @@
 }
 
 func serve(t testing.TB, handler http.Handler) string {
-	l := loopback.Listen(t)
-	server := &http.Server{Handler: handler}
-	t.Cleanup(func() { _ = server.Close() })
-	go func() { _ = server.Serve(l) }()
-	return l.Addr().String()
+	// A target takes headers of any number of fields, which http.Server refuses by default.
+	s, err := server.Start(net.JoinHostPort(loopback.Host(t), "0"), handler, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Addr()
 }
 
 // answer is the stand-in for the targets of the service.
