--- a/batch/steporder_test.go
+++ b/batch/steporder_test.go
@@ -236,9 +236,7 @@
 func TestGroupOfAnEarlierStepIsNeeded(t *testing.T) {
 	is := is.New(t)
 	sub := &ledger.Submission{ID: "s", Model: "m", Step: 2, WantedGroups: 2}
-	for _, item := range []ledger.Item{{ID: "a", Group: "a", Length: 1}, {ID: "b", Group: "b", Length: 2}, {ID: "c", Group: "c", Length: 9}} {
-		sub.Items = append(sub.Items, item)
-	}
+	sub.Items = []ledger.Item{{ID: "a", Group: "a", Length: 1}, {ID: "b", Group: "b", Length: 2}, {ID: "c", Group: "c", Length: 9}}
 	j := newJob(ledger.Open{Submission: sub, Since: start, Remaining: sub.Items, Again: map[string]bool{"c": true}}, func(string) bool { return false })
 	is.True(j.groups["c"].urgent && !j.groups["b"].urgent)
 	is.True(!j.markRecorded(j.tasks["a"]))
