explain: routes are found by host and path, and targets show their measured speed

Cause: an operator knows the host and the path of a request, not always the name of its route; measured capacity was not part of the explanation. Change: merlinhall explain route HOST PATH; the speed of each target, or that it is not used.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -20,18 +20,24 @@
 	address := fs.String("address", "", "metrics address of a process; for items that of the control leader")
 	request := fs.String("request", "", "id of a request, which decides its service")
 	asJSON := fs.Bool("json", false, "the same as --output json")
-	return e.command(fs, "merlinhall explain --address IP:PORT [--json] [--request ID] route <route> | item <submission> <item>", "print where a request or an item would be routed now, without sending or changing anything", func(ctx context.Context, args []string) error {
+	return e.command(fs, "merlinhall explain --address IP:PORT [--json] [--request ID] route <route> | route <host> <path> | item <submission> <item>", "print where a request or an item would be routed now, without sending or changing anything", func(ctx context.Context, args []string) error {
 		if *asJSON {
 			e.format = "json"
 		}
 		switch {
-		case len(args) == 2 && args[0] == "route":
+		case (len(args) == 2 || len(args) == 3) && args[0] == "route":
 			var out explain.Route
-			query := url.Values{}
+			query, path := url.Values{}, explain.FindPath
 			if *request != "" {
 				query.Set("request", *request)
 			}
-			if err := e.ask(ctx, *address, explain.RoutePath+url.PathEscape(args[1])+"?"+query.Encode(), &out); err != nil {
+			if len(args) == 2 {
+				path = explain.RoutePath + url.PathEscape(args[1])
+			} else {
+				query.Set("host", args[1])
+				query.Set("path", args[2])
+			}
+			if err := e.ask(ctx, *address, path+"?"+query.Encode(), &out); err != nil {
 				return err
 			}
 			return e.print(&out, out.Text())
@@ -42,7 +48,7 @@
 			}
 			return e.print(&out, explain.ItemText(&out))
 		}
-		return exitError(ExitUsage, eris.New("expected route and its name, or item, the id of a submission and that of an item"))
+		return exitError(ExitUsage, eris.New("expected route and its name or a host and a path, or item, the id of a submission and that of an item"))
 	})
 }
 
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -20,6 +20,7 @@
 // Paths of the administration endpoint.
 const (
 	RoutePath = "/explain/route/" // followed by the name of a route
+	FindPath  = "/explain/find"   // with the host and the path of a request as host and path
 	ItemPath  = "/explain/item/"  // followed by the ids of a submission and an item
 )
 
@@ -47,29 +48,50 @@
 // Attach registers the endpoint on mux.
 func (h *Handler) Attach(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+RoutePath+"{route}", h.serveRoute)
+	mux.HandleFunc("GET "+FindPath, h.serveFind)
 	mux.HandleFunc("GET "+ItemPath+"{submission}/{item}", h.serveItem)
 }
 
-func (h *Handler) serveRoute(w http.ResponseWriter, r *http.Request) {
-	var table *routes.Table
+// table returns the routes in force, or answers the request and returns nil.
+func (h *Handler) table(w http.ResponseWriter) *routes.Table {
 	if f := h.Table.Load(); f != nil {
-		table = (*f)()
+		if table := (*f)(); table != nil {
+			return table
+		}
 	}
+	writeProblem(w, http.StatusServiceUnavailable, "no manifest is known here")
+	return nil
+}
+
+func (h *Handler) serveRoute(w http.ResponseWriter, r *http.Request) {
+	table := h.table(w)
 	if table == nil {
-		writeProblem(w, http.StatusServiceUnavailable, "no manifest is known here")
 		return
 	}
-	name, request := r.PathValue("route"), r.URL.Query().Get("request")
-	m := table.Manifest()
+	name, m := r.PathValue("route"), table.Manifest()
 	for i := range m.Routes {
 		if route := &m.Routes[i]; route.Name == name {
-			writeJSON(w, h.explainRoute(route, m.Version, request))
+			writeJSON(w, h.explainRoute(route, m.Version, r.URL.Query().Get("request")))
 			return
 		}
 	}
 	writeProblem(w, http.StatusNotFound, fmt.Sprintf("manifest %d has no route %q", m.Version, name))
 }
 
+func (h *Handler) serveFind(w http.ResponseWriter, r *http.Request) {
+	table := h.table(w)
+	if table == nil {
+		return
+	}
+	q := r.URL.Query()
+	route := table.Find(q.Get("host"), q.Get("path"))
+	if route == nil {
+		writeProblem(w, http.StatusNotFound, fmt.Sprintf("manifest %d has no route for host %q and path %q", table.Manifest().Version, q.Get("host"), q.Get("path")))
+		return
+	}
+	writeJSON(w, h.explainRoute(route, table.Manifest().Version, q.Get("request")))
+}
+
 func (h *Handler) explainRoute(route *routes.Route, version uint64, request string) *Route {
 	out := &Route{Process: h.Process, Route: route.Name, Host: route.Host, Prefix: route.Prefix, Manifest: version, Request: request}
 	if request != "" {
@@ -129,13 +151,20 @@
 		for _, c := range s.Candidates {
 			fmt.Fprintf(&b, "  %s\n", strings.Join([]string{
 				c.Target, "zone " + c.Zone, "software " + c.Software, fmt.Sprintf("places %d", c.Places), fmt.Sprintf("outstanding %d", c.Outstanding),
-				fmt.Sprintf("latency %.1fms", c.LatencyMs), fmt.Sprintf("cost %.4f", c.Cost), eligible(c.Reason),
+				fmt.Sprintf("latency %.1fms", c.LatencyMs), speedText(c.Speed), fmt.Sprintf("cost %.4f", c.Cost), eligible(c.Reason),
 			}, "  "))
 		}
 	}
 	return b.String()
 }
 
+func speedText(speed float64) string {
+	if speed == 0 {
+		return "speed not used"
+	}
+	return fmt.Sprintf("speed %.2f", speed)
+}
+
 func eligible(reason string) string {
 	if reason == "" {
 		return "eligible"
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -106,6 +106,7 @@
 	Cost        float64 `json:"cost"`             // without its random part
 	Outstanding int     `json:"outstanding"`      // requests of this process
 	LatencyMs   float64 `json:"latency_ms"`
+	Speed       float64 `json:"speed,omitempty"` // measured, 0 if it is not used
 	Places      int     `json:"places"`
 }
 
@@ -144,7 +145,7 @@
 		s := f.state(t.ID)
 		e := Candidate{
 			Target: t.ID, Zone: t.Zone, Software: t.Software().String(), Reason: f.unusable(now, w, t, limits, false),
-			Cost: f.cost(now, t, func() float64 { return 0.5 }), Outstanding: s.outstanding, LatencyMs: float64(s.latency) / float64(time.Millisecond), Places: t.Slots,
+			Cost: f.cost(now, t, func() float64 { return 0.5 }), Outstanding: s.outstanding, LatencyMs: float64(s.latency) / float64(time.Millisecond), Speed: f.speedOf(now, t), Places: t.Slots,
 		}
 		switch {
 		case t.Draining:
