--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -196,10 +196,9 @@
 		stepReads = hub.NewStepReads(d.observer)
 	}
 	h := hub.New(hub.Options{
-		StepReads: stepReads,
-		Host:      s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
+		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
 		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
-		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, Demand: d.admission, Locality: d.locality, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
+		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, StepReads: stepReads, Demand: d.admission, Locality: d.locality, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
 	table := h.Routes // the entry role of the process, if it has one, replaces it
