--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -47,7 +47,7 @@
 
 // manifest returns a manifest with a route for submissions and two for the plain service. tenants
 // may be nil.
-func manifest(version int, tenants []any) []byte {
+func manifest(version, slots int, tenants []any) []byte {
 	m := map[string]any{
 		"version": version,
 		"routes": []any{
@@ -56,7 +56,7 @@
 			map[string]any{"name": "r-order", "host": routeHost, "pathPrefix": "/order/", "kind": "non_idempotent", "timeoutMs": 2000, "latencyGoalMs": 150, "priority": 2, "service": plainService, "maxAttempts": 2},
 		},
 		"services": []any{
-			map[string]any{"name": engineService, "healthPath": "/healthz", "maxConns": 180, "protocol": "h1", "tls": false, "runtime": map[string]any{"slots": 12, "kvCapacity": 37098, "models": []any{map[string]any{"name": model}}}},
+			map[string]any{"name": engineService, "healthPath": "/healthz", "maxConns": 180, "protocol": "h1", "tls": false, "runtime": map[string]any{"slots": slots, "kvCapacity": 37098, "models": []any{map[string]any{"name": model}}}},
 			map[string]any{"name": plainService, "healthPath": "/healthz", "maxConns": 130, "protocol": "h1", "tls": false},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 33554432, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -96,7 +96,7 @@
 	if err := c.start(); err != nil {
 		return err
 	}
-	if _, ok := c.again("control", portControl, 25*time.Second, "operator", "PUT", "/v1/config", "", manifest(1, c.tenants), 200); !ok {
+	if _, ok := c.again("control", portControl, 25*time.Second, "operator", "PUT", "/v1/config", "", manifest(1, c.slots, c.tenants), 200); !ok {
 		return fmt.Errorf("the first manifest was not accepted")
 	}
 	end := time.Now().Add(15 * time.Second)
--- a/review/rig-2/cluster.go
+++ b/review/rig-2/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -36,6 +37,8 @@
 // options are what the cases set.
 type options struct {
 	stores, edges, engines int
+	slots                  int  // of an engine, 12 unless it is set
+	storeMb, edgeMb        int  // memory of the machines, those of the Chikushi sheet unless set
 	fences                 bool // engines check fence numbers
 	enforceMemory          bool // a process over its memory is killed, as the platform does
 	tenants                []any
@@ -77,6 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
+	o.slots, o.storeMb, o.edgeMb = cmp.Or(o.slots, 12), cmp.Or(o.storeMb, storeMemoryMb), cmp.Or(o.edgeMb, edgeMemoryMb)
 	c := &cluster{options: o, rec: rec, dir: dir, prefix: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250)), run: make(map[string][]string)}
 	if err := c.readDeployFile("deploy/system.toml"); err != nil {
 		return nil, err
@@ -115,10 +119,10 @@
 // start starts all processes.
 func (c *cluster) start() error {
 	for i := range c.stores {
-		c.nodes = append(c.nodes, &node{c: c, name: fmt.Sprintf("storage-z%d-1", i+1), ip: c.ip(10 + i), role: "control", memoryMb: storeMemoryMb})
+		c.nodes = append(c.nodes, &node{c: c, name: fmt.Sprintf("storage-z%d-1", i+1), ip: c.ip(10 + i), role: "control", memoryMb: c.storeMb})
 	}
 	for i := range c.edges {
-		c.nodes = append(c.nodes, &node{c: c, name: fmt.Sprintf("edge-z%d-1", i+1), ip: c.ip(30 + i), role: "entry", memoryMb: edgeMemoryMb})
+		c.nodes = append(c.nodes, &node{c: c, name: fmt.Sprintf("edge-z%d-1", i+1), ip: c.ip(30 + i), role: "entry", memoryMb: c.edgeMb})
 	}
 	for _, n := range c.nodes {
 		if err := n.writeSettings(true); err != nil {
@@ -153,6 +157,11 @@
 	}
 	c.wg.Wait()
 	c.platform.close()
+	if os.Getenv("KEEP") != "" {
+		c.rec.line("the logs are kept")
+		_ = os.Rename(c.dir, os.Getenv("KEEP"))
+		return
+	}
 	_ = os.RemoveAll(c.dir)
 }
 
--- a/review/rig-2/lateorder.go
+++ b/review/rig-2/lateorder.go
@@ -20,7 +20,7 @@
 
 // lateOrderCase stops the leader as planned while the way from it to one replica is cut.
 func lateOrderCase(rec *record, trouble bool) error {
-	c, err := newCluster(rec, options{stores: 4, edges: 1, engines: 4, fences: false})
+	c, err := newCluster(rec, options{stores: 3, edges: 3, engines: 9, slots: 16, storeMb: 314, edgeMb: 284, fences: false})
 	if err != nil {
 		return err
 	}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -8,6 +8,7 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) error{
+	"all-killed":   allKilledCase,
 	"late-order":   lateOrderCase,
 	"many-items":   manyItemsCase,
 	"readers":      readersCase,
--- a/review/rig-2/platform.go
+++ b/review/rig-2/platform.go
@@ -36,7 +36,7 @@
 		return nil, err
 	}
 	for i := range c.engines {
-		e := &engine{p: p, id: fmt.Sprintf("i-e%d", i+1), zone: fmt.Sprintf("z%d", i%4+1), address: c.address(100+i, 8080), version: 1, bornMs: time.Now().UnixMilli(), events: 8, gap: 40 * time.Millisecond, pieceBytes: 330, began: make(map[string]int)}
+		e := &engine{p: p, id: fmt.Sprintf("i-e%d", i+1), zone: fmt.Sprintf("z%d", i%4+1), address: c.address(100+i, 8080), version: 1, bornMs: time.Now().UnixMilli(), events: 8, gap: 40 * time.Millisecond, pieceBytes: 330, began: make(map[string]int), at: make(map[string]int), left: make(map[string]time.Time)}
 		p.engines = append(p.engines, e)
 		if err := p.listen(e.address, e); err != nil {
 			return nil, err
@@ -89,6 +89,9 @@
 	gap        time.Duration
 	pieceBytes int
 	began      map[string]int // runs by item
+	running    int
+	at         map[string]int       // runs at work by item
+	left       map[string]time.Time // ends of runs by item
 	fence      uint64
 	onOrder    func(e *engine, o order) // before the engine reads the order's effect
 	// hold, if set, holds back the bytes of an order before the engine sees them.
@@ -110,7 +113,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
-		"id": e.id, "service": engineService, "address": e.address, "zone": e.zone, "version": "v1", "slots": 12, "state": "ready", "coldLeftMs": 0, "stage": "both", "born": e.bornMs,
+		"id": e.id, "service": engineService, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.p.c.slots, "state": "ready", "coldLeftMs": 0, "stage": "both", "born": e.bornMs,
 		"models": []any{map[string]any{"name": model, "version": e.version, "adapters": []any{}}},
 	}
 }
@@ -190,7 +193,17 @@
 	e.mu.Lock()
 	version, events, gap, piece := e.version, e.events, e.gap, e.pieceBytes
 	wrong := r.Header.Get("X-Expect-Version") != "" && r.Header.Get("X-Expect-Version") != strconv.FormatUint(version, 10)
-	if !wrong {
+	full := e.running >= e.p.c.slots+36
+	if !wrong && !full {
+		e.running++
+		e.at[id]++
+		defer func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.running--
+			e.at[id]--
+			e.left[id] = time.Now()
+		}()
 		e.began[r.Header.Get("X-Tenant")+"/"+id]++
 	}
 	e.mu.Unlock()
@@ -199,6 +212,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if full {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Response-Signature", "sig."+id)
