--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -11,7 +11,6 @@
 	"all-killed":   allKilledCase,
 	"late-order":   lateOrderCase,
 	"many-items":   manyItemsCase,
-	"readers":      readersCase,
 	"short-fields": shortFieldsCase,
 	"submissions":  submissionsCase,
 	"tenants":      tenantsCase,
--- a/review/rig-2/platform.go
+++ b/review/rig-2/platform.go
@@ -27,7 +27,6 @@
 	engines     []*engine
 	plain       *service
 	servers     []*http.Server
-	models      map[string]uint64 // newest version that was named
 }
 
 func newPlatform(c *cluster) (*platform, error) {
