--- a/review/rig-2/submissions.go
+++ b/review/rig-2/submissions.go
@@ -9,6 +9,7 @@
 	rogueSubmissions = 80
 	rogueBytes       = 2500 << 10 // of the body of its only item
 	rogueFailures    = 6          // in a row, after which the client leaves
+	rogueTime        = 40 * time.Second
 )
 
 // submissionsCase has a client outside the operators' control send submissions of legal size, one
@@ -41,7 +42,7 @@
 		size = rogueBytes
 	}
 	edges := c.withRole("entry")
-	for i := 0; i < rogueSubmissions && inARow < rogueFailures; i++ {
+	for i, began := 0, time.Now(); i < rogueSubmissions && inARow < rogueFailures && time.Since(began) < rogueTime; i++ {
 		id := fmt.Sprintf("other-%d", i)
 		body, _ := submission(id, i+1, 1, 1, itemOptions{bodyBytes: size})
 		n := edges[i%len(edges)]
