--- a/review/rig-2/allkilled.go
+++ b/review/rig-2/allkilled.go
@@ -26,8 +26,21 @@
 	judged    bool
 }
 
+// oneLostCase takes one storage machine away while several steps are open.
+func oneLostCase(rec *record, trouble bool) error {
+	return killedCase(rec, trouble, func(nodes []*node) []*node {
+		lost := nodes[1] // the first one founds the group and leads it
+		lost.leave()
+		return []*node{lost}
+	})
+}
+
 // allKilledCase kills all processes of the core at the same moment while several steps are open.
 func allKilledCase(rec *record, trouble bool) error {
+	return killedCase(rec, trouble, func(nodes []*node) []*node { return nodes })
+}
+
+func killedCase(rec *record, trouble bool, choose func(nodes []*node) []*node) error {
 	c, err := newCluster(rec, options{stores: 3, edges: 3, engines: 9, slots: 16, storeMb: 314, edgeMb: 284, fences: true, enforceMemory: true})
 	if err != nil {
 		return err
@@ -53,8 +66,8 @@
 	rec.line("replicas: %d runs of items have begun, %d are at work", c.platform.arrivals(), c.platform.running())
 	stable := rec.began // since when the core is stable
 	if trouble {
-		rec.line("platform: SIGKILL to all processes of the core; they are back after %s", restartDelay)
-		for _, n := range c.withRole("control") {
+		for _, n := range choose(c.withRole("control")) {
+			rec.line("platform: SIGKILL to the process of %s; stays away: %t, else it is back after %s", n.name, n.away, restartDelay)
 			n.signal(syscall.SIGKILL)
 		}
 		stable = time.Now().Add(restartDelay + 100*time.Millisecond + contactTime)
--- a/review/rig-2/cluster.go
+++ b/review/rig-2/cluster.go
@@ -69,6 +69,7 @@
 	cmd      *exec.Cmd
 	started  time.Time
 	stopping bool
+	away     bool // the machine doesn't come back
 	boots    int
 	kills    int // for memory
 	ends     int // by itself
@@ -310,7 +311,9 @@
 			}
 			n.mu.Unlock()
 			if again {
-				time.Sleep(restartDelay)
+				if !n.awaitRestart() {
+					return
+				}
 				if err := n.writeSettings(false); err == nil {
 					_ = n.start()
 				}
@@ -320,6 +323,22 @@
 	}
 }
 
+// awaitRestart waits until the process may be started again. It returns false if its machine stays
+// away.
+func (n *node) awaitRestart() bool {
+	time.Sleep(restartDelay)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.away
+}
+
+// leave has the machine of the process stay away once that has ended.
+func (n *node) leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.away = true
+}
+
 // anonymousMb returns the anonymous resident memory of a process, which is less than all that it
 // uses: neither its program nor bytes in its sockets count.
 func anonymousMb(pid int) int {
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -11,6 +11,7 @@
 	"all-killed":   allKilledCase,
 	"late-order":   lateOrderCase,
 	"many-items":   manyItemsCase,
+	"one-lost":     oneLostCase,
 	"short-fields": shortFieldsCase,
 	"submissions":  submissionsCase,
 	"tenants":      tenantsCase,
