--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -96,7 +96,7 @@
 	if err := c.start(); err != nil {
 		return err
 	}
-	if _, ok := c.again("control", portControl, 25*time.Second, "operator", "PUT", "/v1/config", "", manifest(1, c.slots, c.tenants), 200); !ok {
+	if _, ok := c.again("control", portControl, 25*time.Second, "operator", "PUT", "/v1/config", "", c.firstManifest(), 200); !ok {
 		return fmt.Errorf("the first manifest was not accepted")
 	}
 	end := time.Now().Add(15 * time.Second)
@@ -172,3 +172,12 @@
 	_ = json.Unmarshal(b, &p)
 	return p
 }
+
+// firstManifest returns the manifest that the operator sends first.
+func (c *cluster) firstManifest() []byte {
+	b := manifest(1, c.slots, c.tenants)
+	if c.faulty {
+		return withFaulty(b)
+	}
+	return b
+}
--- a/review/rig-2/cluster.go
+++ b/review/rig-2/cluster.go
@@ -42,6 +42,7 @@
 	fences                 bool // engines check fence numbers
 	enforceMemory          bool // a process over its memory is killed, as the platform does
 	tenants                []any
+	faulty                 bool // routes to the faulty servers
 }
 
 // cluster is a small deployment on loopback addresses: the project's processes, and a stand-in of
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -8,13 +8,15 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) error{
-	"all-killed":   allKilledCase,
-	"late-order":   lateOrderCase,
-	"many-items":   manyItemsCase,
-	"one-lost":     oneLostCase,
-	"short-fields": shortFieldsCase,
-	"submissions":  submissionsCase,
-	"tenants":      tenantsCase,
+	"all-killed":    allKilledCase,
+	"endless":       endlessCase,
+	"endless-share": endlessShareCase,
+	"late-order":    lateOrderCase,
+	"many-items":    manyItemsCase,
+	"one-lost":      oneLostCase,
+	"short-fields":  shortFieldsCase,
+	"submissions":   submissionsCase,
+	"tenants":       tenantsCase,
 }
 
 func main() {
--- a/review/rig-2/platform.go
+++ b/review/rig-2/platform.go
@@ -27,6 +27,7 @@
 	engines     []*engine
 	plain       *service
 	servers     []*http.Server
+	more        []any // of the list
 }
 
 func newPlatform(c *cluster) (*platform, error) {
@@ -67,6 +68,7 @@
 		"id": p.plain.id, "service": plainService, "address": p.plain.address, "zone": "z1", "version": "v1", "slots": 6, "state": "ready", "coldLeftMs": 0,
 		"born": p.c.rec.began.UnixMilli(),
 	}}
+	list = append(list, p.more...)
 	for _, e := range p.engines {
 		list = append(list, e.entry())
 	}
