batch: starts of any sum of sizes reach their carriers

Cause: the leader put all starts for a carrier into one message. Starts that come one submission after the other fit into a frame; when all runs are lost at once, 72 of them have 10 MB, over the 8 MB of a frame. The refused message was dropped, the carrier was asked for an inventory, and the same starts were planned again.

Change: a start is added to the orders of a carrier only while it and what waits in the link are within 1 MB, or alone. Otherwise the item stays pending and is planned again after 10 ms. A text above 2 MB does not travel with its item, which begins anew. So each message fits into a frame by its parts, which the compiler checks, and into the queue of the link. A grant of an engine with a limit is taken only once there is a carrier. New metric merlinhall_batch_held_starts_total.

--- a/batch/explain.go
+++ b/batch/explain.go
@@ -117,7 +117,7 @@
 	before := r.zonePlan // carrierFor may compute the shares anew, and would log them
 	defer func() { r.zonePlan = before }()
 	r.zonePlan.loggedAt = now
-	if c := r.carrierFor(now, e.zone); c != nil {
+	if c := r.carrierFor(now, e.zone, startSize(t, true)); c != nil {
 		out.Carrier, out.Zone = c.process, c.zone
 	}
 	if row, ok := r.zonePlan.rows[e.zone]; ok {
--- a/batch/fleet.go
+++ b/batch/fleet.go
@@ -60,6 +60,7 @@
 	sentAt     time.Time
 	runs       map[uint64]*run
 	orders     carrier.Orders // not yet sent
+	startBytes int            // size of the starts in orders
 	weight     carrierWeight
 }
 
@@ -73,16 +74,21 @@
 	return c.synced && !c.stopping && !c.leaving && now.Sub(c.reportedAt) <= carrierSuspectAfter
 }
 
-// chooseCarrier returns the carrier for a run on an engine in the given zone: the one with
-// the fewest runs for its weight, in the engine's zone if there is not much difference. The leader's own
-// process decides for all others and is the last choice. It returns nil if none is usable.
-func chooseCarrier(now time.Time, carriers []*carrierView, zone string) *carrierView {
+// chooseCarrier returns the carrier for a run on an engine in the given zone whose start has the
+// given size: the one with the fewest runs for its weight, in the engine's zone if there is not much
+// difference. The leader's own process decides for all others and is the last choice. It returns nil
+// if none is usable, or if the links to those that are have no room for now.
+func chooseCarrier(now time.Time, carriers []*carrierView, zone string, size int) *carrierView {
 	var best *carrierView
-	bestCost := 0.0
+	bestCost, full := 0.0, false
 	for _, c := range carriers {
 		if !c.usable(now) {
 			continue
 		}
+		if !c.hasRoom(size) {
+			full = full || !c.local
+			continue
+		}
 		cost := c.load()
 		if zone != "" && c.zone != zone {
 			cost += otherZoneRuns
@@ -91,6 +97,9 @@
 			best, bestCost = c, cost
 		}
 	}
+	if full && best != nil && best.local {
+		return nil // a link is full for milliseconds only
+	}
 	return best
 }
 
@@ -179,6 +188,9 @@
 	return nil
 }
 
+// QueuedBytes implements carrier.Sender.
+func (l *localLink) QueuedBytes() int { return 0 }
+
 // updateCarriers follows the links: a carrier with another link than before is asked for an
 // inventory, and the runs of one that is silent go on elsewhere.
 func (r *Runner) updateCarriers(now time.Time) {
@@ -255,7 +267,7 @@
 		return
 	}
 	c.link, c.zone, c.synced, c.echo = l, zone, false, 0
-	c.orders = carrier.Orders{Inventory: true}
+	c.replaceOrders(carrier.Orders{Inventory: true})
 	r.sendOrders(now, c)
 }
 
@@ -279,16 +291,16 @@
 		if now.Sub(c.sentAt) < orderInterval {
 			return
 		}
-		c.orders = carrier.Orders{Inventory: true} // the former request may be lost
+		c.replaceOrders(carrier.Orders{Inventory: true}) // the former request may be lost
 	}
 	c.sequence++
-	orders := c.orders
+	orders := c.replaceOrders(carrier.Orders{})
 	orders.Term, orders.Sequence = r.term, c.sequence
 	// Without the lease another leader may have ended submissions since.
 	if r.o.LeaseHeld(r.term) {
 		orders.Echo = c.echo
 	}
-	c.orders, c.sentAt = carrier.Orders{}, now
+	c.sentAt = now
 	if err := c.link.Send(&orders); err != nil {
 		r.log.WithFields(logrus.Fields{"carrier": c.process, "starts": len(orders.Starts)}).Infof("orders could not be sent: %v", err)
 		c.synced = false
--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -13,7 +13,7 @@
 )
 
 func testCarrier(process, zone string, runs int) *carrierView {
-	c := &carrierView{process: process, zone: zone, synced: true, reportedAt: start, runs: make(map[uint64]*run)}
+	c := &carrierView{process: process, zone: zone, link: discardLink{}, synced: true, reportedAt: start, runs: make(map[uint64]*run)}
 	for i := range runs {
 		c.runs[uint64(i)] = &run{}
 	}
@@ -25,10 +25,10 @@
 	is := is.New(t)
 	near, far := testCarrier("near", "z", 3), testCarrier("far", "y", 0)
 	carriers := []*carrierView{far, near}
-	is.Equal(chooseCarrier(start, carriers, "z"), near)
+	is.Equal(chooseCarrier(start, carriers, "z", 0), near)
 	near.runs = testCarrier("", "", otherZoneRuns+1).runs
-	is.Equal(chooseCarrier(start, carriers, "z"), far)
-	is.Equal(chooseCarrier(start, carriers, ""), far)
+	is.Equal(chooseCarrier(start, carriers, "z", 0), far)
+	is.Equal(chooseCarrier(start, carriers, "", 0), far)
 }
 
 // Guards against carriers of another zone that read engines whose zone has free carriers, against
@@ -41,7 +41,7 @@
 	r.carriers = []*carrierView{far, near, alsoFar}
 	begin := func(now time.Time, runs int) {
 		for range runs {
-			c := r.carrierFor(now, "z")
+			c := r.carrierFor(now, "z", 0)
 			c.runs[uint64(len(c.runs))] = &run{engineZone: "z"}
 		}
 	}
@@ -51,9 +51,9 @@
 	is.True(len(near.runs) > 20 && len(near.runs) <= carrierPlaces)
 	is.True(len(far.runs) > 10 && len(alsoFar.runs) > 10)
 	near.stopping = true
-	is.True(r.carrierFor(start.Add(time.Second/5), "z") != near)
+	is.True(r.carrierFor(start.Add(time.Second/5), "z", 0) != near)
 	far.stopping, alsoFar.stopping = true, true
-	is.Equal(r.carrierFor(start.Add(time.Second/5), "z"), nil)
+	is.Equal(r.carrierFor(start.Add(time.Second/5), "z", 0), nil)
 }
 
 // The leader's own process decides for all others. Carriers that are silent, that stop or
@@ -65,11 +65,11 @@
 	silent.reportedAt = start.Add(-carrierSuspectAfter - time.Millisecond)
 	stopping.stopping, leaving.leaving = true, true
 	carriers := []*carrierView{local, silent, stopping, leaving, other}
-	is.Equal(chooseCarrier(start, carriers, "z"), other)
+	is.Equal(chooseCarrier(start, carriers, "z", 0), other)
 	other.synced = false
-	is.Equal(chooseCarrier(start, carriers, "z"), local)
+	is.Equal(chooseCarrier(start, carriers, "z", 0), local)
 	local.synced = false
-	is.Equal(chooseCarrier(start, carriers, "z"), nil)
+	is.Equal(chooseCarrier(start, carriers, "z", 0), nil)
 }
 
 // A carrier's parts of a text come in order; a part of another text does not fit.
@@ -102,6 +102,9 @@
 	return nil
 }
 
+// QueuedBytes implements carrier.Sender.
+func (s *sentOrders) QueuedBytes() int { return 0 }
+
 // A former leader that does not know it yet, or was suspended: the next one may have ended
 // submissions since, so its orders must not make carriers believe that items are wanted.
 func TestOrdersAreNotFreshWithoutTheLease(t *testing.T) {
--- a/batch/give_up_test.go
+++ b/batch/give_up_test.go
@@ -120,7 +120,7 @@
 	j.sub.MaxAttempts = 3
 	r := quietRunner()
 	r.adopted, r.jobs = true, []*job{j}
-	c := &carrierView{process: "p", synced: true, reportedAt: start, runs: make(map[uint64]*run)}
+	c := &carrierView{process: "p", link: discardLink{}, synced: true, reportedAt: start, runs: make(map[uint64]*run)}
 	r.carriers = []*carrierView{c}
 	task := j.tasks["k-0-0"]
 	task.item.Reward = &ledger.Reward{ID: "r"}
--- a/batch/locality.go
+++ b/batch/locality.go
@@ -37,17 +37,17 @@
 }
 
 // carrierFor returns the carrier for a run on an engine in the given zone, or for one without an
-// engine, or nil if none is usable.
-func (r *Runner) carrierFor(now time.Time, zone string) *carrierView {
+// engine, whose start has the given size, or nil if none is usable or has room for it.
+func (r *Runner) carrierFor(now time.Time, zone string, size int) *carrierView {
 	if r.o.Locality == nil || zone == "" {
-		return chooseCarrier(now, r.carriers, zone)
+		return chooseCarrier(now, r.carriers, zone, size)
 	}
 	in := r.carrierZone(now, zone)
 	nearest := slices.DeleteFunc(slices.Clone(r.carriers), func(c *carrierView) bool { return c.zone != in || c.local })
-	if c := chooseCarrier(now, nearest, ""); c != nil {
+	if c := chooseCarrier(now, nearest, "", size); c != nil {
 		return c
 	}
-	return chooseCarrier(now, r.carriers, zone)
+	return chooseCarrier(now, r.carriers, zone, size)
 }
 
 // carrierZone returns the zone of the carrier for the next run on an engine in the given zone: the
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -26,6 +26,8 @@
 	unneeded prometheus.Counter
 	// droppedEvents counts events of texts that began anew.
 	droppedEvents prometheus.Counter
+	// heldStarts counts starts that waited for room in the links to carriers.
+	heldStarts prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -76,6 +78,9 @@
 		unneeded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_runs_given_up_alive_total", Help: "Runs that their carrier still had when it answered again after it had been given up.",
 		}),
+		heldStarts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "merlinhall_batch_held_starts_total", Help: "Times that the start of a run waited because the links to the control processes had no room for it.",
+		}),
 		droppedEvents: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "merlinhall_batch_dropped_events_total", Help: "Events of texts that begin anew because no engine of their software or weight version could go on with them.",
 		}),
@@ -83,7 +88,7 @@
 			Name: "merlinhall_batch_hints_lost_total", Help: "Messages lost to a full mailbox.",
 		}),
 	}
-	registry.MustRegister(m.runs, m.zones, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.lag, m.unneeded, m.droppedEvents, m.spread, m.divisions, m.weights)
+	registry.MustRegister(m.runs, m.zones, m.orders, m.items, m.took, m.queued, m.ran, m.steps, m.open, m.lost, m.lag, m.unneeded, m.droppedEvents, m.heldStarts, m.spread, m.divisions, m.weights)
 	return m
 }
 
--- a/batch/missed_test.go
+++ b/batch/missed_test.go
@@ -102,3 +102,6 @@
 type discardLink struct{}
 
 func (discardLink) Send(wire.Message) error { return nil }
+
+// QueuedBytes implements carrier.Sender.
+func (discardLink) QueuedBytes() int { return 0 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -168,6 +168,7 @@
 
 	scheduledAt      time.Time // when tasks were last planned
 	scheduleDeferred bool      // another planning has been asked for
+	linksFull        bool      // a start of this planning waits for room in the links to carriers
 	additions        additions
 
 	jobs           []*job        // oldest first
@@ -485,8 +486,7 @@
 		return
 	}
 	if wait := scheduleInterval - now.Sub(r.scheduledAt); wait > 0 {
-		r.scheduleDeferred = true
-		r.o.After(wait, func() { r.offer(wakeMessage{}) })
+		r.planAgain(wait)
 		return
 	}
 	r.scheduledAt, r.scheduleDeferred = now, false
@@ -498,6 +498,12 @@
 	r.scheduleLoads(now)
 }
 
+// planAgain has the tasks planned again after a time.
+func (r *Runner) planAgain(after time.Duration) {
+	r.scheduleDeferred = true
+	r.o.After(after, func() { r.offer(wakeMessage{}) })
+}
+
 // startPending starts the tasks that can be started now. By a list that is too old an engine
 // would be used that has been leaving for long.
 func (r *Runner) startPending(now time.Time) {
@@ -507,11 +513,12 @@
 	r.updateRoutes()
 	placements := r.planPending(now)
 	for _, p := range placements {
-		if !r.limits().Take(p.engine.id, 1) {
-			continue // the limit has changed since the plan began
-		}
 		r.begin(now, p)
 	}
+	if r.linksFull {
+		r.linksFull = false
+		r.planAgain(scheduleInterval)
+	}
 	if len(placements) > 0 {
 		r.queue.prune()
 	}
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -56,10 +56,18 @@
 	if !r.o.Directory.View().Accepts(e.id) || r.o.Submissions.Closed(t.job.sub.ID) {
 		return // both may be newer than the last message about them
 	}
-	c := r.carrierFor(now, target.Zone)
+	if t.text.size() > carrier.MaxTextBytes {
+		r.dropText(t, "it is too long to be sent to a carrier")
+	}
+	size := startSize(t, true)
+	c := r.carrierFor(now, target.Zone, size)
 	if c == nil {
+		r.noteFullLinks(now)
 		return
 	}
+	if !r.limits().Take(e.id, 1) {
+		return // the limit has changed since the plan began
+	}
 	if p.anew {
 		r.dropText(t, "no engine of its software has a free slot")
 	}
@@ -75,12 +83,12 @@
 		t.firstRunAt = now
 	}
 	e.running++
-	c.orders.Starts = append(c.orders.Starts, carrier.Start{
+	c.addStart(carrier.Start{
 		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Engine: e.id, Address: e.address, EngineStartedMs: e.startedMs,
 		Path: t.item.Path, Host: t.job.sub.Host, Headers: t.item.Headers, Body: t.item.Body, Version: run.version,
 		OldestVersion: t.job.sub.MinVersion, SingleVersion: t.job.sub.SingleVersion, Text: t.text.Text, Reward: t.item.Reward, MaxFailures: t.maxFailures(),
 		Software: target.Software(),
-	})
+	}, size)
 }
 
 // newRun registers an attempt of a task with a carrier. Attempts of later leaders have
@@ -98,14 +106,15 @@
 
 // startScoring has a complete text scored whose run has ended without a score.
 func (r *Runner) startScoring(now time.Time, t *task) {
-	c := r.carrierFor(now, "")
+	size := startSize(t, false)
+	c := r.carrierFor(now, "", size)
 	if c == nil || r.adopting(now) {
 		return // the next tick tries again
 	}
 	run := r.newRun(now, t, c)
-	c.orders.Starts = append(c.orders.Starts, carrier.Start{
+	c.addStart(carrier.Start{
 		Attempt: run.attempt, Submission: t.job.sub.ID, Item: t.item.ID, Reward: t.item.Reward, MaxFailures: t.maxFailures(),
-	})
+	}, size)
 }
 
 // formerFailedRun is the reason with which carriers of eca7a40 and before report a failed run;
--- a/batch/simulation_test.go
+++ b/batch/simulation_test.go
@@ -349,6 +349,9 @@
 // Send implements carrier.Sender for the leader.
 func (l *simLink) Send(m wire.Message) error { return l.orders.Send(m) }
 
+// QueuedBytes implements carrier.Sender for the leader.
+func (l *simLink) QueuedBytes() int { return l.orders.QueuedBytes() }
+
 // simPipe is one direction of a link. The one with the reports is the link of the carrier.
 type simPipe struct {
 	l       *simLink
@@ -372,6 +375,15 @@
 	return nil
 }
 
+// QueuedBytes implements carrier.Sender.
+func (p *simPipe) QueuedBytes() int {
+	n := 0
+	for _, frame := range p.queue {
+		n += len(frame)
+	}
+	return n
+}
+
 // simLinkTime is the longest time of a message on a link that does not hold it back.
 const simLinkTime = 4 * time.Millisecond
 
--- a/batch/weights_test.go
+++ b/batch/weights_test.go
@@ -47,6 +47,9 @@
 // Send implements carrier.Sender.
 func (peerSender) Send(wire.Message) error { return nil }
 
+// QueuedBytes implements carrier.Sender.
+func (peerSender) QueuedBytes() int { return 0 }
+
 func (p peerSender) Peer() wire.Hello { return p.hello }
 
 // Guards against a weak host that gets as many runs as a strong one, and against a host of a version
@@ -64,7 +67,7 @@
 	}
 	r.updateWeights(start)
 	for i := range 300 {
-		chooseCarrier(start, r.carriers, "").runs[uint64(i)] = &run{}
+		chooseCarrier(start, r.carriers, "", 0).runs[uint64(i)] = &run{}
 	}
 	for i, want := range []float64{0.25, 1, 1, 2} {
 		is.True(math.Abs(float64(len(r.carriers[i].runs))-300*want/4.25) <= 2)
@@ -84,7 +87,7 @@
 	late[2].weight.noteReport(start, expectedReportGap+500*time.Millisecond)
 	weighCarriers(start, late)
 	for i := range 100 {
-		chooseCarrier(start, late, "").runs[uint64(i)] = &run{}
+		chooseCarrier(start, late, "", 0).runs[uint64(i)] = &run{}
 	}
 	is.True(len(late[2].runs) > 0 && len(late[2].runs) <= len(late[0].runs)/2)
 	now, later := start.Add(expectedReportGap+200*time.Millisecond), start.Add(3*lateMemory)
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -51,6 +51,8 @@
 // Sender sends messages to a leader. *link.Conn implements it.
 type Sender interface {
 	Send(m wire.Message) error
+	// QueuedBytes returns the size of the messages that wait to be sent.
+	QueuedBytes() int
 }
 
 // Options configures a Carrier.
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -24,6 +24,9 @@
 	return nil
 }
 
+// QueuedBytes implements Sender.
+func (l *testLink) QueuedBytes() int { return 0 }
+
 func (l *testLink) last() *Report { return l.reports[len(l.reports)-1] }
 
 // testCarrier returns a carrier with a clock that the test sets. Its runs reach no engine.
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -50,6 +50,9 @@
 	Software wire.Software `cbor:"17,keyasint,omitzero"`
 }
 
+// MaxTextBytes is the greatest compressed size in bytes of a text that a start brings.
+const MaxTextBytes = 2 << 20
+
 // Text is what has been generated of an item.
 type Text struct {
 	Parts    [][]byte `cbor:"1,keyasint,omitempty"` // compressed
