carrier: inventories and reports of any size reach the leader

A carrier put the whole texts of all its ended runs into one report. Over 8 MB, or over the queue of the link, the report was refused, the carrier closed the link, the next link asked for the same inventory, and so on: the texts were never handed in, and their engines ran them again.

Evidence: carrier.TestInventoryOfAnySizeReachesTheLeader on with 40 runs of 0.5 MB, 3 of 12 MB and 1 of 24 MB: no report is sent, the leader is given up.

Change: a report takes texts while they and what waits in the link are within 1 MB. A run whose text is not handed in as a whole counts as reading, which every version of the leader understands, and the rest follows in the next reports, each of which names the weight versions, the lineage and the software of its own part. Events are compressed in chunks of 1 MB, so each part is bounded; that each report fits into a frame is checked by the compiler. A carrier that stops waits until all is handed in.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -42,6 +42,9 @@
 	// maxRewardDoublings bounds the wait to 1.6 s. It doubles after each error response that is
 	// no failed run: such a call is repeated until its item is no longer wanted.
 	maxRewardDoublings = 3
+	// maxReportBytes is the size of the texts that a report and what waits before it in the link
+	// have, from which further texts go into later reports.
+	maxReportBytes = 1 << 20
 	// orphanLimit is how long runs go on without a leader, and how long their texts are kept.
 	orphanLimit = 20 * time.Second
 	// defaultCancelTime is used when the settings have no bound.
@@ -395,7 +398,7 @@
 	if news || now-c.reportedAt >= reportInterval {
 		c.report(now, false)
 	}
-	if reading == 0 {
+	if len(c.drained) > 0 && reading == 0 && !c.hasUnhanded() {
 		for _, done := range c.drained {
 			close(done)
 		}
@@ -406,6 +409,16 @@
 	}
 }
 
+// hasUnhanded reports whether a leader is there that does not have all of the texts that have ended.
+func (c *Carrier) hasUnhanded() bool {
+	for _, r := range c.runs {
+		if c.leader != nil && r.state != Reading && !r.handedAll() {
+			return true
+		}
+	}
+	return false
+}
+
 // dropOrphans ends all runs: no leader has wanted them for a long time.
 func (c *Carrier) dropOrphans() {
 	c.log.WithField("runs", len(c.runs)).Warn("runs are dropped: no leader has asked for them")
@@ -421,17 +434,23 @@
 	return slices.SortedFunc(maps.Values(c.runs), func(a, b *run) int { return cmp.Compare(a.start.Attempt, b.start.Attempt) })
 }
 
+// A report and what waits before it have up to maxReportBytes of texts and a further part of one,
+// which is the text of a start or a chunk. Together with the other fields of the runs they fit into
+// a frame, and so into the queue of a link.
+const _ = uint(wire.MaxFrameBytes - maxReportBytes - max(MaxTextBytes, maxChunkBytes+maxEventBytes) - 4<<20)
+
 // report sends the leader a report of the runs that changed, of all that go on if it is
-// due, or of all with their identity.
+// due, or of all with their identity. Texts for which it has no room follow in the next ones.
 func (c *Carrier) report(now time.Duration, inventory bool) {
 	if c.leader == nil {
 		return
 	}
 	due := inventory || now-c.reportedAt >= reportInterval
 	m := &Report{Term: c.term, Clock: int64(now), Seen: c.seen, Inventory: inventory, Stopping: c.stopping}
+	room := maxReportBytes - c.leader.QueuedBytes()
 	for _, r := range c.inOrder() {
 		if inventory || r.changed(now) || due && r.state == Reading {
-			p := r.progress(now, inventory)
+			p := r.progress(now, inventory, &room)
 			p.EngineLeaves = c.engineLeaves(&r.start)
 			m.Runs = append(m.Runs, p)
 		}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -32,17 +32,18 @@
 	rewardAt          time.Duration // no reward call before this time
 	why               string        // why it was cancelled
 
-	text          Text   // without the events in fresh
-	handedParts   int    // number of parts of text that the leader has
-	handedEvents  int    // events in them
-	handedLineage uint64 // of them
-	handedAt      time.Duration
+	text     Text   // without the events in chunks and fresh
+	marks    []mark // of text, from the one of the start's text on; each covers more than the one before
+	handed   mark   // what the leader has of text
+	handedAt time.Duration
 
 	reportedState   State
 	reportedVersion uint64
 
 	mu          sync.Mutex
-	fresh       [][]byte // events after text
+	chunks      []chunk  // full ones, which follow text
+	fresh       [][]byte // events after chunks
+	freshBytes  int      // size of fresh
 	versions    []uint64 // weight versions of the text
 	events      int
 	lastEventAt time.Duration
@@ -50,25 +51,62 @@
 	clock       func() time.Duration
 }
 
+// chunk is consecutive events of a text that are compressed together.
+type chunk struct {
+	events   [][]byte
+	versions []uint64 // weight versions of the text up to the last of events
+}
+
+// maxChunkBytes is the size in bytes from which a chunk is full. With maxEventBytes, which bounds
+// its last event, a chunk takes up to 2 MB.
+const maxChunkBytes = 1 << 20
+
+// mark is the end of a part of a text, with what identifies the text up to there.
+type mark struct {
+	parts, events int
+	versions      []uint64
+	lineage       uint64
+	software      wire.Software
+}
+
+// mark returns the mark of the end of the text.
+func (t *Text) mark() mark {
+	return mark{parts: len(t.Parts), events: t.Events, versions: t.Versions, lineage: t.Lineage, software: t.Software}
+}
+
 func newRun(s Start, clock func() time.Duration) *run {
 	now := clock()
-	return &run{
+	r := &run{
 		start: s, began: now, lastEventAt: now, handedAt: now, clock: clock, text: s.Text, events: s.Text.Events, versions: slices.Clone(s.Text.Versions),
-		handedParts: len(s.Text.Parts), handedEvents: s.Text.Events, handedLineage: s.Text.Lineage, reportedState: Reading,
-		maxRewardFailures: s.MaxFailures,
+		handed: s.Text.mark(), reportedState: Reading, maxRewardFailures: s.MaxFailures,
+	}
+	if len(s.Text.Parts) > 0 {
+		r.marks = []mark{r.handed}
 	}
+	return r
 }
 
 // Add implements Generated.
 func (r *run) Add(event []byte, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fresh = append(r.fresh, event)
+	r.fresh, r.freshBytes = append(r.fresh, event), r.freshBytes+len(event)
 	if !slices.Contains(r.versions, version) {
 		r.versions = append(r.versions, version)
 	}
 	r.events++
 	r.lastEventAt = r.clock()
+	if r.freshBytes >= maxChunkBytes {
+		r.cutChunk()
+	}
+}
+
+// cutChunk makes the fresh events a chunk. The caller holds r.mu.
+func (r *run) cutChunk() {
+	if len(r.fresh) > 0 {
+		r.chunks = append(r.chunks, chunk{r.fresh, slices.Clone(r.versions)})
+		r.fresh, r.freshBytes = nil, 0
+	}
 }
 
 // VersionChanged implements Generated.
@@ -86,49 +124,66 @@
 	return r.events, now - r.lastEventAt, r.version
 }
 
-// pack moves the fresh events into the compressed text.
+// pack moves the events in chunks and fresh into the compressed text.
 func (r *run) pack() {
 	r.mu.Lock()
-	fresh := r.fresh
-	r.fresh = nil
-	r.text.Versions = slices.Clone(r.versions)
+	r.cutChunk()
+	chunks := r.chunks
+	r.chunks = nil
 	r.mu.Unlock()
-	if len(fresh) == 0 {
-		return
-	}
-	if r.text.Events > 0 && r.text.Software != r.start.Software {
-		r.text.Software = wire.Software{}
-	} else {
-		r.text.Software = r.start.Software
+	for _, c := range chunks {
+		if r.text.Events > 0 && r.text.Software != r.start.Software {
+			r.text.Software = wire.Software{}
+		} else {
+			r.text.Software = r.start.Software
+		}
+		r.text.Lineage, r.text.Versions = r.start.Attempt, c.versions
+		r.text.Parts = append(slices.Clone(r.text.Parts), ledger.Pack(bytes.Join(c.events, []byte("\n"))))
+		r.text.Events += len(c.events)
+		r.marks = append(r.marks, r.text.mark())
 	}
-	r.text.Lineage = r.start.Attempt
-	r.text.Parts = append(slices.Clone(r.text.Parts), ledger.Pack(bytes.Join(fresh, []byte("\n"))))
-	r.text.Events += len(fresh)
 }
 
-// forgetHanded makes the next hand-in contain the whole text, for another leader.
-func (r *run) forgetHanded() {
-	r.handedParts, r.handedEvents, r.handedLineage, r.reportedVersion = 0, 0, 0, 0
-}
+// forgetHanded makes the next hand-ins contain the whole text, for another leader.
+func (r *run) forgetHanded() { r.handed, r.reportedVersion = mark{}, 0 }
+
+// handedAll reports whether the leader has the whole text of an ended response.
+func (r *run) handedAll() bool { return r.handed.parts == len(r.text.Parts) }
 
-// handIn returns the part of the text that the leader does not have, and the number of
-// events before it. It is nil if there is none.
-func (r *run) handIn(now time.Duration) (text *Text, from int) {
+// handIn returns what follows of the text after that which the leader has, and the number of events
+// before it. It is nil if there is nothing, or if room is used up. It takes whole parts until no
+// room is left, and subtracts their size from room.
+func (r *run) handIn(now time.Duration, room *int) (text *Text, from int) {
 	r.pack()
 	r.handedAt = now
-	if r.handedParts == len(r.text.Parts) {
+	from, to := r.handed.events, r.handed
+	for _, m := range r.marks {
+		if m.parts <= to.parts {
+			continue
+		}
+		if *room <= 0 {
+			break
+		}
+		for _, part := range r.text.Parts[to.parts:m.parts] {
+			*room -= len(part)
+		}
+		to = m
+	}
+	if to.parts == r.handed.parts {
 		return nil, 0
 	}
-	from = r.handedEvents
-	text = &Text{Parts: r.text.Parts[r.handedParts:], Events: r.text.Events - from, Versions: r.text.Versions, Lineage: r.text.Lineage, Continues: r.handedLineage, Software: r.text.Software}
-	r.handedParts, r.handedEvents, r.handedLineage = len(r.text.Parts), r.text.Events, r.text.Lineage
+	text = &Text{
+		Parts: r.text.Parts[r.handed.parts:to.parts], Events: to.events - from, Versions: to.versions,
+		Lineage: to.lineage, Continues: r.handed.lineage, Software: to.software,
+	}
+	r.handed = to
 	return text, from
 }
 
 // handInDue reports whether enough events are new for a hand-in.
 func (r *run) handInDue(now time.Duration) bool {
 	events, _, _ := r.counts(now)
-	return r.state == Reading && now-r.handedAt >= handInInterval && events-r.handedEvents >= minHandInEvents
+	return r.state == Reading && now-r.handedAt >= handInInterval && events-r.handed.events >= minHandInEvents
 }
 
 // changed reports whether the leader should learn of the run at once.
@@ -137,14 +192,18 @@
 	return r.state != r.reportedState || version != r.reportedVersion
 }
 
-// progress returns what the leader is told of the run.
-func (r *run) progress(now time.Duration, inventory bool) Progress {
+// progress returns what the leader is told of the run. room is what the report takes of texts, in
+// bytes. A run whose text is not yet handed in as a whole counts as reading.
+func (r *run) progress(now time.Duration, inventory bool, room *int) Progress {
 	events, idle, version := r.counts(now)
 	p := Progress{Attempt: r.start.Attempt, State: r.state, Events: events, IdleMs: int(idle.Milliseconds()), Version: version}
 	if r.state != Reading || r.handInDue(now) {
-		p.Text, p.From = r.handIn(now)
+		p.Text, p.From = r.handIn(now, room)
+	}
+	if r.state != Reading && !r.handedAll() {
+		p.State, p.IdleMs = Reading, 0
 	}
-	if r.state == Ended {
+	if p.State == Ended {
 		p.Outcome, p.Reached, p.Score, p.RewardFailed, p.Reason = r.end.Outcome, r.end.Reached, r.score, r.rewardFailed, r.why
 		switch {
 		case r.rewardFailed:
@@ -161,7 +220,7 @@
 			Submission: r.start.Submission, Item: r.start.Item, Engine: r.start.Engine, EngineStartedMs: r.start.EngineStartedMs, AgeMs: (now - r.began).Milliseconds(),
 		}
 	}
-	r.reportedState, r.reportedVersion = r.state, version
+	r.reportedState, r.reportedVersion = p.State, version
 	return p
 }
 
