upstream, agent: a status that HTTP does not have is no answer

Callers: a target in trouble that sent 600, 700 or 999 had its answer passed on as it was. One that sent 000 to 099, or 101, which nobody asked for, kept its caller waiting for the whole time limit, and then 504. On the path with agents the caller got the body with 502 and the outcome "done".

Cause: every status under 200 passed for an informational response and was skipped; every other one passed for an answer. http.ReadResponse takes any three digits, and the client of net/http returns 000 and 101 like any other status.

Change: a final response has a status of 200 to 599; only 100 and 102 to 199 are skipped. Anything else closes the connection and counts as a response that broke off: a request that may be repeated goes to another target at once, others get 504 at once. The check is where heads are read, so it holds for requests, streams, items, reward calls, probes, reports and orders of engines; the agent has it in its one exchange with a target. Entries replace such a status of an agent of a former version by 502. The other clients of net/http compare with the statuses that they expect.

--- a/agent/target.go
+++ b/agent/target.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"merlinhall/upstream"
 	"merlinhall/wire"
 )
 
@@ -117,7 +118,8 @@
 	conn      atomic.Pointer[trackedConn]
 }
 
-// do sends the request once and follows no redirects.
+// do sends the request once and follows no redirects. A response whose status is none of HTTP is an
+// error like a broken connection.
 func (a *attempt) do(r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*trackedConn); ok {
@@ -125,7 +127,15 @@
 		}
 	}}
 	r.GetBody = nil
-	return a.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := a.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := upstream.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // notSent reports whether the target cannot have received any of the request.
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"merlinhall/actor"
+	"merlinhall/upstream"
 )
 
 const (
@@ -124,8 +125,8 @@
 	a.attempt = c.attempt
 	a.buffered, a.bufferedBytes = nil, 0
 	a.status = c.Status
-	if c.Status < 200 || c.Status > 999 {
-		a.status = statusBadGateway // not a valid final status
+	if upstream.CheckStatus(c.Status) != nil {
+		a.status = statusBadGateway // from an agent that does not check it
 	}
 	h := a.w.Header()
 	clear(h)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -69,7 +69,7 @@
 	return behaviour{
 		runs: header != "Not-Run: 1\r\n" && status != http.StatusMisdirectedRequest,
 		respond: func(w io.Writer, id string) {
-			_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, header, len(body), body)
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 %03d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, header, len(body), body)
 		},
 	}
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -168,9 +168,10 @@
 		if err != nil {
 			return nil, shortened(err)
 		}
-		if response.StatusCode >= 200 {
-			return response, nil
+		if isInformational(response.StatusCode) {
+			continue
 		}
+		return response, CheckStatus(response.StatusCode)
 	}
 	return nil, errInformational
 }
