hub, ledger: submissions of any legal size are accepted, in parts

Callers: a submission above 4 MB (8 MB on the way to the leader) was answered 503 each time, although the manifest allows 33,554,432 bytes. 503 promises that it may be accepted later, so its trainer sent it again for ever: 40 items of 140 KB were enough.

The whole submission was one call (8 MB) and one command of the log (4 MB).

Evidence: platform.TestSubmissionOfAnyLegalSizeIsAccepted on the code before: 503 for 15 s, "consensus: command is too large: the call was rejected".

Change: items above 3 MB in all go to the leader in parts of 1 MB, or of one item, each a command of the new slice "uploads" (level 3). The last command accepts the submission with the items of all parts; before that nothing of it runs, and an end without all parts is refused. Uploads that do not go on for 20 s are dropped. All of them together have an eighth of the host's memory; what does not fit now is refused with 503. An item above 4,128,768 bytes, or a submission above the eighth, can never be accepted and is told so at once, with 413 and the limit. A call that is too large for a frame is no longer sent again each 50 ms until its time is up.

--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -39,6 +39,10 @@
 // times that.
 const logMemoryDivisor = 16
 
+// uploadMemoryDivisor divides the host's memory to get the bound on submissions that are arriving
+// in parts, and so on the size of one submission.
+const uploadMemoryDivisor = 8
+
 // baseMaxVoters is the maximum number of voters unless the configured number of host
 // losses needs more. Three voters tolerate the loss of one host, and two more tolerate a
 // second loss while the first host is being replaced.
@@ -92,8 +96,8 @@
 	links := d.newLinks(wire.RoleControl, s.Links, s.Links)
 	submissions, manifests := ledger.NewSubmissions(), ledger.NewManifests(platform.DecodeManifest)
 	versions, hosts, holder := ledger.NewVersions(), ledger.NewHosts(), ledger.NewHolder()
-	used, begun := ledger.NewUsage(), ledger.NewStreams()
-	machine := control.NewStateMachine(manifests, versions, submissions, hosts, holder, used, begun)
+	used, begun, uploads := ledger.NewUsage(), ledger.NewStreams(), ledger.NewUploads(submissions)
+	machine := control.NewStateMachine(manifests, versions, submissions, hosts, holder, used, begun, uploads)
 	r, err := replica.Start(replica.Options{
 		Name:          s.Links,
 		Peers:         slices.DeleteFunc(slices.Clone(s.Seeds), func(a string) bool { return a == s.Links }),
@@ -197,7 +201,7 @@
 	}
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
-		Control: c, Replica: r, Submissions: submissions, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
+		Control: c, Replica: r, Submissions: submissions, Uploads: uploads, UploadBytes: int(s.MemoryBytes / uploadMemoryDivisor), Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
 		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, StepReads: stepReads, Demand: d.admission, Locality: d.locality, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,8 @@
 	// controlTimeout limits the wait for the control leader. It is longer than an
 	// election and shorter than the time after which clients try another process.
 	controlTimeout = 2500 * time.Millisecond
+	// uploadRate is the rate, in bytes per second, by which the wait is longer for a submission.
+	uploadRate = 8 << 20
 	// retryAfterNoManifest is the Retry-After value while this process has no manifest.
 	retryAfterNoManifest = 300 * time.Millisecond
 	// retryAfterNoControl is the Retry-After value when the control leader was not
@@ -53,7 +55,7 @@
 	NotFound Outcome = "not_found"
 	NotValid Outcome = "not_valid"
 	Cut      Outcome = "cut"       // a stream started and broke off
-	TooLarge Outcome = "too_large" // the body exceeds the limit
+	TooLarge Outcome = "too_large" // the body exceeds the limit, or what can be accepted
 	TooSlow  Outcome = "too_slow"  // the body did not arrive within the route's timeout
 	NoAccess Outcome = "no_access" // the key is missing or no client account has it
 )
@@ -204,10 +206,14 @@
 // Submit sends a submission to the control leader.
 func (g *Gateway) Submit(ctx context.Context, sub *ledger.Submission) Result {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	size := 0
+	for i := range sub.Items {
+		size += sub.Items[i].Size()
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout+time.Duration(size)*time.Second/uploadRate)
 	defer cancel()
 	result := g.controlResult(g.client.Accept(ctx, sub), Accepted)
-	g.record("submit", sub.ID, began, result, logrus.Fields{"items": len(sub.Items), "step": sub.Step})
+	g.record("submit", sub.ID, began, result, logrus.Fields{"items": len(sub.Items), "step": sub.Step, "bytes": size})
 	return result
 }
 
@@ -258,6 +264,8 @@
 	switch {
 	case err == nil:
 		return Result{Outcome: success}
+	case errors.Is(err, hub.ErrTooLarge):
+		return Result{Outcome: TooLarge, Reason: err.Error()}
 	case errors.Is(err, hub.ErrNotDone):
 		return Result{Outcome: NotRun, Reason: err.Error(), RetryAfter: retryAfterNoControl}
 	}
--- a/hub/calls.go
+++ b/hub/calls.go
@@ -29,6 +29,8 @@
 	methodStreams    = "streams.ask"
 	methodDemand     = "demand"
 	methodLocality   = "locality.report"
+	methodUploadPart = "submissions.upload_part"
+	methodUploadEnd  = "submissions.upload_end"
 )
 
 type pageRequest struct {
--- a/hub/client.go
+++ b/hub/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -335,6 +336,9 @@
 	ctx, stop := c.leader.UntilOther(ctx, conn.Peer().Process)
 	defer stop()
 	reply, err := c.calls.Do(ctx, conn, call)
+	if errors.Is(err, wire.ErrTooLarge) {
+		return &wire.Reply{Outcome: wire.CallRejected, Error: err.Error()}
+	}
 	if err != nil {
 		return &wire.Reply{Outcome: wire.CallNoLeader, Error: err.Error()}
 	}
@@ -373,12 +377,6 @@
 	return c.call(ctx, methodGrants, in, out, 0)
 }
 
-// Accept sends a submission to the leader. It returns nil once the submission is
-// committed.
-func (c *Client) Accept(ctx context.Context, sub *ledger.Submission) error {
-	return c.call(ctx, methodAccept, sub, nil, attemptTimeout)
-}
-
 // Page returns the results of a submission from position after on. If there are none
 // yet, it waits up to wait for one. found is false for an unknown submission.
 func (c *Client) Page(ctx context.Context, caller Caller, id string, after int, wait time.Duration, limit int) (page ledger.Page, found bool, err error) {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -42,6 +42,8 @@
 	Control     *control.Control
 	Replica     *replica.Replica
 	Submissions *ledger.Submissions
+	Uploads     *ledger.Uploads
+	UploadBytes int // bound on the items of uploads that have not ended
 	Manifests   *ledger.Manifests
 	Versions    *ledger.Versions
 	Hosts       *ledger.Hosts
@@ -125,9 +127,10 @@
 // Start starts the background goroutines and the links to other control processes.
 func (h *Hub) Start() {
 	h.dial(nil)
-	h.wg.Add(2)
+	h.wg.Add(3)
 	go h.pollTargets()
 	go h.followGroup()
+	go h.dropUploads()
 }
 
 // Stop stops the background goroutines and closes the links to control processes.
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -22,6 +22,8 @@
 func (h *Hub) register() {
 	c := h.opts.Control
 	c.HandleCall(methodAccept, h.accept)
+	c.HandleCall(methodUploadPart, h.uploadPart)
+	c.HandleCall(methodUploadEnd, h.uploadEnd)
 	c.HandleCall(methodPage, h.page)
 	c.HandleCall(methodBody, h.body)
 	c.HandleCall(methodEnd, h.end)
@@ -59,11 +61,8 @@
 	if err := decode(body, sub); err != nil {
 		return nil, err
 	}
-	if !h.opts.Submissions.VisibleTo(sub.Account, sub.ID) {
-		return nil, eris.Wrap(control.ErrRejected, "the id of the submission is in use")
-	}
-	if h.opts.Submissions.Has(sub.ID) {
-		return nil, nil
+	if known, err := h.knownSubmission(sub.Account, sub.ID); known || err != nil {
+		return nil, err
 	}
 	command, err := ledger.AcceptCommand(sub)
 	return nil, h.propose(ctx, h.opts.Submissions.Name(), command, err)
--- /dev/null
+++ b/hub/upload.go
@@ -0,0 +1,197 @@
+package hub
+
+import (
+	"context"
+	"crypto/rand"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"merlinhall/consensus"
+	"merlinhall/control"
+	"merlinhall/ledger"
+	"merlinhall/wire"
+)
+
+const (
+	// maxAcceptBytes is the size of the items of a submission up to which one call and one
+	// command bring all of it.
+	maxAcceptBytes = 3 << 20
+	// uploadPartBytes is the size of the items of a part of an upload, unless it is a single item.
+	uploadPartBytes = 1 << 20
+	// uploadIdleTime is the time without a further part after which an upload is dropped. The
+	// client of a submission has its response before.
+	uploadIdleTime = 20 * time.Second
+	// uploadCheckInterval is how often the leader looks for uploads to drop.
+	uploadCheckInterval = 5 * time.Second
+)
+
+// An item fits into a command of the log and into a call.
+const _ = uint(min(consensus.MaxCommandBytes, wire.MaxFrameBytes) - ledger.MaxItemBytes - 32<<10)
+
+// ErrTooLarge is wrapped by the errors of submissions that this deployment can't accept, however
+// often they are sent. They had no effect.
+var ErrTooLarge = eris.New("hub: the submission is too large")
+
+// uploadPartRequest brings a part of a submission.
+type uploadPartRequest struct {
+	Submission string            `cbor:"1,keyasint"`
+	Account    string            `cbor:"2,keyasint,omitempty"`
+	Part       ledger.UploadPart `cbor:"3,keyasint"`
+}
+
+type uploadPartReply struct {
+	// Known is set if the submission is accepted already.
+	Known bool `cbor:"1,keyasint,omitempty"`
+	// TooLarge is set if the submission alone has more than Limit bytes, for which the leader has
+	// room.
+	TooLarge bool `cbor:"2,keyasint,omitempty"`
+	Limit    int  `cbor:"3,keyasint,omitempty"`
+}
+
+// partsOf divides items into consecutive parts of up to maxBytes, or of a single item.
+func partsOf(items []ledger.Item, maxBytes int) [][]ledger.Item {
+	var parts [][]ledger.Item
+	from, size := 0, 0
+	for i := range items {
+		n := items[i].Size()
+		if i > from && size+n > maxBytes {
+			parts, from, size = append(parts, items[from:i]), i, 0
+		}
+		size += n
+	}
+	return append(parts, items[from:])
+}
+
+// itemsSize returns an upper bound for the encoded size of items in bytes, and the largest of them.
+func itemsSize(items []ledger.Item) (size int, largest *ledger.Item) {
+	most := -1
+	for i := range items {
+		n := items[i].Size()
+		size += n
+		if n > most {
+			largest, most = &items[i], n
+		}
+	}
+	return size, largest
+}
+
+// Accept sends a submission to the leader. It returns nil once the submission is committed. One
+// that is too large for one command is sent in parts, of which nothing runs before the last one is
+// committed. Errors wrap ErrTooLarge, ErrNotDone or ErrUnknown.
+func (c *Client) Accept(ctx context.Context, sub *ledger.Submission) error {
+	size, largest := itemsSize(sub.Items)
+	if largest != nil && largest.Size() > ledger.MaxItemBytes {
+		return eris.Wrapf(ErrTooLarge, "item %q has %d bytes with its scorer, the limit is %d", largest.ID, largest.Size(), ledger.MaxItemBytes)
+	}
+	if size <= maxAcceptBytes {
+		return c.call(ctx, methodAccept, sub, nil, attemptTimeout)
+	}
+	return c.upload(ctx, sub, partsOf(sub.Items, uploadPartBytes))
+}
+
+func (c *Client) upload(ctx context.Context, sub *ledger.Submission, parts [][]ledger.Item) error {
+	id := rand.Text()
+	for i, items := range parts {
+		in := &uploadPartRequest{Submission: sub.ID, Account: sub.Account, Part: ledger.UploadPart{Upload: id, Index: i, Items: items}}
+		var out uploadPartReply
+		err := c.call(ctx, methodUploadPart, in, &out, attemptTimeout)
+		switch {
+		case eris.Is(err, ErrUnknown):
+			return eris.Wrap(ErrNotDone, err.Error()) // a part alone has no effect
+		case err != nil:
+			return err
+		case out.Known:
+			return nil
+		case out.TooLarge:
+			return eris.Wrapf(ErrTooLarge, "its items have more than %d bytes", out.Limit)
+		}
+	}
+	head := *sub
+	head.Items = nil
+	return c.call(ctx, methodUploadEnd, &ledger.UploadEnd{Upload: id, Parts: len(parts), Submission: &head}, nil, attemptTimeout)
+}
+
+// uploadPart takes a part of a submission.
+func (h *Hub) uploadPart(ctx context.Context, body []byte) ([]byte, error) {
+	in := new(uploadPartRequest)
+	if err := decode(body, in); err != nil {
+		return nil, err
+	}
+	if known, err := h.knownSubmission(in.Account, in.Submission); known || err != nil {
+		return encodeReply(&uploadPartReply{Known: known}, err)
+	}
+	size, _ := itemsSize(in.Part.Items)
+	one, all := h.opts.Uploads.Sizes(in.Part.Upload)
+	switch {
+	case one+size > h.opts.UploadBytes:
+		h.opts.Log.WithFields(logrus.Fields{"submission": in.Submission, "bytes": one + size, "limit": h.opts.UploadBytes}).Info("submission is larger than the room for uploads")
+		return wire.Marshal(&uploadPartReply{TooLarge: true, Limit: h.opts.UploadBytes})
+	case all+size > h.opts.UploadBytes:
+		return nil, eris.Wrapf(control.ErrRejected, "uploads that have not ended have %d bytes, the limit is %d", all, h.opts.UploadBytes)
+	}
+	command, err := ledger.UploadPartCommand(&in.Part)
+	return encodeReply(&uploadPartReply{}, h.propose(ctx, h.opts.Uploads.Name(), command, err))
+}
+
+// uploadEnd accepts the submission of an upload.
+func (h *Hub) uploadEnd(ctx context.Context, body []byte) ([]byte, error) {
+	in := new(ledger.UploadEnd)
+	if err := decode(body, in); err != nil {
+		return nil, err
+	}
+	if in.Submission == nil {
+		return nil, eris.Wrap(control.ErrRejected, "the end of an upload has no submission")
+	}
+	if known, err := h.knownSubmission(in.Submission.Account, in.Submission.ID); known || err != nil {
+		return nil, err
+	}
+	command, err := ledger.UploadEndCommand(in)
+	return nil, h.propose(ctx, h.opts.Uploads.Name(), command, err)
+}
+
+// knownSubmission reports whether a submission of a client account is accepted. It fails if the id
+// is that of another account's.
+func (h *Hub) knownSubmission(account, id string) (bool, error) {
+	if !h.opts.Submissions.VisibleTo(account, id) {
+		return false, eris.Wrap(control.ErrRejected, "the id of the submission is in use")
+	}
+	return h.opts.Submissions.Has(id), nil
+}
+
+func encodeReply(reply any, err error) ([]byte, error) {
+	if err != nil {
+		return nil, err
+	}
+	return wire.Marshal(reply)
+}
+
+// dropUploads periodically drops uploads that do not go on while this process leads.
+func (h *Hub) dropUploads() {
+	defer h.wg.Done()
+	ticker := time.NewTicker(uploadCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if idle := h.opts.Uploads.Idle(now, uploadIdleTime); len(idle) > 0 && h.leads() {
+				h.dropIdle(idle)
+			}
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Hub) dropIdle(uploads []string) {
+	ctx, cancel := context.WithTimeout(h.ctx, uploadCheckInterval)
+	defer cancel()
+	command, err := ledger.UploadDropCommand(uploads)
+	if err = h.propose(ctx, h.opts.Uploads.Name(), command, err); err != nil {
+		h.opts.Log.Infof("uploads that do not go on are not dropped yet: %v", err)
+		return
+	}
+	h.opts.Log.WithField("uploads", slices.Clone(uploads)).Info("uploads that did not go on are dropped")
+}
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -198,6 +198,19 @@
 	return nil
 }
 
+// acceptUploaded accepts a submission that has arrived in parts.
+func (s *Submissions) acceptUploaded(index uint64, sub *Submission) {
+	s.mu.Lock()
+	changes := s.accept(index, sub)
+	notify := s.onChange
+	s.mu.Unlock()
+	if notify != nil {
+		for _, change := range changes {
+			notify(change)
+		}
+	}
+}
+
 func (s *Submissions) apply(index uint64, c *submissionsCommand) ([]SubmissionChange, error) {
 	switch {
 	case c.Accept != nil:
--- /dev/null
+++ b/ledger/uploads.go
@@ -0,0 +1,267 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"merlinhall/wire"
+)
+
+// MaxItemBytes is the greatest size in bytes of an item, see Item.Size. A command has room for one.
+const MaxItemBytes = 4<<20 - 64<<10
+
+// ErrUploadIncomplete is the outcome of the end of an upload of which parts are missing: it was
+// dropped, or another leader has accepted the parts.
+var ErrUploadIncomplete = eris.New("ledger: parts of the upload are missing")
+
+// encodingOverhead bounds what the encoding adds to a byte string, text or number.
+const encodingOverhead = 16
+
+// Size returns an upper bound for the encoded size of the item in bytes.
+func (i *Item) Size() int {
+	n := 8*encodingOverhead + len(i.ID) + len(i.Path) + len(i.Body) + len(i.Group)
+	for _, h := range i.Headers {
+		n += len(h.Name) + len(h.Value) + 3*encodingOverhead
+	}
+	if r := i.Reward; r != nil {
+		n += len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body) + 5*encodingOverhead
+	}
+	return n
+}
+
+// UploadPart is consecutive items of a submission that is too large for one command.
+type UploadPart struct {
+	Upload string `cbor:"1,keyasint"` // differs between two uploads of the same submission
+	Index  int    `cbor:"2,keyasint"` // from 0 on
+	Items  []Item `cbor:"3,keyasint"`
+}
+
+// UploadEnd accepts a submission with the items of all parts of an upload.
+type UploadEnd struct {
+	Upload     string      `cbor:"1,keyasint"`
+	Parts      int         `cbor:"2,keyasint"`
+	Submission *Submission `cbor:"3,keyasint"` // without items
+}
+
+// uploadsCommand is the body of a command. Exactly one operation is set.
+type uploadsCommand struct {
+	Part *UploadPart `cbor:"1,keyasint,omitempty"`
+	End  *UploadEnd  `cbor:"2,keyasint,omitempty"`
+	Drop []string    `cbor:"3,keyasint,omitempty"` // uploads
+}
+
+// upload is the parts of a submission that is not accepted yet.
+type upload struct {
+	parts     map[int]UploadPart
+	bytes     int
+	changedAt time.Time // when this process learnt of the last part
+}
+
+// Uploads is the slice of submissions that arrive in parts. An upload that does not end is dropped;
+// nothing of it has run.
+type Uploads struct {
+	submissions *Submissions
+
+	mu   sync.Mutex
+	byID map[string]*upload
+	used bool
+}
+
+// NewUploads returns an empty slice, whose complete uploads become submissions.
+func NewUploads(submissions *Submissions) *Uploads {
+	return &Uploads{submissions: submissions, byID: make(map[string]*upload)}
+}
+
+// Name implements control.Slice.
+func (u *Uploads) Name() string { return "uploads" }
+
+// Level implements control.LaterSlice.
+func (u *Uploads) Level() uint32 { return wire.LevelUploads }
+
+// Unused implements control.LaterSlice.
+func (u *Uploads) Unused() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.used
+}
+
+// Sizes returns the size in bytes of the parts of one upload, and of those of all.
+func (u *Uploads) Sizes(id string) (one, all int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for name, up := range u.byID {
+		all += up.bytes
+		if name == id {
+			one = up.bytes
+		}
+	}
+	return one, all
+}
+
+// Idle returns the uploads of which this process has learnt no part for the given time.
+func (u *Uploads) Idle(now time.Time, limit time.Duration) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []string
+	for id, up := range u.byID {
+		if now.Sub(up.changedAt) >= limit {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Apply implements control.Slice. The result is nil or an error.
+func (u *Uploads) Apply(index, _ uint64, body []byte) any {
+	var c uploadsCommand
+	if err := wire.Unmarshal(body, &c); err != nil {
+		return eris.Wrap(err, "ledger: uploads")
+	}
+	u.mu.Lock()
+	u.used = true
+	for _, id := range c.Drop {
+		delete(u.byID, id)
+	}
+	if c.Part != nil {
+		u.add(c.Part)
+	}
+	var sub *Submission
+	var err error
+	if c.End != nil {
+		sub, err = u.end(c.End)
+	}
+	u.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if sub != nil {
+		u.submissions.acceptUploaded(index, sub)
+	}
+	return nil
+}
+
+// add takes a part. The caller holds u.mu.
+func (u *Uploads) add(p *UploadPart) {
+	up := u.byID[p.Upload]
+	if up == nil {
+		up = &upload{parts: make(map[int]UploadPart)}
+		u.byID[p.Upload] = up
+	}
+	up.changedAt = time.Now()
+	if _, known := up.parts[p.Index]; known {
+		return
+	}
+	up.parts[p.Index] = *p
+	for i := range p.Items {
+		up.bytes += p.Items[i].Size()
+	}
+}
+
+// end returns the submission of an upload, or nil if it was accepted before. The caller holds u.mu.
+func (u *Uploads) end(e *UploadEnd) (*Submission, error) {
+	if e.Submission == nil {
+		return nil, eris.Wrap(wire.ErrMalformed, "ledger: the end of an upload has no submission")
+	}
+	if u.submissions.Has(e.Submission.ID) {
+		delete(u.byID, e.Upload)
+		return nil, nil
+	}
+	up := u.byID[e.Upload]
+	if up == nil || len(up.parts) != e.Parts {
+		return nil, eris.Wrapf(ErrUploadIncomplete, "upload %q", e.Upload)
+	}
+	sub := *e.Submission
+	sub.Items = nil
+	for i := range e.Parts {
+		part, ok := up.parts[i]
+		if !ok {
+			return nil, eris.Wrapf(ErrUploadIncomplete, "upload %q, part %d", e.Upload, i)
+		}
+		sub.Items = append(sub.Items, part.Items...)
+	}
+	delete(u.byID, e.Upload)
+	return &sub, nil
+}
+
+// Snapshot implements control.Slice.
+func (u *Uploads) Snapshot() ([]byte, error) {
+	var parts [][]byte
+	err := u.Freeze()(func(b []byte) error {
+		parts = append(parts, b)
+		return nil
+	})
+	return wire.EncodeParts(parts...), err
+}
+
+// Freeze implements control.Freezer. Each part of an upload is one part of the snapshot.
+func (u *Uploads) Freeze() func(part func(b []byte) error) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var list []UploadPart
+	for _, up := range u.byID {
+		list = slices.AppendSeq(list, maps.Values(up.parts))
+	}
+	slices.SortFunc(list, func(a, b UploadPart) int {
+		return cmp.Or(cmp.Compare(a.Upload, b.Upload), cmp.Compare(a.Index, b.Index))
+	})
+	return func(part func(b []byte) error) error {
+		for i := range list {
+			b, err := wire.Marshal(&list[i])
+			if err == nil {
+				err = part(b)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// Restore implements control.Slice.
+func (u *Uploads) Restore(snapshot []byte) error {
+	parts, err := wire.DecodeParts(snapshot)
+	if err != nil {
+		return err
+	}
+	return u.RestoreParts(parts)
+}
+
+// RestoreParts implements control.Freezer.
+func (u *Uploads) RestoreParts(parts [][]byte) error {
+	list := make([]UploadPart, len(parts))
+	for i, b := range parts {
+		if err := wire.Unmarshal(b, &list[i]); err != nil {
+			return eris.Wrap(err, "ledger: uploads")
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.used = true
+	u.byID = make(map[string]*upload)
+	for i := range list {
+		u.add(&list[i])
+	}
+	return nil
+}
+
+// UploadPartCommand returns the command that adds a part to an upload.
+func UploadPartCommand(p *UploadPart) ([]byte, error) {
+	return wire.Marshal(&uploadsCommand{Part: p})
+}
+
+// UploadEndCommand returns the command that ends an upload.
+func UploadEndCommand(e *UploadEnd) ([]byte, error) {
+	return wire.Marshal(&uploadsCommand{End: e})
+}
+
+// UploadDropCommand returns the command that drops uploads.
+func UploadDropCommand(uploads []string) ([]byte, error) {
+	return wire.Marshal(&uploadsCommand{Drop: uploads})
+}
--- a/propagate/calls.go
+++ b/propagate/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -92,7 +93,7 @@
 	sent.TimeoutMs = remainingMs(ctx)
 	if err := peer.Send(&sent); err != nil {
 		c.remove(sent.ID)
-		return nil, eris.Wrapf(ErrNotSent, "%v", err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	select {
 	case reply := <-p.reply:
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -15,6 +15,10 @@
 // largest frames.
 const MaxFrameBytes = 8 << 20
 
+// ErrTooLarge is wrapped by the errors of messages that are larger than MaxFrameBytes. Sent again,
+// they are just as large.
+var ErrTooLarge = eris.New("message is too large")
+
 // ErrMalformed is wrapped by every decoding error.
 var ErrMalformed = eris.New("malformed frame")
 
@@ -97,7 +101,7 @@
 		return nil, eris.Wrapf(err, "encode %T", m)
 	}
 	if len(body)+1 > MaxFrameBytes {
-		return nil, eris.Errorf("message %T is %d bytes, the limit is %d", m, len(body)+1, MaxFrameBytes)
+		return nil, eris.Wrapf(ErrTooLarge, "message %T is %d bytes, the limit is %d", m, len(body)+1, MaxFrameBytes)
 	}
 	frame := make([]byte, 1, 1+len(body))
 	frame[0] = byte(m.Kind())
@@ -168,7 +172,7 @@
 // Level is the level of messages, log commands and snapshots that this program understands.
 // It rises with each version that adds some which the version before does not understand;
 // see docs/design/upgrades.md.
-const Level = 2
+const Level = 3
 
 const (
 	// LevelInLog is the level from which the level in force is in the replicated log.
@@ -177,6 +181,8 @@
 	LevelUsage = 1
 	// LevelStreams is the level from which replicas know which software began streams.
 	LevelStreams = 2
+	// LevelUploads is the level from which replicas take submissions in parts.
+	LevelUploads = 3
 )
 
 // Ping is the heartbeat of a link that has no other frame to send.
