carrier: a text is no longer than a command of the log has room for

A result whose text is above 4 MB compressed makes its command too large; the leader proposes the same command again each 200 ms, with the results of all other items that are in it, which are not listed either. An engine in trouble that sends events without end is enough, as nothing bounded a text.

Change: a run whose text is above 2,883,584 bytes compressed, or that adds more than 32 MB, is broken off and counts as ended with an error that is no failed run: the item runs again after growing waits until its time to live. Full chunks are compressed each tick.

--- a/batch/results.go
+++ b/batch/results.go
@@ -8,6 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"merlinhall/carrier"
+	"merlinhall/consensus"
 	"merlinhall/ledger"
 )
 
@@ -28,6 +30,9 @@
 	proposeRetryDelay = 200 * time.Millisecond
 )
 
+// A command has room for what it is filled with and for one more text.
+const _ = uint(consensus.MaxCommandBytes - maxAdditionBytes - carrier.MaxTextBytes - 512<<10)
+
 // additions collects results and partial texts for the ledger, so that one entry of the log
 // has those of many runs.
 type additions struct {
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -392,6 +392,9 @@
 		c.startReward(now, r)
 		if r.state == Reading {
 			reading++
+			if r.checkLength() {
+				r.abort("the text is too long")
+			}
 		}
 		news = news || r.changed(now)
 	}
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -50,8 +50,9 @@
 	Software wire.Software `cbor:"17,keyasint,omitzero"`
 }
 
-// MaxTextBytes is the greatest compressed size in bytes of a text that a start brings.
-const MaxTextBytes = 2 << 20
+// MaxTextBytes is the greatest compressed size in bytes of a text. A run whose text is longer is
+// broken off; so a start has room for each text, and a command of the log for each result.
+const MaxTextBytes = 11 << 18
 
 // Text is what has been generated of an item.
 type Text struct {
@@ -68,6 +69,15 @@
 	Software wire.Software `cbor:"6,keyasint,omitzero"`
 }
 
+// size returns the compressed size in bytes.
+func (t *Text) size() int {
+	n := 0
+	for _, part := range t.Parts {
+		n += len(part)
+	}
+	return n
+}
+
 // State is the progress of an attempt.
 type State uint8
 
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"merlinhall/ledger"
 	"merlinhall/upstream"
 	"merlinhall/wire"
@@ -44,6 +46,8 @@
 	chunks      []chunk  // full ones, which follow text
 	fresh       [][]byte // events after chunks
 	freshBytes  int      // size of fresh
+	addedBytes  int      // size of all events that were added
+	tooLong     bool     // the text is longer than allowed; its end was dropped
 	versions    []uint64 // weight versions of the text
 	events      int
 	lastEventAt time.Duration
@@ -61,6 +65,12 @@
 // its last event, a chunk takes up to 2 MB.
 const maxChunkBytes = 1 << 20
 
+// maxAddedBytes bounds the events that one attempt adds to a text, before compression. It is the
+// bound on the bodies of other responses.
+const maxAddedBytes = 32 << 20
+
+var errTextTooLong = eris.Errorf("carrier: the text is longer than %d bytes, or than %d compressed", maxAddedBytes, MaxTextBytes)
+
 // mark is the end of a part of a text, with what identifies the text up to there.
 type mark struct {
 	parts, events int
@@ -90,6 +100,10 @@
 func (r *run) Add(event []byte, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.addedBytes += len(event)
+	if r.tooLong = r.tooLong || r.addedBytes > maxAddedBytes; r.tooLong {
+		return
+	}
 	r.fresh, r.freshBytes = append(r.fresh, event), r.freshBytes+len(event)
 	if !slices.Contains(r.versions, version) {
 		r.versions = append(r.versions, version)
@@ -124,7 +138,20 @@
 	return r.events, now - r.lastEventAt, r.version
 }
 
-// pack moves the events in chunks and fresh into the compressed text.
+// checkLength compresses the full chunks and reports whether the text is longer than allowed.
+func (r *run) checkLength() (tooLong bool) {
+	r.mu.Lock()
+	waiting := len(r.chunks) > 0
+	r.mu.Unlock()
+	if waiting {
+		r.pack()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tooLong
+}
+
+// pack moves the events in chunks and fresh into the compressed text, as far as that has room.
 func (r *run) pack() {
 	r.mu.Lock()
 	r.cutChunk()
@@ -132,13 +159,20 @@
 	r.chunks = nil
 	r.mu.Unlock()
 	for _, c := range chunks {
+		part := ledger.Pack(bytes.Join(c.events, []byte("\n")))
+		if r.text.size()+len(part) > MaxTextBytes {
+			r.mu.Lock()
+			r.tooLong = true
+			r.mu.Unlock()
+			return
+		}
 		if r.text.Events > 0 && r.text.Software != r.start.Software {
 			r.text.Software = wire.Software{}
 		} else {
 			r.text.Software = r.start.Software
 		}
 		r.text.Lineage, r.text.Versions = r.start.Attempt, c.versions
-		r.text.Parts = append(slices.Clone(r.text.Parts), ledger.Pack(bytes.Join(c.events, []byte("\n"))))
+		r.text.Parts = append(slices.Clone(r.text.Parts), part)
 		r.text.Events += len(c.events)
 		r.marks = append(r.marks, r.text.mark())
 	}
@@ -226,8 +260,11 @@
 
 // finishReading takes the end of the engine's response.
 func (r *run) finishReading(end ReadEnd) {
-	r.end = end
 	r.pack()
+	if r.checkLength() {
+		end.Outcome, end.Err = Unfinished, errTextTooLong
+	}
+	r.end = end
 	r.state = Ended
 	if end.Outcome == Complete && r.start.Reward != nil && r.why == "" {
 		r.state = Scoring
