carrier: nothing follows a chunk for which a text had no room

An event that arrived while the chunk before it was compressed and found too long could have been added after it, so that the text had a gap (ORDER). Found on reading; carrier.TestNothingFollowsAChunkThatHadNoRoom fails before.

--- a/carrier/longtext_test.go
+++ b/carrier/longtext_test.go
@@ -63,3 +63,22 @@
 		}
 	}
 }
+
+// Guards against a text with a gap: an event arrives while the chunk before it is found too long.
+func TestNothingFollowsAChunkThatHadNoRoom(t *testing.T) {
+	is := is.New(t)
+	c, _ := testCarrier()
+	r := given(c, 7, nil)
+	for range 4 {
+		r.Add(noise(maxChunkBytes), 4)
+	}
+	r.pack()
+	events := r.text.Events
+	is.True(events < 4)
+	r.mu.Lock()
+	r.fresh = [][]byte{[]byte("small")}
+	r.mu.Unlock()
+	r.finishReading(ReadEnd{Outcome: Complete, Reached: true})
+	is.Equal(r.text.Events, events)
+	is.Equal(r.end.Outcome, Unfinished)
+}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -35,6 +35,7 @@
 	why               string        // why it was cancelled
 
 	text     Text   // without the events in chunks and fresh
+	full     bool   // text had no room for a chunk, so nothing that follows is added to it
 	marks    []mark // of text, from the one of the start's text on; each covers more than the one before
 	handed   mark   // what the leader has of text
 	handedAt time.Duration
@@ -159,8 +160,12 @@
 	r.chunks = nil
 	r.mu.Unlock()
 	for _, c := range chunks {
+		if r.full {
+			return
+		}
 		part := ledger.Pack(bytes.Join(c.events, []byte("\n")))
 		if r.text.size()+len(part) > MaxTextBytes {
+			r.full = true
 			r.mu.Lock()
 			r.tooLong = true
 			r.mu.Unlock()
