hub: a submission that is sent again goes on with its parts

Callers: on a slow system a large submission was never accepted.

Cause: each call sent all parts anew under an id of its own, and a part whose commit took longer than an attempt was proposed again while the first one still waited. If all of it takes longer than one call has, no call ever succeeds.

Change: the id of an upload is the digest of its items, so each call, at any entry, goes on with the first part that is missing; the leader names it in its reply. A part waits for the call that proposes the same one.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -79,6 +79,7 @@
 	controlLinks  map[*link.Conn]bool // links to other control processes
 	manifest      *wire.RouteUpdate
 	table         atomic.Pointer[routes.Table]
+	uploading     partsInProgress
 	targets       publishedList   // for control processes, one of which may lead next
 	entryTargets  publishedList   // for entries
 	published     bool            // the list was read and sent in this term
@@ -101,6 +102,7 @@
 		links:         newLinkSet(o.Dial),
 
 		controlLinks: make(map[*link.Conn]bool), changedLimits: make(map[string]bool),
+		uploading: partsInProgress{done: make(map[string]chan struct{})},
 	}
 	h.register()
 	// The cached manifest was in force, so entries may use it before a leader is
--- a/hub/upload.go
+++ b/hub/upload.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,6 +52,41 @@
 	// room.
 	TooLarge bool `cbor:"2,keyasint,omitempty"`
 	Limit    int  `cbor:"3,keyasint,omitempty"`
+	// Next is the index of the first part that is missing.
+	Next int `cbor:"4,keyasint,omitempty"`
+}
+
+// partsInProgress are the parts of uploads that wait for the log.
+type partsInProgress struct {
+	mu   sync.Mutex
+	done map[string]chan struct{} // by upload and index; closed when the part is committed or has failed
+}
+
+// begin reserves a part for the caller, who must call the returned function once its command has
+// ended. While another call has the part, begin waits. Errors are those of ctx.
+func (p *partsInProgress) begin(ctx context.Context, part *ledger.UploadPart) (end func(), err error) {
+	key := fmt.Sprint(part.Upload, "/", part.Index)
+	for {
+		p.mu.Lock()
+		other := p.done[key]
+		if other == nil {
+			done := make(chan struct{})
+			p.done[key] = done
+			p.mu.Unlock()
+			return func() {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				delete(p.done, key)
+				close(done)
+			}, nil
+		}
+		p.mu.Unlock()
+		select {
+		case <-other:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 }
 
 // partsOf divides items into consecutive parts of up to maxBytes, or of a single item.
@@ -92,12 +130,37 @@
 	return c.upload(ctx, sub, partsOf(sub.Items, uploadPartBytes))
 }
 
+// uploadID returns the id of the upload of a submission. A client that sends the submission again, to
+// any process, goes on with the parts that have arrived.
+func uploadID(sub *ledger.Submission, parts [][]ledger.Item) (string, error) {
+	digest := sha256.New()
+	for _, v := range []any{sub.Account, sub.ID, len(parts)} {
+		b, err := wire.Marshal(v)
+		if err != nil {
+			return "", err
+		}
+		_, _ = digest.Write(b) // never fails
+	}
+	for _, items := range parts {
+		b, err := wire.Marshal(items)
+		if err != nil {
+			return "", err
+		}
+		_, _ = digest.Write(b)
+	}
+	return hex.EncodeToString(digest.Sum(nil)), nil
+}
+
 func (c *Client) upload(ctx context.Context, sub *ledger.Submission, parts [][]ledger.Item) error {
-	id := rand.Text()
-	for i, items := range parts {
-		in := &uploadPartRequest{Submission: sub.ID, Account: sub.Account, Part: ledger.UploadPart{Upload: id, Index: i, Items: items}}
+	id, err := uploadID(sub, parts)
+	if err != nil {
+		return eris.Wrap(ErrNotDone, err.Error())
+	}
+	for next := 0; next < len(parts); {
+		in := &uploadPartRequest{Submission: sub.ID, Account: sub.Account, Part: ledger.UploadPart{Upload: id, Index: next, Items: parts[next]}}
 		var out uploadPartReply
 		err := c.call(ctx, methodUploadPart, in, &out, attemptTimeout)
+		next = out.Next
 		switch {
 		case eris.Is(err, ErrUnknown):
 			return eris.Wrap(ErrNotDone, err.Error()) // a part alone has no effect
@@ -120,8 +183,20 @@
 	if err := decode(body, in); err != nil {
 		return nil, err
 	}
-	if known, err := h.knownSubmission(in.Account, in.Submission); known || err != nil {
-		return encodeReply(&uploadPartReply{Known: known}, err)
+	known, err := h.knownSubmission(in.Account, in.Submission)
+	if err != nil {
+		return nil, err
+	}
+	if known {
+		return wire.Marshal(&uploadPartReply{Known: true})
+	}
+	end, err := h.uploading.begin(ctx, &in.Part)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	if next := h.opts.Uploads.Next(in.Part.Upload); next > in.Part.Index {
+		return wire.Marshal(&uploadPartReply{Next: next})
 	}
 	size, _ := itemsSize(in.Part.Items)
 	one, all := h.opts.Uploads.Sizes(in.Part.Upload)
@@ -133,7 +208,10 @@
 		return nil, eris.Wrapf(control.ErrRejected, "uploads that have not ended have %d bytes, the limit is %d", all, h.opts.UploadBytes)
 	}
 	command, err := ledger.UploadPartCommand(&in.Part)
-	return encodeReply(&uploadPartReply{}, h.propose(ctx, h.opts.Uploads.Name(), command, err))
+	if err := h.propose(ctx, h.opts.Uploads.Name(), command, err); err != nil {
+		return nil, err
+	}
+	return wire.Marshal(&uploadPartReply{Next: h.opts.Uploads.Next(in.Part.Upload)})
 }
 
 // uploadEnd accepts the submission of an upload.
@@ -161,13 +239,6 @@
 	return h.opts.Submissions.Has(id), nil
 }
 
-func encodeReply(reply any, err error) ([]byte, error) {
-	if err != nil {
-		return nil, err
-	}
-	return wire.Marshal(reply)
-}
-
 // dropUploads periodically drops uploads that do not go on while this process leads.
 func (h *Hub) dropUploads() {
 	defer h.wg.Done()
--- a/hub/upload_test.go
+++ b/hub/upload_test.go
@@ -1,8 +1,10 @@
 package hub
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -28,3 +30,52 @@
 	is.Equal(got, []string{"0", "1", "2", "3", "4", "5", "6", "7", "8"})
 	is.Equal(len(partsOf(items[:1], limit)), 1)
 }
+
+// Guards against a submission that is sent again and does not go on with the parts that have
+// arrived, so that a slow system never accepts it, or that goes on with those of another one.
+func TestUploadOfTheSameSubmissionHasTheSameID(t *testing.T) {
+	is := is.New(t)
+	id := func(sub ledger.Submission, items ...ledger.Item) string {
+		id, err := uploadID(&sub, partsOf(items, 1000))
+		is.NoErr(err)
+		return id
+	}
+	a, b := ledger.Item{ID: "a", Body: make([]byte, 900)}, ledger.Item{ID: "b", Body: make([]byte, 900)}
+	other := ledger.Item{ID: "b", Body: append(make([]byte, 899), 1)}
+	ids := map[string]bool{
+		id(ledger.Submission{ID: "s"}, a, b):                  true,
+		id(ledger.Submission{ID: "s"}, b, a):                  true,
+		id(ledger.Submission{ID: "s"}, a, other):              true,
+		id(ledger.Submission{ID: "s"}, a):                     true,
+		id(ledger.Submission{ID: "t"}, a, b):                  true,
+		id(ledger.Submission{ID: "s", Account: "red"}, a, b):  true,
+		id(ledger.Submission{ID: "s", MaxAttempts: 7}, a, b):  true, // of the route: equal to the first
+		id(ledger.Submission{ID: "s", ItemTTL: 1e9}, a, b):    true,
+		id(ledger.Submission{ID: "s", WantedGroups: 3}, a, b): true,
+	}
+	is.Equal(len(ids), 6)
+}
+
+// Guards against a part that is proposed a second time while the log has not taken it yet, and
+// against one that waits for ever for a call that has failed.
+func TestPartIsProposedByOneCallAtATime(t *testing.T) {
+	is := is.New(t)
+	p := partsInProgress{done: make(map[string]chan struct{})}
+	end, err := p.begin(t.Context(), &ledger.UploadPart{Upload: "u", Index: 1})
+	is.NoErr(err)
+	endOther, err := p.begin(t.Context(), &ledger.UploadPart{Upload: "u", Index: 2})
+	is.NoErr(err)
+	endOther()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = p.begin(ctx, &ledger.UploadPart{Upload: "u", Index: 1})
+	is.Equal(err, context.DeadlineExceeded)
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		end()
+	}()
+	end, err = p.begin(t.Context(), &ledger.UploadPart{Upload: "u", Index: 1})
+	is.NoErr(err)
+	end()
+	is.Equal(len(p.done), 0)
+}
--- a/ledger/uploads.go
+++ b/ledger/uploads.go
@@ -36,7 +36,7 @@
 
 // UploadPart is consecutive items of a submission that is too large for one command.
 type UploadPart struct {
-	Upload string `cbor:"1,keyasint"` // differs between two uploads of the same submission
+	Upload string `cbor:"1,keyasint"` // equal only for equal submissions that are divided alike
 	Index  int    `cbor:"2,keyasint"` // from 0 on
 	Items  []Item `cbor:"3,keyasint"`
 }
@@ -103,6 +103,21 @@
 	return one, all
 }
 
+// Next returns the index of the first part of an upload that is missing.
+func (u *Uploads) Next(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	up := u.byID[id]
+	if up == nil {
+		return 0
+	}
+	next := 0
+	for _, known := up.parts[next]; known; _, known = up.parts[next] {
+		next++
+	}
+	return next
+}
+
 // Idle returns the uploads of which this process has learnt no part for the given time.
 func (u *Uploads) Idle(now time.Time, limit time.Duration) []string {
 	u.mu.Lock()
--- a/ledger/uploads_test.go
+++ b/ledger/uploads_test.go
@@ -65,12 +65,15 @@
 	c := &uploadCommands{t: t, u: NewUploads(s)}
 	is.True(c.u.Unused())
 	c.part("u", 1, "c", "d")
+	is.Equal(c.u.Next("u"), 0)
+	is.Equal(c.u.Next("none"), 0)
 	is.True(errors.Is(c.end("u", "s", 2), ErrUploadIncomplete))
 	is.True(errors.Is(c.end("none", "s", 0), ErrUploadIncomplete))
 	is.Equal(len(accepted), 0)
 	c.part("v", 0, "x") // of the same submission by another entry
 	c.part("u", 0, "a", "b")
 	c.part("u", 0, "a", "b") // repeated
+	is.Equal(c.u.Next("u"), 2)
 	is.True(errors.Is(c.end("u", "s", 3), ErrUploadIncomplete))
 	is.NoErr(c.end("u", "s", 2))
 	is.Equal(itemIDs(s, "s"), []string{"a", "b", "c", "d"})
