batch, ledger, hub: one size of texts and items, one way to announce changes

Found on reading the change again; nothing that callers see changes.

- batch counted the bytes of a start field by field beside ledger.Item.Size, and had its own copy of the size of a text. startSize now calls both; its bound is larger by what the encoding adds to the fields. gateway and hub summed up the items of a submission each; both call Submission.Size.
- ledger applied and announced the acceptance of an upload in a copy of the code for the other commands; Submissions.update serves both.
- Whether a start waits for room was a field of the Runner for one loop; begin returns it.

--- a/batch/linkroom.go
+++ b/batch/linkroom.go
@@ -15,8 +15,8 @@
 	maxQueuedStarts = 1 << 20
 	// startOverhead bounds the size of a start without what startSize counts.
 	startOverhead = 512
-	// fieldOverhead bounds what the encoding adds to each byte string, text or number of a list.
-	fieldOverhead = 16
+	// partOverhead bounds what the encoding adds to each part and weight version of a text.
+	partOverhead = 16
 )
 
 // A start has an item of an accepted submission, which fits into a command of the log, and a text
@@ -27,18 +27,11 @@
 // startSize returns an upper bound for the size in bytes of the start of a task, with its text if
 // it is to be generated.
 func startSize(t *task, generate bool) int {
-	n := startOverhead + len(t.job.sub.ID) + len(t.item.ID)
-	if reward := t.item.Reward; reward != nil {
-		n += len(reward.ID) + len(reward.Host) + len(reward.Path) + len(reward.Body)
-	}
+	n := startOverhead + len(t.job.sub.ID)
 	if !generate {
-		return n
-	}
-	n += len(t.job.sub.Host) + len(t.item.Path) + len(t.item.Body)
-	for _, h := range t.item.Headers {
-		n += len(h.Name) + len(h.Value) + 2*fieldOverhead
+		return n + len(t.item.ID) + t.item.Reward.Size()
 	}
-	return n + t.text.size() + (len(t.text.Parts)+len(t.text.Versions))*fieldOverhead
+	return n + len(t.job.sub.Host) + t.item.Size() + t.text.Size() + (len(t.text.Parts)+len(t.text.Versions))*partOverhead
 }
 
 // addStart adds a start of the given size to the orders.
@@ -61,11 +54,12 @@
 	return before
 }
 
-// noteFullLinks notes that a start found no carrier. If that is for want of room in the links, it
-// is planned again soon.
-func (r *Runner) noteFullLinks(now time.Time) {
-	if slices.ContainsFunc(r.carriers, func(c *carrierView) bool { return c.usable(now) }) {
-		r.linksFull = true
+// heldByLinks reports whether a start that found no carrier waits for room in the links, and counts
+// it.
+func (r *Runner) heldByLinks(now time.Time) bool {
+	held := slices.ContainsFunc(r.carriers, func(c *carrierView) bool { return c.usable(now) })
+	if held {
 		r.metrics.heldStarts.Inc()
 	}
+	return held
 }
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -39,7 +39,7 @@
 		return
 	}
 	p.drop(item)
-	kept := &partialText{text: t, complete: complete, storedAt: now, size: t.size()}
+	kept := &partialText{text: t, complete: complete, storedAt: now, size: t.Size()}
 	p.texts[item] = kept
 	p.order = append(p.order, item)
 	p.size += kept.size
--- a/batch/results.go
+++ b/batch/results.go
@@ -155,7 +155,7 @@
 		add := addition(t)
 		add.Results = append(add.Results, result)
 		end.results = append(end.results, t)
-		size, items = size+t.text.size(), items+1
+		size, items = size+t.text.Size(), items+1
 	}
 	for len(a.saves) > 0 && !full() {
 		t := a.saves[0]
@@ -168,7 +168,7 @@
 		add := addition(t)
 		add.Progress = append(add.Progress, part)
 		end.saves, end.parts = append(end.saves, t), append(end.parts, part)
-		size, items = size+t.text.size(), items+1
+		size, items = size+t.text.Size(), items+1
 	}
 	return end, list
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -168,7 +168,6 @@
 
 	scheduledAt      time.Time // when tasks were last planned
 	scheduleDeferred bool      // another planning has been asked for
-	linksFull        bool      // a start of this planning waits for room in the links to carriers
 	additions        additions
 
 	jobs           []*job        // oldest first
@@ -512,11 +511,11 @@
 	}
 	r.updateRoutes()
 	placements := r.planPending(now)
+	held := false
 	for _, p := range placements {
-		r.begin(now, p)
+		held = r.begin(now, p) || held
 	}
-	if r.linksFull {
-		r.linksFull = false
+	if held {
 		r.planAgain(scheduleInterval)
 	}
 	if len(placements) > 0 {
--- a/batch/runs.go
+++ b/batch/runs.go
@@ -49,24 +49,24 @@
 }
 
 // begin starts a run of a task on the engine chosen for it, if that is allowed and a
-// carrier can take it. Otherwise the task stays pending.
-func (r *Runner) begin(now time.Time, p placement) {
+// carrier can take it. Otherwise the task stays pending; held is set if it waits for room in the
+// links to carriers.
+func (r *Runner) begin(now time.Time, p placement) (held bool) {
 	t, e := p.task, p.engine
 	target := r.o.Directory.View().Target(e.id)
 	if !r.o.Directory.View().Accepts(e.id) || r.o.Submissions.Closed(t.job.sub.ID) {
-		return // both may be newer than the last message about them
+		return false // both may be newer than the last message about them
 	}
-	if t.text.size() > carrier.MaxTextBytes {
+	if t.text.Size() > carrier.MaxTextBytes {
 		r.dropText(t, "it is too long to be sent to a carrier")
 	}
 	size := startSize(t, true)
 	c := r.carrierFor(now, target.Zone, size)
 	if c == nil {
-		r.noteFullLinks(now)
-		return
+		return r.heldByLinks(now)
 	}
 	if !r.limits().Take(e.id, 1) {
-		return // the limit has changed since the plan began
+		return false // the limit has changed since the plan began
 	}
 	if p.anew {
 		r.dropText(t, "no engine of its software has a free slot")
@@ -89,6 +89,7 @@
 		OldestVersion: t.job.sub.MinVersion, SingleVersion: t.job.sub.SingleVersion, Text: t.text.Text, Reward: t.item.Reward, MaxFailures: t.maxFailures(),
 		Software: target.Software(),
 	}, size)
+	return false
 }
 
 // newRun registers an attempt of a task with a carrier. Attempts of later leaders have
--- a/batch/text.go
+++ b/batch/text.go
@@ -55,15 +55,6 @@
 	return !sub.SingleVersion || len(t.Versions) == 1
 }
 
-// size returns the compressed size in bytes.
-func (t *text) size() int {
-	n := 0
-	for _, part := range t.Parts {
-		n += len(part)
-	}
-	return n
-}
-
 // textFromPartial returns the partial text that the ledger has of an item.
 func textFromPartial(p ledger.Partial) text {
 	return text{
--- a/carrier/messages.go
+++ b/carrier/messages.go
@@ -69,8 +69,8 @@
 	Software wire.Software `cbor:"6,keyasint,omitzero"`
 }
 
-// size returns the compressed size in bytes.
-func (t *Text) size() int {
+// Size returns the compressed size in bytes.
+func (t *Text) Size() int {
 	n := 0
 	for _, part := range t.Parts {
 		n += len(part)
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -164,7 +164,7 @@
 			return
 		}
 		part := ledger.Pack(bytes.Join(c.events, []byte("\n")))
-		if r.text.size()+len(part) > MaxTextBytes {
+		if r.text.Size()+len(part) > MaxTextBytes {
 			r.full = true
 			r.mu.Lock()
 			r.tooLong = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,10 +206,7 @@
 // Submit sends a submission to the control leader.
 func (g *Gateway) Submit(ctx context.Context, sub *ledger.Submission) Result {
 	began := time.Now()
-	size := 0
-	for i := range sub.Items {
-		size += sub.Items[i].Size()
-	}
+	size := sub.Size()
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout+time.Duration(size)*time.Second/uploadRate)
 	defer cancel()
 	result := g.controlResult(g.client.Accept(ctx, sub), Accepted)
--- a/hub/upload.go
+++ b/hub/upload.go
@@ -100,27 +100,16 @@
 	return append(parts, items[from:])
 }
 
-// itemsSize returns an upper bound for the encoded size of items in bytes, and the largest of them.
-func itemsSize(items []ledger.Item) (size int, largest *ledger.Item) {
-	most := -1
-	for i := range items {
-		n := items[i].Size()
-		size += n
-		if n > most {
-			largest, most = &items[i], n
-		}
-	}
-	return size, largest
-}
-
 // Accept sends a submission to the leader. It returns nil once the submission is committed. One
 // that is too large for one command is sent in parts, of which nothing runs before the last one is
 // committed. Errors wrap ErrTooLarge, ErrNotDone or ErrUnknown.
 func (c *Client) Accept(ctx context.Context, sub *ledger.Submission) error {
-	size, largest := itemsSize(sub.Items)
-	if largest != nil && largest.Size() > ledger.MaxItemBytes {
-		return eris.Wrapf(ErrTooLarge, "item %q has %d bytes with its scorer, the limit is %d", largest.ID, largest.Size(), ledger.MaxItemBytes)
+	for i := range sub.Items {
+		if n := sub.Items[i].Size(); n > ledger.MaxItemBytes {
+			return eris.Wrapf(ErrTooLarge, "item %q has %d bytes with its scorer, the limit is %d", sub.Items[i].ID, n, ledger.MaxItemBytes)
+		}
 	}
+	size := sub.Size()
 	if size <= maxAcceptBytes {
 		return c.call(ctx, methodAccept, sub, nil, attemptTimeout)
 	}
--- a/hub/upload_test.go
+++ b/hub/upload_test.go
@@ -21,7 +21,7 @@
 	limit := 1000 + (&ledger.Item{ID: "0"}).Size()
 	var got []string
 	for _, part := range partsOf(items, limit) {
-		size, _ := itemsSize(part)
+		size := (&ledger.Submission{Items: part}).Size()
 		is.True(size <= limit || len(part) == 1)
 		is.True(len(part) > 0)
 		for _, item := range part {
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -183,32 +183,29 @@
 	if err := wire.Unmarshal(body, &c); err != nil {
 		return eris.Wrap(err, "ledger: submissions")
 	}
-	s.mu.Lock()
-	changes, err := s.apply(index, &c)
-	notify := s.onChange
-	s.mu.Unlock()
-	if notify != nil {
-		for _, change := range changes {
-			notify(change)
-		}
-	}
-	if err != nil {
+	if err := s.update(func() ([]SubmissionChange, error) { return s.apply(index, &c) }); err != nil {
 		return err
 	}
 	return nil
 }
 
-// acceptUploaded accepts a submission that has arrived in parts.
-func (s *Submissions) acceptUploaded(index uint64, sub *Submission) {
+// update changes the state and announces the changes once s.mu is released.
+func (s *Submissions) update(change func() ([]SubmissionChange, error)) error {
 	s.mu.Lock()
-	changes := s.accept(index, sub)
+	changes, err := change()
 	notify := s.onChange
 	s.mu.Unlock()
 	if notify != nil {
-		for _, change := range changes {
-			notify(change)
+		for _, c := range changes {
+			notify(c)
 		}
 	}
+	return err
+}
+
+// acceptUploaded accepts a submission that has arrived in parts.
+func (s *Submissions) acceptUploaded(index uint64, sub *Submission) error {
+	return s.update(func() ([]SubmissionChange, error) { return s.accept(index, sub), nil })
 }
 
 func (s *Submissions) apply(index uint64, c *submissionsCommand) ([]SubmissionChange, error) {
--- a/ledger/uploads.go
+++ b/ledger/uploads.go
@@ -28,8 +28,22 @@
 	for _, h := range i.Headers {
 		n += len(h.Name) + len(h.Value) + 3*encodingOverhead
 	}
-	if r := i.Reward; r != nil {
-		n += len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body) + 5*encodingOverhead
+	return n + i.Reward.Size()
+}
+
+// Size returns an upper bound for the encoded size of the request in bytes; nil has 0.
+func (r *Reward) Size() int {
+	if r == nil {
+		return 0
+	}
+	return len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body) + 5*encodingOverhead
+}
+
+// Size returns an upper bound for the encoded size of the items in bytes.
+func (s *Submission) Size() int {
+	n := 0
+	for i := range s.Items {
+		n += s.Items[i].Size()
 	}
 	return n
 }
@@ -155,12 +169,12 @@
 		sub, err = u.end(c.End)
 	}
 	u.mu.Unlock()
+	if sub != nil {
+		err = u.submissions.acceptUploaded(index, sub)
+	}
 	if err != nil {
 		return err
 	}
-	if sub != nil {
-		u.submissions.acceptUploaded(index, sub)
-	}
 	return nil
 }
 
