--- a/review/rig-3/fields.go
+++ b/review/rig-3/fields.go
@@ -89,25 +89,7 @@
 	time.Sleep(4 * time.Second) // contactMs, and a margin
 
 	stop := make(chan struct{})
-	var mu sync.Mutex
-	var cuts []cutRequest
-	served := 0
-	var crews sync.WaitGroup
-	for _, m := range c.edges() {
-		for range 4 {
-			crews.Go(func() {
-				c.kept(m, stop, func(r cutRequest) {
-					mu.Lock()
-					defer mu.Unlock()
-					cuts = append(cuts, r)
-				}, func() {
-					mu.Lock()
-					defer mu.Unlock()
-					served++
-				})
-			})
-		}
-	}
+	watch := c.watchKept(stop)
 	time.Sleep(2 * time.Second)
 
 	// 9 MB, of the 33,554,432 bytes that the manifest allows.
@@ -121,25 +103,15 @@
 		time.Sleep(5 * time.Second)
 	}
 	close(stop)
-	crews.Wait()
-
-	// Only those count that had reached a sound replica.
-	f.mu.Lock()
-	ran := make(map[string]string)
-	for _, a := range f.arrivals {
-		ran[a.id] = a.replica
-	}
-	f.mu.Unlock()
-	lost := 0
-	for _, r := range cuts {
-		if replica, ok := ran[r.id]; ok {
-			lost++
-			log.printf("crew: request %s was passed on to %s by %s, which closed its kept channel without an answer", r.id, replica, r.edge)
-		}
-	}
+	served, lost := watch(f)
 	times, thrice := ends(c.edges())
 	summary := fmt.Sprintf("%d requests on kept channels answered, %d passed on to a sound replica and ended without an answer; processes of edge machines ended by themselves %d times, three times or more on %d of %d machines",
 		served, lost, times, thrice, len(c.edges()))
+	return verdictOfEdges(lost, thrice, summary)
+}
+
+// verdictOfEdges applies LOST for requests of kept channels, and FAULT for the edge machines.
+func verdictOfEdges(lost, thrice int, summary string) (int, string) {
 	switch {
 	case lost > 3:
 		return broken, "LOST: " + summary
@@ -148,3 +120,45 @@
 	}
 	return held, summary
 }
+
+// watchKept has four clients at each edge machine keep channels until stop is closed. The returned
+// function waits for them and returns how many requests were answered, and how many on kept
+// channels ended without an answer that had reached a sound replica.
+func (c *cluster) watchKept(stop chan struct{}) func(f *fleet) (served, lost int) {
+	var mu sync.Mutex
+	var cuts []cutRequest
+	served := 0
+	var crews sync.WaitGroup
+	for _, m := range c.edges() {
+		for range 4 {
+			crews.Go(func() {
+				c.kept(m, stop, func(r cutRequest) {
+					mu.Lock()
+					defer mu.Unlock()
+					cuts = append(cuts, r)
+				}, func() {
+					mu.Lock()
+					defer mu.Unlock()
+					served++
+				})
+			})
+		}
+	}
+	return func(f *fleet) (int, int) {
+		crews.Wait()
+		f.mu.Lock()
+		ran := make(map[string]string)
+		for _, a := range f.arrivals {
+			ran[a.id] = a.replica
+		}
+		f.mu.Unlock()
+		lost := 0
+		for _, r := range cuts {
+			if replica, ok := ran[r.id]; ok {
+				lost++
+				c.log.printf("crew: request %s was passed on to %s by %s, which closed its kept channel without an answer", r.id, replica, r.edge)
+			}
+		}
+		return served, lost
+	}
+}
