--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -69,6 +69,7 @@
 var cases = map[string]func(log *record, trouble bool) (int, string){
 	"items":  manyItems,
 	"fields": manyFields,
+	"grey":   greyReplica,
 }
 
 // deployment starts three control machines and two edge machines with the replicas of both
