review: case 13 records every request's sending, run and answer

The record named only the requests that were answered wrongly. It now names all 600 with the edge they were sent to, the replica they ran at and the answer.

--- a/review/rig-3/grey.go
+++ b/review/rig-3/grey.go
@@ -66,6 +66,7 @@
 	refused := 0
 	for _, a := range answers {
 		status[a.reply.status]++
+		log.printf("approver: request %s was sent to %s, ran at %q and was answered %d", a.id, a.edge, ran[a.id], a.reply.status)
 		if replica, ok := ran[a.id]; ok && promises(a.reply.status) {
 			refused++
 			log.printf("approver: request %s, not idempotent, was answered %d by %s (Retry-After %q, signature %q); it has run at %s", a.id, a.reply.status, a.edge, a.reply.header.Get("Retry-After"), a.reply.header.Get("X-Response-Signature"), replica)
