hub: refuse submissions that the control group has no room for

Cause: accepted submissions were never bounded together. UploadBytes bounds one submission while it arrives, by its encoded size; submissions up to 3 MB met no bound at all. A short item takes some 40 bytes in the log and 1 KB at the leader.

Change: the leader accepts a submission while what all of them hold, with what is on its way to the log, stays within a quarter of its memory. An account may hold three quarters of what the others leave, and a submission half of what is free of that, so large ones leave room for small ones. Entries ask for room before they send more than 64 KB, so a refused submission costs the leader one small message; leaders of former versions reject the question and decide as before. What can never be accepted is answered 413, else 503 with the time until the next submission expires. merlinhall_submissions_refused_total, _held_bytes and _limit_bytes, and a log line with the inputs of each refusal.

--- a/control/calls.go
+++ b/control/calls.go
@@ -101,11 +101,29 @@
 		return &wire.Reply{Outcome: wire.CallUnknown, Error: failure.Error()}
 	}
 	if err != nil {
-		return &wire.Reply{Outcome: callOutcome(err), Error: err.Error()}
+		reply := &wire.Reply{Outcome: callOutcome(err), Error: err.Error()}
+		var full *FullError
+		if eris.As(err, &full) {
+			reply.RetryAfterMs = uint32(max(1, full.RetryAfter.Milliseconds()))
+		}
+		return reply
 	}
 	return &wire.Reply{Outcome: wire.CallOK, Body: body}
 }
 
+// FullError is the error of a call that was rejected because there is no room for what it brings.
+// It wraps ErrRejected.
+type FullError struct {
+	Reason     string
+	RetryAfter time.Duration // until there may be room
+}
+
+// Error implements error.
+func (e *FullError) Error() string { return e.Reason }
+
+// Unwrap returns ErrRejected.
+func (*FullError) Unwrap() error { return ErrRejected }
+
 // callOutcome returns the call outcome for a handler's error.
 func callOutcome(err error) wire.CallOutcome {
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -258,11 +258,14 @@
 }
 
 func (g *Gateway) controlResult(err error, success Outcome) Result {
+	var full *hub.FullError
 	switch {
 	case err == nil:
 		return Result{Outcome: success}
 	case errors.Is(err, hub.ErrTooLarge):
 		return Result{Outcome: TooLarge, Reason: err.Error()}
+	case errors.As(err, &full):
+		return Result{Outcome: NotRun, Reason: full.Reason, RetryAfter: full.RetryAfter}
 	case errors.Is(err, hub.ErrNotDone):
 		return Result{Outcome: NotRun, Reason: err.Error(), RetryAfter: retryAfterNoControl}
 	}
--- a/hub/calls.go
+++ b/hub/calls.go
@@ -31,6 +31,7 @@
 	methodLocality   = "locality.report"
 	methodUploadPart = "submissions.upload_part"
 	methodUploadEnd  = "submissions.upload_end"
+	methodRoom       = "submissions.room"
 )
 
 type pageRequest struct {
--- a/hub/client.go
+++ b/hub/client.go
@@ -311,7 +311,7 @@
 				return wire.Unmarshal(reply.Body, out)
 			case wire.CallRejected:
 				if !mayHaveRun {
-					return eris.Wrap(ErrNotDone, reply.Error)
+					return rejected(reply)
 				}
 			case wire.CallUnknown:
 				mayHaveRun = true
@@ -330,6 +330,27 @@
 	}
 }
 
+// FullError is the error of a call that was not carried out because there is no room for what it
+// brings. It wraps ErrNotDone.
+type FullError struct {
+	Reason     string
+	RetryAfter time.Duration // until there may be room
+}
+
+// Error implements error.
+func (e *FullError) Error() string { return e.Reason }
+
+// Unwrap returns ErrNotDone.
+func (*FullError) Unwrap() error { return ErrNotDone }
+
+// rejected returns the error of a call that was rejected.
+func rejected(reply *wire.Reply) error {
+	if reply.RetryAfterMs > 0 {
+		return &FullError{Reason: reply.Error, RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}
+	}
+	return eris.Wrap(ErrNotDone, reply.Error)
+}
+
 func (c *Client) callOnce(ctx context.Context, conn *link.Conn, call *wire.Call, wait time.Duration) *wire.Reply {
 	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
 	defer cancel()
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
@@ -43,7 +44,12 @@
 	Replica     *replica.Replica
 	Submissions *ledger.Submissions
 	Uploads     *ledger.Uploads
-	UploadBytes int // bound on the items of uploads that have not ended
+	// HeldBytes bounds the memory that submissions may take, see ledger.Submission.HeldBytes; 0
+	// means no bound.
+	HeldBytes int
+	// KeepResults is how long submissions stay known after they were made.
+	KeepResults time.Duration
+	Registry    *prometheus.Registry // nil registers no metrics
 	Manifests   *ledger.Manifests
 	Versions    *ledger.Versions
 	Hosts       *ledger.Hosts
@@ -80,6 +86,7 @@
 	manifest      *wire.RouteUpdate
 	table         atomic.Pointer[routes.Table]
 	uploading     partsInProgress
+	room          *room
 	targets       publishedList   // for control processes, one of which may lead next
 	entryTargets  publishedList   // for entries
 	published     bool            // the list was read and sent in this term
@@ -104,6 +111,13 @@
 		controlLinks: make(map[*link.Conn]bool), changedLimits: make(map[string]bool),
 		uploading: partsInProgress{done: make(map[string]chan struct{})},
 	}
+	h.room = newRoom(o.HeldBytes,
+		// A submission is accepted before its upload is removed, so it is found in this order.
+		func(account string) ledger.Held { return o.Uploads.Held(account).Plus(o.Submissions.Held(account)) },
+		func() (time.Time, bool) { return o.Submissions.NextExpiry(o.KeepResults) }, o.Log)
+	if o.Registry != nil {
+		h.room.register(o.Registry)
+	}
 	h.register()
 	// The cached manifest was in force, so entries may use it before a leader is
 	// elected.
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -24,6 +24,7 @@
 	c.HandleCall(methodAccept, h.accept)
 	c.HandleCall(methodUploadPart, h.uploadPart)
 	c.HandleCall(methodUploadEnd, h.uploadEnd)
+	c.HandleCall(methodRoom, h.askRoom)
 	c.HandleCall(methodPage, h.page)
 	c.HandleCall(methodBody, h.body)
 	c.HandleCall(methodEnd, h.end)
@@ -64,8 +65,13 @@
 	if known, err := h.knownSubmission(sub.Account, sub.ID); known || err != nil {
 		return nil, err
 	}
+	if err := h.hold(ctx, &roomRequest{Submission: sub.ID, Account: sub.Account, Held: sub.HeldBytes(), Bytes: len(body)}); err != nil {
+		return nil, err
+	}
 	command, err := ledger.AcceptCommand(sub)
-	return nil, h.propose(ctx, h.opts.Submissions.Name(), command, err)
+	err = h.propose(ctx, h.opts.Submissions.Name(), command, err)
+	h.settle(sub.ID, err)
+	return nil, err
 }
 
 // confirmLeadership returns nil if this process leads and has applied everything that
--- a/hub/upload.go
+++ b/hub/upload.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 
 	"merlinhall/consensus"
 	"merlinhall/control"
@@ -22,6 +21,9 @@
 	// maxAcceptBytes is the size of the items of a submission up to which one call and one
 	// command bring all of it.
 	maxAcceptBytes = 3 << 20
+	// askBytes is the size of the items of a submission up to which it is sent without asking for
+	// room before.
+	askBytes = 64 << 10
 	// uploadPartBytes is the size of the items of a part of an upload, unless it is a single item.
 	uploadPartBytes = 1 << 20
 	// uploadIdleTime is the time without a further part after which an upload is dropped. The
@@ -47,7 +49,7 @@
 
 type uploadPartReply struct {
 	Accepted bool `cbor:"1,keyasint,omitempty"` // the whole submission, before
-	// Limit is set if the submission alone has more bytes than that, for which the leader has room.
+	// Limit is as in roomReply.
 	Limit int `cbor:"2,keyasint,omitempty"`
 	// Next is the index of the first part that is missing.
 	Next int `cbor:"3,keyasint,omitempty"`
@@ -110,12 +112,42 @@
 		}
 	}
 	size := sub.Size()
+	if size > askBytes {
+		if accepted, err := c.askRoom(ctx, sub, size); accepted || err != nil {
+			return err
+		}
+	}
 	if size <= maxAcceptBytes {
 		return c.call(ctx, methodAccept, sub, nil, attemptTimeout)
 	}
 	return c.upload(ctx, sub, size)
 }
 
+// askRoom asks for room for a submission. Control processes of former versions, which do not know
+// the call, decide when the submission arrives.
+func (c *Client) askRoom(ctx context.Context, sub *ledger.Submission, size int) (accepted bool, err error) {
+	message := size
+	if size > maxAcceptBytes {
+		message = uploadPartBytes
+	}
+	var out roomReply
+	err = c.call(ctx, methodRoom, &roomRequest{Submission: sub.ID, Account: sub.Account, Held: sub.HeldBytes(), Bytes: message}, &out, attemptTimeout)
+	var full *FullError
+	switch {
+	case eris.As(err, &full):
+		return false, err
+	case err != nil && ctx.Err() != nil:
+		return false, eris.Wrap(ErrNotDone, err.Error())
+	case out.Limit > 0:
+		return false, tooLarge(sub, out.Limit)
+	}
+	return out.Accepted, nil
+}
+
+func tooLarge(sub *ledger.Submission, limit int) error {
+	return eris.Wrapf(ErrTooLarge, "with %d items it takes %d bytes of memory, the limit is %d", len(sub.Items), sub.HeldBytes(), limit)
+}
+
 // uploadID returns the id of the upload of a submission. A client that sends the submission again, to
 // any process, goes on with the parts that have arrived.
 func uploadID(sub *ledger.Submission, parts [][]ledger.Item) (string, error) {
@@ -144,9 +176,11 @@
 	if err != nil {
 		return eris.Wrap(ErrNotDone, err.Error())
 	}
-	next, err := c.sendPart(ctx, sub, ledger.UploadPart{Upload: id, Bytes: size}) // only asks
+	part := ledger.UploadPart{Upload: id, Bytes: size, Held: sub.HeldBytes()}
+	next, err := c.sendPart(ctx, sub, part) // only asks
 	for err == nil && next < len(parts) {
-		next, err = c.sendPart(ctx, sub, ledger.UploadPart{Upload: id, Bytes: size, Index: next, Items: parts[next]})
+		part.Index, part.Items = next, parts[next]
+		next, err = c.sendPart(ctx, sub, part)
 	}
 	switch {
 	case eris.Is(err, errAccepted):
@@ -174,7 +208,7 @@
 	case out.Accepted:
 		return 0, errAccepted
 	case out.Limit > 0:
-		return 0, eris.Wrapf(ErrTooLarge, "its items have %d bytes, the limit is %d", part.Bytes, out.Limit)
+		return 0, tooLarge(sub, out.Limit)
 	}
 	return out.Next, nil
 }
@@ -188,16 +222,21 @@
 	if known, err := h.knownSubmission(in.Account, in.Submission); known || err != nil {
 		return replyOr(err, &uploadPartReply{Accepted: known})
 	}
-	limit := max(1, h.opts.UploadBytes)
-	begun, others := h.opts.Uploads.Reserved(in.Part.Upload)
-	switch {
-	case in.Part.Bytes > limit:
-		h.opts.Log.WithFields(logrus.Fields{"submission": in.Submission, "bytes": in.Part.Bytes, "limit": limit}).Info("submission is larger than the room for uploads")
-		return wire.Marshal(&uploadPartReply{Limit: limit})
-	case !begun && others+in.Part.Bytes > limit:
-		return nil, eris.Wrapf(control.ErrRejected, "uploads that have not ended take %d bytes of %d", others, limit)
+	if begun, _ := h.opts.Uploads.Reserved(in.Part.Upload); !begun {
+		err := h.hold(ctx, &roomRequest{Submission: in.Submission, Account: in.Account, Held: max(in.Part.Held, in.Part.Bytes), Bytes: min(in.Part.Bytes, uploadPartBytes)})
+		var tooLarge *tooLargeError
+		if eris.As(err, &tooLarge) {
+			return wire.Marshal(&uploadPartReply{Limit: tooLarge.limit})
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
+	in.Part.Account = in.Account
 	err := h.addPart(ctx, &in.Part)
+	if len(in.Part.Items) > 0 {
+		h.settle(in.Submission, err)
+	}
 	return replyOr(err, &uploadPartReply{Next: h.opts.Uploads.Next(in.Part.Upload)})
 }
 
--- a/ledger/uploads.go
+++ b/ledger/uploads.go
@@ -54,6 +54,9 @@
 	Index  int    `cbor:"2,keyasint"` // from 0 on
 	Items  []Item `cbor:"3,keyasint"`
 	Bytes  int    `cbor:"4,keyasint"` // size of the items of all parts, see Item.Size
+	// Held is Submission.HeldBytes of the whole submission, 0 from processes that do not know it.
+	Held    int    `cbor:"5,keyasint,omitempty"`
+	Account string `cbor:"6,keyasint,omitempty"` // client account of the submission
 }
 
 // UploadEnd accepts a submission with the items of all parts of an upload.
@@ -74,6 +77,8 @@
 type upload struct {
 	parts     map[int]UploadPart
 	bytes     int       // of all parts, also of those that are missing
+	held      int       // what the submission will take, see Submission.HeldBytes
+	account   string    // client account of the submission
 	changedAt time.Time // when this process learnt of the last part
 }
 
@@ -120,6 +125,20 @@
 	return begun, others
 }
 
+// Held returns what the submissions of all uploads will take, and those of a client account.
+func (u *Uploads) Held(account string) Held {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var held Held
+	for _, up := range u.byID {
+		held.Total += up.held
+		if up.account == account {
+			held.Account += up.held
+		}
+	}
+	return held
+}
+
 // Next returns the index of the first part of an upload that is missing.
 func (u *Uploads) Next(id string) int {
 	u.mu.Lock()
@@ -171,6 +190,7 @@
 	u.mu.Unlock()
 	if sub != nil {
 		err = u.submissions.acceptUploaded(index, sub)
+		u.drop(c.End.Upload) // only now, so that what it takes is always counted
 	}
 	if err != nil {
 		return err
@@ -185,13 +205,15 @@
 		up = &upload{parts: make(map[int]UploadPart)}
 		u.byID[p.Upload] = up
 	}
-	up.changedAt, up.bytes = time.Now(), max(up.bytes, p.Bytes)
+	up.changedAt, up.bytes, up.account = time.Now(), max(up.bytes, p.Bytes), p.Account
+	up.held = max(up.held, p.Held, p.Bytes)
 	if _, known := up.parts[p.Index]; !known {
 		up.parts[p.Index] = *p
 	}
 }
 
-// end returns the submission of an upload, or nil if it was accepted before. The caller holds u.mu.
+// end returns the submission of an upload, which the caller removes once it is accepted, or nil if it
+// was accepted before. The caller holds u.mu.
 func (u *Uploads) end(e *UploadEnd) (*Submission, error) {
 	if e.Submission == nil {
 		return nil, eris.Wrap(wire.ErrMalformed, "ledger: the end of an upload has no submission")
@@ -213,10 +235,15 @@
 		}
 		sub.Items = append(sub.Items, part.Items...)
 	}
-	delete(u.byID, e.Upload)
 	return &sub, nil
 }
 
+func (u *Uploads) drop(upload string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.byID, upload)
+}
+
 // Snapshot implements control.Slice.
 func (u *Uploads) Snapshot() ([]byte, error) {
 	var parts [][]byte
--- a/wire/clusterstate.go
+++ b/wire/clusterstate.go
@@ -124,6 +124,9 @@
 	Outcome CallOutcome `cbor:"2,keyasint"`
 	Body    []byte      `cbor:"3,keyasint,omitempty"` // CBOR of the method's response
 	Error   string      `cbor:"4,keyasint,omitempty"`
+	// RetryAfterMs is set if the call was rejected for want of room that is expected after that
+	// many milliseconds.
+	RetryAfterMs uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // Consensus carries a message of the consensus protocol between control replicas.
