ledger: a complete submission keeps no request bodies

Cause: bodies, headers and reward calls were kept until a submission was ended by its trainer or forgotten, 135 s after it was made, though nothing can run or ask for an item that is listed. With the bound on what submissions hold, a trainer that does not end its steps would be refused for that time.

Change: the requests are dropped with the last result, as with the end.

--- a/ledger/held_test.go
+++ b/ledger/held_test.go
@@ -66,3 +66,29 @@
 	is.NoErr(err)
 	is.True(sub.HeldBytes() >= len(command))
 }
+
+// Guards against bodies that are kept until a complete submission is forgotten, so that its room
+// stays taken though nothing can ask for them, and against a snapshot in progress that loses them.
+func TestCompleteSubmissionKeepsNoBodies(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	sub := submission("s", 2)
+	for i := range sub.Items {
+		sub.Items[i].Body = make([]byte, 100_000)
+	}
+	is.NoErr(l.apply(AcceptCommand(sub)))
+	is.NoErr(l.apply(RecordCommand("s", Result{Item: "s-0"})))
+	is.True(l.slice.Held("").Total > 200_000) // one of them can still run
+	encode := l.slice.Freeze()
+	is.NoErr(l.apply(RecordCommand("s", Result{Item: "s-1"})))
+	is.True(l.slice.Held("").Total < 10_000)
+	size := 0
+	is.NoErr(encode(func(b []byte) error {
+		size += len(b)
+		return nil
+	}))
+	is.True(size > 200_000)
+	page, _, _ := l.slice.Page("s", 0, 1<<20)
+	is.Equal(page.Total, 2)
+	is.Equal(len(page.Results), 2)
+}
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -288,19 +288,28 @@
 		}
 	}
 	if added {
+		if state.closed() {
+			s.dropRequests(state)
+		}
 		state.notifyReaders()
 	}
 	return added, missing
 }
 
-// end closes a submission. It keeps the results and drops the request bodies, which can no
-// longer be requested.
+// end closes a submission. It keeps the results.
 func (s *Submissions) end(id string) []SubmissionChange {
 	state := s.byID[id]
 	if state == nil || state.Ended {
 		return nil
 	}
 	state.Ended = true
+	s.dropRequests(state)
+	state.notifyReaders()
+	return []SubmissionChange{{Ended: id}}
+}
+
+// dropRequests drops what only runs of the items of a closed submission need.
+func (s *Submissions) dropRequests(state *submissionState) {
 	// A state captured by Freeze may still refer to the old items.
 	items := make([]Item, len(state.Submission.Items))
 	for i, item := range state.Submission.Items {
@@ -310,8 +319,6 @@
 	before := state.heldBytes()
 	state.Submission.Items = items
 	s.hold(state, state.heldBytes()-before)
-	state.notifyReaders()
-	return []SubmissionChange{{Ended: id}}
 }
 
 // forget removes a submission with its results and partial texts.
