--- a/memory/memory.go
+++ b/memory/memory.go
@@ -27,6 +27,9 @@
 // ErrExhausted means that the other requests hold all of the budget.
 var ErrExhausted = eris.New("memory: the budget for message bodies is used up")
 
+// ErrTooLarge means that a request alone would hold more than the budget.
+var ErrTooLarge = eris.New("memory: the request takes more than the budget for message bodies")
+
 // Budget bounds the bytes that bodies hold at the same time. It is safe for concurrent use.
 type Budget struct {
 	large, small part
@@ -108,6 +111,18 @@
 	return nil
 }
 
+// Take adds n bytes that are built from a body, such as what it decodes to. The lease holds them
+// until Close. Errors wrap ErrTooLarge if the lease would never have them, else ErrExhausted.
+func (l *Lease) Take(n int64) error {
+	l.mu.Lock()
+	held := l.held.large
+	l.mu.Unlock()
+	if limit := l.budget.large.limit; held+n > limit {
+		return eris.Wrapf(ErrTooLarge, "%d bytes, the limit is %d", held+n, limit)
+	}
+	return l.take(size{large: n})
+}
+
 func (l *Lease) give(n size) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
