hub: ordinary steps do not ask for room first

An ordinary step has 100 to 200 KB of items; the question costs it a round trip. Up to 256 KB a submission is sent at once and decided by the leader.

--- a/hub/upload.go
+++ b/hub/upload.go
@@ -23,7 +23,7 @@
 	maxAcceptBytes = 3 << 20
 	// askBytes is the size of the items of a submission up to which it is sent without asking for
 	// room before.
-	askBytes = 64 << 10
+	askBytes = 256 << 10
 	// uploadPartBytes is the size of the items of a part of an upload, unless it is a single item.
 	uploadPartBytes = 1 << 20
 	// uploadIdleTime is the time without a further part after which an upload is dropped. The
