hub: room for submissions is that of the smallest control host

Cause: the bound followed the leader's own memory.

Change: a Hello names the memory of the host, and the bound is a quarter of the least memory among the members of the group and the linked control processes. Processes of former versions name none and are left out.

Evidence: TestRoomIsThatOfTheSmallestHost.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -298,7 +298,7 @@
 	return &links{
 		hello: wire.Hello{
 			Process: process, Address: address, Zone: d.settings.Zone, Boot: d.boot, Host: d.settings.Name, Roles: []wire.Role{role}, Level: wire.Level,
-			CPUShare: d.settings.CPUShare,
+			CPUShare: d.settings.CPUShare, MemoryBytes: d.settings.MemoryBytes,
 		},
 		client: d.client, guard: d.observer.Guard("links"),
 	}
--- a/daemon/hostedcontrol.go
+++ b/daemon/hostedcontrol.go
@@ -39,10 +39,6 @@
 // times that.
 const logMemoryDivisor = 16
 
-// heldMemoryDivisor divides the host's memory to get the bound on what submissions take. The rest is
-// for their results, for the log, and for a snapshot that is encoded or restored beside the state.
-const heldMemoryDivisor = 4
-
 // baseMaxVoters is the maximum number of voters unless the configured number of host
 // losses needs more. Three voters tolerate the loss of one host, and two more tolerate a
 // second loss while the first host is being replaced.
@@ -201,7 +197,7 @@
 	}
 	h := hub.New(hub.Options{
 		Host: s.Name, Address: s.Links, Seeds: s.Seeds, HostFaults: s.HostFaults,
-		Control: c, Replica: r, Submissions: submissions, Uploads: uploads, HeldBytes: int(s.MemoryBytes / heldMemoryDivisor), KeepResults: s.ResultRetention, Registry: d.observer.Registry, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
+		Control: c, Replica: r, Submissions: submissions, Uploads: uploads, MemoryBytes: s.MemoryBytes, KeepResults: s.ResultRetention, Registry: d.observer.Registry, Manifests: manifests, Versions: versions, Hosts: hosts, Usage: collector,
 		Directory: d.targets, Poller: d.poller, Limits: d.limits, Quarantine: d.quarantine, Streams: leader, StepReads: stepReads, Demand: d.admission, Locality: d.locality, Log: d.observer.Logger("hub"), DataDir: filepath.Join(s.DataDir, "cache"), Dial: links.dial,
 	})
 	hubRef.Store(h)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -44,9 +44,7 @@
 	Replica     *replica.Replica
 	Submissions *ledger.Submissions
 	Uploads     *ledger.Uploads
-	// HeldBytes bounds the memory that submissions may take, see ledger.Submission.HeldBytes; 0
-	// means no bound.
-	HeldBytes int
+	MemoryBytes int64 // of this host, 0 if it is not known
 	// KeepResults is how long submissions stay known after they were made.
 	KeepResults time.Duration
 	Registry    *prometheus.Registry // nil registers no metrics
@@ -80,21 +78,23 @@
 	mu            sync.Mutex
 	entryLinks    map[*link.Conn]bool
 	hostByAddress map[string]string // hosts of control processes by link address
-	links         *linkSet
-	group         wire.MembershipUpdate
-	controlLinks  map[*link.Conn]bool // links to other control processes
-	manifest      *wire.RouteUpdate
-	table         atomic.Pointer[routes.Table]
-	uploading     partsInProgress
-	room          *room
-	targets       publishedList   // for control processes, one of which may lead next
-	entryTargets  publishedList   // for entries
-	published     bool            // the list was read and sent in this term
-	changedLimits map[string]bool // targets whose limits all processes are to be told
-	leading       bool
-	leadership    <-chan struct{} // closed when this process stops leading, nil before it leads
-	endLeadership context.CancelFunc
-	term          uint64
+	// memoryByAddress has the memory of hosts of control processes, in bytes.
+	memoryByAddress map[string]int64
+	links           *linkSet
+	group           wire.MembershipUpdate
+	controlLinks    map[*link.Conn]bool // links to other control processes
+	manifest        *wire.RouteUpdate
+	table           atomic.Pointer[routes.Table]
+	uploading       partsInProgress
+	room            *room
+	targets         publishedList   // for control processes, one of which may lead next
+	entryTargets    publishedList   // for entries
+	published       bool            // the list was read and sent in this term
+	changedLimits   map[string]bool // targets whose limits all processes are to be told
+	leading         bool
+	leadership      <-chan struct{} // closed when this process stops leading, nil before it leads
+	endLeadership   context.CancelFunc
+	term            uint64
 	// reported is the group as members reported it while this process is not one.
 	reported wire.MembershipUpdate
 }
@@ -105,13 +105,13 @@
 	h := &Hub{
 		opts: o, cache: newManifestCache(o.DataDir, o.Log), ctx: ctx, cancel: cancel,
 		entryLinks:    make(map[*link.Conn]bool),
-		hostByAddress: map[string]string{o.Address: o.Host},
-		links:         newLinkSet(o.Dial),
+		hostByAddress: map[string]string{o.Address: o.Host}, memoryByAddress: map[string]int64{o.Address: o.MemoryBytes},
+		links: newLinkSet(o.Dial),
 
 		controlLinks: make(map[*link.Conn]bool), changedLimits: make(map[string]bool),
 		uploading: partsInProgress{done: make(map[string]chan struct{})},
 	}
-	h.room = newRoom(o.HeldBytes,
+	h.room = newRoom(h.heldLimit,
 		// A submission is accepted before its upload is removed, so it is found in this order.
 		func(account string) ledger.Held { return o.Uploads.Held(account).Plus(o.Submissions.Held(account)) },
 		func() (time.Time, bool) { return o.Submissions.NextExpiry(o.KeepResults) }, o.Log)
@@ -166,6 +166,7 @@
 	hello := c.Peer()
 	if slices.Contains(hello.Roles, wire.RoleControl) {
 		h.hostByAddress[hello.Process] = hello.Host
+		h.memoryByAddress[hello.Process] = hello.MemoryBytes
 		h.controlLinks[c] = true
 	} else {
 		h.entryLinks[c] = true
--- a/hub/room.go
+++ b/hub/room.go
@@ -17,6 +17,10 @@
 )
 
 const (
+	// heldMemoryDivisor divides the memory of the smallest control host to get the bound on what
+	// submissions hold. The rest is for their results, for the log, and for a snapshot that is encoded
+	// or restored beside the state.
+	heldMemoryDivisor = 4
 	// A client account may hold accountShare/accountShareDivisor of what the others leave, so that
 	// there is room for those that come later.
 	accountShare, accountShareDivisor = 3, 4
@@ -63,7 +67,7 @@
 // the replicated state; what is on its way there is reserved, so that submissions that arrive at
 // the same time can't take the same room.
 type room struct {
-	limit      int // bytes that submissions may hold; 0 means no limit
+	limit      func() int // bytes that submissions may hold; 0 means no limit
 	held       func(account string) ledger.Held
 	nextExpiry func() (time.Time, bool)
 	log        *logrus.Entry
@@ -76,7 +80,7 @@
 	changed  chan struct{}          // closed when a reservation ends
 }
 
-func newRoom(limit int, held func(account string) ledger.Held, nextExpiry func() (time.Time, bool), log *logrus.Entry) *room {
+func newRoom(limit func() int, held func(account string) ledger.Held, nextExpiry func() (time.Time, bool), log *logrus.Entry) *room {
 	return &room{
 		limit: limit, held: held, nextExpiry: nextExpiry, log: log,
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -94,27 +98,29 @@
 		}, func() float64 { return float64(r.held("").Total) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "merlinhall_submissions_limit_bytes", Help: "Limit of the memory that accepted submissions take.",
-		}, func() float64 { return float64(r.limit) }),
+		}, func() float64 { return float64(r.limit()) }),
 	)
 }
 
-// largest returns what one submission may take of an account's free room, if the account holds what
-// is given and the others hold the rest.
-func (r *room) largest(held ledger.Held) int {
+// largestSubmission returns what one submission may take of an account's free room, if the account
+// holds what is given and the others hold the rest.
+func largestSubmission(limit int, held ledger.Held) int {
 	others := held.Total - held.Account
-	return ((r.limit-others)*accountShare/accountShareDivisor - held.Account) / freeDivisor
+	return ((limit-others)*accountShare/accountShareDivisor - held.Account) / freeDivisor
 }
 
-// excess returns which bound a submission of n bytes would exceed, or an empty string if there is
-// room for it.
-func (r *room) excess(held ledger.Held, n int) string {
+// excess returns which bound a submission of n bytes would exceed, with that many bytes on their way
+// to the log, or an empty string if there is room for it.
+func excess(limit int, held ledger.Held, in *roomRequest, transit int) string {
 	switch {
-	case r.limit == 0:
+	case limit == 0:
 		return ""
-	case n > r.largest(ledger.Held{}):
+	case in.Held > largestSubmission(limit, ledger.Held{}):
 		return "size"
-	case n > r.largest(held):
+	case in.Held > largestSubmission(limit, held):
 		return "room"
+	case transit > 0 && transit+in.Bytes > limit/transitDivisor:
+		return "transit"
 	}
 	return ""
 }
@@ -172,22 +178,20 @@
 			held.Account += v.held
 		}
 	}
-	reason := r.excess(held, in.Held)
-	if reason == "" && r.limit > 0 && transit > 0 && transit+in.Bytes > r.limit/transitDivisor {
-		if !waited {
-			return r.changed, nil
-		}
-		reason = "transit"
-	}
-	if reason == "" {
+	limit := r.limit()
+	reason := excess(limit, held, in, transit)
+	switch {
+	case reason == "":
 		r.reserved[in.Submission] = reservation{account: in.Account, held: in.Held, bytes: in.Bytes, until: now.Add(reservationTime)}
 		return nil, nil
+	case reason == "transit" && !waited:
+		return r.changed, nil
 	}
-	return nil, r.refuse(in, reason, held, transit, now)
+	return nil, r.refuse(in, reason, limit, held, transit, now)
 }
 
 // refuse counts and logs a refusal and returns its error.
-func (r *room) refuse(in *roomRequest, reason string, held ledger.Held, transit int, now time.Time) error {
+func (r *room) refuse(in *roomRequest, reason string, limit int, held ledger.Held, transit int, now time.Time) error {
 	after := minRetryAfter
 	if at, ok := r.nextExpiry(); ok && reason != "transit" {
 		after = min(max(at.Sub(now), minRetryAfter), maxRetryAfter)
@@ -196,14 +200,14 @@
 	if r.lines.Allow(now) {
 		r.log.WithFields(logrus.Fields{
 			"submission": in.Submission, "account": in.Account, "reason": reason, "bytes": in.Held,
-			"held": held.Total, "held_by_account": held.Account, "in_transit": transit, "limit": r.limit, "retry_after_ms": after.Milliseconds(),
+			"held": held.Total, "held_by_account": held.Account, "in_transit": transit, "limit": limit, "retry_after_ms": after.Milliseconds(),
 		}).Info("no room for a submission")
 	}
 	if reason == "size" {
-		return &tooLargeError{r.largest(ledger.Held{})}
+		return &tooLargeError{largestSubmission(limit, ledger.Held{})}
 	}
 	return &control.FullError{
-		Reason:     fmt.Sprintf("no room for a submission that takes %d bytes (%s): submissions hold %d of %d", in.Held, reason, held.Total, r.limit),
+		Reason:     fmt.Sprintf("no room for a submission that takes %d bytes (%s): submissions hold %d of %d", in.Held, reason, held.Total, limit),
 		RetryAfter: after,
 	}
 }
@@ -219,6 +223,33 @@
 	}
 }
 
+// heldLimit returns the bytes that submissions may hold, 0 if no memory is known.
+func (h *Hub) heldLimit() int {
+	status := h.opts.Replica.Status()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var processes []string
+	for _, m := range status.Members {
+		processes = append(processes, m.Name)
+	}
+	for c := range h.controlLinks {
+		processes = append(processes, c.Peer().Process)
+	}
+	return int(smallestMemory(h.opts.MemoryBytes, h.memoryByAddress, processes) / heldMemoryDivisor)
+}
+
+// smallestMemory returns the least memory of a control process's own host and of those of others:
+// what submissions hold must fit into each, as any of them can become the leader. Hosts of processes
+// that have not said what memory they have are left out.
+func smallestMemory(own int64, memoryByAddress map[string]int64, others []string) int64 {
+	for _, process := range others {
+		if n := memoryByAddress[process]; n > 0 {
+			own = min(own, n)
+		}
+	}
+	return own
+}
+
 // hold reserves room for a submission, after everything that earlier leaders have accepted is
 // applied here.
 func (h *Hub) hold(ctx context.Context, in *roomRequest) error {
--- a/hub/room_test.go
+++ b/hub/room_test.go
@@ -43,7 +43,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m := &heldModel{held: make(map[string]int)}
-	return newRoom(limit, m.of, func() (time.Time, bool) { return time.Time{}, false }, logrus.NewEntry(log)), m
+	return newRoom(func() int { return limit }, m.of, func() (time.Time, bool) { return time.Time{}, false }, logrus.NewEntry(log)), m
 }
 
 // Guards against submissions that together take more than there is room for, also if they arrive at
@@ -134,3 +134,12 @@
 	_, err := r.tryReserve(&roomRequest{Submission: "third", Held: 10, Bytes: limit}, time.Now().Add(2*reservationTime), true)
 	is.NoErr(err) // the second never came
 }
+
+// Guards against a bound by the memory of a leader that has more than the process that follows it.
+func TestRoomIsThatOfTheSmallestHost(t *testing.T) {
+	is := is.New(t)
+	memory := map[string]int64{"self": 154, "small": 130, "large": 300, "former version": 0, "gone": 10}
+	is.Equal(smallestMemory(154, memory, nil), int64(154))
+	is.Equal(smallestMemory(154, memory, []string{"large", "former version", "unknown"}), int64(154))
+	is.Equal(smallestMemory(154, memory, []string{"large", "small"}), int64(130))
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -167,6 +167,8 @@
 	Checksums bool `cbor:"9,keyasint,omitempty"`
 	// CPUShare is the share of a core that the sender may use, 0 if it is not known.
 	CPUShare float64 `cbor:"10,keyasint,omitempty"`
+	// MemoryBytes is the memory of the sender's host, 0 if it is not known.
+	MemoryBytes int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Level is the level of messages, log commands and snapshots that this program understands.
