--- a/hub/room.go
+++ b/hub/room.go
@@ -109,8 +109,8 @@
 	return ((limit-others)*accountShare/accountShareDivisor - held.Account) / freeDivisor
 }
 
-// excess returns which bound a submission of n bytes would exceed, with that many bytes on their way
-// to the log, or an empty string if there is room for it.
+// excess returns which bound a submission would exceed, or an empty string if there is room for it.
+// transit is the size of the other submissions that are on their way to the log.
 func excess(limit int, held ledger.Held, in *roomRequest, transit int) string {
 	switch {
 	case limit == 0:
@@ -250,18 +250,18 @@
 	return own
 }
 
-// hold reserves room for a submission, after everything that earlier leaders have accepted is
+// reserveRoom reserves room for a submission, after everything that earlier leaders have accepted is
 // applied here.
-func (h *Hub) hold(ctx context.Context, in *roomRequest) error {
+func (h *Hub) reserveRoom(ctx context.Context, in *roomRequest) error {
 	if err := h.confirmLeadership(ctx, true); err != nil {
 		return err
 	}
 	return h.room.reserve(ctx, in)
 }
 
-// settle ends the reservation of a submission whose command has ended with err, unless the command
+// settleRoom ends the reservation of a submission whose command has ended with err, unless the command
 // may still be committed.
-func (h *Hub) settle(submission string, err error) {
+func (h *Hub) settleRoom(submission string, err error) {
 	if !eris.Is(err, control.ErrUnknownOutcome) && !eris.Is(err, context.DeadlineExceeded) && !eris.Is(err, context.Canceled) {
 		h.room.release(submission)
 	}
@@ -276,7 +276,7 @@
 	if known, err := h.knownSubmission(in.Account, in.Submission); known || err != nil {
 		return replyOr(err, &roomReply{Accepted: known})
 	}
-	err := h.hold(ctx, in)
+	err := h.reserveRoom(ctx, in)
 	var tooLarge *tooLargeError
 	if eris.As(err, &tooLarge) {
 		return wire.Marshal(&roomReply{Limit: tooLarge.limit})
--- a/hub/serve.go
+++ b/hub/serve.go
@@ -65,12 +65,12 @@
 	if known, err := h.knownSubmission(sub.Account, sub.ID); known || err != nil {
 		return nil, err
 	}
-	if err := h.hold(ctx, &roomRequest{Submission: sub.ID, Account: sub.Account, Held: sub.HeldBytes(), Bytes: len(body)}); err != nil {
+	if err := h.reserveRoom(ctx, &roomRequest{Submission: sub.ID, Account: sub.Account, Held: sub.HeldBytes(), Bytes: len(body)}); err != nil {
 		return nil, err
 	}
 	command, err := ledger.AcceptCommand(sub)
 	err = h.propose(ctx, h.opts.Submissions.Name(), command, err)
-	h.settle(sub.ID, err)
+	h.settleRoom(sub.ID, err)
 	return nil, err
 }
 
--- a/hub/upload.go
+++ b/hub/upload.go
@@ -223,7 +223,7 @@
 		return replyOr(err, &uploadPartReply{Accepted: known})
 	}
 	if begun, _ := h.opts.Uploads.Reserved(in.Part.Upload); !begun {
-		err := h.hold(ctx, &roomRequest{Submission: in.Submission, Account: in.Account, Held: max(in.Part.Held, in.Part.Bytes), Bytes: min(in.Part.Bytes, uploadPartBytes)})
+		err := h.reserveRoom(ctx, &roomRequest{Submission: in.Submission, Account: in.Account, Held: max(in.Part.Held, in.Part.Bytes), Bytes: min(in.Part.Bytes, uploadPartBytes)})
 		var tooLarge *tooLargeError
 		if eris.As(err, &tooLarge) {
 			return wire.Marshal(&uploadPartReply{Limit: tooLarge.limit})
@@ -235,7 +235,7 @@
 	in.Part.Account = in.Account
 	err := h.addPart(ctx, &in.Part)
 	if len(in.Part.Items) > 0 {
-		h.settle(in.Submission, err)
+		h.settleRoom(in.Submission, err)
 	}
 	return replyOr(err, &uploadPartReply{Next: h.opts.Uploads.Next(in.Part.Upload)})
 }
--- a/ledger/held.go
+++ b/ledger/held.go
@@ -70,8 +70,8 @@
 	return n
 }
 
-// hold adds n bytes to what a submission takes.
-func (s *Submissions) hold(state *submissionState, n int) {
+// addHeld adds n bytes to what a submission takes.
+func (s *Submissions) addHeld(state *submissionState, n int) {
 	state.held += n
 	account := state.Submission.Account
 	s.held += n
@@ -84,7 +84,7 @@
 func (s *Submissions) setPartial(item string, p *Partial) {
 	if old := s.partial[item]; old != nil {
 		if state := s.byID[old.ForSubmission]; state != nil {
-			s.hold(state, -old.heldBytes())
+			s.addHeld(state, -old.heldBytes())
 		}
 		delete(s.partial, item)
 	}
@@ -93,7 +93,7 @@
 	}
 	s.partial[item] = p
 	if state := s.byID[p.ForSubmission]; state != nil {
-		s.hold(state, p.heldBytes())
+		s.addHeld(state, p.heldBytes())
 	}
 }
 
@@ -102,11 +102,11 @@
 	s.held, s.heldByAccount = 0, make(map[string]int)
 	for _, state := range s.byID {
 		state.held = 0
-		s.hold(state, state.heldBytes())
+		s.addHeld(state, state.heldBytes())
 	}
 	for _, p := range s.partial {
 		if state := s.byID[p.ForSubmission]; state != nil {
-			s.hold(state, p.heldBytes())
+			s.addHeld(state, p.heldBytes())
 		}
 	}
 }
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -103,7 +103,7 @@
 	since       time.Time      // when this process learnt of it
 	changed     chan struct{}  // closed at the next change
 	groups      groupCount
-	held        int // what it takes, see Submissions.hold
+	held        int // what it takes, see Submissions.addHeld
 	// requestedAt is when this process learnt of the first submission of the step, zero if
 	// that was from a snapshot.
 	requestedAt time.Time
@@ -256,7 +256,7 @@
 	state.requestedAt = s.firstRequest(state)
 	state.groups.setAgain(s.groupsAgain(state))
 	s.byID[sub.ID] = state
-	s.hold(state, state.heldBytes())
+	s.addHeld(state, state.heldBytes())
 	return []SubmissionChange{{Accepted: &state.Submission}}
 }
 
@@ -278,7 +278,7 @@
 		}
 		r.PartialEvents, r.Lineage = 0, 0
 		s.setPartial(r.Item, nil)
-		s.hold(state, r.heldBytes())
+		s.addHeld(state, r.heldBytes())
 		state.resultIndex[r.Item] = len(state.Results)
 		state.Results = append(state.Results, r)
 		state.groups.take(state.Submission.Items[at].Group)
@@ -318,7 +318,7 @@
 	}
 	before := state.heldBytes()
 	state.Submission.Items = items
-	s.hold(state, state.heldBytes()-before)
+	s.addHeld(state, state.heldBytes()-before)
 }
 
 // forget removes a submission with its results and partial texts.
@@ -335,7 +335,7 @@
 			s.setPartial(item.ID, nil)
 		}
 	}
-	s.hold(state, -state.held)
+	s.addHeld(state, -state.held)
 	delete(s.byID, id)
 	state.notifyReaders()
 }
