hub: room for submissions is a third of the memory of a control host

Change: a third, of which an account may hold three quarters as before; what is on its way to the log keeps its size.

Evidence: TestSubmissionsStayWithinTheMemoryOfHosts passes, 126 MB of 154 at most (one run).

--- a/hub/room.go
+++ b/hub/room.go
@@ -20,7 +20,7 @@
 	// heldMemoryDivisor divides the memory of the smallest control host to get the bound on what
 	// submissions hold. The rest is for their results, for the log, and for a snapshot that is encoded
 	// or restored beside the state.
-	heldMemoryDivisor = 4
+	heldMemoryDivisor = 3
 	// A client account may hold accountShare/accountShareDivisor of what the others leave, so that
 	// there is room for those that come later.
 	accountShare, accountShareDivisor = 3, 4
@@ -29,7 +29,7 @@
 	freeDivisor = 2
 	// transitDivisor divides the room into the bound on the submissions that are on their way to the
 	// log at the same time: each has several copies in messages, commands and the log.
-	transitDivisor = 4
+	transitDivisor = 6
 	// reservationTime is how long room is kept for a submission that does not arrive, or whose
 	// command has an unknown outcome.
 	reservationTime = 5 * time.Second
