hub: texts of results do not count for the share of an account

Cause: an account could hold three quarters of the bound, results included.

Change: the share of an account, and the size of one submission, follow from what the submissions bring. Texts count for the bound on all together, of which a submission may take half of what is free.

--- a/hub/room.go
+++ b/hub/room.go
@@ -102,11 +102,13 @@
 	)
 }
 
-// largestSubmission returns what one submission may take of an account's free room, if the account
-// holds what is given and the others hold the rest.
+// largestSubmission returns what one submission may take beside what is held: a part of what is free
+// for the requests of its account, and of what is free in all. Texts of results count for the second
+// only: a trainer whose results are large must not be refused while there is room.
 func largestSubmission(limit int, held ledger.Held) int {
-	others := held.Total - held.Account
-	return ((limit-others)*accountShare/accountShareDivisor - held.Account) / freeDivisor
+	others := held.Requests - held.Account
+	ofAccount := (limit-others)*accountShare/accountShareDivisor - held.Account
+	return min(ofAccount, limit-held.Total) / freeDivisor
 }
 
 // excess returns which bound a submission would exceed, or an empty string if there is room for it.
@@ -174,6 +176,7 @@
 		}
 		transit += v.bytes
 		held.Total += v.held
+		held.Requests += v.held
 		if v.account == in.Account {
 			held.Account += v.held
 		}
@@ -200,7 +203,7 @@
 	if r.lines.Allow(now) {
 		r.log.WithFields(logrus.Fields{
 			"submission": in.Submission, "account": in.Account, "reason": reason, "bytes": in.Held,
-			"held": held.Total, "held_by_account": held.Account, "in_transit": transit, "limit": limit, "retry_after_ms": after.Milliseconds(),
+			"held": held.Total, "held_requests": held.Requests, "held_by_account": held.Account, "in_transit": transit, "limit": limit, "retry_after_ms": after.Milliseconds(),
 		}).Info("no room for a submission")
 	}
 	if reason == "size" {
--- a/hub/room_test.go
+++ b/hub/room_test.go
@@ -19,8 +19,9 @@
 
 // heldModel is what submissions hold, by account.
 type heldModel struct {
-	mu   sync.Mutex
-	held map[string]int
+	mu    sync.Mutex
+	held  map[string]int
+	texts int // of results
 }
 
 func (m *heldModel) of(account string) ledger.Held {
@@ -29,7 +30,9 @@
 	out := ledger.Held{Account: m.held[account]}
 	for _, n := range m.held {
 		out.Total += n
+		out.Requests += n
 	}
+	out.Total += m.texts
 	return out
 }
 
@@ -143,3 +146,17 @@
 	is.Equal(smallestMemory(154, memory, []string{"large", "former version", "unknown"}), int64(154))
 	is.Equal(smallestMemory(154, memory, []string{"large", "small"}), int64(130))
 }
+
+// Guards against ordinary steps that are refused while there is room, since the texts of earlier steps
+// of the same account are large, and against submissions that take the room of these texts.
+func TestTextsOfResultsCountForAllAccountsTogether(t *testing.T) {
+	is := is.New(t)
+	const limit = 1 << 20
+	r, m := testRoom(limit)
+	m.add("", limit/10)
+	m.texts = limit * 8 / 10
+	is.NoErr(r.reserve(t.Context(), &roomRequest{Submission: "step", Held: limit / 100}))
+	r.release("step")
+	var full *control.FullError
+	is.True(errors.As(r.reserve(t.Context(), &roomRequest{Submission: "large", Held: limit / 10}), &full))
+}
--- a/ledger/held.go
+++ b/ledger/held.go
@@ -20,12 +20,15 @@
 
 // Held is the memory that submissions take, in bytes.
 type Held struct {
-	Total   int // of all client accounts
-	Account int // of one of them
+	Total    int // with the texts of results
+	Requests int // without them
+	Account  int // of Requests, what the submissions of one client account take
 }
 
 // Plus returns the sum.
-func (h Held) Plus(o Held) Held { return Held{h.Total + o.Total, h.Account + o.Account} }
+func (h Held) Plus(o Held) Held {
+	return Held{h.Total + o.Total, h.Requests + o.Requests, h.Account + o.Account}
+}
 
 // HeldBytes returns the memory in bytes that the submission takes once it is accepted, without
 // results.
@@ -46,10 +49,8 @@
 	return n + i.Reward.Size()
 }
 
-// heldBytes returns what the result adds to its item.
-func (r *Result) heldBytes() int {
-	return listedItemHeldBytes - openItemHeldBytes + len(r.Score) + textHeldBytes(r.Parts)
-}
+// heldBytes returns the size of the result's texts.
+func (r *Result) heldBytes() int { return len(r.Score) + textHeldBytes(r.Parts) }
 
 func (p *Partial) heldBytes() int { return textHeldBytes(p.Parts) + partHeldBytes }
 
@@ -61,20 +62,29 @@
 	return n
 }
 
-// heldBytes returns the memory that the submission takes with its results.
-func (state *submissionState) heldBytes() int {
-	n := state.Submission.HeldBytes()
-	for i := range state.Results {
-		n += state.Results[i].heldBytes()
-	}
-	return n
+// requestBytes returns the memory that the submission takes without the texts of its results.
+func (state *submissionState) requestBytes() int {
+	return state.Submission.HeldBytes() + len(state.Results)*(listedItemHeldBytes-openItemHeldBytes)
+}
+
+// addText adds n bytes to what the texts of a submission take.
+func (s *Submissions) addText(state *submissionState, n int) {
+	state.textHeld += n
+	s.held += n
 }
 
-// addHeld adds n bytes to what a submission takes.
-func (s *Submissions) addHeld(state *submissionState, n int) {
-	state.held += n
+// countRequests counts what a submission takes without the texts of its results.
+func (s *Submissions) countRequests(state *submissionState) {
+	s.setRequests(state, state.requestBytes())
+}
+
+// setRequests sets what a submission takes without the texts of its results, 0 if it is forgotten.
+func (s *Submissions) setRequests(state *submissionState, bytes int) {
+	n := bytes - state.requestsHeld
+	state.requestsHeld = bytes
 	account := state.Submission.Account
 	s.held += n
+	s.requestsHeld += n
 	if s.heldByAccount[account] += n; s.heldByAccount[account] == 0 {
 		delete(s.heldByAccount, account)
 	}
@@ -84,7 +94,7 @@
 func (s *Submissions) setPartial(item string, p *Partial) {
 	if old := s.partial[item]; old != nil {
 		if state := s.byID[old.ForSubmission]; state != nil {
-			s.addHeld(state, -old.heldBytes())
+			s.addText(state, -old.heldBytes())
 		}
 		delete(s.partial, item)
 	}
@@ -93,30 +103,32 @@
 	}
 	s.partial[item] = p
 	if state := s.byID[p.ForSubmission]; state != nil {
-		s.addHeld(state, p.heldBytes())
+		s.addText(state, p.heldBytes())
 	}
 }
 
 // countHeld sets what the submissions take after a snapshot has replaced them.
 func (s *Submissions) countHeld() {
-	s.held, s.heldByAccount = 0, make(map[string]int)
+	s.held, s.requestsHeld, s.heldByAccount = 0, 0, make(map[string]int)
 	for _, state := range s.byID {
-		state.held = 0
-		s.addHeld(state, state.heldBytes())
+		s.countRequests(state)
+		for i := range state.Results {
+			s.addText(state, state.Results[i].heldBytes())
+		}
 	}
 	for _, p := range s.partial {
 		if state := s.byID[p.ForSubmission]; state != nil {
-			s.addHeld(state, p.heldBytes())
+			s.addText(state, p.heldBytes())
 		}
 	}
 }
 
-// Held returns what all known submissions take, and those of a client account. It follows from the
-// replicated state, so every control process has the same.
+// Held returns what all known submissions take, and the requests of a client account. It follows from
+// the replicated state, so every control process has the same.
 func (s *Submissions) Held(account string) Held {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Held{Total: s.held, Account: s.heldByAccount[account]}
+	return Held{Total: s.held, Requests: s.requestsHeld, Account: s.heldByAccount[account]}
 }
 
 // NextExpiry returns when the first of the submissions that Expired will return with keep is due,
--- a/ledger/submissions.go
+++ b/ledger/submissions.go
@@ -103,7 +103,9 @@
 	since       time.Time      // when this process learnt of it
 	changed     chan struct{}  // closed at the next change
 	groups      groupCount
-	held        int // what it takes, see Submissions.addHeld
+	// requestsHeld and textHeld are the memory that it takes without the texts of its results, and
+	// that of these texts.
+	requestsHeld, textHeld int
 	// requestedAt is when this process learnt of the first submission of the step, zero if
 	// that was from a snapshot.
 	requestedAt time.Time
@@ -144,9 +146,10 @@
 	partial  map[string]*Partial // partial texts of items without a result, by item id
 	onChange func(SubmissionChange)
 
-	// held is the memory that the submissions take, in all and by client account.
-	held          int
-	heldByAccount map[string]int
+	// held is the memory that the submissions take, requestsHeld the part without the texts of
+	// results, which heldByAccount has by client account.
+	held, requestsHeld int
+	heldByAccount      map[string]int
 }
 
 // NewSubmissions returns an empty slice.
@@ -256,7 +259,7 @@
 	state.requestedAt = s.firstRequest(state)
 	state.groups.setAgain(s.groupsAgain(state))
 	s.byID[sub.ID] = state
-	s.addHeld(state, state.heldBytes())
+	s.countRequests(state)
 	return []SubmissionChange{{Accepted: &state.Submission}}
 }
 
@@ -278,7 +281,8 @@
 		}
 		r.PartialEvents, r.Lineage = 0, 0
 		s.setPartial(r.Item, nil)
-		s.addHeld(state, r.heldBytes())
+		s.addText(state, r.heldBytes())
+		s.setRequests(state, state.requestsHeld+listedItemHeldBytes-openItemHeldBytes)
 		state.resultIndex[r.Item] = len(state.Results)
 		state.Results = append(state.Results, r)
 		state.groups.take(state.Submission.Items[at].Group)
@@ -316,9 +320,8 @@
 		item.Body, item.Headers, item.Reward = nil, nil, nil
 		items[i] = item
 	}
-	before := state.heldBytes()
 	state.Submission.Items = items
-	s.addHeld(state, state.heldBytes()-before)
+	s.countRequests(state)
 }
 
 // forget removes a submission with its results and partial texts.
@@ -335,7 +338,8 @@
 			s.setPartial(item.ID, nil)
 		}
 	}
-	s.addHeld(state, -state.held)
+	s.addText(state, -state.textHeld)
+	s.setRequests(state, 0)
 	delete(s.byID, id)
 	state.notifyReaders()
 }
--- a/ledger/uploads.go
+++ b/ledger/uploads.go
@@ -125,13 +125,14 @@
 	return begun, others
 }
 
-// Held returns what the submissions of all uploads will take, and those of a client account.
+// Held returns what the submissions of all uploads will take.
 func (u *Uploads) Held(account string) Held {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var held Held
 	for _, up := range u.byID {
 		held.Total += up.held
+		held.Requests += up.held
 		if up.account == account {
 			held.Account += up.held
 		}
