--- a/ledger/held_test.go
+++ b/ledger/held_test.go
@@ -92,3 +92,17 @@
 	is.Equal(page.Total, 2)
 	is.Equal(len(page.Results), 2)
 }
+
+// Guards against a trainer that is refused for the texts of its results, which count for all accounts
+// together only.
+func TestTextsOfResultsAreNotHeldByTheAccount(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t)
+	sub := submission("s", 2)
+	sub.Account = "a"
+	is.NoErr(l.apply(AcceptCommand(sub)))
+	is.NoErr(l.apply(RecordCommand("s", Result{Item: "s-0", Parts: [][]byte{make([]byte, 100_000)}})))
+	is.NoErr(l.apply(ProgressCommand("s", []Progress{{Item: "s-1", Events: 1, Parts: [][]byte{make([]byte, 100_000)}}})))
+	is.True(l.slice.Held("a").Account < 10_000)
+	is.True(l.slice.Held("a").Total > 200_000)
+}
