hub: one place tells a submission for which there is never room

Two handlers took the limit out of the error in the same way. The comment on the divisor said that results are outside the bound, and the help of the refusals named the account's room only; both are as since.

--- a/hub/room.go
+++ b/hub/room.go
@@ -18,7 +18,7 @@
 
 const (
 	// heldMemoryDivisor divides the memory of the smallest control host to get the bound on what
-	// submissions hold. The rest is for their results, for the log, and for a snapshot that is encoded
+	// submissions hold with their results. The rest is for the log, and for a snapshot that is encoded
 	// or restored beside the state.
 	heldMemoryDivisor = 3
 	// A client account may hold accountShare/accountShareDivisor of what the others leave, so that
@@ -84,7 +84,7 @@
 	return &room{
 		limit: limit, held: held, nextExpiry: nextExpiry, log: log,
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "merlinhall_submissions_refused_total", Help: "Submissions that the control leader had no room for, by what they would have exceeded: the size of one submission, the room of the client account, or the submissions on their way to the log at the same time.",
+			Name: "merlinhall_submissions_refused_total", Help: "Submissions that the control leader had no room for, by what they would have exceeded: the size of one submission, the free room in all or of the client account, or the submissions on their way to the log at the same time.",
 		}, []string{"reason"}),
 		reserved: make(map[string]reservation), changed: make(chan struct{}),
 	}
@@ -138,6 +138,16 @@
 // Unwrap returns control.ErrRejected.
 func (*tooLargeError) Unwrap() error { return control.ErrRejected }
 
+// limitOf returns the limit that a submission exceeds for which there is never room, 0 for any other
+// error.
+func limitOf(err error) int {
+	var tooLarge *tooLargeError
+	if eris.As(err, &tooLarge) {
+		return tooLarge.limit
+	}
+	return 0
+}
+
 // reserve keeps room for a submission until release is called or reservationTime has passed. While
 // too much is on its way to the log it waits. Errors are *tooLargeError, *control.FullError or that
 // of ctx.
@@ -280,9 +290,8 @@
 		return replyOr(err, &roomReply{Accepted: known})
 	}
 	err := h.reserveRoom(ctx, in)
-	var tooLarge *tooLargeError
-	if eris.As(err, &tooLarge) {
-		return wire.Marshal(&roomReply{Limit: tooLarge.limit})
+	if limit := limitOf(err); limit > 0 {
+		return wire.Marshal(&roomReply{Limit: limit})
 	}
 	return replyOr(err, &roomReply{})
 }
--- a/hub/upload.go
+++ b/hub/upload.go
@@ -224,9 +224,8 @@
 	}
 	if begun, _ := h.opts.Uploads.Reserved(in.Part.Upload); !begun {
 		err := h.reserveRoom(ctx, &roomRequest{Submission: in.Submission, Account: in.Account, Held: max(in.Part.Held, in.Part.Bytes), Bytes: min(in.Part.Bytes, uploadPartBytes)})
-		var tooLarge *tooLargeError
-		if eris.As(err, &tooLarge) {
-			return wire.Marshal(&uploadPartReply{Limit: tooLarge.limit})
+		if limit := limitOf(err); limit > 0 {
+			return wire.Marshal(&uploadPartReply{Limit: limit})
 		}
 		if err != nil {
 			return nil, err
